--- /dev/null
+++ b/src/knapweeddrum/__init__.py
@@ -0,0 +1,3 @@
+"""A router fleet for prepaid token budgets."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/knapweeddrum/console/exit_code.py
@@ -0,0 +1,16 @@
+"""Exit codes of the binaries."""
+
+from __future__ import annotations
+
+import enum
+
+
+class ExitCode(enum.IntEnum):
+    """What a binary's exit code means; docs/OPERATIONS.md lists them."""
+
+    OK = 0
+    FAILED = 1
+    USAGE = 2
+    CONFLICT = 3
+    UNAVAILABLE = 4
+    NOT_FOUND = 5
--- /dev/null
+++ b/src/knapweeddrum/core/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions without input or output: no sockets, no clock, no global randomness."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/knapweeddrum/core/admission/__init__.py
@@ -0,0 +1,3 @@
+"""Admission, priorities and fair sharing."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/knapweeddrum/core/billing/__init__.py
@@ -0,0 +1,3 @@
+"""Metering of one request and its settlement."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/knapweeddrum/core/budget/__init__.py
@@ -0,0 +1,3 @@
+"""Prepaid budgets: the ledger fold, allowances and allocation policies."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/knapweeddrum/core/claim/__init__.py
@@ -0,0 +1,3 @@
+"""Claims on requests that are not idempotent."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/knapweeddrum/endpoint/model_engine.py
@@ -0,0 +1,61 @@
+"""Interface of a model engine."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
+
+from knapweeddrum.endpoint.answer_part import AnswerPart
+from knapweeddrum.endpoint.cache_event import CacheEvent
+from knapweeddrum.endpoint.engine_order import EngineOrder
+from knapweeddrum.endpoint.load_report import LoadReport
+from knapweeddrum.endpoint.model_request import ModelRequest
+from knapweeddrum.endpoint.run_usage import RunUsage
+
+
+class ModelEngine(abc.ABC):
+    """An engine that batches continuously and streams its answers.
+
+    Leaving the context of a stream closes its connection and nothing else: the run
+    goes on at the engine until it ends or is cancelled.
+    """
+
+    @abc.abstractmethod
+    def stream(
+        self, req: ModelRequest
+    ) -> AbstractAsyncContextManager[AsyncIterator[AnswerPart]]:
+        """Start a run and stream its parts.
+
+        Raises EndpointConnectError and EndpointBusyError when it did not run,
+        StreamCutError and WrongStreamError when it may have.
+        """
+
+    @abc.abstractmethod
+    def resume(
+        self, run_id: str, start: int
+    ) -> AbstractAsyncContextManager[AsyncIterator[AnswerPart]]:
+        """Stream the parts of a known run from part ``start`` on.
+
+        Raises EndpointError when the engine doesn't know the run.
+        """
+
+    @abc.abstractmethod
+    async def cancel(self, run_id: str) -> RunUsage:
+        """Stop a run and return what it consumed in all; repeating it is harmless."""
+
+    @abc.abstractmethod
+    async def usage(self, run_id: str) -> RunUsage:
+        """Return what a run consumed so far."""
+
+    @abc.abstractmethod
+    async def load(self) -> LoadReport:
+        """Return the engine's load; it lags."""
+
+    @abc.abstractmethod
+    async def cache_events(self, after: int) -> tuple[CacheEvent, ...]:
+        """Return cache events numbered above ``after``; late and with gaps."""
+
+    @abc.abstractmethod
+    async def order(self, order: EngineOrder) -> None:
+        """Give an order; raises OrderRefusedError for an old fencing number."""
--- /dev/null
+++ b/src/knapweeddrum/endpoint/run_usage.py
@@ -0,0 +1,20 @@
+"""What an engine consumed for one run."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunUsage:
+    """The engine's own figures for a run; ``running`` until its last token."""
+
+    run_id: str
+    prompt_tokens: int
+    output_tokens: int
+    running: bool
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens to bill."""
+        return self.prompt_tokens + self.output_tokens
--- /dev/null
+++ b/src/knapweeddrum/message/call/__init__.py
@@ -0,0 +1,3 @@
+"""Requests and replies of the calls between processes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/knapweeddrum/message/call/exchange_reply.py
@@ -0,0 +1,13 @@
+"""Reply to a membership exchange."""
+
+from __future__ import annotations
+
+import msgspec
+
+from knapweeddrum.message.call.heartbeat import Heartbeat
+
+
+class ExchangeReply(msgspec.Struct, frozen=True):
+    """The receiver's own heartbeat first, then some that it heard."""
+
+    heartbeats: tuple[Heartbeat, ...]
--- /dev/null
+++ b/src/knapweeddrum/message/call/fetch_request.py
@@ -0,0 +1,13 @@
+"""A request for log records that a peer holds."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class FetchRequest(msgspec.Struct, frozen=True):
+    """Records of a stream from ``start`` on, at most ``limit``."""
+
+    stream: str
+    start: int
+    limit: int
--- /dev/null
+++ b/src/knapweeddrum/message/call/outcome_reply.py
@@ -0,0 +1,11 @@
+"""Receipt for an outcome."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class OutcomeReply(msgspec.Struct, frozen=True):
+    """True once the outcome is on the log."""
+
+    accepted: bool
--- /dev/null
+++ b/src/knapweeddrum/message/call/transfer_request.py
@@ -0,0 +1,14 @@
+"""A keeper's request to a peer for tokens of a budget."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class TransferRequest(msgspec.Struct, frozen=True):
+    """The peer debits first; a repeat of ``transfer_id`` gets the same reply."""
+
+    transfer_id: str
+    keeper: str
+    budget: str
+    tokens: int
--- /dev/null
+++ b/src/knapweeddrum/message/call/want.py
@@ -0,0 +1,13 @@
+"""Demand of a router for tokens of one budget."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Want(msgspec.Struct, frozen=True):
+    """At least ``minimum`` tokens to admit a request, better ``preferred``."""
+
+    budget: str
+    minimum: int
+    preferred: int
--- /dev/null
+++ b/src/knapweeddrum/message/fact/__init__.py
@@ -0,0 +1,3 @@
+"""Facts: the entries of the log's records."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/knapweeddrum/message/fact/batch.py
@@ -0,0 +1,19 @@
+"""A batch of facts: the payload of one log record."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Batch(msgspec.Struct, frozen=True):
+    """Facts of one writer, appended together.
+
+    ``writer`` and ``sequence`` identify the batch: an append that is repeated after a
+    lost reply carries the same pair, and the fold drops the second. Each fact stays
+    encoded, so that a fold skips a fact that this version does not know.
+    """
+
+    writer: str
+    sequence: int
+    facts: tuple[msgspec.Raw, ...]
+    version: int = 1
--- /dev/null
+++ b/src/knapweeddrum/message/fact/fact_codec.py
@@ -0,0 +1,38 @@
+"""Encoding of batches and facts as MessagePack."""
+
+from __future__ import annotations
+
+import msgspec
+
+from knapweeddrum.message.exceptions import MessageError
+from knapweeddrum.message.fact.any_fact import AnyFact
+from knapweeddrum.message.fact.batch import Batch
+
+_ENCODER = msgspec.msgpack.Encoder()
+_BATCH_DECODER = msgspec.msgpack.Decoder(Batch)
+_FACT_DECODER: msgspec.msgpack.Decoder[AnyFact] = msgspec.msgpack.Decoder(AnyFact)
+
+
+def encode_batch(writer: str, sequence: int, facts: tuple[AnyFact, ...]) -> bytes:
+    """Return the record payload for a batch of facts."""
+    encoded = tuple(msgspec.Raw(_ENCODER.encode(fact)) for fact in facts)
+    return _ENCODER.encode(Batch(writer=writer, sequence=sequence, facts=encoded))
+
+
+def decode_batch(payload: bytes) -> Batch:
+    """Return the batch of a record.
+
+    Raises MessageError for a payload that is no batch.
+    """
+    try:
+        return _BATCH_DECODER.decode(payload)
+    except msgspec.MsgspecError as exc:
+        raise MessageError(f"record holds no batch: {exc}") from exc
+
+
+def decode_fact(raw: msgspec.Raw) -> AnyFact | None:
+    """Return the fact, or None for a kind that this version does not know."""
+    try:
+        return _FACT_DECODER.decode(raw)
+    except msgspec.ValidationError:
+        return None
--- /dev/null
+++ b/src/knapweeddrum/message/resource/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration resources as data, after validation."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/knapweeddrum/message/resource/budget.py
@@ -0,0 +1,12 @@
+"""The resource ``budget``."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Budget(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A prepaid budget named ``organisation/budget``; top-ups fill it."""
+
+    organisation: str
+    description: str = ""
--- /dev/null
+++ b/src/knapweeddrum/message/resource/route.py
@@ -0,0 +1,22 @@
+"""The resource ``route``."""
+
+from __future__ import annotations
+
+import msgspec
+
+from knapweeddrum.value.endpoint_kind import EndpointKind
+
+
+class Route(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A name that callers ask for, and the endpoints that serve it.
+
+    For model engines the route's name is the model that callers name. Limits are in
+    tokens, requests and seconds.
+    """
+
+    kind: EndpointKind
+    endpoints: tuple[str, ...]
+    model: str = ""
+    output_limit: int = 1024
+    in_progress_limit: int = 256
+    timeout: float = 30.0
--- /dev/null
+++ b/src/knapweeddrum/rpc/rpc_client.py
@@ -0,0 +1,60 @@
+"""Client side of the calls between processes."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+from grpclib.client import Channel, UnaryUnaryMethod
+from grpclib.const import Status
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from knapweeddrum.rpc.exceptions import PeerRejectedError, RpcError
+from knapweeddrum.rpc.fleet_identity import FleetIdentity
+from knapweeddrum.rpc.message_codec import MessageCodec
+from knapweeddrum.rpc.method import Method
+
+RequestT = TypeVar("RequestT", bound=msgspec.Struct)
+ReplyT = TypeVar("ReplyT", bound=msgspec.Struct)
+
+
+_NO_REPLY = (OSError, StreamTerminatedError, TimeoutError, msgspec.MsgspecError)
+
+
+class RpcClient:
+    """A connection to one process of the fleet; nothing is retried here."""
+
+    def __init__(self, identity: FleetIdentity, address: str, port: int) -> None:
+        self.target = f"{address}:{port}"
+        self._identity = identity
+        self._channel = Channel(address, port, codec=MessageCodec())
+
+    async def call(
+        self,
+        method: Method[RequestT, ReplyT],
+        request: RequestT,
+        timeout: float,
+    ) -> ReplyT:
+        """Return the reply of the peer; ``timeout`` is in seconds.
+
+        Raises PeerRejectedError when the peer turns this process away and RpcError
+        when no reply came, in which case the call may have been carried out.
+        """
+        stub = UnaryUnaryMethod(
+            self._channel, method.path, method.request_type, method.reply_type
+        )
+        try:
+            reply: ReplyT = await stub(
+                request, timeout=timeout, metadata=self._identity.headers()
+            )
+        except GRPCError as exc:
+            if exc.status is Status.UNAUTHENTICATED:
+                raise PeerRejectedError(f"{self.target}: {exc.message}") from exc
+            raise RpcError(f"{self.target}: {exc.status.name} {exc.message}") from exc
+        except _NO_REPLY as exc:
+            raise RpcError(f"{self.target}: {exc!r}") from exc
+        return reply
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._channel.close()
--- /dev/null
+++ b/src/knapweeddrum/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Validated models of the settings files."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/knapweeddrum/settings/host_settings.py
@@ -0,0 +1,19 @@
+"""Settings of one entry host."""
+
+from __future__ import annotations
+
+import pydantic
+
+from knapweeddrum.settings.strict_model import StrictModel
+
+
+class HostSettings(StrictModel):
+    """Name, place and addresses of an entry host."""
+
+    name: str = pydantic.Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")
+    region: str = pydantic.Field(min_length=1)
+    data_centre: str = pydantic.Field(min_length=1)
+    address: pydantic.IPvAnyAddress
+    router_port: int = pydantic.Field(default=8080, ge=1, le=65535)
+    keeper_port: int = pydantic.Field(default=8081, ge=1, le=65535)
+    control_port: int = pydantic.Field(default=8082, ge=1, le=65535)
--- /dev/null
+++ b/src/knapweeddrum/settings/settings.py
@@ -0,0 +1,32 @@
+"""The settings of one entry host, shared by its processes."""
+
+from __future__ import annotations
+
+import pydantic
+
+from knapweeddrum.settings.budget_settings import BudgetSettings
+from knapweeddrum.settings.fleet_settings import FleetSettings
+from knapweeddrum.settings.host_settings import HostSettings
+from knapweeddrum.settings.platform_settings import PlatformSettings
+from knapweeddrum.settings.router_settings import RouterSettings
+from knapweeddrum.settings.strict_model import StrictModel
+from knapweeddrum.settings.telemetry_settings import TelemetrySettings
+
+
+class Settings(StrictModel):
+    """All settings; ``peers`` are the other hosts known at start."""
+
+    fleet: FleetSettings
+    host: HostSettings
+    peers: tuple[HostSettings, ...] = ()
+    platform: PlatformSettings
+    budgets: BudgetSettings = BudgetSettings()
+    router: RouterSettings = RouterSettings()
+    telemetry: TelemetrySettings = TelemetrySettings()
+
+    @pydantic.model_validator(mode="after")
+    def _hosts_are_distinct(self) -> Settings:
+        names = [self.host.name, *(peer.name for peer in self.peers)]
+        if len(set(names)) != len(names):
+            raise ValueError("host names must be distinct")
+        return self
--- /dev/null
+++ b/src/knapweeddrum/telemetry/__init__.py
@@ -0,0 +1,3 @@
+"""Numbered log events and counters."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/knapweeddrum/telemetry/events.py
@@ -0,0 +1,17 @@
+"""Catalogue of log events; docs/EVENTS.md describes each.
+
+Numbers: 1xx all processes, 2xx router, 3xx keeper, 4xx control, 5xx client.
+"""
+
+from __future__ import annotations
+
+from knapweeddrum.telemetry.event import Event
+
+PROCESS_STARTED = Event(100, "process_started", "info", ("binary", "host"))
+PROCESS_STOPPED = Event(101, "process_stopped", "info", ("binary",))
+DRAIN_STARTED = Event(102, "drain_started", "info", ("in_progress",))
+DRAIN_FINISHED = Event(103, "drain_finished", "info", ())
+PEER_REJECTED = Event(104, "peer_rejected", "warning", ("mismatch", "method"))
+WAITING = Event(105, "waiting", "warning", ("dependency", "error"))
+DEPENDENCY_READY = Event(106, "dependency_ready", "info", ("dependency",))
+TASK_FAILED = Event(107, "task_failed", "error", ("task", "error"))
--- /dev/null
+++ b/src/knapweeddrum/telemetry/metrics.py
@@ -0,0 +1,38 @@
+"""Counters and timings, sent by statsd and kept for inspection."""
+
+from __future__ import annotations
+
+import collections
+
+import statsd
+
+from knapweeddrum.telemetry.counters import refusal_counter, retry_counter
+from knapweeddrum.value.refusal_reason import RefusalReason
+from knapweeddrum.value.retry_reason import RetryReason
+
+
+class Metrics:
+    """Count events; each count is also sent to a statsd server over UDP."""
+
+    def __init__(self, client: statsd.StatsClient | None = None) -> None:
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._client = client
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Add to a counter."""
+        self.counts[name] += amount
+        if self._client is not None:
+            self._client.incr(name, amount)
+
+    def refusal(self, reason: RefusalReason) -> None:
+        """Count a refusal."""
+        self.count(refusal_counter(reason))
+
+    def retry(self, reason: RetryReason) -> None:
+        """Count a retry."""
+        self.count(retry_counter(reason))
+
+    def timing(self, name: str, seconds: float) -> None:
+        """Send a duration."""
+        if self._client is not None:
+            self._client.timing(name, seconds * 1000)
--- /dev/null
+++ b/src/knapweeddrum/value/__init__.py
@@ -0,0 +1,3 @@
+"""Value types shared by all layers."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tools/layer_rule.py
@@ -0,0 +1,94 @@
+"""Check which layer imports which; exit 1 and name each import that may not stand."""
+
+from __future__ import annotations
+
+import ast
+import pathlib
+import sys
+
+PACKAGE = "knapweeddrum"
+ROOT = pathlib.Path(__file__).parent.parent / "src" / PACKAGE
+COMPOSITION_ROOT = f"{PACKAGE}.process.composition"
+
+ALLOWED = {
+    "value": {"value"},
+    "message": {"value", "message"},
+    "core": {"value", "message", "core"},
+    "telemetry": {"value", "telemetry"},
+    "settings": {"value", "core", "settings"},
+    "rpc": {"value", "message", "core", "telemetry", "rpc"},
+    "platform": {"value", "message", "core", "telemetry", "platform"},
+    "endpoint": {"value", "message", "core", "telemetry", "endpoint"},
+    "process": {
+        "value",
+        "message",
+        "core",
+        "telemetry",
+        "rpc",
+        "platform",
+        "endpoint",
+        "settings",
+        "process",
+    },
+    "console": {"value", "message", "core", "telemetry", "settings", "console"},
+}
+"""For each layer the layers it may import; concrete clients need the root."""
+
+CONCRETE_PREFIX = "http_"
+"""A module with this prefix holds a concrete client; only the root imports it."""
+
+IO_MODULES = {"socket", "asyncio", "anyio", "time", "os", "grpclib", "httpcore"}
+"""What the core may not import: it has no clock, sockets or environment."""
+
+
+def imports(path: pathlib.Path) -> list[str]:
+    """Return the dotted names that a source file imports."""
+    names = []
+    for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+        if isinstance(node, ast.Import):
+            names += [alias.name for alias in node.names]
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            names.append(node.module)
+    return names
+
+
+def module_name(path: pathlib.Path) -> str:
+    """Return the dotted module name of a source file."""
+    relative = path.relative_to(ROOT.parent).with_suffix("")
+    return ".".join(relative.parts)
+
+
+def violations(path: pathlib.Path) -> list[str]:
+    """Return a line for each import in the file that the rule forbids."""
+    module = module_name(path)
+    parts = module.split(".")
+    if module == COMPOSITION_ROOT or len(parts) < 3:
+        return []
+    layer = parts[1]
+    found = []
+    for name in imports(path):
+        target = name.split(".")
+        if layer == "core" and target[0] in IO_MODULES:
+            found.append(f"{module}: the core may not import {name}")
+        if target[0] != PACKAGE or len(target) < 2:
+            continue
+        if layer == "console" and name == COMPOSITION_ROOT:
+            continue
+        if target[1] not in ALLOWED[layer]:
+            found.append(f"{module}: {layer} may not import {name}")
+        concrete = target[-1].startswith(CONCRETE_PREFIX)
+        if concrete and target[1] != layer:
+            found.append(f"{module}: only the composition root imports {name}")
+    return found
+
+
+def main() -> int:
+    """Check each source file."""
+    found = [line for path in sorted(ROOT.rglob("*.py")) for line in violations(path)]
+    for line in found:
+        print(line)
+    return 1 if found else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
