--- a/src/knapweeddrum/rpc/rpc_client.py
+++ b/src/knapweeddrum/rpc/rpc_client.py
@@ -9,6 +9,7 @@
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
+from knapweeddrum.rpc.caller import Caller
 from knapweeddrum.rpc.exceptions import PeerRejectedError, RpcError
 from knapweeddrum.rpc.fleet_identity import FleetIdentity
 from knapweeddrum.rpc.message_codec import MessageCodec
@@ -21,7 +22,7 @@
 _NO_REPLY = (OSError, StreamTerminatedError, TimeoutError, msgspec.MsgspecError)
 
 
-class RpcClient:
+class RpcClient(Caller):
     """A connection to one process of the fleet; nothing is retried here."""
 
     def __init__(self, identity: FleetIdentity, address: str, port: int) -> None:
@@ -35,11 +36,7 @@
         request: RequestT,
         timeout: float,
     ) -> ReplyT:
-        """Return the reply of the peer; ``timeout`` is in seconds.
-
-        Raises PeerRejectedError when the peer turns this process away and RpcError
-        when no reply came, in which case the call may have been carried out.
-        """
+        """Return the reply of the peer."""
         stub = UnaryUnaryMethod(
             self._channel, method.path, method.request_type, method.reply_type
         )
