--- /dev/null
+++ b/src/knapweeddrum/process/keeper/__init__.py
@@ -0,0 +1,3 @@
+"""The keeper: folds of the log, grants, claims, membership and configuration."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/knapweeddrum/process/keeper/locate_registry.py
@@ -0,0 +1,50 @@
+"""Where requests run, as routers told."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from knapweeddrum.message.call.locate_reply import LocateReply
+from knapweeddrum.message.call.locate_request import LocateRequest
+
+ENTRY_LIFETIME_SECONDS = 600.0
+ENTRY_LIMIT = 20_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Entry:
+    router: str
+    endpoint: str
+    run_id: str
+    noted_at: float
+
+
+class LocateRegistry:
+    """A bounded table of hints; losing an entry costs a second run, never a bill."""
+
+    def __init__(self) -> None:
+        self._entries: collections.OrderedDict[str, _Entry] = collections.OrderedDict()
+
+    def handle(self, req: LocateRequest, now: float) -> LocateReply:
+        """Note where a request runs, forget it, or answer where it runs."""
+        self._expire(now)
+        known = self._entries.get(req.request_key)
+        if req.finished:
+            self._entries.pop(req.request_key, None)
+        elif req.endpoint:
+            self._entries[req.request_key] = _Entry(
+                req.router, req.endpoint, req.run_id, now
+            )
+            self._entries.move_to_end(req.request_key)
+        if known is None:
+            return LocateReply()
+        return LocateReply(known.router, known.endpoint, known.run_id)
+
+    def _expire(self, now: float) -> None:
+        while self._entries:
+            oldest = next(iter(self._entries.values()))
+            fresh = now - oldest.noted_at < ENTRY_LIFETIME_SECONDS
+            if fresh and len(self._entries) <= ENTRY_LIMIT:
+                return
+            self._entries.popitem(last=False)
--- /dev/null
+++ b/src/knapweeddrum/process/keeper/log_appender.py
@@ -0,0 +1,152 @@
+"""Appends facts to one stream of the log and learns their verdicts."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import anyio
+
+from knapweeddrum.core.fold.fact_verdict import FactVerdict
+from knapweeddrum.message.fact.any_fact import AnyFact
+from knapweeddrum.platform.append_log import AppendLog
+from knapweeddrum.platform.exceptions import AppendUnknownError, PlatformError
+from knapweeddrum.process.keeper.exceptions import (
+    AppendPendingError,
+    NotAppendedError,
+)
+from knapweeddrum.process.keeper.pending_batch import PendingBatch
+from knapweeddrum.process.keeper.pending_fact import PendingFact
+from knapweeddrum.telemetry.metrics import Metrics
+from knapweeddrum.value.retry_reason import RetryReason
+
+BATCH_WINDOW_SECONDS = 0.005
+BATCH_FACTS_LIMIT = 500
+READ_BACK_SECONDS = 1.0
+BACKOFF_FIRST_SECONDS = 0.1
+BACKOFF_LIMIT_SECONDS = 2.0
+
+
+class LogAppender:
+    """The only writer of one incarnation to one stream.
+
+    At most one batch is in flight. It is appended again, under the same sequence
+    number, until it has been read back, so a lost reply is harmless and a repeat is
+    dropped by the fold. The follower of the stream feeds the verdicts in.
+    """
+
+    def __init__(
+        self, log: AppendLog, stream: str, writer: str, metrics: Metrics
+    ) -> None:
+        self.stream = stream
+        self.writer = writer
+        self.available = True
+        self._log = log
+        self._metrics = metrics
+        self._queue: list[PendingFact] = []
+        self._wakeup = anyio.Event()
+        self._batch: PendingBatch | None = None
+        self._sequence = 0
+
+    async def append(self, fact: AnyFact, patience: float) -> FactVerdict:
+        """Append a fact and return its verdict.
+
+        Waits at most ``patience`` seconds, and not at all while the log is known to
+        be out. Raises NotAppendedError when the fact has been withdrawn unwritten and
+        AppendPendingError when it may be written or may still be.
+        """
+        entry = self.submit(fact)
+        if self.available:
+            with anyio.move_on_after(patience):
+                await entry.decided.wait()
+        else:
+            # One attempt's time tells whether the log is back.
+            with anyio.move_on_after(min(patience, BACKOFF_FIRST_SECONDS)):
+                await entry.decided.wait()
+        if entry.verdict is not None:
+            return entry.verdict
+        if self._withdraw(entry):
+            raise NotAppendedError(f"{self.stream}: the log is unavailable")
+        raise AppendPendingError(f"{self.stream}: no verdict within {patience} s")
+
+    def submit(self, fact: AnyFact) -> PendingFact:
+        """Queue a fact that is appended sooner or later, whatever it takes."""
+        entry = PendingFact(fact)
+        self._queue.append(entry)
+        self._wakeup.set()
+        return entry
+
+    @property
+    def idle(self) -> bool:
+        """Return whether no fact waits to be appended or read back."""
+        return not self._queue and self._batch is None
+
+    def on_verdicts(self, verdicts: Iterable[FactVerdict]) -> None:
+        """Take the verdicts of a folded record."""
+        batch = self._batch
+        if batch is None:
+            return
+        for verdict in verdicts:
+            if (verdict.writer, verdict.sequence) != (self.writer, batch.sequence):
+                continue
+            entry = batch.entries[verdict.index]
+            entry.verdict = verdict
+            entry.decided.set()
+            batch.folded.set()
+
+    async def run(self) -> None:
+        """Append queued facts until cancelled."""
+        while True:
+            await self._wait_for_facts()
+            await anyio.sleep(BATCH_WINDOW_SECONDS)
+            self._sequence += 1
+            entries = self._queue[:BATCH_FACTS_LIMIT]
+            del self._queue[:BATCH_FACTS_LIMIT]
+            self._batch = PendingBatch(self._sequence, entries)
+            await self._land(self._batch)
+            self._batch = None
+
+    async def _wait_for_facts(self) -> None:
+        while not self._queue:
+            self._wakeup = anyio.Event()
+            await self._wakeup.wait()
+
+    async def _land(self, batch: PendingBatch) -> None:
+        """Append the batch until it has been read back, or all was withdrawn."""
+        backoff = BACKOFF_FIRST_SECONDS
+        while batch.entries and not batch.folded.is_set():
+            if await self._attempt(batch):
+                backoff = BACKOFF_FIRST_SECONDS
+                with anyio.move_on_after(READ_BACK_SECONDS):
+                    await batch.folded.wait()
+                continue
+            with anyio.move_on_after(backoff):
+                await batch.folded.wait()
+            backoff = min(2 * backoff, BACKOFF_LIMIT_SECONDS)
+
+    async def _attempt(self, batch: PendingBatch) -> bool:
+        """Append the batch once; return False when that failed or is in doubt."""
+        written_before = batch.maybe_written
+        batch.maybe_written = True
+        try:
+            await self._log.append(self.stream, batch.payload(self.writer))
+        except AppendUnknownError:
+            self._metrics.retry(RetryReason.APPEND_REPLY_LOST)
+            self.available = False
+            return False
+        except PlatformError:
+            batch.maybe_written = written_before
+            self.available = False
+            return False
+        self.available = True
+        return True
+
+    def _withdraw(self, entry: PendingFact) -> bool:
+        """Take back a fact that is surely not written; return whether that worked."""
+        if entry in self._queue:
+            self._queue.remove(entry)
+            return True
+        batch = self._batch
+        if batch is None or batch.maybe_written or entry not in batch.entries:
+            return False
+        batch.entries.remove(entry)
+        return True
--- /dev/null
+++ b/src/knapweeddrum/process/keeper/record_buffer.py
@@ -0,0 +1,38 @@
+"""The newest records of a stream, kept for peers."""
+
+from __future__ import annotations
+
+import collections
+
+from knapweeddrum.message.call.held_record import HeldRecord
+
+BUFFER_RECORDS = 512
+BUFFER_BYTES = 2_000_000
+
+
+class RecordBuffer:
+    """A bounded run of records with consecutive offsets."""
+
+    def __init__(self) -> None:
+        self._records: collections.deque[HeldRecord] = collections.deque()
+        self._size = 0
+
+    def add(self, record: HeldRecord) -> None:
+        """Keep a record; a gap in offsets drops the older ones."""
+        if self._records and record.offset != self._records[-1].offset + 1:
+            self._records.clear()
+            self._size = 0
+        self._records.append(record)
+        self._size += len(record.payload)
+        while len(self._records) > BUFFER_RECORDS or self._size > BUFFER_BYTES:
+            self._size -= len(self._records.popleft().payload)
+
+    def since(self, start: int, limit: int) -> tuple[HeldRecord, ...] | None:
+        """Return records from ``start`` on, or None when those are not all held."""
+        if not self._records or start < self._records[0].offset:
+            return None
+        skip = start - self._records[0].offset
+        return tuple(self._records[index] for index in self._range(skip, limit))
+
+    def _range(self, skip: int, limit: int) -> range:
+        return range(skip, min(len(self._records), skip + limit))
--- /dev/null
+++ b/src/knapweeddrum/process/keeper/stream_follower.py
@@ -0,0 +1,166 @@
+"""Follows one stream of the log and keeps its fold."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import anyio
+
+from knapweeddrum.core.fold.checkpoint_reader import CheckpointReader
+from knapweeddrum.core.fold.fact_verdict import FactVerdict
+from knapweeddrum.core.fold.stream_fold import StreamFold
+from knapweeddrum.message.call.fetch_reply import FetchReply
+from knapweeddrum.message.call.held_record import HeldRecord
+from knapweeddrum.platform.append_log import AppendLog
+from knapweeddrum.platform.exceptions import PlatformError, RecordsExpiredError
+from knapweeddrum.platform.log_record import LogRecord
+from knapweeddrum.process.keeper.record_buffer import RecordBuffer
+from knapweeddrum.process.keeper.record_source import RecordSource
+from knapweeddrum.telemetry.event_log import EventLog
+from knapweeddrum.telemetry.events import LOG_LOST, LOG_REACHED, STREAM_READY
+
+READ_LIMIT = 500
+READ_WAIT_SECONDS = 2.0
+OUTAGE_PAUSE_SECONDS = 0.25
+FETCH_LIMIT = 200
+
+VerdictListener = Callable[[tuple[FactVerdict, ...]], None]
+
+
+class StreamFollower:
+    """Reads a stream from the log, or from peers while the log is out.
+
+    ``ready`` is set once the fold has a state that was the log's at some offset.
+    """
+
+    def __init__(
+        self,
+        log: AppendLog,
+        stream: str,
+        fold: StreamFold,
+        peers: RecordSource,
+        events: EventLog,
+    ) -> None:
+        self.stream = stream
+        self.fold = fold
+        self.ready = anyio.Event()
+        self.first_kept = 0
+        self.newest_time = 0.0
+        self._log = log
+        self._peers = peers
+        self._events = events
+        self._buffer = RecordBuffer()
+        self._listeners: list[VerdictListener] = []
+        self._advanced = anyio.Event()
+        self._reachable = True
+
+    def listen(self, listener: VerdictListener) -> None:
+        """Call ``listener`` with the verdicts of each record from now on."""
+        self._listeners.append(listener)
+
+    async def wait_beyond(self, offset: int, timeout: float) -> None:
+        """Wait until the fold is beyond ``offset``, at most ``timeout`` seconds."""
+        with anyio.move_on_after(timeout):
+            while self.fold.position <= offset:
+                await self._advanced.wait()
+
+    def held_for_peer(self, start: int, limit: int) -> FetchReply:
+        """Return records from ``start`` on, or the whole state when they are gone."""
+        if not self.ready.is_set() or start > self.fold.position:
+            return FetchReply(records=())
+        records = self._buffer.since(start, min(limit, FETCH_LIMIT))
+        if records is not None:
+            return FetchReply(records=records)
+        return FetchReply(
+            records=(), covers=self.fold.position, state=self.fold.dump()
+        )
+
+    async def run(self) -> None:
+        """Follow the stream until cancelled."""
+        while True:
+            try:
+                await self._read_page()
+            except RecordsExpiredError as exc:
+                await self._recover(exc.first)
+            except PlatformError as exc:
+                self._lost(exc)
+                await self._read_from_peers()
+                await anyio.sleep(OUTAGE_PAUSE_SECONDS)
+
+    async def _read_page(self) -> None:
+        start = self.fold.position + 1
+        wait = READ_WAIT_SECONDS if self.ready.is_set() else 0.0
+        page = await self._log.read(self.stream, start, READ_LIMIT, wait)
+        self._reached()
+        self.first_kept = page.first
+        self._fold_records(page.records)
+        if self.fold.position + 1 >= page.next:
+            self._become_ready()
+
+    async def _recover(self, first: int) -> None:
+        """Load the newest checkpoint whose tail is still kept."""
+        self.first_kept = first
+        try:
+            loaded = await self._load_checkpoint(first)
+        except PlatformError as exc:
+            self._lost(exc)
+            loaded = False
+        if not loaded:
+            await self._read_from_peers()
+            await anyio.sleep(OUTAGE_PAUSE_SECONDS)
+
+    async def _load_checkpoint(self, first: int) -> bool:
+        """Scan the kept records for a checkpoint; return whether one was loaded."""
+        reader = CheckpointReader()
+        start = first
+        while True:
+            page = await self._log.read(self.stream, start, READ_LIMIT, 0.0)
+            for record in page.records:
+                reader.add(record.offset, record.payload)
+            if not page.records:
+                break
+            start = page.records[-1].offset + 1
+        checkpoint = reader.newest(first)
+        if checkpoint is None or checkpoint.covers <= self.fold.position:
+            return False
+        self.fold.load(checkpoint.state, checkpoint.covers)
+        return True
+
+    async def _read_from_peers(self) -> None:
+        reply = await self._peers.fetch(self.stream, self.fold.position + 1)
+        if reply is None:
+            return
+        if reply.state and reply.covers > self.fold.position:
+            self.fold.load(reply.state, reply.covers)
+            self._become_ready()
+        records = [
+            LogRecord(held.offset, held.time, held.payload) for held in reply.records
+        ]
+        if records and records[0].offset == self.fold.position + 1:
+            self._fold_records(records)
+
+    def _fold_records(self, records: Iterable[LogRecord]) -> None:
+        for record in records:
+            verdicts = self.fold.apply(record.offset, record.time, record.payload)
+            self.newest_time = record.time
+            self._buffer.add(HeldRecord(record.offset, record.time, record.payload))
+            for listener in self._listeners:
+                listener(verdicts)
+        self._advanced.set()
+        self._advanced = anyio.Event()
+
+    def _become_ready(self) -> None:
+        if self.ready.is_set():
+            return
+        self.ready.set()
+        self._events.emit(STREAM_READY, stream=self.stream, offset=self.fold.position)
+
+    def _lost(self, exc: PlatformError) -> None:
+        if self._reachable:
+            self._events.emit(LOG_LOST, stream=self.stream, error=str(exc))
+        self._reachable = False
+
+    def _reached(self) -> None:
+        if not self._reachable:
+            self._events.emit(LOG_REACHED, stream=self.stream)
+        self._reachable = True
--- /dev/null
+++ b/src/knapweeddrum/process/stop_signal.py
@@ -0,0 +1,27 @@
+"""Stop signals of a process as an event."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+@asynccontextmanager
+async def stop_signal() -> AsyncIterator[anyio.Event]:
+    """Give an event that is set by the first stop signal."""
+    stop = anyio.Event()
+
+    async def listen() -> None:
+        with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
+            async for _ in signals:
+                stop.set()
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listen)
+        yield stop
+        tasks.cancel_scope.cancel()
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -15,3 +15,7 @@
 WAITING = Event(105, "waiting", "warning", ("dependency", "error"))
 DEPENDENCY_READY = Event(106, "dependency_ready", "info", ("dependency",))
 TASK_FAILED = Event(107, "task_failed", "error", ("task", "error"))
+
+LOG_LOST = Event(300, "log_lost", "warning", ("stream", "error"))
+LOG_REACHED = Event(301, "log_reached", "info", ("stream",))
+STREAM_READY = Event(302, "stream_ready", "info", ("stream", "offset"))
--- /dev/null
+++ b/tools/launcher.py
@@ -0,0 +1,246 @@
+"""Start and stop the processes of a small fleet on loopback addresses."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+
+import httpcore
+
+START_LIMIT_SECONDS = 30.0
+STOP_LIMIT_SECONDS = 30.0
+POLL_SECONDS = 0.05
+FLEET_KEY = "demo-fleet-key-0123456789"
+BIN = pathlib.Path(sys.executable).parent
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that no one listens on now."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind(("127.0.0.1", 0))
+        return [sock.getsockname()[1] for sock in sockets]
+
+
+@dataclasses.dataclass(slots=True)
+class Launched:
+    """A started process, its address and its log file."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+    port: int
+    log_path: pathlib.Path
+
+    @property
+    def url(self) -> str:
+        return f"http://127.0.0.1:{self.port}"
+
+    def stop(self) -> int:
+        """Ask the process to stop and return its exit code."""
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGTERM)
+        try:
+            return self.process.wait(STOP_LIMIT_SECONDS)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            self.process.wait()
+            return -signal.SIGKILL
+
+
+@dataclasses.dataclass(slots=True)
+class Host:
+    """The three processes of one entry host."""
+
+    name: str
+    settings_path: pathlib.Path
+    router_port: int
+    keeper_port: int
+    control_port: int
+    processes: dict[str, Launched] = dataclasses.field(default_factory=dict)
+
+
+def launch(name: str, argv: list[str], port: int, directory: pathlib.Path) -> Launched:
+    """Start a process with its output in ``directory``."""
+    log_path = directory / f"{name}.log"
+    with log_path.open("ab") as output:
+        process = subprocess.Popen(argv, stdout=output, stderr=output)
+    return Launched(name, process, port, log_path)
+
+
+def stand_in(module: str, name: str, port: int, directory: pathlib.Path) -> Launched:
+    """Start a stand-in of an outside system."""
+    argv = [sys.executable, "-m", f"tests.standins.{module}"]
+    argv += ["--address", "127.0.0.1", "--port", str(port)]
+    return launch(name, argv, port, directory)
+
+
+def wait_for_port(launched: Launched) -> None:
+    """Wait until the process listens."""
+    limit = time.monotonic() + START_LIMIT_SECONDS
+    while time.monotonic() < limit:
+        if launched.process.poll() is not None:
+            break
+        with contextlib.suppress(OSError), socket.socket() as sock:
+            sock.settimeout(1.0)
+            sock.connect(("127.0.0.1", launched.port))
+            return
+        time.sleep(POLL_SECONDS)
+    tail = launched.log_path.read_text(encoding="utf-8")[-2000:]
+    raise SystemExit(f"{launched.name} does not listen:\n{tail}")
+
+
+def get_json(url: str) -> object:
+    """Return the JSON document at a URL."""
+    with httpcore.ConnectionPool() as pool:
+        return json.loads(pool.request("GET", url).content)
+
+
+def post_json(url: str, document: object) -> None:
+    """Send a JSON document."""
+    with httpcore.ConnectionPool() as pool:
+        body = json.dumps(document).encode()
+        headers = {"content-type": "application/json"}
+        response = pool.request("POST", url, headers=headers, content=body)
+    if response.status >= 300:
+        raise SystemExit(f"{url}: {response.status} {response.content!r}")
+
+
+class SmallFleet:
+    """Stand-ins and entry hosts of one run, in one directory."""
+
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        host_count: int,
+        engine_count: int = 2,
+        weigh: str = "overspend",
+    ) -> None:
+        self.directory = directory
+        self.weigh = weigh
+        ports = free_ports(4 + engine_count + 3 * host_count)
+        self.log = stand_in("append_log", "log", ports.pop(), directory)
+        self.host_list = stand_in("host_list", "hosts", ports.pop(), directory)
+        self.weights = stand_in("weight_store", "weights", ports.pop(), directory)
+        self.service = stand_in("plain_service", "orders", ports.pop(), directory)
+        self.engines = [
+            stand_in("model_engine", f"engine-{index}", ports.pop(), directory)
+            for index in range(engine_count)
+        ]
+        self.hosts = [
+            self._describe(f"host-{index}", ports) for index in range(host_count)
+        ]
+        for host in self.hosts:
+            self._write_settings(host)
+
+    def stand_ins(self) -> list[Launched]:
+        """Return the outside systems."""
+        return [
+            self.log,
+            self.host_list,
+            self.weights,
+            self.service,
+            *self.engines,
+        ]
+
+    def start(self) -> None:
+        """Start everything that does not run yet and wait until it listens."""
+        for launched in self.stand_ins():
+            wait_for_port(launched)
+        for host in self.hosts:
+            for role in ("keeper", "router", "control"):
+                if role not in host.processes:
+                    self.start_process(host, role)
+        for host in self.hosts:
+            for launched in host.processes.values():
+                wait_for_port(launched)
+
+    def start_process(self, host: Host, role: str) -> Launched:
+        """Start one process of a host."""
+        argv = [str(BIN / f"knapweed-{role}"), str(host.settings_path)]
+        port = getattr(host, f"{role}_port")
+        launched = launch(f"{host.name}-{role}", argv, port, self.directory)
+        host.processes[role] = launched
+        return launched
+
+    def stop(self) -> list[int]:
+        """Stop the hosts, all at once, and return the exit codes."""
+        running = [
+            launched for host in self.hosts for launched in host.processes.values()
+        ]
+        routers = [item for item in running if item.name.endswith("-router")]
+        for launched in routers:
+            launched.process.send_signal(signal.SIGTERM)
+        return [item.stop() for item in routers] + [
+            item.stop() for item in running if item not in routers
+        ]
+
+    def stop_stand_ins(self) -> None:
+        """Stop the outside systems."""
+        for launched in self.stand_ins():
+            launched.stop()
+
+    def kill(self) -> None:
+        """End whatever still runs."""
+        running = [
+            launched for host in self.hosts for launched in host.processes.values()
+        ]
+        for launched in running + self.stand_ins():
+            if launched.process.poll() is None:
+                launched.process.kill()
+                launched.process.wait()
+
+    def _describe(self, name: str, ports: list[int]) -> Host:
+        path = self.directory / f"{name}.jsonc"
+        return Host(name, path, ports.pop(), ports.pop(), ports.pop())
+
+    def _write_settings(self, host: Host) -> None:
+        document = {
+            "fleet": {"name": "demo", "key": FLEET_KEY},
+            "host": self._host_settings(host),
+            "peers": [
+                self._host_settings(peer) for peer in self.hosts if peer is not host
+            ],
+            "platform": {
+                "log": self.log.url,
+                "host_list": self.host_list.url,
+                "weight_store": self.weights.url,
+            },
+            "budgets": {"weigh": self.weigh},
+            "router": {"advice_lifetime_seconds": 1.0},
+        }
+        text = "// Written by tools/launcher.py\n" + json.dumps(document, indent=2)
+        host.settings_path.write_text(text, encoding="utf-8")
+
+    def _host_settings(self, host: Host) -> dict[str, object]:
+        index = self.hosts.index(host)
+        return {
+            "name": host.name,
+            "region": "loopback",
+            "data_centre": f"dc-{index}",
+            "address": "127.0.0.1",
+            "router_port": host.router_port,
+            "keeper_port": host.keeper_port,
+            "control_port": host.control_port,
+        }
+
+
+@contextlib.contextmanager
+def small_fleet(
+    directory: pathlib.Path, host_count: int = 3, weigh: str = "overspend"
+) -> Iterator[SmallFleet]:
+    """Start a fleet; whatever still runs at the end is killed."""
+    fleet = SmallFleet(directory, host_count, weigh=weigh)
+    try:
+        fleet.start()
+        yield fleet
+    finally:
+        fleet.kill()
