--- /dev/null
+++ b/src/knapweeddrum/core/budget/allowance_pool.py
@@ -0,0 +1,165 @@
+"""The slices of grants that one process holds."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from knapweeddrum.core.budget.exceptions import ReservationError
+from knapweeddrum.core.budget.reservation import Reservation
+from knapweeddrum.core.budget.run_figures import RunFigures
+from knapweeddrum.message.call.allowance import Allowance
+from knapweeddrum.message.call.settlement import Settlement
+from knapweeddrum.message.fact.charge import Charge
+
+
+class AllowancePool:
+    """Free and reserved tokens of a process, by budget and grant.
+
+    Tokens leave the pool only by a settlement or by being given away; both debit
+    before the caller can send the message about them.
+    """
+
+    def __init__(self, settler: str) -> None:
+        """``settler`` is the incarnation of the process.
+
+        Each settlement is signed with it and the number of its reservation.
+        """
+        self._settler = settler
+        self._free: dict[str, dict[str, int]] = {}
+        self._reservations: dict[int, Reservation] = {}
+        self._credited: set[str] = set()
+        self._next_number = 0
+
+    def credit(self, credit_id: str, allowances: Iterable[Allowance]) -> bool:
+        """Add slices once for each ``credit_id``; False when it was credited before."""
+        if credit_id in self._credited:
+            return False
+        self._credited.add(credit_id)
+        for allowance in allowances:
+            self._add(allowance)
+        return True
+
+    def forget(self, credit_id: str) -> None:
+        """Drop the memory of a credit that can't be repeated any more."""
+        self._credited.discard(credit_id)
+
+    def free(self, budget: str) -> int:
+        """Return the tokens of a budget that are neither reserved nor spent."""
+        return sum(self._free.get(budget, {}).values())
+
+    def reserved(self, budget: str) -> int:
+        """Return the tokens of a budget in open reservations."""
+        open_reservations = self._reservations.values()
+        return sum(r.tokens for r in open_reservations if r.budget == budget)
+
+    def budgets(self) -> tuple[str, ...]:
+        """Return the budgets with free tokens, sorted."""
+        return tuple(sorted(self._free))
+
+    def reserve(self, budget: str, tokens: int) -> Reservation | None:
+        """Set tokens of a budget aside; None when fewer are free."""
+        if tokens <= 0 or self.free(budget) < tokens:
+            return None
+        slices = self.give(budget, tokens)
+        reservation = Reservation(self._next_number, budget, slices)
+        self._next_number += 1
+        self._reservations[reservation.number] = reservation
+        return reservation
+
+    def cancel(self, reservation: Reservation) -> None:
+        """Free a reservation of a request that never ran.
+
+        Raises ReservationError when it is not open.
+        """
+        self._close(reservation)
+        for entry in reservation.slices:
+            self._add(entry)
+
+    def settle(self, reservation: Reservation, figures: RunFigures) -> Settlement:
+        """Charge what a request consumed and free the rest of its reservation.
+
+        Consumption above the reservation is taken from free slices as far as they
+        reach; what is left is named on the first grant, where the fold counts it as
+        excess. Raises ReservationError when the reservation is not open.
+        """
+        self._close(reservation)
+        charges, left = self._charge(reservation, figures.tokens)
+        if left:
+            charges += self.give(reservation.budget, left)
+            left = figures.tokens - sum(entry.tokens for entry in charges)
+        first = charges[0] if charges else reservation.slices[0]
+        first_tokens = (first.tokens if charges else 0) + left
+        further = tuple(Charge(c.grant_id, c.tokens) for c in charges[1:])
+        return Settlement(
+            request_key=figures.request_key,
+            run_id=figures.run_id,
+            budget=reservation.budget,
+            grant_id=first.grant_id,
+            tokens=first_tokens,
+            outcome=figures.outcome,
+            settler=f"{self._settler}/{reservation.number}",
+            further=further,
+            abandoned=figures.abandoned,
+        )
+
+    def give(self, budget: str, tokens: int) -> tuple[Allowance, ...]:
+        """Take up to ``tokens`` free tokens of a budget out of the pool.
+
+        One slice is used when one reaches, else the oldest first.
+        """
+        grants = self._free.get(budget, {})
+        single = [grant_id for grant_id, free in grants.items() if free >= tokens]
+        order = single[:1] or list(grants)
+        given = []
+        for grant_id in order:
+            wanted = min(tokens, grants[grant_id])
+            if wanted <= 0:
+                break
+            given.append(self._remove(budget, grant_id, wanted))
+            tokens -= wanted
+        return tuple(given)
+
+    def return_all(self) -> tuple[Allowance, ...]:
+        """Take all free slices out of the pool, sorted by budget and grant."""
+        slices = [
+            Allowance(budget=budget, grant_id=grant_id, tokens=tokens)
+            for budget, grants in sorted(self._free.items())
+            for grant_id, tokens in sorted(grants.items())
+        ]
+        self._free.clear()
+        return tuple(slices)
+
+    def _charge(
+        self, reservation: Reservation, used: int
+    ) -> tuple[tuple[Allowance, ...], int]:
+        charges = []
+        for entry in reservation.slices:
+            tokens = min(used, entry.tokens)
+            used -= tokens
+            if tokens:
+                charges.append(Allowance(entry.budget, entry.grant_id, tokens))
+            if tokens < entry.tokens:
+                rest = entry.tokens - tokens
+                self._add(Allowance(entry.budget, entry.grant_id, rest))
+        return tuple(charges), used
+
+    def _add(self, allowance: Allowance) -> None:
+        if allowance.tokens <= 0:
+            return
+        grants = self._free.setdefault(allowance.budget, {})
+        grants[allowance.grant_id] = (
+            grants.get(allowance.grant_id, 0) + allowance.tokens
+        )
+
+    def _remove(self, budget: str, grant_id: str, tokens: int) -> Allowance:
+        grants = self._free[budget]
+        grants[grant_id] -= tokens
+        if not grants[grant_id]:
+            del grants[grant_id]
+        if not grants:
+            del self._free[budget]
+        return Allowance(budget=budget, grant_id=grant_id, tokens=tokens)
+
+    def _close(self, reservation: Reservation) -> None:
+        if self._reservations.pop(reservation.number, None) is None:
+            raise ReservationError(f"reservation {reservation.number} is not open")
--- /dev/null
+++ b/src/knapweeddrum/core/budget/budget_ledger.py
@@ -0,0 +1,290 @@
+"""The fold of a budget stream."""
+
+from __future__ import annotations
+
+from collections.abc import Container, Iterator
+
+from knapweeddrum.core.budget.account import Account
+from knapweeddrum.core.budget.billed_request import BilledRequest
+from knapweeddrum.core.budget.budget_state import TopUpState
+from knapweeddrum.core.budget.budget_state_codec import BudgetStateCodec
+from knapweeddrum.core.budget.budget_windows import BudgetWindows
+from knapweeddrum.core.budget.grant_book import GrantBook
+from knapweeddrum.core.budget.grant_entry import GrantEntry
+from knapweeddrum.core.budget.held_grant import HeldGrant
+from knapweeddrum.core.fold.fold_outcome import FoldOutcome
+from knapweeddrum.core.fold.ledger import Ledger
+from knapweeddrum.core.fold.ledger_outcome import LedgerOutcome
+from knapweeddrum.message.call.budget_status import BudgetStatus
+from knapweeddrum.message.fact.any_fact import AnyFact
+from knapweeddrum.message.fact.bill import Bill
+from knapweeddrum.message.fact.deposit import Deposit
+from knapweeddrum.message.fact.grant import Grant
+from knapweeddrum.message.fact.grant_release import GrantRelease
+from knapweeddrum.message.fact.grant_return import GrantReturn
+
+_REJECTED = LedgerOutcome(FoldOutcome.REJECTED)
+_REPEATED = LedgerOutcome(FoldOutcome.REPEATED)
+
+
+class BudgetLedger(Ledger):
+    """Prepaid budgets: deposits, grants, returns, releases and bills.
+
+    For each budget deposited = balance + held + billed + duplicate, all in tokens.
+    Tokens leave a grant only by a bill, a return, or a release by its witness; no
+    passing of time moves any.
+    """
+
+    def __init__(self, windows: BudgetWindows | None = None) -> None:
+        self._windows = windows or BudgetWindows()
+        self._accounts: dict[str, Account] = {}
+        self._grants = GrantBook()
+        self._topups: dict[str, TopUpState] = {}
+        self._billed: dict[str, BilledRequest] = {}
+
+    def apply(self, fact: AnyFact, offset: int, time: float) -> LedgerOutcome | None:
+        """Take one fact and return the verdict; None for facts of other ledgers."""
+        match fact:
+            case Bill():
+                return self._apply_bill(fact, time)
+            case Grant():
+                return self._apply_grant(fact)
+            case GrantReturn():
+                return self._apply_return(fact, time)
+            case GrantRelease():
+                return self._apply_release(fact, time)
+            case Deposit():
+                return self._apply_deposit(fact, time)
+        return None
+
+    def prune(self, time: float) -> None:
+        """Forget identifiers that the windows no longer cover at ``time`` (s)."""
+        horizon = time - self._windows.topup
+        while self._topups:
+            topup_id, topup = next(iter(self._topups.items()))
+            if topup.time >= horizon:
+                break
+            del self._topups[topup_id]
+        horizon = time - self._windows.bill
+        while self._billed:
+            request_key, billed = next(iter(self._billed.items()))
+            if billed.time >= horizon:
+                break
+            del self._billed[request_key]
+        self._grants.prune(time - self._windows.grant)
+
+    def dump(self) -> bytes:
+        """Return the encoded state; equal states give equal bytes."""
+        return BudgetStateCodec.encode(
+            self._accounts, self._grants, self._topups, self._billed
+        )
+
+    def load(self, state: bytes) -> None:
+        """Replace the state by an encoded one.
+
+        Raises StateError when it can't be decoded.
+        """
+        decoded = BudgetStateCodec.decode(state)
+        self._accounts = BudgetStateCodec.accounts(decoded)
+        self._grants = BudgetStateCodec.grants(decoded)
+        self._topups = {entry.topup_id: entry for entry in decoded.topups}
+        self._billed = BudgetStateCodec.billed(decoded)
+        for grant_id, entry in self._grants.open_entries():
+            self._accounts[entry.budget].add_grant(grant_id, entry)
+
+    def budgets(self) -> tuple[str, ...]:
+        """Return the names of all known budgets, sorted."""
+        return tuple(sorted(self._accounts))
+
+    def balance(self, budget: str) -> int:
+        """Return the tokens of a budget that are in no grant."""
+        account = self._accounts.get(budget)
+        return account.balance if account else 0
+
+    def status(self, budget: str, live: Container[str] | None = None) -> BudgetStatus:
+        """Return the state of a budget; zeros for one without any deposit.
+
+        ``live`` names the holders that answer; tokens with others are stranded.
+        Without it nothing counts as stranded.
+        """
+        account = self._accounts.get(budget) or Account()
+        stranded = 0
+        if live is not None:
+            entries = (account.grants or {}).values()
+            stranded = sum(e.remaining for e in entries if e.holder not in live)
+        return BudgetStatus(
+            budget=budget,
+            deposited=account.deposited,
+            balance=account.balance,
+            held=account.held,
+            stranded=stranded,
+            billed=account.billed,
+            duplicate=account.duplicate,
+            bills=account.bills,
+            excess=account.excess,
+        )
+
+    def grants_of(self, holder: str) -> tuple[HeldGrant, ...]:
+        """Return the open grants of a holder, sorted by identifier."""
+        return self._grants.open_grants_of(holder)
+
+    def open_grants(self) -> tuple[HeldGrant, ...]:
+        """Return all open grants, sorted by identifier."""
+        return self._grants.open_grants()
+
+    def remaining(self, grant_id: str) -> int:
+        """Return the tokens left in a grant; 0 for one that is not known."""
+        entry = self._grants.get(grant_id)
+        return entry.remaining if entry else 0
+
+    def _account(self, budget: str) -> Account:
+        return self._accounts.setdefault(budget, Account())
+
+    def _apply_deposit(self, fact: Deposit, time: float) -> LedgerOutcome:
+        if fact.tokens <= 0:
+            return _REJECTED
+        known = self._topups.get(fact.topup_id)
+        if known and (known.budget, known.tokens) != (fact.budget, fact.tokens):
+            return LedgerOutcome(FoldOutcome.MISMATCH)
+        if known:
+            return _REPEATED
+        self._topups[fact.topup_id] = TopUpState(
+            time=time, topup_id=fact.topup_id, budget=fact.budget, tokens=fact.tokens
+        )
+        account = self._account(fact.budget)
+        account.deposited += fact.tokens
+        account.balance += fact.tokens
+        return LedgerOutcome(FoldOutcome.ACCEPTED, tokens=fact.tokens)
+
+    def _apply_grant(self, fact: Grant) -> LedgerOutcome:
+        if self._grants.get(fact.grant_id):
+            return _REPEATED
+        account = self._accounts.get(fact.budget)
+        if account is None or fact.tokens <= 0 or account.balance == 0:
+            return _REJECTED
+        tokens = min(fact.tokens, account.balance)
+        account.balance -= tokens
+        entry = GrantEntry(
+            budget=fact.budget,
+            holder=fact.holder,
+            witness=fact.witness,
+            granted=tokens,
+            remaining=tokens,
+        )
+        self._grants.add(fact.grant_id, entry)
+        account.add_grant(fact.grant_id, entry)
+        return _taken(tokens, fact.tokens)
+
+    def _apply_return(self, fact: GrantReturn, time: float) -> LedgerOutcome:
+        entry = self._entry(fact.grant_id, fact.budget)
+        if entry is None or fact.tokens <= 0:
+            return _REJECTED
+        if entry.knows_return(fact.return_id):
+            return _REPEATED
+        if entry.released and not fact.opened:
+            # The release freed every token that was never opened.
+            return _REJECTED
+        entry.note_return(fact.return_id)
+        tokens = entry.take(fact.tokens)
+        if not fact.opened:
+            entry.unopened_returned += tokens
+        self._account(fact.budget).balance += tokens
+        self._close_if_empty(fact.grant_id, entry, time)
+        return _taken(tokens, fact.tokens)
+
+    def _apply_release(self, fact: GrantRelease, time: float) -> LedgerOutcome:
+        entry = self._entry(fact.grant_id, fact.budget)
+        if entry is None or not entry.witness or entry.witness != fact.witness:
+            return _REJECTED
+        if entry.released:
+            return _REPEATED
+        if fact.opened < 0:
+            return _REJECTED
+        entry.released = True
+        unopened = entry.granted - entry.unopened_returned - fact.opened
+        tokens = entry.take(max(0, unopened))
+        self._account(fact.budget).balance += tokens
+        self._close_if_empty(fact.grant_id, entry, time)
+        return LedgerOutcome(FoldOutcome.ACCEPTED, tokens=tokens)
+
+    def _apply_bill(self, fact: Bill, time: float) -> LedgerOutcome:
+        figure = sum(charge.tokens for charge in fact.charges) - fact.abandoned
+        negative = any(charge.tokens < 0 for charge in fact.charges)
+        if negative or fact.abandoned < 0 or figure < 0:
+            return _REJECTED
+        billed = self._billed.get(fact.request_key)
+        if billed is None:
+            return self._bill_first(fact, figure, time)
+        if billed.has_seen(fact):
+            return _REPEATED
+        # Taken out first, so that the requests stay in the order of their times.
+        del self._billed[fact.request_key]
+        billed.note(fact, time)
+        self._billed[fact.request_key] = billed
+        if billed.run_id != fact.run_id:
+            return self._bill_duplicate(fact, time)
+        return self._bill_again(fact, figure, billed, time)
+
+    def _bill_first(self, fact: Bill, figure: int, time: float) -> LedgerOutcome:
+        self._billed[fact.request_key] = BilledRequest(
+            time=time,
+            run_id=fact.run_id,
+            figure=figure,
+            seen=((fact.run_id, fact.settler),),
+        )
+        account = self._account(fact.budget)
+        account.bills += 1
+        wanted = figure + fact.abandoned
+        taken = sum(self._take(fact, time))
+        account.billed += taken
+        account.excess += wanted - taken
+        return _taken(taken, wanted)
+
+    def _bill_duplicate(self, fact: Bill, time: float) -> LedgerOutcome:
+        account = self._account(fact.budget)
+        taken = sum(self._take(fact, time))
+        account.duplicate += taken
+        account.excess += sum(charge.tokens for charge in fact.charges) - taken
+        return LedgerOutcome(FoldOutcome.DUPLICATE_RUN, tokens=taken)
+
+    def _bill_again(
+        self, fact: Bill, figure: int, billed: BilledRequest, time: float
+    ) -> LedgerOutcome:
+        # Another settler resumed the same run: both figures are cumulative figures of
+        # one execution, so only what exceeds the first is due, and the rest is free.
+        due = max(0, figure - billed.figure) + fact.abandoned
+        billed.figure = max(billed.figure, figure)
+        account = self._account(fact.budget)
+        taken = sum(self._take(fact, time))
+        charged = min(taken, due)
+        account.billed += charged
+        account.excess += due - charged
+        account.balance += taken - charged
+        if due == 0:
+            return _REPEATED
+        return _taken(charged, due)
+
+    def _take(self, fact: Bill, time: float) -> Iterator[int]:
+        for charge in fact.charges:
+            entry = self._entry(charge.grant_id, fact.budget)
+            if entry is None:
+                continue
+            yield entry.take(charge.tokens)
+            self._close_if_empty(charge.grant_id, entry, time)
+
+    def _entry(self, grant_id: str, budget: str) -> GrantEntry | None:
+        entry = self._grants.get(grant_id)
+        if entry is None or entry.budget != budget or self._grants.is_closed(grant_id):
+            return None
+        return entry
+
+    def _close_if_empty(self, grant_id: str, entry: GrantEntry, time: float) -> None:
+        if entry.remaining:
+            return
+        self._grants.close(grant_id, time)
+        self._account(entry.budget).remove_grant(grant_id)
+
+
+def _taken(tokens: int, wanted: int) -> LedgerOutcome:
+    outcome = FoldOutcome.ACCEPTED if tokens == wanted else FoldOutcome.PARTIAL
+    return LedgerOutcome(outcome, tokens=tokens)
--- /dev/null
+++ b/src/knapweeddrum/core/claim/claim_ledger.py
@@ -0,0 +1,268 @@
+"""The fold of a claim stream."""
+
+from __future__ import annotations
+
+from knapweeddrum.core.claim.claim_entry import ClaimEntry
+from knapweeddrum.core.claim.claim_fold_state import ClaimEntryState, ClaimFoldState
+from knapweeddrum.core.claim.claim_state import ClaimState
+from knapweeddrum.core.claim.claim_windows import ClaimWindows
+from knapweeddrum.core.exceptions import StateError
+from knapweeddrum.core.fold.fold_outcome import FoldOutcome
+from knapweeddrum.core.fold.ledger import Ledger
+from knapweeddrum.core.fold.ledger_outcome import LedgerOutcome
+from knapweeddrum.core.fold.state_codec import decode_state, encode_state
+from knapweeddrum.message.call.claim_reply import ClaimReply
+from knapweeddrum.message.call.claim_verdict import ClaimVerdict
+from knapweeddrum.message.fact.any_fact import AnyFact
+from knapweeddrum.message.fact.claim import Claim
+from knapweeddrum.message.fact.claim_outcome import ClaimOutcome
+
+_ACCEPTED = LedgerOutcome(FoldOutcome.ACCEPTED)
+_CONFLICT = LedgerOutcome(FoldOutcome.CONFLICT)
+_REJECTED = LedgerOutcome(FoldOutcome.REJECTED)
+_REPEATED = LedgerOutcome(FoldOutcome.REPEATED)
+
+_VERDICTS = {
+    ClaimState.PENDING: ClaimVerdict.PENDING,
+    ClaimState.DONE: ClaimVerdict.DONE,
+    ClaimState.NOT_RUN: ClaimVerdict.NOT_RUN,
+    ClaimState.UNKNOWN: ClaimVerdict.UNKNOWN,
+}
+
+
+class ClaimLedger(Ledger):
+    """Claims on requests that are not idempotent: the first of a key wins.
+
+    A claimant names one attempt. Only the winner records an outcome, and only
+    ``not_run`` frees the key, never again for the same claimant.
+    """
+
+    def __init__(self, windows: ClaimWindows | None = None) -> None:
+        self._windows = windows or ClaimWindows()
+        self._time = 0.0
+        self._entries: dict[str, ClaimEntry] = {}
+        self._ended: dict[str, float] = {}
+        self._unresolved: dict[str, float] = {}
+        self._bodies: dict[str, float] = {}
+        self._body_bytes = 0
+
+    def apply(self, fact: AnyFact, offset: int, time: float) -> LedgerOutcome | None:
+        """Take one fact and return the verdict; None for facts of other ledgers."""
+        match fact:
+            case Claim():
+                return self._apply_claim(fact, time)
+            case ClaimOutcome():
+                return self._apply_outcome(fact, time)
+        return None
+
+    def verdict(
+        self,
+        claim_key: str,
+        claimant: str,
+        fingerprint: str,
+        issued_at: float | None = None,
+    ) -> ClaimReply:
+        """Return what the log says of a key to a claimant.
+
+        ``issued_at`` is the time (s, by the log's clock) at which the key was issued:
+        an older one than the window gets EXPIRED, unless an outcome is still known. A
+        key that was never claimed gets NOT_RUN.
+        """
+        entry = self._entries.get(claim_key)
+        if entry and entry.fingerprint != fingerprint:
+            return ClaimReply(ClaimVerdict.MISMATCH)
+        if entry and claimant in entry.ended:
+            return ClaimReply(ClaimVerdict.NOT_RUN)
+        if entry and entry.state in {ClaimState.DONE, ClaimState.UNKNOWN}:
+            return _reply(entry)
+        if self._is_expired(issued_at):
+            return ClaimReply(ClaimVerdict.EXPIRED)
+        if entry is None:
+            return ClaimReply(ClaimVerdict.NOT_RUN)
+        if entry.state is ClaimState.PENDING and entry.claimant == claimant:
+            return ClaimReply(ClaimVerdict.WON)
+        return _reply(entry)
+
+    def pending_of(self, claimant: str) -> tuple[str, ...]:
+        """Return the keys that a claimant holds without an outcome, sorted."""
+        held = [
+            claim_key
+            for claim_key, entry in self._entries.items()
+            if entry.claimant == claimant and entry.state is ClaimState.PENDING
+        ]
+        return tuple(sorted(held))
+
+    def prune(self, time: float) -> None:
+        """Forget bodies, then claims, that the windows no longer cover at ``time``."""
+        self._time = time
+        self._prune_bodies(time - self._windows.body)
+        self._prune_claims(self._ended, time - self._windows.claim)
+        self._prune_claims(self._unresolved, time - self._windows.unresolved)
+
+    def dump(self) -> bytes:
+        """Return the encoded state; equal states give equal bytes."""
+        entries = [_entry_state(*item) for item in self._entries.items()]
+        entries.sort(key=_entry_order)
+        return encode_state(ClaimFoldState(time=self._time, entries=tuple(entries)))
+
+    def load(self, state: bytes) -> None:
+        """Replace the state by an encoded one.
+
+        Raises StateError when it can't be decoded.
+        """
+        decoded = decode_state(state, ClaimFoldState)
+        try:
+            entries = {entry.claim_key: _entry(entry) for entry in decoded.entries}
+        except ValueError as exc:
+            raise StateError(f"unknown state of a claim: {exc}") from exc
+        self._time = decoded.time
+        self._entries = entries
+        self._ended = {}
+        self._unresolved = {}
+        self._bodies = {}
+        self._body_bytes = 0
+        for claim_key, entry in entries.items():
+            self._enqueue(claim_key, entry)
+            if entry.body is not None:
+                self._note_body(claim_key, entry)
+
+    def _apply_claim(self, fact: Claim, time: float) -> LedgerOutcome:
+        if fact.issued_at and fact.issued_at < time - self._windows.claim:
+            return _REJECTED
+        entry = self._entries.get(fact.claim_key)
+        if entry is None:
+            entry = ClaimEntry(
+                time=time, claimant=fact.claimant, fingerprint=fact.fingerprint
+            )
+            self._entries[fact.claim_key] = entry
+            self._enqueue(fact.claim_key, entry)
+            return _ACCEPTED
+        if fact.claimant in entry.ended:
+            return _REJECTED
+        if entry.fingerprint != fact.fingerprint:
+            return LedgerOutcome(FoldOutcome.MISMATCH)
+        if entry.claimant == fact.claimant:
+            return _REPEATED
+        if entry.state is not ClaimState.NOT_RUN:
+            return _CONFLICT
+        entry.claimant = fact.claimant
+        entry.state = ClaimState.PENDING
+        entry.time = time
+        self._enqueue(fact.claim_key, entry)
+        return _ACCEPTED
+
+    def _apply_outcome(self, fact: ClaimOutcome, time: float) -> LedgerOutcome:
+        entry = self._entries.get(fact.claim_key)
+        state = _outcome_state(fact.state)
+        if entry is None or state is None:
+            return _REJECTED
+        if fact.claimant in entry.ended:
+            return _REPEATED if state is ClaimState.NOT_RUN else _REJECTED
+        if entry.claimant != fact.claimant:
+            return _REJECTED
+        if entry.state is not ClaimState.PENDING:
+            return _REPEATED if entry.state is state else _REJECTED
+        entry.state = state
+        entry.time = time
+        self._enqueue(fact.claim_key, entry)
+        if state is ClaimState.NOT_RUN:
+            entry.ended = (*entry.ended, fact.claimant)
+        if state is ClaimState.DONE:
+            self._keep_answer(fact, entry)
+        return _ACCEPTED
+
+    def _keep_answer(self, fact: ClaimOutcome, entry: ClaimEntry) -> None:
+        entry.status = fact.status
+        entry.content_type = fact.content_type
+        if len(fact.body) > self._windows.body_limit:
+            return
+        entry.body = fact.body
+        self._note_body(fact.claim_key, entry)
+        while self._body_bytes > self._windows.body_total:
+            self._drop_body(next(iter(self._bodies)))
+
+    def _note_body(self, claim_key: str, entry: ClaimEntry) -> None:
+        self._bodies[claim_key] = entry.time
+        self._body_bytes += len(entry.body or b"")
+
+    def _drop_body(self, claim_key: str) -> None:
+        entry = self._entries[claim_key]
+        del self._bodies[claim_key]
+        self._body_bytes -= len(entry.body or b"")
+        entry.body = None
+
+    def _prune_bodies(self, horizon: float) -> None:
+        while self._bodies:
+            claim_key, time = next(iter(self._bodies.items()))
+            if time >= horizon:
+                break
+            self._drop_body(claim_key)
+
+    def _prune_claims(self, queue: dict[str, float], horizon: float) -> None:
+        while queue:
+            claim_key, time = next(iter(queue.items()))
+            if time >= horizon:
+                break
+            if claim_key in self._bodies:
+                self._drop_body(claim_key)
+            del queue[claim_key]
+            del self._entries[claim_key]
+
+    def _enqueue(self, claim_key: str, entry: ClaimEntry) -> None:
+        # Taken out first, so that each queue stays in the order of its times.
+        self._ended.pop(claim_key, None)
+        self._unresolved.pop(claim_key, None)
+        queue = self._unresolved if entry.is_unresolved else self._ended
+        queue[claim_key] = entry.time
+
+    def _is_expired(self, issued_at: float | None) -> bool:
+        return issued_at is not None and issued_at < self._time - self._windows.claim
+
+
+def _reply(entry: ClaimEntry) -> ClaimReply:
+    return ClaimReply(
+        verdict=_VERDICTS[entry.state],
+        status=entry.status,
+        content_type=entry.content_type,
+        body=entry.body or b"",
+        body_kept=entry.body is not None or entry.state is not ClaimState.DONE,
+    )
+
+
+def _outcome_state(name: str) -> ClaimState | None:
+    try:
+        state = ClaimState(name)
+    except ValueError:
+        return None
+    return None if state is ClaimState.PENDING else state
+
+
+def _entry_state(claim_key: str, entry: ClaimEntry) -> ClaimEntryState:
+    return ClaimEntryState(
+        time=entry.time,
+        claim_key=claim_key,
+        claimant=entry.claimant,
+        fingerprint=entry.fingerprint,
+        state=entry.state.value,
+        ended=entry.ended,
+        status=entry.status,
+        content_type=entry.content_type,
+        body=entry.body,
+    )
+
+
+def _entry(state: ClaimEntryState) -> ClaimEntry:
+    return ClaimEntry(
+        time=state.time,
+        claimant=state.claimant,
+        fingerprint=state.fingerprint,
+        state=ClaimState(state.state),
+        ended=state.ended,
+        status=state.status,
+        content_type=state.content_type,
+        body=state.body,
+    )
+
+
+def _entry_order(entry: ClaimEntryState) -> tuple[float, str]:
+    return (entry.time, entry.claim_key)
--- /dev/null
+++ b/src/knapweeddrum/core/config/config_ledger.py
@@ -0,0 +1,160 @@
+"""The fold of the configuration stream."""
+
+from __future__ import annotations
+
+import collections
+
+from knapweeddrum.core.config.config_state import ChangeState, ConfigState
+from knapweeddrum.core.fold.fold_outcome import FoldOutcome
+from knapweeddrum.core.fold.ledger import Ledger
+from knapweeddrum.core.fold.ledger_outcome import LedgerOutcome
+from knapweeddrum.core.fold.state_codec import decode_state, encode_state
+from knapweeddrum.message.call.change_reply import ChangeReply
+from knapweeddrum.message.call.change_verdict import ChangeVerdict
+from knapweeddrum.message.call.resource_record import ResourceRecord
+from knapweeddrum.message.fact.any_fact import AnyFact
+from knapweeddrum.message.fact.config_change import ConfigChange
+
+CHANGE_WINDOW = 30 * 24 * 3600.0
+"""Seconds of log time for which the verdict on a change is remembered."""
+
+HISTORY_LIMIT = 1024
+"""Changes that a watch can resume from."""
+
+_OUTCOMES = {
+    ChangeVerdict.ACCEPTED: FoldOutcome.ACCEPTED,
+    ChangeVerdict.CONFLICT: FoldOutcome.CONFLICT,
+}
+
+
+class ConfigLedger(Ledger):
+    """Versioned resources; the first of two racing changes wins.
+
+    A deleted resource leaves a tombstone, so that its version never goes back.
+    """
+
+    def __init__(
+        self, window: float = CHANGE_WINDOW, history_limit: int = HISTORY_LIMIT
+    ) -> None:
+        """``window`` is in seconds of log time, ``history_limit`` in changes."""
+        self._window = window
+        self._history_limit = history_limit
+        self._resources: dict[tuple[str, str], ResourceRecord] = {}
+        self._changes: dict[str, ChangeState] = {}
+        self._history: collections.deque[ResourceRecord] = collections.deque()
+        self._history_start = -1
+
+    def apply(self, fact: AnyFact, offset: int, time: float) -> LedgerOutcome | None:
+        """Take one fact and return the verdict; None for facts of other ledgers."""
+        if not isinstance(fact, ConfigChange):
+            return None
+        change = self._changes.get(fact.change_id)
+        if change is None:
+            change = self._judge(fact, offset, time)
+            self._changes[fact.change_id] = change
+        return LedgerOutcome(
+            _OUTCOMES[change.verdict], version=change.version, offset=change.offset
+        )
+
+    def change(self, change_id: str) -> ChangeReply | None:
+        """Return the verdict on a change; None when it is not known."""
+        change = self._changes.get(change_id)
+        if change is None:
+            return None
+        return ChangeReply(
+            verdict=change.verdict, version=change.version, offset=change.offset
+        )
+
+    def resource(self, resource_kind: str, name: str) -> ResourceRecord | None:
+        """Return a resource or its tombstone; None when it never existed."""
+        return self._resources.get((resource_kind, name))
+
+    def snapshot(self) -> tuple[ResourceRecord, ...]:
+        """Return all resources and tombstones, sorted by kind and name."""
+        return tuple(record for _, record in sorted(self._resources.items()))
+
+    def changes_after(self, offset: int) -> tuple[ResourceRecord, ...] | None:
+        """Return each change after a log offset once, in order.
+
+        None when the history doesn't reach back so far: the reader needs a snapshot.
+        """
+        if offset < self._history_start:
+            return None
+        return tuple(record for record in self._history if record.offset > offset)
+
+    def prune(self, time: float) -> None:
+        """Forget verdicts that the window no longer covers at ``time`` (s)."""
+        horizon = time - self._window
+        while self._changes:
+            change_id, change = next(iter(self._changes.items()))
+            if change.time >= horizon:
+                break
+            del self._changes[change_id]
+
+    def dump(self) -> bytes:
+        """Return the encoded state; equal states give equal bytes."""
+        changes = sorted(self._changes.values(), key=_change_order)
+        return encode_state(
+            ConfigState(
+                resources=self.snapshot(),
+                changes=tuple(changes),
+                history=tuple(self._history),
+                history_start=self._history_start,
+            )
+        )
+
+    def load(self, state: bytes) -> None:
+        """Replace the state by an encoded one.
+
+        Raises StateError when it can't be decoded.
+        """
+        decoded = decode_state(state, ConfigState)
+        self._resources = {(r.resource_kind, r.name): r for r in decoded.resources}
+        self._changes = {change.change_id: change for change in decoded.changes}
+        self._history = collections.deque(decoded.history)
+        self._history_start = decoded.history_start
+
+    def _judge(self, fact: ConfigChange, offset: int, time: float) -> ChangeState:
+        known = self._resources.get((fact.resource_kind, fact.name))
+        if not _applies(fact, known):
+            return ChangeState(
+                time=time,
+                change_id=fact.change_id,
+                verdict=ChangeVerdict.CONFLICT,
+                version=known.version if known else 0,
+                offset=known.offset if known else -1,
+            )
+        record = ResourceRecord(
+            resource_kind=fact.resource_kind,
+            name=fact.name,
+            version=known.version + 1 if known else 1,
+            offset=offset,
+            body=b"" if fact.deleted else fact.body,
+            deleted=fact.deleted,
+        )
+        self._resources[fact.resource_kind, fact.name] = record
+        self._remember(record)
+        return ChangeState(
+            time=time,
+            change_id=fact.change_id,
+            verdict=ChangeVerdict.ACCEPTED,
+            version=record.version,
+            offset=offset,
+        )
+
+    def _remember(self, record: ResourceRecord) -> None:
+        self._history.append(record)
+        while len(self._history) > self._history_limit:
+            self._history_start = self._history.popleft().offset
+
+
+def _applies(fact: ConfigChange, known: ResourceRecord | None) -> bool:
+    if known is None:
+        return fact.base_version == 0 and not fact.deleted
+    if known.deleted:
+        return fact.base_version in {0, known.version} and not fact.deleted
+    return fact.base_version == known.version
+
+
+def _change_order(change: ChangeState) -> tuple[float, str]:
+    return (change.time, change.change_id)
--- /dev/null
+++ b/src/knapweeddrum/core/fold/stream_fold.py
@@ -0,0 +1,145 @@
+"""The fold of one log stream into a ledger."""
+
+from __future__ import annotations
+
+from knapweeddrum.core.exceptions import OffsetGapError
+from knapweeddrum.core.fold.fact_verdict import FactVerdict
+from knapweeddrum.core.fold.fold_state import FoldState
+from knapweeddrum.core.fold.ledger import Ledger
+from knapweeddrum.core.fold.state_codec import decode_state, encode_state
+from knapweeddrum.core.fold.writer_state import WriterState
+from knapweeddrum.message.exceptions import MessageError
+from knapweeddrum.message.fact.any_fact import AnyFact
+from knapweeddrum.message.fact.batch import Batch
+from knapweeddrum.message.fact.checkpoint_part import CheckpointPart
+from knapweeddrum.message.fact.fact_codec import decode_batch, decode_fact
+
+WRITER_WINDOW = 7 * 24 * 3600.0
+"""Seconds of log time after which a silent writer is forgotten."""
+
+
+class StreamFold:
+    """Folds records in offset order and drops repeated batches.
+
+    Everything that changes the state is a function of the records alone, so all
+    readers of a stream reach the same state and the same verdicts.
+    """
+
+    def __init__(self, ledger: Ledger, window: float = WRITER_WINDOW) -> None:
+        """Start before the first record; ``window`` is in seconds of log time."""
+        self.ledger = ledger
+        self._window = window
+        self._position = -1
+        self._time = 0.0
+        self._writers: dict[str, WriterState] = {}
+
+    @property
+    def position(self) -> int:
+        """Return the offset of the last folded record; -1 for none."""
+        return self._position
+
+    @property
+    def time(self) -> float:
+        """Return the highest log time folded, in seconds."""
+        return self._time
+
+    def last_sequence(self, writer: str) -> int | None:
+        """Return the last sequence folded of a writer; None when it is not known."""
+        known = self._writers.get(writer)
+        return known.sequence if known else None
+
+    def apply(
+        self, offset: int, time: float, payload: bytes
+    ) -> tuple[FactVerdict, ...]:
+        """Fold one record and return the verdicts on its facts.
+
+        A record already folded, a repeated batch and a malformed record give no
+        verdicts. Raises OffsetGapError when records before it are missing.
+        """
+        if offset <= self._position:
+            return ()
+        if offset > self._position + 1:
+            raise OffsetGapError(f"offset {offset} follows {self._position}")
+        self._position = offset
+        try:
+            batch = decode_batch(payload)
+        except MessageError:
+            return ()
+        known = self._writers.get(batch.writer)
+        if known and batch.sequence <= known.sequence:
+            return ()
+        self._advance(time)
+        self._note_writer(batch)
+        return self._apply_facts(batch, offset)
+
+    def dump(self) -> bytes:
+        """Return the encoded state; equal states give equal bytes."""
+        writers = sorted(self._writers.values(), key=_writer_order)
+        return encode_state(
+            FoldState(
+                position=self._position,
+                time=self._time,
+                writers=tuple(writers),
+                ledger=self.ledger.dump(),
+            )
+        )
+
+    def load(self, state: bytes) -> None:
+        """Replace the state by an encoded one.
+
+        Raises StateError when it can't be decoded.
+        """
+        decoded = decode_state(state, FoldState)
+        self.ledger.load(decoded.ledger)
+        self._position = decoded.position
+        self._time = decoded.time
+        self._writers = {entry.writer: entry for entry in decoded.writers}
+
+    def _advance(self, time: float) -> None:
+        self._time = max(self._time, time)
+        self.ledger.prune(self._time)
+        horizon = self._time - self._window
+        while self._writers:
+            writer, entry = next(iter(self._writers.items()))
+            if entry.time >= horizon:
+                break
+            del self._writers[writer]
+
+    def _note_writer(self, batch: Batch) -> None:
+        # Taken out first, so that the writers stay in the order of their times.
+        self._writers.pop(batch.writer, None)
+        self._writers[batch.writer] = WriterState(
+            time=self._time, writer=batch.writer, sequence=batch.sequence
+        )
+
+    def _apply_facts(self, batch: Batch, offset: int) -> tuple[FactVerdict, ...]:
+        verdicts = []
+        for index, raw in enumerate(batch.facts):
+            fact = decode_fact(raw)
+            if fact is None or isinstance(fact, CheckpointPart):
+                continue
+            verdict = self._apply_fact(batch, index, fact, offset)
+            if verdict is not None:
+                verdicts.append(verdict)
+        return tuple(verdicts)
+
+    def _apply_fact(
+        self, batch: Batch, index: int, fact: AnyFact, offset: int
+    ) -> FactVerdict | None:
+        outcome = self.ledger.apply(fact, offset, self._time)
+        if outcome is None:
+            return None
+        return FactVerdict(
+            writer=batch.writer,
+            sequence=batch.sequence,
+            index=index,
+            fact=fact,
+            outcome=outcome.outcome,
+            tokens=outcome.tokens,
+            version=outcome.version,
+            offset=outcome.offset,
+        )
+
+
+def _writer_order(entry: WriterState) -> tuple[float, str]:
+    return (entry.time, entry.writer)
--- a/src/knapweeddrum/message/call/budget_status.py
+++ b/src/knapweeddrum/message/call/budget_status.py
@@ -9,7 +9,9 @@
     """All in tokens; deposited = balance + held + billed + duplicate.
 
     ``held`` is with live holders, ``stranded`` with holders that no longer answer and
-    part of ``held``; ``bills`` counts billed requests.
+    part of ``held``; ``bills`` counts billed requests. ``excess`` is what bills named
+    beyond the rest of their grants; it stays 0 while no holder spends what it doesn't
+    hold.
     """
 
     budget: str
@@ -20,3 +22,4 @@
     billed: int
     duplicate: int
     bills: int
+    excess: int = 0
--- a/src/knapweeddrum/message/call/claim_reply.py
+++ b/src/knapweeddrum/message/call/claim_reply.py
@@ -9,7 +9,8 @@
 
 class ClaimReply(msgspec.Struct, frozen=True):
     """The verdict; the answer's fields are set with ``DONE``, ``retry_after`` (s) with
-    ``UNAVAILABLE`` and ``PENDING``.
+    ``UNAVAILABLE`` and ``PENDING``. ``body_kept`` is false with ``DONE`` when the
+    answer's body is no longer kept.
     """
 
     verdict: ClaimVerdict
@@ -17,3 +18,4 @@
     content_type: str = ""
     body: bytes = b""
     retry_after: float = 0.0
+    body_kept: bool = True
--- a/src/knapweeddrum/message/call/settlement.py
+++ b/src/knapweeddrum/message/call/settlement.py
@@ -4,9 +4,11 @@
 
 import msgspec
 
+from knapweeddrum.message.fact.charge import Charge
+
 
 class Settlement(msgspec.Struct, frozen=True):
-    """Tokens to charge to a grant; the fields are those of the fact ``Bill``."""
+    """Tokens to charge to grants; the fields are those of the fact ``Bill``."""
 
     request_key: str
     run_id: str
@@ -14,3 +16,6 @@
     grant_id: str
     tokens: int
     outcome: str
+    settler: str = ""
+    further: tuple[Charge, ...] = ()
+    abandoned: int = 0
--- a/src/knapweeddrum/message/fact/claim.py
+++ b/src/knapweeddrum/message/fact/claim.py
@@ -6,8 +6,14 @@
 
 
 class Claim(Fact, frozen=True, tag="claim"):
-    """The first claim of a key wins; ``fingerprint`` is a digest of the request."""
+    """The first claim of a key wins; ``fingerprint`` is a digest of the request.
+
+    ``claimant`` names one attempt of one router: it is never used again after the
+    outcome ``not_run``. ``issued_at`` is the log's time (s) at which the claim was
+    made, 0 when not known; a claim that lands after the claim window is void.
+    """
 
     claim_key: str
     claimant: str
     fingerprint: str
+    issued_at: float = 0.0
