--- /dev/null
+++ b/src/knapweeddrum/core/admission/admission_queue.py
@@ -0,0 +1,229 @@
+"""Slots and waiting requests of one route."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import random
+
+from knapweeddrum.core.admission.admission_limits import AdmissionLimits
+from knapweeddrum.core.admission.admission_request import AdmissionRequest
+from knapweeddrum.core.admission.admitted import Admitted
+from knapweeddrum.core.admission.fair_queue import FairQueue
+from knapweeddrum.core.admission.queue_entry import QueueEntry
+from knapweeddrum.core.admission.queued import Queued
+from knapweeddrum.core.admission.refused import Refused
+from knapweeddrum.core.admission.retry_after import RetryAfter
+from knapweeddrum.core.admission.service_rate import ServiceRate
+from knapweeddrum.value.priority import Priority
+from knapweeddrum.value.refusal import Refusal
+from knapweeddrum.value.refusal_reason import RefusalReason
+
+CEILING_SHARES = {Priority.LIVE: 1.0, Priority.SUMMARY: 0.9, Priority.REVIEW: 0.75}
+"""Share of the slots that may be in use when a request of a priority starts."""
+
+REVIEW_SLOTS_SHARE = 1 / 32
+"""Slots over the limit, as a share of it, in which reviews always make progress."""
+
+WAIT_SHARE = 0.5
+"""Share of the time to the deadline that a request may spend waiting."""
+
+PREDICTION_SLACK = 1.5
+"""Factor by which a later prediction may exceed what is allowed, before a refusal."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Running:
+    priority: Priority
+    started_at: float
+
+
+class AdmissionQueue:
+    """Admits requests of one route by priority and fair share.
+
+    A live request is admitted before a summary, a summary before a review. Lower
+    priorities may not take the last slots, so that a live request seldom waits for
+    one. A few slots over the limit are for reviews alone: there they make progress
+    whatever the load, without taking a slot from others; the engine's own priorities
+    keep them from delaying live answers. Times are monotonic seconds.
+    """
+
+    def __init__(self, limits: AdmissionLimits, rng: random.Random) -> None:
+        self.limits = limits
+        self._queues = {priority: FairQueue() for priority in Priority}
+        self._running: dict[str, _Running] = {}
+        self._waiting: dict[str, QueueEntry] = {}
+        self._rate = ServiceRate(limits.service_seconds)
+        self._retry_after = RetryAfter(rng)
+
+    @property
+    def in_progress(self) -> int:
+        """Return the number of admitted requests that are not released."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Return the number of queued requests."""
+        return len(self._waiting)
+
+    def holds(self, request_id: str) -> bool:
+        """Return whether a request is queued or in progress here."""
+        return request_id in self._running or request_id in self._waiting
+
+    def offer(
+        self, req: AdmissionRequest, now: float
+    ) -> tuple[Admitted | Queued | Refused, ...]:
+        """Decide on a new request.
+
+        The first decision is on the request itself. A second one refuses a queued
+        request that it displaced from a full queue.
+        """
+        if now >= req.deadline:
+            return (Refused(req.request_id, Refusal(RefusalReason.DEADLINE)),)
+        if self._may_start(req.priority) and self._is_next(req.priority):
+            self._queues[req.priority].serve_at_once(req)
+            self._start(req, now)
+            return (Admitted(req.request_id),)
+        return self._enqueue_or_refuse(req, now)
+
+    def release(self, request_id: str, now: float) -> None:
+        """Free the slot of a request that ended."""
+        running = self._running.pop(request_id, None)
+        if running is not None:
+            self._rate.served(now - running.started_at)
+
+    def withdraw(self, request_id: str) -> None:
+        """Drop a queued request whose caller left."""
+        entry = self._waiting.pop(request_id, None)
+        if entry is not None:
+            self._queues[entry.req.priority].remove(entry)
+
+    def poll(self, now: float) -> tuple[Admitted | Refused, ...]:
+        """Decide on queued requests: refuse what is too late, then fill the slots."""
+        refused = self._refuse_late(now)
+        admitted = self._fill(now)
+        return (*refused, *admitted)
+
+    def predicted_wait(self, priority: Priority, position: int, now: float) -> float:
+        """Return the seconds until a request starts that is at ``position``.
+
+        The position counts requests of its own priority; those of higher priorities
+        are counted here.
+        """
+        slots = self._ceiling(priority)
+        ahead = self._ahead_of(priority) / self._rate.total(slots)
+        own = (position + 1) / self._rate.available(priority, slots, now)
+        return ahead + own
+
+    def _enqueue_or_refuse(
+        self, req: AdmissionRequest, now: float
+    ) -> tuple[Queued | Refused, ...]:
+        position = self._queues[req.priority].position(req)
+        wait = self.predicted_wait(req.priority, position, now)
+        patience = WAIT_SHARE * (req.deadline - now)
+        if wait > patience:
+            return (self._refuse(req, wait, now),)
+        displaced: tuple[Refused, ...] = ()
+        if self.waiting >= self.limits.queued:
+            victim = self._victim(req)
+            if victim is None:
+                return (self._refuse(req, wait, now),)
+            displaced = (self._displace(victim, now),)
+        entry = self._queues[req.priority].push(req, now, now + patience)
+        self._waiting[req.request_id] = entry
+        before = position + self._ahead_of(req.priority)
+        return (Queued(req.request_id, before, wait), *displaced)
+
+    def _ahead_of(self, priority: Priority) -> int:
+        return sum(
+            len(queue) for other, queue in self._queues.items() if other < priority
+        )
+
+    def _victim(self, req: AdmissionRequest) -> QueueEntry | None:
+        """Return the entry that would be served last, if it is after ``req``."""
+        for priority in reversed(Priority):
+            last = self._queues[priority].last()
+            if last is None:
+                continue
+            if priority > req.priority:
+                return last
+            if priority < req.priority:
+                return None
+            is_last = self._queues[priority].position(req) == len(
+                self._queues[priority]
+            )
+            return None if is_last else last
+        return None
+
+    def _displace(self, entry: QueueEntry, now: float) -> Refused:
+        self.withdraw(entry.req.request_id)
+        wait = self._wait_of_newcomer(entry.req, now)
+        return self._refuse(entry.req, wait, now)
+
+    def _wait_of_newcomer(self, req: AdmissionRequest, now: float) -> float:
+        position = self._queues[req.priority].position(req)
+        return self.predicted_wait(req.priority, position, now)
+
+    def _refuse(self, req: AdmissionRequest, wait: float, now: float) -> Refused:
+        rate = self._rate.available(req.priority, self._ceiling(req.priority), now)
+        seconds = self._retry_after.seconds(wait, rate, now)
+        return Refused(
+            req.request_id, Refusal(RefusalReason.OVERLOADED, retry_after=seconds)
+        )
+
+    def _refuse_late(self, now: float) -> list[Refused]:
+        late = []
+        for priority, queue in self._queues.items():
+            ahead = 0
+            for entry in queue.entries:
+                wait = self.predicted_wait(priority, ahead, now)
+                left = entry.give_up_at - now
+                if left <= 0.0 or wait > PREDICTION_SLACK * left:
+                    self.withdraw(entry.req.request_id)
+                    late.append(self._refuse(entry.req, wait, now))
+                else:
+                    ahead += 1
+        return late
+
+    def _fill(self, now: float) -> list[Admitted]:
+        admitted = []
+        for priority, queue in self._queues.items():
+            while len(queue) and self._may_start(priority):
+                entry = queue.pop()
+                del self._waiting[entry.req.request_id]
+                self._start(entry.req, now)
+                waited = now - entry.queued_at
+                admitted.append(Admitted(entry.req.request_id, waited))
+        return admitted
+
+    def _start(self, req: AdmissionRequest, now: float) -> None:
+        self._running[req.request_id] = _Running(req.priority, now)
+        self._rate.admitted(req.priority, now)
+
+    def _is_next(self, priority: Priority) -> bool:
+        return not any(
+            len(queue) for other, queue in self._queues.items() if other <= priority
+        )
+
+    def _may_start(self, priority: Priority) -> bool:
+        if self.in_progress - self._reviews_over() < self._ceiling(priority):
+            return True
+        return priority is Priority.REVIEW and self._has_review_slot()
+
+    def _ceiling(self, priority: Priority) -> int:
+        return max(1, math.floor(CEILING_SHARES[priority] * self.limits.in_progress))
+
+    def _review_slots(self) -> int:
+        return max(1, math.floor(REVIEW_SLOTS_SHARE * self.limits.in_progress))
+
+    def _has_review_slot(self) -> bool:
+        return self._running_reviews() < self._review_slots()
+
+    def _reviews_over(self) -> int:
+        """Return the running reviews that occupy the slots over the limit."""
+        return min(self._running_reviews(), self._review_slots())
+
+    def _running_reviews(self) -> int:
+        return sum(
+            running.priority is Priority.REVIEW for running in self._running.values()
+        )
--- /dev/null
+++ b/src/knapweeddrum/core/admission/fair_queue.py
@@ -0,0 +1,92 @@
+"""Start-time fair queue of one priority."""
+
+from __future__ import annotations
+
+import bisect
+
+from knapweeddrum.core.admission.admission_request import AdmissionRequest
+from knapweeddrum.core.admission.queue_entry import QueueEntry
+from knapweeddrum.value.identifiers import OrganisationName
+
+
+class FairQueue:
+    """Shares service between organisations by weight.
+
+    A request's start tag is the virtual time, or the finish tag of its organisation's
+    last request if that is later; the smallest start tag is served first. Only
+    organisations that are ahead of the virtual time are remembered.
+    """
+
+    def __init__(self) -> None:
+        self._entries: list[QueueEntry] = []
+        self._finish_tags: dict[OrganisationName, float] = {}
+        self._virtual_time = 0.0
+        self._number = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def entries(self) -> tuple[QueueEntry, ...]:
+        """Return the entries in order of service."""
+        return tuple(self._entries)
+
+    def position(self, req: AdmissionRequest) -> int:
+        """Return how many entries a request would find before it."""
+        order = (self._start_tag(req), self._number)
+        return bisect.bisect_left(self._entries, order, key=_order)
+
+    def push(
+        self, req: AdmissionRequest, queued_at: float, give_up_at: float
+    ) -> QueueEntry:
+        """Add a request."""
+        start_tag = self._start_tag(req)
+        entry = QueueEntry(req, start_tag, self._number, queued_at, give_up_at)
+        self._number += 1
+        self._finish_tags[req.organisation] = start_tag + req.cost / req.weight
+        bisect.insort(self._entries, entry, key=_order)
+        return entry
+
+    def pop(self) -> QueueEntry:
+        """Remove and return the entry to be served next; there must be one."""
+        entry = self._entries.pop(0)
+        self._virtual_time = max(self._virtual_time, entry.start_tag)
+        self._forget_idle()
+        return entry
+
+    def serve_at_once(self, req: AdmissionRequest) -> None:
+        """Charge a request that is served without waiting."""
+        start_tag = self._start_tag(req)
+        self._finish_tags[req.organisation] = start_tag + req.cost / req.weight
+        self._virtual_time = max(self._virtual_time, start_tag)
+        self._forget_idle()
+
+    def last(self) -> QueueEntry | None:
+        """Return the entry that would be served last."""
+        return self._entries[-1] if self._entries else None
+
+    def remove(self, entry: QueueEntry) -> None:
+        """Remove an entry that isn't served and take back its charge."""
+        self._entries.remove(entry)
+        organisation = entry.req.organisation
+        finish_tag = self._finish_tags.get(organisation)
+        if finish_tag is not None:
+            charge = entry.req.cost / entry.req.weight
+            self._finish_tags[organisation] = finish_tag - charge
+
+    def _start_tag(self, req: AdmissionRequest) -> float:
+        finish_tag = self._finish_tags.get(req.organisation, 0.0)
+        return max(self._virtual_time, finish_tag)
+
+    def _forget_idle(self) -> None:
+        idle = [
+            name
+            for name, finish_tag in self._finish_tags.items()
+            if finish_tag <= self._virtual_time
+        ]
+        for name in idle:
+            del self._finish_tags[name]
+
+
+def _order(entry: QueueEntry) -> tuple[float, int]:
+    return entry.order
--- /dev/null
+++ b/src/knapweeddrum/core/admission/queue_entry.py
@@ -0,0 +1,23 @@
+"""A request in an admission queue."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from knapweeddrum.core.admission.admission_request import AdmissionRequest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueEntry:
+    """``start_tag`` is its virtual start time; ``give_up_at`` in monotonic seconds."""
+
+    req: AdmissionRequest
+    start_tag: float
+    number: int
+    queued_at: float
+    give_up_at: float
+
+    @property
+    def order(self) -> tuple[float, int]:
+        """Return the key that the queue is sorted by."""
+        return (self.start_tag, self.number)
--- /dev/null
+++ b/src/knapweeddrum/core/admission/retry_after.py
@@ -0,0 +1,35 @@
+"""When refused callers are asked to come back."""
+
+from __future__ import annotations
+
+import random
+
+from knapweeddrum.core.admission.decaying_counter import DecayingCounter
+
+BASE_SECONDS = 1.0
+"""Shortest retry-after."""
+
+MAX_SECONDS = 60.0
+
+REFUSAL_WINDOW_SECONDS = 10.0
+"""Time constant of the count of recent refusals."""
+
+
+class RetryAfter:
+    """Spreads refused callers over the time that it takes to serve them all."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._refusals = DecayingCounter(REFUSAL_WINDOW_SECONDS)
+
+    def seconds(self, predicted_wait: float, rate: float, now: float) -> float:
+        """Return a retry-after in seconds.
+
+        ``predicted_wait`` is the backlog in seconds, ``rate`` the service rate in
+        requests per second.
+        """
+        self._refusals.add(now)
+        to_serve = self._refusals.value(now) / rate
+        horizon = BASE_SECONDS + predicted_wait + to_serve
+        latest = min(MAX_SECONDS, BASE_SECONDS + horizon)
+        return self._rng.uniform(BASE_SECONDS, latest)
--- /dev/null
+++ b/src/knapweeddrum/core/membership/new_incarnation.py
@@ -0,0 +1,35 @@
+"""Names of incarnations."""
+
+from __future__ import annotations
+
+import random
+
+from knapweeddrum.value.identifiers import HostName, Incarnation
+
+_TIME_DIGITS = 12
+_RANDOM_BITS = 32
+_RANDOM_DIGITS = 8
+
+
+def new_incarnation(
+    host: HostName, role: str, unix_ms: int, rng: random.Random, above: str = ""
+) -> Incarnation:
+    """Return a name that sorts after those of earlier lives of the same process.
+
+    It is ``host/role/`` and the start time in Unix milliseconds with a random part,
+    both in hexadecimal. ``above`` is a name that the new one must sort after: a
+    process whose clock was set back finds one in its peers' replies when it starts.
+    """
+    start = max(unix_ms, _start_of(above) + 1)
+    salt = rng.getrandbits(_RANDOM_BITS)
+    return Incarnation(
+        f"{host}/{role}/{start:0{_TIME_DIGITS}x}-{salt:0{_RANDOM_DIGITS}x}"
+    )
+
+
+def _start_of(incarnation: str) -> int:
+    digits = incarnation.rpartition("/")[2].partition("-")[0]
+    try:
+        return int(digits, 16)
+    except ValueError:
+        return -1
--- /dev/null
+++ b/src/knapweeddrum/core/routing/endpoint_table.py
@@ -0,0 +1,128 @@
+"""The endpoints that a router knows."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from knapweeddrum.core.routing.attempt_result import AttemptResult
+from knapweeddrum.core.routing.endpoint_view import EndpointView
+from knapweeddrum.core.routing.exceptions import UnknownEndpointError
+from knapweeddrum.core.routing.health_state import HealthState
+from knapweeddrum.core.routing.leaving_source import LeavingSource
+from knapweeddrum.core.routing.load_sample import LoadSample
+from knapweeddrum.value.identifiers import DataCentre, EndpointName
+
+PANIC_SHARE = 0.5
+"""With a smaller share of healthy endpoints, ejections are disregarded."""
+
+_REVOCABLE = (LeavingSource.LOAD_REPORT, LeavingSource.CONNECTION_CLOSE)
+"""Notices that a later load report of the endpoint takes back."""
+
+
+class EndpointTable:
+    """Set of endpoint views, fed by configuration, reports, results and notices.
+
+    Times are monotonic seconds. Methods that name an endpoint that isn't configured
+    raise UnknownEndpointError, except those that take late news.
+    """
+
+    def __init__(self) -> None:
+        self._views: dict[EndpointName, EndpointView] = {}
+
+    def configure(
+        self,
+        name: EndpointName,
+        slots: int,
+        now: float,
+        data_centre: DataCentre | None = None,
+        leaving: bool = False,
+    ) -> None:
+        """Add an endpoint or change its configuration, the operator's mark included."""
+        view = self._views.setdefault(name, EndpointView(name, slots, data_centre))
+        view.slots = slots
+        view.data_centre = data_centre
+        if leaving:
+            self.note_leaving(name, LeavingSource.OPERATOR, now)
+        else:
+            self.note_staying(name, LeavingSource.OPERATOR)
+
+    def remove(self, name: EndpointName) -> None:
+        """Drop an endpoint; results that come in later are disregarded."""
+        self._views.pop(name, None)
+
+    def view(self, name: EndpointName) -> EndpointView:
+        """Return the view of an endpoint."""
+        view = self._views.get(name)
+        if view is None:
+            raise UnknownEndpointError(f"endpoint {name} is not configured")
+        return view
+
+    def names(self) -> tuple[EndpointName, ...]:
+        """Return the names of all endpoints, in order of configuration."""
+        return tuple(self._views)
+
+    def report_load(self, name: EndpointName, sample: LoadSample) -> None:
+        """Take a load report; a leaving mark in it counts as a notice."""
+        view = self._views.get(name)
+        if view is None:
+            return
+        view.set_report(sample)
+        if sample.leaving:
+            self.note_leaving(name, LeavingSource.LOAD_REPORT, sample.measured_at)
+            return
+        for source in _REVOCABLE:
+            if view.leaving_notices.get(source, sample.measured_at) < (
+                sample.measured_at
+            ):
+                del view.leaving_notices[source]
+
+    def note_leaving(
+        self, name: EndpointName, source: LeavingSource, now: float
+    ) -> None:
+        """Take a notice that an endpoint is leaving; it gets nothing new from now."""
+        view = self._views.get(name)
+        if view is not None:
+            view.leaving_notices[source] = now
+
+    def note_staying(self, name: EndpointName, source: LeavingSource) -> None:
+        """Withdraw the notice of one source."""
+        view = self._views.get(name)
+        if view is not None:
+            view.leaving_notices.pop(source, None)
+
+    def begin(self, name: EndpointName, now: float) -> None:
+        """Count an attempt that is sent to an endpoint."""
+        self.view(name).begin(now)
+
+    def finish(
+        self, name: EndpointName, result: AttemptResult, started_at: float, now: float
+    ) -> None:
+        """Count the end of an attempt that was sent at ``started_at``."""
+        view = self._views.get(name)
+        if view is None:
+            return
+        view.end(now)
+        view.health.finish(result, started_at, now)
+
+    def candidates(
+        self, names: Iterable[EndpointName], now: float, allow_probe: bool = True
+    ) -> tuple[EndpointView, ...]:
+        """Return the views among ``names`` that may get a request.
+
+        Without ``allow_probe`` (for requests that are not idempotent) an endpoint on
+        probation is left out. When too few are healthy, all that don't leave are
+        returned, so that a wrong verdict can't take the last endpoints away.
+        """
+        present = [self._views[name] for name in names if name in self._views]
+        staying = [view for view in present if not view.leaving]
+        healthy = [view for view in staying if _is_healthy(view, now)]
+        if len(healthy) < PANIC_SHARE * len(staying):
+            return tuple(staying)
+        if not allow_probe:
+            return tuple(healthy)
+        probes = [view for view in staying if view.health.is_probe_free(now)]
+        return tuple(healthy + probes)
+
+
+def _is_healthy(view: EndpointView, now: float) -> bool:
+    return view.health.state(now) is HealthState.HEALTHY
--- /dev/null
+++ b/src/knapweeddrum/core/routing/health_tracker.py
@@ -0,0 +1,127 @@
+"""Ejection and readmission of one endpoint."""
+
+from __future__ import annotations
+
+from knapweeddrum.core.routing.attempt_result import AttemptResult
+from knapweeddrum.core.routing.health_state import HealthState
+
+CONSECUTIVE_FAILURES = 5
+"""Failures in a row that eject an endpoint."""
+
+ERROR_RATE = 0.5
+"""Moving share of failures that ejects an endpoint."""
+
+ERROR_RATE_SAMPLES = 20
+"""Results needed before the error rate counts."""
+
+ERROR_RATE_WEIGHT = 0.05
+"""Weight of the newest result in the moving error rate."""
+
+BASE_EJECTION_SECONDS = 2.0
+MAX_EJECTION_SECONDS = 60.0
+
+PROBE_SUCCESSES = 3
+"""Successful probes in a row that readmit an endpoint."""
+
+STABLE_SECONDS = 60.0
+"""Time in health after which the ejection backoff starts anew."""
+
+
+class HealthTracker:
+    """Circuit breaker with exponential backoff and half-open probes.
+
+    After an ejection one request at a time is let through as a probe. Several probes
+    must succeed in a row, and the backoff is kept until the endpoint was healthy for
+    STABLE_SECONDS; both keep it from flapping. Times are monotonic seconds.
+    """
+
+    def __init__(self) -> None:
+        self.ejected_until = float("-inf")
+        self._healthy = True
+        self._ejected_at = float("-inf")
+        self._readmitted_at = float("-inf")
+        self._ejections = 0
+        self._consecutive = 0
+        self._error_rate = 0.0
+        self._samples = 0
+        self._probes_in_flight = 0
+        self._probe_successes = 0
+
+    def state(self, now: float) -> HealthState:
+        """Return the state at ``now``."""
+        if self._healthy:
+            return HealthState.HEALTHY
+        if now < self.ejected_until:
+            return HealthState.EJECTED
+        return HealthState.PROBING
+
+    def is_probe_free(self, now: float) -> bool:
+        """Return whether a request may be sent as a probe."""
+        probing = self.state(now) is HealthState.PROBING
+        return probing and self._probes_in_flight == 0
+
+    def begin(self, now: float) -> None:
+        """Take note of an attempt that starts."""
+        if self.state(now) is HealthState.PROBING:
+            self._probes_in_flight += 1
+
+    def finish(self, result: AttemptResult, started_at: float, now: float) -> None:
+        """Take note of the result of an attempt that started at ``started_at``."""
+        if self._healthy:
+            self._finish_healthy(result, started_at, now)
+            return
+        if started_at >= self.ejected_until:
+            self._probes_in_flight = max(0, self._probes_in_flight - 1)
+        self._finish_unhealthy(result, started_at, now)
+
+    def _finish_healthy(
+        self, result: AttemptResult, started_at: float, now: float
+    ) -> None:
+        if started_at < self._readmitted_at:
+            return
+        if result is AttemptResult.SUCCESS:
+            self._consecutive = 0
+            self._count_sample(0.0)
+        elif result is AttemptResult.FAILURE:
+            self._consecutive += 1
+            self._count_sample(1.0)
+        if self._is_failing():
+            self._eject(now)
+
+    def _finish_unhealthy(
+        self, result: AttemptResult, started_at: float, now: float
+    ) -> None:
+        if result is AttemptResult.SUCCESS and started_at >= self._ejected_at:
+            self._probe_successes += 1
+            if self._probe_successes >= PROBE_SUCCESSES:
+                self._readmit(now)
+        elif result is AttemptResult.FAILURE and started_at >= self.ejected_until:
+            self._eject(now)
+
+    def _count_sample(self, error: float) -> None:
+        self._samples += 1
+        self._error_rate += ERROR_RATE_WEIGHT * (error - self._error_rate)
+
+    def _is_failing(self) -> bool:
+        if self._consecutive >= CONSECUTIVE_FAILURES:
+            return True
+        return self._samples >= ERROR_RATE_SAMPLES and self._error_rate >= ERROR_RATE
+
+    def _eject(self, now: float) -> None:
+        if self._healthy and now - self._readmitted_at >= STABLE_SECONDS:
+            self._ejections = 0
+        backoff = BASE_EJECTION_SECONDS * 2.0 ** min(self._ejections, 16)
+        self._ejections += 1
+        self._healthy = False
+        self._ejected_at = now
+        self.ejected_until = now + min(backoff, MAX_EJECTION_SECONDS)
+        self._probes_in_flight = 0
+        self._probe_successes = 0
+
+    def _readmit(self, now: float) -> None:
+        self._healthy = True
+        self._readmitted_at = now
+        self.ejected_until = float("-inf")
+        self._consecutive = 0
+        self._error_rate = 0.0
+        self._samples = 0
--- /dev/null
+++ b/src/knapweeddrum/core/routing/request_features.py
@@ -0,0 +1,15 @@
+"""What a routing policy may know of a request."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from knapweeddrum.value.priority import Priority
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestFeatures:
+    """Priority, and digests of the prompt's prefixes, the longest first."""
+
+    priority: Priority = Priority.LIVE
+    prefixes: tuple[str, ...] = ()
--- /dev/null
+++ b/src/knapweeddrum/core/routing/retry_budget.py
@@ -0,0 +1,38 @@
+"""Token bucket that bounds retries."""
+
+from __future__ import annotations
+
+RETRY_SHARE = 0.1
+"""Retries that each request adds to the budget."""
+
+BUDGET_LIMIT = 10.0
+"""Retries that the budget holds at most."""
+
+REFILL_PER_SECOND = 0.2
+"""Retries added each second, so that a quiet router may retry at all."""
+
+
+class RetryBudget:
+    """Allows retries as a share of the requests; ``now`` is in monotonic seconds."""
+
+    def __init__(self, now: float, share: float = RETRY_SHARE) -> None:
+        self._share = share
+        self._tokens = BUDGET_LIMIT
+        self._refilled_at = now
+
+    def deposit(self) -> None:
+        """Count a request, once for its first attempt."""
+        self._tokens = min(BUDGET_LIMIT, self._tokens + self._share)
+
+    def withdraw(self, now: float) -> bool:
+        """Take one retry from the budget; False when there is none."""
+        self._refill(now)
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _refill(self, now: float) -> None:
+        elapsed = max(0.0, now - self._refilled_at)
+        self._refilled_at = max(now, self._refilled_at)
+        self._tokens = min(BUDGET_LIMIT, self._tokens + elapsed * REFILL_PER_SECOND)
