--- /dev/null
+++ b/src/knapweeddrum/endpoint/event_decoder.py
@@ -0,0 +1,57 @@
+"""Incremental decoder of server-sent events."""
+
+from __future__ import annotations
+
+from knapweeddrum.endpoint.exceptions import EndpointError
+
+EVENT_LIMIT_BYTES = 64 * 1024
+"""Largest event that an endpoint may send."""
+
+DATA_FIELD = b"data:"
+
+
+class EventDecoder:
+    """Turns pieces of a body into the data of whole events.
+
+    Only the field ``data`` is used; comments and other fields are dropped. An event
+    that the stream leaves unfinished is never returned.
+    """
+
+    def __init__(self, limit: int = EVENT_LIMIT_BYTES) -> None:
+        self._limit = limit
+        self._rest = b""
+        self._data: list[bytes] = []
+        self._size = 0
+
+    def feed(self, chunk: bytes) -> list[bytes]:
+        """Return the events that end in ``chunk``; raises EndpointError when large."""
+        *lines, self._rest = (self._rest + chunk).split(b"\n")
+        events = []
+        for line in lines:
+            event = self._take(line.removesuffix(b"\r"))
+            if event is not None:
+                events.append(event)
+        self._check(len(self._rest))
+        return events
+
+    def _take(self, line: bytes) -> bytes | None:
+        if not line:
+            return self._end()
+        if line.startswith(DATA_FIELD):
+            data = line.removeprefix(DATA_FIELD).removeprefix(b" ")
+            self._check(len(data))
+            self._data.append(data)
+            self._size += len(data)
+        return None
+
+    def _end(self) -> bytes | None:
+        if not self._data:
+            return None
+        event = b"\n".join(self._data)
+        self._data = []
+        self._size = 0
+        return event
+
+    def _check(self, more: int) -> None:
+        if self._size + more > self._limit:
+            raise EndpointError(f"event exceeds {self._limit} bytes")
--- a/src/knapweeddrum/endpoint/exceptions.py
+++ b/src/knapweeddrum/endpoint/exceptions.py
@@ -22,6 +22,14 @@
         self.retry_after = retry_after
 
 
+class InvalidRequestError(EndpointError):
+    """The request can't be sent, or the endpoint rejected it as invalid: not run."""
+
+
+class UnknownRunError(EndpointError):
+    """The engine doesn't know the run."""
+
+
 class StreamCutError(EndpointError):
     """The answer's stream ended before its final part."""
 
--- /dev/null
+++ b/src/knapweeddrum/endpoint/http_model_engine.py
@@ -0,0 +1,163 @@
+"""Client of a model engine over HTTP."""
+
+from __future__ import annotations
+
+import contextlib
+import urllib.parse
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from knapweeddrum.endpoint.answer_part import AnswerPart
+from knapweeddrum.endpoint.cache_event import CacheEvent
+from knapweeddrum.endpoint.cache_events_reply import CacheEventsReply
+from knapweeddrum.endpoint.engine_order import EngineOrder
+from knapweeddrum.endpoint.exceptions import (
+    EndpointConnectError,
+    InvalidRequestError,
+    StreamCutError,
+)
+from knapweeddrum.endpoint.json_exchange import JsonExchange, check_status
+from knapweeddrum.endpoint.load_reply import LoadReply
+from knapweeddrum.endpoint.load_report import LoadReport
+from knapweeddrum.endpoint.model_engine import ModelEngine
+from knapweeddrum.endpoint.model_request import ModelRequest
+from knapweeddrum.endpoint.order_body import OrderBody
+from knapweeddrum.endpoint.order_reply import OrderReply
+from knapweeddrum.endpoint.part_sequence import PartSequence
+from knapweeddrum.endpoint.part_stream import answer_parts
+from knapweeddrum.endpoint.run_body import RunBody
+from knapweeddrum.endpoint.run_usage import RunUsage
+from knapweeddrum.endpoint.usage_reply import UsageReply
+from knapweeddrum.http.exceptions import NoReplyError, NotSentError
+from knapweeddrum.http.exchange_client import ExchangeClient
+from knapweeddrum.http.request import Request
+
+PART_TIMEOUT_SECONDS = 30.0
+"""Longest silence of a stream; engines send a comment when there is no part."""
+
+JSON_HEADERS = (("Content-Type", "application/json"),)
+
+
+class HttpModelEngine(ModelEngine):
+    """The engine at ``http://IP:port``.
+
+    Each run and each resumption has a connection of its own, which is never reused.
+    """
+
+    def __init__(self, client: ExchangeClient, part_timeout: float) -> None:
+        self._client = client
+        self._json = JsonExchange(client)
+        self._part_timeout = part_timeout
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def connect(
+        cls, address: str, part_timeout: float = PART_TIMEOUT_SECONDS
+    ) -> AsyncIterator[HttpModelEngine]:
+        """Own the connections to the engine; ``part_timeout`` is in seconds."""
+        async with ExchangeClient.connect(address) as client:
+            yield cls(client, part_timeout)
+
+    @contextlib.asynccontextmanager
+    async def stream(
+        self, req: ModelRequest
+    ) -> AsyncIterator[AsyncIterator[AnswerPart]]:
+        """Start a run and stream its parts.
+
+        Raises InvalidRequestError when the body is not JSON.
+        """
+        start = Request(
+            method="POST",
+            path="/v1/runs",
+            body=msgspec.json.encode(self._run_body(req)),
+            headers=JSON_HEADERS,
+        )
+        async with self._parts(start, PartSequence(req.run_id)) as parts:
+            yield parts
+
+    @contextlib.asynccontextmanager
+    async def resume(
+        self, run_id: str, start: int
+    ) -> AsyncIterator[AsyncIterator[AnswerPart]]:
+        """Stream the parts of a known run from part ``start`` on.
+
+        Raises UnknownRunError when the engine doesn't know the run.
+        """
+        req = Request(method="GET", path=f"{self._path(run_id)}/events?start={start}")
+        async with self._parts(req, PartSequence(run_id, start)) as parts:
+            yield parts
+
+    async def cancel(self, run_id: str) -> RunUsage:
+        """Stop a run and return what it consumed in all."""
+        return await self._usage(Request(method="DELETE", path=self._path(run_id)))
+
+    async def usage(self, run_id: str) -> RunUsage:
+        """Return what a run consumed so far."""
+        return await self._usage(Request(method="GET", path=self._path(run_id)))
+
+    async def load(self) -> LoadReport:
+        """Return the engine's load; it lags."""
+        req = Request(method="GET", path="/v1/load", reuse=True)
+        return (await self._json.call(req, LoadReply)).report()
+
+    async def cache_events(self, after: int) -> tuple[CacheEvent, ...]:
+        """Return cache events numbered above ``after``; late and with gaps."""
+        path = f"/v1/cache-events?after={after}"
+        req = Request(method="GET", path=path, reuse=True)
+        return (await self._json.call(req, CacheEventsReply)).cache_events()
+
+    async def order(self, order: EngineOrder) -> None:
+        """Give an order; raises OrderRefusedError for an old fencing number."""
+        body = OrderBody(
+            fence=order.fence,
+            action=order.action,
+            model=order.model,
+            version=order.version,
+            adapter=order.adapter,
+            role=order.role,
+        )
+        req = Request(
+            method="POST",
+            path="/v1/orders",
+            body=msgspec.json.encode(body),
+            headers=JSON_HEADERS,
+        )
+        await self._json.call(req, OrderReply)
+
+    def _path(self, run_id: str) -> str:
+        return f"/v1/runs/{urllib.parse.quote(run_id, safe='')}"
+
+    def _run_body(self, req: ModelRequest) -> RunBody:
+        # Decoding keeps a malformed body from changing the fields that follow it.
+        try:
+            body = msgspec.json.decode(req.body, type=msgspec.Raw)
+        except msgspec.MsgspecError as exc:
+            raise InvalidRequestError(f"body is not JSON: {exc}") from exc
+        return RunBody(
+            run_id=req.run_id,
+            model=req.model,
+            body=body,
+            output_limit=req.output_limit,
+            priority=int(req.priority),
+        )
+
+    async def _usage(self, req: Request) -> RunUsage:
+        return (await self._json.call(req, UsageReply)).usage()
+
+    @contextlib.asynccontextmanager
+    async def _parts(
+        self, req: Request, sequence: PartSequence
+    ) -> AsyncIterator[AsyncIterator[AnswerPart]]:
+        async with contextlib.AsyncExitStack() as stack:
+            try:
+                opening = self._client.open(req, self._part_timeout)
+                reply = await stack.enter_async_context(opening)
+            except NotSentError as exc:
+                raise EndpointConnectError(str(exc)) from exc
+            except NoReplyError as exc:
+                raise StreamCutError(str(exc)) from exc
+            check_status(reply.head)
+            parts = answer_parts(reply, sequence)
+            stack.push_async_callback(parts.aclose)
+            yield parts
--- /dev/null
+++ b/src/knapweeddrum/endpoint/json_exchange.py
@@ -0,0 +1,80 @@
+"""Exchanges of JSON with an endpoint, in terms of the endpoint layer's errors."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+
+from knapweeddrum.endpoint.exceptions import (
+    EndpointBusyError,
+    EndpointConnectError,
+    EndpointError,
+    InvalidRequestError,
+    OrderRefusedError,
+    UnknownRunError,
+)
+from knapweeddrum.http.exceptions import NoReplyError, NotSentError
+from knapweeddrum.http.exchange_client import ExchangeClient
+from knapweeddrum.http.reply_head import ReplyHead
+from knapweeddrum.http.request import Request
+
+ReplyT = TypeVar("ReplyT", bound=msgspec.Struct)
+
+CONTROL_TIMEOUT_SECONDS = 5.0
+CONTROL_REPLY_LIMIT_BYTES = 1024 * 1024
+
+OK = 200
+BAD_REQUEST = 400
+NOT_FOUND = 404
+CONFLICT = 409
+TOO_LARGE = 413
+UNPROCESSABLE = 422
+TOO_MANY_REQUESTS = 429
+SERVICE_UNAVAILABLE = 503
+
+
+class JsonExchange:
+    """Sends short requests to one endpoint and decodes the replies."""
+
+    def __init__(self, client: ExchangeClient) -> None:
+        self._client = client
+
+    async def call(
+        self,
+        req: Request,
+        reply_type: type[ReplyT],
+        timeout: float = CONTROL_TIMEOUT_SECONDS,
+    ) -> ReplyT:
+        """Return the decoded reply; ``timeout`` is in seconds.
+
+        Raises EndpointConnectError when the request was not sent, the error that
+        belongs to a refusal, and EndpointError for everything else.
+        """
+        try:
+            reply = await self._client.exchange(req, timeout, CONTROL_REPLY_LIMIT_BYTES)
+        except NotSentError as exc:
+            raise EndpointConnectError(str(exc)) from exc
+        except NoReplyError as exc:
+            raise EndpointError(str(exc)) from exc
+        check_status(reply.head)
+        try:
+            return msgspec.json.decode(reply.body, type=reply_type)
+        except msgspec.MsgspecError as exc:
+            raise EndpointError(f"malformed reply: {exc}") from exc
+
+
+def check_status(head: ReplyHead) -> None:
+    """Raise the error that belongs to a model engine's status other than 200."""
+    if head.status == OK:
+        return
+    message = f"endpoint answered with status {head.status}"
+    if head.status in {TOO_MANY_REQUESTS, SERVICE_UNAVAILABLE}:
+        raise EndpointBusyError(message, head.retry_after)
+    if head.status in {BAD_REQUEST, TOO_LARGE, UNPROCESSABLE}:
+        raise InvalidRequestError(message)
+    if head.status == NOT_FOUND:
+        raise UnknownRunError(message)
+    if head.status == CONFLICT:
+        raise OrderRefusedError(message)
+    raise EndpointError(message)
--- /dev/null
+++ b/src/knapweeddrum/endpoint/part_sequence.py
@@ -0,0 +1,28 @@
+"""Checks that the parts of a stream belong to one run and leave nothing out."""
+
+from __future__ import annotations
+
+from knapweeddrum.endpoint.answer_part import AnswerPart
+from knapweeddrum.endpoint.exceptions import StreamCutError, WrongStreamError
+
+
+class PartSequence:
+    """Admits the parts of a run once each, in order, from part ``start`` on."""
+
+    def __init__(self, run_id: str, start: int = 0) -> None:
+        self._run_id = run_id
+        self._next = start
+
+    def admit(self, part: AnswerPart) -> bool:
+        """Return whether the part is the next one; False for a repeated one.
+
+        Raises WrongStreamError for another run and StreamCutError for a gap.
+        """
+        if part.run_id != self._run_id:
+            raise WrongStreamError(f"part of {part.run_id!r}, not {self._run_id!r}")
+        if part.index > self._next:
+            raise StreamCutError(f"part {self._next} of {self._run_id!r} is missing")
+        if part.index < self._next:
+            return False
+        self._next += 1
+        return True
--- /dev/null
+++ b/src/knapweeddrum/http/exchange_client.py
@@ -0,0 +1,147 @@
+"""HTTP client for one server."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+
+import anyio
+import httpcore
+
+from knapweeddrum.http.exceptions import ExchangeError, NoReplyError, NotSentError
+from knapweeddrum.http.failures import FAILURES
+from knapweeddrum.http.open_reply import OpenReply
+from knapweeddrum.http.reply import Reply
+from knapweeddrum.http.request import Request
+from knapweeddrum.http.send_watch import SendWatch
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+WRITE_TIMEOUT_SECONDS = 5.0
+KEEP_ALIVE_SECONDS = 4.0
+MAX_POOLED_CONNECTIONS = 32
+
+METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
+
+
+class ExchangeClient:
+    """Sends each request at most once and never retries it.
+
+    ``address`` is ``http://IP:port``.
+    """
+
+    def __init__(self, address: str, pool: httpcore.AsyncConnectionPool) -> None:
+        self.address = address
+        self._base = httpcore.URL(address)
+        self._pool = pool
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def connect(cls, address: str) -> AsyncIterator[ExchangeClient]:
+        """Own the pool of idle connections; no connection is made yet."""
+        pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_POOLED_CONNECTIONS,
+            keepalive_expiry=KEEP_ALIVE_SECONDS,
+            retries=0,
+            network_backend=httpcore.AnyIOBackend(),
+        )
+        try:
+            yield cls(address, pool)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await pool.aclose()
+
+    async def exchange(self, req: Request, timeout: float, limit: int) -> Reply:
+        """Send a request and return the whole reply.
+
+        ``timeout`` covers the exchange, in seconds; ``limit`` is the size of the
+        body, in bytes. Raises NotSentError and NoReplyError.
+        """
+        watch = SendWatch()
+        try:
+            with anyio.fail_after(timeout):
+                async with self._send(req, timeout, watch) as response:
+                    opened = OpenReply(response)
+                    return Reply(opened.head, await opened.read(limit))
+        except FAILURES as exc:
+            raise self._turn(exc, watch) from exc
+
+    @contextlib.asynccontextmanager
+    async def open(self, req: Request, read_timeout: float) -> AsyncIterator[OpenReply]:
+        """Send a request and receive its reply piece by piece.
+
+        ``read_timeout`` bounds the wait for the head and for each piece, in seconds.
+        Raises NotSentError and NoReplyError. Leaving the context early closes the
+        connection.
+        """
+        watch = SendWatch()
+        async with contextlib.AsyncExitStack() as stack:
+            sending = self._send(req, read_timeout, watch)
+            try:
+                response = await stack.enter_async_context(sending)
+            except FAILURES as exc:
+                raise self._turn(exc, watch) from exc
+            yield OpenReply(response)
+
+    @contextlib.asynccontextmanager
+    async def _send(
+        self, req: Request, read_timeout: float, watch: SendWatch
+    ) -> AsyncIterator[httpcore.Response]:
+        async with self._transport(reuse=req.reuse) as transport:
+            sending = transport.stream(
+                req.method,
+                self._url(req.path),
+                headers=[*req.headers],
+                content=self._content(req),
+                extensions={
+                    "timeout": {
+                        "connect": CONNECT_TIMEOUT_SECONDS,
+                        "pool": CONNECT_TIMEOUT_SECONDS,
+                        "write": WRITE_TIMEOUT_SECONDS,
+                        "read": read_timeout,
+                    },
+                    "trace": watch,
+                },
+            )
+            async with sending as response:
+                yield response
+
+    @contextlib.asynccontextmanager
+    async def _transport(
+        self, *, reuse: bool
+    ) -> AsyncIterator[httpcore.AsyncConnectionPool | httpcore.AsyncHTTPConnection]:
+        if reuse:
+            yield self._pool
+            return
+        connection = httpcore.AsyncHTTPConnection(
+            self._base.origin, retries=0, network_backend=httpcore.AnyIOBackend()
+        )
+        try:
+            yield connection
+        finally:
+            with anyio.CancelScope(shield=True):
+                await connection.aclose()
+
+    def _url(self, path: str) -> httpcore.URL:
+        try:
+            target = path.encode("ascii")
+        except UnicodeEncodeError as exc:
+            raise NotSentError(f"path is not ASCII: {path!r}") from exc
+        if not target.startswith(b"/"):
+            raise NotSentError(f"path doesn't start with a slash: {path!r}")
+        return httpcore.URL(
+            scheme=self._base.scheme,
+            host=self._base.host,
+            port=self._base.port,
+            target=target,
+        )
+
+    def _content(self, req: Request) -> bytes | None:
+        if req.body or req.method in METHODS_WITH_BODY:
+            return req.body
+        return None
+
+    def _turn(self, exc: Exception, watch: SendWatch) -> ExchangeError:
+        # httpcore checks method, target and headers before it writes the first byte.
+        unsent = not watch.sent or isinstance(exc, httpcore.LocalProtocolError)
+        kind = NotSentError if unsent else NoReplyError
+        return kind(f"{self.address}: {exc!r}")
--- /dev/null
+++ b/src/knapweeddrum/http/failures.py
@@ -0,0 +1,15 @@
+"""Exceptions by which httpcore reports a failed exchange."""
+
+from __future__ import annotations
+
+import h11
+import httpcore
+
+FAILURES: tuple[type[Exception], ...] = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+    httpcore.UnsupportedProtocol,
+    h11.ProtocolError,
+    OSError,
+)
--- /dev/null
+++ b/src/knapweeddrum/http/open_reply.py
@@ -0,0 +1,42 @@
+"""An HTTP reply whose body is still being received."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncGenerator
+
+import httpcore
+
+from knapweeddrum.http.exceptions import NoReplyError
+from knapweeddrum.http.failures import FAILURES
+from knapweeddrum.http.reply_head import ReplyHead
+
+
+class OpenReply:
+    """Head of the reply, and its body as it arrives."""
+
+    def __init__(self, response: httpcore.Response) -> None:
+        self._response = response
+        self.head = ReplyHead(
+            status=response.status,
+            headers=tuple(
+                (name.decode("latin-1").lower(), value.decode("latin-1"))
+                for name, value in response.headers
+            ),
+        )
+
+    async def chunks(self) -> AsyncGenerator[bytes, None]:
+        """Iterate over the body; raises NoReplyError when it is cut."""
+        try:
+            async for chunk in self._response.aiter_stream():
+                yield chunk
+        except FAILURES as exc:
+            raise NoReplyError(f"body cut: {exc!r}") from exc
+
+    async def read(self, limit: int) -> bytes:
+        """Return the whole body; raises NoReplyError above ``limit`` bytes."""
+        body = bytearray()
+        async for chunk in self.chunks():
+            body += chunk
+            if len(body) > limit:
+                raise NoReplyError(f"body exceeds {limit} bytes")
+        return bytes(body)
--- /dev/null
+++ b/src/knapweeddrum/platform/http_append_log.py
@@ -0,0 +1,101 @@
+"""Client of the platform's append-only log over HTTP."""
+
+from __future__ import annotations
+
+import contextlib
+import urllib.parse
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from knapweeddrum.http.exceptions import ExchangeError, NoReplyError, NotSentError
+from knapweeddrum.http.exchange_client import ExchangeClient
+from knapweeddrum.http.reply import Reply
+from knapweeddrum.http.request import Request
+from knapweeddrum.platform.append_log import AppendLog
+from knapweeddrum.platform.append_reply import AppendReply
+from knapweeddrum.platform.exceptions import (
+    AppendUnknownError,
+    LogUnavailableError,
+    RecordsExpiredError,
+)
+from knapweeddrum.platform.expired_reply import ExpiredReply
+from knapweeddrum.platform.log_page import LogPage
+from knapweeddrum.platform.page_reply import PageReply
+
+APPEND_TIMEOUT_SECONDS = 5.0
+READ_TIMEOUT_SECONDS = 5.0
+"""Bound of a read beyond the time that it may wait for a record."""
+PAGE_LIMIT_BYTES = 8 * 1024 * 1024
+APPEND_REPLY_LIMIT_BYTES = 4 * 1024
+
+OK = 200
+GONE = 410
+SERVICE_UNAVAILABLE = 503
+
+
+class HttpAppendLog(AppendLog):
+    """The log at ``http://IP:port``; nothing is retried here."""
+
+    def __init__(self, client: ExchangeClient) -> None:
+        self._client = client
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def connect(cls, address: str) -> AsyncIterator[HttpAppendLog]:
+        """Own the connections to the log."""
+        async with ExchangeClient.connect(address) as client:
+            yield cls(client)
+
+    async def append(self, stream: str, payload: bytes) -> int:
+        """Append one record and return its offset."""
+        req = Request(
+            method="POST",
+            path=self._path(stream),
+            body=payload,
+            headers=(("Content-Type", "application/octet-stream"),),
+        )
+        try:
+            reply = await self._client.exchange(
+                req, APPEND_TIMEOUT_SECONDS, APPEND_REPLY_LIMIT_BYTES
+            )
+        except NotSentError as exc:
+            raise LogUnavailableError(str(exc)) from exc
+        except NoReplyError as exc:
+            raise AppendUnknownError(str(exc)) from exc
+        return self._offset(reply)
+
+    async def read(self, stream: str, start: int, limit: int, wait: float) -> LogPage:
+        """Return at most ``limit`` records from offset ``start`` on."""
+        query = urllib.parse.urlencode({"start": start, "limit": limit, "wait": wait})
+        req = Request(method="GET", path=f"{self._path(stream)}?{query}", reuse=True)
+        timeout = READ_TIMEOUT_SECONDS + wait
+        try:
+            reply = await self._client.exchange(req, timeout, PAGE_LIMIT_BYTES)
+        except ExchangeError as exc:
+            raise LogUnavailableError(str(exc)) from exc
+        try:
+            return self._page(reply, start)
+        except msgspec.MsgspecError as exc:
+            raise LogUnavailableError(f"malformed page: {exc}") from exc
+
+    def _path(self, stream: str) -> str:
+        return f"/v1/streams/{urllib.parse.quote(stream, safe='')}/records"
+
+    def _offset(self, reply: Reply) -> int:
+        if 400 <= reply.status < 500 or reply.status == SERVICE_UNAVAILABLE:
+            raise LogUnavailableError(f"append refused with status {reply.status}")
+        if reply.status != OK:
+            raise AppendUnknownError(f"append answered with status {reply.status}")
+        try:
+            return msgspec.json.decode(reply.body, type=AppendReply).offset
+        except msgspec.MsgspecError as exc:
+            raise AppendUnknownError(f"malformed reply to an append: {exc}") from exc
+
+    def _page(self, reply: Reply, start: int) -> LogPage:
+        if reply.status == GONE:
+            expired = msgspec.json.decode(reply.body, type=ExpiredReply)
+            raise RecordsExpiredError(expired.first)
+        if reply.status != OK:
+            raise LogUnavailableError(f"read answered with status {reply.status}")
+        return msgspec.json.decode(reply.body, type=PageReply).page(start)
--- /dev/null
+++ b/src/knapweeddrum/platform/http_host_list.py
@@ -0,0 +1,51 @@
+"""Client of the platform's host list over HTTP."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+
+import msgspec
+
+from knapweeddrum.http.exceptions import ExchangeError
+from knapweeddrum.http.exchange_client import ExchangeClient
+from knapweeddrum.http.request import Request
+from knapweeddrum.platform.exceptions import PlatformError
+from knapweeddrum.platform.host_list import HostList
+from knapweeddrum.platform.hosts_reply import HostsReply
+from knapweeddrum.platform.listed_host import ListedHost
+
+HOSTS_TIMEOUT_SECONDS = 5.0
+HOSTS_LIMIT_BYTES = 1024 * 1024
+
+OK = 200
+
+
+class HttpHostList(HostList):
+    """The host list at ``http://IP:port``."""
+
+    def __init__(self, client: ExchangeClient) -> None:
+        self._client = client
+
+    @classmethod
+    @contextlib.asynccontextmanager
+    async def connect(cls, address: str) -> AsyncIterator[HttpHostList]:
+        """Own the connections to the host list."""
+        async with ExchangeClient.connect(address) as client:
+            yield cls(client)
+
+    async def read(self) -> tuple[ListedHost, ...]:
+        """Return the list; raises PlatformError."""
+        req = Request(method="GET", path="/v1/hosts", reuse=True)
+        try:
+            reply = await self._client.exchange(
+                req, HOSTS_TIMEOUT_SECONDS, HOSTS_LIMIT_BYTES
+            )
+        except ExchangeError as exc:
+            raise PlatformError(str(exc)) from exc
+        if reply.status != OK:
+            raise PlatformError(f"host list answered with status {reply.status}")
+        try:
+            return msgspec.json.decode(reply.body, type=HostsReply).listed()
+        except msgspec.MsgspecError as exc:
+            raise PlatformError(f"malformed host list: {exc}") from exc
