--- /dev/null
+++ b/tests/standins/engine_run.py
@@ -0,0 +1,95 @@
+"""A run of the stand-in engine."""
+
+from __future__ import annotations
+
+import time
+
+import anyio
+
+from knapweeddrum.endpoint.part_message import PartMessage
+from knapweeddrum.endpoint.usage_reply import UsageReply
+from tests.standins.answer_text import token_text
+from tests.standins.prompt import Prompt
+from tests.standins.run_ledger_entry import RunLedgerEntry
+
+
+class EngineRun:
+    """Parts generated so far, and the run's entry in the ledger."""
+
+    def __init__(
+        self, entry: RunLedgerEntry, prompt: Prompt, output_limit: int
+    ) -> None:
+        self.entry = entry
+        self.prompt = prompt
+        self.parts: list[PartMessage] = []
+        self.scope = anyio.CancelScope()
+        self.changed = anyio.Event()
+        self._wanted = prompt.output_tokens
+        self._limit = output_limit
+
+    @property
+    def ended(self) -> bool:
+        """Return whether no further part comes."""
+        entry = self.entry
+        return entry.finished or entry.cancelled or entry.crashed
+
+    def start(self) -> None:
+        """Take note of the start of the generation."""
+        self.entry.started_at = time.time()
+
+    def add_token(self) -> None:
+        """Generate one token; the last one is final."""
+        index = self.entry.output_tokens
+        self.entry.output_tokens += 1
+        reason = self._finish_reason()
+        self.entry.finished = reason != ""
+        self._add_part(token_text(self.entry.run_id, index), reason)
+
+    def cancel(self) -> None:
+        """Stop; the stream ends with an empty final part."""
+        if self.ended:
+            return
+        self.entry.cancelled = True
+        self.scope.cancel()
+        self._add_part("", "cancelled")
+
+    def crash(self) -> None:
+        """Stop without a final part."""
+        if self.ended:
+            return
+        self.entry.crashed = True
+        self.scope.cancel()
+        self._wake()
+
+    def usage(self) -> UsageReply:
+        """Return what the run consumed so far."""
+        entry = self.entry
+        return UsageReply(
+            run_id=entry.run_id,
+            prompt_tokens=entry.prompt_tokens if entry.started_at else 0,
+            output_tokens=entry.output_tokens,
+            running=not self.ended,
+        )
+
+    def _finish_reason(self) -> str:
+        if self.entry.output_tokens >= min(self._wanted, self._limit):
+            return "stop" if self._wanted <= self._limit else "length"
+        return ""
+
+    def _add_part(self, text: str, reason: str) -> None:
+        usage = self.usage()
+        part = PartMessage(
+            run_id=self.entry.run_id,
+            index=len(self.parts),
+            text=text,
+            final=reason != "",
+            prompt_tokens=usage.prompt_tokens,
+            output_tokens=usage.output_tokens,
+            finish_reason=reason,
+        )
+        self.parts.append(part)
+        self._wake()
+
+    def _wake(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
--- /dev/null
+++ b/tests/standins/execution.py
@@ -0,0 +1,13 @@
+"""A call that a plain service ran."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Execution(msgspec.Struct, frozen=True):
+    """Idempotency key, method and path without query."""
+
+    key: str
+    method: str
+    path: str
--- /dev/null
+++ b/tests/standins/host_list_switches.py
@@ -0,0 +1,12 @@
+"""Switches of the stand-in for the host list."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class HostListSwitches(msgspec.Struct, forbid_unknown_fields=True):
+    """``lag_seconds`` is how late a change shows."""
+
+    outage: bool = False
+    lag_seconds: float = 0.0
--- /dev/null
+++ b/tests/standins/incoming_request.py
@@ -0,0 +1,25 @@
+"""A request as a stand-in receives it."""
+
+from __future__ import annotations
+
+import dataclasses
+import urllib.parse
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IncomingRequest:
+    """The names of headers are in lower case; ``client`` is the peer's socket."""
+
+    method: str
+    path: str
+    raw_path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    client: tuple[str, int]
+
+    @property
+    def segments(self) -> tuple[str, ...]:
+        """Return the decoded segments of the path."""
+        parts = self.raw_path.strip("/").split("/")
+        return tuple(urllib.parse.unquote(part) for part in parts)
--- /dev/null
+++ b/tests/standins/log_stream.py
@@ -0,0 +1,64 @@
+"""A stream of the stand-in for the log."""
+
+from __future__ import annotations
+
+import collections
+import time
+
+import anyio
+
+from tests.standins.stored_record import StoredRecord
+
+PAGE_BYTES = 4 * 1024 * 1024
+
+
+class LogStream:
+    """Records from the oldest kept on."""
+
+    def __init__(self) -> None:
+        self.records: collections.deque[StoredRecord] = collections.deque()
+        self.next = 0
+        self.appended = anyio.Event()
+
+    @property
+    def first(self) -> int:
+        """Return the oldest offset kept, or the next one."""
+        return self.next - len(self.records)
+
+    def append(self, payload: bytes) -> int:
+        """Append a record and wake those who wait for one."""
+        latest = self.records[-1].time if self.records else 0.0
+        now = max(time.time(), latest)
+        self.records.append(StoredRecord(self.next, now, payload))
+        self.next += 1
+        self.appended.set()
+        self.appended = anyio.Event()
+        return self.next - 1
+
+    def expire(self, max_records: int, max_seconds: float) -> None:
+        """Drop what is past retention; 0 is no limit."""
+        oldest = time.time() - max_seconds
+        while max_records and len(self.records) > max_records:
+            self.records.popleft()
+        while max_seconds and self.records and self.records[0].time < oldest:
+            self.records.popleft()
+
+    def visible_next(self, lag: float) -> int:
+        """Return the next offset as readers see it ``lag`` seconds late."""
+        if not lag:
+            return self.next
+        newest = time.time() - lag
+        hidden = sum(1 for record in self.records if record.time > newest)
+        return self.next - hidden
+
+    def page(self, start: int, limit: int, end: int) -> list[StoredRecord]:
+        """Return records from ``start`` up to ``end``, bounded in count and size."""
+        page: list[StoredRecord] = []
+        size = 0
+        for offset in range(start, min(end, start + limit)):
+            record = self.records[offset - self.first]
+            size += len(record.payload)
+            if page and size > PAGE_BYTES:
+                break
+            page.append(record)
+        return page
--- /dev/null
+++ b/tests/standins/prompt.py
@@ -0,0 +1,52 @@
+"""The parts of a caller's body that the stand-in engine looks at."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterator
+
+import msgspec
+
+BYTES_PER_TOKEN = 4
+DIGEST_LENGTH = 16
+DEFAULT_OUTPUT_TOKENS = 20
+
+
+class Message(msgspec.Struct):
+    """A message of the conversation."""
+
+    role: str
+    content: str
+
+
+class Prompt(msgspec.Struct):
+    """Messages, and the caller's own limit of the answer in tokens."""
+
+    messages: tuple[Message, ...] = ()
+    max_tokens: int | None = None
+
+    @property
+    def tokens(self) -> int:
+        """Return the size of the prompt in tokens."""
+        return sum(
+            len(message.content.encode()) // BYTES_PER_TOKEN + 1
+            for message in self.messages
+        )
+
+    @property
+    def output_tokens(self) -> int:
+        """Return how many tokens the engine generates when nothing stops it."""
+        if self.max_tokens is None:
+            return DEFAULT_OUTPUT_TOKENS
+        return max(self.max_tokens, 1)
+
+    def contains(self, marker: str) -> bool:
+        """Return whether a message contains the marker."""
+        return any(marker in message.content for message in self.messages)
+
+    def prefixes(self) -> Iterator[str]:
+        """Return the digest of each prefix of whole messages, shortest first."""
+        digest = hashlib.sha256()
+        for message in self.messages:
+            digest.update(f"{message.role}\n{message.content}\n".encode())
+            yield digest.hexdigest()[:DIGEST_LENGTH]
--- /dev/null
+++ b/tests/standins/responder.py
@@ -0,0 +1,72 @@
+"""Sending the reply of a stand-in, or cutting the connection instead."""
+
+from __future__ import annotations
+
+import msgspec
+
+from tests.standins.asgi import Send
+from tests.standins.server_control import ServerControl
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class Responder:
+    """Answers one request."""
+
+    def __init__(
+        self, send: Send, control: ServerControl, client: tuple[str, int]
+    ) -> None:
+        self._send = send
+        self._control = control
+        self._client = client
+
+    async def json(self, status: int, value: object, headers: Headers = ()) -> None:
+        """Send a whole reply in JSON."""
+        body = msgspec.json.encode(value)
+        await self._start(status, "application/json", headers)
+        await self._send({"type": "http.response.body", "body": body})
+
+    async def error(
+        self, status: int, detail: str, retry_after: float | None = None
+    ) -> None:
+        """Send an error; ``retry_after`` is in seconds."""
+        headers = () if retry_after is None else (("Retry-After", str(retry_after)),)
+        await self.json(status, {"detail": detail}, headers)
+
+    async def start_events(self) -> None:
+        """Begin a stream of server-sent events."""
+        await self._start(200, "text/event-stream", ())
+
+    async def event(self, data: bytes) -> None:
+        """Send an event; ``data`` is one line."""
+        await self._piece(b"data: " + data + b"\n\n")
+
+    async def comment(self) -> None:
+        """Send a comment, which shows that the stream is alive."""
+        await self._piece(b":\n\n")
+
+    async def end(self) -> None:
+        """End the stream."""
+        await self._send({"type": "http.response.body", "body": b""})
+
+    def cut(self) -> None:
+        """Close the connection without a word."""
+        self._control.cut(self._client)
+
+    async def _start(self, status: int, content_type: str, headers: Headers) -> None:
+        all_headers = (("Content-Type", content_type), *headers)
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [
+                    (name.encode("latin-1"), value.encode("latin-1"))
+                    for name, value in all_headers
+                ],
+            }
+        )
+
+    async def _piece(self, body: bytes) -> None:
+        await self._send(
+            {"type": "http.response.body", "body": body, "more_body": True}
+        )
--- /dev/null
+++ b/tests/standins/run_stream.py
@@ -0,0 +1,59 @@
+"""Streaming a run's parts from the stand-in engine."""
+
+from __future__ import annotations
+
+import anyio
+import msgspec
+
+from knapweeddrum.endpoint.part_message import PartMessage
+from tests.standins.engine_run import EngineRun
+from tests.standins.model_engine_switches import ModelEngineSwitches
+from tests.standins.responder import Responder
+
+COMMENT_SECONDS = 10.0
+
+
+class RunStream:
+    """One stream; the switches decide at its start how it fails."""
+
+    def __init__(self, run: EngineRun, switches: ModelEngineSwitches) -> None:
+        self._run = run
+        self._cut_after: int | None = None
+        self._wrong = False
+        if switches.cut_streams > 0:
+            switches.cut_streams -= 1
+            self._cut_after = switches.cut_after_parts
+        if switches.wrong_streams > 0:
+            switches.wrong_streams -= 1
+            self._wrong = True
+
+    async def send(self, start: int, responder: Responder) -> None:
+        """Send the parts from ``start`` on until the run ends."""
+        await responder.start_events()
+        index = start
+        while True:
+            if self._cut_after is not None and index - start >= self._cut_after:
+                responder.cut()
+                return
+            if index < len(self._run.parts):
+                await responder.event(self._encode(self._run.parts[index]))
+                index += 1
+            elif self._run.ended:
+                break
+            else:
+                await self._wait(responder)
+        if self._run.entry.crashed:
+            responder.cut()
+            return
+        await responder.end()
+
+    async def _wait(self, responder: Responder) -> None:
+        with anyio.move_on_after(COMMENT_SECONDS) as scope:
+            await self._run.changed.wait()
+        if scope.cancelled_caught:
+            await responder.comment()
+
+    def _encode(self, part: PartMessage) -> bytes:
+        if self._wrong:
+            part = msgspec.structs.replace(part, run_id=f"{part.run_id}-other")
+        return msgspec.json.encode(part)
--- /dev/null
+++ b/tests/standins/uvicorn_control.py
@@ -0,0 +1,36 @@
+"""Control of the connections of a uvicorn server."""
+
+from __future__ import annotations
+
+import os
+
+import uvicorn
+
+from tests.standins.server_control import ServerControl
+
+CRASH_EXIT_CODE = 70
+
+
+class UvicornControl(ServerControl):
+    """Aborts transports; with ``exits`` a crash ends the process."""
+
+    def __init__(self, server: uvicorn.Server, *, exits: bool) -> None:
+        self._server = server
+        self._exits = exits
+
+    def cut(self, client: tuple[str, int]) -> None:
+        """Close the connection of one peer at once."""
+        for protocol in list(self._server.server_state.connections):
+            if getattr(protocol, "client", None) == client:
+                protocol.transport.abort()
+
+    def cut_all(self) -> None:
+        """Close all connections at once."""
+        for protocol in list(self._server.server_state.connections):
+            protocol.transport.abort()
+
+    def crash(self) -> None:
+        """Close all connections; end the process if it is one of its own."""
+        if self._exits:
+            os._exit(CRASH_EXIT_CODE)
+        self.cut_all()
