--- /dev/null
+++ b/src/knapweeddrum/process/keeper/claim_manager.py
@@ -0,0 +1,97 @@
+"""Claims on requests that are not idempotent."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from knapweeddrum.core.claim.claim_ledger import ClaimLedger
+from knapweeddrum.core.fold.fold_outcome import FoldOutcome
+from knapweeddrum.message.call.claim_reply import ClaimReply
+from knapweeddrum.message.call.claim_request import ClaimRequest
+from knapweeddrum.message.call.claim_verdict import ClaimVerdict
+from knapweeddrum.message.call.outcome_reply import OutcomeReply
+from knapweeddrum.message.call.outcome_request import OutcomeRequest
+from knapweeddrum.message.fact.claim import Claim
+from knapweeddrum.message.fact.claim_outcome import ClaimOutcome
+from knapweeddrum.process.keeper.exceptions import (
+    AppendPendingError,
+    KeeperError,
+    NoStateError,
+    NotAppendedError,
+)
+from knapweeddrum.process.keeper.keeper_stream import KeeperStream, shard_of
+
+CLAIM_PATIENCE_SECONDS = 2.0
+OUTCOME_PATIENCE_SECONDS = 2.0
+RETRY_AFTER_SECONDS = 2.0
+
+_OPEN_VERDICTS = {ClaimVerdict.NOT_RUN}
+
+
+class ClaimManager:
+    """Appends claims and outcomes and answers with the verdict of the log's order."""
+
+    def __init__(self, streams: Sequence[KeeperStream[ClaimLedger]]) -> None:
+        self._streams = streams
+
+    async def claim(self, req: ClaimRequest) -> ClaimReply:
+        """Claim a key for one attempt."""
+        stream = shard_of(req.claim_key, self._streams)
+        try:
+            stream.require_state()
+            return await self._claim(stream, req)
+        except (NoStateError, NotAppendedError):
+            return _unavailable()
+        except AppendPendingError:
+            # The claim may land later; its attempt is over, so nobody dispatches it.
+            stream.appender.submit(self._withdrawal(req))
+            return _unavailable()
+
+    async def record(self, req: OutcomeRequest) -> OutcomeReply:
+        """Record the outcome of a claimed request."""
+        stream = shard_of(req.claim_key, self._streams)
+        fact = ClaimOutcome(
+            claim_key=req.claim_key,
+            claimant=req.claimant,
+            state=req.state,
+            status=req.status,
+            content_type=req.content_type,
+            body=req.body,
+        )
+        try:
+            verdict = await stream.appender.append(fact, OUTCOME_PATIENCE_SECONDS)
+        except KeeperError:
+            return OutcomeReply(accepted=False)
+        accepted = verdict.outcome in {FoldOutcome.ACCEPTED, FoldOutcome.REPEATED}
+        return OutcomeReply(accepted=accepted)
+
+    async def _claim(
+        self, stream: KeeperStream[ClaimLedger], req: ClaimRequest
+    ) -> ClaimReply:
+        known = self._verdict(stream, req)
+        if known.verdict not in _OPEN_VERDICTS:
+            return known
+        fact = Claim(
+            claim_key=req.claim_key,
+            claimant=req.claimant,
+            fingerprint=req.fingerprint,
+            issued_at=stream.follower.fold.time,
+        )
+        await stream.appender.append(fact, CLAIM_PATIENCE_SECONDS)
+        return self._verdict(stream, req)
+
+    @staticmethod
+    def _verdict(stream: KeeperStream[ClaimLedger], req: ClaimRequest) -> ClaimReply:
+        return stream.ledger.verdict(
+            req.claim_key, req.claimant, req.fingerprint, req.issued_at or None
+        )
+
+    @staticmethod
+    def _withdrawal(req: ClaimRequest) -> ClaimOutcome:
+        return ClaimOutcome(
+            claim_key=req.claim_key, claimant=req.claimant, state="not_run"
+        )
+
+
+def _unavailable() -> ClaimReply:
+    return ClaimReply(verdict=ClaimVerdict.UNAVAILABLE, retry_after=RETRY_AFTER_SECONDS)
--- /dev/null
+++ b/src/knapweeddrum/process/keeper/config_manager.py
@@ -0,0 +1,97 @@
+"""Configuration: changes, and their spread to the processes of the host."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from knapweeddrum.core.config.config_ledger import ConfigLedger
+from knapweeddrum.core.fold.fold_outcome import FoldOutcome
+from knapweeddrum.message.call.change_reply import ChangeReply
+from knapweeddrum.message.call.change_request import ChangeRequest
+from knapweeddrum.message.call.change_verdict import ChangeVerdict
+from knapweeddrum.message.call.config_reply import ConfigReply
+from knapweeddrum.message.call.config_request import ConfigRequest
+from knapweeddrum.message.fact.config_change import ConfigChange
+from knapweeddrum.process.keeper.exceptions import (
+    AppendPendingError,
+    NoStateError,
+    NotAppendedError,
+)
+from knapweeddrum.process.keeper.keeper_stream import KeeperStream
+
+CHANGE_PATIENCE_SECONDS = 3.0
+RETRY_AFTER_SECONDS = 2.0
+WAIT_LIMIT_SECONDS = 10.0
+READER_SILENCE_SECONDS = 30.0
+
+
+class ConfigManager:
+    """Answers the readers of the configuration and appends operators' changes."""
+
+    def __init__(
+        self, stream: KeeperStream[ConfigLedger], clock: Callable[[], float]
+    ) -> None:
+        self._stream = stream
+        self._clock = clock
+        self._readers: dict[str, tuple[int, float]] = {}
+
+    async def read(self, req: ConfigRequest) -> ConfigReply:
+        """Return the changes after an offset, or a snapshot; waits for a change."""
+        if req.reader:
+            self._readers[req.reader] = (req.after, self._clock())
+        follower = self._stream.follower
+        if not follower.ready.is_set():
+            return ConfigReply(offset=-1, resources=())
+        wait = min(req.wait, WAIT_LIMIT_SECONDS)
+        await follower.wait_beyond(req.after, wait)
+        return self._changes(req.after)
+
+    async def change(self, req: ChangeRequest) -> ChangeReply:
+        """Append a change and return what the log's order says of it."""
+        known = self._stream.ledger.change(req.change_id)
+        if known is not None:
+            return known
+        fact = ConfigChange(
+            change_id=req.change_id,
+            resource_kind=req.resource_kind,
+            name=req.name,
+            base_version=req.base_version,
+            author=req.author,
+            body=req.body,
+            deleted=req.deleted,
+        )
+        try:
+            self._stream.require_state()
+            verdict = await self._stream.appender.append(fact, CHANGE_PATIENCE_SECONDS)
+        except (NoStateError, NotAppendedError):
+            return _failed(ChangeVerdict.UNAVAILABLE)
+        except AppendPendingError:
+            return _failed(ChangeVerdict.UNKNOWN)
+        accepted = verdict.outcome is FoldOutcome.ACCEPTED
+        return ChangeReply(
+            verdict=ChangeVerdict.ACCEPTED if accepted else ChangeVerdict.CONFLICT,
+            version=verdict.version,
+            offset=verdict.offset,
+        )
+
+    def offset_in_force(self) -> int:
+        """Return the offset that all processes of the host have in force."""
+        now = self._clock()
+        offsets = [
+            offset
+            for offset, seen_at in self._readers.values()
+            if now - seen_at < READER_SILENCE_SECONDS
+        ]
+        return min([self._stream.follower.fold.position, *offsets])
+
+    def _changes(self, after: int) -> ConfigReply:
+        ledger = self._stream.ledger
+        offset = self._stream.follower.fold.position
+        changes = ledger.changes_after(after)
+        if changes is not None:
+            return ConfigReply(offset=offset, resources=changes)
+        return ConfigReply(offset=offset, resources=ledger.snapshot(), snapshot=True)
+
+
+def _failed(verdict: ChangeVerdict) -> ChangeReply:
+    return ChangeReply(verdict=verdict, retry_after=RETRY_AFTER_SECONDS)
--- /dev/null
+++ b/src/knapweeddrum/process/keeper/draw_replies.py
@@ -0,0 +1,34 @@
+"""Replies to draws, kept so that a repeated draw gets the same one."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from knapweeddrum.message.call.draw_reply import DrawReply
+
+KEEP_SECONDS = 120.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Kept:
+    reply: DrawReply
+    time: float
+
+
+class DrawReplies:
+    """Replies by draw identifier, for a while."""
+
+    def __init__(self) -> None:
+        self._kept: collections.OrderedDict[str, _Kept] = collections.OrderedDict()
+
+    def get(self, draw_id: str) -> DrawReply | None:
+        """Return the reply to a draw that was answered before."""
+        kept = self._kept.get(draw_id)
+        return kept.reply if kept else None
+
+    def keep(self, draw_id: str, reply: DrawReply, now: float) -> None:
+        """Keep a reply; older ones are dropped."""
+        self._kept[draw_id] = _Kept(reply, now)
+        while now - next(iter(self._kept.values())).time > KEEP_SECONDS:
+            self._kept.popitem(last=False)
--- /dev/null
+++ b/src/knapweeddrum/process/keeper/keeper_parts.py
@@ -0,0 +1,29 @@
+"""The parts of a keeper."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+from knapweeddrum.process.keeper.budget_reader import BudgetReader
+from knapweeddrum.process.keeper.claim_manager import ClaimManager
+from knapweeddrum.process.keeper.config_manager import ConfigManager
+from knapweeddrum.process.keeper.grant_manager import GrantManager
+from knapweeddrum.process.keeper.locate_manager import LocateManager
+from knapweeddrum.process.keeper.membership_task import MembershipTask
+from knapweeddrum.process.keeper.peer_channels import PeerChannels
+from knapweeddrum.process.keeper.stream_follower import StreamFollower
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeeperParts:
+    """The parts of a keeper that answer calls."""
+
+    grants: GrantManager
+    claims: ClaimManager
+    config: ConfigManager
+    budgets: BudgetReader
+    locate: LocateManager
+    membership: MembershipTask
+    peers: PeerChannels
+    followers: Mapping[str, StreamFollower]
--- /dev/null
+++ b/src/knapweeddrum/process/keeper/keeper_process.py
@@ -0,0 +1,197 @@
+"""A keeper from start to stop."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from typing import TypeVar
+
+import anyio
+
+from knapweeddrum.core.budget.budget_ledger import BudgetLedger
+from knapweeddrum.core.budget.demand_horizon import DemandHorizon
+from knapweeddrum.core.budget.horizon_parameters import HorizonParameters
+from knapweeddrum.core.budget.weigh import Weigh
+from knapweeddrum.core.claim.claim_ledger import ClaimLedger
+from knapweeddrum.core.config.config_ledger import ConfigLedger
+from knapweeddrum.core.fold.ledger import Ledger
+from knapweeddrum.core.fold.stream_fold import StreamFold
+from knapweeddrum.core.membership.member_table import MemberTable
+from knapweeddrum.core.membership.new_incarnation import new_incarnation
+from knapweeddrum.core.membership.peer_address import PeerAddress
+from knapweeddrum.message.call.heartbeat import Heartbeat
+from knapweeddrum.platform.append_log import AppendLog
+from knapweeddrum.platform.host_list import HostList
+from knapweeddrum.process.keeper.budget_reader import BudgetReader
+from knapweeddrum.process.keeper.claim_manager import ClaimManager
+from knapweeddrum.process.keeper.config_manager import ConfigManager
+from knapweeddrum.process.keeper.grant_manager import GrantManager
+from knapweeddrum.process.keeper.keeper_parts import KeeperParts
+from knapweeddrum.process.keeper.keeper_service import KeeperService
+from knapweeddrum.process.keeper.keeper_stream import KeeperStream
+from knapweeddrum.process.keeper.locate_manager import LocateManager
+from knapweeddrum.process.keeper.log_appender import LogAppender
+from knapweeddrum.process.keeper.membership_task import MembershipTask
+from knapweeddrum.process.keeper.peer_channels import CallerFactory, PeerChannels
+from knapweeddrum.process.keeper.peer_records import PeerRecords
+from knapweeddrum.process.keeper.stream_follower import StreamFollower
+from knapweeddrum.process.keeper.transfer_client import TransferClient
+from knapweeddrum.process.stop_signal import stop_signal
+from knapweeddrum.rpc.fleet_identity import FleetIdentity
+from knapweeddrum.rpc.rpc_server import rpc_server
+from knapweeddrum.settings.host_settings import HostSettings
+from knapweeddrum.settings.settings import Settings
+from knapweeddrum.telemetry.event_log import EventLog
+from knapweeddrum.telemetry.events import PROCESS_STARTED, PROCESS_STOPPED
+from knapweeddrum.telemetry.metrics import Metrics
+from knapweeddrum.value.identifiers import HostName
+
+CONFIG_STREAM = "config"
+FLUSH_LIMIT_SECONDS = 5.0
+FLUSH_POLL_SECONDS = 0.05
+BINARY = "knapweed-keeper"
+
+LedgerT = TypeVar("LedgerT", bound=Ledger)
+
+
+class KeeperProcess:
+    """Wires the parts of one keeper and runs them until the process is stopped."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        log: AppendLog,
+        host_list: HostList,
+        connect: CallerFactory,
+        events: EventLog,
+        metrics: Metrics,
+        rng: random.Random,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._settings = settings
+        self._log = log
+        self._events = events
+        self._metrics = metrics
+        own = settings.host
+        self._incarnation = new_incarnation(
+            HostName(own.name), "keeper", time.time_ns() // 1_000_000, rng
+        )
+        peers = PeerChannels(connect)
+        seeds = tuple(_peer_address(peer) for peer in settings.peers)
+        table = MemberTable(self._first_heartbeat(), rng)
+        self._membership = MembershipTask(
+            table, peers, host_list, self._offset_in_force, clock, events, seeds
+        )
+        self._peer_records = PeerRecords(self._membership.live_peers, peers, rng)
+        shards = range(settings.budgets.shards)
+        config = self._stream(CONFIG_STREAM, ConfigLedger())
+        budgets = [self._stream(f"budget-{n}", BudgetLedger()) for n in shards]
+        claims = [self._stream(f"claim-{n}", ClaimLedger()) for n in shards]
+        self._streams: list[KeeperStream[Ledger]] = [config, *budgets, *claims]
+        self._config = ConfigManager(config, clock)
+        transfers = TransferClient(self._incarnation, self._membership, peers, rng)
+        self._grants = GrantManager(
+            self._incarnation,
+            budgets,
+            self._policy(),
+            self._membership,
+            transfers,
+            clock,
+        )
+        self._parts = KeeperParts(
+            grants=self._grants,
+            claims=ClaimManager(claims),
+            config=self._config,
+            budgets=BudgetReader(budgets, self._membership),
+            locate=LocateManager(self._membership, peers, clock),
+            membership=self._membership,
+            peers=peers,
+            followers={s.follower.stream: s.follower for s in self._streams},
+        )
+
+    async def run(self) -> None:
+        """Serve until the first stop signal, then hand back what is unspent."""
+        own = self._settings.host
+        fleet = self._settings.fleet
+        identity = FleetIdentity(fleet=fleet.name, key=fleet.key)
+        self._events.emit(PROCESS_STARTED, binary=BINARY, host=own.name)
+        async with stop_signal() as stop, anyio.create_task_group() as tasks:
+            for stream in self._streams:
+                tasks.start_soon(stream.follower.run)
+                tasks.start_soon(stream.appender.run)
+            tasks.start_soon(self._membership.run)
+            tasks.start_soon(self._grants.run)
+            service = KeeperService(self._parts)
+            address = str(own.address)
+            async with rpc_server(
+                service, identity, address, own.keeper_port, self._events
+            ):
+                await self._wait_for_stop(stop)
+                await self._hand_back()
+            tasks.cancel_scope.cancel()
+        self._events.emit(PROCESS_STOPPED, binary=BINARY)
+
+    async def _wait_for_stop(self, stop: anyio.Event) -> None:
+        """Wait for the stop signal or a newer incarnation of this keeper."""
+
+        async def superseded() -> None:
+            await self._membership.superseded.wait()
+            stop.set()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(superseded)
+            await stop.wait()
+            tasks.cancel_scope.cancel()
+
+    async def _hand_back(self) -> None:
+        """Return unspent tokens and wait a while for the log to take everything."""
+        self._membership.draining = True
+        self._grants.return_all()
+        with anyio.move_on_after(FLUSH_LIMIT_SECONDS):
+            while not all(stream.appender.idle for stream in self._streams):
+                await anyio.sleep(FLUSH_POLL_SECONDS)
+
+    def _stream(self, name: str, ledger: LedgerT) -> KeeperStream[LedgerT]:
+        fold = StreamFold(ledger)
+        follower = StreamFollower(
+            self._log, name, fold, self._peer_records, self._events
+        )
+        appender = LogAppender(self._log, name, self._incarnation, self._metrics)
+        follower.listen(appender.on_verdicts)
+        follower.listen_for_jumps(
+            lambda: appender.on_jump(fold.last_sequence(self._incarnation))
+        )
+        return KeeperStream(ledger, follower, appender)
+
+    def _policy(self) -> DemandHorizon:
+        budgets = self._settings.budgets
+        return DemandHorizon(
+            HorizonParameters.for_weigh(
+                Weigh(budgets.weigh),
+                budgets.horizon_seconds,
+                budgets.minimum_grant_tokens,
+            )
+        )
+
+    def _first_heartbeat(self) -> Heartbeat:
+        own = self._settings.host
+        return Heartbeat(
+            host=own.name,
+            data_centre=own.data_centre,
+            incarnation=self._incarnation,
+            address=str(own.address),
+            router_port=own.router_port,
+            keeper_port=own.keeper_port,
+            control_port=own.control_port,
+            sequence=0,
+            draining=False,
+            config_offset=-1,
+        )
+
+    def _offset_in_force(self) -> int:
+        return self._config.offset_in_force()
+
+
+def _peer_address(peer: HostSettings) -> PeerAddress:
+    return PeerAddress(HostName(peer.name), str(peer.address), peer.keeper_port)
--- a/src/knapweeddrum/process/keeper/log_appender.py
+++ b/src/knapweeddrum/process/keeper/log_appender.py
@@ -93,6 +93,18 @@
             entry.decided.set()
             batch.folded.set()
 
+    def on_jump(self, last_sequence: int | None) -> None:
+        """Take note that a loaded state has skipped records.
+
+        A batch that the state covers is on the log, but its verdicts were skipped.
+        """
+        batch = self._batch
+        if batch is None or last_sequence is None or last_sequence < batch.sequence:
+            return
+        for entry in batch.entries:
+            entry.decided.set()
+        batch.folded.set()
+
     async def run(self) -> None:
         """Append queued facts until cancelled."""
         while True:
--- /dev/null
+++ b/src/knapweeddrum/process/keeper/membership_task.py
@@ -0,0 +1,128 @@
+"""Heartbeats to the keepers of other hosts."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+
+from knapweeddrum.core.membership.listed_member import ListedMember
+from knapweeddrum.core.membership.member_table import ROUND_SECONDS, MemberTable
+from knapweeddrum.core.membership.peer_address import PeerAddress
+from knapweeddrum.message.call.entry_host import EntryHost
+from knapweeddrum.message.call.exchange_reply import ExchangeReply
+from knapweeddrum.message.call.exchange_request import ExchangeRequest
+from knapweeddrum.platform.exceptions import PlatformError
+from knapweeddrum.platform.host_list import HostList
+from knapweeddrum.platform.listed_host import ListedHost
+from knapweeddrum.process.keeper.peer_channels import PeerChannels
+from knapweeddrum.rpc.exceptions import RpcError
+from knapweeddrum.rpc.keeper_methods import EXCHANGE
+from knapweeddrum.telemetry.event_log import EventLog
+from knapweeddrum.telemetry.events import SUPERSEDED
+from knapweeddrum.value.identifiers import HostName
+
+EXCHANGE_TIMEOUT_SECONDS = 1.0
+HOST_LIST_PERIOD_SECONDS = 5.0
+
+
+class MembershipTask:
+    """Owns the table of hosts; exchanges heartbeats with a few peers each round.
+
+    ``superseded`` is set when a newer incarnation of this host's keeper is heard of.
+    """
+
+    def __init__(
+        self,
+        table: MemberTable,
+        peers: PeerChannels,
+        host_list: HostList,
+        offset_in_force: Callable[[], int],
+        clock: Callable[[], float],
+        events: EventLog,
+        seeds: tuple[PeerAddress, ...],
+    ) -> None:
+        self.draining = False
+        self.superseded = anyio.Event()
+        self._table = table
+        self._peers = peers
+        self._host_list = host_list
+        self._offset_in_force = offset_in_force
+        self._clock = clock
+        self._events = events
+        self._seed_ports = {str(seed.host): seed.keeper_port for seed in seeds}
+        table.add_seeds(seeds)
+
+    def hosts(self) -> tuple[EntryHost, ...]:
+        """Return all known hosts, this one first."""
+        return self._table.hosts(self._clock())
+
+    def live_peers(self) -> tuple[EntryHost, ...]:
+        """Return the other hosts that are not gone, sorted by name."""
+        return tuple(host for host in self.hosts()[1:] if host.alive)
+
+    def live_incarnations(self) -> frozenset[str]:
+        """Return the keeper incarnations that are not gone, this one included."""
+        own = self._table.own.incarnation
+        return frozenset({own, *(peer.incarnation for peer in self.live_peers())})
+
+    def beat(self) -> None:
+        """Make the next heartbeat of this host."""
+        self._table.update_own(self.draining, self._offset_in_force())
+
+    def take(self, req: ExchangeRequest) -> ExchangeReply:
+        """Take a peer's heartbeats and return this host's view."""
+        self._table.merge(req.heartbeats, self._clock())
+        return ExchangeReply(heartbeats=self._table.outgoing())
+
+    async def run(self) -> None:
+        """Exchange heartbeats until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._read_host_list)
+            while True:
+                await self.round()
+                await anyio.sleep(ROUND_SECONDS)
+
+    async def round(self) -> None:
+        """Exchange heartbeats with the peers of one round."""
+        self.beat()
+        now = self._clock()
+        async with anyio.create_task_group() as tasks:
+            for peer in self._table.choose_peers(now):
+                tasks.start_soon(self._exchange, peer)
+        self._table.forget_gone(now)
+        if self._table.superseded_by and not self.superseded.is_set():
+            self._events.emit(SUPERSEDED, incarnation=self._table.superseded_by)
+            self.superseded.set()
+
+    async def _exchange(self, peer: PeerAddress) -> None:
+        caller = self._peers.at(peer.address, peer.keeper_port)
+        request = ExchangeRequest(heartbeats=self._table.outgoing())
+        try:
+            reply = await caller.call(EXCHANGE, request, EXCHANGE_TIMEOUT_SECONDS)
+        except RpcError:
+            # Silence shows in the table; the next round picks other peers.
+            return
+        self._table.merge(reply.heartbeats, self._clock())
+
+    async def _read_host_list(self) -> None:
+        while True:
+            try:
+                listed = await self._host_list.read()
+            except PlatformError:
+                listed = ()
+            if listed:
+                self._table.apply_host_list(self._members(listed))
+            await anyio.sleep(HOST_LIST_PERIOD_SECONDS)
+
+    def _members(self, listed: tuple[ListedHost, ...]) -> tuple[ListedMember, ...]:
+        """Return the listed entry hosts; endpoints in the list have another name."""
+        known = {host.host: host.keeper_port for host in self.hosts()}
+        known.update(self._seed_ports)
+        return tuple(
+            ListedMember(
+                HostName(entry.name), entry.address, known[entry.name], entry.leaving
+            )
+            for entry in listed
+            if entry.name in known
+        )
--- /dev/null
+++ b/src/knapweeddrum/process/keeper/peer_records.py
@@ -0,0 +1,47 @@
+"""Log records from the keepers of other hosts."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+
+from knapweeddrum.message.call.entry_host import EntryHost
+from knapweeddrum.message.call.fetch_reply import FetchReply
+from knapweeddrum.message.call.fetch_request import FetchRequest
+from knapweeddrum.process.keeper.peer_channels import PeerChannels
+from knapweeddrum.process.keeper.record_source import RecordSource
+from knapweeddrum.process.keeper.stream_follower import FETCH_LIMIT
+from knapweeddrum.rpc.exceptions import RpcError
+from knapweeddrum.rpc.keeper_methods import FETCH
+
+FETCH_TIMEOUT_SECONDS = 5.0
+PEERS_ASKED = 2
+
+
+class PeerRecords(RecordSource):
+    """Asks a few live peers, in random order, until one has something newer."""
+
+    def __init__(
+        self,
+        live_peers: Callable[[], Sequence[EntryHost]],
+        peers: PeerChannels,
+        rng: random.Random,
+    ) -> None:
+        self._live_peers = live_peers
+        self._peers = peers
+        self._rng = rng
+
+    async def fetch(self, stream: str, start: int) -> FetchReply | None:
+        """Return records from ``start`` on or a later state; None when no peer has."""
+        hosts = list(self._live_peers())
+        request = FetchRequest(stream=stream, start=start, limit=FETCH_LIMIT)
+        for host in self._rng.sample(hosts, min(PEERS_ASKED, len(hosts))):
+            try:
+                reply = await self._peers.to(host).call(
+                    FETCH, request, FETCH_TIMEOUT_SECONDS
+                )
+            except RpcError:
+                continue
+            if reply.records or reply.state:
+                return reply
+        return None
--- a/src/knapweeddrum/process/keeper/stream_follower.py
+++ b/src/knapweeddrum/process/keeper/stream_follower.py
@@ -17,7 +17,12 @@
 from knapweeddrum.process.keeper.record_buffer import RecordBuffer
 from knapweeddrum.process.keeper.record_source import RecordSource
 from knapweeddrum.telemetry.event_log import EventLog
-from knapweeddrum.telemetry.events import LOG_LOST, LOG_REACHED, STREAM_READY
+from knapweeddrum.telemetry.events import (
+    LOG_LOST,
+    LOG_REACHED,
+    STATE_JUMPED,
+    STREAM_READY,
+)
 
 READ_LIMIT = 500
 READ_WAIT_SECONDS = 2.0
@@ -25,6 +30,7 @@
 FETCH_LIMIT = 200
 
 VerdictListener = Callable[[tuple[FactVerdict, ...]], None]
+JumpListener = Callable[[], None]
 
 
 class StreamFollower:
@@ -45,12 +51,12 @@
         self.fold = fold
         self.ready = anyio.Event()
         self.first_kept = 0
-        self.newest_time = 0.0
         self._log = log
         self._peers = peers
         self._events = events
         self._buffer = RecordBuffer()
         self._listeners: list[VerdictListener] = []
+        self._jump_listeners: list[JumpListener] = []
         self._advanced = anyio.Event()
         self._reachable = True
 
@@ -58,6 +64,10 @@
         """Call ``listener`` with the verdicts of each record from now on."""
         self._listeners.append(listener)
 
+    def listen_for_jumps(self, listener: JumpListener) -> None:
+        """Call ``listener`` when a loaded state has skipped records."""
+        self._jump_listeners.append(listener)
+
     async def wait_beyond(self, offset: int, timeout: float) -> None:
         """Wait until the fold is beyond ``offset``, at most ``timeout`` seconds."""
         with anyio.move_on_after(timeout):
@@ -71,9 +81,7 @@
         records = self._buffer.since(start, min(limit, FETCH_LIMIT))
         if records is not None:
             return FetchReply(records=records)
-        return FetchReply(
-            records=(), covers=self.fold.position, state=self.fold.dump()
-        )
+        return FetchReply(records=(), covers=self.fold.position, state=self.fold.dump())
 
     async def run(self) -> None:
         """Follow the stream until cancelled."""
@@ -123,15 +131,22 @@
         checkpoint = reader.newest(first)
         if checkpoint is None or checkpoint.covers <= self.fold.position:
             return False
-        self.fold.load(checkpoint.state, checkpoint.covers)
+        self._load(checkpoint.state)
         return True
 
+    def _load(self, state: bytes) -> None:
+        self.fold.load(state)
+        self._events.emit(STATE_JUMPED, stream=self.stream, offset=self.fold.position)
+        for listener in self._jump_listeners:
+            listener()
+        self._notify()
+
     async def _read_from_peers(self) -> None:
         reply = await self._peers.fetch(self.stream, self.fold.position + 1)
         if reply is None:
             return
         if reply.state and reply.covers > self.fold.position:
-            self.fold.load(reply.state, reply.covers)
+            self._load(reply.state)
             self._become_ready()
         records = [
             LogRecord(held.offset, held.time, held.payload) for held in reply.records
@@ -142,10 +157,12 @@
     def _fold_records(self, records: Iterable[LogRecord]) -> None:
         for record in records:
             verdicts = self.fold.apply(record.offset, record.time, record.payload)
-            self.newest_time = record.time
             self._buffer.add(HeldRecord(record.offset, record.time, record.payload))
             for listener in self._listeners:
                 listener(verdicts)
+        self._notify()
+
+    def _notify(self) -> None:
         self._advanced.set()
         self._advanced = anyio.Event()
 
