--- a/src/knapweeddrum/process/keeper/keeper_stream.py
+++ b/src/knapweeddrum/process/keeper/keeper_stream.py
@@ -13,13 +13,14 @@
 from knapweeddrum.process.keeper.stream_follower import StreamFollower
 
 LedgerT = TypeVar("LedgerT", bound=Ledger)
+LedgerT_co = TypeVar("LedgerT_co", bound=Ledger, covariant=True)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class KeeperStream(Generic[LedgerT]):
+class KeeperStream(Generic[LedgerT_co]):
     """A followed stream, its ledger, and the appender that is fed its verdicts."""
 
-    ledger: LedgerT
+    ledger: LedgerT_co
     follower: StreamFollower
     appender: LogAppender
 
--- a/src/knapweeddrum/process/keeper/stream_follower.py
+++ b/src/knapweeddrum/process/keeper/stream_follower.py
@@ -124,7 +124,7 @@
         while True:
             page = await self._log.read(self.stream, start, READ_LIMIT, 0.0)
             for record in page.records:
-                reader.add(record.offset, record.payload)
+                reader.read(record.offset, record.payload)
             if not page.records:
                 break
             start = page.records[-1].offset + 1
