Test the HTTP clients against the stand-ins and failing servers

The test runner names the repository as top-level directory: below tests/ the packages http and platform would otherwise hide the standard modules.

--- /dev/null
+++ b/tests/assertions.py
@@ -0,0 +1,19 @@
+"""Assertions shared by the tests."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator
+
+
+@contextlib.contextmanager
+def raises(expected: type[BaseException]) -> Iterator[list[BaseException]]:
+    """Fail unless the body raises exactly ``expected``; yields a list to hold it."""
+    held: list[BaseException] = []
+    try:
+        yield held
+    except expected as exc:
+        assert type(exc) is expected, f"{type(exc)} instead of {expected}"
+        held.append(exc)
+        return
+    raise AssertionError(f"{expected.__name__} was not raised")
--- /dev/null
+++ b/tests/http/test_exchange_client.py
@@ -0,0 +1,114 @@
+from __future__ import annotations
+
+from knapweeddrum.http.exceptions import NoReplyError, NotSentError
+from knapweeddrum.http.exchange_client import ExchangeClient
+from knapweeddrum.http.request import Request
+from tests.assertions import raises
+from tests.async_test import async_test
+from tests.standins.raw_server import RESET, RawServer, json_reply
+
+TIMEOUT_SECONDS = 10.0
+SHORT_TIMEOUT_SECONDS = 0.05
+LIMIT_BYTES = 1000
+
+WRITE = Request(method="POST", path="/write", body=b"payload")
+REUSED_WRITE = Request(method="POST", path="/write", body=b"payload", reuse=True)
+
+
+async def send(client: ExchangeClient, req: Request) -> bytes:
+    return (await client.exchange(req, TIMEOUT_SECONDS, LIMIT_BYTES)).body
+
+
+@async_test
+async def test_refused_connection_sends_nothing():
+    """Without a listener the request is known to be unsent."""
+    async with RawServer([]).serve() as url:
+        pass
+    async with ExchangeClient.connect(url) as client:
+        with raises(NotSentError):
+            await send(client, WRITE)
+
+
+@async_test
+async def test_request_on_a_connection_that_is_reset_is_not_repeated():
+    """A kept-alive connection reset by the request gives NoReplyError, no resend."""
+    server = RawServer([json_reply(b"1"), RESET, json_reply(b"3")])
+    async with server.serve() as url, ExchangeClient.connect(url) as client:
+        assert await send(client, REUSED_WRITE) == b"1"
+        with raises(NoReplyError):
+            await send(client, REUSED_WRITE)
+        assert (server.requests, server.connections) == (2, 1)
+        assert await send(client, REUSED_WRITE) == b"3"
+    assert (server.requests, server.connections) == (3, 2)
+
+
+@async_test
+async def test_idle_connection_that_was_reset_is_replaced():
+    """A dead idle connection is seen before the request is sent, which goes once."""
+    replies = [json_reply(b"1"), json_reply(b"2")]
+    server = RawServer(replies, hang_up=True)
+    async with server.serve() as url, ExchangeClient.connect(url) as client:
+        assert await send(client, REUSED_WRITE) == b"1"
+        await server.hung_up.wait()
+        assert await send(client, REUSED_WRITE) == b"2"
+    assert (server.requests, server.connections) == (2, 2)
+
+
+@async_test
+async def test_request_without_reuse_has_its_own_connection():
+    """A request that is not idempotent never meets a dead connection."""
+    server = RawServer([json_reply(b"1"), json_reply(b"2"), RESET], hang_up=True)
+    async with server.serve() as url, ExchangeClient.connect(url) as client:
+        assert await send(client, WRITE) == b"1"
+        assert await send(client, WRITE) == b"2"
+        with raises(NoReplyError):
+            await send(client, WRITE)
+    assert (server.requests, server.connections) == (3, 3)
+
+
+@async_test
+async def test_connection_of_a_cut_exchange_is_not_reused():
+    """After a body above the limit the next request gets a new connection."""
+    large = json_reply(b"x" * (LIMIT_BYTES + 1))
+    server = RawServer([large, json_reply(b"2")])
+    async with server.serve() as url, ExchangeClient.connect(url) as client:
+        with raises(NoReplyError):
+            await send(client, REUSED_WRITE)
+        assert await send(client, REUSED_WRITE) == b"2"
+    assert (server.requests, server.connections) == (2, 2)
+
+
+@async_test
+async def test_body_that_ends_early_is_no_reply():
+    """A body shorter than announced is not taken for a whole one."""
+    server = RawServer([json_reply(b"12345")[:-2]], hang_up=True)
+    async with server.serve() as url, ExchangeClient.connect(url) as client:
+        with raises(NoReplyError):
+            await send(client, WRITE)
+
+
+@async_test
+async def test_silent_server_is_no_reply():
+    """A timeout after the request was sent leaves its outcome unknown."""
+    server = RawServer([json_reply(b"12345")[:-2]])
+    async with server.serve() as url, ExchangeClient.connect(url) as client:
+        with raises(NoReplyError):
+            await client.exchange(WRITE, SHORT_TIMEOUT_SECONDS, LIMIT_BYTES)
+    assert server.requests == 1
+
+
+@async_test
+async def test_malformed_request_is_not_sent():
+    """A path or header that HTTP doesn't allow is known to be unsent."""
+    malformed = (
+        Request(method="GET", path="/a b"),
+        Request(method="GET", path="/\u00e9"),
+        Request(method="GET", path="a"),
+        Request(method="GET", path="/", headers=(("X", "1\r\nY: 2"),)),
+    )
+    server = RawServer([])
+    async with server.serve() as url, ExchangeClient.connect(url) as client:
+        for req in malformed:
+            with raises(NotSentError):
+                await send(client, req)
+    assert server.requests == 0
--- /dev/null
+++ b/tests/platform/test_http_append_log.py
@@ -0,0 +1,159 @@
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator
+
+import anyio
+
+from knapweeddrum.platform.exceptions import (
+    AppendUnknownError,
+    LogUnavailableError,
+    RecordsExpiredError,
+)
+from knapweeddrum.platform.http_append_log import HttpAppendLog
+from tests.assertions import raises
+from tests.async_test import async_test
+from tests.standins.append_log import AppendLogStandIn
+from tests.standins.raw_server import RESET, RawServer, json_reply
+from tests.standins.serving import serve
+
+STREAM = "budget-0"
+LONG_SECONDS = 50.0
+
+
+@contextlib.asynccontextmanager
+async def served_log() -> AsyncIterator[tuple[AppendLogStandIn, HttpAppendLog]]:
+    app = AppendLogStandIn()
+    async with serve(app) as url, HttpAppendLog.connect(url) as log:
+        yield app, log
+
+
+async def payloads(log: HttpAppendLog, start: int = 0) -> list[bytes]:
+    page = await log.read(STREAM, start, 100, 0.0)
+    return [record.payload for record in page.records]
+
+
+@async_test
+async def test_records_come_back_in_order():
+    """Offsets count from 0 in each stream, and payloads are kept as they are."""
+    async with served_log() as (_, log):
+        assert await log.append(STREAM, b"\x00\xff") == 0
+        assert await log.append(STREAM, b"") == 1
+        assert await log.append("other/stream", b"x") == 0
+        assert await payloads(log) == [b"\x00\xff", b""]
+        page = await log.read(STREAM, 1, 1, 0.0)
+        assert (page.first, page.next, page.records[0].offset) == (0, 2, 1)
+
+
+@async_test
+async def test_lost_reply_is_unknown_and_the_record_counts():
+    """An append whose reply is lost raises AppendUnknownError, written once."""
+    async with served_log() as (app, log):
+        app.set_switches(lose_replies=1)
+        with raises(AppendUnknownError):
+            await log.append(STREAM, b"a")
+        assert app.appends == 1
+        assert await payloads(log) == [b"a"]
+
+
+@async_test
+async def test_outage_writes_nothing():
+    """During an outage append and read raise LogUnavailableError."""
+    async with served_log() as (app, log):
+        app.set_switches(outage=True)
+        with raises(LogUnavailableError):
+            await log.append(STREAM, b"a")
+        with raises(LogUnavailableError):
+            await log.read(STREAM, 0, 1, 0.0)
+        app.set_switches(outage=False)
+        assert await payloads(log) == []
+
+
+@async_test
+async def test_append_rate_writes_nothing():
+    """An append above the rate limit raises LogUnavailableError, not unknown."""
+    async with served_log() as (app, log):
+        app.set_switches(appends_per_second=1e-6)
+        await log.append(STREAM, b"a")
+        with raises(LogUnavailableError):
+            await log.append(STREAM, b"b")
+        assert await payloads(log) == [b"a"]
+
+
+@async_test
+async def test_expired_records_name_the_oldest_kept():
+    """A read from before the retention raises RecordsExpiredError."""
+    async with served_log() as (app, log):
+        for _ in range(5):
+            await log.append(STREAM, b"a")
+        app.set_switches(retention_records=2)
+        with raises(RecordsExpiredError) as held:
+            await payloads(log)
+        assert held[0].first == 3
+        assert await payloads(log, 3) == [b"a", b"a"]
+
+
+@async_test
+async def test_read_waits_for_a_record():
+    """A read at the end returns the record that is appended while it waits."""
+    async with served_log() as (_, log), anyio.create_task_group() as tasks:
+        pages = []
+
+        async def read() -> None:
+            pages.append(await log.read(STREAM, 0, 10, LONG_SECONDS))
+
+        tasks.start_soon(read)
+        await anyio.wait_all_tasks_blocked()
+        await log.append(STREAM, b"a")
+        while not pages:
+            await anyio.sleep(0)
+    assert [record.payload for record in pages[0].records] == [b"a"]
+
+
+@async_test
+async def test_lagging_read_hides_new_records():
+    """Records younger than the lag are not shown yet."""
+    async with served_log() as (app, log):
+        app.set_switches(read_lag_seconds=LONG_SECONDS)
+        await log.append(STREAM, b"a")
+        assert await payloads(log) == []
+
+
+@async_test
+async def test_unreachable_log_writes_nothing():
+    """Without a connection the append raises LogUnavailableError."""
+    async with served_log() as (_, log):
+        pass
+    with raises(LogUnavailableError):
+        await log.append(STREAM, b"a")
+
+
+@async_test
+async def test_append_is_sent_once_on_a_connection_that_dies():
+    """A reset by the request raises AppendUnknownError, and nothing is sent again."""
+    server = RawServer([json_reply(b'{"offset": 0}'), RESET])
+    async with server.serve() as url, HttpAppendLog.connect(url) as log:
+        assert await log.append(STREAM, b"a") == 0
+        with raises(AppendUnknownError):
+            await log.append(STREAM, b"b")
+    assert server.requests == 2
+
+
+@async_test
+async def test_malformed_reply_to_an_append_is_unknown():
+    """A reply 200 without a valid offset doesn't tell what was written."""
+    server = RawServer([json_reply(body) for body in (b"{", b'{"offset": -1}')])
+    async with server.serve() as url, HttpAppendLog.connect(url) as log:
+        for _ in range(2):
+            with raises(AppendUnknownError):
+                await log.append(STREAM, b"a")
+
+
+@async_test
+async def test_page_with_a_hole_is_refused():
+    """A page that leaves out an offset is not handed on."""
+    page = b'{"first":0,"next":3,"records":[{"offset":1,"time":1,"payload":""}]}'
+    server = RawServer([json_reply(page)])
+    async with server.serve() as url, HttpAppendLog.connect(url) as log:
+        with raises(LogUnavailableError):
+            await log.read(STREAM, 0, 10, 0.0)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -29,7 +29,8 @@
 
 def main() -> int:
     """Run all tests, or the modules named on the command line."""
-    argv = ["nose2", "--verbose", *sys.argv[1:]]
+    # The repository is the top: below tests/ packages have names of standard modules.
+    argv = ["nose2", "--verbose", "--top-level-directory", ".", *sys.argv[1:]]
     PluggableTestProgram(module=None, argv=argv, exit=False)
     listed = known_red()
     broken = OutcomePlugin.broken
