--- /dev/null
+++ b/src/knapweeddrum/console/application.py
@@ -0,0 +1,138 @@
+"""The command line ``knapweedctl``."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+from collections.abc import Sequence
+
+from knapweeddrum.console.command_context import CommandContext
+from knapweeddrum.console.commands.apply_command import ApplyCommand
+from knapweeddrum.console.commands.budgets_command import BudgetsCommand
+from knapweeddrum.console.commands.command import Command
+from knapweeddrum.console.commands.entry_command import EntryCommand
+from knapweeddrum.console.commands.get_command import GetCommand
+from knapweeddrum.console.commands.status_command import StatusCommand
+from knapweeddrum.console.commands.top_up_command import TopUpCommand
+from knapweeddrum.console.control_client import ControlClient
+from knapweeddrum.console.exceptions import ConsoleError
+from knapweeddrum.console.exit_code import ExitCode
+from knapweeddrum.console.output_format import OutputFormat
+from knapweeddrum.console.printer import Printer
+
+PROGRAM = "knapweedctl"
+SERVER_VARIABLE = "KNAPWEED_SERVER"
+TOKEN_VARIABLE = "KNAPWEED_TOKEN"
+DEFAULT_SERVER = "http://127.0.0.1:8082"
+DEFAULT_TIMEOUT_SECONDS = 10.0
+
+COMMANDS: tuple[Command, ...] = (
+    ApplyCommand(),
+    GetCommand(),
+    TopUpCommand(),
+    BudgetsCommand(),
+    StatusCommand(),
+    EntryCommand(),
+)
+
+EPILOG = f"""\
+exit codes:
+  0  done
+  1  failed
+  2  wrong usage, or a file that can't be used
+  3  conflict: another change came first; look at it and try again
+  4  unavailable: not applied, try again later
+  5  not found
+  6  invalid: the server names field, value and what is allowed
+  7  unknown: may have been applied; repeat with the same identifier
+
+environment:
+  {SERVER_VARIABLE}  servers, separated by commas, when --server is absent
+  {TOKEN_VARIABLE}   the operators' token, when the fleet wants one
+
+examples:
+"""
+
+
+class Application:
+    """Parses the arguments and runs one command."""
+
+    def run(self, argv: Sequence[str]) -> int:
+        """Run a command line and return its exit code."""
+        args = self._parser().parse_args(argv)
+        command: Command = args.command
+        try:
+            command.handle(args, _context(args))
+        except ConsoleError as exc:
+            print(f"{PROGRAM}: {exc}", file=sys.stderr)
+            return exc.exit_code
+        except KeyboardInterrupt:
+            return ExitCode.OK
+        return ExitCode.OK
+
+    def _parser(self) -> argparse.ArgumentParser:
+        examples = [line for command in COMMANDS for line in command.examples]
+        parser = argparse.ArgumentParser(
+            prog=PROGRAM,
+            description="Operate a knapweeddrum fleet: declare resources, watch them "
+            "take effect, fill budgets.",
+            epilog=EPILOG + "".join(f"  {line}\n" for line in examples),
+            formatter_class=argparse.RawDescriptionHelpFormatter,
+        )
+        _add_common_options(parser)
+        subparsers = parser.add_subparsers(metavar="COMMAND", required=True)
+        for command in COMMANDS:
+            _add_command(subparsers, command)
+        return parser
+
+
+def _add_common_options(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--server",
+        action="append",
+        metavar="http://IP:PORT",
+        help="control process of a host; repeatable, the next is tried when one can't "
+        f"be reached (default: {SERVER_VARIABLE}, else {DEFAULT_SERVER})",
+    )
+    parser.add_argument(
+        "--output",
+        type=OutputFormat,
+        choices=list(OutputFormat),
+        default=OutputFormat.TABLE,
+        help="table for people (default), json for programs",
+    )
+    parser.add_argument(
+        "--timeout",
+        type=float,
+        default=DEFAULT_TIMEOUT_SECONDS,
+        metavar="SECONDS",
+        help=f"for each try (default: {DEFAULT_TIMEOUT_SECONDS:g})",
+    )
+    parser.add_argument(
+        "--author",
+        default=os.environ.get("USER", ""),
+        help="who makes a change, kept with it (default: the variable USER)",
+    )
+
+
+def _add_command(
+    subparsers: "argparse._SubParsersAction[argparse.ArgumentParser]",
+    command: Command,
+) -> None:
+    parser = subparsers.add_parser(
+        command.name,
+        help=command.help,
+        description=command.__doc__,
+        epilog="examples:\n" + "".join(f"  {line}\n" for line in command.examples),
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    command.configure(parser)
+    parser.set_defaults(command=command)
+
+
+def _context(args: argparse.Namespace) -> CommandContext:
+    servers = args.server or os.environ.get(SERVER_VARIABLE, DEFAULT_SERVER).split(",")
+    token = os.environ.get(TOKEN_VARIABLE, "")
+    client = ControlClient(servers, args.timeout, token)
+    return CommandContext(client, Printer(sys.stdout, args.output), args.author)
--- a/src/knapweeddrum/console/client_command.py
+++ b/src/knapweeddrum/console/client_command.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import sys
+
+from knapweeddrum.console.application import Application
+
 
 def main() -> None:
     """Run the command line."""
-    raise SystemExit("not built yet")
+    sys.exit(Application().run(sys.argv[1:]))
--- /dev/null
+++ b/src/knapweeddrum/console/client_reply.py
@@ -0,0 +1,30 @@
+"""A response of the resource API."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import TypeVar
+
+import msgspec
+
+from knapweeddrum.console.exceptions import ConsoleError
+from knapweeddrum.console.exit_code import ExitCode
+
+DocumentT = TypeVar("DocumentT")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientReply:
+    """Status and body of a response."""
+
+    status: int
+    body: bytes
+
+    def decode(self, document_type: type[DocumentT]) -> DocumentT:
+        """Return the body as a document; raises ConsoleError for a malformed one."""
+        try:
+            return msgspec.json.decode(self.body, type=document_type)
+        except msgspec.MsgspecError as exc:
+            raise ConsoleError(
+                f"the server's answer can't be read: {exc}", ExitCode.FAILED
+            ) from exc
--- /dev/null
+++ b/src/knapweeddrum/console/command_context.py
@@ -0,0 +1,17 @@
+"""What every command works with."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from knapweeddrum.console.control_client import ControlClient
+from knapweeddrum.console.printer import Printer
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommandContext:
+    """Client of the resource API, output, and the name of the operator."""
+
+    client: ControlClient
+    printer: Printer
+    author: str
--- /dev/null
+++ b/src/knapweeddrum/console/commands/__init__.py
@@ -0,0 +1,3 @@
+"""The commands of ``knapweedctl``, a class each."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/knapweeddrum/console/control_client.py
@@ -0,0 +1,168 @@
+"""The command line's access to the resource API."""
+
+from __future__ import annotations
+
+import contextlib
+import time
+from collections.abc import Iterator, Sequence
+
+import httpcore
+import msgspec
+
+from knapweeddrum.console.client_reply import ClientReply
+from knapweeddrum.console.exceptions import ConsoleError, ServerUnreachableError
+from knapweeddrum.console.exit_code import ExitCode
+from knapweeddrum.console.problem_reply import EXIT_CODES, ProblemReply
+
+ROUNDS = 3
+"""How often each server is tried."""
+ROUND_PAUSE_SECONDS = 0.5
+RETRIED_STATUSES = frozenset({503, 504})
+
+_TRANSPORT_ERRORS = (
+    httpcore.NetworkError,
+    httpcore.ProtocolError,
+    httpcore.TimeoutException,
+)
+
+_HeaderPairs = list[tuple[bytes, bytes]]
+
+
+class ControlClient:
+    """Asks one server after another; each request here is harmless to repeat.
+
+    A change carries a change identifier and a top-up its own, so a request whose
+    reply was lost is sent again, to the next server. ``timeout`` is in seconds.
+    """
+
+    def __init__(self, servers: Sequence[str], timeout: float, token: str) -> None:
+        self._servers = tuple(server.rstrip("/") for server in servers)
+        self._timeout = timeout
+        self._token = token
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        change_id: str = "",
+        author: str = "",
+    ) -> ClientReply:
+        """Return a successful response; raises ConsoleError for any other."""
+        headers = self._headers()
+        if change_id:
+            headers.append((b"x-change-id", change_id.encode()))
+        if author:
+            headers.append((b"x-author", author.encode()))
+        reply = self._try_servers(method, path, headers, body)
+        if reply.status < 300:
+            return reply
+        raise _problem_error(reply)
+
+    @contextlib.contextmanager
+    def stream(self, path: str, last_event_id: str) -> Iterator[Iterator[bytes]]:
+        """Open a stream at the first server that answers and give its chunks.
+
+        Raises ConsoleError, also while the chunks are read.
+        """
+        headers = self._headers()
+        if last_event_id:
+            headers.append((b"last-event-id", last_event_id.encode()))
+        with self._open_stream(path, headers) as response:
+            if response.status >= 300:
+                body = response.read()
+                raise _problem_error(ClientReply(response.status, body))
+            yield _chunks(response)
+
+    def _try_servers(
+        self, method: str, path: str, headers: _HeaderPairs, body: bytes
+    ) -> ClientReply:
+        """Return the first response that needs no repeat, or the last one."""
+        failure: Exception | None = None
+        last: ClientReply | None = None
+        for attempt in range(ROUNDS):
+            if attempt:
+                time.sleep(ROUND_PAUSE_SECONDS * attempt)
+            for server in self._servers:
+                try:
+                    reply = self._send(method, server + path, headers, body)
+                except _TRANSPORT_ERRORS as exc:
+                    failure = exc
+                    continue
+                if reply.status not in RETRIED_STATUSES:
+                    return reply
+                last = reply
+        if last is not None:
+            return last
+        raise self._unreachable(failure) from failure
+
+    def _send(
+        self, method: str, url: str, headers: _HeaderPairs, body: bytes
+    ) -> ClientReply:
+        response = httpcore.request(
+            method,
+            url,
+            headers=headers,
+            content=body,
+            extensions={"timeout": self._timeouts(self._timeout)},
+        )
+        return ClientReply(response.status, response.content)
+
+    @contextlib.contextmanager
+    def _open_stream(
+        self, path: str, headers: _HeaderPairs
+    ) -> Iterator[httpcore.Response]:
+        """Open the stream at the first server that can be reached."""
+        failure: Exception | None = None
+        for server in self._servers:
+            with contextlib.ExitStack() as stack:
+                try:
+                    response = stack.enter_context(
+                        httpcore.stream(
+                            "GET",
+                            server + path,
+                            headers=headers,
+                            extensions={"timeout": self._timeouts(STREAM_IDLE_SECONDS)},
+                        )
+                    )
+                except _TRANSPORT_ERRORS as exc:
+                    failure = exc
+                    continue
+                yield response
+                return
+        raise self._unreachable(failure) from failure
+
+    def _headers(self) -> _HeaderPairs:
+        if not self._token:
+            return []
+        return [(b"authorization", f"Bearer {self._token}".encode())]
+
+    def _timeouts(self, read: float) -> dict[str, float]:
+        """Return the limits as httpcore wants them."""
+        return {"connect": self._timeout, "read": read, "write": self._timeout}
+
+    def _unreachable(self, failure: Exception | None) -> ServerUnreachableError:
+        servers = ", ".join(self._servers)
+        return ServerUnreachableError(f"no server answered ({servers}): {failure}")
+
+
+STREAM_IDLE_SECONDS = 30.0
+"""A stream that is silent for so long is taken for dead."""
+
+
+def _chunks(response: httpcore.Response) -> Iterator[bytes]:
+    """Yield the body as it comes; raises ServerUnreachableError when it is cut."""
+    try:
+        yield from response.iter_stream()
+    except _TRANSPORT_ERRORS as exc:
+        raise ServerUnreachableError(f"the stream was cut: {exc}") from exc
+
+
+def _problem_error(reply: ClientReply) -> ConsoleError:
+    """Return the error of a response with a problem."""
+    exit_code = EXIT_CODES.get(reply.status, ExitCode.FAILED)
+    try:
+        problem = msgspec.json.decode(reply.body, type=ProblemReply)
+    except msgspec.MsgspecError:
+        return ConsoleError(f"the server answered {reply.status}", exit_code)
+    return ConsoleError(problem.text(), exit_code)
--- a/src/knapweeddrum/console/exit_code.py
+++ b/src/knapweeddrum/console/exit_code.py
@@ -14,3 +14,5 @@
     CONFLICT = 3
     UNAVAILABLE = 4
     NOT_FOUND = 5
+    INVALID = 6
+    UNKNOWN = 7
--- /dev/null
+++ b/src/knapweeddrum/console/paths.py
@@ -0,0 +1,17 @@
+"""Paths of the resource API."""
+
+from __future__ import annotations
+
+import urllib.parse
+
+
+def resource_path(kind: str, name: str) -> str:
+    """Return the path of a resource."""
+    quoted = urllib.parse.quote(name, safe="/")
+    return f"/v1/resources/{urllib.parse.quote(kind, safe='')}/{quoted}"
+
+
+def with_parameters(path: str, **parameters: str) -> str:
+    """Return the path with the query parameters that are not empty."""
+    given = {name: value for name, value in parameters.items() if value}
+    return f"{path}?{urllib.parse.urlencode(given)}" if given else path
--- /dev/null
+++ b/src/knapweeddrum/console/printer.py
@@ -0,0 +1,46 @@
+"""Output of commands."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import TextIO
+
+import msgspec
+
+from knapweeddrum.console.output_format import OutputFormat
+from knapweeddrum.console.table import Table
+
+COLUMN_GAP = "  "
+
+
+class Printer:
+    """Writes documents as JSON, or as a table for people."""
+
+    def __init__(self, stream: TextIO, output: OutputFormat) -> None:
+        self._stream = stream
+        self._output = output
+
+    def document(self, document: msgspec.Struct, table: Table) -> None:
+        """Write the document, or the table that shows it."""
+        if self._output is OutputFormat.JSON:
+            self.line(msgspec.json.encode(document).decode())
+            return
+        self._table(table)
+
+    def line(self, text: str) -> None:
+        """Write a line at once."""
+        self._stream.write(text + "\n")
+        self._stream.flush()
+
+    def _table(self, table: Table) -> None:
+        rows = [table.heading, *table.rows]
+        widths = [
+            max(len(cell) for cell in column) for column in zip(*rows, strict=True)
+        ]
+        for row in rows:
+            self.line(_joined(row, widths))
+
+
+def _joined(row: Sequence[str], widths: Sequence[int]) -> str:
+    cells = [cell.ljust(width) for cell, width in zip(row, widths, strict=True)]
+    return COLUMN_GAP.join(cells).rstrip()
--- /dev/null
+++ b/src/knapweeddrum/console/problem_reply.py
@@ -0,0 +1,45 @@
+"""A problem as the resource API reports it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from knapweeddrum.console.exit_code import ExitCode
+
+
+class WrongField(msgspec.Struct, frozen=True):
+    """A wrong field, its value and what is allowed."""
+
+    field: str
+    value: str
+    allowed: str
+
+
+class ProblemReply(msgspec.Struct, frozen=True):
+    """The members of a problem that the command line uses."""
+
+    detail: str = ""
+    reason: str = ""
+    retry_after: float = 0.0
+    errors: tuple[WrongField, ...] = ()
+
+    def text(self) -> str:
+        """Return the problem for people to read."""
+        lines = [f"{self.reason}: {self.detail}"]
+        lines += [
+            f"  {error.field}: got {error.value}, allowed: {error.allowed}"
+            for error in self.errors
+        ]
+        return "\n".join(lines)
+
+
+EXIT_CODES = {
+    401: ExitCode.FAILED,
+    404: ExitCode.NOT_FOUND,
+    409: ExitCode.CONFLICT,
+    413: ExitCode.INVALID,
+    422: ExitCode.INVALID,
+    503: ExitCode.UNAVAILABLE,
+    504: ExitCode.UNKNOWN,
+}
+"""Exit code of each status of a problem; others mean ``FAILED``."""
--- /dev/null
+++ b/src/knapweeddrum/console/resource_file.py
@@ -0,0 +1,31 @@
+"""Reader of files of resources: JSON with comments."""
+
+from __future__ import annotations
+
+import pathlib
+
+import json5
+import msgspec
+
+from knapweeddrum.console.declared_resource import DeclaredResource
+from knapweeddrum.console.exceptions import ConsoleError
+from knapweeddrum.console.exit_code import ExitCode
+
+
+def read_resources(path: pathlib.Path) -> tuple[DeclaredResource, ...]:
+    """Return the resources of a file that holds one or a list.
+
+    Raises ConsoleError naming the file and what is wrong.
+    """
+    try:
+        document = json5.loads(path.read_text(encoding="utf-8"))
+    except OSError as exc:
+        raise ConsoleError(f"{path}: {exc.strerror}", ExitCode.USAGE) from exc
+    except ValueError as exc:
+        message = f"{path}: not JSON with comments: {exc}"
+        raise ConsoleError(message, ExitCode.USAGE) from exc
+    listed = document if isinstance(document, list) else [document]
+    try:
+        return msgspec.convert(listed, type=tuple[DeclaredResource, ...])
+    except msgspec.ValidationError as exc:
+        raise ConsoleError(f"{path}: {exc}", ExitCode.USAGE) from exc
--- /dev/null
+++ b/src/knapweeddrum/console/resource_list_reply.py
@@ -0,0 +1,14 @@
+"""A list of resources as the resource API returns it."""
+
+from __future__ import annotations
+
+import msgspec
+
+from knapweeddrum.console.resource_reply import ResourceReply
+
+
+class ResourceListReply(msgspec.Struct, frozen=True):
+    """Resources, complete up to log offset ``offset``."""
+
+    offset: int
+    resources: tuple[ResourceReply, ...]
--- /dev/null
+++ b/src/knapweeddrum/process/control/api_response.py
@@ -0,0 +1,24 @@
+"""A whole response of the resource API."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import msgspec
+
+from knapweeddrum.process.control.header import Header
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ApiResponse:
+    """Status, body and headers besides the content type."""
+
+    status: int
+    body: bytes
+    content_type: str = "application/json"
+    headers: tuple[Header, ...] = ()
+
+
+def json_response(status: int, document: msgspec.Struct) -> ApiResponse:
+    """Return a response with the document as JSON."""
+    return ApiResponse(status, msgspec.json.encode(document))
--- /dev/null
+++ b/src/knapweeddrum/process/control/change_caller.py
@@ -0,0 +1,78 @@
+"""Changes of the configuration, with their verdict."""
+
+from __future__ import annotations
+
+from knapweeddrum.message.call.change_reply import ChangeReply
+from knapweeddrum.message.call.change_request import ChangeRequest
+from knapweeddrum.message.call.change_verdict import ChangeVerdict
+from knapweeddrum.message.call.resource_record import ResourceRecord
+from knapweeddrum.process.control.config_follower import ConfigFollower
+from knapweeddrum.process.control.exceptions import KeeperReplyLostError, ProblemError
+from knapweeddrum.process.control.keeper_client import KeeperClient
+from knapweeddrum.process.control.problem import Problem
+from knapweeddrum.process.control.problems import (
+    RETRY_AFTER_SECONDS,
+    unavailable,
+    unknown,
+)
+from knapweeddrum.value.control_refusal_reason import ControlRefusalReason
+
+CATCH_UP_SECONDS = 2.0
+"""How long an accepted change waits for this process's own copy."""
+
+
+class ChangeCaller:
+    """Hands changes to a keeper and turns all verdicts but ``accepted`` to problems."""
+
+    def __init__(self, keeper: KeeperClient, follower: ConfigFollower) -> None:
+        self._keeper = keeper
+        self._follower = follower
+
+    async def change(self, request: ChangeRequest) -> ResourceRecord:
+        """Return the resource once the change has been read back from the log.
+
+        Raises ProblemError and KeeperUnavailableError.
+        """
+        try:
+            reply = await self._keeper.change(request)
+        except KeeperReplyLostError as exc:
+            raise unknown(_repeat_hint(request)) from exc
+        if reply.verdict is ChangeVerdict.CONFLICT:
+            raise _conflict(request, reply)
+        if reply.verdict is ChangeVerdict.UNAVAILABLE:
+            pause = reply.retry_after or RETRY_AFTER_SECONDS
+            raise unavailable("the log can't be reached; nothing was changed", pause)
+        if reply.verdict is ChangeVerdict.UNKNOWN:
+            pause = reply.retry_after or RETRY_AFTER_SECONDS
+            raise unknown(_repeat_hint(request), pause)
+        await self._follower.wait_for(reply.offset, CATCH_UP_SECONDS)
+        return ResourceRecord(
+            resource_kind=request.resource_kind,
+            name=request.name,
+            version=reply.version,
+            offset=reply.offset,
+            body=request.body,
+            deleted=request.deleted,
+        )
+
+
+def _repeat_hint(request: ChangeRequest) -> str:
+    return (
+        "the change may have been applied; repeat it with the change id "
+        f"{request.change_id} to learn the verdict"
+    )
+
+
+def _conflict(request: ChangeRequest, reply: ChangeReply) -> ProblemError:
+    detail = (
+        f"{request.resource_kind} {request.name} is at version {reply.version}, "
+        f"the change replaces version {request.base_version}"
+    )
+    return ProblemError(
+        Problem(
+            ControlRefusalReason.CONFLICT,
+            detail,
+            version=reply.version,
+            offset=reply.offset,
+        )
+    )
--- /dev/null
+++ b/src/knapweeddrum/process/control/change_headers.py
@@ -0,0 +1,38 @@
+"""The headers of a change."""
+
+from __future__ import annotations
+
+import re
+import uuid
+
+from knapweeddrum.process.control.api_request import ApiRequest
+from knapweeddrum.process.control.field_error import FieldError
+from knapweeddrum.process.control.header import Header
+from knapweeddrum.process.control.model.exceptions import InvalidDocumentError
+from knapweeddrum.process.control.problems import invalid
+
+CHANGE_ID_HEADER = "x-change-id"
+AUTHOR_HEADER = "x-author"
+CHANGE_ID_PATTERN = r"[A-Za-z0-9._:-]{1,128}"
+AUTHOR_LENGTH_LIMIT = 64
+
+
+def change_id(req: ApiRequest) -> str:
+    """Return the identifier of a change, minted when absent; raises ProblemError."""
+    given = req.header(CHANGE_ID_HEADER)
+    if not given:
+        return uuid.uuid4().hex
+    if not re.fullmatch(CHANGE_ID_PATTERN, given):
+        error = FieldError(CHANGE_ID_HEADER, given[:128], CHANGE_ID_PATTERN)
+        raise invalid(InvalidDocumentError((error,)))
+    return given
+
+
+def author(req: ApiRequest) -> str:
+    """Return who made a change, as far as the caller says."""
+    return req.header(AUTHOR_HEADER)[:AUTHOR_LENGTH_LIMIT]
+
+
+def change_id_header(value: str) -> tuple[Header, ...]:
+    """Return the response header that repeats a change's identifier."""
+    return (Header(CHANGE_ID_HEADER, value),)
--- /dev/null
+++ b/src/knapweeddrum/process/control/config_follower.py
@@ -0,0 +1,78 @@
+"""The task that keeps the copy of the configuration up to date."""
+
+from __future__ import annotations
+
+import anyio
+
+from knapweeddrum.process.control.config_copy import ConfigCopy
+from knapweeddrum.process.control.exceptions import (
+    KeeperReplyLostError,
+    KeeperUnavailableError,
+)
+from knapweeddrum.process.control.keeper_client import KeeperClient
+from knapweeddrum.telemetry.event_log import EventLog
+from knapweeddrum.telemetry.events import DEPENDENCY_READY, WAITING
+
+POLL_SECONDS = 10.0
+"""How long a keeper may hold a call while nothing changes."""
+RETRY_SECONDS = 0.5
+"""Pause after a call that failed or brought nothing new."""
+
+
+class ConfigFollower:
+    """Follows a keeper by long polls and wakes those who wait for a change."""
+
+    def __init__(self, keeper: KeeperClient, events: EventLog) -> None:
+        self.copy = ConfigCopy()
+        self._keeper = keeper
+        self._events = events
+        self._changed = anyio.Event()
+        self._connected = False
+        self._waiting_logged = False
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            if not await self._poll():
+                await anyio.sleep(RETRY_SECONDS)
+
+    async def wait_for(self, offset: int, timeout: float) -> bool:
+        """Wait until the copy has reached ``offset``; False after ``timeout`` s."""
+        with anyio.move_on_after(timeout):
+            while self.copy.offset < offset:
+                await self._changed.wait()
+        return self.copy.offset >= offset
+
+    async def wait_for_change(self, offset: int, timeout: float) -> None:
+        """Wait until the copy has passed ``offset``, or ``timeout`` seconds."""
+        await self.wait_for(offset + 1, timeout)
+
+    async def _poll(self) -> bool:
+        """Call once; return False when there should be a pause."""
+        wait = POLL_SECONDS if self._connected else 0.0
+        try:
+            reply = await self._keeper.config(self.copy.offset, wait)
+        except (KeeperUnavailableError, KeeperReplyLostError) as exc:
+            self._note_waiting(str(exc))
+            return False
+        if reply.offset < self.copy.offset or reply.offset < 0:
+            self._note_waiting("the keeper has no state yet")
+            return False
+        self._note_ready()
+        if not self.copy.apply(reply):
+            return False
+        self._changed.set()
+        self._changed = anyio.Event()
+        return True
+
+    def _note_waiting(self, error: str) -> None:
+        self._connected = False
+        if not self._waiting_logged:
+            self._waiting_logged = True
+            self._events.emit(WAITING, dependency="keeper", error=error)
+
+    def _note_ready(self) -> None:
+        if not self._connected:
+            self._events.emit(DEPENDENCY_READY, dependency="keeper")
+        self._connected = True
+        self._waiting_logged = False
--- /dev/null
+++ b/src/knapweeddrum/process/control/handler/drain_handler.py
@@ -0,0 +1,56 @@
+"""Handler that starts and ends the drain of a host."""
+
+from __future__ import annotations
+
+from knapweeddrum.message.call.entry_host import EntryHost
+from knapweeddrum.process.control.api_request import ApiRequest
+from knapweeddrum.process.control.api_response import ApiResponse, json_response
+from knapweeddrum.process.control.drain_result import DrainResult
+from knapweeddrum.process.control.exceptions import KeeperReplyLostError
+from knapweeddrum.process.control.handler.handler import Handler
+from knapweeddrum.process.control.keeper_client import KeeperClient
+from knapweeddrum.process.control.keeper_directory import KeeperDirectory
+from knapweeddrum.process.control.model.drain_document import DrainDocument
+from knapweeddrum.process.control.model.exceptions import InvalidDocumentError
+from knapweeddrum.process.control.model.validation import parse_document
+from knapweeddrum.process.control.problems import (
+    invalid,
+    not_found,
+    unavailable,
+    unknown,
+)
+
+DRAIN_TIMEOUT_SECONDS = 5.0
+
+
+class DrainHandler(Handler):
+    """Passes the order on to the keeper of the host, which must accept it itself."""
+
+    def __init__(self, keeper: KeeperClient, directory: KeeperDirectory) -> None:
+        self._keeper = keeper
+        self._directory = directory
+
+    async def handle(self, req: ApiRequest, names: tuple[str, ...]) -> ApiResponse:
+        """Return once the keeper of the host has accepted."""
+        try:
+            document = parse_document(DrainDocument, req.body)
+        except InvalidDocumentError as exc:
+            raise invalid(exc) from exc
+        host = await self._find(names[0])
+        caller = self._directory.caller(host.address, host.keeper_port)
+        keeper = KeeperClient(caller, "", DRAIN_TIMEOUT_SECONDS)
+        try:
+            reply = await keeper.drain(host.host, document.draining)
+        except KeeperReplyLostError as exc:
+            raise unknown(f"no reply of the keeper of {host.host}; repeat it") from exc
+        if not reply.accepted:
+            raise unavailable(f"the keeper of {host.host} did not accept it")
+        return json_response(200, DrainResult(host.host, document.draining))
+
+    async def _find(self, name: str) -> EntryHost:
+        """Return the host of this name; raises ProblemError."""
+        reply = await self._keeper.entry()
+        for host in reply.hosts:
+            if host.host == name:
+                return host
+        raise not_found(f"no host {name!r} is known")
--- /dev/null
+++ b/src/knapweeddrum/process/control/handler/entry_handler.py
@@ -0,0 +1,19 @@
+"""Handler of the entry hosts."""
+
+from __future__ import annotations
+
+from knapweeddrum.process.control.api_request import ApiRequest
+from knapweeddrum.process.control.api_response import ApiResponse, json_response
+from knapweeddrum.process.control.handler.handler import Handler
+from knapweeddrum.process.control.keeper_client import KeeperClient
+
+
+class EntryHandler(Handler):
+    """Returns the entry hosts as the keeper's membership sees them."""
+
+    def __init__(self, keeper: KeeperClient) -> None:
+        self._keeper = keeper
+
+    async def handle(self, req: ApiRequest, names: tuple[str, ...]) -> ApiResponse:
+        """Return the hosts."""
+        return json_response(200, await self._keeper.entry())
--- /dev/null
+++ b/src/knapweeddrum/process/control/handler/resource_delete_handler.py
@@ -0,0 +1,65 @@
+"""Handler that deletes resources."""
+
+from __future__ import annotations
+
+import msgspec
+
+from knapweeddrum.message.call.change_request import ChangeRequest
+from knapweeddrum.process.control.api_request import ApiRequest
+from knapweeddrum.process.control.api_response import ApiResponse
+from knapweeddrum.process.control.change_caller import ChangeCaller
+from knapweeddrum.process.control.change_headers import (
+    author,
+    change_id,
+    change_id_header,
+)
+from knapweeddrum.process.control.field_error import FieldError
+from knapweeddrum.process.control.handler.handler import Handler
+from knapweeddrum.process.control.model.exceptions import InvalidDocumentError
+from knapweeddrum.process.control.path_kind import path_kind
+from knapweeddrum.process.control.problems import invalid
+from knapweeddrum.process.control.resource_checks import ResourceChecks
+from knapweeddrum.process.control.resource_document import ResourceDocument
+from knapweeddrum.process.control.resource_id import ResourceId
+
+
+class ResourceDeleteHandler(Handler):
+    """Deletes the version of a resource that the parameter ``version`` names."""
+
+    def __init__(self, checks: ResourceChecks, changes: ChangeCaller) -> None:
+        self._checks = checks
+        self._changes = changes
+
+    async def handle(self, req: ApiRequest, names: tuple[str, ...]) -> ApiResponse:
+        """Return the deleted resource once the change has been read back."""
+        resource_id = ResourceId(path_kind(names[0]), names[1])
+        identifier = change_id(req)
+        base_version = _base_version(req)
+        try:
+            self._checks.check_unused(resource_id)
+        except InvalidDocumentError as exc:
+            raise invalid(exc) from exc
+        self._checks.check_order(resource_id, None, base_version)
+        request = ChangeRequest(
+            change_id=identifier,
+            resource_kind=resource_id.kind,
+            name=resource_id.name,
+            base_version=base_version,
+            author=author(req),
+            deleted=True,
+        )
+        record = await self._changes.change(request)
+        return ApiResponse(
+            status=200,
+            body=msgspec.json.encode(ResourceDocument.from_record(record)),
+            headers=change_id_header(identifier),
+        )
+
+
+def _base_version(req: ApiRequest) -> int:
+    """Return the version to delete; raises ProblemError."""
+    text = req.parameter("version")
+    if text.isdecimal() and int(text) > 0:
+        return int(text)
+    error = FieldError("version", text[:32], "the version to delete, 1 or more")
+    raise invalid(InvalidDocumentError((error,)))
--- /dev/null
+++ b/src/knapweeddrum/process/control/handler/resource_get_handler.py
@@ -0,0 +1,30 @@
+"""Handler that reads one resource."""
+
+from __future__ import annotations
+
+from knapweeddrum.process.control.api_request import ApiRequest
+from knapweeddrum.process.control.api_response import ApiResponse, json_response
+from knapweeddrum.process.control.config_follower import ConfigFollower
+from knapweeddrum.process.control.handler.handler import Handler
+from knapweeddrum.process.control.path_kind import path_kind
+from knapweeddrum.process.control.problems import not_found, not_ready
+from knapweeddrum.process.control.resource_document import ResourceDocument
+from knapweeddrum.process.control.resource_id import ResourceId
+
+
+class ResourceGetHandler(Handler):
+    """Reads a resource from the copy of the configuration."""
+
+    def __init__(self, follower: ConfigFollower) -> None:
+        self._follower = follower
+
+    async def handle(self, req: ApiRequest, names: tuple[str, ...]) -> ApiResponse:
+        """Return the resource."""
+        kind = path_kind(names[0])
+        copy = self._follower.copy
+        if copy.offset < 0:
+            raise not_ready("no configuration has been read yet")
+        record = copy.get(ResourceId(kind, names[1]))
+        if record is None:
+            raise not_found(f"{kind} {names[1]} does not exist")
+        return json_response(200, ResourceDocument.from_record(record))
--- /dev/null
+++ b/src/knapweeddrum/process/control/handler/resource_put_handler.py
@@ -0,0 +1,66 @@
+"""Handler that creates and replaces resources."""
+
+from __future__ import annotations
+
+import msgspec
+
+from knapweeddrum.message.call.change_request import ChangeRequest
+from knapweeddrum.process.control.api_request import ApiRequest
+from knapweeddrum.process.control.api_response import ApiResponse
+from knapweeddrum.process.control.change_caller import ChangeCaller
+from knapweeddrum.process.control.change_headers import (
+    author,
+    change_id,
+    change_id_header,
+)
+from knapweeddrum.process.control.handler.handler import Handler
+from knapweeddrum.process.control.model.change_document import ChangeDocument
+from knapweeddrum.process.control.model.exceptions import InvalidDocumentError
+from knapweeddrum.process.control.model.resource_model import ResourceModel
+from knapweeddrum.process.control.model.validation import parse_document, validate_spec
+from knapweeddrum.process.control.path_kind import path_kind
+from knapweeddrum.process.control.problems import invalid
+from knapweeddrum.process.control.resource_checks import ResourceChecks
+from knapweeddrum.process.control.resource_document import ResourceDocument
+from knapweeddrum.process.control.resource_id import ResourceId
+
+
+class ResourcePutHandler(Handler):
+    """Declares a resource: a change that names the version that it replaces."""
+
+    def __init__(self, checks: ResourceChecks, changes: ChangeCaller) -> None:
+        self._checks = checks
+        self._changes = changes
+
+    async def handle(self, req: ApiRequest, names: tuple[str, ...]) -> ApiResponse:
+        """Return the resource once its change has been read back from the log."""
+        resource_id = ResourceId(path_kind(names[0]), names[1])
+        identifier = change_id(req)
+        try:
+            document = parse_document(ChangeDocument, req.body)
+            model = self._validated(resource_id, document)
+        except InvalidDocumentError as exc:
+            raise invalid(exc) from exc
+        self._checks.check_order(resource_id, model, document.version)
+        request = ChangeRequest(
+            change_id=identifier,
+            resource_kind=resource_id.kind,
+            name=resource_id.name,
+            base_version=document.version,
+            author=author(req),
+            body=msgspec.json.encode(model.to_message()),
+        )
+        record = await self._changes.change(request)
+        return ApiResponse(
+            status=200 if document.version else 201,
+            body=msgspec.json.encode(ResourceDocument.from_record(record)),
+            headers=change_id_header(identifier),
+        )
+
+    def _validated(
+        self, resource_id: ResourceId, document: ChangeDocument
+    ) -> ResourceModel:
+        kind = path_kind(resource_id.kind)
+        model = validate_spec(kind, resource_id.name, document.spec)
+        self._checks.check_references(model)
+        return model
--- /dev/null
+++ b/src/knapweeddrum/process/control/model/validation.py
@@ -0,0 +1,86 @@
+"""Validation of what operators send."""
+
+from __future__ import annotations
+
+import re
+from typing import TypeVar
+
+import pydantic
+
+from knapweeddrum.process.control.field_error import FieldError
+from knapweeddrum.process.control.model.budget_model import BudgetModel
+from knapweeddrum.process.control.model.endpoint_model import EndpointModel
+from knapweeddrum.process.control.model.engine_order_model import EngineOrderModel
+from knapweeddrum.process.control.model.exceptions import InvalidDocumentError
+from knapweeddrum.process.control.model.organisation_model import OrganisationModel
+from knapweeddrum.process.control.model.resource_model import (
+    NAME_PATTERN,
+    ResourceModel,
+)
+from knapweeddrum.process.control.model.route_model import RouteModel
+from knapweeddrum.process.control.model.rule_model import RuleModel
+from knapweeddrum.value.resource_kind import ResourceKind
+
+MODELS: dict[ResourceKind, type[ResourceModel]] = {
+    ResourceKind.ORGANISATION: OrganisationModel,
+    ResourceKind.BUDGET: BudgetModel,
+    ResourceKind.ROUTE: RouteModel,
+    ResourceKind.RULE: RuleModel,
+    ResourceKind.ENDPOINT: EndpointModel,
+    ResourceKind.ENGINE_ORDER: EngineOrderModel,
+}
+
+BUDGET_NAME_FORM = "organisation/budget"
+VALUE_LENGTH_LIMIT = 200
+"""Characters of a wrong value that an error repeats."""
+
+ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
+
+
+def parse_document(model: type[ModelT], body: bytes) -> ModelT:
+    """Return the checked JSON document; raises InvalidDocumentError."""
+    try:
+        return model.model_validate_json(body)
+    except pydantic.ValidationError as exc:
+        raise InvalidDocumentError(field_errors(exc, "")) from exc
+
+
+def validate_spec(kind: ResourceKind, name: str, spec: object) -> ResourceModel:
+    """Return the checked specification; raises InvalidDocumentError.
+
+    Whether the resources that it names exist is for the caller to check.
+    """
+    errors = name_form_errors(kind, name)
+    if errors:
+        raise InvalidDocumentError(errors)
+    try:
+        model = MODELS[kind].model_validate(spec)
+    except pydantic.ValidationError as exc:
+        raise InvalidDocumentError(field_errors(exc, "spec")) from exc
+    errors = model.name_errors(name)
+    if errors:
+        raise InvalidDocumentError(errors)
+    return model
+
+
+def name_form_errors(kind: ResourceKind, name: str) -> tuple[FieldError, ...]:
+    """Return an error unless the name has the form of its kind."""
+    parts = name.split("/")
+    wanted = 2 if kind is ResourceKind.BUDGET else 1
+    if len(parts) == wanted and all(re.match(NAME_PATTERN, part) for part in parts):
+        return ()
+    allowed = f"each part matches {NAME_PATTERN}"
+    if kind is ResourceKind.BUDGET:
+        allowed = f"{BUDGET_NAME_FORM}, {allowed}"
+    return (FieldError("name", name[:VALUE_LENGTH_LIMIT], allowed),)
+
+
+def field_errors(exc: pydantic.ValidationError, prefix: str) -> tuple[FieldError, ...]:
+    """Return an error for each wrong field."""
+    found = []
+    for error in exc.errors():
+        parts = [prefix, *(str(part) for part in error["loc"])]
+        field = ".".join(part for part in parts if part) or "(whole body)"
+        value = repr(error["input"])[:VALUE_LENGTH_LIMIT]
+        found.append(FieldError(field, value, error["msg"]))
+    return tuple(found)
--- /dev/null
+++ b/src/knapweeddrum/process/control/operator_guard.py
@@ -0,0 +1,38 @@
+"""Authentication of operators."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+
+from knapweeddrum.process.control.api_request import ApiRequest
+from knapweeddrum.process.control.exceptions import ProblemError
+from knapweeddrum.process.control.problem import Problem
+from knapweeddrum.value.control_refusal_reason import ControlRefusalReason
+
+SCHEME = "Bearer "
+
+
+class OperatorGuard:
+    """Lets in those who present the token with this SHA-256 digest (hex).
+
+    An empty digest lets in everybody.
+    """
+
+    def __init__(self, digest: str) -> None:
+        self._digest = digest
+
+    def check(self, req: ApiRequest) -> None:
+        """Raise ProblemError when the request doesn't carry the token."""
+        if not self._digest:
+            return
+        token = req.header("authorization").removeprefix(SCHEME)
+        digest = hashlib.sha256(token.encode()).hexdigest()
+        if hmac.compare_digest(digest, self._digest):
+            return
+        raise ProblemError(
+            Problem(
+                ControlRefusalReason.UNAUTHENTICATED,
+                "the operators' token is missing or wrong",
+            )
+        )
--- /dev/null
+++ b/src/knapweeddrum/process/control/path_kind.py
@@ -0,0 +1,15 @@
+"""The kind of resource that a path names."""
+
+from __future__ import annotations
+
+from knapweeddrum.process.control.problems import not_found
+from knapweeddrum.value.resource_kind import ResourceKind
+
+
+def path_kind(text: str) -> ResourceKind:
+    """Return the kind; raises ProblemError for an unknown one."""
+    try:
+        return ResourceKind(text)
+    except ValueError as exc:
+        kinds = ", ".join(ResourceKind)
+        raise not_found(f"no kind of resource {text!r}; there are {kinds}") from exc
--- /dev/null
+++ b/src/knapweeddrum/process/control/server_sent_event.py
@@ -0,0 +1,19 @@
+"""Encoding of server-sent events."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+def encode_event(event: str, data: msgspec.Struct, offset: int | None = None) -> bytes:
+    """Return an event; one with an offset moves the point to resume from."""
+    lines = [f"event: {event}".encode()]
+    if offset is not None:
+        lines.append(f"id: {offset}".encode())
+    lines.append(b"data: " + msgspec.json.encode(data))
+    return b"\n".join(lines) + b"\n\n"
+
+
+def encode_position(offset: int) -> bytes:
+    """Return a comment that only moves the point to resume from."""
+    return f": idle\nid: {offset}\n\n".encode()
--- /dev/null
+++ b/src/knapweeddrum/process/control/watch_stream.py
@@ -0,0 +1,91 @@
+"""One watcher's stream of changes."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncGenerator, Iterator
+
+import anyio
+
+from knapweeddrum.message.call.resource_record import ResourceRecord
+from knapweeddrum.process.control.config_follower import ConfigFollower
+from knapweeddrum.process.control.resource_document import ResourceDocument
+from knapweeddrum.process.control.server_sent_event import (
+    encode_event,
+    encode_position,
+)
+from knapweeddrum.process.control.watch_end import WatchEnd
+from knapweeddrum.process.control.watch_snapshot import WatchSnapshot
+
+IDLE_SECONDS = 10.0
+"""How often a stream without changes says that it is alive."""
+
+
+class WatchStream:
+    """Streams the changes after ``after`` (-1: all), of one kind or of all.
+
+    Each change comes once, in the log's order. When the changes after ``after`` are
+    no longer kept one by one, a snapshot of all resources comes first.
+    """
+
+    def __init__(
+        self,
+        follower: ConfigFollower,
+        stopping: anyio.Event,
+        after: int,
+        kind: str,
+    ) -> None:
+        self._follower = follower
+        self._stopping = stopping
+        self._after = after
+        self._kind = kind
+
+    async def events(self) -> AsyncGenerator[bytes, None]:
+        """Yield encoded events until the process stops."""
+        while not self._stopping.is_set():
+            sent = False
+            for chunk in self._pending():
+                sent = True
+                yield chunk
+            if not sent:
+                yield encode_position(self._after)
+            await self._wait()
+        yield encode_event("end", WatchEnd("stopping", self._after))
+
+    async def _wait(self) -> None:
+        """Wait for a change, for the stop of the process, or for some seconds."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._cancel_when_stopping, group.cancel_scope)
+            await self._follower.wait_for_change(self._after, IDLE_SECONDS)
+            group.cancel_scope.cancel()
+
+    async def _cancel_when_stopping(self, scope: anyio.CancelScope) -> None:
+        await self._stopping.wait()
+        scope.cancel()
+
+    def _pending(self) -> Iterator[bytes]:
+        """Yield what has come since the last event, and move on."""
+        copy = self._follower.copy
+        if copy.offset <= self._after:
+            return
+        changes = copy.changes_after(self._after)
+        if changes is None:
+            yield from self._snapshot(copy.resources(), copy.offset)
+        else:
+            for record in filter(self._is_wanted, changes):
+                yield self._change(record)
+        self._after = copy.offset
+
+    def _snapshot(self, records: list[ResourceRecord], offset: int) -> Iterator[bytes]:
+        wanted = list(filter(self._is_wanted, records))
+        bounds = WatchSnapshot(offset, len(wanted))
+        yield encode_event("snapshot", bounds)
+        for record in wanted:
+            yield encode_event("resource", ResourceDocument.from_record(record))
+        yield encode_event("snapshot-end", bounds, offset)
+
+    def _change(self, record: ResourceRecord) -> bytes:
+        document = ResourceDocument.from_record(record)
+        return encode_event("change", document, record.offset)
+
+    def _is_wanted(self, record: ResourceRecord) -> bool:
+        return not self._kind or record.resource_kind == self._kind
--- a/src/knapweeddrum/rpc/caller.py
+++ b/src/knapweeddrum/rpc/caller.py
@@ -25,6 +25,7 @@
     ) -> ReplyT:
         """Return the reply; ``timeout`` is in seconds.
 
-        Raises PeerRejectedError when the peer turns this process away and RpcError
-        when no reply came, in which case the call may have been carried out.
+        Raises PeerRejectedError when the peer turns this process away,
+        PeerUnreachableError when no connection came about, and RpcError when no reply
+        came, in which case the call may have been carried out.
         """
--- a/src/knapweeddrum/rpc/exceptions.py
+++ b/src/knapweeddrum/rpc/exceptions.py
@@ -9,3 +9,7 @@
 
 class PeerRejectedError(RpcError):
     """The peer belongs to another fleet, has another key or another version."""
+
+
+class PeerUnreachableError(RpcError):
+    """No connection to the peer came about: the call was not carried out."""
--- a/src/knapweeddrum/rpc/rpc_client.py
+++ b/src/knapweeddrum/rpc/rpc_client.py
@@ -10,7 +10,11 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from knapweeddrum.rpc.caller import Caller
-from knapweeddrum.rpc.exceptions import PeerRejectedError, RpcError
+from knapweeddrum.rpc.exceptions import (
+    PeerRejectedError,
+    PeerUnreachableError,
+    RpcError,
+)
 from knapweeddrum.rpc.fleet_identity import FleetIdentity
 from knapweeddrum.rpc.message_codec import MessageCodec
 from knapweeddrum.rpc.method import Method
@@ -48,6 +52,8 @@
             if exc.status is Status.UNAUTHENTICATED:
                 raise PeerRejectedError(f"{self.target}: {exc.message}") from exc
             raise RpcError(f"{self.target}: {exc.status.name} {exc.message}") from exc
+        except ConnectionRefusedError as exc:
+            raise PeerUnreachableError(f"{self.target}: {exc!r}") from exc
         except _NO_REPLY as exc:
             raise RpcError(f"{self.target}: {exc!r}") from exc
         return reply
--- /dev/null
+++ b/src/knapweeddrum/settings/control_settings.py
@@ -0,0 +1,21 @@
+"""Settings of a control process."""
+
+from __future__ import annotations
+
+import pydantic
+
+from knapweeddrum.settings.strict_model import StrictModel
+
+
+class ControlSettings(StrictModel):
+    """Limits of the resource API, in bytes and seconds.
+
+    ``operator_key_digest`` is the SHA-256 digest (hex) of the token that operators
+    present; empty lets in everybody who can reach the port.
+    """
+
+    operator_key_digest: str = pydantic.Field(default="", pattern=r"^([0-9a-f]{64})?$")
+    body_limit_bytes: int = pydantic.Field(default=1_000_000, ge=1_000)
+    keeper_timeout_seconds: float = pydantic.Field(default=10.0, gt=0, le=300)
+    watch_limit: int = pydantic.Field(default=64, ge=1)
+    stop_limit_seconds: float = pydantic.Field(default=30.0, gt=0)
--- a/src/knapweeddrum/settings/settings.py
+++ b/src/knapweeddrum/settings/settings.py
@@ -5,6 +5,7 @@
 import pydantic
 
 from knapweeddrum.settings.budget_settings import BudgetSettings
+from knapweeddrum.settings.control_settings import ControlSettings
 from knapweeddrum.settings.fleet_settings import FleetSettings
 from knapweeddrum.settings.host_settings import HostSettings
 from knapweeddrum.settings.platform_settings import PlatformSettings
@@ -22,6 +23,7 @@
     platform: PlatformSettings
     budgets: BudgetSettings = BudgetSettings()
     router: RouterSettings = RouterSettings()
+    control: ControlSettings = ControlSettings()
     telemetry: TelemetrySettings = TelemetrySettings()
 
     @pydantic.model_validator(mode="after")
--- a/src/knapweeddrum/settings/telemetry_settings.py
+++ b/src/knapweeddrum/settings/telemetry_settings.py
@@ -15,3 +15,7 @@
     level: Literal["debug", "info", "warning", "error"] = "info"
     statsd_address: pydantic.IPvAnyAddress | None = None
     statsd_port: int = pydantic.Field(default=8125, ge=1, le=65535)
+
+    def statsd_host(self) -> str:
+        """Return the IP address of the statsd server, empty for none."""
+        return str(self.statsd_address) if self.statsd_address else ""
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from knapweeddrum.value.control_refusal_reason import ControlRefusalReason
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.retry_reason import RetryReason
 
 REQUESTS = "requests"
 ANSWERED = "answered"
 CANCELLED = "cancelled"
+CONTROL_REQUESTS = "control.requests"
 
-ALL_COUNTERS: tuple[str, ...] = (REQUESTS, ANSWERED, CANCELLED)
+ALL_COUNTERS: tuple[str, ...] = (REQUESTS, ANSWERED, CANCELLED, CONTROL_REQUESTS)
 
 
 def refusal_counter(reason: RefusalReason) -> str:
@@ -20,3 +22,8 @@
 def retry_counter(reason: RetryReason) -> str:
     """Return the name of the counter of a retry reason."""
     return f"retry.{reason.value}"
+
+
+def control_refusal_counter(reason: ControlRefusalReason) -> str:
+    """Return the name of the counter of a refusal by the resource API."""
+    return f"control.refusal.{reason.value}"
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -15,3 +15,7 @@
 WAITING = Event(105, "waiting", "warning", ("dependency", "error"))
 DEPENDENCY_READY = Event(106, "dependency_ready", "info", ("dependency",))
 TASK_FAILED = Event(107, "task_failed", "error", ("task", "error"))
+
+CONTROL_REFUSED = Event(
+    400, "control_refused", "info", ("reason", "method", "path", "run_state")
+)
--- /dev/null
+++ b/src/knapweeddrum/value/control_refusal_reason.py
@@ -0,0 +1,21 @@
+"""Reasons for which the resource API refuses a request."""
+
+from __future__ import annotations
+
+import enum
+
+
+class ControlRefusalReason(enum.StrEnum):
+    """The reason of a refusal; the value names its counter and problem type."""
+
+    INVALID = "invalid"
+    BODY_TOO_LARGE = "body_too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    CONFLICT = "conflict"
+    ORDER_OUTSTANDING = "order_outstanding"
+    UNAVAILABLE = "unavailable"
+    NOT_READY = "not_ready"
+    OVERLOADED = "overloaded"
+    UNKNOWN = "unknown"
--- /dev/null
+++ b/tests/standins/fake_keeper.py
@@ -0,0 +1,159 @@
+from __future__ import annotations
+
+import anyio
+
+from knapweeddrum.message.call.budget_reply import BudgetReply
+from knapweeddrum.message.call.budget_request import BudgetRequest
+from knapweeddrum.message.call.budget_status import BudgetStatus
+from knapweeddrum.message.call.change_reply import ChangeReply
+from knapweeddrum.message.call.change_request import ChangeRequest
+from knapweeddrum.message.call.change_verdict import ChangeVerdict
+from knapweeddrum.message.call.config_reply import ConfigReply
+from knapweeddrum.message.call.config_request import ConfigRequest
+from knapweeddrum.message.call.drain_reply import DrainReply
+from knapweeddrum.message.call.drain_request import DrainRequest
+from knapweeddrum.message.call.entry_host import EntryHost
+from knapweeddrum.message.call.entry_reply import EntryReply
+from knapweeddrum.message.call.entry_request import EntryRequest
+from knapweeddrum.message.call.resource_record import ResourceRecord
+from knapweeddrum.message.call.top_up_reply import TopUpReply
+from knapweeddrum.message.call.top_up_request import TopUpRequest
+from knapweeddrum.rpc.caller import Caller
+from knapweeddrum.rpc.exceptions import PeerUnreachableError, RpcError
+from knapweeddrum.rpc.keeper_methods import BUDGET, CHANGE, CONFIG, DRAIN, ENTRY, TOP_UP
+
+
+class FakeKeeper(Caller):
+    """A keeper in memory, with switches for what can fail."""
+
+    def __init__(self) -> None:
+        self.unreachable = False
+        self.log_is_out = False
+        self.lose_next_reply = False
+        self.expired_before = -1
+        self.hosts: list[EntryHost] = []
+        self.draining: dict[str, bool] = {}
+        self.records: list[ResourceRecord] = []
+        self.change_requests: list[ChangeRequest] = []
+        self.balances: dict[str, int] = {}
+        self._verdicts: dict[str, ChangeReply] = {}
+        self._topups: set[str] = set()
+        self._handlers = {
+            CONFIG.path: self._config,
+            CHANGE.path: self._change,
+            TOP_UP.path: self._top_up,
+            BUDGET.path: self._budget,
+            ENTRY.path: self._entry,
+            DRAIN.path: self._drain,
+        }
+
+    async def call(self, method, request, timeout):
+        await anyio.lowlevel.checkpoint()
+        if self.unreachable:
+            raise PeerUnreachableError("connection refused")
+        reply = await self._handlers[method.path](request)
+        if self.lose_next_reply and method.path in {CHANGE.path, TOP_UP.path}:
+            self.lose_next_reply = False
+            raise RpcError("connection reset")
+        return reply
+
+    async def _config(self, request: ConfigRequest) -> ConfigReply:
+        with anyio.move_on_after(request.wait):
+            while self._offset() <= request.after:
+                await anyio.sleep(0.005)
+        if request.after < self.expired_before:
+            return ConfigReply(self._offset(), self._latest(), snapshot=True)
+        changed = tuple(item for item in self.records if item.offset > request.after)
+        return ConfigReply(self._offset(), changed)
+
+    async def _change(self, request: ChangeRequest) -> ChangeReply:
+        self.change_requests.append(request)
+        if request.change_id in self._verdicts:
+            return self._verdicts[request.change_id]
+        if self.log_is_out:
+            return ChangeReply(ChangeVerdict.UNAVAILABLE, retry_after=3.0)
+        current = self._current(request)
+        alive = current is not None and not current.deleted
+        if (current.version if alive else 0) != request.base_version:
+            reply = ChangeReply(ChangeVerdict.CONFLICT, current.version, current.offset)
+        else:
+            reply = self._accept(request)
+        self._verdicts[request.change_id] = reply
+        return reply
+
+    def _accept(self, request: ChangeRequest) -> ChangeReply:
+        offset = self._offset() + 1
+        record = ResourceRecord(
+            request.resource_kind,
+            request.name,
+            request.base_version + 1,
+            offset,
+            request.body,
+            request.deleted,
+        )
+        self.records.append(record)
+        return ChangeReply(ChangeVerdict.ACCEPTED, record.version, offset)
+
+    async def _top_up(self, request: TopUpRequest) -> TopUpReply:
+        if self.log_is_out:
+            return TopUpReply(accepted=False, retry_after=3.0)
+        repeated = request.topup_id in self._topups
+        if not repeated:
+            self._topups.add(request.topup_id)
+            balance = self.balances.get(request.budget, 0)
+            self.balances[request.budget] = balance + request.tokens
+        return TopUpReply(True, repeated, self.balances[request.budget])
+
+    async def _budget(self, request: BudgetRequest) -> BudgetReply:
+        return BudgetReply(
+            tuple(
+                BudgetStatus(name, tokens, tokens, 0, 0, 0, 0, 0)
+                for name, tokens in sorted(self.balances.items())
+                if name.startswith(request.prefix)
+            )
+        )
+
+    async def _entry(self, request: EntryRequest) -> EntryReply:
+        return EntryReply(tuple(self.hosts), self._offset())
+
+    async def _drain(self, request: DrainRequest) -> DrainReply:
+        self.draining[request.host] = request.draining
+        return DrainReply(accepted=True)
+
+    def _offset(self) -> int:
+        return self.records[-1].offset if self.records else 0
+
+    def _current(self, request: ChangeRequest) -> ResourceRecord | None:
+        for record in reversed(self.records):
+            if (record.resource_kind, record.name) == (
+                request.resource_kind,
+                request.name,
+            ):
+                return record
+        return None
+
+    def _latest(self) -> tuple[ResourceRecord, ...]:
+        latest = {(item.resource_kind, item.name): item for item in self.records}
+        return tuple(
+            sorted(
+                (item for item in latest.values() if not item.deleted),
+                key=lambda item: item.offset,
+            )
+        )
+
+
+def fake_host(name: str, config_offset: int = 0, **fields: object) -> EntryHost:
+    """Return a live host on loopback."""
+    values: dict[str, object] = {
+        "host": name,
+        "data_centre": "dc-1",
+        "address": "127.0.0.1",
+        "router_port": 8080,
+        "keeper_port": 8081,
+        "control_port": 8082,
+        "draining": False,
+        "alive": True,
+        "config_offset": config_offset,
+        "incarnation": f"{name}/keeper/1",
+    }
+    return EntryHost(**(values | fields))
