--- a/src/knapweeddrum/process/composition.py
+++ b/src/knapweeddrum/process/composition.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import uuid
+from collections.abc import Iterator
 
 from knapweeddrum.process.control.control_process import ControlProcess
 from knapweeddrum.process.control.keeper_failover import KeeperFailover
-from knapweeddrum.process.control.rpc_keeper_directory import keeper_directory
+from knapweeddrum.process.keeper.peer_channels import PeerChannels
+from knapweeddrum.process.stop_signal import stop_signal
+from knapweeddrum.rpc.caller import Caller
 from knapweeddrum.rpc.fleet_identity import FleetIdentity
+from knapweeddrum.rpc.rpc_client import RpcClient
 from knapweeddrum.settings.settings import Settings
 from knapweeddrum.telemetry.event_log import EventLog
 from knapweeddrum.telemetry.statsd_metrics import statsd_metrics
@@ -28,13 +33,26 @@
     events = EventLog(telemetry.level, incarnation=incarnation)
     metrics = statsd_metrics(telemetry.statsd_host(), telemetry.statsd_port)
     identity = FleetIdentity(settings.fleet.name, settings.fleet.key)
-    with keeper_directory(identity) as directory:
+    with peer_channels(identity) as channels:
         hosts = (settings.host, *settings.peers)
-        callers = [
-            directory.caller(str(host.address), host.keeper_port) for host in hosts
-        ]
-        caller = KeeperFailover(callers)
-        process = ControlProcess(
-            settings, caller, directory, incarnation, events, metrics
+        caller = KeeperFailover(
+            [channels.at(str(host.address), host.keeper_port) for host in hosts]
         )
-        await process.run()
+        async with stop_signal() as stop:
+            process = ControlProcess(
+                settings, caller, channels, incarnation, events, metrics, stop
+            )
+            await process.run()
+
+
+@contextlib.contextmanager
+def peer_channels(identity: FleetIdentity) -> Iterator[PeerChannels]:
+    """Give connections to keepers that are closed with the context."""
+    with contextlib.ExitStack() as stack:
+
+        def connect(address: str, port: int) -> Caller:
+            client = RpcClient(identity, address, port)
+            stack.callback(client.close)
+            return client
+
+        yield PeerChannels(connect)
--- a/src/knapweeddrum/process/control/config_copy.py
+++ b/src/knapweeddrum/process/control/config_copy.py
@@ -14,7 +14,9 @@
 
 
 class ConfigCopy:
-    """Resources up to ``offset`` (-1: none yet), and their recent changes.
+    """Resources up to ``offset``, and their recent changes.
+
+    It is ``ready`` once a keeper has told its state.
 
     Replies may come from several keepers, of which one may lag: what is older than
     this copy is dropped, so the copy never goes back.
@@ -22,13 +24,19 @@
 
     def __init__(self, history_limit: int = HISTORY_LIMIT) -> None:
         self.offset = -1
+        self.ready = False
         self._resources: dict[ResourceId, ResourceRecord] = {}
         self._history: collections.deque[ResourceRecord] = collections.deque()
         self._history_limit = history_limit
         self._history_start = -1
 
     def apply(self, reply: ConfigReply) -> bool:
-        """Take over a keeper's reply; return whether it brought anything new."""
+        """Take over a keeper's reply; return whether it brought anything new.
+
+        A snapshot at offset -1 is the state of an empty log.
+        """
+        if reply.snapshot or reply.offset >= 0:
+            self.ready = True
         if reply.offset <= self.offset:
             return False
         if reply.snapshot:
--- a/src/knapweeddrum/process/control/config_follower.py
+++ b/src/knapweeddrum/process/control/config_follower.py
@@ -55,11 +55,12 @@
         except (KeeperUnavailableError, KeeperReplyLostError) as exc:
             self._note_waiting(str(exc))
             return False
-        if reply.offset < self.copy.offset or reply.offset < 0:
-            self._note_waiting("the keeper has no state yet")
+        changed = self.copy.apply(reply)
+        if not self.copy.ready or reply.offset < self.copy.offset:
+            self._note_waiting("the keeper has no state yet or lags")
             return False
         self._note_ready()
-        if not self.copy.apply(reply):
+        if not changed:
             return False
         self._changed.set()
         self._changed = anyio.Event()
--- a/src/knapweeddrum/process/control/control_paths.py
+++ b/src/knapweeddrum/process/control/control_paths.py
@@ -25,9 +25,9 @@
 from knapweeddrum.process.control.handler.top_up_handler import TopUpHandler
 from knapweeddrum.process.control.handler.watch_handler import WatchHandler
 from knapweeddrum.process.control.keeper_client import KeeperClient
-from knapweeddrum.process.control.keeper_directory import KeeperDirectory
 from knapweeddrum.process.control.path_table import PathTable, path_route
 from knapweeddrum.process.control.resource_checks import ResourceChecks
+from knapweeddrum.process.keeper.peer_channels import PeerChannels
 
 RESOURCE_PATH = "/v1/resources/([^/]+)/(.+)"
 
@@ -35,7 +35,7 @@
 def control_paths(
     keeper: KeeperClient,
     follower: ConfigFollower,
-    directory: KeeperDirectory,
+    channels: PeerChannels,
     stopping: anyio.Event,
     watch_limit: int,
 ) -> PathTable:
@@ -56,7 +56,7 @@
             path_route("GET", "/v1/status", StatusHandler(keeper, follower)),
             path_route("GET", "/v1/entry", EntryHandler(keeper)),
             path_route(
-                "POST", "/v1/hosts/([^/]+)/drain", DrainHandler(keeper, directory)
+                "POST", "/v1/hosts/([^/]+)/drain", DrainHandler(keeper, channels)
             ),
         )
     )
--- a/src/knapweeddrum/process/control/control_process.py
+++ b/src/knapweeddrum/process/control/control_process.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import signal
-
 import anyio
 
 from knapweeddrum.process.control.config_follower import ConfigFollower
@@ -12,8 +10,8 @@
 from knapweeddrum.process.control.control_server import ControlServer, control_server
 from knapweeddrum.process.control.exceptions import ControlError
 from knapweeddrum.process.control.keeper_client import KeeperClient
-from knapweeddrum.process.control.keeper_directory import KeeperDirectory
 from knapweeddrum.process.control.operator_guard import OperatorGuard
+from knapweeddrum.process.keeper.peer_channels import PeerChannels
 from knapweeddrum.rpc.caller import Caller
 from knapweeddrum.settings.settings import Settings
 from knapweeddrum.telemetry.event_log import EventLog
@@ -26,27 +24,28 @@
 class ControlProcess:
     """Serves the resource API until it is told to stop.
 
-    ``caller`` reaches any keeper, ``directory`` a given one; ``incarnation`` names
-    this life of the process.
+    ``caller`` reaches any keeper, ``channels`` a given one; ``incarnation`` names this
+    life of the process, and ``stopping`` ends it.
     """
 
     def __init__(
         self,
         settings: Settings,
         caller: Caller,
-        directory: KeeperDirectory,
+        channels: PeerChannels,
         incarnation: str,
         events: EventLog,
         metrics: Metrics,
+        stopping: anyio.Event,
     ) -> None:
-        self.stopping = anyio.Event()
+        self._stopping = stopping
         self._settings = settings
         self._events = events
         control = settings.control
         keeper = KeeperClient(caller, incarnation, control.keeper_timeout_seconds)
         self.follower = ConfigFollower(keeper, events)
         paths = control_paths(
-            keeper, self.follower, directory, self.stopping, control.watch_limit
+            keeper, self.follower, channels, stopping, control.watch_limit
         )
         self.app = ControlApp(
             paths,
@@ -57,7 +56,7 @@
         )
 
     async def run(self) -> None:
-        """Run until SIGTERM or SIGINT; requests in progress are finished then."""
+        """Run until told to stop; requests in progress are finished then."""
         host = self._settings.host
         server = control_server(
             self.app,
@@ -67,7 +66,6 @@
         )
         self._events.emit(PROCESS_STARTED, binary=BINARY, host=host.name)
         async with anyio.create_task_group() as group:
-            group.start_soon(self._stop_on_signal)
             group.start_soon(self.follower.run)
             group.start_soon(self._stop_server, server)
             await self._serve(server)
@@ -83,11 +81,6 @@
             where = f"{host.address}:{host.control_port}"
             raise ControlError(f"can't listen on {where}") from exc
 
-    async def _stop_on_signal(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for _ in signals:
-                self.stopping.set()
-
     async def _stop_server(self, server: ControlServer) -> None:
-        await self.stopping.wait()
+        await self._stopping.wait()
         server.should_exit = True
--- a/src/knapweeddrum/process/control/handler/drain_handler.py
+++ b/src/knapweeddrum/process/control/handler/drain_handler.py
@@ -9,7 +9,6 @@
 from knapweeddrum.process.control.exceptions import KeeperReplyLostError
 from knapweeddrum.process.control.handler.handler import Handler
 from knapweeddrum.process.control.keeper_client import KeeperClient
-from knapweeddrum.process.control.keeper_directory import KeeperDirectory
 from knapweeddrum.process.control.model.drain_document import DrainDocument
 from knapweeddrum.process.control.model.exceptions import InvalidDocumentError
 from knapweeddrum.process.control.model.validation import parse_document
@@ -19,6 +18,7 @@
     unavailable,
     unknown,
 )
+from knapweeddrum.process.keeper.peer_channels import PeerChannels
 
 DRAIN_TIMEOUT_SECONDS = 5.0
 
@@ -26,9 +26,9 @@
 class DrainHandler(Handler):
     """Passes the order on to the keeper of the host, which must accept it itself."""
 
-    def __init__(self, keeper: KeeperClient, directory: KeeperDirectory) -> None:
+    def __init__(self, keeper: KeeperClient, channels: PeerChannels) -> None:
         self._keeper = keeper
-        self._directory = directory
+        self._channels = channels
 
     async def handle(self, req: ApiRequest, names: tuple[str, ...]) -> ApiResponse:
         """Return once the keeper of the host has accepted."""
@@ -37,7 +37,7 @@
         except InvalidDocumentError as exc:
             raise invalid(exc) from exc
         host = await self._find(names[0])
-        caller = self._directory.caller(host.address, host.keeper_port)
+        caller = self._channels.to(host)
         keeper = KeeperClient(caller, "", DRAIN_TIMEOUT_SECONDS)
         try:
             reply = await keeper.drain(host.host, document.draining)
--- a/src/knapweeddrum/process/control/handler/resource_get_handler.py
+++ b/src/knapweeddrum/process/control/handler/resource_get_handler.py
@@ -22,7 +22,7 @@
         """Return the resource."""
         kind = path_kind(names[0])
         copy = self._follower.copy
-        if copy.offset < 0:
+        if not copy.ready:
             raise not_ready("no configuration has been read yet")
         record = copy.get(ResourceId(kind, names[1]))
         if record is None:
--- a/src/knapweeddrum/process/control/handler/resource_list_handler.py
+++ b/src/knapweeddrum/process/control/handler/resource_list_handler.py
@@ -23,7 +23,7 @@
         kind = path_kind(names[0])
         prefix = req.parameter("prefix")
         copy = self._follower.copy
-        if copy.offset < 0:
+        if not copy.ready:
             raise not_ready("no configuration has been read yet")
         found = tuple(
             ResourceDocument.from_record(record)
--- a/src/knapweeddrum/process/control/handler/top_up_handler.py
+++ b/src/knapweeddrum/process/control/handler/top_up_handler.py
@@ -67,7 +67,7 @@
     def _check_budget(self, name: str) -> None:
         """Raise InvalidDocumentError unless the budget exists."""
         copy = self._follower.copy
-        if copy.offset < 0:
+        if not copy.ready:
             raise not_ready("no configuration has been read yet")
         if copy.get(ResourceId(ResourceKind.BUDGET, name)) is None:
             error = FieldError("budget", name, "the name of an existing budget")
--- a/src/knapweeddrum/process/control/handler/watch_handler.py
+++ b/src/knapweeddrum/process/control/handler/watch_handler.py
@@ -41,7 +41,7 @@
         if kind:
             path_kind(kind)
         after = _after(req)
-        if self._follower.copy.offset < 0 or self._stopping.is_set():
+        if not self._follower.copy.ready or self._stopping.is_set():
             raise not_ready("no configuration has been read yet, or it stops")
         if self._open >= self._limit:
             raise _too_many(self._limit)
--- a/src/knapweeddrum/process/control/resource_checks.py
+++ b/src/knapweeddrum/process/control/resource_checks.py
@@ -85,7 +85,7 @@
             raise _outstanding(record, order)
 
     def _require_copy(self) -> None:
-        if self._follower.copy.offset < 0:
+        if not self._follower.copy.ready:
             raise not_ready("no configuration has been read yet")
 
 
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -16,6 +16,10 @@
 DEPENDENCY_READY = Event(106, "dependency_ready", "info", ("dependency",))
 TASK_FAILED = Event(107, "task_failed", "error", ("task", "error"))
 
+LOG_LOST = Event(300, "log_lost", "warning", ("stream", "error"))
+LOG_REACHED = Event(301, "log_reached", "info", ("stream",))
+STREAM_READY = Event(302, "stream_ready", "info", ("stream", "offset"))
+
 CONTROL_REFUSED = Event(
     400, "control_refused", "info", ("reason", "method", "path", "run_state")
 )
--- a/tests/standins/fake_keeper.py
+++ b/tests/standins/fake_keeper.py
@@ -61,7 +61,7 @@
         with anyio.move_on_after(request.wait):
             while self._offset() <= request.after:
                 await anyio.sleep(0.005)
-        if request.after < self.expired_before:
+        if request.after < self.expired_before or not self.records:
             return ConfigReply(self._offset(), self._latest(), snapshot=True)
         changed = tuple(item for item in self.records if item.offset > request.after)
         return ConfigReply(self._offset(), changed)
@@ -73,20 +73,22 @@
         if self.log_is_out:
             return ChangeReply(ChangeVerdict.UNAVAILABLE, retry_after=3.0)
         current = self._current(request)
-        alive = current is not None and not current.deleted
-        if (current.version if alive else 0) != request.base_version:
-            reply = ChangeReply(ChangeVerdict.CONFLICT, current.version, current.offset)
+        if not _applies(request, current):
+            version, offset = (current.version, current.offset) if current else (0, -1)
+            reply = ChangeReply(ChangeVerdict.CONFLICT, version, offset)
         else:
-            reply = self._accept(request)
+            reply = self._accept(request, current)
         self._verdicts[request.change_id] = reply
         return reply
 
-    def _accept(self, request: ChangeRequest) -> ChangeReply:
+    def _accept(
+        self, request: ChangeRequest, current: ResourceRecord | None
+    ) -> ChangeReply:
         offset = self._offset() + 1
         record = ResourceRecord(
             request.resource_kind,
             request.name,
-            request.base_version + 1,
+            current.version + 1 if current else 1,
             offset,
             request.body,
             request.deleted,
@@ -121,7 +123,7 @@
         return DrainReply(accepted=True)
 
     def _offset(self) -> int:
-        return self.records[-1].offset if self.records else 0
+        return self.records[-1].offset if self.records else -1
 
     def _current(self, request: ChangeRequest) -> ResourceRecord | None:
         for record in reversed(self.records):
@@ -135,13 +137,17 @@
     def _latest(self) -> tuple[ResourceRecord, ...]:
         latest = {(item.resource_kind, item.name): item for item in self.records}
         return tuple(
-            sorted(
-                (item for item in latest.values() if not item.deleted),
-                key=lambda item: item.offset,
-            )
+            sorted(latest.values(), key=lambda item: (item.resource_kind, item.name))
         )
 
 
+def _applies(request: ChangeRequest, current: ResourceRecord | None) -> bool:
+    if current is None or current.deleted:
+        versions = {0, current.version if current else 0}
+        return request.base_version in versions and not request.deleted
+    return request.base_version == current.version
+
+
 def fake_host(name: str, config_offset: int = 0, **fields: object) -> EntryHost:
     """Return a live host on loopback."""
     values: dict[str, object] = {
