--- a/src/knapweeddrum/process/composition.py
+++ b/src/knapweeddrum/process/composition.py
@@ -2,7 +2,20 @@
 
 from __future__ import annotations
 
+import contextlib
+import uuid
+from collections.abc import Iterator
+
+from knapweeddrum.process.control.control_process import ControlProcess
+from knapweeddrum.process.control.keeper_failover import KeeperFailover
+from knapweeddrum.process.keeper.peer_channels import PeerChannels
+from knapweeddrum.process.stop_signal import stop_signal
+from knapweeddrum.rpc.caller import Caller
+from knapweeddrum.rpc.fleet_identity import FleetIdentity
+from knapweeddrum.rpc.rpc_client import RpcClient
 from knapweeddrum.settings.settings import Settings
+from knapweeddrum.telemetry.event_log import EventLog
+from knapweeddrum.telemetry.statsd_metrics import statsd_metrics
 
 
 async def run_router(settings: Settings) -> None:
@@ -15,3 +28,31 @@
 
 async def run_control(settings: Settings) -> None:
     """Run a control process until it is told to stop."""
+    telemetry = settings.telemetry
+    incarnation = f"{settings.host.name}/control/{uuid.uuid4().hex[:12]}"
+    events = EventLog(telemetry.level, incarnation=incarnation)
+    metrics = statsd_metrics(telemetry.statsd_host(), telemetry.statsd_port)
+    identity = FleetIdentity(settings.fleet.name, settings.fleet.key)
+    with peer_channels(identity) as channels:
+        hosts = (settings.host, *settings.peers)
+        caller = KeeperFailover(
+            [channels.at(str(host.address), host.keeper_port) for host in hosts]
+        )
+        async with stop_signal() as stop:
+            process = ControlProcess(
+                settings, caller, channels, incarnation, events, metrics, stop
+            )
+            await process.run()
+
+
+@contextlib.contextmanager
+def peer_channels(identity: FleetIdentity) -> Iterator[PeerChannels]:
+    """Give connections to keepers that are closed with the context."""
+    with contextlib.ExitStack() as stack:
+
+        def connect(address: str, port: int) -> Caller:
+            client = RpcClient(identity, address, port)
+            stack.callback(client.close)
+            return client
+
+        yield PeerChannels(connect)
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -21,3 +21,7 @@
 STREAM_READY = Event(302, "stream_ready", "info", ("stream", "offset"))
 SUPERSEDED = Event(303, "superseded", "warning", ("incarnation",))
 STATE_JUMPED = Event(304, "state_jumped", "warning", ("stream", "offset"))
+
+CONTROL_REFUSED = Event(
+    400, "control_refused", "info", ("reason", "method", "path", "run_state")
+)
