--- a/src/knapweeddrum/process/composition.py
+++ b/src/knapweeddrum/process/composition.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import contextlib
+import random
 import uuid
 from collections.abc import Iterator
 
+from knapweeddrum.platform.http_append_log import HttpAppendLog
+from knapweeddrum.platform.http_host_list import HttpHostList
 from knapweeddrum.process.control.control_process import ControlProcess
 from knapweeddrum.process.control.keeper_failover import KeeperFailover
+from knapweeddrum.process.keeper.keeper_process import KeeperProcess
 from knapweeddrum.process.keeper.peer_channels import PeerChannels
 from knapweeddrum.process.stop_signal import stop_signal
 from knapweeddrum.rpc.caller import Caller
@@ -24,6 +28,25 @@
 
 async def run_keeper(settings: Settings) -> None:
     """Run a keeper until it is told to stop."""
+    telemetry = settings.telemetry
+    events = EventLog(telemetry.level, host=settings.host.name, role="keeper")
+    metrics = statsd_metrics(telemetry.statsd_host(), telemetry.statsd_port)
+    identity = FleetIdentity(settings.fleet.name, settings.fleet.key)
+    async with (
+        HttpAppendLog.connect(settings.platform.log) as log,
+        HttpHostList.connect(settings.platform.host_list) as host_list,
+    ):
+        with peer_channels(identity) as channels:
+            process = KeeperProcess(
+                settings,
+                log,
+                host_list,
+                channels,
+                events,
+                metrics,
+                random.SystemRandom(),
+            )
+            await process.run()
 
 
 async def run_control(settings: Settings) -> None:
--- a/src/knapweeddrum/process/keeper/config_manager.py
+++ b/src/knapweeddrum/process/keeper/config_manager.py
@@ -88,7 +88,8 @@
         ledger = self._stream.ledger
         offset = self._stream.follower.fold.position
         changes = ledger.changes_after(after)
-        if changes is not None:
+        # A snapshot at offset -1 tells an empty log from a keeper without state.
+        if changes is not None and offset >= 0:
             return ConfigReply(offset=offset, resources=changes)
         return ConfigReply(offset=offset, resources=ledger.snapshot(), snapshot=True)
 
--- a/src/knapweeddrum/process/keeper/keeper_process.py
+++ b/src/knapweeddrum/process/keeper/keeper_process.py
@@ -33,7 +33,7 @@
 from knapweeddrum.process.keeper.locate_manager import LocateManager
 from knapweeddrum.process.keeper.log_appender import LogAppender
 from knapweeddrum.process.keeper.membership_task import MembershipTask
-from knapweeddrum.process.keeper.peer_channels import CallerFactory, PeerChannels
+from knapweeddrum.process.keeper.peer_channels import PeerChannels
 from knapweeddrum.process.keeper.peer_records import PeerRecords
 from knapweeddrum.process.keeper.stream_follower import StreamFollower
 from knapweeddrum.process.keeper.transfer_client import TransferClient
@@ -63,7 +63,7 @@
         settings: Settings,
         log: AppendLog,
         host_list: HostList,
-        connect: CallerFactory,
+        peers: PeerChannels,
         events: EventLog,
         metrics: Metrics,
         rng: random.Random,
@@ -77,7 +77,6 @@
         self._incarnation = new_incarnation(
             HostName(own.name), "keeper", time.time_ns() // 1_000_000, rng
         )
-        peers = PeerChannels(connect)
         seeds = tuple(_peer_address(peer) for peer in settings.peers)
         table = MemberTable(self._first_heartbeat(), rng)
         self._membership = MembershipTask(
