--- a/src/knapweeddrum/core/billing/run_meter.py
+++ b/src/knapweeddrum/core/billing/run_meter.py
@@ -43,14 +43,12 @@
         return sum(tally.tokens for tally in self._tallies.values())
 
     def start_run(self, run_id: str, first_index: int = 0) -> None:
-        """Make ``run_id`` the current run; its next part is ``first_index``.
+        """Make ``run_id`` the current run; its first part here is ``first_index``.
 
-        The current run may be started again at the offset from which its stream
-        resumes.
+        A run that is known already goes on at ``next_index``.
         """
         self._run_id = run_id
-        tally = self._tallies.setdefault(run_id, RunTally())
-        tally.resume(first_index)
+        self._tallies.setdefault(run_id, RunTally(next_index=first_index))
 
     def accept(
         self,
@@ -68,7 +66,7 @@
         tally = self._tallies.get(run_id)
         if tally is None:
             return PartVerdict.FOREIGN
-        tally.note_usage(prompt_tokens + output_tokens)
+        tally.note_usage(prompt_tokens + output_tokens, final)
         if run_id != self._run_id:
             return PartVerdict.FOREIGN
         return tally.accept(index, final)
@@ -78,9 +76,7 @@
         tally = self._tallies.get(run_id)
         if tally is None:
             return
-        tally.note_usage(tokens)
-        if not running:
-            tally.is_usage_final = True
+        tally.note_usage(tokens, final=not running)
 
     def unsettled_runs(self) -> tuple[str, ...]:
         """Return the runs whose final figure must still be asked of the engine."""
--- a/src/knapweeddrum/core/billing/run_tally.py
+++ b/src/knapweeddrum/core/billing/run_tally.py
@@ -16,14 +16,10 @@
     is_complete: bool = False
     is_usage_final: bool = False
 
-    def resume(self, index: int) -> None:
-        """Expect part ``index`` next, unless the run is complete."""
-        if not self.is_complete:
-            self.next_index = index
-
-    def note_usage(self, tokens: int) -> None:
+    def note_usage(self, tokens: int, final: bool) -> None:
         """Raise the cumulative figure; an older, lower one changes nothing."""
         self.tokens = max(self.tokens, tokens)
+        self.is_usage_final |= final
 
     def accept(self, index: int, final: bool) -> PartVerdict:
         """Take part ``index`` when it is the next one."""
@@ -32,7 +28,5 @@
         if index > self.next_index:
             return PartVerdict.EARLY
         self.next_index += 1
-        if final:
-            self.is_complete = True
-            self.is_usage_final = True
+        self.is_complete = final
         return PartVerdict.ACCEPTED
--- /dev/null
+++ b/src/knapweeddrum/core/budget/given_transfer.py
@@ -0,0 +1,15 @@
+"""A transfer that was given."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from knapweeddrum.message.call.allowance import Allowance
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GivenTransfer:
+    """The slices of a reply and the time (s) at which they were debited."""
+
+    time: float
+    allowances: tuple[Allowance, ...]
--- /dev/null
+++ b/src/knapweeddrum/core/budget/grant_policy.py
@@ -0,0 +1,22 @@
+"""Interface of the allocation ways."""
+
+from __future__ import annotations
+
+import abc
+
+from knapweeddrum.core.budget.budget_demand import BudgetDemand
+
+
+class GrantPolicy(abc.ABC):
+    """How much of a budget's balance a keeper takes, and what it hands back.
+
+    No policy can cause overspend: it only moves tokens between balance and grants.
+    """
+
+    @abc.abstractmethod
+    def grant_tokens(self, demand: BudgetDemand) -> int:
+        """Return the tokens to ask for in a grant now; 0 for none."""
+
+    @abc.abstractmethod
+    def surplus_tokens(self, demand: BudgetDemand) -> int:
+        """Return the free tokens to return to the balance now; 0 for none."""
--- /dev/null
+++ b/src/knapweeddrum/core/budget/transfer_book.py
@@ -0,0 +1,45 @@
+"""The giver's record of transfers."""
+
+from __future__ import annotations
+
+from knapweeddrum.core.budget.allowance_pool import AllowancePool
+from knapweeddrum.core.budget.given_transfer import GivenTransfer
+from knapweeddrum.message.call.allowance import Allowance
+
+TRANSFER_WINDOW = 600.0
+"""Seconds for which a reply is kept for a repeat."""
+
+
+class TransferBook:
+    """Debits once for each transfer and gives repeats the same reply.
+
+    The receiver credits once by the same identifier. A repeat after the window is
+    debited again: the first slices are then stranded in their grants if their reply
+    never arrived, but nothing is credited twice.
+    """
+
+    def __init__(self, pool: AllowancePool, window: float = TRANSFER_WINDOW) -> None:
+        """``window`` is in seconds."""
+        self._pool = pool
+        self._window = window
+        self._given: dict[str, GivenTransfer] = {}
+
+    def give(
+        self, transfer_id: str, budget: str, tokens: int, time: float
+    ) -> tuple[Allowance, ...]:
+        """Return up to ``tokens`` of a budget, taken out of the pool."""
+        self._prune(time)
+        known = self._given.get(transfer_id)
+        if known is not None:
+            return known.allowances
+        allowances = self._pool.give(budget, tokens)
+        self._given[transfer_id] = GivenTransfer(time=time, allowances=allowances)
+        return allowances
+
+    def _prune(self, time: float) -> None:
+        horizon = time - self._window
+        while self._given:
+            transfer_id, given = next(iter(self._given.items()))
+            if given.time >= horizon:
+                break
+            del self._given[transfer_id]
--- /dev/null
+++ b/src/knapweeddrum/core/fold/checkpoint.py
@@ -0,0 +1,14 @@
+"""A complete checkpoint read from the log."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Checkpoint:
+    """The encoded state of a fold after all offsets up to ``covers``."""
+
+    checkpoint_id: str
+    covers: int
+    state: bytes
--- /dev/null
+++ b/src/knapweeddrum/core/fold/checkpoint_reader.py
@@ -0,0 +1,75 @@
+"""Search for the newest complete checkpoint in a stream's records."""
+
+from __future__ import annotations
+
+from knapweeddrum.core.fold.checkpoint import Checkpoint
+from knapweeddrum.core.fold.checkpoint_assembly import CheckpointAssembly
+from knapweeddrum.message.exceptions import MessageError
+from knapweeddrum.message.fact.checkpoint_part import CheckpointPart
+from knapweeddrum.message.fact.fact_codec import decode_batch, decode_fact
+
+ASSEMBLY_LIMIT = 8
+"""Incomplete checkpoints that are kept at a time."""
+
+
+class CheckpointReader:
+    """Assembles the parts of checkpoints, which several writers may interleave.
+
+    Parts belong together when writer, identifier, covered offset and count agree.
+    Only the newest complete checkpoint is kept: if its tail has expired, so has that
+    of each older one.
+    """
+
+    def __init__(self) -> None:
+        self._newest: Checkpoint | None = None
+        self._assemblies: dict[tuple[str, str, int, int], CheckpointAssembly] = {}
+
+    def read(self, offset: int, payload: bytes) -> None:
+        """Take one record; records without parts and malformed ones change nothing."""
+        try:
+            batch = decode_batch(payload)
+        except MessageError:
+            return
+        for raw in batch.facts:
+            fact = decode_fact(raw)
+            if isinstance(fact, CheckpointPart):
+                self.add(offset, batch.writer, fact)
+
+    def add(self, offset: int, writer: str, part: CheckpointPart) -> None:
+        """Take one part found at ``offset``."""
+        if not 0 <= part.index < part.count or not 0 <= part.covers < offset:
+            return
+        if self._newest and part.covers <= self._newest.covers:
+            return
+        key = (writer, part.checkpoint_id, part.covers, part.count)
+        assembly = self._assemblies.get(key)
+        if assembly is None:
+            assembly = CheckpointAssembly(part.checkpoint_id, part.covers, part.count)
+            self._assemblies[key] = assembly
+            self._bound_assemblies()
+        checkpoint = assembly.add(part)
+        if checkpoint is not None:
+            self._keep(checkpoint)
+
+    def newest(self, first_kept: int) -> Checkpoint | None:
+        """Return the newest complete checkpoint whose tail is still kept.
+
+        ``first_kept`` is the first offset that the log still holds. None when there
+        is no such checkpoint.
+        """
+        if self._newest is None or self._newest.covers + 1 < first_kept:
+            return None
+        return self._newest
+
+    def _keep(self, checkpoint: Checkpoint) -> None:
+        self._newest = checkpoint
+        self._assemblies = {
+            key: assembly
+            for key, assembly in self._assemblies.items()
+            if assembly.covers > checkpoint.covers
+        }
+
+    def _bound_assemblies(self) -> None:
+        # A writer that died half way leaves parts behind that nobody completes.
+        while len(self._assemblies) > ASSEMBLY_LIMIT:
+            del self._assemblies[next(iter(self._assemblies))]
--- /dev/null
+++ b/tests/core/fold/test_fold_properties.py
@@ -0,0 +1,191 @@
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable, Iterable
+
+from hypothesis import given
+from hypothesis import strategies as st
+from nose2.tools import params
+
+from knapweeddrum.core.budget.budget_ledger import BudgetLedger
+from knapweeddrum.core.budget.budget_windows import BudgetWindows
+from knapweeddrum.core.claim.claim_ledger import ClaimLedger
+from knapweeddrum.core.claim.claim_windows import ClaimWindows
+from knapweeddrum.core.config.config_ledger import ConfigLedger
+from knapweeddrum.core.fold.ledger import Ledger
+from knapweeddrum.core.fold.stream_fold import StreamFold
+from knapweeddrum.message.fact.any_fact import AnyFact
+from knapweeddrum.message.fact.fact_codec import encode_batch
+from tests.core.fold.fact_strategies import (
+    BUDGET_FACTS,
+    CHECKPOINT_FACTS,
+    CLAIM_FACTS,
+    CONFIG_FACTS,
+)
+from tests.core.searching import assert_violated
+
+WRITER_WINDOW = 50.0
+MALFORMED = b"\xc1 no batch"
+
+
+def budget_ledger() -> Ledger:
+    return BudgetLedger(BudgetWindows(topup=40.0, bill=10.0, grant=20.0))
+
+
+def claim_ledger() -> Ledger:
+    return ClaimLedger(ClaimWindows(20.0, 40.0, 10.0, body_limit=8, body_total=20))
+
+
+def config_ledger() -> Ledger:
+    return ConfigLedger(window=20.0, history_limit=3)
+
+
+@dataclasses.dataclass(frozen=True)
+class Append:
+    """A batch, how long after the one before it lands, and one that lands again."""
+
+    writer: str
+    facts: tuple[AnyFact, ...]
+    pause: float
+    repeated: int | None
+
+
+def appends(facts: st.SearchStrategy[AnyFact]) -> st.SearchStrategy[list[Append]]:
+    batch = st.lists(facts | CHECKPOINT_FACTS, min_size=1, max_size=3).map(tuple)
+    return st.lists(
+        st.builds(
+            Append,
+            st.sampled_from(["w1", "w2"]),
+            batch,
+            st.sampled_from([0.0, 1.0, 1.0, 15.0, 60.0]),
+            st.none() | st.integers(0, 30),
+        ),
+        min_size=1,
+        max_size=25,
+    )
+
+
+def records(
+    batches: Iterable[Append], repeats: bool = True
+) -> list[tuple[float, bytes]]:
+    """Return the records of a stream.
+
+    Without ``repeats`` malformed records stand in their place, so that offsets agree.
+    """
+    time = 1000.0
+    sequences: dict[str, int] = {}
+    found: list[tuple[float, bytes]] = []
+    sent: list[bytes] = []
+    for batch in batches:
+        time += batch.pause
+        sequences[batch.writer] = sequences.get(batch.writer, 0) + 1
+        sent.append(encode_batch(batch.writer, sequences[batch.writer], batch.facts))
+        found.append((time, sent[-1]))
+        if batch.repeated is not None:
+            again = sent[batch.repeated % len(sent)]
+            found.append((time, again if repeats else MALFORMED))
+            found.append((time, MALFORMED))
+    return found
+
+
+def folded(
+    fold: StreamFold, stream: list[tuple[float, bytes]], start: int = 0
+) -> StreamFold:
+    for offset in range(start, len(stream)):
+        fold.apply(offset, *stream[offset])
+    return fold
+
+
+def check_checkpoint(
+    factory: Callable[[], Ledger], facts: st.SearchStrategy[AnyFact]
+) -> None:
+    """A fold restored at any cut and its tail give the bytes of the whole fold."""
+
+    @given(appends(facts), st.integers(0, 60))
+    def search(batches, cut):
+        stream = records(batches)
+        cut = min(cut, len(stream))
+        whole = folded(StreamFold(factory(), WRITER_WINDOW), stream)
+        head = folded(StreamFold(factory(), WRITER_WINDOW), stream[:cut])
+        restored = StreamFold(factory(), WRITER_WINDOW)
+        restored.load(head.dump())
+        assert restored.dump() == head.dump()
+        assert folded(restored, stream, cut).dump() == whole.dump()
+
+    search()
+
+
+def check_repeats(
+    factory: Callable[[], Ledger],
+    facts: st.SearchStrategy[AnyFact],
+    fold_class: type[StreamFold] = StreamFold,
+) -> None:
+    """Batches that land again, and malformed records, change no ledger."""
+
+    @given(appends(facts))
+    def search(batches):
+        once = folded(fold_class(factory()), records(batches, repeats=False))
+        again = folded(fold_class(factory()), records(batches))
+        assert again.ledger.dump() == once.ledger.dump()
+
+    search()
+
+
+LEDGERS = (
+    (budget_ledger, BUDGET_FACTS),
+    (claim_ledger, CLAIM_FACTS),
+    (config_ledger, CONFIG_FACTS),
+)
+
+
+@params(*LEDGERS)
+def test_checkpoint_and_tail_equal_the_whole(factory, facts):
+    """A fold restored from a checkpoint at any cut reaches the state of the whole."""
+    check_checkpoint(factory, facts)
+
+
+@params(*LEDGERS)
+def test_repeated_batches_change_nothing(factory, facts):
+    """A batch that lands again after a lost reply leaves the ledger as it was."""
+    check_repeats(factory, facts)
+
+
+class LedgerWithoutIdentifiers(BudgetLedger):
+    """A simpler version whose checkpoint holds the figures but no identifiers."""
+
+    def load(self, state: bytes) -> None:
+        super().load(state)
+        self._topups.clear()
+        self._billed.clear()
+
+
+class FoldWithoutSequences(StreamFold):
+    """A simpler version that folds each record, whoever wrote it before."""
+
+    def _note_writer(self, batch) -> None:
+        pass
+
+
+def test_checkpoint_without_identifiers_is_found_wrong():
+    """The search finds a cut after which a top-up or a bill counts twice."""
+    assert_violated(lambda: check_checkpoint(LedgerWithoutIdentifiers, BUDGET_FACTS))
+
+
+def test_fold_without_sequences_is_found_wrong():
+    """The search finds a repeated batch that alters a ledger."""
+    assert_violated(
+        lambda: check_repeats(budget_ledger, BUDGET_FACTS, FoldWithoutSequences)
+    )
+
+
+@given(appends(BUDGET_FACTS))
+def test_tokens_of_a_budget_always_add_up(batches):
+    """Deposited = balance + held + billed + duplicate, and no part is negative."""
+    fold = StreamFold(budget_ledger(), WRITER_WINDOW)
+    for offset, record in enumerate(records(batches)):
+        fold.apply(offset, *record)
+        for budget in fold.ledger.budgets():
+            status = fold.ledger.status(budget, live=())
+            assert min(status.balance, status.held, status.billed) >= 0
+            assert min(status.duplicate, status.excess) >= 0
+            assert status.stranded == status.held
