Write checkpoints from the keeper; bound the bytes of a batch

A batch that holds only checkpoint parts got no verdict, so its writer would have appended it for ever: a batch now counts as folded by its sequence number.

--- a/src/knapweeddrum/process/keeper/config_manager.py
+++ b/src/knapweeddrum/process/keeper/config_manager.py
@@ -29,15 +29,19 @@
     """Answers the readers of the configuration and appends operators' changes."""
 
     def __init__(
-        self, stream: KeeperStream[ConfigLedger], clock: Callable[[], float]
+        self,
+        stream: KeeperStream[ConfigLedger],
+        host: str,
+        clock: Callable[[], float],
     ) -> None:
+        self._own_readers = f"{host}/"
         self._stream = stream
         self._clock = clock
         self._readers: dict[str, tuple[int, float]] = {}
 
     async def read(self, req: ConfigRequest) -> ConfigReply:
         """Return the changes after an offset, or a snapshot; waits for a change."""
-        if req.reader:
+        if req.reader.startswith(self._own_readers):
             self._readers[req.reader] = (req.after, self._clock())
         follower = self._stream.follower
         if not follower.ready.is_set():
--- a/src/knapweeddrum/process/keeper/keeper_process.py
+++ b/src/knapweeddrum/process/keeper/keeper_process.py
@@ -15,6 +15,8 @@
 from knapweeddrum.core.budget.weigh import Weigh
 from knapweeddrum.core.claim.claim_ledger import ClaimLedger
 from knapweeddrum.core.config.config_ledger import ConfigLedger
+from knapweeddrum.core.fold.checkpoint_policy import CheckpointPolicy
+from knapweeddrum.core.fold.fact_verdict import FactVerdict
 from knapweeddrum.core.fold.ledger import Ledger
 from knapweeddrum.core.fold.stream_fold import StreamFold
 from knapweeddrum.core.membership.member_table import MemberTable
@@ -24,6 +26,7 @@
 from knapweeddrum.platform.append_log import AppendLog
 from knapweeddrum.platform.host_list import HostList
 from knapweeddrum.process.keeper.budget_reader import BudgetReader
+from knapweeddrum.process.keeper.checkpoint_task import CheckpointTask
 from knapweeddrum.process.keeper.claim_manager import ClaimManager
 from knapweeddrum.process.keeper.config_manager import ConfigManager
 from knapweeddrum.process.keeper.grant_manager import GrantManager
@@ -88,7 +91,7 @@
         budgets = [self._stream(f"budget-{n}", BudgetLedger()) for n in shards]
         claims = [self._stream(f"claim-{n}", ClaimLedger()) for n in shards]
         self._streams: list[KeeperStream[Ledger]] = [config, *budgets, *claims]
-        self._config = ConfigManager(config, clock)
+        self._config = ConfigManager(config, own.name, clock)
         transfers = TransferClient(self._incarnation, self._membership, peers, rng)
         self._grants = GrantManager(
             self._incarnation,
@@ -98,6 +101,17 @@
             transfers,
             clock,
         )
+        platform = settings.platform
+        self._checkpoints = CheckpointTask(
+            self._incarnation,
+            self._streams,
+            CheckpointPolicy(
+                platform.checkpoint_records, platform.log_retention_seconds
+            ),
+            self._membership,
+            time.time,
+            events,
+        )
         self._parts = KeeperParts(
             grants=self._grants,
             claims=ClaimManager(claims),
@@ -121,6 +135,7 @@
                 tasks.start_soon(stream.appender.run)
             tasks.start_soon(self._membership.run)
             tasks.start_soon(self._grants.run)
+            tasks.start_soon(self._checkpoints.run)
             service = KeeperService(self._parts)
             address = str(own.address)
             async with rpc_server(
@@ -157,10 +172,12 @@
             self._log, name, fold, self._peer_records, self._events
         )
         appender = LogAppender(self._log, name, self._incarnation, self._metrics)
-        follower.listen(appender.on_verdicts)
-        follower.listen_for_jumps(
-            lambda: appender.on_jump(fold.last_sequence(self._incarnation))
-        )
+
+        def on_folded(verdicts: tuple[FactVerdict, ...] = ()) -> None:
+            appender.on_folded(verdicts, fold.last_sequence(self._incarnation))
+
+        follower.listen(on_folded)
+        follower.listen_for_jumps(on_folded)
         return KeeperStream(ledger, follower, appender)
 
     def _policy(self) -> DemandHorizon:
--- a/src/knapweeddrum/process/keeper/log_appender.py
+++ b/src/knapweeddrum/process/keeper/log_appender.py
@@ -8,6 +8,7 @@
 
 from knapweeddrum.core.fold.fact_verdict import FactVerdict
 from knapweeddrum.message.fact.any_fact import AnyFact
+from knapweeddrum.message.fact.fact_codec import encode_fact
 from knapweeddrum.platform.append_log import AppendLog
 from knapweeddrum.platform.exceptions import AppendUnknownError, PlatformError
 from knapweeddrum.process.keeper.exceptions import (
@@ -21,6 +22,7 @@
 
 BATCH_WINDOW_SECONDS = 0.005
 BATCH_FACTS_LIMIT = 500
+BATCH_BYTES_LIMIT = 512 * 1024
 READ_BACK_SECONDS = 1.0
 BACKOFF_FIRST_SECONDS = 0.1
 BACKOFF_LIMIT_SECONDS = 2.0
@@ -70,7 +72,7 @@
 
     def submit(self, fact: AnyFact) -> PendingFact:
         """Queue a fact that is appended sooner or later, whatever it takes."""
-        entry = PendingFact(fact)
+        entry = PendingFact(encode_fact(fact))
         self._queue.append(entry)
         self._wakeup.set()
         return entry
@@ -80,27 +82,21 @@
         """Return whether no fact waits to be appended or read back."""
         return not self._queue and self._batch is None
 
-    def on_verdicts(self, verdicts: Iterable[FactVerdict]) -> None:
-        """Take the verdicts of a folded record."""
-        batch = self._batch
-        if batch is None:
-            return
-        for verdict in verdicts:
-            if (verdict.writer, verdict.sequence) != (self.writer, batch.sequence):
-                continue
-            entry = batch.entries[verdict.index]
-            entry.verdict = verdict
-            entry.decided.set()
-            batch.folded.set()
-
-    def on_jump(self, last_sequence: int | None) -> None:
-        """Take note that a loaded state has skipped records.
+    def on_folded(
+        self, verdicts: Iterable[FactVerdict], last_sequence: int | None
+    ) -> None:
+        """Take the verdicts of a folded record, or of none after a loaded state.
 
-        A batch that the state covers is on the log, but its verdicts were skipped.
+        ``last_sequence`` is the last of this writer that the fold has. Entries of a
+        folded batch that got no verdict are decided without one: checkpoint parts,
+        and facts whose verdicts a loaded state has skipped.
         """
         batch = self._batch
         if batch is None or last_sequence is None or last_sequence < batch.sequence:
             return
+        for verdict in verdicts:
+            if (verdict.writer, verdict.sequence) == (self.writer, batch.sequence):
+                batch.entries[verdict.index].verdict = verdict
         for entry in batch.entries:
             entry.decided.set()
         batch.folded.set()
@@ -111,9 +107,7 @@
             await self._wait_for_facts()
             await anyio.sleep(BATCH_WINDOW_SECONDS)
             self._sequence += 1
-            entries = self._queue[:BATCH_FACTS_LIMIT]
-            del self._queue[:BATCH_FACTS_LIMIT]
-            self._batch = PendingBatch(self._sequence, entries)
+            self._batch = PendingBatch(self._sequence, self._take_entries())
             await self._land(self._batch)
             self._batch = None
 
@@ -122,6 +116,19 @@
             self._wakeup = anyio.Event()
             await self._wakeup.wait()
 
+    def _take_entries(self) -> list[PendingFact]:
+        """Take facts out of the queue, up to the limits of one batch."""
+        count = 0
+        size = 0
+        for entry in self._queue[:BATCH_FACTS_LIMIT]:
+            size += len(entry.encoded)
+            if count and size > BATCH_BYTES_LIMIT:
+                break
+            count += 1
+        entries = self._queue[:count]
+        del self._queue[:count]
+        return entries
+
     async def _land(self, batch: PendingBatch) -> None:
         """Append the batch until it has been read back, or all was withdrawn."""
         backoff = BACKOFF_FIRST_SECONDS
--- a/src/knapweeddrum/process/keeper/pending_batch.py
+++ b/src/knapweeddrum/process/keeper/pending_batch.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from knapweeddrum.message.fact.fact_codec import encode_batch
+from knapweeddrum.message.fact.fact_codec import join_batch
 from knapweeddrum.process.keeper.pending_fact import PendingFact
 
 
@@ -21,5 +21,5 @@
 
     def payload(self, writer: str) -> bytes:
         """Return the record's payload."""
-        facts = tuple(entry.fact for entry in self.entries)
-        return encode_batch(writer, self.sequence, facts)
+        encoded = tuple(entry.encoded for entry in self.entries)
+        return join_batch(writer, self.sequence, encoded)
--- /dev/null
+++ b/src/knapweeddrum/process/keeper/record_times.py
@@ -0,0 +1,33 @@
+"""The log's time stamps of recent records, sparsely."""
+
+from __future__ import annotations
+
+import bisect
+
+STEP_SECONDS = 1.0
+ENTRY_LIMIT = 4096
+
+
+class RecordTimes:
+    """Time stamps by offset, at most one for each second of log time."""
+
+    def __init__(self) -> None:
+        self._offsets: list[int] = []
+        self._times: list[float] = []
+
+    def add(self, offset: int, time: float) -> None:
+        """Keep the time stamp (Unix s) of a record."""
+        if self._times and time - self._times[-1] < STEP_SECONDS:
+            return
+        self._offsets.append(offset)
+        self._times.append(time)
+        if len(self._offsets) > ENTRY_LIMIT:
+            del self._offsets[: ENTRY_LIMIT // 2]
+            del self._times[: ENTRY_LIMIT // 2]
+
+    def at(self, offset: int) -> float | None:
+        """Return the time of a record, or a little less; None when none is known."""
+        if not self._offsets:
+            return None
+        index = bisect.bisect_right(self._offsets, offset) - 1
+        return self._times[max(0, index)]
--- a/src/knapweeddrum/process/keeper/stream_follower.py
+++ b/src/knapweeddrum/process/keeper/stream_follower.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from knapweeddrum.core.fold.checkpoint_need import CheckpointNeed
 from knapweeddrum.core.fold.checkpoint_reader import CheckpointReader
 from knapweeddrum.core.fold.fact_verdict import FactVerdict
 from knapweeddrum.core.fold.stream_fold import StreamFold
@@ -16,6 +17,7 @@
 from knapweeddrum.platform.log_record import LogRecord
 from knapweeddrum.process.keeper.record_buffer import RecordBuffer
 from knapweeddrum.process.keeper.record_source import RecordSource
+from knapweeddrum.process.keeper.record_times import RecordTimes
 from knapweeddrum.telemetry.event_log import EventLog
 from knapweeddrum.telemetry.events import (
     LOG_LOST,
@@ -55,6 +57,8 @@
         self._peers = peers
         self._events = events
         self._buffer = RecordBuffer()
+        self._checkpoints = CheckpointReader()
+        self._times = RecordTimes()
         self._listeners: list[VerdictListener] = []
         self._jump_listeners: list[JumpListener] = []
         self._advanced = anyio.Event()
@@ -74,6 +78,16 @@
             while self.fold.position <= offset:
                 await self._advanced.wait()
 
+    def checkpoint_need(self, unix_time: float) -> CheckpointNeed:
+        """Return what speaks for a checkpoint at ``unix_time`` (s)."""
+        newest = self._checkpoints.newest(self.first_kept)
+        covers = newest.covers if newest else self.first_kept - 1
+        oldest = self._times.at(covers + 1)
+        return CheckpointNeed(
+            records=self.fold.position - covers,
+            oldest_age=0.0 if oldest is None else unix_time - oldest,
+        )
+
     def held_for_peer(self, start: int, limit: int) -> FetchReply:
         """Return records from ``start`` on, or the whole state when they are gone."""
         if not self.ready.is_set() or start > self.fold.position:
@@ -157,6 +171,8 @@
     def _fold_records(self, records: Iterable[LogRecord]) -> None:
         for record in records:
             verdicts = self.fold.apply(record.offset, record.time, record.payload)
+            self._times.add(record.offset, record.time)
+            self._checkpoints.read(record.offset, record.payload)
             self._buffer.add(HeldRecord(record.offset, record.time, record.payload))
             for listener in self._listeners:
                 listener(verdicts)
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -25,3 +25,6 @@
 CONTROL_REFUSED = Event(
     400, "control_refused", "info", ("reason", "method", "path", "run_state")
 )
+CHECKPOINT_WRITTEN = Event(
+    305, "checkpoint_written", "info", ("stream", "covers", "parts")
+)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -138,7 +138,7 @@
 
 def budget_status(fleet: SmallFleet) -> dict[str, int]:
     """Return the budget as the keepers' fold has it."""
-    return json.loads(client(fleet, "budgets", BUDGET))[0]
+    return json.loads(client(fleet, "budgets", BUDGET))["budgets"][0]
 
 
 def settled_status(fleet: SmallFleet) -> dict[str, int]:
