--- /dev/null
+++ b/src/knapweeddrum/process/router/body_reader.py
@@ -0,0 +1,38 @@
+"""Reader of request bodies with a limit."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, MutableMapping
+from typing import Any
+
+from knapweeddrum.process.router.exceptions import CallerGoneError, refused
+from knapweeddrum.value.refusal_reason import RefusalReason
+
+Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
+
+
+async def read_body(receive: Receive, limit_bytes: int) -> bytes:
+    """Return the whole body of an ASGI request.
+
+    Raises RefusedError once the body is longer than ``limit_bytes``, and
+    CallerGoneError when the caller closes its connection first.
+    """
+    chunks: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise CallerGoneError
+        chunk: bytes = message.get("body", b"")
+        size += len(chunk)
+        if size > limit_bytes:
+            raise refused(RefusalReason.BODY_TOO_LARGE, f"limit: {limit_bytes} bytes")
+        chunks.append(chunk)
+        if not message.get("more_body", False):
+            return b"".join(chunks)
+
+
+async def wait_disconnect(receive: Receive) -> None:
+    """Return once the caller has closed its connection."""
+    while (await receive())["type"] != "http.disconnect":
+        continue
--- /dev/null
+++ b/src/knapweeddrum/process/router/caller_headers.py
@@ -0,0 +1,132 @@
+"""The request headers that the router understands, checked at the border."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import re
+from collections.abc import Iterable
+
+from knapweeddrum.process.router.exceptions import refused
+from knapweeddrum.value.priority import Priority
+from knapweeddrum.value.refusal_reason import RefusalReason
+
+IDENTIFIER = re.compile(r"[A-Za-z0-9._:@~-]{1,128}")
+"""What request identifiers and idempotency keys look like."""
+
+BUDGET = re.compile(r"[A-Za-z0-9._-]{1,64}")
+
+DEADLINE_LIMIT_SECONDS = 3600.0
+DEFAULT_BUDGET = "main"
+
+_PRIORITIES = {priority.name.lower(): priority for priority in Priority}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerHeaders:
+    """Empty strings stand for absent headers; ``deadline`` is in seconds from now."""
+
+    key: str
+    request_id: str
+    idempotency_key: str
+    budget: str
+    deadline: float | None
+    priority: Priority
+    content_type: str
+
+    @classmethod
+    def parse(
+        cls, pairs: Iterable[tuple[bytes, bytes]], limit_bytes: int
+    ) -> CallerHeaders:
+        """Return the checked headers.
+
+        Raises RefusedError for headers above ``limit_bytes`` in all, for a repeated
+        header and for a value that is not allowed.
+        """
+        values = _single_values(pairs, limit_bytes)
+        return cls(
+            key=_bearer_key(values.get("authorization", "")),
+            request_id=_matching(values, "x-request-id", IDENTIFIER),
+            idempotency_key=_matching(values, "idempotency-key", IDENTIFIER),
+            budget=_matching(values, "knapweed-budget", BUDGET) or DEFAULT_BUDGET,
+            deadline=_deadline(values.get("knapweed-deadline", "")),
+            priority=_priority(values.get("knapweed-priority", "live")),
+            content_type=values.get("content-type", ""),
+        )
+
+
+_KNOWN = {
+    "authorization",
+    "x-request-id",
+    "idempotency-key",
+    "knapweed-budget",
+    "knapweed-deadline",
+    "knapweed-priority",
+    "content-type",
+}
+
+
+def _single_values(
+    pairs: Iterable[tuple[bytes, bytes]], limit_bytes: int
+) -> dict[str, str]:
+    """Return the known headers by lower-case name."""
+    values: dict[str, str] = {}
+    size = 0
+    for raw_name, raw_value in pairs:
+        size += len(raw_name) + len(raw_value)
+        name = raw_name.decode("latin-1").lower()
+        if name not in _KNOWN:
+            continue
+        if name in values:
+            raise refused(RefusalReason.BAD_REQUEST, f"header {name}: given twice")
+        values[name] = raw_value.decode("latin-1").strip()
+    if size > limit_bytes:
+        raise refused(
+            RefusalReason.BAD_REQUEST, f"headers: more than {limit_bytes} bytes"
+        )
+    return values
+
+
+def _bearer_key(value: str) -> str:
+    """Return the key of an Authorization header, empty for another scheme."""
+    scheme, _, key = value.partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def _matching(values: dict[str, str], name: str, pattern: re.Pattern[str]) -> str:
+    """Return a header's value, checked against a pattern; empty when absent."""
+    value = values.get(name)
+    if value is None:
+        return ""
+    if not pattern.fullmatch(value):
+        raise refused(
+            RefusalReason.BAD_REQUEST, f"header {name}: want {pattern.pattern}"
+        )
+    return value
+
+
+def _deadline(value: str) -> float | None:
+    """Return the seconds of a deadline header, None when absent."""
+    if not value:
+        return None
+    try:
+        seconds = float(value)
+    except ValueError:
+        seconds = math.nan
+    if not 0 < seconds <= DEADLINE_LIMIT_SECONDS:
+        raise refused(
+            RefusalReason.BAD_REQUEST,
+            f"header knapweed-deadline: want seconds in (0, {DEADLINE_LIMIT_SECONDS}]",
+        )
+    return seconds
+
+
+def _priority(value: str) -> Priority:
+    """Return the priority class of a header."""
+    priority = _PRIORITIES.get(value.lower())
+    if priority is None:
+        allowed = ", ".join(_PRIORITIES)
+        raise refused(
+            RefusalReason.BAD_REQUEST, f"header knapweed-priority: want {allowed}"
+        )
+    return priority
--- /dev/null
+++ b/src/knapweeddrum/process/router/chat_answer.py
@@ -0,0 +1,19 @@
+"""A whole answer."""
+
+from __future__ import annotations
+
+import msgspec
+
+from knapweeddrum.process.router.chat_choice import ChatChoice
+from knapweeddrum.process.router.chat_usage import ChatUsage
+
+
+class ChatAnswer(msgspec.Struct, frozen=True):
+    """The customary chat-completion object."""
+
+    id: str
+    model: str
+    created: int
+    choices: tuple[ChatChoice, ...]
+    usage: ChatUsage
+    object: str = "chat.completion"
--- /dev/null
+++ b/src/knapweeddrum/process/router/chat_choice.py
@@ -0,0 +1,15 @@
+"""The choice of a whole answer."""
+
+from __future__ import annotations
+
+import msgspec
+
+from knapweeddrum.process.router.chat_delta import ChatDelta
+
+
+class ChatChoice(msgspec.Struct, frozen=True):
+    """The only choice of an answer."""
+
+    message: ChatDelta
+    finish_reason: str
+    index: int = 0
--- /dev/null
+++ b/src/knapweeddrum/process/router/collaborators.py
@@ -0,0 +1,33 @@
+"""What the composition root gives to a router."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+from knapweeddrum.process.router.endpoint_clients import EndpointClients
+from knapweeddrum.rpc.caller import Caller
+from knapweeddrum.settings.settings import Settings
+from knapweeddrum.telemetry.event_log import EventLog
+from knapweeddrum.telemetry.metrics import Metrics
+from knapweeddrum.value.identifiers import Incarnation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Collaborators:
+    """``clock`` gives monotonic seconds, ``wall_clock`` Unix seconds."""
+
+    settings: Settings
+    keeper: Caller
+    clients: EndpointClients
+    events: EventLog
+    metrics: Metrics
+    rng: random.Random
+    clock: Callable[[], float]
+    wall_clock: Callable[[], float]
+    incarnation: Incarnation
+
+    def mint(self) -> str:
+        """Return a fresh identifier of 96 random bits."""
+        return f"{self.rng.getrandbits(96):024x}"
--- /dev/null
+++ b/src/knapweeddrum/process/router/config_follower.py
@@ -0,0 +1,90 @@
+"""Task that keeps the configuration in force up to date."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+
+from knapweeddrum.message.call.config_reply import ConfigReply
+from knapweeddrum.message.call.config_request import ConfigRequest
+from knapweeddrum.process.router.backoff import Backoff
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.resource_table import ResourceTable
+from knapweeddrum.rpc.exceptions import RpcError
+from knapweeddrum.rpc.keeper_methods import CONFIG
+from knapweeddrum.telemetry.events import (
+    CONFIG_IN_FORCE,
+    DEPENDENCY_READY,
+    WAITING,
+)
+
+POLL_WAIT_SECONDS = 10.0
+"""How long the keeper holds a poll without a change."""
+
+REPLY_MARGIN_SECONDS = 5.0
+FIRST_DELAY_SECONDS = 0.1
+LONGEST_DELAY_SECONDS = 2.0
+
+_DEPENDENCY = "keeper configuration"
+
+
+class ConfigFollower:
+    """Long-polls the keeper and applies what changed to the table that it owns."""
+
+    def __init__(self, parts: Collaborators, on_change: Callable[[], Awaitable[None]]) -> None:
+        self.table = ResourceTable()
+        self._parts = parts
+        self._on_change = on_change
+        self._waiting = False
+
+    async def run(self) -> None:
+        """Follow the configuration until cancelled."""
+        backoff = Backoff(self._parts.rng, FIRST_DELAY_SECONDS, LONGEST_DELAY_SECONDS)
+        while True:
+            try:
+                reply = await self._poll()
+            except RpcError as exc:
+                self._emit_waiting(str(exc))
+                await anyio.sleep(backoff.delay())
+                continue
+            if reply.offset < 0:
+                self._emit_waiting("the keeper has no state yet")
+                await anyio.sleep(backoff.delay())
+                continue
+            backoff.reset()
+            self._emit_ready()
+            if not await self._apply(reply):
+                await anyio.sleep(FIRST_DELAY_SECONDS)
+
+    async def _poll(self) -> ConfigReply:
+        """Ask for changes; the asked offset tells the keeper what is in force here."""
+        req = ConfigRequest(
+            after=self.table.offset,
+            wait=POLL_WAIT_SECONDS,
+            reader=self._parts.incarnation,
+        )
+        timeout = POLL_WAIT_SECONDS + REPLY_MARGIN_SECONDS
+        return await self._parts.keeper.call(CONFIG, req, timeout)
+
+    async def _apply(self, reply: ConfigReply) -> bool:
+        """Take a reply over and tell of it; return whether it was new."""
+        if not self.table.apply(reply):
+            return False
+        self._parts.events.emit(CONFIG_IN_FORCE, offset=self.table.offset)
+        await self._on_change()
+        return True
+
+    def _emit_waiting(self, error: str) -> None:
+        """Log the start of an outage once."""
+        if self._waiting:
+            return
+        self._waiting = True
+        self._parts.events.emit(WAITING, dependency=_DEPENDENCY, error=error)
+
+    def _emit_ready(self) -> None:
+        """Log the end of an outage."""
+        if not self._waiting:
+            return
+        self._waiting = False
+        self._parts.events.emit(DEPENDENCY_READY, dependency=_DEPENDENCY)
--- /dev/null
+++ b/src/knapweeddrum/process/router/endpoint_directory.py
@@ -0,0 +1,142 @@
+"""The endpoints of the configuration, with their clients and views."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Collection
+
+from knapweeddrum.core.routing.endpoint_table import EndpointTable
+from knapweeddrum.core.routing.request_features import RequestFeatures
+from knapweeddrum.core.routing.retry_budget import RetryBudget
+from knapweeddrum.core.routing.retry_policy import RetryPolicy
+from knapweeddrum.core.routing.sampled_load import SampledLoad
+from knapweeddrum.endpoint.model_engine import ModelEngine
+from knapweeddrum.endpoint.plain_service import PlainService
+from knapweeddrum.message.resource.endpoint import Endpoint
+from knapweeddrum.message.resource.route import Route
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.exceptions import refused
+from knapweeddrum.value.endpoint_kind import EndpointKind
+from knapweeddrum.value.identifiers import DataCentre, EndpointName
+from knapweeddrum.value.refusal_reason import RefusalReason
+
+NO_ENDPOINT_RETRY_SECONDS = 2.0
+
+
+class EndpointDirectory:
+    """Chooses endpoints and holds a client for each.
+
+    A client outlives its endpoint's removal from the configuration, because runs may
+    still have to be cancelled or asked for their usage there.
+    """
+
+    def __init__(self, parts: Collaborators) -> None:
+        self.table = EndpointTable()
+        self._parts = parts
+        self._policy = SampledLoad(parts.rng)
+        self._endpoints: dict[EndpointName, Endpoint] = {}
+        self._clients: dict[EndpointName, ModelEngine | PlainService] = {}
+        self._retries: dict[str, RetryPolicy] = {}
+        self._stack = contextlib.AsyncExitStack()
+
+    async def configure(self, endpoints: dict[str, Endpoint]) -> None:
+        """Take the endpoints of a new configuration over."""
+        now = self._parts.clock()
+        for name in [known for known in self._endpoints if known not in endpoints]:
+            self.table.remove(name)
+            del self._endpoints[name]
+        for plain_name, endpoint in endpoints.items():
+            await self._configure_one(EndpointName(plain_name), endpoint, now)
+
+    def names(self) -> tuple[EndpointName, ...]:
+        """Return the names of the configured endpoints."""
+        return tuple(self._endpoints)
+
+    def choose(
+        self,
+        route: Route,
+        features: RequestFeatures,
+        repeatable: bool,
+        exclude: Collection[EndpointName] = (),
+    ) -> EndpointName:
+        """Return the endpoint for an attempt.
+
+        Raises RefusedError when none is left or all are full.
+        """
+        now = self._parts.clock()
+        names = [EndpointName(name) for name in route.endpoints]
+        candidates = self.table.candidates(names, now, allow_probe=repeatable)
+        candidates = tuple(v for v in candidates if self._has_kind(v.name, route.kind))
+        chosen = self._policy.choose(candidates, features, now, exclude)
+        if chosen is not None:
+            return chosen
+        if candidates and not exclude:
+            raise refused(
+                RefusalReason.OVERLOADED,
+                "all endpoints of the route are full",
+                NO_ENDPOINT_RETRY_SECONDS,
+            )
+        raise refused(
+            RefusalReason.NO_ENDPOINT,
+            "no endpoint of the route is available",
+            NO_ENDPOINT_RETRY_SECONDS,
+        )
+
+    def engine(self, name: EndpointName) -> ModelEngine | None:
+        """Return the client of a model engine; None when it was never known."""
+        client = self._clients.get(name)
+        return client if isinstance(client, ModelEngine) else None
+
+    def service(self, name: EndpointName) -> PlainService | None:
+        """Return the client of a plain service; None when it was never known."""
+        client = self._clients.get(name)
+        return client if isinstance(client, PlainService) else None
+
+    def retry_policy(self, route_name: str) -> RetryPolicy:
+        """Return the policy that the requests of a route share."""
+        policy = self._retries.get(route_name)
+        if policy is None:
+            budget = RetryBudget(self._parts.clock())
+            policy = RetryPolicy(self._parts.rng, budget)
+            self._retries[route_name] = policy
+        return policy
+
+    async def close(self) -> None:
+        """Close all clients."""
+        self._clients.clear()
+        await self._stack.aclose()
+
+    async def _configure_one(
+        self, name: EndpointName, endpoint: Endpoint, now: float
+    ) -> None:
+        """Add one endpoint, or change it; a new address takes a new client."""
+        before = self._endpoints.get(name)
+        if before is None or not _same_target(before, endpoint):
+            await self._replace_client(name, endpoint)
+        self._endpoints[name] = endpoint
+        self.table.configure(
+            name,
+            endpoint.slots,
+            now,
+            DataCentre(endpoint.data_centre),
+            endpoint.leaving,
+        )
+
+    async def _replace_client(self, name: EndpointName, endpoint: Endpoint) -> None:
+        """Make a client; one that it replaces stays open for runs in progress."""
+        clients = self._parts.clients
+        if endpoint.kind is EndpointKind.MODEL_ENGINE:
+            engine = clients.engine(endpoint)
+            self._clients[name] = await self._stack.enter_async_context(engine)
+        else:
+            service = clients.service(endpoint)
+            self._clients[name] = await self._stack.enter_async_context(service)
+
+    def _has_kind(self, name: EndpointName, kind: EndpointKind) -> bool:
+        endpoint = self._endpoints.get(name)
+        return endpoint is not None and endpoint.kind is kind
+
+
+def _same_target(before: Endpoint, after: Endpoint) -> bool:
+    """Return whether a client of one endpoint serves the other."""
+    return before.kind is after.kind and before.address == after.address
--- /dev/null
+++ b/src/knapweeddrum/process/router/entry_follower.py
@@ -0,0 +1,38 @@
+"""Task that keeps the list of entry hosts up to date."""
+
+from __future__ import annotations
+
+import anyio
+
+from knapweeddrum.message.call.entry_host import EntryHost
+from knapweeddrum.message.call.entry_request import EntryRequest
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.rpc.exceptions import RpcError
+from knapweeddrum.rpc.keeper_methods import ENTRY
+
+POLL_INTERVAL_SECONDS = 2.0
+CALL_TIMEOUT_SECONDS = 2.0
+
+
+class EntryFollower:
+    """Polls the keeper; keeps the last known hosts while the keeper is silent."""
+
+    def __init__(self, parts: Collaborators) -> None:
+        self.hosts: tuple[EntryHost, ...] = ()
+        self._parts = parts
+
+    async def run(self) -> None:
+        """Follow the hosts until cancelled."""
+        while True:
+            await self.poll()
+            await anyio.sleep(POLL_INTERVAL_SECONDS)
+
+    async def poll(self) -> None:
+        """Ask the keeper once."""
+        req = EntryRequest(router=self._parts.incarnation)
+        try:
+            reply = await self._parts.keeper.call(ENTRY, req, CALL_TIMEOUT_SECONDS)
+        except RpcError:
+            return
+        if reply.hosts:
+            self.hosts = reply.hosts
--- /dev/null
+++ b/src/knapweeddrum/process/router/load_poller.py
@@ -0,0 +1,62 @@
+"""Task that polls the load of one endpoint."""
+
+from __future__ import annotations
+
+import anyio
+
+from knapweeddrum.core.routing.load_sample import LoadSample
+from knapweeddrum.endpoint.exceptions import EndpointError
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.endpoint_directory import EndpointDirectory
+from knapweeddrum.value.identifiers import EndpointName
+
+SHORTEST_INTERVAL_SECONDS = 0.5
+
+POLLS_PER_SECOND = 8.0
+"""Polls of all endpoints together, so that their cost stays flat per router."""
+
+TIMEOUT_SECONDS = 2.0
+
+
+class LoadPoller:
+    """Feeds the load reports of one endpoint to its view.
+
+    The interval grows with the number of endpoints.
+    """
+
+    def __init__(
+        self, parts: Collaborators, directory: EndpointDirectory, name: EndpointName
+    ) -> None:
+        self._parts = parts
+        self._directory = directory
+        self._name = name
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            await self.poll()
+            count = len(self._directory.names())
+            interval = max(SHORTEST_INTERVAL_SECONDS, count / POLLS_PER_SECOND)
+            await anyio.sleep(interval * self._parts.rng.uniform(0.8, 1.2))
+
+    async def poll(self) -> None:
+        """Take one report; a silent endpoint is left to the results of attempts."""
+        client = self._directory.engine(self._name) or self._directory.service(
+            self._name
+        )
+        if client is None:
+            return
+        asked_at = self._parts.clock()
+        try:
+            with anyio.fail_after(TIMEOUT_SECONDS):
+                report = await client.load()
+        except (EndpointError, TimeoutError):
+            return
+        sample = LoadSample(
+            running=report.running,
+            queued=report.queued,
+            slots=report.slots,
+            measured_at=asked_at,
+            leaving=report.leaving,
+        )
+        self._directory.table.report_load(self._name, sample)
--- /dev/null
+++ b/src/knapweeddrum/process/router/outcome_recorder.py
@@ -0,0 +1,65 @@
+"""Recording of the outcomes of claimed requests."""
+
+from __future__ import annotations
+
+import anyio
+import anyio.abc
+
+from knapweeddrum.message.call.outcome_request import OutcomeRequest
+from knapweeddrum.process.router.backoff import Backoff
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.rpc.exceptions import RpcError
+from knapweeddrum.rpc.keeper_methods import OUTCOME
+from knapweeddrum.telemetry.events import OUTCOME_LATE
+from knapweeddrum.value.retry_reason import RetryReason
+
+ANSWER_WAIT_SECONDS = 1.0
+"""How long an answer is held back for its outcome to be on the log."""
+
+CALL_TIMEOUT_SECONDS = 5.0
+FIRST_DELAY_SECONDS = 0.05
+LONGEST_DELAY_SECONDS = 2.0
+
+
+class OutcomeRecorder:
+    """Repeats each outcome until the keeper has it on the log.
+
+    The outcome is recorded before the caller is answered, so that a caller that asks
+    again after any answer finds it. The wait is bounded: when the log is down, the
+    caller gets its answer all the same, and recording goes on in the background.
+    """
+
+    def __init__(self, parts: Collaborators, tasks: anyio.abc.TaskGroup) -> None:
+        self._parts = parts
+        self._tasks = tasks
+        self.unrecorded = 0
+
+    async def record(self, req: OutcomeRequest) -> None:
+        """Return once the outcome is on the log, or after the bounded wait."""
+        recorded = anyio.Event()
+        self.start(req, recorded)
+        with anyio.move_on_after(ANSWER_WAIT_SECONDS) as scope:
+            await recorded.wait()
+        if scope.cancelled_caught:
+            self._parts.events.emit(OUTCOME_LATE, claim_key=req.claim_key)
+
+    def start(self, req: OutcomeRequest, recorded: anyio.Event | None = None) -> None:
+        """Record in the background and set the event once it is done."""
+        self.unrecorded += 1
+        self._tasks.start_soon(self._repeat, req, recorded or anyio.Event())
+
+    async def _repeat(self, req: OutcomeRequest, recorded: anyio.Event) -> None:
+        backoff = Backoff(self._parts.rng, FIRST_DELAY_SECONDS, LONGEST_DELAY_SECONDS)
+        while not await self._is_accepted(req):
+            self._parts.metrics.retry(RetryReason.KEEPER_UNREACHABLE)
+            await anyio.sleep(backoff.delay())
+        self.unrecorded -= 1
+        recorded.set()
+
+    async def _is_accepted(self, req: OutcomeRequest) -> bool:
+        """Send the outcome once."""
+        try:
+            reply = await self._parts.keeper.call(OUTCOME, req, CALL_TIMEOUT_SECONDS)
+        except RpcError:
+            return False
+        return reply.accepted
--- /dev/null
+++ b/src/knapweeddrum/process/router/poller_group.py
@@ -0,0 +1,41 @@
+"""The load pollers of the configured endpoints."""
+
+from __future__ import annotations
+
+import anyio
+import anyio.abc
+
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.endpoint_directory import EndpointDirectory
+from knapweeddrum.process.router.load_poller import LoadPoller
+from knapweeddrum.value.identifiers import EndpointName
+
+
+class PollerGroup:
+    """Runs one poller for each endpoint, and stops those of removed endpoints."""
+
+    def __init__(
+        self,
+        parts: Collaborators,
+        directory: EndpointDirectory,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        self._parts = parts
+        self._directory = directory
+        self._tasks = tasks
+        self._scopes: dict[EndpointName, anyio.CancelScope] = {}
+
+    def update(self) -> None:
+        """Start and stop pollers after a change of the configuration."""
+        names = self._directory.names()
+        for gone in [name for name in self._scopes if name not in names]:
+            self._scopes.pop(gone).cancel()
+        for name in names:
+            if name not in self._scopes:
+                scope = anyio.CancelScope()
+                self._scopes[name] = scope
+                self._tasks.start_soon(self._poll, name, scope)
+
+    async def _poll(self, name: EndpointName, scope: anyio.CancelScope) -> None:
+        with scope:
+            await LoadPoller(self._parts, self._directory, name).run()
--- /dev/null
+++ b/src/knapweeddrum/process/router/settler.py
@@ -0,0 +1,103 @@
+"""Task that brings settlements and returned allowances to the keeper."""
+
+from __future__ import annotations
+
+import math
+
+import anyio
+
+from knapweeddrum.message.call.allowance import Allowance
+from knapweeddrum.message.call.settle_request import SettleRequest
+from knapweeddrum.message.call.settlement import Settlement
+from knapweeddrum.process.router.backoff import Backoff
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.rpc.exceptions import RpcError
+from knapweeddrum.rpc.keeper_methods import SETTLE
+from knapweeddrum.telemetry.counters import SETTLED
+from knapweeddrum.value.retry_reason import RetryReason
+
+BATCH_LIMIT = 256
+"""Entries in one request to the keeper."""
+
+CALL_TIMEOUT_SECONDS = 5.0
+FIRST_DELAY_SECONDS = 0.05
+LONGEST_DELAY_SECONDS = 2.0
+
+
+class Settler:
+    """Sends each entry until the keeper has accepted it, in the order of arrival.
+
+    A batch keeps its identifier while it is repeated, so that a lost reply is
+    harmless. Nothing is dropped while the process lives.
+    """
+
+    def __init__(self, parts: Collaborators) -> None:
+        self._parts = parts
+        self._send, self._receive = anyio.create_memory_object_stream[
+            Settlement | Allowance
+        ](math.inf)
+        self._unaccepted = 0
+        self._idle = anyio.Event()
+        self._idle.set()
+
+    @property
+    def unaccepted(self) -> int:
+        """Return how many entries the keeper has not accepted yet."""
+        return self._unaccepted
+
+    def add(self, *entries: Settlement | Allowance) -> None:
+        """Queue settlements and returned allowances."""
+        for entry in entries:
+            self._send.send_nowait(entry)
+            self._unaccepted += 1
+        if self._unaccepted and self._idle.is_set():
+            self._idle = anyio.Event()
+
+    async def flush(self) -> None:
+        """Return once the keeper has accepted everything queued so far."""
+        await self._idle.wait()
+
+    async def run(self) -> None:
+        """Send until cancelled."""
+        async for entry in self._receive:
+            batch = self._collect(entry)
+            await self._send_until_accepted(batch)
+            self._accepted(len(batch))
+
+    def _collect(self, first: Settlement | Allowance) -> list[Settlement | Allowance]:
+        """Return the first entry and those that wait behind it."""
+        batch = [first]
+        while len(batch) < BATCH_LIMIT:
+            try:
+                batch.append(self._receive.receive_nowait())
+            except anyio.WouldBlock:
+                break
+        return batch
+
+    async def _send_until_accepted(self, batch: list[Settlement | Allowance]) -> None:
+        """Repeat one request until the keeper accepts it."""
+        req = SettleRequest(
+            settle_id=self._parts.mint(),
+            router=self._parts.incarnation,
+            settlements=tuple(e for e in batch if isinstance(e, Settlement)),
+            returns=tuple(e for e in batch if isinstance(e, Allowance)),
+        )
+        backoff = Backoff(self._parts.rng, FIRST_DELAY_SECONDS, LONGEST_DELAY_SECONDS)
+        while not await self._is_accepted(req):
+            self._parts.metrics.retry(RetryReason.KEEPER_UNREACHABLE)
+            await anyio.sleep(backoff.delay())
+
+    async def _is_accepted(self, req: SettleRequest) -> bool:
+        """Send the request once."""
+        try:
+            reply = await self._parts.keeper.call(SETTLE, req, CALL_TIMEOUT_SECONDS)
+        except RpcError:
+            return False
+        return reply.accepted
+
+    def _accepted(self, count: int) -> None:
+        """Count accepted entries and wake those who wait for all."""
+        self._parts.metrics.count(SETTLED, count)
+        self._unaccepted -= count
+        if self._unaccepted == 0:
+            self._idle.set()
