--- /dev/null
+++ b/src/knapweeddrum/process/router/allowance_manager.py
@@ -0,0 +1,237 @@
+"""Task that owns the router's allowances."""
+
+from __future__ import annotations
+
+import math
+
+import anyio
+import anyio.abc
+from anyio.streams.memory import MemoryObjectReceiveStream
+
+from knapweeddrum.core.budget.allowance_pool import AllowancePool
+from knapweeddrum.core.budget.reservation import Reservation
+from knapweeddrum.core.budget.run_figures import RunFigures
+from knapweeddrum.message.call.draw_reply import DrawReply
+from knapweeddrum.message.call.draw_request import DrawRequest
+from knapweeddrum.message.call.shortfall import Shortfall
+from knapweeddrum.message.call.want import Want
+from knapweeddrum.process.router.backoff import Backoff
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.exceptions import RefusedError
+from knapweeddrum.process.router.reservation_waiter import ReservationWaiter
+from knapweeddrum.process.router.settler import Settler
+from knapweeddrum.process.router.waiting_line import WaitingLine
+from knapweeddrum.rpc.exceptions import RpcError
+from knapweeddrum.rpc.keeper_methods import DRAW
+from knapweeddrum.value.refusal import Refusal
+from knapweeddrum.value.refusal_reason import RefusalReason
+from knapweeddrum.value.retry_reason import RetryReason
+
+PATIENCE_SECONDS = 2.0
+"""How long a request waits for its reservation."""
+
+UNREACHABLE_RETRY_SECONDS = 2.0
+CALL_TIMEOUT_SECONDS = 2.0
+FIRST_DELAY_SECONDS = 0.05
+LONGEST_DELAY_SECONDS = 2.0
+
+IDLE_SECONDS = 5.0
+"""Free tokens of a budget that nobody asked for in this time go back."""
+
+IDLE_CHECK_SECONDS = 1.0
+
+
+class AllowanceManager:
+    """Reserves tokens for requests and draws allowances from the keeper.
+
+    At most one draw of a budget is in flight; requests that come meanwhile share its
+    reply or the next one. A draw is repeated with its identifier until it is
+    answered, because the keeper may have debited the tokens already.
+    """
+
+    def __init__(
+        self, parts: Collaborators, settler: Settler, tasks: anyio.abc.TaskGroup
+    ) -> None:
+        self._parts = parts
+        self._settler = settler
+        self._tasks = tasks
+        self._pool = AllowancePool(parts.incarnation)
+        self._lines: dict[str, WaitingLine] = {}
+        self._wake_send, self._wakes = anyio.create_memory_object_stream[str](math.inf)
+
+    async def reserve(self, budget: str, tokens: int, deadline: float) -> Reservation:
+        """Set tokens of a budget aside; ``deadline`` is in monotonic seconds.
+
+        Raises RefusedError when the budget has too few, or none can be had in time.
+        """
+        now = self._parts.clock()
+        line = self._lines.setdefault(budget, WaitingLine(now))
+        line.note_demand(tokens, now)
+        if not line.waiters:
+            reservation = self._pool.reserve(budget, tokens)
+            if reservation is not None:
+                return reservation
+        patience = min(PATIENCE_SECONDS, max(0.0, deadline - now))
+        outcome = await self._wait(budget, line, tokens, patience)
+        if isinstance(outcome, Refusal):
+            raise RefusedError(outcome)
+        return outcome
+
+    def settle(self, reservation: Reservation, figures: RunFigures) -> None:
+        """Charge what a run consumed and free the rest of its reservation."""
+        if figures.tokens == 0:
+            self.release(reservation)
+            return
+        self._settler.add(self._pool.settle(reservation, figures))
+        self._serve(reservation.budget)
+
+    def release(self, reservation: Reservation) -> None:
+        """Free the reservation of a run that consumed nothing."""
+        self._pool.cancel(reservation)
+        self._serve(reservation.budget)
+
+    def return_free(self) -> None:
+        """Send all tokens that are not reserved back to the keeper."""
+        self._settler.add(*self._pool.return_all())
+
+    async def run(self) -> None:
+        """Draw allowances and return idle ones, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._return_idle)
+            async for budget in self._wakes:
+                self._start_draw(self._collect(budget))
+
+    async def _wait(
+        self, budget: str, line: WaitingLine, tokens: int, patience: float
+    ) -> Reservation | Refusal:
+        """Queue for a reservation and return what came of it."""
+        send, receive = anyio.create_memory_object_stream[Reservation | Refusal](1)
+        waiter = ReservationWaiter(tokens, send)
+        line.waiters.append(waiter)
+        self._wake_send.send_nowait(budget)
+        try:
+            with anyio.move_on_after(patience):
+                return await receive.receive()
+            return self._refusal(line.shortfall)
+        finally:
+            if waiter in line.waiters:
+                line.waiters.remove(waiter)
+            self._recover(receive)
+
+    def _recover(
+        self, receive: MemoryObjectReceiveStream[Reservation | Refusal]
+    ) -> None:
+        """Free a reservation that came when nobody waited for it any more."""
+        try:
+            late = receive.receive_nowait()
+        except (anyio.WouldBlock, anyio.EndOfStream):
+            late = None
+        receive.close()
+        if isinstance(late, Reservation):
+            self.release(late)
+
+    def _refusal(self, shortfall: Shortfall | None) -> Refusal:
+        """Return the refusal of a request that got no tokens."""
+        if shortfall is None:
+            return Refusal(
+                RefusalReason.BUDGET_UNREACHABLE, retry_after=UNREACHABLE_RETRY_SECONDS
+            )
+        if shortfall.exhausted:
+            reason = RefusalReason.BUDGET_EXHAUSTED
+        else:
+            reason = RefusalReason.BUDGET_UNREACHABLE
+        return Refusal(reason, retry_after=shortfall.retry_after)
+
+    def _collect(self, first: str) -> list[str]:
+        """Return the budgets that want a draw now, the first one included."""
+        budgets = {first: None}
+        while True:
+            try:
+                budgets[self._wakes.receive_nowait()] = None
+            except anyio.WouldBlock:
+                return [name for name in budgets if self._wants_draw(name)]
+
+    def _wants_draw(self, budget: str) -> bool:
+        line = self._lines.get(budget)
+        return line is not None and bool(line.waiters) and not line.is_drawing
+
+    def _start_draw(self, budgets: list[str]) -> None:
+        """Send the wants of some budgets to the keeper in one call."""
+        if not budgets:
+            return
+        wants = []
+        for budget in budgets:
+            self._lines[budget].is_drawing = True
+            wants.append(self._want(budget))
+        req = DrawRequest(
+            draw_id=self._parts.mint(),
+            router=self._parts.incarnation,
+            wants=tuple(wants),
+        )
+        self._tasks.start_soon(self._draw, req)
+
+    def _want(self, budget: str) -> Want:
+        """Return what to draw: for the first waiter, better for all and some ahead."""
+        line = self._lines[budget]
+        free = self._pool.free(budget)
+        minimum = max(1, line.waiters[0].tokens - free)
+        ahead = line.recent_demand(self._parts.clock())
+        preferred = max(minimum, line.waiting_tokens() + ahead - free)
+        return Want(budget=budget, minimum=minimum, preferred=preferred)
+
+    async def _draw(self, req: DrawRequest) -> None:
+        """Repeat one draw until the keeper answers it, then hand the tokens out."""
+        backoff = Backoff(self._parts.rng, FIRST_DELAY_SECONDS, LONGEST_DELAY_SECONDS)
+        while True:
+            try:
+                reply = await self._parts.keeper.call(DRAW, req, CALL_TIMEOUT_SECONDS)
+            except RpcError:
+                self._parts.metrics.retry(RetryReason.KEEPER_UNREACHABLE)
+                await anyio.sleep(backoff.delay())
+                continue
+            break
+        self._take(req, reply)
+
+    def _take(self, req: DrawRequest, reply: DrawReply) -> None:
+        """Add the drawn allowances and serve those who wait for them."""
+        self._pool.credit(req.draw_id, reply.allowances)
+        self._pool.forget(req.draw_id)
+        shortfalls = {shortfall.budget: shortfall for shortfall in reply.shortfalls}
+        for want in req.wants:
+            line = self._lines[want.budget]
+            line.is_drawing = False
+            line.shortfall = shortfalls.get(want.budget)
+            self._serve(want.budget)
+            if line.shortfall is not None:
+                self._refuse_hopeless(want.budget, line.shortfall)
+            elif line.waiters:
+                self._wake_send.send_nowait(want.budget)
+
+    def _serve(self, budget: str) -> None:
+        """Give reservations to waiters, first come first served."""
+        line = self._lines.get(budget)
+        while line is not None and line.waiters:
+            reservation = self._pool.reserve(budget, line.waiters[0].tokens)
+            if reservation is None:
+                return
+            line.waiters.popleft().reply.send_nowait(reservation)
+
+    def _refuse_hopeless(self, budget: str, shortfall: Shortfall) -> None:
+        """Refuse the waiters, unless requests in progress may free tokens in time."""
+        line = self._lines[budget]
+        if self._pool.reserved(budget):
+            return
+        while line.waiters:
+            line.waiters.popleft().reply.send_nowait(self._refusal(shortfall))
+
+    async def _return_idle(self) -> None:
+        """Send back the free tokens of budgets that nobody asks for."""
+        while True:
+            await anyio.sleep(IDLE_CHECK_SECONDS)
+            now = self._parts.clock()
+            for budget, line in list(self._lines.items()):
+                if now - line.used_at < IDLE_SECONDS:
+                    continue
+                self._settler.add(*self._pool.give(budget, self._pool.free(budget)))
+                if not line.waiters and not line.is_drawing:
+                    del self._lines[budget]
--- /dev/null
+++ b/src/knapweeddrum/process/router/caller_server.py
@@ -0,0 +1,72 @@
+"""The HTTP server for callers."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from collections.abc import AsyncIterator, Iterator
+
+import anyio
+import uvicorn
+
+from knapweeddrum.process.router.router_app import RouterApp
+
+BACKLOG = 1024
+"""Connections that wait to be accepted."""
+
+KEEP_ALIVE_SECONDS = 15
+STOP_SECONDS = 2
+"""Time that open connections get at the end; a planned stop has waited before."""
+
+START_POLL_SECONDS = 0.01
+
+
+class CallerServer(uvicorn.Server):
+    """A server that leaves the process's signals alone."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Do nothing: the router handles signals itself."""
+        yield
+
+
+def listen(address: str, port: int) -> socket.socket:
+    """Return a listening socket; raises OSError when the address can't be had."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((address, port))
+        listener.listen(BACKLOG)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
+@contextlib.asynccontextmanager
+async def caller_server(
+    app: RouterApp, listener: socket.socket, header_limit_bytes: int
+) -> AsyncIterator[None]:
+    """Serve the application while the context is open."""
+    config = uvicorn.Config(
+        app,
+        http="h11",
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        timeout_keep_alive=KEEP_ALIVE_SECONDS,
+        timeout_graceful_shutdown=STOP_SECONDS,
+        h11_max_incomplete_event_size=header_limit_bytes,
+    )
+    server = CallerServer(config)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server.serve, [listener])
+        while not server.started:
+            await anyio.sleep(START_POLL_SECONDS)
+        try:
+            yield
+        finally:
+            server.should_exit = True
--- /dev/null
+++ b/src/knapweeddrum/process/router/claim_desk.py
@@ -0,0 +1,135 @@
+"""Claims of requests that are not repeatable."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator
+
+import anyio
+
+from knapweeddrum.message.call.claim_reply import ClaimReply
+from knapweeddrum.message.call.claim_request import ClaimRequest
+from knapweeddrum.message.call.claim_verdict import ClaimVerdict
+from knapweeddrum.process.router.backoff import Backoff
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.exceptions import refused
+from knapweeddrum.process.router.held_claim import HeldClaim
+from knapweeddrum.process.router.outcome_recorder import OutcomeRecorder
+from knapweeddrum.rpc.exceptions import RpcError
+from knapweeddrum.rpc.keeper_methods import CLAIM
+from knapweeddrum.value.identifiers import ClaimKey
+from knapweeddrum.value.refusal_reason import RefusalReason
+from knapweeddrum.value.retry_reason import RetryReason
+from knapweeddrum.value.run_state import RunState
+
+PATIENCE_SECONDS = 3.0
+"""How long a request waits for the verdict on its claim."""
+
+FRESH_SECONDS = 10.0
+"""A verdict that is read later than this after its request is not acted on."""
+
+RETRY_AFTER_SECONDS = 2.0
+FIRST_DELAY_SECONDS = 0.05
+LONGEST_DELAY_SECONDS = 1.0
+
+_REFUSALS = {
+    ClaimVerdict.PENDING: (RefusalReason.CLAIM_PENDING, RunState.UNKNOWN),
+    ClaimVerdict.UNKNOWN: (RefusalReason.OUTCOME_UNKNOWN, RunState.UNKNOWN),
+    ClaimVerdict.MISMATCH: (RefusalReason.KEY_REUSED, RunState.NOT_RUN),
+    ClaimVerdict.EXPIRED: (RefusalReason.KEY_EXPIRED, RunState.UNKNOWN),
+    ClaimVerdict.UNAVAILABLE: (RefusalReason.LOG_UNAVAILABLE, RunState.NOT_RUN),
+    ClaimVerdict.NOT_RUN: (RefusalReason.LOG_UNAVAILABLE, RunState.NOT_RUN),
+}
+"""The refusal for each verdict that neither allows a dispatch nor has an answer."""
+
+_RETRIABLE = {
+    ClaimVerdict.PENDING,
+    ClaimVerdict.UNAVAILABLE,
+    ClaimVerdict.NOT_RUN,
+}
+
+
+class ClaimDesk:
+    """Asks the keeper for the sole right to dispatch a request."""
+
+    def __init__(self, parts: Collaborators, recorder: OutcomeRecorder) -> None:
+        self._parts = parts
+        self._recorder = recorder
+
+    @contextlib.contextmanager
+    def hold(self, claim_key: ClaimKey) -> Iterator[HeldClaim]:
+        """Hold a claim; on leaving, an outcome that is missing gets recorded.
+
+        Entered before the claim is asked for: a claim whose verdict never came may
+        still be won, and then it must be known that nothing was dispatched.
+        """
+        claimant = f"{self._parts.incarnation}/{self._parts.mint()}"
+        claim = HeldClaim(self._recorder, claim_key, claimant)
+        try:
+            yield claim
+        finally:
+            claim.close()
+
+    async def ask(
+        self, claim: HeldClaim, fingerprint: str, deadline: float
+    ) -> ClaimReply | None:
+        """Return None when the claim is won, or the reply with a recorded answer.
+
+        Raises RefusedError for all other verdicts. The call is repeated with the same
+        claimant, which is harmless; ``deadline`` is in monotonic seconds.
+        """
+        req = ClaimRequest(
+            claim_key=claim.claim_key,
+            claimant=claim.claimant,
+            fingerprint=fingerprint,
+        )
+        asked_at = self._parts.clock()
+        patience = min(PATIENCE_SECONDS, max(0.0, deadline - asked_at))
+        with anyio.move_on_after(patience):
+            reply = await self._ask(req)
+            if reply.verdict is ClaimVerdict.WON:
+                self._check_time(asked_at, deadline)
+                return None
+            if reply.verdict is not ClaimVerdict.UNAVAILABLE:
+                claim.lost()
+            self._refuse_unless_done(reply)
+            return reply
+        raise refused(RefusalReason.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS)
+
+    async def _ask(self, req: ClaimRequest) -> ClaimReply:
+        """Repeat the call until it is answered."""
+        backoff = Backoff(self._parts.rng, FIRST_DELAY_SECONDS, LONGEST_DELAY_SECONDS)
+        while True:
+            try:
+                return await self._parts.keeper.call(CLAIM, req, PATIENCE_SECONDS)
+            except RpcError:
+                self._parts.metrics.retry(RetryReason.KEEPER_UNREACHABLE)
+            await anyio.sleep(backoff.delay())
+
+    def _refuse_unless_done(self, reply: ClaimReply) -> None:
+        """Raise RefusedError unless the reply has a recorded answer."""
+        if reply.verdict is ClaimVerdict.DONE:
+            if not reply.body_kept:
+                raise refused(
+                    RefusalReason.KEY_EXPIRED,
+                    "the request ran; its answer is no longer kept",
+                    run_state=RunState.RAN,
+                )
+            return
+        reason, run_state = _REFUSALS[reply.verdict]
+        retry_after = None
+        if reply.verdict in _RETRIABLE:
+            retry_after = reply.retry_after or RETRY_AFTER_SECONDS
+        raise refused(reason, "", retry_after, run_state)
+
+    def _check_time(self, asked_at: float, deadline: float) -> None:
+        """Raise RefusedError when this process was paused before it read the reply."""
+        now = self._parts.clock()
+        if now >= deadline:
+            raise refused(RefusalReason.DEADLINE, "the deadline passed before dispatch")
+        if now - asked_at > FRESH_SECONDS:
+            raise refused(
+                RefusalReason.LOG_UNAVAILABLE,
+                "the verdict came too late to act on",
+                RETRY_AFTER_SECONDS,
+            )
--- a/src/knapweeddrum/process/router/config_follower.py
+++ b/src/knapweeddrum/process/router/config_follower.py
@@ -32,7 +32,9 @@
 class ConfigFollower:
     """Long-polls the keeper and applies what changed to the table that it owns."""
 
-    def __init__(self, parts: Collaborators, on_change: Callable[[], Awaitable[None]]) -> None:
+    def __init__(
+        self, parts: Collaborators, on_change: Callable[[], Awaitable[None]]
+    ) -> None:
         self.table = ResourceTable()
         self._parts = parts
         self._on_change = on_change
--- /dev/null
+++ b/src/knapweeddrum/process/router/drain_sequence.py
@@ -0,0 +1,102 @@
+"""The planned stop of a router."""
+
+from __future__ import annotations
+
+import anyio
+
+from knapweeddrum.core.membership.drain_plan import DrainPlan
+from knapweeddrum.core.membership.drain_state import DrainState
+from knapweeddrum.message.call.drain_request import DrainRequest
+from knapweeddrum.process.router.allowance_manager import AllowanceManager
+from knapweeddrum.process.router.backoff import Backoff
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.router_gate import RouterGate
+from knapweeddrum.process.router.settler import Settler
+from knapweeddrum.process.router.usage_collector import UsageCollector
+from knapweeddrum.rpc.exceptions import RpcError
+from knapweeddrum.rpc.keeper_methods import DRAIN
+from knapweeddrum.telemetry.events import (
+    DRAIN_FINISHED,
+    DRAIN_STARTED,
+    STOPPED_UNSETTLED,
+)
+
+CHECK_INTERVAL_SECONDS = 0.05
+CALL_TIMEOUT_SECONDS = 2.0
+FIRST_DELAY_SECONDS = 0.1
+LONGEST_DELAY_SECONDS = 1.0
+
+FLUSH_LIMIT_SECONDS = 10.0
+"""Time for settlements and returned allowances after the last stream."""
+
+
+class DrainSequence:
+    """Leaves the advice, ends the last stream, gives back everything it holds."""
+
+    def __init__(
+        self,
+        parts: Collaborators,
+        plan: DrainPlan,
+        gate: RouterGate,
+        allowances: AllowanceManager,
+        collector: UsageCollector,
+        settler: Settler,
+    ) -> None:
+        self._parts = parts
+        self._plan = plan
+        self._gate = gate
+        self._allowances = allowances
+        self._collector = collector
+        self._settler = settler
+
+    async def run(self) -> None:
+        """Return once the process may stop."""
+        self._plan.start(self._parts.clock())
+        self._parts.events.emit(DRAIN_STARTED, in_progress=self._gate.in_progress)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.tell_keeper, True)
+            await self._end_streams()
+            with anyio.move_on_after(FLUSH_LIMIT_SECONDS):
+                await self._give_back()
+            tasks.cancel_scope.cancel()
+        self._report()
+
+    async def tell_keeper(self, draining: bool) -> None:
+        """Repeat the state of this host to the keeper until it has taken it."""
+        req = DrainRequest(host=self._parts.settings.host.name, draining=draining)
+        backoff = Backoff(self._parts.rng, FIRST_DELAY_SECONDS, LONGEST_DELAY_SECONDS)
+        while not await self._is_accepted(req):
+            await anyio.sleep(backoff.delay())
+
+    async def _is_accepted(self, req: DrainRequest) -> bool:
+        try:
+            reply = await self._parts.keeper.call(DRAIN, req, CALL_TIMEOUT_SECONDS)
+        except RpcError:
+            return False
+        return reply.accepted
+
+    async def _end_streams(self) -> None:
+        """Return once the plan lets the process stop."""
+        while True:
+            now = self._parts.clock()
+            state = self._plan.advance(self._gate.in_progress, now)
+            if state is DrainState.STOPPED:
+                return
+            await anyio.sleep(CHECK_INTERVAL_SECONDS)
+
+    async def _give_back(self) -> None:
+        """Settle cancelled runs, then return all allowances."""
+        while self._collector.pending:
+            await anyio.sleep(CHECK_INTERVAL_SECONDS)
+        self._allowances.return_free()
+        await self._settler.flush()
+
+    def _report(self) -> None:
+        """Log the end, and what could not be settled."""
+        if self._collector.pending or self._settler.unaccepted:
+            self._parts.events.emit(
+                STOPPED_UNSETTLED,
+                runs=self._collector.pending,
+                settlements=self._settler.unaccepted,
+            )
+        self._parts.events.emit(DRAIN_FINISHED)
--- a/src/knapweeddrum/process/router/endpoint_directory.py
+++ b/src/knapweeddrum/process/router/endpoint_directory.py
@@ -5,6 +5,7 @@
 import contextlib
 from collections.abc import Collection
 
+from knapweeddrum.core.routing.attempt_result import AttemptResult
 from knapweeddrum.core.routing.endpoint_table import EndpointTable
 from knapweeddrum.core.routing.request_features import RequestFeatures
 from knapweeddrum.core.routing.retry_budget import RetryBudget
@@ -82,6 +83,17 @@
             NO_ENDPOINT_RETRY_SECONDS,
         )
 
+    def begin(self, name: EndpointName) -> None:
+        """Count an attempt that is sent to an endpoint."""
+        if name in self._endpoints:
+            self.table.begin(name, self._parts.clock())
+
+    def finish(
+        self, name: EndpointName, result: AttemptResult, started_at: float
+    ) -> None:
+        """Count the end of an attempt; ``started_at`` is in monotonic seconds."""
+        self.table.finish(name, result, started_at, self._parts.clock())
+
     def engine(self, name: EndpointName) -> ModelEngine | None:
         """Return the client of a model engine; None when it was never known."""
         client = self._clients.get(name)
@@ -126,10 +138,10 @@
         """Make a client; one that it replaces stays open for runs in progress."""
         clients = self._parts.clients
         if endpoint.kind is EndpointKind.MODEL_ENGINE:
-            engine = clients.engine(endpoint)
+            engine = clients.engine(endpoint.address)
             self._clients[name] = await self._stack.enter_async_context(engine)
         else:
-            service = clients.service(endpoint)
+            service = clients.service(endpoint.address)
             self._clients[name] = await self._stack.enter_async_context(service)
 
     def _has_kind(self, name: EndpointName, kind: EndpointKind) -> bool:
--- /dev/null
+++ b/src/knapweeddrum/process/router/engine_attempt.py
@@ -0,0 +1,105 @@
+"""One run of a request at one engine."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager
+
+from knapweeddrum.core.billing.part_verdict import PartVerdict
+from knapweeddrum.core.billing.run_meter import RunMeter
+from knapweeddrum.core.budget.reservation import Reservation
+from knapweeddrum.endpoint.answer_part import AnswerPart
+from knapweeddrum.endpoint.exceptions import (
+    EndpointBusyError,
+    EndpointConnectError,
+    EndpointError,
+    InvalidRequestError,
+    StreamCutError,
+)
+from knapweeddrum.endpoint.model_engine import ModelEngine
+from knapweeddrum.endpoint.model_request import ModelRequest
+from knapweeddrum.process.router.part_counter import part_counter
+from knapweeddrum.telemetry.metrics import Metrics
+from knapweeddrum.value.identifiers import EndpointName, RequestKey, RunId
+from knapweeddrum.value.run_state import RunState
+
+NOT_RUN_ERRORS = (EndpointConnectError, EndpointBusyError, InvalidRequestError)
+"""Errors of a first connection that say that the engine did not run the request."""
+
+Parts = AbstractAsyncContextManager[AsyncIterator[AnswerPart]]
+
+
+class EngineAttempt:
+    """Takes the parts of one run in order and keeps the engine's latest figures."""
+
+    def __init__(
+        self,
+        request_key: RequestKey,
+        run_id: RunId,
+        endpoint: EndpointName,
+        engine: ModelEngine,
+        reservation: Reservation,
+        metrics: Metrics,
+    ) -> None:
+        self.run_id = run_id
+        self.endpoint = endpoint
+        self.engine = engine
+        self.reservation = reservation
+        self.meter = RunMeter(request_key)
+        self.meter.start_run(run_id)
+        self._metrics = metrics
+        self.is_sent = False
+        self.failure: EndpointError | None = None
+
+    @property
+    def run_state(self) -> RunState:
+        """Return what is known of the execution."""
+        if self.meter.next_index:
+            return RunState.RAN
+        return RunState.UNKNOWN if self.is_sent else RunState.NOT_RUN
+
+    async def start(
+        self, req: ModelRequest, publish: Callable[[AnswerPart], None]
+    ) -> None:
+        """Send the request and take parts up to the final one.
+
+        Raises EndpointError; ``is_sent`` is false when the engine did not run it.
+        """
+        self.is_sent = True
+        try:
+            await self._take_all(self.engine.stream(req), publish)
+        except NOT_RUN_ERRORS:
+            self.is_sent = False
+            raise
+
+    async def resume(self, publish: Callable[[AnswerPart], None]) -> None:
+        """Take the parts that have not come yet; raises EndpointError."""
+        self.is_sent = True
+        parts = self.engine.resume(self.run_id, self.meter.next_index)
+        await self._take_all(parts, publish)
+
+    async def _take_all(
+        self, opening: Parts, publish: Callable[[AnswerPart], None]
+    ) -> None:
+        async with opening as parts:
+            async for part in parts:
+                if not self._accepts(part):
+                    continue
+                publish(part)
+                if part.final:
+                    return
+        raise StreamCutError("the stream ended before its final part")
+
+    def _accepts(self, part: AnswerPart) -> bool:
+        """Return whether a part is the next one; raises StreamCutError for a gap."""
+        verdict = self.meter.accept(
+            part.run_id,
+            part.index,
+            part.final,
+            part.prompt_tokens,
+            part.output_tokens,
+        )
+        self._metrics.count(part_counter(verdict))
+        if verdict is PartVerdict.EARLY:
+            raise StreamCutError(f"part {self.meter.next_index} is missing")
+        return verdict is PartVerdict.ACCEPTED
--- /dev/null
+++ b/src/knapweeddrum/process/router/model_dispatch.py
@@ -0,0 +1,323 @@
+"""The attempts of one request at model engines."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import AsyncIterator, Callable
+
+import anyio
+
+from knapweeddrum.core.billing.run_outcome import RunOutcome
+from knapweeddrum.core.routing.attempt_result import AttemptResult
+from knapweeddrum.core.routing.failed_attempt import FailedAttempt
+from knapweeddrum.core.routing.give_up import GiveUp
+from knapweeddrum.core.routing.request_features import RequestFeatures
+from knapweeddrum.endpoint.answer_part import AnswerPart
+from knapweeddrum.endpoint.exceptions import (
+    EndpointBusyError,
+    EndpointConnectError,
+    EndpointError,
+    InvalidRequestError,
+    StreamCutError,
+    UnknownRunError,
+    WrongStreamError,
+)
+from knapweeddrum.endpoint.model_engine import ModelEngine
+from knapweeddrum.endpoint.model_request import ModelRequest
+from knapweeddrum.process.router.engine_attempt import NOT_RUN_ERRORS, EngineAttempt
+from knapweeddrum.process.router.exceptions import RefusedError, refused
+from knapweeddrum.process.router.held_claim import HeldClaim
+from knapweeddrum.process.router.model_job import ModelJob
+from knapweeddrum.process.router.pending_usage import PendingUsage
+from knapweeddrum.process.router.run_ending import RunEnding
+from knapweeddrum.process.router.run_services import RunServices
+from knapweeddrum.process.router.run_states import more_certain
+from knapweeddrum.value.identifiers import EndpointName, RunId
+from knapweeddrum.value.refusal_reason import RefusalReason
+from knapweeddrum.value.retry_reason import RetryReason
+from knapweeddrum.value.run_state import RunState
+
+RESUME_LIMIT = 3
+"""Times that the stream of one run is resumed at its engine."""
+
+RESUME_DELAY_SECONDS = 0.05
+"""Delay before the first resumption; it doubles with each."""
+
+RETRY_AFTER_SECONDS = 1.0
+
+CANCELLED_FINISH = "cancelled"
+"""Finish reason of a run that was stopped at its engine."""
+
+
+class ModelDispatch:
+    """Attempts a request until its answer is whole or it is given up.
+
+    A stream that is cut is resumed at its engine. Another engine is tried only while
+    the caller has got nothing. Each run has a reservation and a settlement of its own.
+    """
+
+    def __init__(
+        self,
+        job: ModelJob,
+        services: RunServices,
+        publish: Callable[[AnswerPart], None],
+        request_over: anyio.Event,
+    ) -> None:
+        self.run_state = RunState.NOT_RUN
+        self._job = job
+        self._services = services
+        self._parts = services.parts
+        self._publish_to_caller = publish
+        self._request_over = request_over
+        self._last: AnswerPart | None = None
+        self._claim: HeldClaim | None = None
+        self._attempts = 0
+
+    async def run(self, claim: HeldClaim | None = None) -> RunEnding:
+        """Return the ending of a whole answer; raises RefusedError."""
+        self._claim = claim
+        if not await self._resume_located():
+            await self._attempt_until_whole()
+        last = self._last
+        if last is None or not last.final or last.finish_reason == CANCELLED_FINISH:
+            raise self._truncated()
+        return RunEnding(
+            finish_reason=last.finish_reason,
+            prompt_tokens=last.prompt_tokens,
+            output_tokens=last.output_tokens,
+        )
+
+    def _publish(self, part: AnswerPart) -> None:
+        """Pass a part on and remember that the caller has got some."""
+        self._last = part
+        self._publish_to_caller(part)
+
+    async def _resume_located(self) -> bool:
+        """Take over a run that another router started; False when there is none."""
+        if not self._job.locatable or self._claim is not None:
+            return False
+        found = await self._services.locator.find(self._job.request_key)
+        engine = self._services.directory.engine(EndpointName(found.endpoint))
+        if not found.run_id or engine is None:
+            return False
+        run_id = RunId(found.run_id)
+        endpoint = EndpointName(found.endpoint)
+        async with self._attempt(endpoint, engine, run_id) as attempt:
+            attempt.is_sent = True
+            await self._tell(attempt)
+            self._parts.metrics.retry(RetryReason.STREAM_RESUMED)
+            try:
+                await attempt.resume(self._publish)
+            except EndpointError as exc:
+                attempt.failure = exc
+        return self._is_resumed(attempt)
+
+    def _is_resumed(self, attempt: EngineAttempt) -> bool:
+        """Return whether a run was taken over; raises RefusedError when cut midway."""
+        if attempt.failure is None:
+            return True
+        if self._last is not None:
+            raise self._truncated()
+        return False
+
+    async def _attempt_until_whole(self) -> None:
+        """Attempt at one engine after the other, as far as the policy allows."""
+        policy = self._services.directory.retry_policy(self._job.route_name)
+        policy.started()
+        tried: list[EndpointName] = []
+        while True:
+            endpoint = self._choose(tried)
+            failure = await self._attempt_at(endpoint)
+            if failure is None:
+                return
+            tried.append(endpoint)
+            await anyio.sleep(self._retry_delay(failure))
+
+    def _choose(self, tried: list[EndpointName]) -> EndpointName:
+        """Return an engine that was not tried yet, else any that is available."""
+        directory = self._services.directory
+        job = self._job
+        features = RequestFeatures(priority=job.priority)
+        try:
+            return directory.choose(job.route, features, job.repeatable, tried)
+        except RefusedError:
+            if not tried:
+                raise
+            return directory.choose(job.route, features, job.repeatable)
+
+    async def _attempt_at(self, endpoint: EndpointName) -> EndpointError | None:
+        """Run the request at an engine; return the error if the answer isn't whole."""
+        self._attempts += 1
+        engine = self._services.directory.engine(endpoint)
+        if engine is None:
+            raise refused(RefusalReason.NO_ENDPOINT, "", RETRY_AFTER_SECONDS)
+        run_id = RunId(self._parts.mint())
+        async with self._attempt(endpoint, engine, run_id) as attempt:
+            await self._tell(attempt)
+            self._check_deadline()
+            if self._claim is not None:
+                self._claim.dispatch()
+            try:
+                await self._stream(attempt)
+            except EndpointError as exc:
+                attempt.failure = exc
+        return attempt.failure
+
+    async def _stream(self, attempt: EngineAttempt) -> None:
+        """Start the run, and resume its stream when it is cut."""
+        try:
+            await attempt.start(self._request(attempt.run_id), self._publish)
+        except NOT_RUN_ERRORS:
+            raise
+        except EndpointError as exc:
+            self._parts.metrics.retry(_retry_reason(exc))
+            await self._resume(attempt)
+
+    async def _resume(self, attempt: EngineAttempt) -> None:
+        """Resume a cut stream from the next part on; raises EndpointError."""
+        delay = RESUME_DELAY_SECONDS
+        for remaining in reversed(range(RESUME_LIMIT)):
+            await anyio.sleep(delay)
+            delay *= 2
+            self._parts.metrics.retry(RetryReason.STREAM_RESUMED)
+            try:
+                return await attempt.resume(self._publish)
+            except UnknownRunError:
+                raise
+            except EndpointError:
+                if not remaining:
+                    raise
+        return None
+
+    def _request(self, run_id: RunId) -> ModelRequest:
+        job = self._job
+        return ModelRequest(
+            run_id=run_id,
+            model=job.route.model or job.route_name,
+            body=job.body,
+            output_limit=job.output_limit,
+            priority=job.priority,
+        )
+
+    async def _tell(self, attempt: EngineAttempt) -> None:
+        """Let a retry at another router find the run."""
+        await self._services.locator.tell(
+            self._job.request_key, attempt.endpoint, attempt.run_id
+        )
+
+    def _check_deadline(self) -> None:
+        """Raise RefusedError when the deadline passed, also while paused."""
+        if self._parts.clock() >= self._job.deadline:
+            raise refused(RefusalReason.DEADLINE, "the deadline passed before dispatch")
+
+    @contextlib.asynccontextmanager
+    async def _attempt(
+        self, endpoint: EndpointName, engine: ModelEngine, run_id: RunId
+    ) -> AsyncIterator[EngineAttempt]:
+        """Reserve for a run; on leaving, settle it or see to its settlement."""
+        job = self._job
+        reservation = await self._services.allowances.reserve(
+            job.budget, job.worst_case, job.deadline
+        )
+        attempt = EngineAttempt(
+            job.request_key, run_id, endpoint, engine, reservation, self._parts.metrics
+        )
+        started_at = self._parts.clock()
+        self._services.directory.begin(endpoint)
+        try:
+            yield attempt
+        finally:
+            result = _attempt_result(attempt)
+            self._services.directory.finish(endpoint, result, started_at)
+            self.run_state = more_certain(self.run_state, attempt.run_state)
+            if self._claim is not None and attempt.run_state is RunState.NOT_RUN:
+                self._claim.not_sent()
+            self._settle(attempt)
+
+    def _settle(self, attempt: EngineAttempt) -> None:
+        """Settle a finished run, free one that never ran, stop any other."""
+        if attempt.meter.is_complete:
+            figures = attempt.meter.figures(self._complete_outcome())
+            self._services.allowances.settle(attempt.reservation, figures)
+            return
+        if not attempt.is_sent:
+            self._services.allowances.release(attempt.reservation)
+            return
+        failed = attempt.failure is not None
+        pending = PendingUsage(
+            request_key=self._job.request_key,
+            attempt=attempt,
+            outcome=RunOutcome.CUT if failed else RunOutcome.CANCELLED,
+            request_over=self._request_over,
+            may_have_moved=self._job.locatable and not failed,
+        )
+        self._services.collector.collect(pending)
+
+    def _complete_outcome(self) -> RunOutcome:
+        """Return the outcome of a run whose final part has come."""
+        if self._last is not None and self._last.finish_reason == CANCELLED_FINISH:
+            return RunOutcome.CANCELLED
+        return RunOutcome.FINISHED
+
+    def _retry_delay(self, failure: EndpointError) -> float:
+        """Return the seconds to the next attempt; raises RefusedError to give up."""
+        if isinstance(failure, InvalidRequestError):
+            raise refused(
+                RefusalReason.BAD_REQUEST,
+                "the engine rejected the request",
+                run_state=self.run_state,
+            )
+        if self._last is not None:
+            raise self._truncated()
+        failed = FailedAttempt(
+            reason=_retry_reason(failure),
+            attempts=self._attempts,
+            idempotent=self._job.repeatable,
+            run_state=self.run_state,
+            deadline=self._job.deadline,
+            retry_after=_retry_after(failure),
+        )
+        policy = self._services.directory.retry_policy(self._job.route_name)
+        decision = policy.decide(failed, self._parts.clock())
+        if isinstance(decision, GiveUp):
+            raise RefusedError(decision.refusal)
+        self._parts.metrics.retry(decision.reason)
+        return decision.delay
+
+    def _truncated(self) -> RefusedError:
+        """Return the error of an answer of which the caller has got a part."""
+        return refused(
+            RefusalReason.TRUNCATED,
+            "the answer was cut and can't be resumed",
+            RETRY_AFTER_SECONDS,
+            RunState.RAN,
+        )
+
+
+def _retry_reason(failure: EndpointError) -> RetryReason:
+    if isinstance(failure, EndpointConnectError):
+        return RetryReason.CONNECT_FAILED
+    if isinstance(failure, EndpointBusyError):
+        return RetryReason.ENDPOINT_BUSY
+    if isinstance(failure, StreamCutError | WrongStreamError):
+        return RetryReason.STREAM_CUT
+    return RetryReason.ENDPOINT_ERROR
+
+
+def _retry_after(failure: EndpointError) -> float:
+    """Return the seconds that a busy engine asked for."""
+    return failure.retry_after if isinstance(failure, EndpointBusyError) else 0.0
+
+
+def _attempt_result(attempt: EngineAttempt) -> AttemptResult:
+    """Return what an attempt says about its engine's health."""
+    failure = attempt.failure
+    if isinstance(failure, EndpointBusyError):
+        return AttemptResult.BUSY
+    if isinstance(failure, InvalidRequestError | UnknownRunError):
+        return AttemptResult.CANCELLED
+    if failure is not None:
+        return AttemptResult.FAILURE
+    if attempt.meter.next_index:
+        return AttemptResult.SUCCESS
+    return AttemptResult.CANCELLED
--- /dev/null
+++ b/src/knapweeddrum/process/router/model_run.py
@@ -0,0 +1,142 @@
+"""The execution of one request for a model route."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import anyio
+import msgspec
+
+from knapweeddrum.core.admission.admission_request import AdmissionRequest
+from knapweeddrum.message.call.claim_reply import ClaimReply
+from knapweeddrum.process.router.answer_feed import AnswerFeed
+from knapweeddrum.process.router.exceptions import RefusedError, refused
+from knapweeddrum.process.router.model_dispatch import ModelDispatch
+from knapweeddrum.process.router.model_job import ModelJob
+from knapweeddrum.process.router.recorded_answer import RecordedAnswer
+from knapweeddrum.process.router.response_writer import JSON_CONTENT_TYPE
+from knapweeddrum.process.router.run_ending import RunEnding
+from knapweeddrum.process.router.run_services import RunServices
+from knapweeddrum.process.router.run_states import more_certain
+from knapweeddrum.value.refusal import Refusal
+from knapweeddrum.value.refusal_reason import RefusalReason
+from knapweeddrum.value.run_state import RunState
+
+ANSWERED = 200
+
+
+class ModelRun:
+    """Takes one request from admission to its ending.
+
+    Runs in a task of its own, so that a caller who asks again can take it over:
+    ``feed`` gets the parts of the answer and one ending.
+    """
+
+    def __init__(self, job: ModelJob, services: RunServices) -> None:
+        self.job = job
+        self.feed = AnswerFeed()
+        self.is_abandoned = False
+        self._services = services
+        self._scope = anyio.CancelScope()
+        self._request_over = anyio.Event()
+        self._dispatch = ModelDispatch(
+            job, services, self.feed.publish, self._request_over
+        )
+
+    def caller_left(self) -> None:
+        """Stop the run at its engine, unless its outcome is to be recorded.
+
+        A claimed request goes on: its caller may ask for the recorded answer later.
+        """
+        if self.job.claim_key or self.feed.ending is not None:
+            return
+        self.is_abandoned = True
+        self._scope.cancel()
+
+    async def execute(self) -> None:
+        """Run until the feed has its ending."""
+        try:
+            ending = await self._until_deadline()
+        except RefusedError as exc:
+            ending = RunEnding(refusal=self._truthful(exc.refusal))
+        finally:
+            self._request_over.set()
+        self.feed.finish(ending)
+
+    def fail(self) -> None:
+        """End the feed after an unexpected error."""
+        refusal = Refusal(RefusalReason.ENDPOINT_FAILED, detail="internal error")
+        self.feed.finish(RunEnding(refusal=self._truthful(refusal)))
+
+    def _truthful(self, refusal: Refusal) -> Refusal:
+        """Return the refusal with what all attempts say about the execution."""
+        run_state = more_certain(refusal.run_state, self._dispatch.run_state)
+        return dataclasses.replace(refusal, run_state=run_state)
+
+    async def _until_deadline(self) -> RunEnding:
+        """Run until the deadline or until the caller leaves."""
+        left = self.job.deadline - self._services.parts.clock()
+        self._scope.deadline = anyio.current_time() + max(0.0, left)
+        with self._scope:
+            return await self._admitted()
+        raise refused(RefusalReason.DEADLINE, "the deadline passed")
+
+    async def _admitted(self) -> RunEnding:
+        """Run while holding a slot of the route."""
+        job = self.job
+        req = AdmissionRequest(
+            request_id=self._services.parts.mint(),
+            route=job.route_name,
+            organisation=job.organisation,
+            deadline=job.deadline,
+            priority=job.priority,
+            weight=job.weight,
+            cost=job.worst_case,
+        )
+        async with self._services.admission.slot(req):
+            if job.claim_key:
+                return await self._claimed()
+            return await self._dispatch.run()
+
+    async def _claimed(self) -> RunEnding:
+        """Run once for the claim's key, or repeat the recorded answer.
+
+        The outcome is recorded before the caller gets the ending.
+        """
+        job = self.job
+        claims = self._services.claims
+        with claims.hold(job.claim_key) as claim:
+            recorded = await claims.ask(claim, job.fingerprint, job.deadline)
+            if recorded is not None:
+                return self._repeat(recorded)
+            try:
+                ending = await self._dispatch.run(claim)
+            except RefusedError as exc:
+                await claim.give_up()
+                raise RefusedError(self._unanswered(exc.refusal)) from exc
+            answer = RecordedAnswer.of(self.feed.parts, ending)
+            await claim.done(ANSWERED, JSON_CONTENT_TYPE, msgspec.json.encode(answer))
+            return ending
+
+    def _repeat(self, recorded: ClaimReply) -> RunEnding:
+        """Publish a recorded answer."""
+        try:
+            answer = msgspec.json.decode(recorded.body, type=RecordedAnswer)
+        except msgspec.MsgspecError as exc:
+            raise refused(
+                RefusalReason.KEY_EXPIRED,
+                "the request ran; its answer can't be read any more",
+                run_state=RunState.RAN,
+            ) from exc
+        self.feed.publish(answer.part())
+        return answer.ending()
+
+    def _unanswered(self, refusal: Refusal) -> Refusal:
+        """Return the refusal of a claimed request: never to be sent again if it ran."""
+        if self._dispatch.run_state is RunState.NOT_RUN:
+            return refusal
+        return Refusal(
+            RefusalReason.OUTCOME_UNKNOWN,
+            self._dispatch.run_state,
+            detail=refusal.detail,
+        )
--- a/src/knapweeddrum/process/router/response_writer.py
+++ b/src/knapweeddrum/process/router/response_writer.py
@@ -17,13 +17,17 @@
 class ResponseWriter:
     """Sends either one whole response or a stream of events."""
 
-    def __init__(self, send: Send, request_id: str = "") -> None:
-        self._send = send
-        self._request_id = request_id
+    def __init__(self, send: Send) -> None:
         self.started = False
+        self.request_id = ""
+        self._send = send
 
     async def whole(
-        self, status: int, content_type: str, body: bytes, retry_after: int | None = None
+        self,
+        status: int,
+        content_type: str,
+        body: bytes,
+        retry_after: int | None = None,
     ) -> None:
         """Send a complete response; ``retry_after`` is in seconds."""
         headers = self._headers(content_type)
@@ -63,8 +67,8 @@
     def _headers(self, content_type: str) -> list[tuple[bytes, bytes]]:
         """Return the headers that each response has."""
         headers = [(b"content-type", content_type.encode("latin-1"))]
-        if self._request_id:
-            headers.append((b"x-request-id", self._request_id.encode()))
+        if self.request_id:
+            headers.append((b"x-request-id", self.request_id.encode()))
         return headers
 
     async def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
--- /dev/null
+++ b/src/knapweeddrum/process/router/router_app.py
@@ -0,0 +1,144 @@
+"""The ASGI application that callers talk to."""
+
+from __future__ import annotations
+
+from collections.abc import MutableMapping
+from typing import Any
+
+import msgspec
+
+from knapweeddrum.process.router.body_reader import Receive, read_body
+from knapweeddrum.process.router.border_request import BorderRequest
+from knapweeddrum.process.router.caller_headers import CallerHeaders
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.entry_handler import ENTRY_PATH, EntryHandler
+from knapweeddrum.process.router.exceptions import (
+    CallerGoneError,
+    RefusedError,
+    refused,
+)
+from knapweeddrum.process.router.model_handler import CHAT_PATH, ModelHandler
+from knapweeddrum.process.router.problem import Problem
+from knapweeddrum.process.router.response_writer import (
+    JSON_CONTENT_TYPE,
+    ResponseWriter,
+    Send,
+)
+from knapweeddrum.process.router.router_gate import RouterGate
+from knapweeddrum.process.router.service_handler import SERVICES_PREFIX, ServiceHandler
+from knapweeddrum.telemetry.counters import CANCELLED, REQUESTS
+from knapweeddrum.telemetry.events import TASK_FAILED
+from knapweeddrum.value.refusal import Refusal
+from knapweeddrum.value.refusal_reason import RefusalReason
+from knapweeddrum.value.run_state import RunState
+
+HEALTH_PATH = "/healthz"
+COUNTERS_PATH = "/-/counters"
+
+Scope = MutableMapping[str, Any]
+
+
+class RouterApp:
+    """Reads requests, hands them to their handlers and answers refusals."""
+
+    def __init__(
+        self,
+        parts: Collaborators,
+        gate: RouterGate,
+        models: ModelHandler,
+        services: ServiceHandler,
+        entry: EntryHandler,
+    ) -> None:
+        self._parts = parts
+        self._gate = gate
+        self._models = models
+        self._services = services
+        self._entry = entry
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Serve one HTTP request."""
+        if scope["type"] != "http":
+            return
+        writer = ResponseWriter(send)
+        self._gate.at_border += 1
+        try:
+            await self._serve(scope, receive, writer)
+        except RefusedError as exc:
+            await self._refuse(writer, exc.refusal)
+        except CallerGoneError:
+            self._parts.metrics.count(CANCELLED)
+        except Exception as exc:  # noqa: BLE001
+            self._parts.events.emit(TASK_FAILED, task="request", error=repr(exc))
+            await self._refuse(writer, _internal_error())
+        finally:
+            self._gate.at_border -= 1
+
+    async def _serve(
+        self, scope: Scope, receive: Receive, writer: ResponseWriter
+    ) -> None:
+        """Find the handler of a path."""
+        path: str = scope["path"]
+        method: str = scope["method"]
+        if path == HEALTH_PATH:
+            await self._send_json(writer, self._gate.health())
+        elif path == COUNTERS_PATH:
+            await self._send_json(writer, dict(self._parts.metrics.counts))
+        elif path == ENTRY_PATH and method == "GET":
+            await self._entry.handle(_caller(scope), writer)
+        elif path == CHAT_PATH and method == "POST":
+            req = await self._read(scope, receive, writer)
+            await self._models.handle(req, receive, writer)
+        elif path.startswith(SERVICES_PREFIX):
+            req = await self._read(scope, receive, writer)
+            await self._services.handle(req, receive, writer)
+        else:
+            raise refused(RefusalReason.UNKNOWN_ROUTE, f"no {method} {path}")
+
+    async def _read(
+        self, scope: Scope, receive: Receive, writer: ResponseWriter
+    ) -> BorderRequest:
+        """Return the checked request; raises RefusedError and CallerGoneError."""
+        self._parts.metrics.count(REQUESTS)
+        limits = self._parts.settings.router
+        headers = CallerHeaders.parse(scope["headers"], limits.header_limit_bytes)
+        request_id = headers.request_id or self._parts.mint()
+        writer.request_id = request_id
+        self._gate.check()
+        body = await read_body(receive, limits.body_limit_bytes)
+        return BorderRequest(
+            method=scope["method"],
+            path=scope["path"],
+            query=_query(scope),
+            headers=headers,
+            request_id=request_id,
+            minted=not headers.request_id,
+            body=body,
+        )
+
+    async def _refuse(self, writer: ResponseWriter, refusal: Refusal) -> None:
+        """Count and send a refusal."""
+        self._parts.metrics.refusal(refusal.reason)
+        await writer.problem(Problem.from_refusal(refusal))
+
+    async def _send_json(self, writer: ResponseWriter, body: object) -> None:
+        await writer.whole(200, JSON_CONTENT_TYPE, msgspec.json.encode(body))
+
+
+def _caller(scope: Scope) -> str:
+    """Return what stays the same for one caller: its address."""
+    client = scope.get("client")
+    return str(client[0]) if client else ""
+
+
+def _query(scope: Scope) -> str:
+    """Return the query string; raises RefusedError when it isn't ASCII."""
+    try:
+        return bytes(scope["query_string"]).decode("ascii")
+    except UnicodeDecodeError as exc:
+        raise refused(RefusalReason.BAD_REQUEST, "query: not ASCII") from exc
+
+
+def _internal_error() -> Refusal:
+    return Refusal(
+        RefusalReason.ENDPOINT_FAILED, RunState.UNKNOWN, detail="internal error"
+    )
--- /dev/null
+++ b/src/knapweeddrum/process/router/router_gate.py
@@ -0,0 +1,68 @@
+"""Whether the router takes a new request now."""
+
+from __future__ import annotations
+
+from knapweeddrum.core.membership.drain_plan import DrainPlan
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.exceptions import refused
+from knapweeddrum.process.router.health_body import HealthBody
+from knapweeddrum.process.router.resource_table import ResourceTable
+from knapweeddrum.process.router.run_directory import RunDirectory
+from knapweeddrum.process.router.service_directory import ServiceDirectory
+from knapweeddrum.process.router.usage_collector import UsageCollector
+from knapweeddrum.value.refusal_reason import RefusalReason
+
+NOT_READY_RETRY_SECONDS = 2.0
+DRAINING_RETRY_SECONDS = 1.0
+OVERLOADED_RETRY_SECONDS = 2.0
+
+
+class RouterGate:
+    """Counts requests at the border and refuses those that can't be taken."""
+
+    def __init__(
+        self,
+        parts: Collaborators,
+        table: ResourceTable,
+        plan: DrainPlan,
+        models: RunDirectory,
+        services: ServiceDirectory,
+        collector: UsageCollector,
+    ) -> None:
+        self.at_border = 0
+        self._limit = parts.settings.router.in_progress_limit
+        self._table = table
+        self._plan = plan
+        self._models = models
+        self._services = services
+        self._collector = collector
+
+    @property
+    def in_progress(self) -> int:
+        """Return the requests that a planned stop waits for."""
+        running = self._models.running + self._services.running
+        return max(self.at_border, running)
+
+    def check(self) -> None:
+        """Raise RefusedError when no new request is taken."""
+        if not self._plan.accepts_work:
+            raise refused(RefusalReason.DRAINING, "", DRAINING_RETRY_SECONDS)
+        if self._table.offset < 0:
+            raise refused(
+                RefusalReason.NOT_READY,
+                "the configuration has not come yet",
+                NOT_READY_RETRY_SECONDS,
+            )
+        if self.at_border > self._limit or self._collector.is_full:
+            raise refused(RefusalReason.OVERLOADED, "", OVERLOADED_RETRY_SECONDS)
+
+    def health(self) -> HealthBody:
+        """Return what the health check tells."""
+        state = self._plan.state.value
+        if state == "serving" and self._table.offset < 0:
+            state = "waiting"
+        return HealthBody(
+            state=state,
+            config_offset=self._table.offset,
+            in_progress=self.in_progress,
+        )
--- /dev/null
+++ b/src/knapweeddrum/process/router/router_process.py
@@ -0,0 +1,45 @@
+"""The life of a router process."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import AsyncIterator
+
+import anyio
+
+from knapweeddrum.process.router.caller_server import listen
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.router import Router, running_router
+from knapweeddrum.telemetry.events import PROCESS_STARTED, PROCESS_STOPPED
+
+BINARY = "knapweed-router"
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+async def run_router_process(parts: Collaborators) -> None:
+    """Serve until SIGTERM, then drain; a second signal ends at once.
+
+    Raises OSError when the address of the router can't be had.
+    """
+    host = parts.settings.host
+    listener = listen(str(host.address), host.router_port)
+    with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
+        async with running_router(parts, listener) as router:
+            parts.events.emit(PROCESS_STARTED, binary=BINARY, host=host.name)
+            await anext(signals)
+            await _drain_unless(signals, router)
+    parts.events.emit(PROCESS_STOPPED, binary=BINARY)
+
+
+async def _drain_unless(signals: AsyncIterator[signal.Signals], router: Router) -> None:
+    """Drain the router, or return at the next signal."""
+    async with anyio.create_task_group() as tasks:
+
+        async def stop_at_signal() -> None:
+            await anext(signals)
+            tasks.cancel_scope.cancel()
+
+        tasks.start_soon(stop_at_signal)
+        await router.drain.run()
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/src/knapweeddrum/process/router/run_services.py
@@ -0,0 +1,26 @@
+"""What runs of requests work with."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from knapweeddrum.process.router.admission_desk import AdmissionDesk
+from knapweeddrum.process.router.allowance_manager import AllowanceManager
+from knapweeddrum.process.router.claim_desk import ClaimDesk
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.endpoint_directory import EndpointDirectory
+from knapweeddrum.process.router.locator import Locator
+from knapweeddrum.process.router.usage_collector import UsageCollector
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunServices:
+    """The router's tasks and tables that a run talks to."""
+
+    parts: Collaborators
+    admission: AdmissionDesk
+    allowances: AllowanceManager
+    claims: ClaimDesk
+    collector: UsageCollector
+    directory: EndpointDirectory
+    locator: Locator
--- /dev/null
+++ b/src/knapweeddrum/process/router/service_directory.py
@@ -0,0 +1,37 @@
+"""The plain-service requests in progress at this router."""
+
+from __future__ import annotations
+
+import anyio.abc
+
+from knapweeddrum.process.router.run_services import RunServices
+from knapweeddrum.process.router.service_job import ServiceJob
+from knapweeddrum.process.router.service_run import ServiceRun
+from knapweeddrum.telemetry.events import TASK_FAILED
+
+
+class ServiceDirectory:
+    """Starts a task for each request."""
+
+    def __init__(self, services: RunServices, tasks: anyio.abc.TaskGroup) -> None:
+        self._services = services
+        self._tasks = tasks
+        self.running = 0
+
+    def start(self, job: ServiceJob) -> ServiceRun:
+        """Return the new run of a request."""
+        run = ServiceRun(job, self._services)
+        self.running += 1
+        self._tasks.start_soon(self._execute, run)
+        return run
+
+    async def _execute(self, run: ServiceRun) -> None:
+        """Execute one run; its errors must not end the router."""
+        try:
+            await run.execute()
+        except Exception as exc:  # noqa: BLE001
+            self._services.parts.events.emit(
+                TASK_FAILED, task="service run", error=repr(exc)
+            )
+        finally:
+            self.running -= 1
--- /dev/null
+++ b/src/knapweeddrum/process/router/service_run.py
@@ -0,0 +1,207 @@
+"""The execution of one request at plain services."""
+
+from __future__ import annotations
+
+import anyio
+
+from knapweeddrum.core.admission.admission_request import AdmissionRequest
+from knapweeddrum.core.routing.attempt_result import AttemptResult
+from knapweeddrum.core.routing.failed_attempt import FailedAttempt
+from knapweeddrum.core.routing.give_up import GiveUp
+from knapweeddrum.core.routing.request_features import RequestFeatures
+from knapweeddrum.endpoint.exceptions import EndpointConnectError, EndpointError
+from knapweeddrum.endpoint.service_reply import ServiceReply
+from knapweeddrum.process.router.exceptions import RefusedError, refused
+from knapweeddrum.process.router.held_claim import HeldClaim
+from knapweeddrum.process.router.run_services import RunServices
+from knapweeddrum.process.router.run_states import more_certain
+from knapweeddrum.process.router.service_job import ServiceJob
+from knapweeddrum.value.identifiers import EndpointName
+from knapweeddrum.value.refusal import Refusal
+from knapweeddrum.value.refusal_reason import RefusalReason
+from knapweeddrum.value.retry_reason import RetryReason
+from knapweeddrum.value.run_state import RunState
+
+RETRY_AFTER_SECONDS = 1.0
+
+
+class ServiceRun:
+    """Takes one request from admission to its reply.
+
+    Runs in a task of its own: a caller that leaves stops a repeatable request only,
+    any other goes on, so that its outcome gets known and recorded.
+    """
+
+    def __init__(self, job: ServiceJob, services: RunServices) -> None:
+        self.outcome: ServiceReply | Refusal = Refusal(
+            RefusalReason.ENDPOINT_FAILED, RunState.UNKNOWN, detail="internal error"
+        )
+        self.is_over = anyio.Event()
+        self._job = job
+        self._services = services
+        self._scope = anyio.CancelScope()
+        self._run_state = RunState.NOT_RUN
+        self._claim: HeldClaim | None = None
+        self._attempts = 0
+
+    def caller_left(self) -> None:
+        """Stop a repeatable request."""
+        if self._job.repeatable:
+            self._scope.cancel()
+
+    async def execute(self) -> None:
+        """Run until ``outcome`` holds the reply or the refusal."""
+        try:
+            self.outcome = await self._until_deadline()
+        except RefusedError as exc:
+            self.outcome = self._truthful(exc.refusal)
+        finally:
+            self.is_over.set()
+
+    def _truthful(self, refusal: Refusal) -> Refusal:
+        """Return the refusal with what all attempts say about the execution."""
+        run_state = more_certain(refusal.run_state, self._run_state)
+        reason = refusal.reason
+        if not self._job.repeatable and self._run_state is RunState.UNKNOWN:
+            reason = RefusalReason.OUTCOME_UNKNOWN
+        return Refusal(reason, run_state, refusal.retry_after, refusal.detail)
+
+    async def _until_deadline(self) -> ServiceReply:
+        left = self._job.deadline - self._services.parts.clock()
+        self._scope.deadline = anyio.current_time() + max(0.0, left)
+        with self._scope:
+            return await self._admitted()
+        raise refused(RefusalReason.DEADLINE, "the deadline passed")
+
+    async def _admitted(self) -> ServiceReply:
+        """Run while holding a slot of the route."""
+        job = self._job
+        req = AdmissionRequest(
+            request_id=self._services.parts.mint(),
+            route=job.route_name,
+            organisation=job.organisation,
+            deadline=job.deadline,
+            priority=job.priority,
+            weight=job.weight,
+        )
+        async with self._services.admission.slot(req):
+            if job.claim_key:
+                return await self._claimed()
+            return await self._attempt_until_answered()
+
+    async def _claimed(self) -> ServiceReply:
+        """Send once for the claim's key, or repeat the recorded answer.
+
+        The outcome is recorded before the caller is answered.
+        """
+        job = self._job
+        claims = self._services.claims
+        with claims.hold(job.claim_key) as claim:
+            self._claim = claim
+            recorded = await claims.ask(claim, job.fingerprint, job.deadline)
+            if recorded is not None:
+                return ServiceReply(
+                    recorded.status, recorded.content_type, recorded.body
+                )
+            try:
+                reply = await self._attempt_until_answered()
+            except RefusedError:
+                await claim.give_up()
+                raise
+            await claim.done(reply.status, reply.content_type, reply.body)
+            return reply
+
+    async def _attempt_until_answered(self) -> ServiceReply:
+        """Attempt at one service after the other, as far as the policy allows."""
+        job = self._job
+        self._services.directory.retry_policy(job.route_name).started()
+        tried: list[EndpointName] = []
+        while True:
+            endpoint = self._choose(tried)
+            try:
+                return await self._attempt_at(endpoint)
+            except EndpointError as exc:
+                delay = self._retry_delay(exc)
+            tried.append(endpoint)
+            await anyio.sleep(delay)
+
+    def _choose(self, tried: list[EndpointName]) -> EndpointName:
+        """Return a service that was not tried yet, else any that is available."""
+        directory = self._services.directory
+        job = self._job
+        features = RequestFeatures(priority=job.priority)
+        try:
+            return directory.choose(job.route, features, job.repeatable, tried)
+        except RefusedError:
+            if not tried:
+                raise
+            return directory.choose(job.route, features, job.repeatable)
+
+    async def _attempt_at(self, endpoint: EndpointName) -> ServiceReply:
+        """Send the request once; raises EndpointError."""
+        directory = self._services.directory
+        service = directory.service(endpoint)
+        if service is None:
+            raise refused(RefusalReason.NO_ENDPOINT, "", RETRY_AFTER_SECONDS)
+        self._attempts += 1
+        timeout = self._timeout()
+        started_at = self._services.parts.clock()
+        result = AttemptResult.CANCELLED
+        before = self._run_state
+        directory.begin(endpoint)
+        self._note_dispatch()
+        try:
+            reply = await service.call(self._job.request, timeout)
+            result = AttemptResult.SUCCESS
+        except EndpointConnectError:
+            result = AttemptResult.FAILURE
+            self._note_not_sent(before)
+            raise
+        except EndpointError:
+            result = AttemptResult.FAILURE
+            raise
+        finally:
+            directory.finish(endpoint, result, started_at)
+        return reply
+
+    def _timeout(self) -> float:
+        """Return the seconds for one call; raises RefusedError when none are left.
+
+        Asked right before dispatch, so that a process that was paused after its claim
+        was won does not send a request that its caller has given up.
+        """
+        left = self._job.deadline - self._services.parts.clock()
+        if left <= 0:
+            raise refused(RefusalReason.DEADLINE, "the deadline passed before dispatch")
+        return min(left, self._job.route.timeout)
+
+    def _note_dispatch(self) -> None:
+        """Take note that the request is being sent."""
+        self._run_state = more_certain(self._run_state, RunState.UNKNOWN)
+        if self._claim is not None:
+            self._claim.dispatch()
+
+    def _note_not_sent(self, before: RunState) -> None:
+        """Take note that the request was not sent after all."""
+        self._run_state = before
+        if self._claim is not None:
+            self._claim.not_sent()
+
+    def _retry_delay(self, failure: EndpointError) -> float:
+        """Return the seconds to the next attempt; raises RefusedError to give up."""
+        job = self._job
+        connect = isinstance(failure, EndpointConnectError)
+        reason = RetryReason.CONNECT_FAILED if connect else RetryReason.ENDPOINT_ERROR
+        failed = FailedAttempt(
+            reason=reason,
+            attempts=self._attempts,
+            idempotent=job.repeatable,
+            run_state=self._run_state,
+            deadline=job.deadline,
+        )
+        policy = self._services.directory.retry_policy(job.route_name)
+        decision = policy.decide(failed, self._services.parts.clock())
+        if isinstance(decision, GiveUp):
+            raise RefusedError(decision.refusal)
+        self._services.parts.metrics.retry(decision.reason)
+        return decision.delay
--- /dev/null
+++ b/src/knapweeddrum/process/router/usage_collector.py
@@ -0,0 +1,115 @@
+"""Collection of the engines' figures for runs that were not seen to their end."""
+
+from __future__ import annotations
+
+import anyio
+import anyio.abc
+
+from knapweeddrum.endpoint.exceptions import EndpointError, UnknownRunError
+from knapweeddrum.endpoint.run_usage import RunUsage
+from knapweeddrum.process.router.allowance_manager import AllowanceManager
+from knapweeddrum.process.router.backoff import Backoff
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.engine_attempt import EngineAttempt
+from knapweeddrum.process.router.locator import Locator
+from knapweeddrum.process.router.pending_usage import PendingUsage
+from knapweeddrum.telemetry.events import USAGE_LOST, USAGE_PENDING
+
+PENDING_LIMIT = 1024
+"""Runs whose figure may be outstanding; above it the router takes no model work."""
+
+CALL_TIMEOUT_SECONDS = 3.0
+FIRST_DELAY_SECONDS = 0.1
+LONGEST_DELAY_SECONDS = 5.0
+
+UNKNOWN_RUN_CHECKS = 3
+"""Replies that the run is unknown before it is taken for lost.
+
+A request that was cut while it was being sent may reach the engine after the cancel.
+"""
+
+
+class UsageCollector:
+    """Cancels runs at their engines and settles them to the engines' figures.
+
+    The first try is made at once. While the engine can't be asked, the reservation is
+    held and the engine is asked again.
+    """
+
+    def __init__(
+        self,
+        parts: Collaborators,
+        allowances: AllowanceManager,
+        locator: Locator,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        self._parts = parts
+        self._allowances = allowances
+        self._locator = locator
+        self._tasks = tasks
+        self.pending = 0
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether too many figures are outstanding."""
+        return self.pending >= PENDING_LIMIT
+
+    def collect(self, pending: PendingUsage) -> None:
+        """Start collecting; the caller isn't kept waiting."""
+        self.pending += 1
+        self._tasks.start_soon(self._collect, pending)
+
+    async def _collect(self, pending: PendingUsage) -> None:
+        attempt = pending.attempt
+        try:
+            if pending.may_have_moved and await self._is_moved(pending):
+                self._allowances.release(attempt.reservation)
+                return
+            await self._cancel_until_known(attempt)
+            await pending.request_over.wait()
+            figures = attempt.meter.figures(pending.outcome)
+            self._allowances.settle(attempt.reservation, figures)
+        finally:
+            self.pending -= 1
+
+    async def _is_moved(self, pending: PendingUsage) -> bool:
+        """Return whether another router resumed the run and will settle it."""
+        return await self._locator.is_moved(pending.request_key, pending.attempt.run_id)
+
+    async def _cancel_until_known(self, attempt: EngineAttempt) -> None:
+        """Cancel the run until the engine has named its figure."""
+        backoff = Backoff(self._parts.rng, FIRST_DELAY_SECONDS, LONGEST_DELAY_SECONDS)
+        unknown = 0
+        tries = 0
+        while unknown < UNKNOWN_RUN_CHECKS:
+            try:
+                usage = await self._cancel(attempt)
+            except UnknownRunError:
+                unknown += 1
+            except (EndpointError, TimeoutError) as exc:
+                tries += 1
+                self._report_pending(attempt, tries, exc)
+            else:
+                attempt.meter.note_usage(usage.run_id, usage.tokens, usage.running)
+                return
+            await anyio.sleep(backoff.delay())
+        if attempt.meter.next_index:
+            self._parts.events.emit(
+                USAGE_LOST, run_id=attempt.run_id, endpoint=attempt.endpoint
+            )
+
+    async def _cancel(self, attempt: EngineAttempt) -> RunUsage:
+        with anyio.fail_after(CALL_TIMEOUT_SECONDS):
+            return await attempt.engine.cancel(attempt.run_id)
+
+    def _report_pending(
+        self, attempt: EngineAttempt, tries: int, exc: Exception
+    ) -> None:
+        """Log the first failure to reach the engine."""
+        if tries == 1:
+            self._parts.events.emit(
+                USAGE_PENDING,
+                run_id=attempt.run_id,
+                endpoint=attempt.endpoint,
+                error=repr(exc),
+            )
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -8,8 +8,9 @@
 REQUESTS = "requests"
 ANSWERED = "answered"
 CANCELLED = "cancelled"
+SETTLED = "settled"
 
-ALL_COUNTERS: tuple[str, ...] = (REQUESTS, ANSWERED, CANCELLED)
+ALL_COUNTERS: tuple[str, ...] = (REQUESTS, ANSWERED, CANCELLED, SETTLED)
 
 
 def refusal_counter(reason: RefusalReason) -> str:
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -15,3 +15,11 @@
 WAITING = Event(105, "waiting", "warning", ("dependency", "error"))
 DEPENDENCY_READY = Event(106, "dependency_ready", "info", ("dependency",))
 TASK_FAILED = Event(107, "task_failed", "error", ("task", "error"))
+
+# Router
+
+CONFIG_IN_FORCE = Event(200, "config_in_force", "info", ("offset",))
+USAGE_PENDING = Event(201, "usage_pending", "warning", ("run_id", "endpoint", "error"))
+USAGE_LOST = Event(202, "usage_lost", "error", ("run_id", "endpoint"))
+OUTCOME_LATE = Event(203, "outcome_late", "warning", ("claim_key",))
+STOPPED_UNSETTLED = Event(204, "stopped_unsettled", "error", ("runs", "settlements"))
