--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -9,9 +9,16 @@
 REQUESTS = "requests"
 ANSWERED = "answered"
 CANCELLED = "cancelled"
+SETTLED = "settled"
 CONTROL_REQUESTS = "control.requests"
 
-ALL_COUNTERS: tuple[str, ...] = (REQUESTS, ANSWERED, CANCELLED, CONTROL_REQUESTS)
+ALL_COUNTERS: tuple[str, ...] = (
+    REQUESTS,
+    ANSWERED,
+    CANCELLED,
+    SETTLED,
+    CONTROL_REQUESTS,
+)
 
 
 def refusal_counter(reason: RefusalReason) -> str:
