--- a/tools/demo.py
+++ b/tools/demo.py
@@ -111,6 +111,17 @@
             time.sleep(POLL_SECONDS)
 
 
+def advised_hosts(fleet: SmallFleet, router: str) -> int:
+    """Wait until the advice names all hosts; return how many it names."""
+    limit = time.monotonic() + SETTLE_LIMIT_SECONDS
+    while True:
+        advice = get_json(f"{router}/v1/entry")
+        count = len(advice["hosts"])
+        if count == len(fleet.hosts) or time.monotonic() > limit:
+            return count
+        time.sleep(POLL_SECONDS)
+
+
 def router_url(port: int) -> str:
     return f"http://127.0.0.1:{port}"
 
@@ -171,8 +182,7 @@
     declare(fleet)
     client(fleet, "top-up", BUDGET, str(FIRST_DEPOSIT_TOKENS), "--topup-id", "first")
     routers = [router_url(host.router_port) for host in fleet.hosts]
-    advice = get_json(f"{routers[1]}/v1/entry")
-    check(len(advice["hosts"]) == len(fleet.hosts), "entry advice", wrong)
+    check(advised_hosts(fleet, routers[1]) == len(fleet.hosts), "entry advice", wrong)
     caller = DemoCaller(API_KEY, "draft")
 
     answer = caller.draft(routers[0], "Draft a tender reply.", DRAFT_TOKENS)
@@ -204,8 +214,8 @@
     bookings = get_json(f"{fleet.service.url}/-/records")["executions"]
     deposits = FIRST_DEPOSIT_TOKENS + TOP_UP_TOKENS
     figures = {
-        "answered": sum(1 for run in runs if run["state"] == "finished"),
-        "cancelled": sum(1 for run in runs if run["state"] == "cancelled"),
+        "answered": sum(1 for run in runs if run["finished"]),
+        "cancelled": sum(1 for run in runs if run["cancelled"]),
         "refused": refusals(fleet),
         "billed_requests": status["bills"],
         "billed_tokens": status["billed"],
