--- a/src/knapweeddrum/endpoint/http_model_engine.py
+++ b/src/knapweeddrum/endpoint/http_model_engine.py
@@ -16,6 +16,7 @@
     EndpointConnectError,
     InvalidRequestError,
     StreamCutError,
+    WrongStreamError,
 )
 from knapweeddrum.endpoint.json_exchange import JsonExchange, check_status
 from knapweeddrum.endpoint.load_reply import LoadReply
@@ -90,11 +91,11 @@
 
     async def cancel(self, run_id: str) -> RunUsage:
         """Stop a run and return what it consumed in all."""
-        return await self._usage(Request(method="DELETE", path=self._path(run_id)))
+        return await self._usage("DELETE", run_id)
 
     async def usage(self, run_id: str) -> RunUsage:
         """Return what a run consumed so far."""
-        return await self._usage(Request(method="GET", path=self._path(run_id)))
+        return await self._usage("GET", run_id)
 
     async def load(self) -> LoadReport:
         """Return the engine's load; it lags."""
@@ -142,8 +143,12 @@
             priority=int(req.priority),
         )
 
-    async def _usage(self, req: Request) -> RunUsage:
-        return (await self._json.call(req, UsageReply)).usage()
+    async def _usage(self, method: str, run_id: str) -> RunUsage:
+        req = Request(method=method, path=self._path(run_id))
+        usage = (await self._json.call(req, UsageReply)).usage()
+        if usage.run_id != run_id:
+            raise WrongStreamError(f"usage of {usage.run_id!r}, not {run_id!r}")
+        return usage
 
     @contextlib.asynccontextmanager
     async def _parts(
--- a/src/knapweeddrum/http/exchange_client.py
+++ b/src/knapweeddrum/http/exchange_client.py
@@ -13,12 +13,14 @@
 from knapweeddrum.http.open_reply import OpenReply
 from knapweeddrum.http.reply import Reply
 from knapweeddrum.http.request import Request
+from knapweeddrum.http.request_head import RequestHead
 from knapweeddrum.http.send_watch import SendWatch
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 WRITE_TIMEOUT_SECONDS = 5.0
 KEEP_ALIVE_SECONDS = 4.0
-MAX_POOLED_CONNECTIONS = 32
+MAX_POOLED_CONNECTIONS = 256
+"""Each read that waits at the end of a log stream holds one."""
 
 METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 
@@ -87,10 +89,11 @@
         self, req: Request, read_timeout: float, watch: SendWatch
     ) -> AsyncIterator[httpcore.Response]:
         async with self._transport(reuse=req.reuse) as transport:
+            head = self._encode(req)
             sending = transport.stream(
-                req.method,
-                self._url(req.path),
-                headers=[*req.headers],
+                head.method,
+                self._url(head.target),
+                headers=head.headers,
                 content=self._content(req),
                 extensions={
                     "timeout": {
@@ -121,13 +124,13 @@
             with anyio.CancelScope(shield=True):
                 await connection.aclose()
 
-    def _url(self, path: str) -> httpcore.URL:
+    def _encode(self, req: Request) -> RequestHead:
         try:
-            target = path.encode("ascii")
-        except UnicodeEncodeError as exc:
-            raise NotSentError(f"path is not ASCII: {path!r}") from exc
-        if not target.startswith(b"/"):
-            raise NotSentError(f"path doesn't start with a slash: {path!r}")
+            return RequestHead.encode(req)
+        except ValueError as exc:
+            raise NotSentError(f"request can't be encoded: {exc}") from exc
+
+    def _url(self, target: bytes) -> httpcore.URL:
         return httpcore.URL(
             scheme=self._base.scheme,
             host=self._base.host,
--- a/tests/endpoint/test_http_model_engine.py
+++ b/tests/endpoint/test_http_model_engine.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+import anyio
 import msgspec
 
 from knapweeddrum.endpoint.engine_order import EngineOrder
@@ -119,6 +120,23 @@
         assert len(parts) == 50
 
 
+@async_test
+async def test_leaving_or_cancelling_a_stream_closes_its_connection():
+    """The connection of a stream in progress ends with its context."""
+    unfinished = event_reply(part_json(0), part_json(1, final=True))[:-1]
+    for cancelled in (False, True):
+        server = RawServer([unfinished])
+        async with server.serve() as url, HttpModelEngine.connect(url) as engine:
+            with anyio.CancelScope() as scope:
+                async with engine.stream(model_request("r")) as parts:
+                    await anext(parts)
+                    if cancelled:
+                        scope.cancel()
+                        await anext(parts)
+            assert scope.cancelled_caught == cancelled
+            await server.hung_up.wait()
+
+
 @async_test
 async def test_busy_engine_did_not_run():
     """A full queue and a refusal raise EndpointBusyError with its retry-after."""
@@ -134,13 +152,17 @@
 
 @async_test
 async def test_crash_cuts_all_streams():
-    """A request that crashes the engine cuts its own stream and loses the run."""
+    """A request that crashes the engine cuts every stream and loses every run."""
     async with served_engine() as (app, engine):
-        with raises(StreamCutError):
-            await collect(engine.stream(model_request("r", content="CRASH-ENGINE")))
+        app.set_switches(token_seconds=FOREVER_SECONDS)
+        async with engine.stream(model_request("other")) as parts:
+            with raises(StreamCutError):
+                await collect(engine.stream(model_request("r", content="CRASH-ENGINE")))
+            with raises(StreamCutError):
+                await anext(parts)
         with raises(UnknownRunError):
             await collect(engine.resume("r", 0))
-        assert [run.crashed for run in app.ledger] == [True]
+        assert [run.crashed for run in app.ledger] == [True, True]
 
 
 @async_test
@@ -247,3 +269,13 @@
         for call in (engine.load(), engine.cache_events(0), engine.usage("r")):
             with raises(EndpointError):
                 await call
+
+
+@async_test
+async def test_usage_of_another_run_is_refused():
+    """Usage that names another run is not billed to this one."""
+    usage = b'{"run_id":"s","prompt_tokens":1,"output_tokens":0,"running":true}'
+    server = RawServer([json_reply(usage)])
+    async with server.serve() as url, HttpModelEngine.connect(url) as engine:
+        with raises(WrongStreamError):
+            await engine.usage("r")
--- a/tests/http/test_exchange_client.py
+++ b/tests/http/test_exchange_client.py
@@ -104,7 +104,9 @@
         Request(method="GET", path="/a b"),
         Request(method="GET", path="/\u00e9"),
         Request(method="GET", path="a"),
+        Request(method="G\u00e9T", path="/"),
         Request(method="GET", path="/", headers=(("X", "1\r\nY: 2"),)),
+        Request(method="GET", path="/", headers=(("X", "\u20ac"),)),
     )
     server = RawServer([])
     async with server.serve() as url, ExchangeClient.connect(url) as client:
--- a/tests/standins/append_log.py
+++ b/tests/standins/append_log.py
@@ -61,6 +61,7 @@
             await responder.error(429, "too many appends", retry_after=1)
             return
         offset = stream.append(req.body)
+        self._expire(stream)
         self.appends += 1
         await anyio.sleep(self.switches.slow_seconds)
         if self.switches.lose_replies > 0:
--- a/tests/standins/asgi.py
+++ b/tests/standins/asgi.py
@@ -13,12 +13,14 @@
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 
 
-async def read_request(scope: Scope, receive: Receive) -> IncomingRequest:
-    """Return the whole request."""
+async def read_request(scope: Scope, receive: Receive) -> IncomingRequest | None:
+    """Return the whole request, or None when the caller left before its end."""
     body = bytearray()
     more = True
     while more:
         message = await receive()
+        if message["type"] == "http.disconnect":
+            return None
         body += message.get("body", b"")
         more = message.get("more_body", False)
     query = urllib.parse.parse_qsl(scope["query_string"].decode("ascii"))
--- a/tests/standins/log_stream.py
+++ b/tests/standins/log_stream.py
@@ -48,8 +48,10 @@
         if not lag:
             return self.next
         newest = time.time() - lag
-        hidden = sum(1 for record in self.records if record.time > newest)
-        return self.next - hidden
+        for record in reversed(self.records):
+            if record.time <= newest:
+                return record.offset + 1
+        return self.first
 
     def page(self, start: int, limit: int, end: int) -> list[StoredRecord]:
         """Return records from ``start`` up to ``end``, bounded in count and size."""
--- a/tests/standins/stand_in.py
+++ b/tests/standins/stand_in.py
@@ -45,6 +45,8 @@
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one request."""
         req = await read_request(scope, receive)
+        if req is None:
+            return
         responder = Responder(send, self.control, req.client)
         if req.path == SWITCHES_PATH:
             await self._switch(req, responder)
