Hand grants back at a planned stop of a whole host; mend two flaws of the demo

Cause 1: a cancelled run of the stand-in engine could add one token after its cancel figure was told, when its task was already scheduled; one demo in nine billed 349 of 350 tokens. The engine now adds nothing after the end. Ruled out: the router's figure, which was the engine's reply. Cause 2: the launcher sent SIGTERM twice, and a second one ends a router at once; it is sent once now. A keeper that is told to stop together with its router serves it until it has drained, so that no token stays in a grant: make demo checks that after the stop.

--- a/src/knapweeddrum/process/keeper/config_manager.py
+++ b/src/knapweeddrum/process/keeper/config_manager.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import contextlib
+from collections.abc import Callable, Iterator
 
 from knapweeddrum.core.config.config_ledger import ConfigLedger
 from knapweeddrum.core.fold.fold_outcome import FoldOutcome
@@ -23,6 +24,7 @@
 RETRY_AFTER_SECONDS = 2.0
 WAIT_LIMIT_SECONDS = 10.0
 READER_SILENCE_SECONDS = 30.0
+ROUTER_SILENCE_SECONDS = 2.0
 
 
 class ConfigManager:
@@ -35,6 +37,9 @@
         clock: Callable[[], float],
     ) -> None:
         self._own_readers = f"{host}/"
+        self._own_router = f"{host}/router/"
+        self._router_polls = 0
+        self._router_left_at = 0.0
         self._stream = stream
         self._clock = clock
         self._readers: dict[str, tuple[int, float]] = {}
@@ -43,6 +48,10 @@
         """Return the changes after an offset, or a snapshot; waits for a change."""
         if req.reader.startswith(self._own_readers):
             self._readers[req.reader] = (req.after, self._clock())
+        with self._router_poll(req.reader):
+            return await self._read(req)
+
+    async def _read(self, req: ConfigRequest) -> ConfigReply:
         follower = self._stream.follower
         if not follower.ready.is_set():
             return ConfigReply(offset=-1, resources=())
@@ -88,6 +97,24 @@
         ]
         return min([self._stream.follower.fold.position, *offsets])
 
+    def has_own_router(self) -> bool:
+        """Return whether the router of this host still asks for changes."""
+        if self._router_polls:
+            return True
+        return self._clock() - self._router_left_at < ROUTER_SILENCE_SECONDS
+
+    @contextlib.contextmanager
+    def _router_poll(self, reader: str) -> Iterator[None]:
+        if not reader.startswith(self._own_router):
+            yield
+            return
+        self._router_polls += 1
+        try:
+            yield
+        finally:
+            self._router_polls -= 1
+            self._router_left_at = self._clock()
+
     def _changes(self, after: int) -> ConfigReply:
         ledger = self._stream.ledger
         offset = self._stream.follower.fold.position
--- a/src/knapweeddrum/process/keeper/keeper_process.py
+++ b/src/knapweeddrum/process/keeper/keeper_process.py
@@ -53,6 +53,7 @@
 CONFIG_STREAM = "config"
 FLUSH_LIMIT_SECONDS = 5.0
 FLUSH_POLL_SECONDS = 0.05
+DRAIN_NOTICE_SECONDS = 1.0
 BINARY = "knapweed-keeper"
 
 LedgerT = TypeVar("LedgerT", bound=Ledger)
@@ -160,12 +161,26 @@
 
     async def _hand_back(self) -> None:
         """Return unspent tokens and wait a while for the log to take everything."""
+        await self._wait_for_own_router()
         self._membership.draining = True
         self._grants.return_all()
         with anyio.move_on_after(FLUSH_LIMIT_SECONDS):
             while not all(stream.appender.idle for stream in self._streams):
                 await anyio.sleep(FLUSH_POLL_SECONDS)
 
+    async def _wait_for_own_router(self) -> None:
+        """Serve the router of this host until it has drained.
+
+        A router that drains says so first; when none does, this keeper stops alone.
+        """
+        with anyio.move_on_after(DRAIN_NOTICE_SECONDS):
+            while not self._membership.draining:
+                await anyio.sleep(FLUSH_POLL_SECONDS)
+        limit = self._settings.router.drain_limit_seconds
+        with anyio.move_on_after(limit):
+            while self._membership.draining and self._config.has_own_router():
+                await anyio.sleep(FLUSH_POLL_SECONDS)
+
     def _stream(self, name: str, ledger: LedgerT) -> KeeperStream[LedgerT]:
         fold = StreamFold(ledger)
         follower = StreamFollower(
--- a/tests/standins/engine_run.py
+++ b/tests/standins/engine_run.py
@@ -38,7 +38,12 @@
         self.entry.started_at = time.time()
 
     def add_token(self) -> None:
-        """Generate one token; the last one is final."""
+        """Generate one token; the last one is final.
+
+        Nothing happens after the end: a cancelled task may still be scheduled once.
+        """
+        if self.ended:
+            return
         index = self.entry.output_tokens
         self.entry.output_tokens += 1
         reason = self._finish_reason()
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -15,7 +15,14 @@
 import time
 
 from tools.demo_caller import CallResult, DemoCaller
-from tools.launcher import BIN, SmallFleet, get_json, post_json, small_fleet
+from tools.launcher import (
+    BIN,
+    SmallFleet,
+    get_json,
+    post_json,
+    small_fleet,
+    wait_for_port,
+)
 
 API_KEY = "demo-caller-key"
 BUDGET = "mill/main"
@@ -25,6 +32,7 @@
 CANCELLED_DRAFT_TOKENS = 400
 SETTLE_LIMIT_SECONDS = 20.0
 POLL_SECONDS = 0.2
+HAND_BACK_LIMIT_SECONDS = 3.0
 SPEND_LIMIT_REQUESTS = 60
 
 
@@ -111,6 +119,19 @@
             time.sleep(POLL_SECONDS)
 
 
+def held_after_stop(fleet: SmallFleet) -> int:
+    """Start one host again and return the tokens that are still in grants."""
+    host = fleet.hosts[0]
+    for role in ("keeper", "control"):
+        wait_for_port(fleet.start_process(host, role))
+    limit = time.monotonic() + HAND_BACK_LIMIT_SECONDS
+    while True:
+        held = budget_status(fleet)["held"]
+        if held == 0 or time.monotonic() > limit:
+            return held
+        time.sleep(POLL_SECONDS)
+
+
 def advised_hosts(fleet: SmallFleet, router: str) -> int:
     """Wait until the advice names all hosts; return how many it names."""
     limit = time.monotonic() + SETTLE_LIMIT_SECONDS
@@ -223,7 +244,11 @@
         "overspent_tokens": max(0, consumed - deposits),
     }
     check(status["deposited"] == deposits, "each top-up counted once", wrong)
-    check(figures["billed_tokens"] == consumed, "billed what the engines ran", wrong)
+    check(
+        figures["billed_tokens"] == consumed,
+        f"billed {figures['billed_tokens']} of {consumed} tokens the engines ran",
+        wrong,
+    )
     check(figures["billed_requests"] == len(runs), "each run billed once", wrong)
     check(figures["cancelled"] == 1, "one run cancelled at the engine", wrong)
     check(figures["refused"] >= 1, "refusals counted", wrong)
@@ -246,6 +271,8 @@
                 show_logs(directory)
                 raise
             check(set(codes) == {0}, f"graceful stop, exit codes {codes}", wrong)
+            held = held_after_stop(fleet)
+            check(held == 0, f"grants handed back, {held} tokens held", wrong)
             if wrong:
                 show_logs(directory)
             fleet.stop_stand_ins()
--- a/tools/launcher.py
+++ b/tools/launcher.py
@@ -46,8 +46,16 @@
 
     def stop(self) -> int:
         """Ask the process to stop and return its exit code."""
+        self.ask_to_stop()
+        return self.wait()
+
+    def ask_to_stop(self) -> None:
+        """Send the stop signal once."""
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGTERM)
+
+    def wait(self) -> int:
+        """Wait for the end of the process and return its exit code."""
         try:
             return self.process.wait(STOP_LIMIT_SECONDS)
         except subprocess.TimeoutExpired:
@@ -176,12 +184,9 @@
         running = [
             launched for host in self.hosts for launched in host.processes.values()
         ]
-        routers = [item for item in running if item.name.endswith("-router")]
-        for launched in routers:
-            launched.process.send_signal(signal.SIGTERM)
-        return [item.stop() for item in routers] + [
-            item.stop() for item in running if item not in routers
-        ]
+        for launched in running:
+            launched.ask_to_stop()
+        return [launched.wait() for launched in running]
 
     def stop_stand_ins(self) -> None:
         """Stop the outside systems."""
