--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -7,6 +7,7 @@
     derandomize=True,
     deadline=None,
     database=None,
+    report_multiple_bugs=False,
     max_examples=60,
     stateful_step_count=40,
 )
--- /dev/null
+++ b/tests/core/config/test_config_ledger.py
@@ -0,0 +1,119 @@
+from __future__ import annotations
+
+import dataclasses
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from knapweeddrum.core.config.config_ledger import ConfigLedger
+from knapweeddrum.message.call.change_verdict import ChangeVerdict
+from knapweeddrum.message.fact.config_change import ConfigChange
+from tests.core.records import RecordWriter
+from tests.core.searching import assert_violated
+
+
+def change(change_id: str, base: int, deleted: bool = False) -> ConfigChange:
+    return ConfigChange(change_id, "route", "n", base, "operator", b"{}", deleted)
+
+
+def test_first_of_two_racing_changes_wins():
+    """The loser gets a conflict with the winner's version; a repeat its own verdict."""
+    ledger = ConfigLedger()
+    log = RecordWriter(ledger)
+    log.append(change("a", 0))
+    log.append(change("b", 0))
+    log.append(change("a", 0))
+    winner, loser = ledger.change("a"), ledger.change("b")
+    assert (winner.verdict, winner.version) == (ChangeVerdict.ACCEPTED, 1)
+    assert (loser.verdict, loser.version) == (ChangeVerdict.CONFLICT, 1)
+    assert ledger.resource("route", "n").version == 1
+
+
+def test_deleted_resource_keeps_its_version():
+    """A resource made again goes on from its tombstone's version."""
+    ledger = ConfigLedger()
+    log = RecordWriter(ledger)
+    log.append(change("a", 0), change("b", 1, deleted=True), change("c", 0))
+    assert ledger.resource("route", "n").version == 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """A change that may rest on a stale version, and whether the watch reads then."""
+
+    name: str
+    is_stale: bool
+    deleted: bool
+    reads: bool
+
+
+STEPS = st.lists(
+    st.builds(
+        Step,
+        st.sampled_from(["n1", "n2"]),
+        st.sampled_from([False, False, True]),
+        st.booleans(),
+        st.booleans(),
+    ),
+    max_size=30,
+)
+
+
+def apply_step(ledger: ConfigLedger, log: RecordWriter, step: Step) -> None:
+    known = ledger.resource("route", step.name)
+    base = 0 if known is None or known.deleted else known.version
+    log.append(
+        ConfigChange(
+            change_id=f"change{len(log.records)}",
+            resource_kind="route",
+            name=step.name,
+            base_version=base - 1 if step.is_stale else base,
+            author="operator",
+            deleted=step.deleted,
+        )
+    )
+
+
+def check_watch(ledger_class: type[ConfigLedger]) -> None:
+    """A watch sees each version once, in order, and ends at the snapshot."""
+
+    @given(STEPS)
+    def search(steps):
+        ledger = ledger_class(history_limit=4)
+        log = RecordWriter(ledger)
+        seen: dict[str, int] = {}
+        offset = -1
+        for step in steps:
+            apply_step(ledger, log, step)
+            if not step.reads:
+                continue
+            found = ledger.changes_after(offset)
+            for record in ledger.snapshot() if found is None else found:
+                version = seen.get(record.name, 0)
+                assert record.version == version + 1 or found is None
+                assert record.version >= version
+                seen[record.name] = record.version
+            offset = log.fold.position
+            assert seen == {r.name: r.version for r in ledger.snapshot()}
+
+    search()
+
+
+def test_watch_sees_each_change_once():
+    """A watch sees each version once, in order, and never an older one."""
+    check_watch(ConfigLedger)
+
+
+class LedgerWithoutTombstones(ConfigLedger):
+    """A simpler version that starts anew from version 1 after a deletion."""
+
+    def _judge(self, fact, offset, time):
+        known = self._resources.get((fact.resource_kind, fact.name))
+        if known and known.deleted:
+            del self._resources[fact.resource_kind, fact.name]
+        return super()._judge(fact, offset, time)
+
+
+def test_ledger_without_tombstones_is_found_wrong():
+    """The search finds a resource whose version goes back."""
+    assert_violated(lambda: check_watch(LedgerWithoutTombstones))
--- /dev/null
+++ b/tests/core/fold/test_checkpoints.py
@@ -0,0 +1,85 @@
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from knapweeddrum.core.budget.budget_ledger import BudgetLedger
+from knapweeddrum.core.fold.checkpoint_need import CheckpointNeed
+from knapweeddrum.core.fold.checkpoint_policy import CheckpointPolicy
+from knapweeddrum.core.fold.checkpoint_reader import CheckpointReader
+from knapweeddrum.core.fold.checkpoint_writer import CheckpointWriter
+from knapweeddrum.core.fold.stream_fold import StreamFold
+from knapweeddrum.message.fact.checkpoint_part import CheckpointPart
+from knapweeddrum.message.fact.deposit import Deposit
+from tests.core.records import RecordWriter
+
+
+def deposit(number: int) -> Deposit:
+    return Deposit(topup_id=f"t{number}", budget="org/b", tokens=number + 1)
+
+
+def test_reader_restores_the_fold_from_interleaved_writers():
+    """The newest complete checkpoint and its tail give the state of the whole."""
+    log = RecordWriter(BudgetLedger())
+    log.append(deposit(0))
+    first = CheckpointWriter("k1", part_bytes=20).parts(log.fold)
+    log.append(deposit(1))
+    second = CheckpointWriter("k2", part_bytes=20).parts(log.fold)
+    for index in range(max(len(first), len(second))):
+        log.append(*first[index : index + 1], *second[index : index + 1])
+    log.append(deposit(2), *first[:1])
+    reader = CheckpointReader()
+    for offset, (_, payload) in enumerate(log.records):
+        reader.read(offset, payload)
+    checkpoint = reader.newest(first_kept=2)
+    assert checkpoint is not None
+    assert checkpoint.covers == 1
+    fold = StreamFold(BudgetLedger())
+    fold.load(checkpoint.state)
+    for offset in range(checkpoint.covers + 1, len(log.records)):
+        fold.apply(offset, *log.records[offset])
+    assert fold.dump() == log.fold.dump()
+    assert reader.newest(first_kept=3) is None
+
+
+PARTS = st.builds(
+    CheckpointPart,
+    st.sampled_from(["a", "b"]),
+    st.integers(0, 3),
+    st.integers(-1, 3),
+    st.integers(0, 3),
+    st.sampled_from([b"x", b"y"]),
+)
+
+
+@given(st.lists(st.tuples(st.sampled_from(["k1", "k2"]), PARTS), max_size=40))
+def test_reader_takes_only_whole_checkpoints_of_one_writer(found):
+    """Whatever parts a stream holds, a checkpoint consists of one writer's parts."""
+    reader = CheckpointReader()
+    seen: dict[tuple[str, str, int, int], dict[int, bytes]] = {}
+    for offset, (writer, part) in enumerate(found):
+        reader.add(offset, writer, part)
+        if part.covers < offset:
+            key = (writer, part.checkpoint_id, part.covers, part.count)
+            seen.setdefault(key, {}).setdefault(part.index, part.body)
+    newest = reader.newest(first_kept=0)
+    whole = [
+        (covers, b"".join(bodies[index] for index in range(count)))
+        for (_, _, covers, count), bodies in seen.items()
+        if count and all(index in bodies for index in range(count))
+    ]
+    if newest is not None:
+        assert (newest.covers, newest.state) in whole
+    assert (newest.covers if newest else -1) == max([-1, *(c for c, _ in whole)])
+
+
+def test_lower_ranks_write_first():
+    """Records and age make a checkpoint due, later for each higher rank."""
+    policy = CheckpointPolicy(records=100, retention=1000.0)
+    many = CheckpointNeed(records=120, oldest_age=1.0)
+    old = CheckpointNeed(records=1, oldest_age=300.0)
+    oldest = CheckpointNeed(records=1, oldest_age=750.0)
+    assert [policy.is_due(many, rank) for rank in range(2)] == [True, False]
+    assert [policy.is_due(old, rank) for rank in range(2)] == [True, False]
+    assert policy.is_due(oldest, rank=50)
+    assert not policy.is_due(CheckpointNeed(records=0, oldest_age=900.0), rank=0)
