--- a/src/knapweeddrum/message/call/open_reply.py
+++ b/src/knapweeddrum/message/call/open_reply.py
@@ -6,6 +6,11 @@
 
 
 class OpenReply(msgspec.Struct, frozen=True):
-    """False when the witness has closed the grant: no more of it may be spent."""
+    """``closed``: no more of the grant may ever be spent.
+
+    Neither ``allowed`` nor ``closed`` is set when the witness has not read the grant
+    yet: ask again.
+    """
 
     allowed: bool
+    closed: bool = False
--- a/src/knapweeddrum/process/keeper/grant_manager.py
+++ b/src/knapweeddrum/process/keeper/grant_manager.py
@@ -33,8 +33,10 @@
     KeeperError,
     NotAppendedError,
 )
+from knapweeddrum.process.keeper.grant_opener import GrantOpener
 from knapweeddrum.process.keeper.keeper_stream import KeeperStream, shard_of
 from knapweeddrum.process.keeper.membership_task import MembershipTask
+from knapweeddrum.process.keeper.peer_channels import PeerChannels
 from knapweeddrum.process.keeper.shortfall_error import ShortfallError
 from knapweeddrum.process.keeper.transfer_client import TransferClient
 
@@ -43,6 +45,7 @@
 DEMAND_TIME_CONSTANT_SECONDS = 10.0
 SURPLUS_PERIOD_SECONDS = 5.0
 IDLE_SECONDS = 30.0
+OPEN_AHEAD_SECONDS = 2.0
 EXHAUSTED_RETRY_SECONDS = 30.0
 UNREACHABLE_RETRY_SECONDS = 2.0
 
@@ -57,7 +60,9 @@
         policy: GrantPolicy,
         membership: MembershipTask,
         transfers: TransferClient,
+        peers: PeerChannels,
         clock: Callable[[], float],
+        witnessed: bool = True,
     ) -> None:
         self._incarnation = incarnation
         self._streams = streams
@@ -66,12 +71,15 @@
         self._transfers = transfers
         self._clock = clock
         self._pool = AllowancePool(incarnation)
+        self._opener = GrantOpener(incarnation, self._pool, membership, peers)
+        self._witnessed = witnessed
         self._given = TransferBook(self._pool)
         self._rates: dict[str, DemandRate] = {}
         self._last_draw: dict[str, float] = {}
         self._locks: dict[str, anyio.Lock] = {}
         self._refilling: set[str] = set()
         self._replies = DrawReplies()
+        self._credited: set[str] = set()
         self._numbers = itertools.count()
         for stream in streams:
             stream.follower.listen(self._take_verdicts)
@@ -121,11 +129,14 @@
         """Return surplus tokens now and then, until cancelled."""
         while True:
             await anyio.sleep(SURPLUS_PERIOD_SECONDS)
-            for budget in self._pool.budgets():
+            held = {*self._pool.budgets(), *self._opener.budgets()}
+            for budget in sorted(held):
                 self._return_surplus(budget)
 
     def return_all(self) -> None:
         """Hand everything back to the log, at a planned stop."""
+        for budget in self._opener.budgets():
+            self._return_unopened(budget)
         for allowance in self._pool.return_all():
             self._submit_return(allowance)
 
@@ -149,7 +160,10 @@
         return min(want.preferred, self._pool.free(want.budget) // 2)
 
     async def _obtain(self, want: Want) -> None:
-        """Ask the log for a grant, then peers for what it can't give."""
+        """Open more of the grants, then ask the log for one, then peers."""
+        await self._open_for(want)
+        if self._pool.free(want.budget) >= want.minimum:
+            return
         stream = shard_of(want.budget, self._streams)
         fact = self._grant(stream, want.budget, want.minimum)
         if fact is not None:
@@ -158,9 +172,16 @@
             except (AppendPendingError, NotAppendedError):
                 # A grant that lands late is credited when it is read back.
                 pass
+            await self._open_for(want)
         if self._pool.free(want.budget) < want.minimum:
             await self._transfers.fetch(self._pool, want.budget, want.minimum)
 
+    async def _open_for(self, want: Want) -> None:
+        missing = want.minimum - self._pool.free(want.budget)
+        if missing > 0 and self._opener.unopened(want.budget):
+            ahead = self._rate(want.budget).at(self._clock()) * OPEN_AHEAD_SECONDS
+            await self._opener.open(want.budget, missing + int(ahead))
+
     def _refill(self, budget: str) -> None:
         """Ask for the next grant ahead of need, one at a time for each budget."""
         if budget in self._refilling:
@@ -179,12 +200,13 @@
         tokens = self._policy.grant_tokens(demand)
         if tokens <= 0:
             return None
-        number = next(self._numbers)
+        grant_id = f"{self._incarnation}/grant-{next(self._numbers)}"
         return Grant(
-            grant_id=f"{self._incarnation}/grant-{number}",
+            grant_id=grant_id,
             budget=budget,
             holder=self._incarnation,
             tokens=tokens,
+            witness=self._opener.choose_witness(grant_id) if self._witnessed else "",
         )
 
     def _demand(
@@ -192,7 +214,7 @@
     ) -> BudgetDemand:
         return BudgetDemand(
             balance=stream.ledger.balance(budget),
-            free=self._pool.free(budget),
+            free=self._pool.free(budget) + self._opener.unopened(budget),
             wanted=wanted,
             rate=self._rate(budget).at(self._clock()),
             live_keepers=len(self._membership.live_incarnations()),
@@ -231,17 +253,26 @@
 
     def _return_surplus(self, budget: str) -> None:
         stream = shard_of(budget, self._streams)
+        if not stream.appender.available:
+            return
         if self._is_idle(budget):
             tokens = self._pool.free(budget)
+            self._return_unopened(budget)
         else:
             demand = self._demand(stream, budget, wanted=0)
             tokens = self._policy.surplus_tokens(demand)
-        if tokens <= 0 or not stream.appender.available:
+            if tokens > self._pool.free(budget):
+                self._return_unopened(budget)
+        if tokens <= 0:
             return
         for allowance in self._pool.give(budget, tokens):
             self._submit_return(allowance)
 
-    def _submit_return(self, allowance: Allowance) -> None:
+    def _return_unopened(self, budget: str) -> None:
+        for allowance in self._opener.give_up(budget):
+            self._submit_return(allowance, opened=False)
+
+    def _submit_return(self, allowance: Allowance, opened: bool = True) -> None:
         stream = shard_of(allowance.budget, self._streams)
         number = next(self._numbers)
         stream.appender.submit(
@@ -250,6 +281,7 @@
                 grant_id=allowance.grant_id,
                 budget=allowance.budget,
                 tokens=allowance.tokens,
+                opened=opened,
             )
         )
 
@@ -260,15 +292,24 @@
             if not isinstance(fact, Grant) or fact.holder != self._incarnation:
                 continue
             self._refilling.discard(fact.budget)
-            self._credit(fact.grant_id, fact.budget, verdict.tokens)
+            self._credit(fact.grant_id, fact.budget, fact.witness, verdict.tokens)
 
     def _credit_known_grants(self) -> None:
         for stream in self._streams:
             for grant in stream.ledger.grants_of(self._incarnation):
-                self._credit(grant.grant_id, grant.budget, grant.remaining)
+                if not grant.released:
+                    self._credit(
+                        grant.grant_id, grant.budget, grant.witness, grant.remaining
+                    )
         self._refilling.clear()
 
-    def _credit(self, grant_id: str, budget: str, tokens: int) -> None:
+    def _credit(self, grant_id: str, budget: str, witness: str, tokens: int) -> None:
+        if not tokens or grant_id in self._credited:
+            return
+        self._credited.add(grant_id)
+        if witness:
+            self._opener.add(grant_id, budget, witness, tokens)
+            return
         allowance = Allowance(budget=budget, grant_id=grant_id, tokens=tokens)
         self._pool.credit(grant_id, (allowance,))
 
--- /dev/null
+++ b/src/knapweeddrum/process/keeper/grant_opener.py
@@ -0,0 +1,120 @@
+"""Opens this keeper's grants at their witnesses, part by part."""
+
+from __future__ import annotations
+
+import zlib
+
+from knapweeddrum.core.budget.allowance_pool import AllowancePool
+from knapweeddrum.core.budget.opened_grant import OpenedGrant
+from knapweeddrum.message.call.allowance import Allowance
+from knapweeddrum.message.call.entry_host import EntryHost
+from knapweeddrum.message.call.open_request import OpenRequest
+from knapweeddrum.process.keeper.membership_task import MembershipTask
+from knapweeddrum.process.keeper.peer_channels import PeerChannels
+from knapweeddrum.process.keeper.witnessed_holding import WitnessedHolding
+from knapweeddrum.rpc.exceptions import RpcError
+from knapweeddrum.rpc.keeper_methods import OPEN
+
+OPEN_TIMEOUT_SECONDS = 0.5
+
+
+class GrantOpener:
+    """Holds the unopened rest of witnessed grants; what opens goes into the pool."""
+
+    def __init__(
+        self,
+        incarnation: str,
+        pool: AllowancePool,
+        membership: MembershipTask,
+        peers: PeerChannels,
+    ) -> None:
+        self._incarnation = incarnation
+        self._pool = pool
+        self._membership = membership
+        self._peers = peers
+        self._holdings: dict[str, dict[str, WitnessedHolding]] = {}
+
+    def choose_witness(self, grant_id: str) -> str:
+        """Return a live peer's incarnation, of another data centre if there is one.
+
+        Empty when no peer is live.
+        """
+        own, *others = self._membership.hosts()
+        live = [host for host in others if host.alive and not host.draining]
+        far = [host for host in live if host.data_centre != own.data_centre]
+        candidates = far or live
+        if not candidates:
+            return ""
+        digest = zlib.crc32(grant_id.encode())
+        return candidates[digest % len(candidates)].incarnation
+
+    def add(self, grant_id: str, budget: str, witness: str, tokens: int) -> None:
+        """Take over a grant that was read back."""
+        holdings = self._holdings.setdefault(budget, {})
+        if grant_id not in holdings:
+            opened = OpenedGrant(grant_id, budget, tokens)
+            holdings[grant_id] = WitnessedHolding(witness, opened)
+
+    def unopened(self, budget: str) -> int:
+        """Return the tokens of a budget that could be opened."""
+        holdings = self._holdings.get(budget, {}).values()
+        return sum(holding.grant.unopened for holding in holdings)
+
+    async def open(self, budget: str, tokens: int) -> None:
+        """Open ``tokens`` more of a budget, as far as witnesses can be reached."""
+        goal = self._pool.free(budget) + tokens
+        for grant_id, holding in list(self._holdings.get(budget, {}).items()):
+            missing = goal - self._pool.free(budget)
+            if missing <= 0:
+                return
+            await self._open_one(grant_id, holding, budget, missing)
+
+    def give_up(self, budget: str) -> tuple[Allowance, ...]:
+        """Give up what was never opened and return it, a slice for each grant."""
+        returned = []
+        for grant_id, holding in self._holdings.get(budget, {}).items():
+            tokens = holding.grant.give_up()
+            if tokens:
+                returned.append(Allowance(budget, grant_id, tokens))
+        self._drop_spent(budget)
+        return tuple(returned)
+
+    def budgets(self) -> tuple[str, ...]:
+        """Return the budgets with unopened grants, sorted."""
+        return tuple(sorted(self._holdings))
+
+    async def _open_one(
+        self, grant_id: str, holding: WitnessedHolding, budget: str, tokens: int
+    ) -> None:
+        host = self._host_of(holding.witness)
+        if host is None:
+            return
+        mark = holding.grant.ask(tokens)
+        request = OpenRequest(
+            grant_id=grant_id, budget=budget, holder=self._incarnation, opened=mark
+        )
+        caller = self._peers.to(host)
+        try:
+            reply = await caller.call(OPEN, request, OPEN_TIMEOUT_SECONDS)
+        except RpcError:
+            # The mark may be opened there; asking for it again is harmless.
+            return
+        if reply.allowed:
+            allowance = holding.grant.acknowledge(mark)
+            self._pool.credit(f"{grant_id}/{mark}", (allowance,))
+        elif reply.closed:
+            holding.grant.close()
+        self._drop_spent(budget)
+
+    def _host_of(self, incarnation: str) -> EntryHost | None:
+        for host in self._membership.hosts():
+            if host.incarnation == incarnation and host.alive:
+                return host
+        return None
+
+    def _drop_spent(self, budget: str) -> None:
+        holdings = self._holdings.get(budget, {})
+        for grant_id in [g for g, h in holdings.items() if not h.grant.unopened]:
+            del holdings[grant_id]
+        if not holdings:
+            self._holdings.pop(budget, None)
--- a/src/knapweeddrum/process/keeper/keeper_parts.py
+++ b/src/knapweeddrum/process/keeper/keeper_parts.py
@@ -13,6 +13,7 @@
 from knapweeddrum.process.keeper.membership_task import MembershipTask
 from knapweeddrum.process.keeper.peer_channels import PeerChannels
 from knapweeddrum.process.keeper.stream_follower import StreamFollower
+from knapweeddrum.process.keeper.witness_task import WitnessTask
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -23,6 +24,7 @@
     claims: ClaimManager
     config: ConfigManager
     budgets: BudgetReader
+    witness: WitnessTask
     locate: LocateManager
     membership: MembershipTask
     peers: PeerChannels
--- a/src/knapweeddrum/process/keeper/keeper_process.py
+++ b/src/knapweeddrum/process/keeper/keeper_process.py
@@ -40,6 +40,7 @@
 from knapweeddrum.process.keeper.peer_records import PeerRecords
 from knapweeddrum.process.keeper.stream_follower import StreamFollower
 from knapweeddrum.process.keeper.transfer_client import TransferClient
+from knapweeddrum.process.keeper.witness_task import WitnessTask
 from knapweeddrum.process.stop_signal import stop_signal
 from knapweeddrum.rpc.fleet_identity import FleetIdentity
 from knapweeddrum.rpc.rpc_server import rpc_server
@@ -100,7 +101,12 @@
             self._policy(),
             self._membership,
             transfers,
+            peers,
             clock,
+            settings.budgets.witnessed,
+        )
+        self._witness = WitnessTask(
+            self._incarnation, budgets, self._membership, clock, events
         )
         platform = settings.platform
         self._checkpoints = CheckpointTask(
@@ -118,6 +124,7 @@
             claims=ClaimManager(claims),
             config=self._config,
             budgets=BudgetReader(budgets, self._membership),
+            witness=self._witness,
             locate=LocateManager(self._membership, peers, clock),
             membership=self._membership,
             peers=peers,
@@ -137,6 +144,7 @@
             tasks.start_soon(self._membership.run)
             tasks.start_soon(self._grants.run)
             tasks.start_soon(self._checkpoints.run)
+            tasks.start_soon(self._witness.run)
             service = KeeperService(self._parts)
             address = str(own.address)
             async with rpc_server(
--- /dev/null
+++ b/src/knapweeddrum/process/keeper/witnessed_holding.py
@@ -0,0 +1,15 @@
+"""A grant of this keeper that a witness opens."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from knapweeddrum.core.budget.opened_grant import OpenedGrant
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WitnessedHolding:
+    """The witness's incarnation and the holder's side of the grant."""
+
+    witness: str
+    grant: OpenedGrant
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -35,3 +35,4 @@
 USAGE_LOST = Event(202, "usage_lost", "error", ("run_id", "endpoint"))
 OUTCOME_LATE = Event(203, "outcome_late", "warning", ("claim_key",))
 STOPPED_UNSETTLED = Event(204, "stopped_unsettled", "error", ("runs", "settlements"))
+GRANT_RELEASED = Event(306, "grant_released", "warning", ("grant", "budget", "opened"))
