--- /dev/null
+++ b/src/knapweeddrum/core/admission/crash_history.py
@@ -0,0 +1,63 @@
+"""Crashes that one request took part in."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+
+from knapweeddrum.message.call.crash_mark import CrashMark
+
+MAX_MARKS = 16
+"""Marks that are kept of one request, the newest."""
+
+CRASH_WINDOW_SECONDS = 5.0
+"""Marks of one endpoint that are closer than this are of the same crash."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashHistory:
+    """Marks after ``cleared_at``, in Unix seconds, sorted by time and endpoint.
+
+    Joining is idempotent, commutative and associative: it unites the marks, keeps the
+    later ``cleared_at``, drops what was cleared and keeps the newest marks.
+    """
+
+    marks: tuple[CrashMark, ...] = ()
+    cleared_at: float = 0.0
+
+    @property
+    def last_at(self) -> float:
+        """Return the time of the last change."""
+        if not self.marks:
+            return self.cleared_at
+        return max(self.cleared_at, self.marks[-1].at)
+
+    def joined(
+        self, marks: Iterable[CrashMark], cleared_at: float = 0.0
+    ) -> CrashHistory:
+        """Return this history joined with more."""
+        latest = max(self.cleared_at, cleared_at)
+        united = {*self.marks, *marks}
+        kept = sorted((mark for mark in united if mark.at > latest), key=_order)
+        return CrashHistory(tuple(kept[-MAX_MARKS:]), latest)
+
+    def crashes(self) -> tuple[float, ...]:
+        """Return the time of the last mark of each distinct crash, in order."""
+        last_by_endpoint: dict[str, float] = {}
+        ends: list[float] = []
+        for mark in self.marks:
+            last = last_by_endpoint.get(mark.endpoint)
+            if last is not None and mark.at - last <= CRASH_WINDOW_SECONDS:
+                ends.remove(last)
+            last_by_endpoint[mark.endpoint] = mark.at
+            ends.append(mark.at)
+        return tuple(ends)
+
+    def without_oldest(self) -> CrashHistory:
+        """Return the history with its oldest crash cleared."""
+        crashes = self.crashes()
+        return self.joined((), crashes[0]) if crashes else self
+
+
+def _order(mark: CrashMark) -> tuple[float, str]:
+    return (mark.at, mark.endpoint)
--- /dev/null
+++ b/src/knapweeddrum/core/admission/crash_register.py
@@ -0,0 +1,184 @@
+"""Recognition of requests that crash the endpoints that run them."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+
+from knapweeddrum.core.admission.crash_batch import CrashBatch
+from knapweeddrum.core.admission.crash_history import (
+    CRASH_WINDOW_SECONDS,
+    CrashHistory,
+)
+from knapweeddrum.core.admission.placement import Placement
+from knapweeddrum.core.admission.run_end import RunEnd
+from knapweeddrum.message.call.crash_mark import CrashMark
+from knapweeddrum.message.call.crash_record import CrashRecord
+from knapweeddrum.value.identifiers import EndpointName
+from knapweeddrum.value.refusal import Refusal
+from knapweeddrum.value.refusal_reason import RefusalReason
+
+MAX_ENDPOINTS_CRASHED = 2
+"""Crashes after which a request is refused for good."""
+
+SUSPICION_SECONDS = 300.0
+"""Time after its last crash for which a request is suspect."""
+
+BLAME_SECONDS = 86_400.0
+"""Time after its last crash for which a blamed request is refused."""
+
+MAX_FINGERPRINTS = 1024
+"""Requests that are remembered; the one that changed first is dropped first."""
+
+RECORDS_PER_MESSAGE = 32
+"""Records in one message between a router and a keeper."""
+
+SUSPECT_RETRY_SECONDS = 2.0
+"""Retry-after for a suspect that is already running."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Run:
+    fingerprint: str
+    endpoint: EndpointName
+
+
+class CrashRegister:
+    """Counts, by content, the distinct crashes that a request took part in.
+
+    When an endpoint crashes, each request that ran there gets a mark; one that runs
+    with others again and again is the one in all the intersections. A request with a
+    mark is suspect: it runs once at a time, and beside no other suspect, so that two
+    suspects aren't marked for the same crash. A whole answer clears the oldest crash,
+    and marks lapse. A request with as many crashes as ``limit`` is refused for good.
+
+    Times are Unix seconds, because routers share the marks.
+    """
+
+    def __init__(self, limit: int = MAX_ENDPOINTS_CRASHED) -> None:
+        self._limit = limit
+        self._histories: dict[str, CrashHistory] = {}
+        self._running: dict[str, _Run] = {}
+        self._cut: dict[str, tuple[_Run, float]] = {}
+        self._versions: dict[str, int] = {}
+        self._version = 0
+
+    def decide(self, fingerprint: str, now: float) -> Placement | Refusal:
+        """Return where a request may run, or its refusal; final if for good."""
+        crashes = self.crash_count(fingerprint, now)
+        if crashes == 0:
+            return Placement()
+        if crashes >= self._limit:
+            return Refusal(RefusalReason.POISONOUS, detail="crashed endpoints")
+        if any(run.fingerprint == fingerprint for run in self._running.values()):
+            return Refusal(
+                RefusalReason.POISONOUS,
+                retry_after=SUSPECT_RETRY_SECONDS,
+                detail="suspected of a crash and already running",
+            )
+        return Placement(suspect=True, exclude=self._suspect_endpoints(now))
+
+    def crash_count(self, fingerprint: str, now: float) -> int:
+        """Return the distinct crashes that still count against a request."""
+        history = self._histories.get(fingerprint)
+        if history is None:
+            return 0
+        crashes = len(history.crashes())
+        lifetime = BLAME_SECONDS if crashes >= self._limit else SUSPICION_SECONDS
+        return 0 if now - history.last_at >= lifetime else crashes
+
+    def begin(self, run_id: str, fingerprint: str, endpoint: EndpointName) -> None:
+        """Take note of a run that starts."""
+        self._running[run_id] = _Run(fingerprint, endpoint)
+
+    def end(self, run_id: str, how: RunEnd, now: float) -> None:
+        """Take note of a run that ended; a whole answer clears its oldest crash."""
+        run = self._running.pop(run_id, None)
+        if run is None:
+            return
+        if how is RunEnd.CUT:
+            self._cut[run_id] = (run, now)
+        elif how is RunEnd.COMPLETED:
+            self._clear_oldest(run.fingerprint, now)
+        self._forget_cut(now)
+
+    def crashed(self, endpoint: EndpointName, now: float) -> tuple[str, ...]:
+        """Mark the requests that ran at a crashed endpoint; return their fingerprints.
+
+        They are those still running there and those cut a moment ago.
+        """
+        self._forget_cut(now)
+        runs = [*self._running.values(), *(run for run, _ in self._cut.values())]
+        marked = sorted({run.fingerprint for run in runs if run.endpoint == endpoint})
+        self._cut = {
+            run_id: cut
+            for run_id, cut in self._cut.items()
+            if cut[0].endpoint != endpoint
+        }
+        for fingerprint in marked:
+            self._join(fingerprint, (CrashMark(endpoint, now),), 0.0)
+        return tuple(marked)
+
+    def changes(self, after: int = 0) -> CrashBatch:
+        """Return records that changed after version ``after``, for one message.
+
+        The version is local to this register. What doesn't fit comes with the next.
+        """
+        changed = sorted(
+            (version, fingerprint)
+            for fingerprint, version in self._versions.items()
+            if version > after
+        )[:RECORDS_PER_MESSAGE]
+        records = tuple(self._record(fingerprint) for _, fingerprint in changed)
+        return CrashBatch(records, changed[-1][0] if changed else after)
+
+    def merge(self, records: Iterable[CrashRecord]) -> None:
+        """Join with what another router or a keeper knows."""
+        for record in records:
+            self._join(record.fingerprint, record.marks, record.cleared_at)
+
+    def _record(self, fingerprint: str) -> CrashRecord:
+        history = self._histories[fingerprint]
+        return CrashRecord(fingerprint, history.marks, history.cleared_at)
+
+    def _join(
+        self, fingerprint: str, marks: Iterable[CrashMark], cleared_at: float
+    ) -> None:
+        history = self._histories.get(fingerprint, CrashHistory())
+        self._store(fingerprint, history.joined(marks, cleared_at))
+
+    def _store(self, fingerprint: str, history: CrashHistory) -> None:
+        if self._histories.get(fingerprint) == history:
+            return
+        self._histories[fingerprint] = history
+        self._version += 1
+        self._versions[fingerprint] = self._version
+        if len(self._histories) > MAX_FINGERPRINTS:
+            self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        oldest = min(
+            self._histories, key=lambda name: (self._histories[name].last_at, name)
+        )
+        del self._histories[oldest]
+        del self._versions[oldest]
+
+    def _clear_oldest(self, fingerprint: str, now: float) -> None:
+        crashes = self.crash_count(fingerprint, now)
+        if 0 < crashes < self._limit:
+            history = self._histories[fingerprint]
+            self._store(fingerprint, history.without_oldest())
+
+    def _suspect_endpoints(self, now: float) -> frozenset[EndpointName]:
+        return frozenset(
+            run.endpoint
+            for run in self._running.values()
+            if self.crash_count(run.fingerprint, now) > 0
+        )
+
+    def _forget_cut(self, now: float) -> None:
+        self._cut = {
+            run_id: (run, cut_at)
+            for run_id, (run, cut_at) in self._cut.items()
+            if now - cut_at <= CRASH_WINDOW_SECONDS
+        }
--- /dev/null
+++ b/src/knapweeddrum/core/routing/prefix_index.py
@@ -0,0 +1,115 @@
+"""Hints on which endpoint has which prompt prefix cached."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Sequence
+
+from knapweeddrum.core.routing.prefix_match import PrefixMatch
+from knapweeddrum.value.identifiers import EndpointName
+
+MAX_PREFIXES = 4096
+"""Prefixes that are remembered; the least recently used is dropped first."""
+
+MAX_HOLDERS = 8
+"""Endpoints that are remembered for one prefix."""
+
+HINT_SECONDS = 300.0
+"""Time for which a hint is used."""
+
+DOUBTFUL_HINT_SECONDS = 30.0
+"""Time for which a hint is used that is older than a gap in its endpoint's events."""
+
+
+class PrefixIndex:
+    """Prefix digests and their likely holders, from cache events and own routing.
+
+    Events come late and with gaps: a hint may be wrong, and only ever serves to prefer
+    an endpoint. Times are monotonic seconds.
+    """
+
+    def __init__(self) -> None:
+        self._holders: OrderedDict[str, dict[EndpointName, float]] = OrderedDict()
+        self._sequences: dict[EndpointName, int] = {}
+        self._gaps: dict[EndpointName, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._holders)
+
+    def stored(
+        self, endpoint: EndpointName, prefix: str, sequence: int, now: float
+    ) -> None:
+        """Take an event that a prefix was cached."""
+        if self._is_news(endpoint, sequence, now):
+            self._add(endpoint, prefix, now)
+
+    def evicted(
+        self, endpoint: EndpointName, prefix: str, sequence: int, now: float
+    ) -> None:
+        """Take an event that a prefix left the cache."""
+        if self._is_news(endpoint, sequence, now):
+            self._discard(endpoint, prefix)
+
+    def routed(
+        self, endpoint: EndpointName, prefixes: Sequence[str], now: float
+    ) -> None:
+        """Take note that a prompt was sent to an endpoint, which will cache it."""
+        for prefix in reversed(prefixes):
+            self._add(endpoint, prefix, now)
+
+    def forget(self, endpoint: EndpointName) -> None:
+        """Drop an endpoint that restarted or left; its cache is lost."""
+        self._sequences.pop(endpoint, None)
+        self._gaps.pop(endpoint, None)
+        for prefix in list(self._holders):
+            self._discard(endpoint, prefix)
+
+    def match(self, prefixes: Sequence[str], now: float) -> PrefixMatch:
+        """Return the likely holders of the longest known prefix, the longest first."""
+        for index, prefix in enumerate(prefixes):
+            holders = self._fresh_holders(prefix, now)
+            if holders:
+                self._holders.move_to_end(prefix)
+                share = (len(prefixes) - index) / len(prefixes)
+                return PrefixMatch(share, holders)
+        return PrefixMatch()
+
+    def _fresh_holders(self, prefix: str, now: float) -> frozenset[EndpointName]:
+        holders = self._holders.get(prefix, {})
+        return frozenset(
+            endpoint
+            for endpoint, noted_at in holders.items()
+            if self._is_fresh(endpoint, noted_at, now)
+        )
+
+    def _is_fresh(self, endpoint: EndpointName, noted_at: float, now: float) -> bool:
+        is_doubtful = noted_at <= self._gaps.get(endpoint, float("-inf"))
+        lifetime = DOUBTFUL_HINT_SECONDS if is_doubtful else HINT_SECONDS
+        return now - noted_at < lifetime
+
+    def _is_news(self, endpoint: EndpointName, sequence: int, now: float) -> bool:
+        last = self._sequences.get(endpoint, sequence - 1)
+        if sequence <= last:
+            return False
+        if sequence > last + 1:
+            self._gaps[endpoint] = now
+        self._sequences[endpoint] = sequence
+        return True
+
+    def _add(self, endpoint: EndpointName, prefix: str, now: float) -> None:
+        holders = self._holders.setdefault(prefix, {})
+        holders.pop(endpoint, None)
+        holders[endpoint] = now
+        if len(holders) > MAX_HOLDERS:
+            del holders[next(iter(holders))]
+        self._holders.move_to_end(prefix)
+        if len(self._holders) > MAX_PREFIXES:
+            self._holders.popitem(last=False)
+
+    def _discard(self, endpoint: EndpointName, prefix: str) -> None:
+        holders = self._holders.get(prefix)
+        if holders is None:
+            return
+        holders.pop(endpoint, None)
+        if not holders:
+            del self._holders[prefix]
--- a/src/knapweeddrum/core/routing/sampled_load.py
+++ b/src/knapweeddrum/core/routing/sampled_load.py
@@ -4,8 +4,10 @@
 
 import math
 import random
+from collections.abc import Iterable
 
 from knapweeddrum.core.routing.endpoint_view import EndpointView
+from knapweeddrum.core.routing.prefix_index import PrefixIndex
 from knapweeddrum.core.routing.request_features import RequestFeatures
 from knapweeddrum.core.routing.routing_policy import RoutingPolicy
 
@@ -15,34 +17,90 @@
 REPORT_HALF_LIFE_SECONDS = 5.0
 """Age at which a report counts as much as the mean of all reports."""
 
+AFFINITY_BONUS = 0.25
+"""Load per slot by which a holder of the whole prompt's prefix may exceed others."""
+
+AFFINITY_LOAD_FACTOR = 1.25
+"""Multiple of the mean load above which a holder isn't preferred."""
+
+MAX_SAMPLED_HOLDERS = 2
+"""Holders of a prefix that are compared besides the random samples."""
+
 
 class SampledLoad(RoutingPolicy):
-    """The less loaded of a few random candidates.
+    """The least loaded of a few random candidates and holders of the prompt's prefix.
 
     Load is what the last report counted of other routers' requests, joined with the
     local requests in flight, per slot. An old report moves towards the mean of all, so
-    that a stale low figure doesn't draw everything to one endpoint.
+    that a stale low figure doesn't draw everything to one endpoint. A holder of a
+    cached prefix is preferred only while its load is near the mean, so that affinity
+    doesn't herd.
     """
 
-    def __init__(self, rng: random.Random, samples: int = SAMPLES) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        prefix_index: PrefixIndex | None = None,
+        samples: int = SAMPLES,
+    ) -> None:
         self._rng = rng
+        self._prefix_index = prefix_index
         self._samples = samples
 
     def _pick(
         self, usable: list[EndpointView], features: RequestFeatures, now: float
     ) -> EndpointView:
-        count = min(self._samples, len(usable))
-        sampled = self._rng.sample(usable, count)
-        mean = _mean_foreign_load(usable)
-        return min(sampled, key=lambda view: estimated_load(view, mean, now))
+        mean_foreign = _mean(view.foreign_load() for view in usable)
+        sampled = self._rng.sample(usable, min(self._samples, len(usable)))
+        best = min(sampled, key=lambda view: estimated_load(view, mean_foreign, now))
+        holder, share = self._best_holder(usable, features, mean_foreign, now)
+        if holder is None or holder is best:
+            return best
+        holder_load = estimated_load(holder, mean_foreign, now)
+        if holder_load > self._load_bound(usable, mean_foreign, now):
+            return best
+        best_load = estimated_load(best, mean_foreign, now)
+        return holder if holder_load - AFFINITY_BONUS * share <= best_load else best
+
+    def _best_holder(
+        self,
+        usable: list[EndpointView],
+        features: RequestFeatures,
+        mean_foreign: float,
+        now: float,
+    ) -> tuple[EndpointView | None, float]:
+        if self._prefix_index is None or not features.prefixes:
+            return None, 0.0
+        match = self._prefix_index.match(features.prefixes, now)
+        holders = [view for view in usable if view.name in match.endpoints]
+        if not holders:
+            return None, 0.0
+        sampled = self._rng.sample(holders, min(MAX_SAMPLED_HOLDERS, len(holders)))
+        best = min(sampled, key=lambda view: estimated_load(view, mean_foreign, now))
+        return best, match.share
 
+    def _load_bound(
+        self, usable: list[EndpointView], mean_foreign: float, now: float
+    ) -> float:
+        mean = _mean(estimated_load(view, mean_foreign, now) for view in usable)
+        one_request = 1.0 / max(1, min(view.slots for view in usable))
+        return AFFINITY_LOAD_FACTOR * mean + one_request
 
-def estimated_load(view: EndpointView, mean: float, now: float) -> float:
-    """Return the estimated requests per slot; ``mean`` is the others' mean load."""
+
+def estimated_load(view: EndpointView, mean_foreign: float, now: float) -> float:
+    """Return the estimated requests per slot.
+
+    ``mean_foreign`` is the candidates' mean load that other routers caused.
+    """
     weight = math.exp2(-view.report_age(now) / REPORT_HALF_LIFE_SECONDS)
-    foreign = weight * view.foreign_load() + (1.0 - weight) * mean
+    foreign = weight * view.foreign_load() + (1.0 - weight) * mean_foreign
     return (foreign + view.in_flight) / max(1, view.slots)
 
 
-def _mean_foreign_load(views: list[EndpointView]) -> float:
-    return sum(view.foreign_load() for view in views) / len(views)
+def _mean(values: Iterable[float]) -> float:
+    total = 0.0
+    count = 0
+    for value in values:
+        total += value
+        count += 1
+    return total / count
--- /dev/null
+++ b/tests/core/routing/test_endpoint_table.py
@@ -0,0 +1,137 @@
+from __future__ import annotations
+
+from nose2.tools import params
+
+from knapweeddrum.core.routing.attempt_result import AttemptResult
+from knapweeddrum.core.routing.leaving_source import LeavingSource
+from tests.core.routing.fixtures import NAMES, new_table, report
+
+
+def _candidates(table, now, allow_probe=True):
+    return [view.name for view in table.candidates(NAMES, now, allow_probe)]
+
+
+def _fail(table, name, at, times=5):
+    for _ in range(times):
+        table.begin(name, at)
+        table.finish(name, AttemptResult.FAILURE, at, at)
+
+
+def _succeed(table, name, at):
+    table.begin(name, at)
+    table.finish(name, AttemptResult.SUCCESS, at, at)
+
+
+@params(*LeavingSource)
+def test_leaving_endpoint_gets_nothing_from_first_notice(source):
+    """A notice from any source takes the endpoint out at once; streams stay counted."""
+    table = new_table()
+    table.begin(NAMES[0], 1.0)
+    table.note_leaving(NAMES[0], source, 2.0)
+    assert _candidates(table, 2.0) == list(NAMES[1:])
+    assert table.view(NAMES[0]).in_flight == 1
+
+
+def test_all_leaving_leaves_no_candidate():
+    """The panic rule never brings back a leaving endpoint."""
+    table = new_table()
+    for name in NAMES:
+        table.note_leaving(name, LeavingSource.HOST_LIST, 1.0)
+    assert _candidates(table, 1.0) == []
+
+
+def test_older_report_does_not_take_a_notice_back():
+    """Only a report measured after a closed connection shows that it stays."""
+    table = new_table()
+    table.note_leaving(NAMES[0], LeavingSource.CONNECTION_CLOSE, 5.0)
+    report(table, NAMES[0], 0, at=4.0)
+    assert NAMES[0] not in _candidates(table, 5.0)
+    report(table, NAMES[0], 0, at=6.0)
+    assert NAMES[0] in _candidates(table, 6.0)
+
+
+def test_report_does_not_overrule_operator_or_host_list():
+    """An engine that doesn't know that it leaves can't take the notice back."""
+    for source in (LeavingSource.OPERATOR, LeavingSource.HOST_LIST):
+        table = new_table()
+        table.note_leaving(NAMES[0], source, 1.0)
+        report(table, NAMES[0], 0, at=9.0)
+        assert NAMES[0] not in _candidates(table, 9.0)
+
+
+def test_late_news_of_removed_endpoint_is_harmless():
+    """Reports, notices and results that cross a removal change nothing."""
+    table = new_table()
+    table.begin(NAMES[0], 1.0)
+    table.remove(NAMES[0])
+    report(table, NAMES[0], 1, at=2.0)
+    table.note_leaving(NAMES[0], LeavingSource.HOST_LIST, 2.0)
+    table.finish(NAMES[0], AttemptResult.FAILURE, 1.0, 2.0)
+    assert table.names() == NAMES[1:]
+
+
+def test_failing_endpoint_is_ejected_and_probed_one_at_a_time():
+    """After the backoff one probe at a time goes out, for idempotent requests only."""
+    table = new_table()
+    _fail(table, NAMES[0], 1.0)
+    assert NAMES[0] not in _candidates(table, 2.9)
+    assert NAMES[0] in _candidates(table, 3.1)
+    assert NAMES[0] not in _candidates(table, 3.1, allow_probe=False)
+    table.begin(NAMES[0], 3.1)
+    assert NAMES[0] not in _candidates(table, 3.2)
+    table.finish(NAMES[0], AttemptResult.CANCELLED, 3.1, 3.3)
+    assert NAMES[0] in _candidates(table, 3.3)
+
+
+def test_readmission_takes_several_probes():
+    """One lucky probe doesn't readmit; three in a row do."""
+    table = new_table()
+    _fail(table, NAMES[0], 1.0)
+    for at in (3.1, 3.2):
+        _succeed(table, NAMES[0], at)
+        assert NAMES[0] not in _candidates(table, at, allow_probe=False)
+    _succeed(table, NAMES[0], 3.3)
+    assert NAMES[0] in _candidates(table, 3.3, allow_probe=False)
+
+
+def test_flapping_endpoint_is_out_for_longer_each_time():
+    """The backoff doubles while the endpoint fails soon after each readmission."""
+    table = new_table()
+    now = 0.0
+    durations = []
+    for _ in range(4):
+        _fail(table, NAMES[0], now)
+        until = table.view(NAMES[0]).ejected_until
+        durations.append(until - now)
+        for _ in range(3):
+            _succeed(table, NAMES[0], until)
+        now = until + 1.0
+    assert durations == [2.0, 4.0, 8.0, 16.0]
+
+
+def test_failures_from_before_an_ejection_do_not_extend_it():
+    """Streams that were open when the endpoint was ejected count only once."""
+    table = new_table()
+    table.begin(NAMES[0], 0.5)
+    _fail(table, NAMES[0], 1.0)
+    table.finish(NAMES[0], AttemptResult.FAILURE, 0.5, 9.0)
+    assert table.view(NAMES[0]).ejected_until == 3.0
+
+
+def test_last_endpoints_are_not_ejected():
+    """With more than half failing, the ejections are disregarded."""
+    table = new_table()
+    for name in NAMES[:3]:
+        _fail(table, name, 1.0)
+    assert _candidates(table, 1.1) == list(NAMES)
+
+
+def test_foreign_load_leaves_out_own_requests_at_the_time_of_the_report():
+    """What a lagging report counted of this router isn't counted twice."""
+    table = new_table()
+    for at in (1.0, 2.0, 3.0):
+        table.begin(NAMES[0], at)
+    table.finish(NAMES[0], AttemptResult.SUCCESS, 1.0, 3.5)
+    report(table, NAMES[0], 5, at=2.5)
+    view = table.view(NAMES[0])
+    assert (view.foreign_load(), view.in_flight) == (3, 2)
