--- a/src/knapweeddrum/core/membership/member_table.py
+++ b/src/knapweeddrum/core/membership/member_table.py
@@ -15,25 +15,31 @@
 from knapweeddrum.message.call.heartbeat import Heartbeat
 from knapweeddrum.value.identifiers import HostName
 
-PEERS_PER_ROUND = 2
+PEERS_PER_ROUND = 1
 """Peers that a node exchanges heartbeats with in a round."""
 
-HEARTBEATS_PER_MESSAGE = 8
+HEARTBEATS_PER_MESSAGE = 16
 """Heartbeats in one message, the sender's own included."""
 
 ROUND_SECONDS = 1.0
 """Time between two rounds."""
 
+ABSENT_PEER_CHANCE = 0.2
+"""Chance that a round tries a peer that is gone or was never heard."""
+
+URGENT_SENDS = 4
+"""Messages in which a change is sent first, besides the binary logarithm of size."""
+
 SUSPECT_SECONDS = 5.0
-"""Silence that makes a member of a small fleet suspect."""
+"""Silence that makes a member of the smallest fleet suspect."""
 
 GONE_FACTOR = 3.0
 """A member is gone after this many times the silence that makes it suspect."""
 
-SPREAD_FACTOR = 3.0
-"""Mean times between two fresh heartbeats of a member before it is suspect."""
+SPREAD_FACTOR = 4.0
+"""Mean times between two relayed heartbeats of a member, added to SUSPECT_SECONDS."""
 
-FORGET_SECONDS = 3600.0
+FORGET_SECONDS = 86_400.0
 """Time after which a gone member is forgotten."""
 
 
@@ -53,6 +59,7 @@
         self._seeds: dict[str, PeerAddress] = {}
         self._leaving: frozenset[str] = frozenset()
         self._superseded_by = ""
+        self._urgent: dict[str, int] = {}
 
     @property
     def own(self) -> Heartbeat:
@@ -104,37 +111,35 @@
                 self._check_superseded(heartbeat)
                 continue
             known = self._members.get(heartbeat.host)
-            if known is None or _age_key(heartbeat) > _age_key(known.heartbeat):
-                self._members[heartbeat.host] = Member(heartbeat, now)
+            if known is not None and _age_key(heartbeat) <= _age_key(known.heartbeat):
+                continue
+            self._members[heartbeat.host] = Member(heartbeat, now)
+            if known is None or _is_urgent(known.heartbeat, heartbeat):
+                self._urgent[heartbeat.host] = self._urgent_sends()
 
     def outgoing(self) -> tuple[Heartbeat, ...]:
-        """Return what to send: the own heartbeat, then the newest of others."""
-        newest = sorted(
-            self._members.values(),
-            key=lambda member: (-member.heard_at, member.heartbeat.host),
-        )
-        others = [member.heartbeat for member in newest[: HEARTBEATS_PER_MESSAGE - 1]]
-        return (self._own, *others)
+        """Return what to send in one message: the own heartbeat, then some others.
+
+        Those with a change of incarnation or drain come first, for a bounded number
+        of messages; the rest is a random choice of the fresher half.
+        """
+        urgent = self._take_urgent()
+        rest = HEARTBEATS_PER_MESSAGE - 1 - len(urgent)
+        others = [*urgent, *self._sample_fresh(rest, set(urgent))]
+        return (self._own, *(self._members[host].heartbeat for host in others))
 
     def choose_peers(self, now: float) -> tuple[PeerAddress, ...]:
         """Return the peers of this round.
 
-        They are random among those not gone; one in place of another is a seed that
-        was never heard or is gone, so that partitions heal.
+        They are random among those not gone; now and then one is instead a seed that
+        was never heard or a member that is gone, so that partitions heal.
         """
-        present = [
-            _peer_address(member.heartbeat)
-            for host, member in sorted(self._members.items())
-            if self.state(HostName(host), now) is not MemberState.GONE
-        ]
-        known = {peer.host for peer in present}
-        absent = [
-            seed for host, seed in sorted(self._seeds.items()) if host not in known
-        ]
-        chosen = self._rng.sample(present, min(PEERS_PER_ROUND, len(present)))
-        if absent:
-            chosen = [self._rng.choice(absent), *chosen[: PEERS_PER_ROUND - 1]]
-        return tuple(chosen)
+        present, absent = self._split_peers(now)
+        count = min(PEERS_PER_ROUND, len(present))
+        if absent and (not present or self._rng.random() < ABSENT_PEER_CHANCE):
+            others = self._rng.sample(present, max(0, count - 1))
+            return (self._rng.choice(absent), *others)
+        return tuple(self._rng.sample(present, count))
 
     def state(self, host: HostName, now: float) -> MemberState:
         """Return the state of a host; an unknown one is gone."""
@@ -176,12 +181,45 @@
         ]
         for host in old:
             del self._members[host]
+            self._urgent.pop(host, None)
 
     def suspect_seconds(self) -> float:
         """Return the silence that makes a member suspect; it grows with the fleet."""
         heard = 2 * PEERS_PER_ROUND * (HEARTBEATS_PER_MESSAGE - 1) / ROUND_SECONDS
-        spread = SPREAD_FACTOR * len(self._members) / heard
-        return max(SUSPECT_SECONDS, spread)
+        return SUSPECT_SECONDS + SPREAD_FACTOR * len(self._members) / heard
+
+    def _split_peers(self, now: float) -> tuple[list[PeerAddress], list[PeerAddress]]:
+        """Return the peers that are not gone, and those that are or never came."""
+        present: list[PeerAddress] = []
+        absent: list[PeerAddress] = []
+        for host, member in sorted(self._members.items()):
+            peer = _peer_address(member.heartbeat)
+            is_gone = self.state(HostName(host), now) is MemberState.GONE
+            (absent if is_gone else present).append(peer)
+        absent += [
+            seed
+            for host, seed in sorted(self._seeds.items())
+            if host not in self._members
+        ]
+        return present, absent
+
+    def _urgent_sends(self) -> int:
+        return URGENT_SENDS + len(self._members).bit_length()
+
+    def _take_urgent(self) -> list[str]:
+        by_need = sorted(self._urgent, key=lambda host: (-self._urgent[host], host))
+        taken = by_need[: HEARTBEATS_PER_MESSAGE - 1]
+        for host in taken:
+            self._urgent[host] -= 1
+            if self._urgent[host] == 0:
+                del self._urgent[host]
+        return taken
+
+    def _sample_fresh(self, count: int, taken: set[str]) -> list[str]:
+        hosts = [host for host in sorted(self._members) if host not in taken]
+        hosts.sort(key=lambda host: -self._members[host].heard_at)
+        fresh = hosts[: max(count, len(hosts) // 2)]
+        return self._rng.sample(fresh, min(count, len(fresh)))
 
     def _check_superseded(self, heartbeat: Heartbeat) -> None:
         newest = max(self._own.incarnation, self._superseded_by)
@@ -208,6 +246,12 @@
     return (heartbeat.incarnation, heartbeat.sequence)
 
 
+def _is_urgent(known: Heartbeat, heartbeat: Heartbeat) -> bool:
+    if heartbeat.incarnation != known.incarnation:
+        return True
+    return heartbeat.draining != known.draining
+
+
 def _peer_address(heartbeat: Heartbeat) -> PeerAddress:
     return PeerAddress(
         HostName(heartbeat.host), heartbeat.address, heartbeat.keeper_port
--- a/src/knapweeddrum/message/call/heartbeat.py
+++ b/src/knapweeddrum/message/call/heartbeat.py
@@ -7,7 +7,7 @@
 from knapweeddrum.message.call.stream_position import StreamPosition
 
 
-class Heartbeat(msgspec.Struct, frozen=True):
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
     """Sent to a few peers a round, with the sender's view of others, newest first.
 
     ``sequence`` grows with each heartbeat of one incarnation; ``config_offset`` is the
--- /dev/null
+++ b/tests/core/admission/test_crash_register.py
@@ -0,0 +1,144 @@
+from __future__ import annotations
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from knapweeddrum.core.admission.crash_history import CRASH_WINDOW_SECONDS
+from knapweeddrum.core.admission.crash_register import (
+    MAX_ENDPOINTS_CRASHED,
+    MAX_FINGERPRINTS,
+    RECORDS_PER_MESSAGE,
+    SUSPICION_SECONDS,
+    CrashRegister,
+)
+from knapweeddrum.core.admission.placement import Placement
+from knapweeddrum.core.admission.request_fingerprint import request_fingerprint
+from knapweeddrum.core.admission.run_end import RunEnd
+from knapweeddrum.message.call.crash_mark import CrashMark
+from knapweeddrum.message.call.crash_record import CrashRecord
+from knapweeddrum.value.refusal import Refusal
+from knapweeddrum.value.refusal_reason import RefusalReason
+
+
+def _crash(register, fingerprints, endpoint, at):
+    for name in fingerprints:
+        register.begin(f"{name}@{at}", name, endpoint)
+    register.crashed(endpoint, at)
+    for name in fingerprints:
+        register.end(f"{name}@{at}", RunEnd.CUT, at)
+
+
+def test_fingerprint_follows_the_content():
+    """The same body on the same route has one fingerprint, on another a second."""
+    first = request_fingerprint("model-desk", b"tender")
+    assert first == request_fingerprint("model-desk", b"tender")
+    assert first != request_fingerprint("modelo-eleg", b"tender")
+
+
+def test_request_in_all_crashes_is_refused_finally():
+    """The intersection of the crashes is refused, those beside it are only suspect."""
+    register = CrashRegister()
+    _crash(register, ("poison", "a", "b"), "desk-1", 100.0)
+    _crash(register, ("poison", "c"), "desk-2", 200.0)
+    refusal = register.decide("poison", 201.0)
+    assert isinstance(refusal, Refusal)
+    assert (refusal.reason, refusal.retry_after) == (RefusalReason.POISONOUS, None)
+    for name in "abc":
+        assert isinstance(register.decide(name, 201.0), Placement)
+
+
+def test_one_crash_seen_twice_counts_once():
+    """Two streams of one request at one endpoint, or two routers, see one crash."""
+    register = CrashRegister()
+    _crash(register, ("a",), "desk-1", 100.0)
+    register.merge([CrashRecord("a", (CrashMark("desk-1", 101.0),), 0.0)])
+    assert register.crash_count("a", 102.0) == 1
+    _crash(register, ("a",), "desk-1", 101.0 + 2 * CRASH_WINDOW_SECONDS)
+    assert register.crash_count("a", 115.0) == MAX_ENDPOINTS_CRASHED
+
+
+def test_stream_cut_just_before_the_crash_is_known_is_marked():
+    """The cut comes first and the verdict on the endpoint a moment later."""
+    register = CrashRegister()
+    register.begin("r1", "a", "desk-1")
+    register.end("r1", RunEnd.CUT, 100.0)
+    assert register.crashed("desk-1", 101.0) == ("a",)
+    assert register.crashed("desk-1", 102.0) == ()
+
+
+def test_innocent_is_cleared_by_a_whole_answer_or_by_time():
+    """Suspicion ends with the next whole answer, or lapses; a cancel says nothing."""
+    register = CrashRegister()
+    _crash(register, ("a", "b"), "desk-1", 100.0)
+    register.begin("r1", "a", "desk-2")
+    register.end("r1", RunEnd.CANCELLED, 101.0)
+    assert register.decide("a", 101.0).suspect
+    register.begin("r2", "a", "desk-2")
+    register.end("r2", RunEnd.COMPLETED, 102.0)
+    assert register.decide("a", 102.0) == Placement()
+    assert register.decide("b", 100.0 + SUSPICION_SECONDS) == Placement()
+
+
+def test_request_that_crashes_only_sometimes_is_still_found():
+    """A whole answer clears one crash and not all, and none of a blamed request."""
+    register = CrashRegister(limit=3)
+    for at in (100.0, 200.0):
+        _crash(register, ("poison",), "desk-1", at)
+    register.begin("r", "poison", "desk-2")
+    register.end("r", RunEnd.COMPLETED, 250.0)
+    assert register.crash_count("poison", 250.0) == 1
+    for at in (300.0, 400.0):
+        _crash(register, ("poison",), "desk-1", at)
+    register.begin("late", "poison", "desk-2")
+    register.end("late", RunEnd.COMPLETED, 401.0)
+    assert isinstance(register.decide("poison", 402.0), Refusal)
+
+
+def test_suspects_run_one_at_a_time_and_apart():
+    """A suspect isn't placed beside another, nor run twice at once."""
+    register = CrashRegister()
+    _crash(register, ("a", "b"), "desk-1", 100.0)
+    register.begin("r1", "a", "desk-2")
+    assert register.decide("b", 101.0) == Placement(True, frozenset({"desk-2"}))
+    again = register.decide("a", 101.0)
+    assert isinstance(again, Refusal)
+    assert again.retry_after > 0.0
+
+
+def test_register_is_bounded():
+    """It remembers a bounded number of requests and sends bounded messages."""
+    register = CrashRegister()
+    for number in range(MAX_FINGERPRINTS + 5):
+        _crash(register, (f"r{number}",), f"desk-{number}", float(number + 1))
+    assert register.crash_count("r0", 1.0) == 0
+    batch = register.changes()
+    assert len(batch.records) == RECORDS_PER_MESSAGE
+    assert register.changes(batch.version).records[0] not in batch.records
+
+
+MARKS = st.builds(
+    CrashMark, st.sampled_from(("desk-1", "desk-2")), st.integers(1, 40).map(float)
+)
+RECORDS = st.lists(
+    st.builds(
+        CrashRecord,
+        st.sampled_from(("a", "b")),
+        st.lists(MARKS, max_size=20).map(tuple),
+        st.integers(0, 30).map(float),
+    ),
+    max_size=8,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(RECORDS, st.integers(0, 99))
+def test_merge_is_idempotent_and_commutative(records, seed):
+    """Registers that got the same records, in any order and number, agree."""
+    first, second = CrashRegister(), CrashRegister()
+    first.merge(records)
+    shuffled = [*records, *records]
+    random.Random(seed).shuffle(shuffled)
+    second.merge(shuffled)
+    assert set(first.changes().records) == set(second.changes().records)
--- /dev/null
+++ b/tests/core/membership/test_entry_advice.py
@@ -0,0 +1,73 @@
+from __future__ import annotations
+
+from collections import Counter
+
+import msgspec
+
+from knapweeddrum.core.membership.entry_advice import MAX_HOSTS, EntryAdvice
+from tests.core.membership.fixtures import new_heartbeat, new_table
+
+PLACES = {
+    "h1": "xela-norte",
+    "h2": "xela-norte",
+    "h3": "xela-norte",
+    "h4": "totonicapan",
+    "h5": "totonicapan",
+}
+
+
+def _hosts():
+    table = new_table("h1")
+    table.merge(
+        [
+            new_heartbeat(host, data_centre=place)
+            for host, place in PLACES.items()
+            if host != "h1"
+        ],
+        0.0,
+    )
+    return table.hosts(0.0)
+
+
+def _names(advice):
+    return [host.host for host in advice.hosts]
+
+
+def test_near_hosts_come_first_and_a_far_one_last():
+    """The list is bounded and doesn't hang on one data centre."""
+    advice = EntryAdvice(10.0).advise(_hosts(), "clerk", "xela-norte")
+    places = [PLACES[name] for name in _names(advice)]
+    assert places == ["xela-norte"] * 3 + ["totonicapan"]
+    assert (len(places), advice.lifetime) == (MAX_HOSTS, 10.0)
+
+
+def test_callers_spread_over_the_near_hosts():
+    """First addresses are even, and a caller's stays the same."""
+    advice = EntryAdvice(10.0)
+    firsts = Counter(
+        _names(advice.advise(_hosts(), f"caller {number}", "xela-norte"))[0]
+        for number in range(900)
+    )
+    assert set(firsts) == {"h1", "h2", "h3"}
+    assert min(firsts.values()) > 240
+
+
+def test_draining_gone_and_excluded_hosts_are_left_out():
+    """Nothing is advised that wouldn't take the request."""
+    hosts = list(_hosts())
+    hosts[1] = msgspec.structs.replace(hosts[1], draining=True)
+    hosts[2] = msgspec.structs.replace(hosts[2], alive=False)
+    advice = EntryAdvice(10.0).advise(hosts, "clerk", "xela-norte", exclude="h1")
+    assert sorted(_names(advice)) == ["h4", "h5"]
+
+
+def test_loss_of_a_host_moves_only_its_callers():
+    """Other callers keep the order that they had."""
+    advice = EntryAdvice(10.0)
+    before = _hosts()
+    after = [host for host in before if host.host != "h2"]
+    for number in range(100):
+        old = _names(advice.advise(before, f"caller {number}", "xela-norte"))
+        new = _names(advice.advise(after, f"caller {number}", "xela-norte"))
+        if old[0] != "h2":
+            assert new[0] == old[0]
--- /dev/null
+++ b/tests/core/membership/test_member_table.py
@@ -0,0 +1,174 @@
+from __future__ import annotations
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from knapweeddrum.core.membership.drain_plan import ADVICE_SPREAD_SECONDS
+from knapweeddrum.core.membership.listed_member import ListedMember
+from knapweeddrum.core.membership.member_state import MemberState
+from knapweeddrum.core.membership.member_table import (
+    HEARTBEATS_PER_MESSAGE,
+    PEERS_PER_ROUND,
+)
+from knapweeddrum.core.membership.new_incarnation import new_incarnation
+from knapweeddrum.core.membership.peer_address import PeerAddress
+from tests.core.membership.fixtures import new_heartbeat, new_table
+
+OLD = "h2/keeper/000000000001-0"
+NEW = "h2/keeper/000000000002-0"
+
+
+def test_silence_makes_a_member_suspect_then_gone():
+    """Only a fresh heartbeat counts; a repeated one is silence."""
+    table = new_table("h1")
+    table.merge([new_heartbeat("h2", 1)], 0.0)
+    table.merge([new_heartbeat("h2", 1)], 4.0)
+    limit = table.suspect_seconds()
+    assert 5.0 < limit < 6.0
+    states = [
+        table.state("h2", at)
+        for at in (limit - 0.1, limit, 3.0 * limit - 0.1, 3.0 * limit)
+    ]
+    assert states == [
+        MemberState.ALIVE,
+        MemberState.SUSPECT,
+        MemberState.SUSPECT,
+        MemberState.GONE,
+    ]
+    assert table.state("never heard", 0.0) is MemberState.GONE
+
+
+def test_frozen_process_that_wakes_changes_nothing_at_others():
+    """Its higher sequence doesn't bring back an incarnation that was replaced."""
+    table = new_table("h1")
+    table.merge([new_heartbeat("h2", 900, OLD)], 0.0)
+    table.merge([new_heartbeat("h2", 1, NEW)], 1.0)
+    table.merge([new_heartbeat("h2", 901, OLD, draining=True)], 2.0)
+    host = table.hosts(2.0)[1]
+    assert (host.incarnation, host.draining) == (NEW, False)
+
+
+def test_frozen_process_that_wakes_learns_that_it_was_replaced():
+    """It finds the newer incarnation of its own host in a peer's reply."""
+    table = new_table("h2")
+    table.merge([new_heartbeat("h2", 1, NEW)], 9.0)
+    assert table.superseded_by == NEW
+    table.merge([new_heartbeat("h2", 5, OLD)], 9.0)
+    assert table.superseded_by == NEW
+
+
+def test_incarnations_sort_by_start_even_after_a_clock_was_set_back():
+    """A later life sorts after an earlier one that it was told of."""
+    rng = random.Random(1)
+    first = new_incarnation("h2", "keeper", 1_800_000_000_000, rng)
+    second = new_incarnation("h2", "keeper", 1_800_000_000_001, rng)
+    set_back = new_incarnation("h2", "keeper", 5, rng, above=second)
+    assert first < second < set_back
+
+
+def test_woken_process_takes_silent_peers_for_gone_only_until_it_hears_them():
+    """A pause makes all look silent; the next exchange mends it."""
+    table = new_table("h1")
+    table.merge([new_heartbeat("h2", 1)], 0.0)
+    assert table.state("h2", 1000.0) is MemberState.GONE
+    table.add_seeds([PeerAddress("h2", "127.0.0.1", 8081)])
+    assert [peer.host for peer in table.choose_peers(1000.0)] == ["h2"]
+    table.merge([new_heartbeat("h2", 2)], 1001.0)
+    assert table.state("h2", 1001.0) is MemberState.ALIVE
+
+
+def test_host_list_adds_addresses_and_marks_who_leaves():
+    """A listed host isn't alive for that, a missing one not gone."""
+    table = new_table("h1")
+    table.merge([new_heartbeat("h2"), new_heartbeat("h3")], 0.0)
+    listed = [
+        ListedMember("h2", "127.0.0.1", 8081, leaving=True),
+        ListedMember("h4", "127.0.0.1", 8081),
+    ]
+    table.apply_host_list(listed)
+    hosts = {host.host: (host.alive, host.draining) for host in table.hosts(1.0)}
+    assert hosts == {"h1": (True, False), "h2": (True, True), "h3": (True, False)}
+    tried = [peer.host for _ in range(50) for peer in table.choose_peers(1.0)]
+    assert set(tried) == {"h2", "h3", "h4"}
+
+
+HEARTBEATS = st.lists(
+    st.builds(
+        new_heartbeat,
+        st.sampled_from(("h2", "h3")),
+        st.integers(1, 5),
+        st.sampled_from((OLD, NEW)),
+    ),
+    max_size=12,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
+@given(HEARTBEATS, st.integers(0, 99))
+def test_merge_is_idempotent_and_commutative(heartbeats, seed):
+    """Tables that got the same heartbeats in any order know the same."""
+    first, second = new_table("h1"), new_table("h1")
+    first.merge(heartbeats, 0.0)
+    shuffled = [*heartbeats, *heartbeats]
+    random.Random(seed).shuffle(shuffled)
+    second.merge(shuffled, 0.0)
+    assert first.hosts(0.0) == second.hosts(0.0)
+
+
+def _run_rounds(tables, rounds, now, cut=frozenset(), draining=frozenset()):
+    """Exchange among all tables; no message passes between ``cut`` and the rest."""
+    for _ in range(rounds):
+        now += 1.0
+        for name, table in tables.items():
+            table.update_own(name in draining, 0)
+            for peer in table.choose_peers(now):
+                if (name in cut) != (peer.host in cut):
+                    continue
+                tables[peer.host].merge(table.outgoing(), now)
+                table.merge(tables[peer.host].outgoing(), now)
+    return now
+
+
+def _fleet(size):
+    tables = {f"h{number:03}": new_table(f"h{number:03}") for number in range(size)}
+    seeds = [PeerAddress(name, "127.0.0.1", 8081) for name in list(tables)[:3]]
+    for table in tables.values():
+        table.add_seeds(seeds)
+    return tables
+
+
+def _alive(table, now):
+    return sum(host.alive for host in table.hosts(now))
+
+
+def test_partition_and_heal():
+    """Each side takes the other for gone, and finds it again through the seeds."""
+    tables = _fleet(7)
+    now = _run_rounds(tables, 10, 0.0)
+    assert {_alive(table, now) for table in tables.values()} == {7}
+    now = _run_rounds(tables, 30, now, cut=frozenset(list(tables)[:3]))
+    assert sorted(_alive(table, now) for table in tables.values()) == [3] * 3 + [4] * 4
+    now = _run_rounds(tables, 20, now)
+    assert {_alive(table, now) for table in tables.values()} == {7}
+
+
+def test_larger_fleet_is_known_with_bounded_messages():
+    """At 60 hosts all stay alive to each other, in messages of the same size."""
+    tables = _fleet(60)
+    now = _run_rounds(tables, 50, 0.0)
+    assert {_alive(table, now) for table in tables.values()} == {60}
+    for table in tables.values():
+        assert len(table.outgoing()) == HEARTBEATS_PER_MESSAGE
+        assert len(table.choose_peers(now)) <= PEERS_PER_ROUND
+
+
+def test_drain_is_known_before_the_advice_serves_out():
+    """A changed drain flag is sent first, so that all know it in a few rounds."""
+    tables = _fleet(60)
+    now = _run_rounds(tables, 30, 0.0)
+    tables["h007"].update_own(True, 0)
+    rounds = int(ADVICE_SPREAD_SECONDS)
+    _run_rounds(tables, rounds, now, draining=frozenset({"h007"}))
+    assert all(table.is_draining("h007") for table in tables.values())
