--- a/src/knapweeddrum/core/admission/crash_history.py
+++ b/src/knapweeddrum/core/admission/crash_history.py
@@ -53,11 +53,23 @@
             ends.append(mark.at)
         return tuple(ends)
 
+    def covers(self, other: CrashHistory) -> bool:
+        """Return whether each mark of ``other`` is of a crash that is also here."""
+        return all(
+            any(_is_same_crash(mark, own) for own in self.marks) for mark in other.marks
+        )
+
     def without_oldest(self) -> CrashHistory:
         """Return the history with its oldest crash cleared."""
         crashes = self.crashes()
         return self.joined((), crashes[0]) if crashes else self
 
 
+def _is_same_crash(first: CrashMark, second: CrashMark) -> bool:
+    if first.endpoint != second.endpoint:
+        return False
+    return abs(first.at - second.at) <= CRASH_WINDOW_SECONDS
+
+
 def _order(mark: CrashMark) -> tuple[float, str]:
     return (mark.at, mark.endpoint)
--- a/src/knapweeddrum/core/admission/crash_register.py
+++ b/src/knapweeddrum/core/admission/crash_register.py
@@ -18,8 +18,14 @@
 from knapweeddrum.value.refusal import Refusal
 from knapweeddrum.value.refusal_reason import RefusalReason
 
-MAX_ENDPOINTS_CRASHED = 2
-"""Crashes after which a request is refused for good."""
+MAX_ENDPOINTS_CRASHED = 3
+"""Crashes after which a request is refused for good, whatever else was running."""
+
+SOLE_SUSPECT_CRASHES = 2
+"""Crashes after which it is, if no other request took part in the same ones."""
+
+SETTLE_SECONDS = 3.0
+"""Time for the marks of all routers to arrive before a sole suspect is refused."""
 
 SUSPICION_SECONDS = 300.0
 """Time after its last crash for which a request is suspect."""
@@ -46,17 +52,16 @@
 class CrashRegister:
     """Counts, by content, the distinct crashes that a request took part in.
 
-    When an endpoint crashes, each request that ran there gets a mark; one that runs
-    with others again and again is the one in all the intersections. A request with a
-    mark is suspect: it runs once at a time, and beside no other suspect, so that two
-    suspects aren't marked for the same crash. A whole answer clears the oldest crash,
-    and marks lapse. A request with as many crashes as ``limit`` is refused for good.
+    When an endpoint crashes, each request that ran there gets a mark. A request with a
+    mark is suspect: it runs once at a time, and beside no other suspect that this
+    router runs. The only request in the intersection of SOLE_SUSPECT_CRASHES crashes is
+    refused for good; if several are, each is suspect until one has taken part in
+    MAX_ENDPOINTS_CRASHED. A whole answer clears the oldest crash, and marks lapse.
 
     Times are Unix seconds, because routers share the marks.
     """
 
-    def __init__(self, limit: int = MAX_ENDPOINTS_CRASHED) -> None:
-        self._limit = limit
+    def __init__(self) -> None:
         self._histories: dict[str, CrashHistory] = {}
         self._running: dict[str, _Run] = {}
         self._cut: dict[str, tuple[_Run, float]] = {}
@@ -68,8 +73,8 @@
         crashes = self.crash_count(fingerprint, now)
         if crashes == 0:
             return Placement()
-        if crashes >= self._limit:
-            return Refusal(RefusalReason.POISONOUS, detail="crashed endpoints")
+        if self._is_blamed(fingerprint, now):
+            return self._refuse(fingerprint, now)
         if any(run.fingerprint == fingerprint for run in self._running.values()):
             return Refusal(
                 RefusalReason.POISONOUS,
@@ -84,7 +89,8 @@
         if history is None:
             return 0
         crashes = len(history.crashes())
-        lifetime = BLAME_SECONDS if crashes >= self._limit else SUSPICION_SECONDS
+        repeated = crashes >= SOLE_SUSPECT_CRASHES
+        lifetime = BLAME_SECONDS if repeated else SUSPICION_SECONDS
         return 0 if now - history.last_at >= lifetime else crashes
 
     def begin(self, run_id: str, fingerprint: str, endpoint: EndpointName) -> None:
@@ -137,6 +143,33 @@
         for record in records:
             self._join(record.fingerprint, record.marks, record.cleared_at)
 
+    def _is_blamed(self, fingerprint: str, now: float) -> bool:
+        crashes = self.crash_count(fingerprint, now)
+        if crashes >= MAX_ENDPOINTS_CRASHED:
+            return True
+        return crashes >= SOLE_SUSPECT_CRASHES and self._is_sole(fingerprint)
+
+    def _is_sole(self, fingerprint: str) -> bool:
+        """Return whether no other request took part in all crashes of this one."""
+        history = self._histories[fingerprint]
+        return not any(
+            other.covers(history)
+            for name, other in self._histories.items()
+            if name != fingerprint
+        )
+
+    def _refuse(self, fingerprint: str, now: float) -> Refusal:
+        history = self._histories[fingerprint]
+        crashes = len(history.crashes())
+        is_settled = now - history.last_at >= SETTLE_SECONDS
+        if crashes < MAX_ENDPOINTS_CRASHED and not is_settled:
+            return Refusal(
+                RefusalReason.POISONOUS,
+                retry_after=SETTLE_SECONDS,
+                detail="suspected of two crashes",
+            )
+        return Refusal(RefusalReason.POISONOUS, detail="crashed endpoints")
+
     def _record(self, fingerprint: str) -> CrashRecord:
         history = self._histories[fingerprint]
         return CrashRecord(fingerprint, history.marks, history.cleared_at)
@@ -165,7 +198,7 @@
 
     def _clear_oldest(self, fingerprint: str, now: float) -> None:
         crashes = self.crash_count(fingerprint, now)
-        if 0 < crashes < self._limit:
+        if crashes > 0 and not self._is_blamed(fingerprint, now):
             history = self._histories[fingerprint]
             self._store(fingerprint, history.without_oldest())
 
--- a/src/knapweeddrum/core/routing/sampled_load.py
+++ b/src/knapweeddrum/core/routing/sampled_load.py
@@ -17,10 +17,10 @@
 REPORT_HALF_LIFE_SECONDS = 5.0
 """Age at which a report counts as much as the mean of all reports."""
 
-AFFINITY_BONUS = 0.25
+AFFINITY_BONUS = 1.0
 """Load per slot by which a holder of the whole prompt's prefix may exceed others."""
 
-AFFINITY_LOAD_FACTOR = 1.25
+AFFINITY_LOAD_FACTOR = 1.5
 """Multiple of the mean load above which a holder isn't preferred."""
 
 MAX_SAMPLED_HOLDERS = 2
--- /dev/null
+++ b/tools/routing_model/load_scenario.py
@@ -0,0 +1,73 @@
+"""Time to first token and between tokens at three loads."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from knapweeddrum.value.priority import Priority
+from tools.routing_model.call import Call
+from tools.routing_model.fake_engine import FakeEngine
+from tools.routing_model.figures import part, percentile, rounded
+from tools.routing_model.routing_run import MEASURED_SECONDS, RoutingRun
+from tools.routing_model.routing_way import RoutingWay
+from tools.routing_model.row import Row
+
+LOADS = (0.5, 0.9, 1.2)
+SEEDS = (1, 2, 3)
+SATURATING_RATE = 200.0
+TARGET_SECONDS = 1.1
+"""Time to first token that counts as in time."""
+
+
+def load_rows() -> Iterator[Row]:
+    """Yield a row for each load, way and seed.
+
+    The capacity is what the engines serve behind round robin when far too much comes.
+    """
+    capacity = measured_capacity()
+    yield Row("capacity", "round_robin", 0, {"requests_per_second": rounded(capacity)})
+    for load in LOADS:
+        for way in RoutingWay:
+            for seed in SEEDS:
+                run = RoutingRun(way, load * capacity, seed)
+                run.run()
+                figures = _figures(run.calls, run.engines)
+                yield Row(f"load-{load:.0%}", way.value, seed, figures)
+
+
+def measured_capacity() -> float:
+    """Return the requests per second that the engines serve when saturated."""
+    run = RoutingRun(RoutingWay.ROUND_ROBIN, SATURATING_RATE, 0)
+    run.run()
+    served = sum(call.first_token_at is not None for call in run.calls)
+    return served / MEASURED_SECONDS
+
+
+def _figures(calls: list[Call], engines: list[FakeEngine]) -> dict[str, float | None]:
+    figures: dict[str, float | None] = {}
+    for priority in Priority:
+        figures |= _priority_figures(priority, calls)
+    gaps = [gap for call in calls for gap in call.gaps]
+    figures["inter_token_p50"] = rounded(percentile(gaps, 0.5), 4)
+    figures["inter_token_p95"] = rounded(percentile(gaps, 0.95), 4)
+    wasted = sum(engine.wasted for engine in engines)
+    figures["wasted"] = part(wasted, sum(engine.work for engine in engines))
+    return figures
+
+
+def _priority_figures(priority: Priority, calls: list[Call]) -> dict[str, float | None]:
+    chosen = [call for call in calls if call.priority is priority]
+    waits = [
+        call.first_token_at - call.arrived_at
+        for call in chosen
+        if call.first_token_at is not None
+    ]
+    name = priority.name.lower()
+    in_time = sum(wait <= TARGET_SECONDS for wait in waits)
+    return {
+        f"{name}_ttft_p50": rounded(percentile(waits, 0.5)),
+        f"{name}_ttft_p95": rounded(percentile(waits, 0.95)),
+        f"{name}_in_time": part(in_time, len(chosen)),
+        f"{name}_refused": part(sum(call.refused for call in chosen), len(chosen)),
+        f"{name}_abandoned": part(sum(call.abandoned for call in chosen), len(chosen)),
+    }
--- /dev/null
+++ b/tools/routing_model/routing_way.py
@@ -0,0 +1,17 @@
+"""The ways that the routing model compares."""
+
+from __future__ import annotations
+
+import enum
+
+
+class RoutingWay(enum.StrEnum):
+    """A routing policy, with admission unless the name says otherwise."""
+
+    RANDOM = "random"
+    ROUND_ROBIN = "round_robin"
+    LEAST_REPORTED = "least_reported"
+    SAMPLED = "sampled_load"
+    SAMPLED_AFFINITY = "sampled_load_affinity"
+    SAMPLED_UNADMITTED = "sampled_load_affinity_without_admission"
+    SAMPLED_UNCANCELLED = "sampled_load_affinity_without_cancel"
