--- a/src/knapweeddrum/console/application.py
+++ b/src/knapweeddrum/console/application.py
@@ -10,16 +10,21 @@
 from knapweeddrum.console.command_context import CommandContext
 from knapweeddrum.console.commands.apply_command import ApplyCommand
 from knapweeddrum.console.commands.budgets_command import BudgetsCommand
+from knapweeddrum.console.commands.check_command import CheckCommand
 from knapweeddrum.console.commands.command import Command
+from knapweeddrum.console.commands.delete_command import DeleteCommand
+from knapweeddrum.console.commands.drain_command import DrainCommand
 from knapweeddrum.console.commands.entry_command import EntryCommand
 from knapweeddrum.console.commands.get_command import GetCommand
 from knapweeddrum.console.commands.status_command import StatusCommand
 from knapweeddrum.console.commands.top_up_command import TopUpCommand
+from knapweeddrum.console.commands.watch_command import WatchCommand
 from knapweeddrum.console.control_client import ControlClient
 from knapweeddrum.console.exceptions import ConsoleError
 from knapweeddrum.console.exit_code import ExitCode
 from knapweeddrum.console.output_format import OutputFormat
 from knapweeddrum.console.printer import Printer
+from knapweeddrum.console.server_url import SERVER_FORM, server_url
 
 PROGRAM = "knapweedctl"
 SERVER_VARIABLE = "KNAPWEED_SERVER"
@@ -30,10 +35,14 @@
 COMMANDS: tuple[Command, ...] = (
     ApplyCommand(),
     GetCommand(),
+    DeleteCommand(),
+    WatchCommand(),
     TopUpCommand(),
     BudgetsCommand(),
     StatusCommand(),
     EntryCommand(),
+    DrainCommand(),
+    CheckCommand(),
 )
 
 EPILOG = f"""\
@@ -91,6 +100,7 @@
     parser.add_argument(
         "--server",
         action="append",
+        type=server_url,
         metavar="http://IP:PORT",
         help="control process of a host; repeatable, the next is tried when one can't "
         f"be reached (default: {SERVER_VARIABLE}, else {DEFAULT_SERVER})",
@@ -104,7 +114,7 @@
     )
     parser.add_argument(
         "--timeout",
-        type=float,
+        type=_positive_seconds,
         default=DEFAULT_TIMEOUT_SECONDS,
         metavar="SECONDS",
         help=f"for each try (default: {DEFAULT_TIMEOUT_SECONDS:g})",
@@ -132,7 +142,25 @@
 
 
 def _context(args: argparse.Namespace) -> CommandContext:
-    servers = args.server or os.environ.get(SERVER_VARIABLE, DEFAULT_SERVER).split(",")
+    servers = args.server or _default_servers()
     token = os.environ.get(TOKEN_VARIABLE, "")
     client = ControlClient(servers, args.timeout, token)
     return CommandContext(client, Printer(sys.stdout, args.output), args.author)
+
+
+def _default_servers() -> list[str]:
+    """Return the servers of the environment; raises ConsoleError."""
+    text = os.environ.get(SERVER_VARIABLE, DEFAULT_SERVER)
+    try:
+        return [server_url(part) for part in text.split(",")]
+    except ValueError as exc:
+        message = f"{SERVER_VARIABLE}: got {text!r}, allowed: {SERVER_FORM}"
+        raise ConsoleError(message, ExitCode.USAGE) from exc
+
+
+def _positive_seconds(text: str) -> float:
+    """Return a time limit; raises ValueError unless it is positive."""
+    seconds = float(text)
+    if not seconds > 0:
+        raise ValueError("more than 0")
+    return seconds
--- a/src/knapweeddrum/console/commands/apply_command.py
+++ b/src/knapweeddrum/console/commands/apply_command.py
@@ -57,13 +57,12 @@
         """Apply the file."""
         resources = read_resources(args.file)
         _check_usage(args, len(resources))
-        applied = []
+        applied: list[ResourceReply] = []
         try:
             for resource in resources:
                 applied.append(_apply(resource, args, context))
         finally:
-            for reply in applied:
-                context.printer.document(reply, resource_table((reply,)))
+            context.printer.document(applied, resource_table(applied))
 
 
 def _check_usage(args: argparse.Namespace, count: int) -> None:
--- /dev/null
+++ b/src/knapweeddrum/console/event_parser.py
@@ -0,0 +1,41 @@
+"""Parser of server-sent events."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from knapweeddrum.console.stream_event import StreamEvent
+
+DELIMITER = b"\n\n"
+
+
+class EventParser:
+    """Takes chunks of any size; ``last_id`` is the point to resume from."""
+
+    def __init__(self, last_id: str = "") -> None:
+        self.last_id = last_id
+        self._rest = b""
+
+    def feed(self, chunk: bytes) -> Iterator[StreamEvent]:
+        """Yield the events that the chunk completes."""
+        self._rest += chunk
+        while DELIMITER in self._rest:
+            block, _, self._rest = self._rest.partition(DELIMITER)
+            event = self._parse(block)
+            if event.data:
+                yield event
+
+    def _parse(self, block: bytes) -> StreamEvent:
+        """Return the event of a block; one without data only moves the point."""
+        name = "message"
+        data = b""
+        for line in block.splitlines():
+            field, _, value = line.partition(b":")
+            value = value.removeprefix(b" ")
+            if field == b"event":
+                name = value.decode()
+            elif field == b"data":
+                data += value
+            elif field == b"id":
+                self.last_id = value.decode()
+        return StreamEvent(name, data, self.last_id)
--- a/src/knapweeddrum/console/paths.py
+++ b/src/knapweeddrum/console/paths.py
@@ -15,3 +15,8 @@
     """Return the path with the query parameters that are not empty."""
     given = {name: value for name, value in parameters.items() if value}
     return f"{path}?{urllib.parse.urlencode(given)}" if given else path
+
+
+def host_drain_path(host: str) -> str:
+    """Return the path of a host's drain."""
+    return f"/v1/hosts/{urllib.parse.quote(host, safe='')}/drain"
--- a/src/knapweeddrum/console/printer.py
+++ b/src/knapweeddrum/console/printer.py
@@ -20,8 +20,10 @@
         self._stream = stream
         self._output = output
 
-    def document(self, document: msgspec.Struct, table: Table) -> None:
-        """Write the document, or the table that shows it."""
+    def document(
+        self, document: msgspec.Struct | Sequence[msgspec.Struct], table: Table
+    ) -> None:
+        """Write the document or the list of documents, or the table that shows it."""
         if self._output is OutputFormat.JSON:
             self.line(msgspec.json.encode(document).decode())
             return
--- a/src/knapweeddrum/console/resource_reply.py
+++ b/src/knapweeddrum/console/resource_reply.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 import msgspec
 
 from knapweeddrum.console.table import Table
@@ -26,6 +28,6 @@
 HEADING = ("KIND", "NAME", "VERSION", "OFFSET", "SPEC")
 
 
-def resource_table(resources: tuple[ResourceReply, ...]) -> Table:
+def resource_table(resources: Sequence[ResourceReply]) -> Table:
     """Return the table of some resources."""
     return Table(HEADING, tuple(resource.row() for resource in resources))
