--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -19,6 +19,8 @@
 LOG_LOST = Event(300, "log_lost", "warning", ("stream", "error"))
 LOG_REACHED = Event(301, "log_reached", "info", ("stream",))
 STREAM_READY = Event(302, "stream_ready", "info", ("stream", "offset"))
+SUPERSEDED = Event(303, "superseded", "warning", ("incarnation",))
+STATE_JUMPED = Event(304, "state_jumped", "warning", ("stream", "offset"))
 
 CONTROL_REFUSED = Event(
     400, "control_refused", "info", ("reason", "method", "path", "run_state")
