--- a/src/knapweeddrum/console/application.py
+++ b/src/knapweeddrum/console/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import math
 import os
 import sys
 from collections.abc import Sequence
@@ -24,7 +25,7 @@
 from knapweeddrum.console.exit_code import ExitCode
 from knapweeddrum.console.output_format import OutputFormat
 from knapweeddrum.console.printer import Printer
-from knapweeddrum.console.server_url import SERVER_FORM, server_url
+from knapweeddrum.value.ip_url import IP_URL_FORM, check_ip_url
 
 PROGRAM = "knapweedctl"
 SERVER_VARIABLE = "KNAPWEED_SERVER"
@@ -100,7 +101,7 @@
     parser.add_argument(
         "--server",
         action="append",
-        type=server_url,
+        type=_server_url,
         metavar="http://IP:PORT",
         help="control process of a host; repeatable, the next is tried when one can't "
         f"be reached (default: {SERVER_VARIABLE}, else {DEFAULT_SERVER})",
@@ -152,15 +153,28 @@
     """Return the servers of the environment; raises ConsoleError."""
     text = os.environ.get(SERVER_VARIABLE, DEFAULT_SERVER)
     try:
-        return [server_url(part) for part in text.split(",")]
+        return [check_ip_url(part.strip()) for part in text.split(",")]
     except ValueError as exc:
-        message = f"{SERVER_VARIABLE}: got {text!r}, allowed: {SERVER_FORM}"
+        message = f"{SERVER_VARIABLE}: got {text!r}, allowed: {IP_URL_FORM}"
         raise ConsoleError(message, ExitCode.USAGE) from exc
 
 
+def _server_url(text: str) -> str:
+    """Return a server's URL; raises ArgumentTypeError."""
+    try:
+        return check_ip_url(text)
+    except ValueError as exc:
+        message = f"got {text!r}, allowed: {IP_URL_FORM}"
+        raise argparse.ArgumentTypeError(message) from exc
+
+
 def _positive_seconds(text: str) -> float:
-    """Return a time limit; raises ValueError unless it is positive."""
-    seconds = float(text)
-    if not seconds > 0:
-        raise ValueError("more than 0")
+    """Return a time limit; raises ArgumentTypeError unless it is positive."""
+    message = f"got {text!r}, allowed: seconds, more than 0"
+    try:
+        seconds = float(text)
+    except ValueError as exc:
+        raise argparse.ArgumentTypeError(message) from exc
+    if not 0 < seconds < math.inf:
+        raise argparse.ArgumentTypeError(message)
     return seconds
--- a/src/knapweeddrum/process/control/model/validation.py
+++ b/src/knapweeddrum/process/control/model/validation.py
@@ -34,6 +34,9 @@
 VALUE_LENGTH_LIMIT = 200
 """Characters of a wrong value that an error repeats."""
 
+MISSING_FIELD = "missing"
+"""pydantic's type of error for a required field that is absent."""
+
 ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
 
 
@@ -81,6 +84,8 @@
     for error in exc.errors():
         parts = [prefix, *(str(part) for part in error["loc"])]
         field = ".".join(part for part in parts if part) or "(whole body)"
-        value = repr(error["input"])[:VALUE_LENGTH_LIMIT]
-        found.append(FieldError(field, value, error["msg"]))
+        missing = error["type"] == MISSING_FIELD
+        value = "nothing" if missing else repr(error["input"])[:VALUE_LENGTH_LIMIT]
+        allowed = error["msg"].removeprefix("Value error, ")
+        found.append(FieldError(field, value, allowed))
     return tuple(found)
--- a/src/knapweeddrum/process/control/problems.py
+++ b/src/knapweeddrum/process/control/problems.py
@@ -13,8 +13,11 @@
 
 def invalid(exc: InvalidDocumentError) -> ProblemError:
     """Return the refusal of a document with wrong fields."""
+    fields = ", ".join(error.field for error in exc.errors)
     return ProblemError(
-        Problem(ControlRefusalReason.INVALID, str(exc), errors=exc.errors)
+        Problem(
+            ControlRefusalReason.INVALID, f"wrong value of {fields}", errors=exc.errors
+        )
     )
 
 
--- a/src/knapweeddrum/process/control/resource_checks.py
+++ b/src/knapweeddrum/process/control/resource_checks.py
@@ -55,7 +55,8 @@
             if resource_id in _targets(record)
         ]
         if users:
-            allowed = f"a resource that no other names; this one is named by {users}"
+            named_by = ", ".join(users)
+            allowed = f"a resource that no other names; this is named by {named_by}"
             raise InvalidDocumentError((FieldError("name", resource_id.name, allowed),))
 
     def check_order(
--- a/src/knapweeddrum/settings/host_settings.py
+++ b/src/knapweeddrum/settings/host_settings.py
@@ -17,3 +17,8 @@
     router_port: int = pydantic.Field(default=8080, ge=1, le=65535)
     keeper_port: int = pydantic.Field(default=8081, ge=1, le=65535)
     control_port: int = pydantic.Field(default=8082, ge=1, le=65535)
+
+    def endpoints(self) -> tuple[str, ...]:
+        """Return the address and port of each process."""
+        ports = (self.router_port, self.keeper_port, self.control_port)
+        return tuple(f"{self.address}:{port}" for port in ports)
--- a/src/knapweeddrum/settings/settings.py
+++ b/src/knapweeddrum/settings/settings.py
@@ -32,3 +32,14 @@
         if len(set(names)) != len(names):
             raise ValueError("host names must be distinct")
         return self
+
+    @pydantic.model_validator(mode="after")
+    def _ports_are_distinct(self) -> Settings:
+        used = [
+            endpoint
+            for host in (self.host, *self.peers)
+            for endpoint in host.endpoints()
+        ]
+        if len(set(used)) != len(used):
+            raise ValueError("each address and port must be used once")
+        return self
--- a/src/knapweeddrum/settings/settings_reader.py
+++ b/src/knapweeddrum/settings/settings_reader.py
@@ -6,16 +6,25 @@
 
 import json5
 import pydantic
+import pydantic_core
 
 from knapweeddrum.settings.exceptions import SettingsError
 from knapweeddrum.settings.settings import Settings
 
+SECRET_SECTIONS = frozenset({"fleet"})
+"""Sections whose values are never repeated in an error."""
+UNKNOWN_FIELD = "extra_forbidden"
+"""pydantic's type of error for a field that the model doesn't have."""
+MISSING_FIELD = "missing"
+"""pydantic's type of error for a required field that is absent."""
+VALUE_LENGTH_LIMIT = 200
+
 
 def read_settings(path: pathlib.Path) -> Settings:
     """Return the checked settings of a file.
 
     Raises SettingsError naming the file, and for each wrong field the field, its
-    value and what is allowed.
+    value and what is allowed; secrets are not repeated.
     """
     try:
         document = json5.loads(path.read_text(encoding="utf-8"))
@@ -34,5 +43,18 @@
     lines = []
     for error in exc.errors():
         field = ".".join(str(part) for part in error["loc"]) or "(whole file)"
-        lines.append(f"{path}: {field}: got {error['input']!r}: {error['msg']}")
+        allowed = error["msg"].removeprefix("Value error, ")
+        lines.append(f"{path}: {field}: got {_shown(error)}, allowed: {allowed}")
     return "\n".join(lines)
+
+
+def _shown(error: pydantic_core.ErrorDetails) -> str:
+    """Return the wrong value, or its type where it may be or hold a secret."""
+    if error["type"] == MISSING_FIELD:
+        return "nothing"
+    value = error["input"]
+    is_plain = isinstance(value, int | float | str | None)
+    is_known = error["type"] != UNKNOWN_FIELD and error["loc"]
+    if is_plain and is_known and error["loc"][0] not in SECRET_SECTIONS:
+        return repr(value)[:VALUE_LENGTH_LIMIT]
+    return f"a value of type {type(value).__name__}"
