--- /dev/null
+++ b/src/knapweeddrum/process/router/endpoint_clients.py
@@ -0,0 +1,21 @@
+"""How the router gets clients of endpoints."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
+
+from knapweeddrum.endpoint.model_engine import ModelEngine
+from knapweeddrum.endpoint.plain_service import PlainService
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointClients:
+    """Functions that make a client for the endpoint at an address.
+
+    A client's context owns its connections; entering it makes none yet.
+    """
+
+    engine: Callable[[str], AbstractAsyncContextManager[ModelEngine]]
+    service: Callable[[str], AbstractAsyncContextManager[PlainService]]
--- a/src/knapweeddrum/settings/platform_settings.py
+++ b/src/knapweeddrum/settings/platform_settings.py
@@ -13,8 +13,14 @@
 
 
 class PlatformSettings(StrictModel):
-    """Addresses of the platform's services, as ``http://IP:port``."""
+    """Addresses of the platform's services, as ``http://IP:port``.
+
+    ``log_retention_seconds`` is how long the log keeps records; ``checkpoint_records``
+    is how many records of a stream may follow its newest checkpoint.
+    """
 
     log: IpUrl
     host_list: IpUrl
     weight_store: IpUrl
+    log_retention_seconds: float = pydantic.Field(default=86_400.0, gt=0)
+    checkpoint_records: int = pydantic.Field(default=2_000, ge=1)
