--- a/src/knapweeddrum/process/control/config_follower.py
+++ b/src/knapweeddrum/process/control/config_follower.py
@@ -16,7 +16,7 @@
 POLL_SECONDS = 10.0
 """How long a keeper may hold a call while nothing changes."""
 RETRY_SECONDS = 0.5
-"""Pause after a call that failed or brought nothing new."""
+"""Pause after a call that failed, or that waited and brought nothing."""
 
 
 class ConfigFollower:
@@ -60,11 +60,10 @@
             self._note_waiting("the keeper has no state yet or lags")
             return False
         self._note_ready()
-        if not changed:
-            return False
-        self._changed.set()
-        self._changed = anyio.Event()
-        return True
+        if changed:
+            self._changed.set()
+            self._changed = anyio.Event()
+        return changed or not wait
 
     def _note_waiting(self, error: str) -> None:
         self._connected = False
--- a/src/knapweeddrum/settings/control_settings.py
+++ b/src/knapweeddrum/settings/control_settings.py
@@ -16,6 +16,6 @@
 
     operator_key_digest: str = pydantic.Field(default="", pattern=r"^([0-9a-f]{64})?$")
     body_limit_bytes: int = pydantic.Field(default=1_000_000, ge=1_000)
-    keeper_timeout_seconds: float = pydantic.Field(default=10.0, gt=0, le=300)
+    keeper_timeout_seconds: float = pydantic.Field(default=5.0, gt=0, le=300)
     watch_limit: int = pydantic.Field(default=64, ge=1)
     stop_limit_seconds: float = pydantic.Field(default=30.0, gt=0)
