--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -21,10 +21,6 @@
 STREAM_READY = Event(302, "stream_ready", "info", ("stream", "offset"))
 SUPERSEDED = Event(303, "superseded", "warning", ("incarnation",))
 STATE_JUMPED = Event(304, "state_jumped", "warning", ("stream", "offset"))
-
-CONTROL_REFUSED = Event(
-    400, "control_refused", "info", ("reason", "method", "path", "run_state")
-)
 CHECKPOINT_WRITTEN = Event(
     305, "checkpoint_written", "info", ("stream", "covers", "parts")
 )
@@ -35,3 +31,9 @@
 USAGE_LOST = Event(202, "usage_lost", "error", ("run_id", "endpoint"))
 OUTCOME_LATE = Event(203, "outcome_late", "warning", ("claim_key",))
 STOPPED_UNSETTLED = Event(204, "stopped_unsettled", "error", ("runs", "settlements"))
+
+# Control
+
+CONTROL_REFUSED = Event(
+    400, "control_refused", "info", ("reason", "method", "path", "run_state")
+)
--- /dev/null
+++ b/tests/process/control/test_keeper_failover.py
@@ -0,0 +1,38 @@
+from __future__ import annotations
+
+from knapweeddrum.message.call.entry_request import EntryRequest
+from knapweeddrum.process.control.keeper_failover import KeeperFailover
+from knapweeddrum.rpc.exceptions import PeerUnreachableError, RpcError
+from knapweeddrum.rpc.keeper_methods import ENTRY
+from tests.assertions import raises
+from tests.async_test import async_test
+from tests.standins.fake_keeper import FakeKeeper, fake_host
+
+
+class SilentKeeper(FakeKeeper):
+    """Takes calls and gives no reply."""
+
+    async def call(self, method, request, timeout):
+        raise RpcError("timeout")
+
+
+@async_test
+async def test_next_keeper_answers_when_the_first_is_gone():
+    """A call goes on to the next keeper when one can't be reached or is silent."""
+    gone, alive = FakeKeeper(), FakeKeeper()
+    gone.unreachable = True
+    alive.hosts = [fake_host("h2")]
+    caller = KeeperFailover([gone, SilentKeeper(), alive])
+    reply = await caller.call(ENTRY, EntryRequest(""), 1.0)
+    assert reply.hosts[0].host == "h2"
+
+
+@async_test
+async def test_a_silent_keeper_may_have_carried_the_call_out():
+    """Only when no keeper was reached is a call known not to be carried out."""
+    gone = FakeKeeper()
+    gone.unreachable = True
+    with raises(PeerUnreachableError):
+        await KeeperFailover([gone, gone]).call(ENTRY, EntryRequest(""), 1.0)
+    with raises(RpcError):
+        await KeeperFailover([SilentKeeper(), gone]).call(ENTRY, EntryRequest(""), 1.0)
--- /dev/null
+++ b/tests/telemetry/test_counters_page.py
@@ -0,0 +1,47 @@
+from __future__ import annotations
+
+import pathlib
+
+from knapweeddrum import telemetry
+from knapweeddrum.telemetry import counters
+from knapweeddrum.telemetry.counters import (
+    ALL_COUNTERS,
+    control_refusal_counter,
+    refusal_counter,
+    retry_counter,
+)
+from knapweeddrum.value.control_refusal_reason import ControlRefusalReason
+from knapweeddrum.value.refusal_reason import RefusalReason
+from knapweeddrum.value.retry_reason import RetryReason
+from tests.telemetry.catalogue import table_rows
+
+SOURCES = pathlib.Path(telemetry.__file__).parent.parent
+
+
+def test_page_lists_each_counter_once():
+    """The rows of docs/COUNTERS.md are the counters of the code, reasons included."""
+    in_code = [
+        *ALL_COUNTERS,
+        *map(refusal_counter, RefusalReason),
+        *map(retry_counter, RetryReason),
+        *map(control_refusal_counter, ControlRefusalReason),
+    ]
+    rows = table_rows("COUNTERS.md")
+    assert sorted(row[0].strip("`") for row in rows) == sorted(in_code)
+    assert all(row[1] for row in rows)
+
+
+def test_each_named_counter_is_listed():
+    """Each name in the module of counters stands in the list that the page follows."""
+    names = {
+        value
+        for name, value in vars(counters).items()
+        if name.isupper() and isinstance(value, str)
+    }
+    assert names == set(ALL_COUNTERS)
+
+
+def test_counters_are_named_in_one_module():
+    """No code counts under a literal name, so that the page misses none."""
+    for path in SOURCES.rglob("*.py"):
+        assert '.count("' not in path.read_text(encoding="utf-8"), path
