--- a/src/knapweeddrum/console/commands/apply_command.py
+++ b/src/knapweeddrum/console/commands/apply_command.py
@@ -62,7 +62,7 @@
             for resource in resources:
                 applied.append(_apply(resource, args, context))
         finally:
-            context.printer.document(applied, resource_table(applied))
+            context.printer.documents(applied, resource_table(applied))
 
 
 def _check_usage(args: argparse.Namespace, count: int) -> None:
--- a/src/knapweeddrum/console/commands/budgets_command.py
+++ b/src/knapweeddrum/console/commands/budgets_command.py
@@ -41,7 +41,7 @@
         path = with_parameters("/v1/budgets", prefix=args.prefix)
         reply = context.client.request("GET", path).decode(BudgetReply)
         rows = tuple(_row(status) for status in reply.budgets)
-        context.printer.document(reply.budgets, Table(HEADING, rows))
+        context.printer.document(reply, Table(HEADING, rows))
 
 
 def _row(status: BudgetStatus) -> tuple[str, ...]:
--- a/src/knapweeddrum/console/commands/get_command.py
+++ b/src/knapweeddrum/console/commands/get_command.py
@@ -40,4 +40,4 @@
             return
         path = with_parameters(f"/v1/resources/{args.kind}", prefix=args.prefix)
         listed = context.client.request("GET", path).decode(ResourceListReply)
-        context.printer.document(listed.resources, resource_table(listed.resources))
+        context.printer.document(listed, resource_table(listed.resources))
--- a/src/knapweeddrum/console/printer.py
+++ b/src/knapweeddrum/console/printer.py
@@ -20,14 +20,17 @@
         self._stream = stream
         self._output = output
 
-    def document(
-        self, document: msgspec.Struct | Sequence[msgspec.Struct], table: Table
-    ) -> None:
-        """Write the document or the list of documents, or the table that shows it."""
-        if self._output is OutputFormat.JSON:
-            self.line(msgspec.json.encode(document).decode())
+    def document(self, document: msgspec.Struct, table: Table) -> None:
+        """Write the document, or the table that shows it."""
+        self.documents((document,), table)
+
+    def documents(self, documents: Sequence[msgspec.Struct], table: Table) -> None:
+        """Write the documents, or the table that shows them all."""
+        if self._output is OutputFormat.TABLE:
+            self._table(table)
             return
-        self._table(table)
+        for document in documents:
+            self.line(msgspec.json.encode(document).decode())
 
     def line(self, text: str) -> None:
         """Write a line at once."""
--- a/src/knapweeddrum/process/stop_signal.py
+++ b/src/knapweeddrum/process/stop_signal.py
@@ -13,13 +13,20 @@
 
 @asynccontextmanager
 async def stop_signal() -> AsyncIterator[anyio.Event]:
-    """Give an event that is set by the first stop signal."""
+    """Give an event that is set by the first stop signal; later ones do nothing."""
     stop = anyio.Event()
 
     async def listen() -> None:
-        with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
-            async for _ in signals:
-                stop.set()
+        received = False
+        try:
+            with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
+                async for _ in signals:
+                    received = True
+                    stop.set()
+        finally:
+            if received:
+                # A repeat must not kill a process that is about to exit in good order.
+                signal.signal(signal.SIGTERM, signal.SIG_IGN)
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(listen)
--- a/tests/console/test_client_commands.py
+++ b/tests/console/test_client_commands.py
@@ -57,7 +57,8 @@
         server = ("--server", served.url, "--output", "json")
         assert run(*server, "apply", path).code == ExitCode.OK
         again = run(*server, "apply", path)
-        assert [item["version"] for item in json.loads(again.out)] == [2, 2]
+        versions = [json.loads(line)["version"] for line in again.out.splitlines()]
+        assert versions == [2, 2]
         got = run(*server, "get", "budget", "mill/main")
         assert json.loads(got.out)["spec"]["organisation"] == "mill"
         assert run(*server, "get", "budget", "mill/x").code == ExitCode.NOT_FOUND
@@ -95,7 +96,7 @@
         assert json.loads(done.out)["repeated"]
         assert served.bench.keeper.balances == {"mill/main": 500}
         listed = json.loads(run(*server, "budgets", "mill/").out)
-        assert listed[0]["deposited"] == 500
+        assert listed["budgets"][0]["deposited"] == 500
 
 
 def test_unknown_top_up_names_its_identifier():
