--- a/src/knapweeddrum/process/control/model/resource_model.py
+++ b/src/knapweeddrum/process/control/model/resource_model.py
@@ -10,8 +10,8 @@
 from knapweeddrum.process.control.field_error import FieldError
 from knapweeddrum.process.control.model.reference import Reference
 
-NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$"
-"""Names of resources, but for budgets."""
+NAME_PATTERN = r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$"
+"""Names of resources; those of budgets are two of them with a slash between."""
 
 
 class ResourceModel(pydantic.BaseModel, abc.ABC):
--- a/src/knapweeddrum/process/control/model/top_up_document.py
+++ b/src/knapweeddrum/process/control/model/top_up_document.py
@@ -14,5 +14,5 @@
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
     topup_id: str = pydantic.Field(pattern=r"^[A-Za-z0-9._:-]{1,128}$")
-    budget: str = pydantic.Field(min_length=3, max_length=257)
+    budget: str = pydantic.Field(min_length=3, max_length=129)
     tokens: int = pydantic.Field(ge=1, le=TOP_UP_TOKENS_LIMIT, strict=True)
