--- a/src/knapweeddrum/message/resource/engine_order.py
+++ b/src/knapweeddrum/message/resource/engine_order.py
@@ -11,8 +11,11 @@
 class EngineOrderSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The latest order to one engine; the resource is named as the engine's endpoint.
 
-    ``fence`` is the log offset at which the order was requested, -1 until a control
-    process with the incarnation ``issuer`` has claimed it.
+    The fields from ``state`` on are set by control processes. ``issuer`` is the
+    incarnation that has claimed the order, ``requested_version`` the version of the
+    resource that it carries out, and ``checks_fence`` what the engine did then. The
+    offset of the version in state ``issuing`` is the fencing number; ``fence`` keeps
+    it afterwards, -1 before.
     """
 
     endpoint: str
@@ -22,5 +25,7 @@
     adapter: str = ""
     role: str = ""
     state: OrderState = OrderState.REQUESTED
-    fence: int = -1
     issuer: str = ""
+    requested_version: int = 0
+    checks_fence: bool = False
+    fence: int = -1
--- a/src/knapweeddrum/process/control/control_paths.py
+++ b/src/knapweeddrum/process/control/control_paths.py
@@ -35,13 +35,13 @@
 def control_paths(
     keeper: KeeperClient,
     follower: ConfigFollower,
+    changes: ChangeCaller,
     channels: PeerChannels,
     stopping: anyio.Event,
     watch_limit: int,
 ) -> PathTable:
     """Return the paths of the resource API."""
     checks = ResourceChecks(follower)
-    changes = ChangeCaller(keeper, follower)
     return PathTable(
         (
             path_route("GET", RESOURCE_PATH, ResourceGetHandler(follower)),
--- /dev/null
+++ b/src/knapweeddrum/process/control/order/__init__.py
@@ -0,0 +1,3 @@
+"""Carrying out of the orders to engines."""
+
+from __future__ import annotations
--- a/src/knapweeddrum/process/control/resource_checks.py
+++ b/src/knapweeddrum/process/control/resource_checks.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from knapweeddrum.message.call.resource_record import ResourceRecord
+from knapweeddrum.message.resource.endpoint import Endpoint
 from knapweeddrum.message.resource.engine_order import EngineOrderSpec
 from knapweeddrum.process.control.config_follower import ConfigFollower
 from knapweeddrum.process.control.exceptions import ProblemError
@@ -79,12 +80,21 @@
         if record.version < base_version:
             raise not_ready("this control process has yet to read that version")
         order = msgspec.json.decode(record.body, type=EngineOrderSpec)
-        if order.state is not OrderState.ISSUING:
+        if order.state is not OrderState.ISSUING or self._is_fenced(order):
             return
         released = model.release_issuer if isinstance(model, EngineOrderModel) else ""
         if released != order.issuer:
             raise _outstanding(record, order)
 
+    def _is_fenced(self, order: EngineOrderSpec) -> bool:
+        """Return whether the engine refuses the older order if it comes late."""
+        target = ResourceId(ResourceKind.ENDPOINT, order.endpoint)
+        record = self._follower.copy.get(target)
+        if record is None:
+            return False
+        endpoint = msgspec.json.decode(record.body, type=Endpoint)
+        return order.checks_fence and endpoint.checks_fence
+
     def _require_copy(self) -> None:
         if not self._follower.copy.ready:
             raise not_ready("no configuration has been read yet")
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -37,3 +37,7 @@
 CONTROL_REFUSED = Event(
     400, "control_refused", "info", ("reason", "method", "path", "run_state")
 )
+ORDER_FINISHED = Event(
+    401, "order_finished", "info", ("endpoint", "action", "fence", "state")
+)
+ORDER_DELAYED = Event(402, "order_delayed", "warning", ("endpoint", "error"))
