--- a/src/knapweeddrum/settings/platform_settings.py
+++ b/src/knapweeddrum/settings/platform_settings.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import pydantic
 
 from knapweeddrum.settings.strict_model import StrictModel
+from knapweeddrum.value.ip_url import check_ip_url
+
+IpUrl = Annotated[str, pydantic.AfterValidator(check_ip_url)]
 
 
 class PlatformSettings(StrictModel):
@@ -14,8 +19,8 @@
     is how many records of a stream may follow its newest checkpoint.
     """
 
-    log: str = pydantic.Field(pattern=r"^http://")
-    host_list: str = pydantic.Field(pattern=r"^http://")
-    weight_store: str = pydantic.Field(pattern=r"^http://")
+    log: IpUrl
+    host_list: IpUrl
+    weight_store: IpUrl
     log_retention_seconds: float = pydantic.Field(default=86_400.0, gt=0)
     checkpoint_records: int = pydantic.Field(default=2_000, ge=1)
