--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from knapweeddrum.value.control_refusal_reason import ControlRefusalReason
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.retry_reason import RetryReason
 
@@ -9,8 +10,15 @@
 ANSWERED = "answered"
 CANCELLED = "cancelled"
 SETTLED = "settled"
+CONTROL_REQUESTS = "control.requests"
 
-ALL_COUNTERS: tuple[str, ...] = (REQUESTS, ANSWERED, CANCELLED, SETTLED)
+ALL_COUNTERS: tuple[str, ...] = (
+    REQUESTS,
+    ANSWERED,
+    CANCELLED,
+    SETTLED,
+    CONTROL_REQUESTS,
+)
 
 
 def refusal_counter(reason: RefusalReason) -> str:
@@ -21,3 +29,8 @@
 def retry_counter(reason: RetryReason) -> str:
     """Return the name of the counter of a retry reason."""
     return f"retry.{reason.value}"
+
+
+def control_refusal_counter(reason: ControlRefusalReason) -> str:
+    """Return the name of the counter of a refusal by the resource API."""
+    return f"control.refusal.{reason.value}"
