--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -35,3 +35,13 @@
 CONTROL_REFUSED = Event(
     400, "control_refused", "info", ("reason", "method", "path", "run_state")
 )
+CHECKPOINT_WRITTEN = Event(
+    305, "checkpoint_written", "info", ("stream", "covers", "parts")
+)
+# Router
+
+CONFIG_IN_FORCE = Event(200, "config_in_force", "info", ("offset",))
+USAGE_PENDING = Event(201, "usage_pending", "warning", ("run_id", "endpoint", "error"))
+USAGE_LOST = Event(202, "usage_lost", "error", ("run_id", "endpoint"))
+OUTCOME_LATE = Event(203, "outcome_late", "warning", ("claim_key",))
+STOPPED_UNSETTLED = Event(204, "stopped_unsettled", "error", ("runs", "settlements"))
