--- a/src/knapweeddrum/process/router/body_reader.py
+++ b/src/knapweeddrum/process/router/body_reader.py
@@ -5,18 +5,28 @@
 from collections.abc import Awaitable, Callable, MutableMapping
 from typing import Any
 
+import anyio
+
 from knapweeddrum.process.router.exceptions import CallerGoneError, refused
 from knapweeddrum.value.refusal_reason import RefusalReason
 
+TIMEOUT_SECONDS = 30.0
+
 Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
 
 
 async def read_body(receive: Receive, limit_bytes: int) -> bytes:
     """Return the whole body of an ASGI request.
 
-    Raises RefusedError once the body is longer than ``limit_bytes``, and
-    CallerGoneError when the caller closes its connection first.
+    Raises RefusedError once the body is longer than ``limit_bytes`` or takes longer
+    than TIMEOUT_SECONDS, and CallerGoneError when the caller closes its connection.
     """
+    with anyio.move_on_after(TIMEOUT_SECONDS):
+        return await _read_chunks(receive, limit_bytes)
+    raise refused(RefusalReason.BAD_REQUEST, f"body: took over {TIMEOUT_SECONDS} s")
+
+
+async def _read_chunks(receive: Receive, limit_bytes: int) -> bytes:
     chunks: list[bytes] = []
     size = 0
     while True:
--- a/src/knapweeddrum/process/router/chat_body.py
+++ b/src/knapweeddrum/process/router/chat_body.py
@@ -8,6 +8,7 @@
 
 from knapweeddrum.process.router.chat_message import ChatMessage
 from knapweeddrum.process.router.exceptions import refused
+from knapweeddrum.process.router.request_digest import request_digest
 from knapweeddrum.process.router.stream_options import StreamOptions
 from knapweeddrum.value.refusal_reason import RefusalReason
 
@@ -40,6 +41,13 @@
         wanted = self.max_completion_tokens or self.max_tokens or route_limit
         return min(wanted, route_limit)
 
+    def content_digest(self) -> str:
+        """Return a digest of model and messages, the same for each caller's retry."""
+        fields: list[str | bytes] = [self.model]
+        for message in self.messages:
+            fields += [message.role, bytes(message.content)]
+        return request_digest(*fields)
+
     def prompt_bound(self, body: bytes) -> int:
         """Return an upper bound of the prompt's tokens.
 
--- a/src/knapweeddrum/process/router/drain_sequence.py
+++ b/src/knapweeddrum/process/router/drain_sequence.py
@@ -10,7 +10,9 @@
 from knapweeddrum.process.router.allowance_manager import AllowanceManager
 from knapweeddrum.process.router.backoff import Backoff
 from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.outcome_recorder import OutcomeRecorder
 from knapweeddrum.process.router.router_gate import RouterGate
+from knapweeddrum.process.router.run_directory import RunDirectory
 from knapweeddrum.process.router.settler import Settler
 from knapweeddrum.process.router.usage_collector import UsageCollector
 from knapweeddrum.rpc.exceptions import RpcError
@@ -41,6 +43,8 @@
         allowances: AllowanceManager,
         collector: UsageCollector,
         settler: Settler,
+        recorder: OutcomeRecorder,
+        models: RunDirectory,
     ) -> None:
         self._parts = parts
         self._plan = plan
@@ -48,6 +52,8 @@
         self._allowances = allowances
         self._collector = collector
         self._settler = settler
+        self._recorder = recorder
+        self._models = models
 
     async def run(self) -> None:
         """Return once the process may stop."""
@@ -56,6 +62,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.tell_keeper, True)
             await self._end_streams()
+            self._models.stop_all()
             with anyio.move_on_after(FLUSH_LIMIT_SECONDS):
                 await self._give_back()
             tasks.cancel_scope.cancel()
@@ -85,18 +92,22 @@
             await anyio.sleep(CHECK_INTERVAL_SECONDS)
 
     async def _give_back(self) -> None:
-        """Settle cancelled runs, then return all allowances."""
-        while self._collector.pending:
+        """Settle and record what is open, then return all allowances."""
+        while self._gate.in_progress or self._has_open_work():
             await anyio.sleep(CHECK_INTERVAL_SECONDS)
         self._allowances.return_free()
         await self._settler.flush()
 
+    def _has_open_work(self) -> bool:
+        return self._collector.pending > 0 or self._recorder.unrecorded > 0
+
     def _report(self) -> None:
         """Log the end, and what could not be settled."""
-        if self._collector.pending or self._settler.unaccepted:
+        if self._has_open_work() or self._settler.unaccepted:
             self._parts.events.emit(
                 STOPPED_UNSETTLED,
                 runs=self._collector.pending,
                 settlements=self._settler.unaccepted,
+                outcomes=self._recorder.unrecorded,
             )
         self._parts.events.emit(DRAIN_FINISHED)
--- a/src/knapweeddrum/process/router/entry_follower.py
+++ b/src/knapweeddrum/process/router/entry_follower.py
@@ -7,6 +7,7 @@
 from knapweeddrum.message.call.entry_host import EntryHost
 from knapweeddrum.message.call.entry_request import EntryRequest
 from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.crash_watch import CrashWatch
 from knapweeddrum.rpc.exceptions import RpcError
 from knapweeddrum.rpc.keeper_methods import ENTRY
 
@@ -17,9 +18,12 @@
 class EntryFollower:
     """Polls the keeper; keeps the last known hosts while the keeper is silent."""
 
-    def __init__(self, parts: Collaborators) -> None:
+    def __init__(self, parts: Collaborators, crashes: CrashWatch) -> None:
         self.hosts: tuple[EntryHost, ...] = ()
         self._parts = parts
+        self._crashes = crashes
+        self._sent_version = 0
+        self._seen_version = 0
 
     async def run(self) -> None:
         """Follow the hosts until cancelled."""
@@ -28,11 +32,19 @@
             await anyio.sleep(POLL_INTERVAL_SECONDS)
 
     async def poll(self) -> None:
-        """Ask the keeper once."""
-        req = EntryRequest(router=self._parts.incarnation)
+        """Ask the keeper once, and exchange what is known of crashes with it."""
+        batch = self._crashes.changes(self._sent_version)
+        req = EntryRequest(
+            router=self._parts.incarnation,
+            crashes=batch.records,
+            crashes_after=self._seen_version,
+        )
         try:
             reply = await self._parts.keeper.call(ENTRY, req, CALL_TIMEOUT_SECONDS)
         except RpcError:
             return
+        self._sent_version = batch.version
+        self._seen_version = reply.crashes_version
+        self._crashes.merge(reply.crashes)
         if reply.hosts:
             self.hosts = reply.hosts
--- a/src/knapweeddrum/process/router/model_dispatch.py
+++ b/src/knapweeddrum/process/router/model_dispatch.py
@@ -7,6 +7,8 @@
 
 import anyio
 
+from knapweeddrum.core.admission.placement import Placement
+from knapweeddrum.core.admission.run_end import RunEnd
 from knapweeddrum.core.billing.run_outcome import RunOutcome
 from knapweeddrum.core.routing.attempt_result import AttemptResult
 from knapweeddrum.core.routing.failed_attempt import FailedAttempt
@@ -126,24 +128,28 @@
         policy.started()
         tried: list[EndpointName] = []
         while True:
-            endpoint = self._choose(tried)
+            placement = self._services.crashes.place(self._job.content)
+            endpoint = self._choose(tried, placement)
             failure = await self._attempt_at(endpoint)
             if failure is None:
                 return
             tried.append(endpoint)
             await anyio.sleep(self._retry_delay(failure))
 
-    def _choose(self, tried: list[EndpointName]) -> EndpointName:
+    def _choose(self, tried: list[EndpointName], placement: Placement) -> EndpointName:
         """Return an engine that was not tried yet, else any that is available."""
         directory = self._services.directory
         job = self._job
         features = RequestFeatures(priority=job.priority)
         try:
-            return directory.choose(job.route, features, job.repeatable, tried)
+            exclude = {*tried, *placement.exclude}
+            return directory.choose(job.route, features, job.repeatable, exclude)
         except RefusedError:
             if not tried:
                 raise
-            return directory.choose(job.route, features, job.repeatable)
+            return directory.choose(
+                job.route, features, job.repeatable, placement.exclude
+            )
 
     async def _attempt_at(self, endpoint: EndpointName) -> EndpointError | None:
         """Run the request at an engine; return the error if the answer isn't whole."""
@@ -182,8 +188,10 @@
             self._parts.metrics.retry(RetryReason.STREAM_RESUMED)
             try:
                 return await attempt.resume(self._publish)
-            except UnknownRunError:
-                raise
+            except (UnknownRunError, EndpointConnectError) as exc:
+                self._services.crashes.crashed(attempt.endpoint)
+                if not remaining or isinstance(exc, UnknownRunError):
+                    raise
             except EndpointError:
                 if not remaining:
                     raise
@@ -224,11 +232,13 @@
         )
         started_at = self._parts.clock()
         self._services.directory.begin(endpoint)
+        self._services.crashes.begin(run_id, job.content, endpoint)
         try:
             yield attempt
         finally:
             result = _attempt_result(attempt)
             self._services.directory.finish(endpoint, result, started_at)
+            self._services.crashes.end(run_id, _run_end(attempt))
             self.run_state = more_certain(self.run_state, attempt.run_state)
             if self._claim is not None and attempt.run_state is RunState.NOT_RUN:
                 self._claim.not_sent()
@@ -309,6 +319,15 @@
     return failure.retry_after if isinstance(failure, EndpointBusyError) else 0.0
 
 
+def _run_end(attempt: EngineAttempt) -> RunEnd:
+    """Return what the register of crashes wants to know of an attempt."""
+    if attempt.meter.is_complete:
+        return RunEnd.COMPLETED
+    if attempt.failure is not None and attempt.is_sent:
+        return RunEnd.CUT
+    return RunEnd.CANCELLED
+
+
 def _attempt_result(attempt: EngineAttempt) -> AttemptResult:
     """Return what an attempt says about its engine's health."""
     failure = attempt.failure
--- a/src/knapweeddrum/process/router/model_handler.py
+++ b/src/knapweeddrum/process/router/model_handler.py
@@ -10,7 +10,6 @@
 from knapweeddrum.endpoint.answer_part import AnswerPart
 from knapweeddrum.message.resource.route import Route
 from knapweeddrum.process.router.answer_feed import FeedItem
-from knapweeddrum.process.router.authenticator import authenticate
 from knapweeddrum.process.router.body_reader import Receive
 from knapweeddrum.process.router.border_request import BorderRequest
 from knapweeddrum.process.router.chat_body import ChatBody, decode_chat_body
@@ -58,9 +57,8 @@
         self, req: BorderRequest, receive: Receive, writer: ResponseWriter
     ) -> None:
         """Answer one request; raises RefusedError and CallerGoneError."""
-        organisation = authenticate(self._table, req.headers.key)
         chat = decode_chat_body(req.body)
-        run = self._runs.obtain(self._job(req, organisation, chat))
+        run = self._runs.obtain(self._job(req, chat))
         created = int(self._parts.wall_clock())
         encoder = ChatEncoder(req.request_id, chat.model, created)
         with _listening(run) as items:
@@ -70,10 +68,9 @@
                 else:
                     await self._whole(items, encoder, writer)
 
-    def _job(
-        self, req: BorderRequest, organisation: OrganisationName, chat: ChatBody
-    ) -> ModelJob:
+    def _job(self, req: BorderRequest, chat: ChatBody) -> ModelJob:
         """Return the checked request; raises RefusedError."""
+        organisation = req.organisation
         route = self._route(chat.model)
         budget = self._budget(organisation, req.headers.budget)
         repeatable = is_repeatable(
@@ -94,6 +91,7 @@
             route=route,
             body=req.body,
             fingerprint=request_digest(chat.model, budget, claim_key, req.body),
+            content=chat.content_digest(),
             output_limit=chat.output_limit(route.output_limit),
             prompt_bound=chat.prompt_bound(req.body),
             priority=req.headers.priority,
--- a/src/knapweeddrum/process/router/model_run.py
+++ b/src/knapweeddrum/process/router/model_run.py
@@ -23,6 +23,7 @@
 from knapweeddrum.value.run_state import RunState
 
 ANSWERED = 200
+STOP_RETRY_SECONDS = 1.0
 
 
 class ModelRun:
@@ -36,6 +37,7 @@
         self.job = job
         self.feed = AnswerFeed()
         self.is_abandoned = False
+        self._is_stopped = False
         self._services = services
         self._scope = anyio.CancelScope()
         self._request_over = anyio.Event()
@@ -53,6 +55,11 @@
         self.is_abandoned = True
         self._scope.cancel()
 
+    def stop(self) -> None:
+        """Stop the run at its engine because the router ends."""
+        self._is_stopped = True
+        self._scope.cancel()
+
     async def execute(self) -> None:
         """Run until the feed has its ending."""
         try:
@@ -79,6 +86,10 @@
         self._scope.deadline = anyio.current_time() + max(0.0, left)
         with self._scope:
             return await self._admitted()
+        if self._is_stopped:
+            raise refused(
+                RefusalReason.DRAINING, "the router had to stop", STOP_RETRY_SECONDS
+            )
         raise refused(RefusalReason.DEADLINE, "the deadline passed")
 
     async def _admitted(self) -> RunEnding:
--- a/src/knapweeddrum/process/router/problem.py
+++ b/src/knapweeddrum/process/router/problem.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from knapweeddrum.process.router.refusal_details import DETAIL_BY_REASON
 from knapweeddrum.value.refusal import Refusal
 from knapweeddrum.value.refusal_reason import RefusalReason
 
@@ -56,7 +57,7 @@
             type=f"{TYPE_PREFIX}{reason.value}",
             title=reason.value.replace("_", " ").capitalize(),
             status=STATUS_BY_REASON[reason],
-            detail=refusal.detail,
+            detail=refusal.detail or DETAIL_BY_REASON[reason],
             reason=reason.value,
             run_state=refusal.run_state.value,
             retry_after=_whole_seconds(refusal.retry_after),
--- /dev/null
+++ b/src/knapweeddrum/process/router/refusal_details.py
@@ -0,0 +1,28 @@
+"""What callers are told of a refusal that has no detail of its own."""
+
+from __future__ import annotations
+
+from knapweeddrum.value.refusal_reason import RefusalReason
+
+DETAIL_BY_REASON = {
+    RefusalReason.BAD_REQUEST: "the request is malformed",
+    RefusalReason.BODY_TOO_LARGE: "the body is too large",
+    RefusalReason.UNAUTHENTICATED: "the key is missing or unknown",
+    RefusalReason.UNKNOWN_ROUTE: "there is no such route",
+    RefusalReason.KEY_REUSED: "the idempotency key belongs to another request",
+    RefusalReason.KEY_EXPIRED: "the idempotency key is too old; use a new one",
+    RefusalReason.CLAIM_PENDING: "a request with this key is in progress",
+    RefusalReason.BUDGET_EXHAUSTED: "the budget has too few tokens left",
+    RefusalReason.BUDGET_UNREACHABLE: "tokens of the budget can't be had now",
+    RefusalReason.LOG_UNAVAILABLE: "the request can't be claimed now",
+    RefusalReason.OVERLOADED: "too many requests are in progress",
+    RefusalReason.DEADLINE: "the deadline passed",
+    RefusalReason.DRAINING: "this host is stopping; ask for another address",
+    RefusalReason.NOT_READY: "this host is starting",
+    RefusalReason.NO_ENDPOINT: "no endpoint of the route is available",
+    RefusalReason.ENDPOINT_FAILED: "the endpoint gave no usable answer",
+    RefusalReason.OUTCOME_UNKNOWN: "the request was sent once and got no answer",
+    RefusalReason.POISONOUS: "the request is suspected of crashing endpoints",
+    RefusalReason.TRUNCATED: "the answer is not whole",
+    RefusalReason.MOVED: "the same request is answered elsewhere",
+}
--- a/src/knapweeddrum/process/router/router.py
+++ b/src/knapweeddrum/process/router/router.py
@@ -16,6 +16,7 @@
 from knapweeddrum.process.router.claim_desk import ClaimDesk
 from knapweeddrum.process.router.collaborators import Collaborators
 from knapweeddrum.process.router.config_follower import ConfigFollower
+from knapweeddrum.process.router.crash_watch import CrashWatch
 from knapweeddrum.process.router.drain_sequence import DrainSequence
 from knapweeddrum.process.router.endpoint_directory import EndpointDirectory
 from knapweeddrum.process.router.entry_follower import EntryFollower
@@ -50,7 +51,8 @@
         self._admission = AdmissionDesk(parts)
         self._pollers = PollerGroup(parts, self.directory, tasks)
         self._config = ConfigFollower(parts, self._configure)
-        self._entry = EntryFollower(parts)
+        crashes = CrashWatch(parts)
+        self._entry = EntryFollower(parts, crashes)
         recorder = OutcomeRecorder(parts, tasks)
         services = RunServices(
             parts=parts,
@@ -58,6 +60,7 @@
             allowances=self.allowances,
             claims=ClaimDesk(parts, recorder),
             collector=self.collector,
+            crashes=crashes,
             directory=self.directory,
             locator=locator,
         )
@@ -66,10 +69,18 @@
         plain = ServiceDirectory(services, tasks)
         self.gate = RouterGate(parts, table, plan, models, plain, self.collector)
         self.drain = DrainSequence(
-            parts, plan, self.gate, self.allowances, self.collector, self.settler
+            parts,
+            plan,
+            self.gate,
+            self.allowances,
+            self.collector,
+            self.settler,
+            recorder,
+            models,
         )
         self.app = RouterApp(
             parts,
+            table,
             self.gate,
             ModelHandler(parts, table, models),
             ServiceHandler(parts, table, plain),
--- a/src/knapweeddrum/process/router/router_app.py
+++ b/src/knapweeddrum/process/router/router_app.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from knapweeddrum.process.router.authenticator import authenticate
 from knapweeddrum.process.router.body_reader import Receive, read_body
 from knapweeddrum.process.router.border_request import BorderRequest
 from knapweeddrum.process.router.caller_headers import CallerHeaders
@@ -19,6 +20,7 @@
 )
 from knapweeddrum.process.router.model_handler import CHAT_PATH, ModelHandler
 from knapweeddrum.process.router.problem import Problem
+from knapweeddrum.process.router.resource_table import ResourceTable
 from knapweeddrum.process.router.response_writer import (
     JSON_CONTENT_TYPE,
     ResponseWriter,
@@ -44,12 +46,14 @@
     def __init__(
         self,
         parts: Collaborators,
+        table: ResourceTable,
         gate: RouterGate,
         models: ModelHandler,
         services: ServiceHandler,
         entry: EntryHandler,
     ) -> None:
         self._parts = parts
+        self._table = table
         self._gate = gate
         self._models = models
         self._services = services
@@ -104,12 +108,14 @@
         request_id = headers.request_id or self._parts.mint()
         writer.request_id = request_id
         self._gate.check()
+        organisation = authenticate(self._table, headers.key)
         body = await read_body(receive, limits.body_limit_bytes)
         return BorderRequest(
             method=scope["method"],
             path=scope["path"],
             query=_query(scope),
             headers=headers,
+            organisation=organisation,
             request_id=request_id,
             minted=not headers.request_id,
             body=body,
--- a/src/knapweeddrum/process/router/run_directory.py
+++ b/src/knapweeddrum/process/router/run_directory.py
@@ -46,6 +46,11 @@
             )
         return known
 
+    def stop_all(self) -> None:
+        """Stop all runs at their engines."""
+        for run in self._active.values():
+            run.stop()
+
     def _start(self, job: ModelJob) -> ModelRun:
         run = ModelRun(job, self._services)
         self._active[job.request_key] = run
@@ -72,6 +77,9 @@
         if self._active.get(key) is run:
             del self._active[key]
         ending = run.feed.ending
+        if run.is_abandoned:
+            # Another router may have taken the run over: the collector finds out.
+            return
         if ending is None or ending.refusal is not None:
             self._services.locator.forget(key, RunId(""))
             return
--- a/src/knapweeddrum/process/router/run_services.py
+++ b/src/knapweeddrum/process/router/run_services.py
@@ -8,6 +8,7 @@
 from knapweeddrum.process.router.allowance_manager import AllowanceManager
 from knapweeddrum.process.router.claim_desk import ClaimDesk
 from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.crash_watch import CrashWatch
 from knapweeddrum.process.router.endpoint_directory import EndpointDirectory
 from knapweeddrum.process.router.locator import Locator
 from knapweeddrum.process.router.usage_collector import UsageCollector
@@ -22,5 +23,6 @@
     allowances: AllowanceManager
     claims: ClaimDesk
     collector: UsageCollector
+    crashes: CrashWatch
     directory: EndpointDirectory
     locator: Locator
--- a/src/knapweeddrum/process/router/service_handler.py
+++ b/src/knapweeddrum/process/router/service_handler.py
@@ -7,7 +7,6 @@
 from knapweeddrum.endpoint.service_reply import ServiceReply
 from knapweeddrum.endpoint.service_request import ServiceRequest
 from knapweeddrum.message.resource.route import Route
-from knapweeddrum.process.router.authenticator import authenticate
 from knapweeddrum.process.router.body_reader import Receive
 from knapweeddrum.process.router.border_request import BorderRequest
 from knapweeddrum.process.router.collaborators import Collaborators
@@ -22,7 +21,7 @@
 from knapweeddrum.process.router.service_run import ServiceRun
 from knapweeddrum.telemetry.counters import ANSWERED
 from knapweeddrum.value.endpoint_kind import EndpointKind
-from knapweeddrum.value.identifiers import ClaimKey, OrganisationName, RouteName
+from knapweeddrum.value.identifiers import ClaimKey, RouteName
 from knapweeddrum.value.refusal_reason import RefusalReason
 
 SERVICES_PREFIX = "/v1/services/"
@@ -44,8 +43,7 @@
         self, req: BorderRequest, receive: Receive, writer: ResponseWriter
     ) -> None:
         """Answer one request; raises RefusedError and CallerGoneError."""
-        organisation = authenticate(self._table, req.headers.key)
-        run = self._runs.start(self._job(req, organisation))
+        run = self._runs.start(self._job(req))
         reply = await self._reply(run, receive)
         await writer.whole(reply.status, reply.content_type, reply.body)
         self._parts.metrics.count(ANSWERED)
@@ -61,8 +59,9 @@
             return run.outcome
         raise RefusedError(run.outcome)
 
-    def _job(self, req: BorderRequest, organisation: OrganisationName) -> ServiceJob:
+    def _job(self, req: BorderRequest) -> ServiceJob:
         """Return the checked request; raises RefusedError."""
+        organisation = req.organisation
         name, _, rest = req.path.removeprefix(SERVICES_PREFIX).partition("/")
         path = f"/{rest}"
         _check_path(path)
--- a/src/knapweeddrum/process/router/usage_collector.py
+++ b/src/knapweeddrum/process/router/usage_collector.py
@@ -65,6 +65,7 @@
             if pending.may_have_moved and await self._is_moved(pending):
                 self._allowances.release(attempt.reservation)
                 return
+            self._locator.forget(pending.request_key, attempt.run_id)
             await self._cancel_until_known(attempt)
             await pending.request_over.wait()
             figures = attempt.meter.figures(pending.outcome)
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -22,7 +22,10 @@
 USAGE_PENDING = Event(201, "usage_pending", "warning", ("run_id", "endpoint", "error"))
 USAGE_LOST = Event(202, "usage_lost", "error", ("run_id", "endpoint"))
 OUTCOME_LATE = Event(203, "outcome_late", "warning", ("claim_key",))
-STOPPED_UNSETTLED = Event(204, "stopped_unsettled", "error", ("runs", "settlements"))
+STOPPED_UNSETTLED = Event(
+    204, "stopped_unsettled", "error", ("runs", "settlements", "outcomes")
+)
+ENDPOINT_CRASHED = Event(205, "endpoint_crashed", "error", ("endpoint", "requests"))
 
 # Keeper
 
@@ -44,4 +47,7 @@
 USAGE_PENDING = Event(201, "usage_pending", "warning", ("run_id", "endpoint", "error"))
 USAGE_LOST = Event(202, "usage_lost", "error", ("run_id", "endpoint"))
 OUTCOME_LATE = Event(203, "outcome_late", "warning", ("claim_key",))
-STOPPED_UNSETTLED = Event(204, "stopped_unsettled", "error", ("runs", "settlements"))
+STOPPED_UNSETTLED = Event(
+    204, "stopped_unsettled", "error", ("runs", "settlements", "outcomes")
+)
+ENDPOINT_CRASHED = Event(205, "endpoint_crashed", "error", ("endpoint", "requests"))
--- a/tests/process/router/memory_keeper.py
+++ b/tests/process/router/memory_keeper.py
@@ -167,7 +167,8 @@
         return ClaimReply(verdict, outcome.status, outcome.content_type, outcome.body)
 
     async def _outcome(self, req: OutcomeRequest) -> OutcomeReply:
-        if self.claims[req.claim_key].claimant == req.claimant:
+        known = self.claims.get(req.claim_key)
+        if known is not None and known.claimant == req.claimant:
             self.outcomes.setdefault(req.claim_key, req)
         return OutcomeReply(True)
 
--- /dev/null
+++ b/tests/process/router/test_refusals.py
@@ -0,0 +1,143 @@
+from __future__ import annotations
+
+import msgspec
+
+from knapweeddrum.process.router.problem import PROBLEM_CONTENT_TYPE
+from tests.async_test import async_test
+from tests.process.router.memory_keeper import MemoryKeeper
+from tests.process.router.router_bench import (
+    BUDGET,
+    CHAT,
+    RouterBench,
+    chat_body,
+    served_router,
+    until,
+)
+
+BALANCE = 100_000
+BODY_LIMIT = 2_000
+
+BAD_BODIES = (
+    b"",
+    b"{",
+    b"\xff\xfe",
+    b"[]",
+    chat_body(model=""),
+    chat_body(messages=[]),
+    chat_body(tokens=0),
+    chat_body(tokens=-5),
+    chat_body(max_tokens="5"),
+    chat_body(max_completion_tokens=-1),
+    chat_body(n=2),
+    chat_body(stream="yes"),
+)
+
+BAD_HEADERS = (
+    {"X_Request_Id": "a b"},
+    {"X_Request_Id": "x" * 129},
+    {"Idempotency_Key": "x/y"},
+    {"Knapweed_Budget": "no-such"},
+    {"Knapweed_Budget": "../main"},
+    {"Knapweed_Deadline": "-1"},
+    {"Knapweed_Deadline": "nan"},
+    {"Knapweed_Deadline": "soon"},
+    {"Knapweed_Priority": "first"},
+)
+
+BAD_PATHS = (
+    ("POST", "/v1/services/orders/stock/../book"),
+    ("POST", "/v1/services/orders/%2e%2e/book"),
+    ("POST", "/v1/services/orders//book"),
+    ("POST", "/v1/services/orders/a%5Cb"),
+    ("TRACE", "/v1/services/orders/book"),
+)
+
+UNKNOWN = (
+    ("POST", "/v1/services/nothing/book"),
+    ("GET", "/v1/services/drafts/x"),
+    ("GET", CHAT),
+    ("POST", "/v1/else"),
+)
+
+
+@async_test
+async def test_wrong_input_gets_a_4xx_and_takes_nothing():
+    """Whatever is wrong gets a problem; no token, run or claim comes of it."""
+    async with served_router(BALANCE, body_limit_bytes=BODY_LIMIT) as (bench, ends):
+        replies = [(400, await bench.request("POST", CHAT, b)) for b in BAD_BODIES]
+        replies += [(400, await bench.chat(**headers)) for headers in BAD_HEADERS]
+        replies += [(400, await bench.request(m, path)) for m, path in BAD_PATHS]
+        replies += [(404, await bench.request(m, path)) for m, path in UNKNOWN]
+        replies += [
+            (404, await bench.request("POST", CHAT, chat_body(model="other"))),
+            (401, await bench.request("POST", CHAT, chat_body(), key="wrong")),
+            (401, await bench.request("POST", CHAT, chat_body(), key="")),
+            (413, await bench.request("POST", CHAT, b" " * (BODY_LIMIT + 1))),
+        ]
+        for status, reply in replies:
+            assert reply.status == status, (status, reply)
+            assert reply.headers["content-type"] == PROBLEM_CONTENT_TYPE
+            problem = reply.json()
+            assert problem["run_state"] == "not_run"
+            assert problem["detail"] and problem["title"] and problem["type"]
+            assert problem["status"] == status
+        refusals = sum(
+            count
+            for name, count in bench.metrics.counts.items()
+            if name.startswith("refusal.")
+        )
+        assert refusals == len(replies)
+        assert bench.keeper.balances[BUDGET] == BALANCE
+        assert (ends.runs(), ends.executions()) == ([], 0)
+        assert bench.keeper.claims == {}
+
+
+@async_test
+async def test_headers_above_the_limit_get_a_4xx():
+    """Headers that are too large are refused, be they parsed or not."""
+    async with served_router(header_limit_bytes=1_024) as (bench, _):
+        for size in (1_100, 100_000):
+            reply = await bench.chat(X_Filler="x" * size)
+            assert 400 <= reply.status < 500
+
+
+@async_test
+async def test_exhausted_budget_is_refused_as_not_run():
+    """A request whose worst case isn't covered gets 402 with a retry-after."""
+    async with served_router(balance=50) as (bench, ends):
+        reply = await bench.chat(500)
+        assert reply.status == 402
+        assert reply.json()["reason"] == "budget_exhausted"
+        assert reply.json()["run_state"] == "not_run"
+        assert int(reply.headers["retry-after"]) > 0
+        assert ends.runs() == []
+
+
+@async_test
+async def test_silent_keeper_means_budget_unreachable():
+    """Without a reply to its draw a request is refused, truthfully as not run."""
+    async with served_router() as (bench, ends):
+        bench.keeper.silent = {"Draw"}
+        reply = await bench.chat(Knapweed_Deadline="0.2")
+        assert reply.json()["reason"] in {"budget_unreachable", "deadline"}
+        assert reply.json()["run_state"] == "not_run"
+        assert ends.runs() == []
+
+
+@async_test
+async def test_start_without_a_keeper_refuses_and_waits():
+    """Before its configuration came a router says so; then it serves."""
+    keeper = MemoryKeeper()
+    keeper.silent = {"Config"}
+    bench = RouterBench(keeper, "alfa")
+    async with bench.running():
+        reply = await bench.chat()
+        assert (reply.status, reply.json()["reason"]) == (503, "not_ready")
+        assert reply.headers["retry-after"] == "2"
+        health = msgspec.json.decode((await bench.request("GET", "/healthz")).body)
+        assert health["state"] == "waiting"
+        keeper.silent = set()
+        keeper.put("budget", BUDGET, msgspec.defstruct("Spec", ["organisation"])("m"))
+        await bench.ready()
+        await until(lambda: keeper.readers.get("alfa/router/1") == 0)
+        assert (await bench.chat()).json()["reason"] == "unauthenticated"
--- /dev/null
+++ b/tests/process/router/test_services.py
@@ -0,0 +1,189 @@
+from __future__ import annotations
+
+import anyio
+
+from knapweeddrum.message.resource.endpoint import Endpoint
+from knapweeddrum.message.resource.rule import Rule
+from knapweeddrum.value.endpoint_kind import EndpointKind
+from tests.async_test import async_test
+from tests.process.router.router_bench import (
+    RouterBench,
+    served_router,
+    until,
+)
+
+BOOK = "/v1/services/orders/book"
+STOCK = "/v1/services/orders/stock"
+CLAIM_KEY = "mill/orders/k1"
+NOWHERE = "http://127.0.0.1:9"
+
+
+async def book(bench: RouterBench, body: bytes = b"{}", **headers: str):
+    return await bench.request("POST", BOOK, body, Idempotency_Key="k1", **headers)
+
+
+@async_test
+async def test_booking_sent_again_gets_the_recorded_answer():
+    """The same key runs once, also at another router; another body is refused."""
+    async with served_router() as (bench, ends):
+        other = RouterBench(bench.keeper, "bravo")
+        async with other.running():
+            await other.ready()
+            first = await book(bench)
+            again = await book(other)
+            changed = await book(other, b"{1}")
+        assert first.status == 200
+        assert (again.status, again.body) == (200, first.body)
+        assert (changed.status, changed.json()["reason"]) == (422, "key_reused")
+        assert ends.executions() == 1
+
+
+@async_test
+async def test_concurrent_copies_of_a_booking_run_once():
+    """Of copies at two routers one runs; the others get its answer or a 409."""
+    async with served_router() as (bench, ends):
+        other = RouterBench(bench.keeper, "bravo")
+        async with other.running():
+            await other.ready()
+            replies = []
+
+            async def send(router: RouterBench) -> None:
+                replies.append(await book(router))
+
+            async with anyio.create_task_group() as tasks:
+                for router in (bench, other, bench, other):
+                    tasks.start_soon(send, router)
+        assert ends.executions() == 1
+        refused = [reply for reply in replies if reply.status != 200]
+        assert len(refused) < len(replies)
+        for reply in refused:
+            assert reply.json()["reason"] == "claim_pending"
+            assert reply.json()["run_state"] == "unknown"
+
+
+@async_test
+async def test_booking_without_an_answer_is_never_sent_again():
+    """A cut reply leaves the outcome unknown, for the caller and its retries."""
+    async with served_router() as (bench, ends):
+        ends.service.set_switches(cut_replies=1)
+        for _ in range(3):
+            reply = await book(bench)
+            assert reply.json()["reason"] == "outcome_unknown"
+            assert reply.json()["run_state"] == "unknown"
+        assert ends.executions() == 1
+        assert bench.keeper.outcomes[CLAIM_KEY].state == "unknown"
+
+
+@async_test
+async def test_booking_without_a_key_is_sent_once():
+    """Without a key there is no claim, and still no retry."""
+    async with served_router() as (bench, ends):
+        ends.service.set_switches(cut_replies=1)
+        reply = await bench.request("POST", BOOK, b"{}")
+        assert reply.json()["run_state"] == "unknown"
+        assert (ends.executions(), bench.keeper.claims) == (1, {})
+
+
+@async_test
+async def test_booking_at_an_unreachable_service_is_not_run():
+    """No connection means not run, recorded so; the key may be claimed anew."""
+    async with served_router() as (bench, ends):
+        service = bench.router.directory.service("svc")
+        kind = EndpointKind.PLAIN_SERVICE
+        bench.keeper.put("endpoint", "svc", Endpoint(kind, NOWHERE, "kz-1"))
+        await until(lambda: bench.router.directory.service("svc") is not service)
+        reply = await book(bench)
+        assert reply.json()["run_state"] == "not_run"
+        assert bench.keeper.outcomes[CLAIM_KEY].state == "not_run"
+        assert ends.executions() == 0
+
+
+@async_test
+async def test_booking_while_the_log_is_down_is_not_run():
+    """Without a verdict nothing is dispatched, and the claim gets its outcome later."""
+    async with served_router() as (bench, ends):
+        bench.keeper.silent = {"Claim"}
+        reply = await book(bench, Knapweed_Deadline="0.2")
+        assert reply.status in {503, 504}
+        assert reply.json()["run_state"] == "not_run"
+        assert ends.executions() == 0
+
+
+@async_test
+async def test_lost_claim_reply_is_asked_again():
+    """A claim that was won while its reply got lost is won all the same."""
+    async with served_router() as (bench, ends):
+        bench.keeper.lost_replies["Claim"] = 2
+        assert (await book(bench)).status == 200
+        assert ends.executions() == 1
+
+
+@async_test
+async def test_lost_outcome_reply_is_recorded_once_and_answered():
+    """The answer isn't lost with the reply to its recording."""
+    async with served_router() as (bench, ends):
+        bench.keeper.lost_replies["Outcome"] = 1
+        first = await book(bench)
+        assert first.status == 200
+        assert (await book(bench)).body == first.body
+        assert ends.executions() == 1
+
+
+@async_test
+async def test_router_paused_after_its_claim_was_won_dispatches_nothing():
+    """A verdict read after the deadline is not acted on; the outcome is not_run."""
+    async with served_router() as (bench, ends):
+        claim = bench.keeper._claim
+
+        async def claim_and_pause(req):
+            reply = await claim(req)
+            bench.skip += 3600.0
+            return reply
+
+        bench.keeper._claim = claim_and_pause
+        reply = await book(bench)
+        assert reply.json()["reason"] == "deadline"
+        assert reply.json()["run_state"] == "not_run"
+        await until(lambda: CLAIM_KEY in bench.keeper.outcomes)
+        assert bench.keeper.outcomes[CLAIM_KEY].state == "not_run"
+        assert ends.executions() == 0
+
+
+@async_test
+async def test_booking_goes_on_when_its_caller_leaves():
+    """The outcome of a booking is recorded though nobody waits for it any more."""
+    async with served_router() as (bench, ends):
+        ends.service.set_switches(delay_seconds=0.2)
+        with anyio.move_on_after(20) as scope:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(book, bench)
+                await until(ends.executions)
+                tasks.cancel_scope.cancel()
+        assert not scope.cancelled_caught
+        await until(lambda: CLAIM_KEY in bench.keeper.outcomes)
+        assert bench.keeper.outcomes[CLAIM_KEY].state == "done"
+
+
+@async_test
+async def test_read_is_retried():
+    """A repeatable request whose reply is cut is sent again."""
+    async with served_router() as (bench, ends):
+        ends.service.set_switches(cut_replies=1)
+        assert (await bench.request("GET", STOCK)).status == 200
+        assert ends.executions() == 2
+        assert bench.metrics.counts["retry.endpoint_error"] == 1
+
+
+@async_test
+async def test_rules_say_what_may_be_repeated():
+    """The longest path prefix wins; a rule may forbid repeating a read."""
+    async with served_router() as (bench, ends):
+        bench.keeper.put("rule", "a", Rule("orders", "", "/quote", True))
+        bench.keeper.put("rule", "b", Rule("orders", "GET", "/quote/final", False))
+        await until(lambda: bench.router.gate.health().config_offset >= 8)
+        for path, runs in (("/quote/1", 2), ("/quote/final", 1)):
+            before = ends.executions()
+            ends.service.set_switches(cut_replies=1)
+            await bench.request("GET", f"/v1/services/orders{path}")
+            assert ends.executions() - before == runs
+            ends.service.set_switches(cut_replies=0)
--- a/tests/standins/engine_run.py
+++ b/tests/standins/engine_run.py
@@ -38,7 +38,9 @@
         self.entry.started_at = time.time()
 
     def add_token(self) -> None:
-        """Generate one token; the last one is final."""
+        """Generate one token; the last one is final. An ended run generates none."""
+        if self.ended:
+            return
         index = self.entry.output_tokens
         self.entry.output_tokens += 1
         reason = self._finish_reason()
