--- a/src/knapweeddrum/process/router/model_dispatch.py
+++ b/src/knapweeddrum/process/router/model_dispatch.py
@@ -45,6 +45,13 @@
 RESUME_DELAY_SECONDS = 0.05
 """Delay before the first resumption; it doubles with each."""
 
+TAKEOVER_DELAY_SECONDS = 0.1
+"""Time in which the cancel of a router whose caller left has reached the engine.
+
+A caller that leaves one router and asks another at once would else be given the
+first parts of a run that is being stopped.
+"""
+
 RETRY_AFTER_SECONDS = 1.0
 
 CANCELLED_FINISH = "cancelled"
@@ -105,22 +112,32 @@
         run_id = RunId(found.run_id)
         endpoint = EndpointName(found.endpoint)
         async with self._attempt(endpoint, engine, run_id) as attempt:
-            attempt.is_sent = True
             await self._tell(attempt)
+            await anyio.sleep(TAKEOVER_DELAY_SECONDS)
             self._parts.metrics.retry(RetryReason.STREAM_RESUMED)
             try:
-                await attempt.resume(self._publish)
+                await self._take_over(attempt)
             except EndpointError as exc:
                 attempt.failure = exc
-        return self._is_resumed(attempt)
-
-    def _is_resumed(self, attempt: EngineAttempt) -> bool:
-        """Return whether a run was taken over; raises RefusedError when cut midway."""
-        if attempt.failure is None:
-            return True
-        if self._last is not None:
+        if self._last is not None and attempt.failure is not None:
             raise self._truncated()
-        return False
+        return self._last is not None
+
+    async def _take_over(self, attempt: EngineAttempt) -> None:
+        """Pass on the answer of a known run, unless it was stopped before its end.
+
+        Raises EndpointError.
+        """
+        usage = await attempt.engine.usage(attempt.run_id)
+        if usage.running:
+            await attempt.resume(self._publish)
+            return
+        held: list[AnswerPart] = []
+        await attempt.resume(held.append)
+        if held and held[-1].finish_reason == CANCELLED_FINISH:
+            return
+        for part in held:
+            self._publish(part)
 
     async def _attempt_until_whole(self) -> None:
         """Attempt at one engine after the other, as far as the policy allows."""
--- a/tests/process/router/router_bench.py
+++ b/tests/process/router/router_bench.py
@@ -57,7 +57,7 @@
             clients=EndpointClients(HttpModelEngine.connect, HttpPlainService.connect),
             events=EventLog("error"),
             metrics=self.metrics,
-            rng=random.Random(1),
+            rng=random.Random(name),
             clock=lambda: time.monotonic() + self.skip,
             wall_clock=lambda: 1_700_000_000.0,
             incarnation=Incarnation(f"{name}/router/1"),
--- a/tests/process/router/test_model_failures.py
+++ b/tests/process/router/test_model_failures.py
@@ -171,11 +171,12 @@
             await other.ready()
             body = chat_body(300)
             async with bench.open("POST", CHAT, body, X_Request_Id="r") as response:
-                await anext(response.aiter_stream())
+                first = response.aiter_stream()
+                await anext(first)
                 async with other.open("POST", CHAT, body, X_Request_Id="r") as second:
                     stream = second.aiter_stream()
                     received = await anext(stream)
-                    await response.aclose()
+                    await first.aclose()
                     async for chunk in stream:
                         received += chunk
             await settled(bench)
@@ -188,6 +189,21 @@
         assert figures == {("mill/r", ends.consumed())}
 
 
+@async_test
+async def test_caller_that_leaves_one_router_for_another_gets_its_answer():
+    """A run that is stopped for a caller that left is not what the retry gets."""
+    async with served_router() as (bench, ends):
+        other = RouterBench(bench.keeper, "bravo")
+        async with other.running():
+            await other.ready()
+            body = chat_body(300)
+            async with bench.open("POST", CHAT, body, X_Request_Id="r") as response:
+                await anext(response.aiter_stream())
+            reply = await other.chat(300, X_Request_Id="r")
+        assert reply.is_whole
+        assert reply.text() in {answer_text(run.run_id, 300) for run in ends.runs()}
+
+
 @async_test
 async def test_lost_replies_of_the_keeper_change_no_bill():
     """Draws and settlements are repeated with their identifiers until answered."""
