--- a/src/knapweeddrum/process/composition.py
+++ b/src/knapweeddrum/process/composition.py
@@ -8,6 +8,7 @@
 import uuid
 from collections.abc import Iterator
 
+from knapweeddrum.core.membership.new_incarnation import new_incarnation
 from knapweeddrum.endpoint.http_model_engine import HttpModelEngine
 from knapweeddrum.endpoint.http_plain_service import HttpPlainService
 from knapweeddrum.platform.http_append_log import HttpAppendLog
@@ -26,14 +27,16 @@
 from knapweeddrum.settings.settings import Settings
 from knapweeddrum.telemetry.event_log import EventLog
 from knapweeddrum.telemetry.statsd_metrics import statsd_metrics
-from knapweeddrum.value.identifiers import Incarnation
+from knapweeddrum.value.identifiers import HostName
 
 
 async def run_router(settings: Settings) -> None:
     """Run a router until it is told to stop."""
     telemetry = settings.telemetry
     rng = random.SystemRandom()
-    incarnation = Incarnation(f"{settings.host.name}/router/{uuid.uuid4().hex[:12]}")
+    incarnation = new_incarnation(
+        HostName(settings.host.name), "router", time.time_ns() // 1_000_000, rng
+    )
     identity = FleetIdentity(settings.fleet.name, settings.fleet.key)
     with peer_channels(identity) as channels:
         hosts = (settings.host, *settings.peers)
@@ -43,7 +46,9 @@
         parts = Collaborators(
             settings=settings,
             keeper=keeper,
-            clients=EndpointClients(HttpModelEngine.connect, HttpPlainService.connect),
+            clients=EndpointClients(
+                engine=HttpModelEngine.connect, service=HttpPlainService.connect
+            ),
             events=EventLog(telemetry.level, incarnation=incarnation),
             metrics=statsd_metrics(telemetry.statsd_host(), telemetry.statsd_port),
             rng=rng,
