--- a/src/knapweeddrum/process/keeper/claim_manager.py
+++ b/src/knapweeddrum/process/keeper/claim_manager.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Sequence
 
+import anyio
+
 from knapweeddrum.core.claim.claim_ledger import ClaimLedger
 from knapweeddrum.core.fold.fold_outcome import FoldOutcome
 from knapweeddrum.message.call.claim_reply import ClaimReply
@@ -23,10 +25,9 @@
 
 CLAIM_PATIENCE_SECONDS = 2.0
 OUTCOME_PATIENCE_SECONDS = 2.0
+OUTCOME_WAIT_SECONDS = 1.0
 RETRY_AFTER_SECONDS = 2.0
 
-_OPEN_VERDICTS = {ClaimVerdict.NOT_RUN}
-
 
 class ClaimManager:
     """Appends claims and outcomes and answers with the verdict of the log's order."""
@@ -68,9 +69,8 @@
     async def _claim(
         self, stream: KeeperStream[ClaimLedger], req: ClaimRequest
     ) -> ClaimReply:
-        known = self._verdict(stream, req)
-        if known.verdict not in _OPEN_VERDICTS:
-            return known
+        if self._verdict(stream, req).verdict is not ClaimVerdict.NOT_RUN:
+            return await self._settled(stream, req)
         fact = Claim(
             claim_key=req.claim_key,
             claimant=req.claimant,
@@ -78,7 +78,22 @@
             issued_at=stream.follower.fold.time,
         )
         await stream.appender.append(fact, CLAIM_PATIENCE_SECONDS)
-        return self._verdict(stream, req)
+        return await self._settled(stream, req)
+
+    async def _settled(
+        self, stream: KeeperStream[ClaimLedger], req: ClaimRequest
+    ) -> ClaimReply:
+        """Return the verdict; wait a little for the outcome of another's claim.
+
+        The outcome may be on the log already and not yet in this keeper's fold.
+        """
+        reply = self._verdict(stream, req)
+        follower = stream.follower
+        with anyio.move_on_after(OUTCOME_WAIT_SECONDS):
+            while reply.verdict is ClaimVerdict.PENDING:
+                await follower.wait_beyond(follower.fold.position, OUTCOME_WAIT_SECONDS)
+                reply = self._verdict(stream, req)
+        return reply
 
     @staticmethod
     def _verdict(stream: KeeperStream[ClaimLedger], req: ClaimRequest) -> ClaimReply:
--- a/src/knapweeddrum/process/keeper/keeper_process.py
+++ b/src/knapweeddrum/process/keeper/keeper_process.py
@@ -8,6 +8,7 @@
 from typing import TypeVar
 
 import anyio
+from anyio.abc import TaskGroup
 
 from knapweeddrum.core.budget.budget_ledger import BudgetLedger
 from knapweeddrum.core.budget.demand_horizon import DemandHorizon
@@ -119,7 +120,7 @@
             time.time,
             events,
         )
-        self._parts = KeeperParts(
+        parts = KeeperParts(
             grants=self._grants,
             claims=ClaimManager(claims),
             config=self._config,
@@ -130,6 +131,7 @@
             peers=peers,
             followers={s.follower.stream: s.follower for s in self._streams},
         )
+        self.service = KeeperService(parts)
 
     async def run(self) -> None:
         """Serve until the first stop signal, then hand back what is unspent."""
@@ -138,20 +140,14 @@
         identity = FleetIdentity(fleet=fleet.name, key=fleet.key)
         self._events.emit(PROCESS_STARTED, binary=BINARY, host=own.name)
         async with stop_signal() as stop, anyio.create_task_group() as tasks:
-            for stream in self._streams:
-                tasks.start_soon(stream.follower.run)
-                tasks.start_soon(stream.appender.run)
-            tasks.start_soon(self._membership.run)
-            tasks.start_soon(self._grants.run)
-            tasks.start_soon(self._checkpoints.run)
-            tasks.start_soon(self._witness.run)
-            service = KeeperService(self._parts)
+            self.start_tasks(tasks)
             address = str(own.address)
             async with rpc_server(
-                service, identity, address, own.keeper_port, self._events
+                self.service, identity, address, own.keeper_port, self._events
             ):
                 await self._wait_for_stop(stop)
-                await self._hand_back()
+                await self._wait_for_own_router()
+                await self.hand_back()
             tasks.cancel_scope.cancel()
         self._events.emit(PROCESS_STOPPED, binary=BINARY)
 
@@ -167,9 +163,18 @@
             await stop.wait()
             tasks.cancel_scope.cancel()
 
-    async def _hand_back(self) -> None:
+    def start_tasks(self, tasks: TaskGroup) -> None:
+        """Start all tasks of the keeper but the server of its calls."""
+        for stream in self._streams:
+            tasks.start_soon(stream.follower.run)
+            tasks.start_soon(stream.appender.run)
+        tasks.start_soon(self._membership.run)
+        tasks.start_soon(self._grants.run)
+        tasks.start_soon(self._checkpoints.run)
+        tasks.start_soon(self._witness.run)
+
+    async def hand_back(self) -> None:
         """Return unspent tokens and wait a while for the log to take everything."""
-        await self._wait_for_own_router()
         self._membership.draining = True
         self._grants.return_all()
         with anyio.move_on_after(FLUSH_LIMIT_SECONDS):
--- /dev/null
+++ b/tests/process/keeper/test_grants.py
@@ -0,0 +1,110 @@
+from __future__ import annotations
+
+from tests.async_test import async_test
+from tests.process.keeper.keeper_bench import keeper_bench, until_status
+
+
+def tokens(reply) -> int:
+    return sum(allowance.tokens for allowance in reply.allowances)
+
+
+@async_test
+async def test_draw_is_met_and_repeated_with_the_same_reply():
+    """A repeat of a draw hands out nothing more."""
+    async with keeper_bench(1) as (_, (keeper,)):
+        await keeper.top_up("t1", 1000)
+        first = await keeper.draw("d1", 50)
+        assert tokens(first) >= 50
+        assert await keeper.draw("d1", 50) == first
+
+
+@async_test
+async def test_lost_append_replies_count_nothing_twice():
+    """Deposits, grants and bills whose append reply was lost count once."""
+    async with keeper_bench(1) as (_, (keeper,)):
+        keeper.log.lose_replies = 1
+        assert (await keeper.top_up("t1", 1000)).balance == 1000
+        keeper.log.lose_replies = 1
+        (allowance, *_) = (await keeper.draw("d1", 50)).allowances
+        keeper.log.lose_replies = 1
+        assert (await keeper.bill("mill/r1", "run-1", allowance, 30)).accepted
+        status = await until_status(keeper, lambda status: status.bills == 1)
+        assert (status.deposited, status.billed) == (1000, 30)
+        assert status.balance + status.held == 970
+
+
+@async_test
+async def test_exhausted_budget_is_told_from_an_unreachable_log():
+    """A shortfall says exhausted only when the fold knows that no tokens are left."""
+    async with keeper_bench(1) as (_, (keeper,)):
+        await keeper.top_up("t1", 100)
+        short = (await keeper.draw("d1", 101)).shortfalls[0]
+        assert short.exhausted
+        await keeper.top_up("t2", 1000)
+        keeper.log.out = True
+        short = (await keeper.draw("d2", 500)).shortfalls[0]
+        assert not short.exhausted
+
+
+@async_test
+async def test_tokens_at_the_wrong_keeper_are_transferred():
+    """A keeper without balance gets tokens that lie at a peer."""
+    async with keeper_bench(2, witnessed=False) as (_, (first, second)):
+        await first.top_up("t1", 100)
+        await first.draw("d1", 10)
+        assert tokens(await second.draw("d2", 20)) >= 20
+
+
+@async_test
+async def test_planned_stop_returns_all_unspent_tokens():
+    """After a hand-back only what routers hold is in grants."""
+    async with keeper_bench(2) as (_, (first, second)):
+        await first.top_up("t1", 1000)
+        drawn = tokens(await first.draw("d1", 10))
+        await first.process.hand_back()
+        first.kill()
+        status = await until_status(second, lambda status: status.held == drawn)
+        assert status.balance == 1000 - drawn
+
+
+@async_test
+async def test_witness_frees_what_a_killed_keeper_never_opened():
+    """The unopened part of a dead holder's grant returns; the opened part stays."""
+    async with keeper_bench(2) as (_, (first, second)):
+        await second.top_up("t1", 1000)
+        drawn = tokens(await first.draw("d1", 10))
+        held = (await second.status()).held
+        first.kill()
+        status = await until_status(second, lambda status: status.held < held)
+        assert drawn <= status.held
+        assert status.balance + status.held == 1000
+
+
+@async_test
+async def test_holder_cut_off_spends_no_more_than_was_opened():
+    """A holder that comes back after its witness closed the grant opens nothing."""
+    async with keeper_bench(2) as (_, (first, second)):
+        await second.top_up("t1", 1000)
+        given = tokens(await first.draw("d1", 10))
+        held = (await second.status()).held
+        first.cut = True
+        first.log.out = True
+        status = await until_status(second, lambda status: status.held < held)
+        while True:
+            reply = await first.draw(f"d-{given}", 10)
+            if reply.shortfalls:
+                break
+            given += tokens(reply)
+        assert given <= status.held
+
+
+@async_test
+async def test_unwitnessed_grant_of_a_killed_keeper_stays_stranded():
+    """Without a witness nothing proves what a dead holder spent: all stays held."""
+    async with keeper_bench(2, witnessed=False) as (_, (first, second)):
+        await second.top_up("t1", 1000)
+        await first.draw("d1", 10)
+        held = (await second.status()).held
+        first.kill()
+        status = await until_status(second, lambda status: status.stranded > 0)
+        assert status.held == status.stranded == held
--- /dev/null
+++ b/tests/process/keeper/test_recovery.py
@@ -0,0 +1,143 @@
+from __future__ import annotations
+
+import anyio
+
+from knapweeddrum.message.call.change_request import ChangeRequest
+from knapweeddrum.message.call.change_verdict import ChangeVerdict
+from knapweeddrum.message.call.claim_request import ClaimRequest
+from knapweeddrum.message.call.claim_verdict import ClaimVerdict
+from knapweeddrum.message.call.config_request import ConfigRequest
+from knapweeddrum.message.call.outcome_request import OutcomeRequest
+from knapweeddrum.rpc.keeper_methods import CHANGE, CLAIM, CONFIG, OUTCOME
+from tests.async_test import async_test
+from tests.process.keeper.keeper_bench import (
+    keeper_bench,
+    knows,
+    until,
+    until_status,
+)
+
+
+def claim(claimant: str) -> ClaimRequest:
+    return ClaimRequest(claim_key="mill/k", claimant=claimant, fingerprint="f")
+
+
+def change(change_id: str, base_version: int, body: bytes = b"{}") -> ChangeRequest:
+    return ChangeRequest(
+        change_id=change_id,
+        resource_kind="route",
+        name="draft",
+        base_version=base_version,
+        author="operator",
+        body=body,
+    )
+
+
+@async_test
+async def test_keeper_recovers_from_a_checkpoint_after_retention():
+    """A new keeper that finds its records expired has the state of the whole log."""
+    async with keeper_bench(2) as (bench, (first, second)):
+        for number in range(12):
+            await first.top_up(f"t{number}", 10)
+        follower = first.process._streams[1].follower
+        await until(lambda: follower.checkpoint_need(0.0).records < 3)
+        bench.log.expire_all()
+        second.kill()
+        fresh = bench.start(1, 2)
+        first.cut = True
+        await until(lambda: knows(fresh, 1))
+        assert (await fresh.status()).deposited == 120
+        assert (await fresh.top_up("t0", 10)).repeated
+
+
+@async_test
+async def test_keeper_started_in_an_outage_catches_up_from_peers():
+    """It serves nothing before it has a state, and then has that of its peer."""
+    async with keeper_bench(2) as (bench, (first, second)):
+        await first.top_up("t1", 500)
+        second.kill()
+        first.log.out = True
+        fresh = bench.start(1, 2, log_out=True)
+        reply = await fresh.call(CONFIG, ConfigRequest(after=-1, wait=0.0))
+        assert reply.offset == -1
+        assert not reply.snapshot
+        assert not (await fresh.top_up("t2", 1)).accepted
+        await until(lambda: fresh.process._streams[1].follower.ready.is_set())
+        assert (await fresh.status()).deposited == 500
+
+
+@async_test
+async def test_concurrent_claims_have_one_winner():
+    """Copies at several keepers in the same moment: one wins, others wait for it."""
+    async with keeper_bench(3) as (_, keepers):
+        verdicts = []
+
+        async def attempt(keeper) -> None:
+            reply = await keeper.call(CLAIM, claim(f"{keeper.name}/attempt"))
+            verdicts.append(reply.verdict)
+
+        async with anyio.create_task_group() as tasks:
+            for keeper in keepers:
+                tasks.start_soon(attempt, keeper)
+        assert sorted(verdicts) == ["pending", "pending", "won"]
+
+
+@async_test
+async def test_claim_with_a_lost_reply_is_won_once():
+    """The winner learns its verdict by reading its own record back."""
+    async with keeper_bench(2) as (_, (first, second)):
+        first.log.lose_replies = 1
+        assert (await first.call(CLAIM, claim("a"))).verdict is ClaimVerdict.WON
+        outcome = OutcomeRequest(
+            claim_key="mill/k", claimant="a", state="done", status=201, body=b"x"
+        )
+        assert (await first.call(OUTCOME, outcome)).accepted
+        reply = await second.call(CLAIM, claim("b"))
+        assert (reply.verdict, reply.status, reply.body) == ("done", 201, b"x")
+
+
+@async_test
+async def test_claim_that_lands_late_is_withdrawn():
+    """A claim refused as not run frees the key once the log is back."""
+    async with keeper_bench(2) as (_, (first, second)):
+        first.log.lose_replies = 1
+        first.log.out = False
+        follower = first.process._streams[2].follower
+        assert follower.stream == "claim-0"
+
+        async def hidden_read(*_) -> None:
+            await anyio.sleep_forever()
+
+        # The claim is written but its keeper can't read it back.
+        first.log.read = hidden_read
+        reply = await first.call(CLAIM, claim("a"))
+        assert reply.verdict is ClaimVerdict.UNAVAILABLE
+        del first.log.read
+        first.scope.cancel()
+        reply = await second.call(CLAIM, claim("b"))
+        assert reply.verdict is ClaimVerdict.PENDING
+
+
+@async_test
+async def test_first_of_two_racing_changes_wins():
+    """The loser gets a conflict with the winner's version; a repeat the same verdict."""
+    async with keeper_bench(2) as (_, (first, second)):
+        won = await first.call(CHANGE, change("c1", 0))
+        lost = await second.call(CHANGE, change("c2", 0))
+        assert (won.verdict, won.version) == (ChangeVerdict.ACCEPTED, 1)
+        assert (lost.verdict, lost.version) == (ChangeVerdict.CONFLICT, 1)
+        assert await second.call(CHANGE, change("c1", 0)) == won
+
+
+@async_test
+async def test_change_in_an_outage_is_not_applied_or_said_to_be_unknown():
+    """An operator is told unavailable only when the change was never written."""
+    async with keeper_bench(1) as (bench, (keeper,)):
+        await keeper.call(CHANGE, change("c1", 0))
+        keeper.log.out = True
+        reply = await keeper.call(CHANGE, change("c2", 1))
+        assert reply.verdict is ChangeVerdict.UNAVAILABLE
+        keeper.log.out = False
+        await keeper.top_up("t1", 1)
+        await until_status(keeper, lambda status: status.deposited == 1)
+        assert len(bench.log.streams["config"]) == 1
