--- a/src/knapweeddrum/process/control/keeper_failover.py
+++ b/src/knapweeddrum/process/control/keeper_failover.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import time
+from collections.abc import Callable, Sequence
 from typing import TypeVar
 
 import msgspec
@@ -15,15 +16,28 @@
 ReplyT = TypeVar("ReplyT", bound=msgspec.Struct)
 
 
+AVOID_SECONDS = 15.0
+"""How long a keeper that gave no reply is asked after all others."""
+
+
 class KeeperFailover(Caller):
     """Calls the keeper of the own host first and others when it gives no reply.
 
+    A keeper that gave no reply is asked last for a while, so that one which is frozen
+    does not hold up each call. The clock is in monotonic seconds.
+
     A call is repeated at another keeper though the first may have carried it out: the
     methods that the control process uses carry identifiers that make a repeat harmless.
     """
 
-    def __init__(self, callers: Sequence[Caller]) -> None:
+    def __init__(
+        self,
+        callers: Sequence[Caller],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
         self._callers = tuple(callers)
+        self._clock = clock
+        self._avoid_until: dict[Caller, float] = {}
 
     async def call(
         self,
@@ -33,12 +47,22 @@
     ) -> ReplyT:
         """Return the first reply; ``timeout`` is for each keeper, in seconds."""
         errors: list[RpcError] = []
-        for caller in self._callers:
+        for caller in self._in_order():
             try:
-                return await caller.call(method, request, timeout)
+                reply = await caller.call(method, request, timeout)
             except RpcError as exc:
+                self._avoid_until[caller] = self._clock() + AVOID_SECONDS
                 errors.append(exc)
+            else:
+                self._avoid_until.pop(caller, None)
+                return reply
         if all(isinstance(exc, PeerUnreachableError) for exc in errors):
             raise PeerUnreachableError("no keeper can be reached") from errors[-1]
         lost = [exc for exc in errors if not isinstance(exc, PeerUnreachableError)]
         raise lost[0]
+
+    def _in_order(self) -> list[Caller]:
+        """Return the callers, those to avoid last."""
+        now = self._clock()
+        avoided = {c for c, until in self._avoid_until.items() if now < until}
+        return sorted(self._callers, key=lambda caller: caller in avoided)
--- a/src/knapweeddrum/process/control/watch_stream.py
+++ b/src/knapweeddrum/process/control/watch_stream.py
@@ -71,8 +71,7 @@
         if changes is None:
             yield from self._snapshot(copy.resources(), copy.offset)
         else:
-            for record in filter(self._is_wanted, changes):
-                yield self._change(record)
+            yield from self._changes(list(filter(self._is_wanted, changes)))
         self._after = copy.offset
 
     def _snapshot(self, records: list[ResourceRecord], offset: int) -> Iterator[bytes]:
@@ -83,9 +82,19 @@
             yield encode_event("resource", ResourceDocument.from_record(record))
         yield encode_event("snapshot-end", bounds, offset)
 
-    def _change(self, record: ResourceRecord) -> bytes:
-        document = ResourceDocument.from_record(record)
-        return encode_event("change", document, record.offset)
+    def _changes(self, records: list[ResourceRecord]) -> Iterator[bytes]:
+        """Yield the changes; the last of one offset moves the point to resume from.
+
+        One record of the log can carry several changes, which share its offset.
+        """
+        following = [record.offset for record in records[1:]]
+        for record, next_offset in zip(records, [*following, None], strict=True):
+            is_last = record.offset != next_offset
+            yield encode_event(
+                "change",
+                ResourceDocument.from_record(record),
+                record.offset if is_last else None,
+            )
 
     def _is_wanted(self, record: ResourceRecord) -> bool:
         return not self._kind or record.resource_kind == self._kind
--- a/tests/process/control/test_keeper_failover.py
+++ b/tests/process/control/test_keeper_failover.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 from knapweeddrum.message.call.entry_request import EntryRequest
-from knapweeddrum.process.control.keeper_failover import KeeperFailover
+from knapweeddrum.process.control.keeper_failover import AVOID_SECONDS, KeeperFailover
 from knapweeddrum.rpc.exceptions import PeerUnreachableError, RpcError
 from knapweeddrum.rpc.keeper_methods import ENTRY
 from tests.assertions import raises
@@ -12,7 +12,12 @@
 class SilentKeeper(FakeKeeper):
     """Takes calls and gives no reply."""
 
+    def __init__(self) -> None:
+        super().__init__()
+        self.calls = 0
+
     async def call(self, method, request, timeout):
+        self.calls += 1
         raise RpcError("timeout")
 
 
@@ -36,3 +41,17 @@
         await KeeperFailover([gone, gone]).call(ENTRY, EntryRequest(""), 1.0)
     with raises(RpcError):
         await KeeperFailover([SilentKeeper(), gone]).call(ENTRY, EntryRequest(""), 1.0)
+
+
+@async_test
+async def test_silent_keeper_does_not_hold_up_each_call():
+    """After one failure a keeper is asked last, and after a while first again."""
+    now = 0.0
+    silent, alive = SilentKeeper(), FakeKeeper()
+    caller = KeeperFailover([silent, alive], lambda: now)
+    for _ in range(3):
+        await caller.call(ENTRY, EntryRequest(""), 1.0)
+    assert silent.calls == 1
+    now += AVOID_SECONDS
+    await caller.call(ENTRY, EntryRequest(""), 1.0)
+    assert silent.calls == 2
