--- a/src/knapweeddrum/process/control/change_caller.py
+++ b/src/knapweeddrum/process/control/change_caller.py
@@ -17,9 +17,6 @@
 )
 from knapweeddrum.value.control_refusal_reason import ControlRefusalReason
 
-CATCH_UP_SECONDS = 2.0
-"""How long an accepted change waits for this process's own copy."""
-
 
 class ChangeCaller:
     """Hands changes to a keeper and turns all verdicts but ``accepted`` to problems."""
@@ -45,7 +42,7 @@
         if reply.verdict is ChangeVerdict.UNKNOWN:
             pause = reply.retry_after or RETRY_AFTER_SECONDS
             raise unknown(_repeat_hint(request), pause)
-        await self._follower.wait_for(reply.offset, CATCH_UP_SECONDS)
+        await self._follower.catch_up(reply.offset)
         return ResourceRecord(
             resource_kind=request.resource_kind,
             name=request.name,
--- a/src/knapweeddrum/process/control/config_follower.py
+++ b/src/knapweeddrum/process/control/config_follower.py
@@ -15,6 +15,10 @@
 
 POLL_SECONDS = 10.0
 """How long a keeper may hold a call while nothing changes."""
+CATCH_UP_SECONDS = 2.0
+"""How long a change that was accepted elsewhere may take to arrive here."""
+SILENCE_SECONDS = 0.5
+"""After this a call that should have brought a change is made anew."""
 RETRY_SECONDS = 0.5
 """Pause after a call that failed, or that waited and brought nothing."""
 
@@ -29,6 +33,7 @@
         self._changed = anyio.Event()
         self._connected = False
         self._waiting_logged = False
+        self._call_scope = anyio.CancelScope()
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -43,6 +48,17 @@
                 await self._changed.wait()
         return self.copy.offset >= offset
 
+    async def catch_up(self, offset: int) -> bool:
+        """Wait until the copy has reached an offset that some keeper has.
+
+        The call in progress may be at a keeper that is frozen or cut off: it is
+        given up for a new one. False when that does not help either.
+        """
+        if await self.wait_for(offset, SILENCE_SECONDS):
+            return True
+        self._call_scope.cancel()
+        return await self.wait_for(offset, CATCH_UP_SECONDS)
+
     async def wait_for_change(self, offset: int, timeout: float) -> None:
         """Wait until the copy has passed ``offset``, or ``timeout`` seconds."""
         await self.wait_for(offset + 1, timeout)
@@ -50,11 +66,15 @@
     async def _poll(self) -> bool:
         """Call once; return False when there should be a pause."""
         wait = POLL_SECONDS if self._connected else 0.0
+        reply = None
         try:
-            reply = await self._keeper.config(self.copy.offset, wait)
+            with anyio.CancelScope() as self._call_scope:
+                reply = await self._keeper.config(self.copy.offset, wait)
         except (KeeperUnavailableError, KeeperReplyLostError) as exc:
             self._note_waiting(str(exc))
             return False
+        if reply is None:
+            return True
         changed = self.copy.apply(reply)
         if not self.copy.ready or reply.offset < self.copy.offset:
             self._note_waiting("the keeper has no state yet or lags")
--- a/tests/process/control/test_resource_api.py
+++ b/tests/process/control/test_resource_api.py
@@ -220,3 +220,15 @@
             assert (await bench.call("GET", "/v1/status", **headers)).status == 401
         right = {"authorization": "Bearer secret"}
         assert (await bench.call("GET", "/v1/status", **right)).status == 200
+
+
+@async_test
+async def test_change_is_readable_though_the_followed_keeper_is_frozen():
+    """An accepted change can be read here even if the call that follows hangs."""
+    async with control_bench() as bench:
+        await bench.put("organisation/mill", 0, ORGANISATION)
+        bench.keeper.hang_next_config = True
+        await bench.put("organisation/mill", 1, ORGANISATION)
+        await bench.put("organisation/mill", 2, ORGANISATION | {"weight": 9})
+        read = await bench.call("GET", "/v1/resources/organisation/mill")
+        assert read.document["spec"]["weight"] == 9
--- a/tests/standins/fake_keeper.py
+++ b/tests/standins/fake_keeper.py
@@ -31,6 +31,7 @@
         self.log_is_out = False
         self.lose_next_reply = False
         self.expired_before = -1
+        self.hang_next_config = False
         self.hosts: list[EntryHost] = []
         self.draining: dict[str, bool] = {}
         self.records: list[ResourceRecord] = []
@@ -58,6 +59,9 @@
         return reply
 
     async def _config(self, request: ConfigRequest) -> ConfigReply:
+        if self.hang_next_config:
+            self.hang_next_config = False
+            await anyio.sleep_forever()
         with anyio.move_on_after(request.wait):
             while self.offset <= request.after:
                 await anyio.sleep(0.005)
