--- a/src/knapweeddrum/console/application.py
+++ b/src/knapweeddrum/console/application.py
@@ -144,7 +144,7 @@
 
 def _context(args: argparse.Namespace) -> CommandContext:
     servers = args.server or _default_servers()
-    token = os.environ.get(TOKEN_VARIABLE, "")
+    token = os.environ.get(TOKEN_VARIABLE, "").strip()
     client = ControlClient(servers, args.timeout, token)
     return CommandContext(client, Printer(sys.stdout, args.output), args.author)
 
--- a/src/knapweeddrum/console/commands/top_up_command.py
+++ b/src/knapweeddrum/console/commands/top_up_command.py
@@ -13,6 +13,9 @@
 from knapweeddrum.console.table import Table
 from knapweeddrum.console.top_up_reply import TopUpBody, TopUpReply
 
+TOKENS_LIMIT = 10**15
+TOKENS_FORM = f"tokens to deposit, 1 to {TOKENS_LIMIT}"
+
 
 class TopUpCommand(Command):
     """Deposit tokens into a budget, once for each identifier."""
@@ -27,7 +30,7 @@
     def configure(self, parser: argparse.ArgumentParser) -> None:
         """Add the command's arguments."""
         parser.add_argument("budget", help="organisation/budget")
-        parser.add_argument("tokens", type=int)
+        parser.add_argument("tokens", type=_tokens, help=TOKENS_FORM)
         parser.add_argument(
             "--topup-id",
             default="",
@@ -48,6 +51,13 @@
         context.printer.document(result, _table(result))
 
 
+def _tokens(text: str) -> int:
+    """Return a number of tokens; raises ArgumentTypeError."""
+    if text.isascii() and text.isdecimal() and 0 < int(text) <= TOKENS_LIMIT:
+        return int(text)
+    raise argparse.ArgumentTypeError(f"got {text!r}, allowed: {TOKENS_FORM}")
+
+
 def _table(result: TopUpReply) -> Table:
     row = (
         result.topup_id,
--- a/src/knapweeddrum/process/control/control_app.py
+++ b/src/knapweeddrum/process/control/control_app.py
@@ -20,13 +20,13 @@
 from knapweeddrum.process.control.path_table import PathTable
 from knapweeddrum.process.control.problem import Problem
 from knapweeddrum.process.control.problem_document import problem_response
-from knapweeddrum.process.control.problems import unavailable
+from knapweeddrum.process.control.problems import unavailable, unknown
 from knapweeddrum.telemetry.counters import (
     CONTROL_REQUESTS,
     control_refusal_counter,
 )
 from knapweeddrum.telemetry.event_log import EventLog
-from knapweeddrum.telemetry.events import CONTROL_REFUSED
+from knapweeddrum.telemetry.events import CONTROL_REFUSED, TASK_FAILED
 from knapweeddrum.telemetry.metrics import Metrics
 from knapweeddrum.value.control_refusal_reason import ControlRefusalReason
 
@@ -61,6 +61,9 @@
             response = await self._handle(req)
         except ProblemError as exc:
             response = self._refuse(scope, exc.problem)
+        except Exception as exc:  # noqa: BLE001
+            self._events.emit(TASK_FAILED, task="request", error=repr(exc))
+            response = self._refuse(scope, unknown("internal error").problem)
         if isinstance(response, EventStream):
             await _send_stream(receive, send, response)
         else:
--- a/src/knapweeddrum/process/control/handler/resource_delete_handler.py
+++ b/src/knapweeddrum/process/control/handler/resource_delete_handler.py
@@ -13,8 +13,8 @@
     change_id,
     change_id_header,
 )
-from knapweeddrum.process.control.field_error import FieldError
 from knapweeddrum.process.control.handler.handler import Handler
+from knapweeddrum.process.control.integer_parameter import integer_parameter
 from knapweeddrum.process.control.model.exceptions import InvalidDocumentError
 from knapweeddrum.process.control.path_kind import path_kind
 from knapweeddrum.process.control.problems import invalid
@@ -34,7 +34,7 @@
         """Return the deleted resource once the change has been read back."""
         resource_id = ResourceId(path_kind(names[0]), names[1])
         identifier = change_id(req)
-        base_version = _base_version(req)
+        base_version = integer_parameter("version", req.parameter("version"), 1)
         try:
             self._checks.check_unused(resource_id)
         except InvalidDocumentError as exc:
@@ -54,12 +54,3 @@
             body=msgspec.json.encode(ResourceDocument.from_record(record)),
             headers=change_id_header(identifier),
         )
-
-
-def _base_version(req: ApiRequest) -> int:
-    """Return the version to delete; raises ProblemError."""
-    text = req.parameter("version")
-    if text.isdecimal() and int(text) > 0:
-        return int(text)
-    error = FieldError("version", text[:32], "the version to delete, 1 or more")
-    raise invalid(InvalidDocumentError((error,)))
--- a/src/knapweeddrum/process/control/handler/watch_handler.py
+++ b/src/knapweeddrum/process/control/handler/watch_handler.py
@@ -10,14 +10,12 @@
 from knapweeddrum.process.control.config_follower import ConfigFollower
 from knapweeddrum.process.control.event_stream import EventStream
 from knapweeddrum.process.control.exceptions import ProblemError
-from knapweeddrum.process.control.field_error import FieldError
 from knapweeddrum.process.control.handler.handler import Handler
-from knapweeddrum.process.control.model.exceptions import InvalidDocumentError
+from knapweeddrum.process.control.integer_parameter import integer_parameter
 from knapweeddrum.process.control.path_kind import path_kind
 from knapweeddrum.process.control.problem import Problem
 from knapweeddrum.process.control.problems import (
     RETRY_AFTER_SECONDS,
-    invalid,
     not_ready,
 )
 from knapweeddrum.process.control.watch_stream import WatchStream
@@ -61,11 +59,7 @@
 def _after(req: ApiRequest) -> int:
     """Return the offset to resume from, -1 for the start; raises ProblemError."""
     text = req.header("last-event-id") or req.parameter("after") or "-1"
-    try:
-        return max(-1, int(text))
-    except ValueError as exc:
-        error = FieldError("after", text[:32], "a log offset")
-        raise invalid(InvalidDocumentError((error,))) from exc
+    return integer_parameter("after", text, -1)
 
 
 def _too_many(limit: int) -> ProblemError:
--- /dev/null
+++ b/src/knapweeddrum/process/control/integer_parameter.py
@@ -0,0 +1,21 @@
+"""Integers in query parameters and headers."""
+
+from __future__ import annotations
+
+import re
+
+from knapweeddrum.process.control.field_error import FieldError
+from knapweeddrum.process.control.model.exceptions import InvalidDocumentError
+from knapweeddrum.process.control.model.limits import INTEGER_LIMIT
+from knapweeddrum.process.control.problems import invalid
+
+FORM = re.compile(r"-?[0-9]{1,16}")
+SHOWN_LENGTH = 32
+
+
+def integer_parameter(name: str, text: str, least: int) -> int:
+    """Return the integer; raises ProblemError unless it is ``least`` or more."""
+    if FORM.fullmatch(text) and least <= int(text) <= INTEGER_LIMIT:
+        return int(text)
+    error = FieldError(name, text[:SHOWN_LENGTH] or "nothing", f"{least} or more")
+    raise invalid(InvalidDocumentError((error,)))
--- a/src/knapweeddrum/process/control/model/change_document.py
+++ b/src/knapweeddrum/process/control/model/change_document.py
@@ -4,11 +4,13 @@
 
 import pydantic
 
+from knapweeddrum.process.control.model.limits import INTEGER_LIMIT
+
 
 class ChangeDocument(pydantic.BaseModel):
     """Version that the change replaces (0: none) and the new specification."""
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
-    version: int = pydantic.Field(ge=0)
+    version: int = pydantic.Field(ge=0, le=INTEGER_LIMIT)
     spec: dict[str, object]
--- a/src/knapweeddrum/process/control/operator_guard.py
+++ b/src/knapweeddrum/process/control/operator_guard.py
@@ -27,7 +27,7 @@
         if not self._digest:
             return
         token = req.header("authorization").removeprefix(SCHEME)
-        digest = hashlib.sha256(token.encode()).hexdigest()
+        digest = hashlib.sha256(token.encode("latin-1")).hexdigest()
         if hmac.compare_digest(digest, self._digest):
             return
         raise ProblemError(
--- a/tests/console/test_client_commands.py
+++ b/tests/console/test_client_commands.py
@@ -155,6 +155,8 @@
     ("--server", "http://example.org:1", "entry"),
     ("--timeout", "0", "entry"),
     ("get", "printer"),
+    ("top-up", "mill/main", "-5"),
+    ("top-up", "mill/main", "9" * 5000),
     ("apply", "/nowhere.jsonc"),
     ("check", "/nowhere.jsonc"),
     (),
--- a/tests/process/control/test_resource_api.py
+++ b/tests/process/control/test_resource_api.py
@@ -190,6 +190,8 @@
     ("POST", "/v1/status", b"", 405),
     ("GET", "/v2", b"", 404),
     ("DELETE", "/v1/resources/route/desk", b"", 422),
+    ("DELETE", f"/v1/resources/route/desk?version={10**99}", b"", 422),
+    ("PUT", "/v1/resources/rule/r", b'{"version": 1%s, "spec": {}}' % (b"0" * 99), 422),
     ("GET", "/v1/watch?after=x", b"", 422),
     ("POST", "/v1/hosts/h1/drain", b'{"draining": "perhaps"}', 422),
 )
