--- a/src/knapweeddrum/process/keeper/keeper_process.py
+++ b/src/knapweeddrum/process/keeper/keeper_process.py
@@ -40,6 +40,7 @@
 from knapweeddrum.process.keeper.peer_records import PeerRecords
 from knapweeddrum.process.keeper.stream_follower import StreamFollower
 from knapweeddrum.process.keeper.transfer_client import TransferClient
+from knapweeddrum.process.keeper.witness_task import WitnessTask
 from knapweeddrum.process.stop_signal import stop_signal
 from knapweeddrum.rpc.fleet_identity import FleetIdentity
 from knapweeddrum.rpc.rpc_server import rpc_server
@@ -53,6 +54,7 @@
 CONFIG_STREAM = "config"
 FLUSH_LIMIT_SECONDS = 5.0
 FLUSH_POLL_SECONDS = 0.05
+DRAIN_NOTICE_SECONDS = 1.0
 BINARY = "knapweed-keeper"
 
 LedgerT = TypeVar("LedgerT", bound=Ledger)
@@ -99,7 +101,12 @@
             self._policy(),
             self._membership,
             transfers,
+            peers,
             clock,
+            settings.budgets.witnessed,
+        )
+        self._witness = WitnessTask(
+            self._incarnation, budgets, self._membership, clock, events
         )
         platform = settings.platform
         self._checkpoints = CheckpointTask(
@@ -117,6 +124,7 @@
             claims=ClaimManager(claims),
             config=self._config,
             budgets=BudgetReader(budgets, self._membership),
+            witness=self._witness,
             locate=LocateManager(self._membership, peers, clock),
             membership=self._membership,
             peers=peers,
@@ -136,6 +144,7 @@
             tasks.start_soon(self._membership.run)
             tasks.start_soon(self._grants.run)
             tasks.start_soon(self._checkpoints.run)
+            tasks.start_soon(self._witness.run)
             service = KeeperService(self._parts)
             address = str(own.address)
             async with rpc_server(
@@ -160,12 +169,26 @@
 
     async def _hand_back(self) -> None:
         """Return unspent tokens and wait a while for the log to take everything."""
+        await self._wait_for_own_router()
         self._membership.draining = True
         self._grants.return_all()
         with anyio.move_on_after(FLUSH_LIMIT_SECONDS):
             while not all(stream.appender.idle for stream in self._streams):
                 await anyio.sleep(FLUSH_POLL_SECONDS)
 
+    async def _wait_for_own_router(self) -> None:
+        """Serve the router of this host until it has drained.
+
+        A router that drains says so first; when none does, this keeper stops alone.
+        """
+        with anyio.move_on_after(DRAIN_NOTICE_SECONDS):
+            while not self._membership.draining:
+                await anyio.sleep(FLUSH_POLL_SECONDS)
+        limit = self._settings.router.drain_limit_seconds
+        with anyio.move_on_after(limit):
+            while self._membership.draining and self._config.has_own_router():
+                await anyio.sleep(FLUSH_POLL_SECONDS)
+
     def _stream(self, name: str, ledger: LedgerT) -> KeeperStream[LedgerT]:
         fold = StreamFold(ledger)
         follower = StreamFollower(
--- a/src/knapweeddrum/process/router/locator.py
+++ b/src/knapweeddrum/process/router/locator.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
+
+import anyio
 import anyio.abc
 
 from knapweeddrum.message.call.locate_reply import LocateReply
@@ -57,7 +60,7 @@
         self._tasks.start_soon(self._call, req)
 
     async def _call(self, req: LocateRequest) -> LocateReply:
-        try:
+        # The caller may try several keepers; the limit is for all of them together.
+        with anyio.move_on_after(TIMEOUT_SECONDS), contextlib.suppress(RpcError):
             return await self._parts.keeper.call(LOCATE, req, TIMEOUT_SECONDS)
-        except RpcError:
-            return LocateReply()
+        return LocateReply()
