--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -7,6 +7,8 @@
 
 from knapweeddrum.telemetry.event import Event
 
+# All processes
+
 PROCESS_STARTED = Event(100, "process_started", "info", ("binary", "host"))
 PROCESS_STOPPED = Event(101, "process_stopped", "info", ("binary",))
 DRAIN_STARTED = Event(102, "drain_started", "info", ("in_progress",))
@@ -37,13 +39,6 @@
 CHECKPOINT_WRITTEN = Event(
     305, "checkpoint_written", "info", ("stream", "covers", "parts")
 )
-# Router
-
-CONFIG_IN_FORCE = Event(200, "config_in_force", "info", ("offset",))
-USAGE_PENDING = Event(201, "usage_pending", "warning", ("run_id", "endpoint", "error"))
-USAGE_LOST = Event(202, "usage_lost", "error", ("run_id", "endpoint"))
-OUTCOME_LATE = Event(203, "outcome_late", "warning", ("claim_key",))
-STOPPED_UNSETTLED = Event(204, "stopped_unsettled", "error", ("runs", "settlements"))
 GRANT_RELEASED = Event(306, "grant_released", "warning", ("grant", "budget", "opened"))
 
 # Control
@@ -55,7 +50,3 @@
     401, "order_finished", "info", ("endpoint", "action", "fence", "state")
 )
 ORDER_DELAYED = Event(402, "order_delayed", "warning", ("endpoint", "error"))
-STOPPED_UNSETTLED = Event(
-    204, "stopped_unsettled", "error", ("runs", "settlements", "outcomes")
-)
-ENDPOINT_CRASHED = Event(205, "endpoint_crashed", "error", ("endpoint", "requests"))
--- a/tests/telemetry/test_events_page.py
+++ b/tests/telemetry/test_events_page.py
@@ -43,6 +43,8 @@
         [event.name for event in declared().values()],
     ):
         assert max(collections.Counter(values).values()) == 1
+    source = pathlib.Path(events.__file__).read_text(encoding="utf-8")
+    assert len(declared()) == len(re.findall(r"= Event\(", source))
 
 
 def test_each_event_is_used():
