--- a/src/knapweeddrum/core/admission/crash_register.py
+++ b/src/knapweeddrum/core/admission/crash_register.py
@@ -63,6 +63,11 @@
         self._versions: dict[str, int] = {}
         self._version = 0
 
+    @property
+    def version(self) -> int:
+        """Return the version of the last change."""
+        return self._version
+
     def decide(self, fingerprint: str, now: float) -> Placement | Refusal:
         """Return where a request may run, or its refusal; final if for good."""
         crashes = self.crash_count(fingerprint, now)
--- a/src/knapweeddrum/process/keeper/keeper_service.py
+++ b/src/knapweeddrum/process/keeper/keeper_service.py
@@ -58,9 +58,14 @@
         return self._parts.budgets.read(req)
 
     async def _entry(self, req: EntryRequest) -> EntryReply:
+        membership = self._parts.membership
+        membership.crashes.merge(req.crashes)
+        batch = membership.crashes.changes(req.crashes_after)
         return EntryReply(
-            hosts=self._parts.membership.hosts(),
+            hosts=membership.hosts(),
             offset=self._parts.config.offset_in_force(),
+            crashes=batch.records,
+            crashes_version=batch.version,
         )
 
     async def _drain(self, req: DrainRequest) -> DrainReply:
--- a/src/knapweeddrum/process/keeper/membership_task.py
+++ b/src/knapweeddrum/process/keeper/membership_task.py
@@ -9,12 +9,14 @@
 from knapweeddrum.core.membership.listed_member import ListedMember
 from knapweeddrum.core.membership.member_table import ROUND_SECONDS, MemberTable
 from knapweeddrum.core.membership.peer_address import PeerAddress
+from knapweeddrum.message.call.crash_record import CrashRecord
 from knapweeddrum.message.call.entry_host import EntryHost
 from knapweeddrum.message.call.exchange_reply import ExchangeReply
 from knapweeddrum.message.call.exchange_request import ExchangeRequest
 from knapweeddrum.platform.exceptions import PlatformError
 from knapweeddrum.platform.host_list import HostList
 from knapweeddrum.platform.listed_host import ListedHost
+from knapweeddrum.process.keeper.crash_exchange import CrashExchange
 from knapweeddrum.process.keeper.peer_channels import PeerChannels
 from knapweeddrum.rpc.exceptions import RpcError
 from knapweeddrum.rpc.keeper_methods import EXCHANGE
@@ -43,6 +45,7 @@
         seeds: tuple[PeerAddress, ...],
     ) -> None:
         self.draining = False
+        self.crashes = CrashExchange()
         self.superseded = anyio.Event()
         self._table = table
         self._peers = peers
@@ -73,6 +76,7 @@
     def take(self, req: ExchangeRequest) -> ExchangeReply:
         """Take a peer's heartbeats and return this host's view."""
         self._table.merge(req.heartbeats, self._clock())
+        self.crashes.merge(req.crashes)
         return ExchangeReply(heartbeats=self._table.outgoing())
 
     async def run(self) -> None:
@@ -87,17 +91,20 @@
         """Exchange heartbeats with the peers of one round."""
         self.beat()
         now = self._clock()
+        crashes = self.crashes.next_round()
         async with anyio.create_task_group() as tasks:
             for peer in self._table.choose_peers(now):
-                tasks.start_soon(self._exchange, peer)
+                tasks.start_soon(self._exchange, peer, crashes)
         self._table.forget_gone(now)
         if self._table.superseded_by and not self.superseded.is_set():
             self._events.emit(SUPERSEDED, incarnation=self._table.superseded_by)
             self.superseded.set()
 
-    async def _exchange(self, peer: PeerAddress) -> None:
+    async def _exchange(
+        self, peer: PeerAddress, crashes: tuple[CrashRecord, ...]
+    ) -> None:
         caller = self._peers.at(peer.address, peer.keeper_port)
-        request = ExchangeRequest(heartbeats=self._table.outgoing())
+        request = ExchangeRequest(heartbeats=self._table.outgoing(), crashes=crashes)
         try:
             reply = await caller.call(EXCHANGE, request, EXCHANGE_TIMEOUT_SECONDS)
         except RpcError:
--- a/src/knapweeddrum/process/router/admission_desk.py
+++ b/src/knapweeddrum/process/router/admission_desk.py
@@ -21,9 +21,6 @@
 
 POLL_INTERVAL_SECONDS = 0.1
 
-QUEUE_SHARE = 1.0
-"""Queued requests allowed, as a share of those in progress."""
-
 
 class AdmissionDesk:
     """Feeds requests to the admission controller and wakes those it decides on."""
@@ -31,16 +28,23 @@
     def __init__(self, parts: Collaborators) -> None:
         self._clock = parts.clock
         self._controller = AdmissionController(parts.rng)
+        self._routes: dict[str, Route] = {}
         self._waiters: dict[str, MemoryObjectSendStream[Admitted | Refused]] = {}
 
     def configure(self, routes: dict[str, Route]) -> None:
         """Take the limits of a new configuration over."""
         for name, route in routes.items():
-            limits = AdmissionLimits(
-                in_progress=route.in_progress_limit,
-                queued=max(1, int(QUEUE_SHARE * route.in_progress_limit)),
-            )
-            self._controller.configure(RouteName(name), limits)
+            if self._routes.get(name) != route:
+                self.limit(name, route, route.in_progress_limit)
+        self._routes = dict(routes)
+
+    def limit(self, name: str, route: Route, in_progress: int) -> None:
+        """Admit at most so many requests of a route, and queue as it allows."""
+        limits = AdmissionLimits(
+            in_progress=max(1, min(in_progress, route.in_progress_limit)),
+            queued=max(1, route.in_progress_limit),
+        )
+        self._controller.configure(RouteName(name), limits)
 
     async def run(self) -> None:
         """Decide on queued requests as time passes, until cancelled."""
--- a/src/knapweeddrum/process/router/engine_attempt.py
+++ b/src/knapweeddrum/process/router/engine_attempt.py
@@ -18,7 +18,7 @@
 )
 from knapweeddrum.endpoint.model_engine import ModelEngine
 from knapweeddrum.endpoint.model_request import ModelRequest
-from knapweeddrum.process.router.part_counter import part_counter
+from knapweeddrum.telemetry.counters import PARTS_DROPPED
 from knapweeddrum.telemetry.metrics import Metrics
 from knapweeddrum.value.identifiers import EndpointName, RequestKey, RunId
 from knapweeddrum.value.run_state import RunState
@@ -99,7 +99,9 @@
             part.prompt_tokens,
             part.output_tokens,
         )
-        self._metrics.count(part_counter(verdict))
+        if verdict is PartVerdict.ACCEPTED:
+            return True
+        self._metrics.count(PARTS_DROPPED)
         if verdict is PartVerdict.EARLY:
             raise StreamCutError(f"part {self.meter.next_index} is missing")
-        return verdict is PartVerdict.ACCEPTED
+        return False
--- a/src/knapweeddrum/process/router/router.py
+++ b/src/knapweeddrum/process/router/router.py
@@ -32,6 +32,7 @@
 from knapweeddrum.process.router.service_directory import ServiceDirectory
 from knapweeddrum.process.router.service_handler import ServiceHandler
 from knapweeddrum.process.router.settler import Settler
+from knapweeddrum.process.router.slot_limiter import SlotLimiter
 from knapweeddrum.process.router.usage_collector import UsageCollector
 
 
@@ -65,6 +66,9 @@
             locator=locator,
         )
         table = self._config.table
+        self._limiter = SlotLimiter(
+            parts, table, self.directory, self._admission, self._entry
+        )
         models = RunDirectory(services, tasks)
         plain = ServiceDirectory(services, tasks)
         self.gate = RouterGate(parts, table, plan, models, plain, self.collector)
@@ -92,6 +96,7 @@
         self._tasks.start_soon(self._config.run)
         self._tasks.start_soon(self._entry.run)
         self._tasks.start_soon(self._admission.run)
+        self._tasks.start_soon(self._limiter.run)
         self._tasks.start_soon(self.allowances.run)
         self._tasks.start_soon(self.settler.run)
         self._tasks.start_soon(self.drain.tell_keeper, False)
--- /dev/null
+++ b/src/knapweeddrum/process/router/slot_limiter.py
@@ -0,0 +1,55 @@
+"""Task that bounds the requests in progress by the slots of the endpoints."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+
+from knapweeddrum.core.routing.slots_limit import slots_limit
+from knapweeddrum.process.router.admission_desk import AdmissionDesk
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.endpoint_directory import EndpointDirectory
+from knapweeddrum.process.router.entry_follower import EntryFollower
+from knapweeddrum.process.router.resource_table import ResourceTable
+from knapweeddrum.value.identifiers import EndpointName
+
+INTERVAL_SECONDS = 1.0
+
+
+class SlotLimiter:
+    """Gives each route this router's share of the slots behind it.
+
+    Requests above it wait in the admission queue, by priority, and not at an endpoint.
+    """
+
+    def __init__(
+        self,
+        parts: Collaborators,
+        table: ResourceTable,
+        directory: EndpointDirectory,
+        admission: AdmissionDesk,
+        entry: EntryFollower,
+    ) -> None:
+        self._clock: Callable[[], float] = parts.clock
+        self._table = table
+        self._directory = directory
+        self._admission = admission
+        self._entry = entry
+
+    async def run(self) -> None:
+        """Renew the limits until cancelled."""
+        while True:
+            await anyio.sleep(INTERVAL_SECONDS)
+            self.renew()
+
+    def renew(self) -> None:
+        """Set the limit of each route by the latest loads."""
+        routers = sum(1 for host in self._entry.hosts if host.alive)
+        now = self._clock()
+        for name, route in self._table.routes.items():
+            endpoints = [EndpointName(endpoint) for endpoint in route.endpoints]
+            views = self._directory.table.candidates(endpoints, now)
+            if views:
+                limit = slots_limit(views, routers)
+                self._admission.limit(name, route, limit)
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -10,6 +10,7 @@
 ANSWERED = "answered"
 CANCELLED = "cancelled"
 SETTLED = "settled"
+PARTS_DROPPED = "parts_dropped"
 CONTROL_REQUESTS = "control.requests"
 
 ALL_COUNTERS: tuple[str, ...] = (
@@ -17,6 +18,7 @@
     ANSWERED,
     CANCELLED,
     SETTLED,
+    PARTS_DROPPED,
     CONTROL_REQUESTS,
 )
 
