--- a/src/knapweeddrum/process/router/router.py
+++ b/src/knapweeddrum/process/router/router.py
@@ -53,7 +53,7 @@
         self._pollers = PollerGroup(parts, self.directory, tasks)
         self._config = ConfigFollower(parts, self._configure)
         crashes = CrashWatch(parts)
-        self._entry = EntryFollower(parts, crashes)
+        self.entry = EntryFollower(parts, crashes)
         recorder = OutcomeRecorder(parts, tasks)
         services = RunServices(
             parts=parts,
@@ -67,7 +67,7 @@
         )
         table = self._config.table
         self._limiter = SlotLimiter(
-            parts, table, self.directory, self._admission, self._entry
+            parts, table, self.directory, self._admission, self.entry
         )
         models = RunDirectory(services, tasks)
         plain = ServiceDirectory(services, tasks)
@@ -88,13 +88,13 @@
             self.gate,
             ModelHandler(parts, table, models),
             ServiceHandler(parts, table, plain),
-            EntryHandler(parts, self._entry, plan),
+            EntryHandler(parts, self.entry, plan),
         )
 
     def start(self) -> None:
         """Start the tasks that run as long as the router."""
         self._tasks.start_soon(self._config.run)
-        self._tasks.start_soon(self._entry.run)
+        self._tasks.start_soon(self.entry.run)
         self._tasks.start_soon(self._admission.run)
         self._tasks.start_soon(self._limiter.run)
         self._tasks.start_soon(self.allowances.run)
--- a/tests/process/router/memory_keeper.py
+++ b/tests/process/router/memory_keeper.py
@@ -29,6 +29,7 @@
 from knapweeddrum.message.call.settlement import Settlement
 from knapweeddrum.message.call.shortfall import Shortfall
 from knapweeddrum.message.call.want import Want
+from knapweeddrum.process.keeper.crash_exchange import CrashExchange
 from knapweeddrum.rpc.caller import Caller
 from knapweeddrum.rpc.exceptions import RpcError
 from knapweeddrum.rpc.keeper_methods import (
@@ -65,6 +66,8 @@
         self.claims: dict[str, ClaimRequest] = {}
         self.outcomes: dict[str, OutcomeRequest] = {}
         self.located: dict[str, LocateRequest] = {}
+        self.crashes = CrashExchange()
+        self.draws: list[DrawRequest] = []
         self.hosts: tuple[EntryHost, ...] = ()
         self.draining: list[bool] = []
         self.readers: dict[str, int] = {}
@@ -119,10 +122,15 @@
         return ConfigReply(self._offset, tuple(records))
 
     async def _entry(self, req: EntryRequest) -> EntryReply:
-        return EntryReply(self.hosts)
+        self.crashes.merge(req.crashes)
+        batch = self.crashes.changes(req.crashes_after)
+        return EntryReply(
+            self.hosts, crashes=batch.records, crashes_version=batch.version
+        )
 
     async def _draw(self, req: DrawRequest) -> DrawReply:
         if req.draw_id not in self._draws:
+            self.draws.append(req)
             self._draws[req.draw_id] = self._first_draw(req)
         return self._draws[req.draw_id]
 
--- /dev/null
+++ b/tests/process/router/test_allowances.py
@@ -0,0 +1,63 @@
+from __future__ import annotations
+
+import anyio
+
+from knapweeddrum.process.router.allowance_manager import IDLE_SECONDS
+from tests.async_test import async_test
+from tests.process.router.router_bench import (
+    BUDGET,
+    CHAT,
+    chat_body,
+    served_router,
+    until,
+)
+
+TOKENS = 200
+BALANCE = 500
+"""Above what one request of TOKENS reserves, below what two reserve."""
+
+
+@async_test
+async def test_request_waits_for_tokens_that_others_will_free():
+    """Tokens reserved by requests in progress are no reason to refuse the next."""
+    async with served_router(BALANCE) as (bench, ends):
+        replies = []
+
+        async def ask() -> None:
+            replies.append(await bench.chat(TOKENS, Knapweed_Deadline="20"))
+
+        async with bench.open("POST", CHAT, chat_body(TOKENS)) as response:
+            first = response.aiter_stream()
+            await anext(first)
+            ends.switch(token_seconds=3600.0)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask)
+                await until(lambda: len(bench.keeper.draws) == 2)
+                ends.switch(token_seconds=0.001)
+                await first.aclose()
+        assert replies[0].is_whole
+        assert ends.consumed() <= BALANCE
+
+
+@async_test
+async def test_requests_share_one_draw():
+    """While a draw of a budget is in flight no other one is sent."""
+    async with served_router() as (bench, _):
+        bench.keeper.silent = {"Draw"}
+        async with anyio.create_task_group() as tasks:
+            for _ in range(20):
+                tasks.start_soon(bench.chat, 2)
+            await until(lambda: bench.router.gate.at_border == 20)
+            bench.keeper.silent = set()
+        assert len(bench.keeper.draws) <= 2
+        assert bench.metrics.counts["answered"] == 20
+
+
+@async_test
+async def test_idle_allowances_go_back():
+    """Free tokens that nobody asks for return to the keeper, settled ones don't."""
+    async with served_router(10_000) as (bench, ends):
+        await bench.chat(4)
+        bench.skip += IDLE_SECONDS
+        left = 10_000 - ends.consumed()
+        await until(lambda: bench.keeper.balances[BUDGET] == left)
--- /dev/null
+++ b/tests/process/router/test_border.py
@@ -0,0 +1,72 @@
+from __future__ import annotations
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from knapweeddrum.message.call.config_reply import ConfigReply
+from knapweeddrum.message.call.entry_host import EntryHost
+from knapweeddrum.message.call.resource_record import ResourceRecord
+from knapweeddrum.message.resource.budget import Budget
+from knapweeddrum.process.router.chat_body import decode_chat_body
+from knapweeddrum.process.router.resource_table import ResourceTable
+from tests.async_test import async_test
+from tests.process.router.router_bench import served_router, until
+from tests.standins.prompt import Prompt
+
+OFFSETS = st.lists(st.integers(0, 30), max_size=20)
+
+
+def reply_at(offset: int) -> ConfigReply:
+    """Return a snapshot that names its offset in its only resource."""
+    body = msgspec.json.encode(Budget("mill", str(offset)))
+    record = ResourceRecord("budget", "mill/main", offset, offset, body)
+    return ConfigReply(offset, (record,), snapshot=True)
+
+
+@given(OFFSETS)
+def test_configuration_never_goes_back(offsets: list[int]):
+    """Whatever the order of replies, the newest so far is in force."""
+    table = ResourceTable()
+    newest = -1
+    for offset in offsets:
+        table.apply(reply_at(offset))
+        newest = max(newest, offset)
+        assert table.offset == newest
+        assert table.budgets["mill/main"].description == str(newest)
+
+
+@given(st.lists(st.text(max_size=50), min_size=1, max_size=5))
+def test_prompt_bound_covers_the_engines_count(texts: list[str]):
+    """What is reserved for the prompt is never less than what an engine counts."""
+    messages = [{"role": "user", "content": text} for text in texts]
+    body = msgspec.json.encode({"model": "m", "messages": messages})
+    bound = decode_chat_body(body).prompt_bound(body)
+    counted = msgspec.json.decode(body, type=Prompt).tokens
+    assert bound >= max(counted, sum(len(text.encode()) for text in texts))
+
+
+@async_test
+async def test_entry_advice_leaves_out_hosts_that_take_no_work():
+    """Near hosts come first; draining and silent ones are not named."""
+    async with served_router(advice_lifetime_seconds=7) as (bench, _):
+        bench.keeper.hosts = (
+            host("alfa", "kz-1"),
+            host("bravo", "kz-2"),
+            host("charlie", "kz-1", draining=True),
+            host("delta", "kz-1", alive=False),
+        )
+        await until(lambda: len(bench.router.entry.hosts) == 4)
+        advice = (await bench.request("GET", "/v1/entry", key="")).json()
+        assert [entry["host"] for entry in advice["hosts"]] == ["alfa", "bravo"]
+        assert advice["lifetime_seconds"] == 7
+        counters = (await bench.request("GET", "/-/counters", key="")).json()
+        assert counters == dict(bench.metrics.counts)
+
+
+def host(
+    name: str, data_centre: str, draining: bool = False, alive: bool = True
+) -> EntryHost:
+    return EntryHost(
+        name, data_centre, "127.0.0.1", 1, 2, 3, draining, alive, 0, f"{name}/keeper/1"
+    )
--- a/tests/process/router/test_model_failures.py
+++ b/tests/process/router/test_model_failures.py
@@ -130,14 +130,20 @@
 
 @async_test
 async def test_request_that_crashes_engines_is_refused():
-    """After two crashes the same content is refused, also under another identifier."""
+    """After two crashes the same content is refused, here and at other routers."""
     async with served_router() as (bench, ends):
-        messages = [{"role": "user", "content": "CRASH-ENGINE"}]
-        body = chat_body(messages=messages)
-        replies = [await bench.request("POST", CHAT, body) for _ in range(3)]
-        assert replies[-1].json()["reason"] == "poisonous"
-        assert len(ends.runs()) == 2
-        assert (await bench.chat()).is_whole
+        other = RouterBench(bench.keeper, "bravo")
+        async with other.running():
+            await other.ready()
+            messages = [{"role": "user", "content": "CRASH-ENGINE"}]
+            body = chat_body(messages=messages)
+            replies = [await bench.request("POST", CHAT, body) for _ in range(3)]
+            await bench.router.entry.poll()
+            await other.router.entry.poll()
+            replies.append(await other.request("POST", CHAT, body))
+            assert (await other.chat()).is_whole
+        assert [r.json()["reason"] for r in replies[-2:]] == ["poisonous"] * 2
+        assert sum(run.crashed for run in ends.runs()) == 2
 
 
 @async_test
