--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -34,10 +34,6 @@
 STREAM_READY = Event(302, "stream_ready", "info", ("stream", "offset"))
 SUPERSEDED = Event(303, "superseded", "warning", ("incarnation",))
 STATE_JUMPED = Event(304, "state_jumped", "warning", ("stream", "offset"))
-
-CONTROL_REFUSED = Event(
-    400, "control_refused", "info", ("reason", "method", "path", "run_state")
-)
 CHECKPOINT_WRITTEN = Event(
     305, "checkpoint_written", "info", ("stream", "covers", "parts")
 )
@@ -47,6 +43,18 @@
 USAGE_PENDING = Event(201, "usage_pending", "warning", ("run_id", "endpoint", "error"))
 USAGE_LOST = Event(202, "usage_lost", "error", ("run_id", "endpoint"))
 OUTCOME_LATE = Event(203, "outcome_late", "warning", ("claim_key",))
+STOPPED_UNSETTLED = Event(204, "stopped_unsettled", "error", ("runs", "settlements"))
+GRANT_RELEASED = Event(306, "grant_released", "warning", ("grant", "budget", "opened"))
+
+# Control
+
+CONTROL_REFUSED = Event(
+    400, "control_refused", "info", ("reason", "method", "path", "run_state")
+)
+ORDER_FINISHED = Event(
+    401, "order_finished", "info", ("endpoint", "action", "fence", "state")
+)
+ORDER_DELAYED = Event(402, "order_delayed", "warning", ("endpoint", "error"))
 STOPPED_UNSETTLED = Event(
     204, "stopped_unsettled", "error", ("runs", "settlements", "outcomes")
 )
