--- /dev/null
+++ b/src/knapweeddrum/process/router/cache_follower.py
@@ -0,0 +1,61 @@
+"""Task that follows the cache events of one engine."""
+
+from __future__ import annotations
+
+import anyio
+
+from knapweeddrum.endpoint.cache_event import CacheEvent
+from knapweeddrum.endpoint.exceptions import EndpointError
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.endpoint_directory import EndpointDirectory
+from knapweeddrum.value.identifiers import EndpointName
+
+INTERVAL_SECONDS = 2.0
+
+ENGINES_LIMIT = 16
+"""Engines up to which their events are followed.
+
+Above it the events would cost a router more than it may spend on control; then it
+goes by what it routed itself.
+"""
+
+TIMEOUT_SECONDS = 2.0
+
+
+class CacheFollower:
+    """Feeds the cache events of an engine to the index of prefixes."""
+
+    def __init__(
+        self, parts: Collaborators, directory: EndpointDirectory, name: EndpointName
+    ) -> None:
+        self._parts = parts
+        self._directory = directory
+        self._name = name
+        self._after = 0
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        while True:
+            if len(self._directory.names()) <= ENGINES_LIMIT:
+                await self.poll()
+            await anyio.sleep(INTERVAL_SECONDS * self._parts.rng.uniform(0.8, 1.2))
+
+    async def poll(self) -> None:
+        """Take the events since the last poll; a silent engine is left alone."""
+        engine = self._directory.engine(self._name)
+        if engine is None:
+            return
+        try:
+            with anyio.fail_after(TIMEOUT_SECONDS):
+                events = await engine.cache_events(self._after)
+        except (EndpointError, TimeoutError):
+            return
+        for event in events:
+            self._take(event)
+
+    def _take(self, event: CacheEvent) -> None:
+        self._after = max(self._after, event.sequence)
+        now = self._parts.clock()
+        index = self._directory.prefixes
+        note = index.stored if event.stored else index.evicted
+        note(self._name, event.prefix, event.sequence, now)
--- a/src/knapweeddrum/process/router/endpoint_directory.py
+++ b/src/knapweeddrum/process/router/endpoint_directory.py
@@ -7,6 +7,7 @@
 
 from knapweeddrum.core.routing.attempt_result import AttemptResult
 from knapweeddrum.core.routing.endpoint_table import EndpointTable
+from knapweeddrum.core.routing.prefix_index import PrefixIndex
 from knapweeddrum.core.routing.request_features import RequestFeatures
 from knapweeddrum.core.routing.retry_budget import RetryBudget
 from knapweeddrum.core.routing.retry_policy import RetryPolicy
@@ -34,7 +35,8 @@
     def __init__(self, parts: Collaborators) -> None:
         self.table = EndpointTable()
         self._parts = parts
-        self._policy = SampledLoad(parts.rng)
+        self.prefixes = PrefixIndex()
+        self._policy = SampledLoad(parts.rng, self.prefixes)
         self._endpoints: dict[EndpointName, Endpoint] = {}
         self._clients: dict[EndpointName, ModelEngine | PlainService] = {}
         self._retries: dict[str, RetryPolicy] = {}
@@ -45,6 +47,7 @@
         now = self._parts.clock()
         for name in [known for known in self._endpoints if known not in endpoints]:
             self.table.remove(name)
+            self.prefixes.forget(name)
             del self._endpoints[name]
         for plain_name, endpoint in endpoints.items():
             await self._configure_one(EndpointName(plain_name), endpoint, now)
@@ -70,6 +73,7 @@
         candidates = tuple(v for v in candidates if self._has_kind(v.name, route.kind))
         chosen = self._policy.choose(candidates, features, now, exclude)
         if chosen is not None:
+            self.prefixes.routed(chosen, features.prefixes, now)
             return chosen
         if candidates and not exclude:
             raise refused(
--- a/src/knapweeddrum/process/router/model_dispatch.py
+++ b/src/knapweeddrum/process/router/model_dispatch.py
@@ -157,7 +157,7 @@
         """Return an engine that was not tried yet, else any that is available."""
         directory = self._services.directory
         job = self._job
-        features = RequestFeatures(priority=job.priority)
+        features = RequestFeatures(job.priority, job.prefixes)
         try:
             exclude = {*tried, *placement.exclude}
             return directory.choose(job.route, features, job.repeatable, exclude)
--- a/src/knapweeddrum/process/router/model_handler.py
+++ b/src/knapweeddrum/process/router/model_handler.py
@@ -20,6 +20,7 @@
 from knapweeddrum.process.router.exceptions import RefusedError, refused
 from knapweeddrum.process.router.model_job import ModelJob
 from knapweeddrum.process.router.model_run import ModelRun
+from knapweeddrum.process.router.prefix_digests import prefix_digests
 from knapweeddrum.process.router.repeatability import is_repeatable
 from knapweeddrum.process.router.request_digest import request_digest
 from knapweeddrum.process.router.resource_table import ResourceTable
@@ -92,6 +93,7 @@
             body=req.body,
             fingerprint=request_digest(chat.model, budget, claim_key, req.body),
             content=chat.content_digest(),
+            prefixes=prefix_digests(chat.messages),
             output_limit=chat.output_limit(route.output_limit),
             prompt_bound=chat.prompt_bound(req.body),
             priority=req.headers.priority,
--- a/src/knapweeddrum/process/router/model_job.py
+++ b/src/knapweeddrum/process/router/model_job.py
@@ -20,7 +20,8 @@
     """``deadline`` is in monotonic seconds, limits are in tokens.
 
     ``claim_key`` is empty for a request that needs no claim. ``fingerprint`` is a
-    digest of what was asked, ``content`` of the prompt alone. ``locatable`` says that
+    digest of what was asked, ``content`` of the prompt alone, ``prefixes`` of
+    its prefixes, the longest first. ``locatable`` says that
     the caller chose the request identifier, so that it may have asked another router
     before.
     """
@@ -34,6 +35,7 @@
     body: bytes
     fingerprint: str
     content: str
+    prefixes: tuple[str, ...]
     output_limit: int
     prompt_bound: int
     priority: Priority
--- a/src/knapweeddrum/process/router/poller_group.py
+++ b/src/knapweeddrum/process/router/poller_group.py
@@ -1,10 +1,11 @@
-"""The load pollers of the configured endpoints."""
+"""The tasks that poll the configured endpoints."""
 
 from __future__ import annotations
 
 import anyio
 import anyio.abc
 
+from knapweeddrum.process.router.cache_follower import CacheFollower
 from knapweeddrum.process.router.collaborators import Collaborators
 from knapweeddrum.process.router.endpoint_directory import EndpointDirectory
 from knapweeddrum.process.router.load_poller import LoadPoller
@@ -12,7 +13,7 @@
 
 
 class PollerGroup:
-    """Runs one poller for each endpoint, and stops those of removed endpoints."""
+    """Polls each endpoint's load and cache events until it is removed."""
 
     def __init__(
         self,
@@ -38,4 +39,8 @@
 
     async def _poll(self, name: EndpointName, scope: anyio.CancelScope) -> None:
         with scope:
-            await LoadPoller(self._parts, self._directory, name).run()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(LoadPoller(self._parts, self._directory, name).run)
+                if self._directory.engine(name) is not None:
+                    follower = CacheFollower(self._parts, self._directory, name)
+                    tasks.start_soon(follower.run)
--- /dev/null
+++ b/src/knapweeddrum/process/router/prefix_digests.py
@@ -0,0 +1,35 @@
+"""Digests of a prompt's prefixes, as engines publish them."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterable
+
+import msgspec
+
+from knapweeddrum.process.router.chat_message import ChatMessage
+
+DIGEST_LENGTH = 16
+"""Hexadecimal digits; see docs/PROTOCOLS.md."""
+
+PREFIXES_LIMIT = 32
+"""Prefixes of one prompt that are looked up, the longest."""
+
+_TEXT = msgspec.json.Decoder(str)
+
+
+def prefix_digests(messages: Iterable[ChatMessage]) -> tuple[str, ...]:
+    """Return the digest of each prefix of whole messages, the longest first.
+
+    Prefixes end before the first message whose content is not plain text.
+    """
+    digest = hashlib.sha256()
+    digests = []
+    for message in messages:
+        try:
+            content = _TEXT.decode(message.content)
+        except msgspec.MsgspecError:
+            break
+        digest.update(f"{message.role}\n{content}\n".encode("utf-8", "replace"))
+        digests.append(digest.hexdigest()[:DIGEST_LENGTH])
+    return tuple(reversed(digests[-PREFIXES_LIMIT:]))
--- a/tests/process/router/test_border.py
+++ b/tests/process/router/test_border.py
@@ -9,6 +9,7 @@
 from knapweeddrum.message.call.resource_record import ResourceRecord
 from knapweeddrum.message.resource.budget import Budget
 from knapweeddrum.process.router.chat_body import decode_chat_body
+from knapweeddrum.process.router.prefix_digests import prefix_digests
 from knapweeddrum.process.router.resource_table import ResourceTable
 from tests.async_test import async_test
 from tests.process.router.router_bench import served_router, until
@@ -38,11 +39,14 @@
 
 @given(st.lists(st.text(max_size=50), min_size=1, max_size=5))
 def test_prompt_bound_covers_the_engines_count(texts: list[str]):
-    """What is reserved for the prompt is never less than what an engine counts."""
+    """The reservation covers the engine's count; prefixes are named as engines do."""
     messages = [{"role": "user", "content": text} for text in texts]
     body = msgspec.json.encode({"model": "m", "messages": messages})
     bound = decode_chat_body(body).prompt_bound(body)
-    counted = msgspec.json.decode(body, type=Prompt).tokens
+    prompt = msgspec.json.decode(body, type=Prompt)
+    counted = prompt.tokens
+    published = tuple(prompt.prefixes())
+    assert prefix_digests(decode_chat_body(body).messages) == published[::-1]
     assert bound >= max(counted, sum(len(text.encode()) for text in texts))
 
 
