--- a/src/knapweeddrum/process/router/model_job.py
+++ b/src/knapweeddrum/process/router/model_job.py
@@ -20,10 +20,9 @@
     """``deadline`` is in monotonic seconds, limits are in tokens.
 
     ``claim_key`` is empty for a request that needs no claim. ``fingerprint`` is a
-    digest of what was asked, ``content`` of the prompt alone, ``prefixes`` of
-    its prefixes, the longest first. ``locatable`` says that
-    the caller chose the request identifier, so that it may have asked another router
-    before.
+    digest of what was asked, ``content`` of the prompt alone, ``prefixes`` of its
+    prefixes, the longest first. ``locatable`` says that the caller chose the request
+    identifier, so that it may have asked another router before.
     """
 
     request_key: RequestKey
--- a/tests/process/router/test_model_failures.py
+++ b/tests/process/router/test_model_failures.py
@@ -61,7 +61,7 @@
 async def test_engine_lost_before_the_first_part_is_followed_by_another():
     """Nothing was sent to the caller, so that another engine may answer whole."""
     async with served_router() as (bench, ends):
-        ends.switch(prefill_seconds=3600.0)
+        ends.switch(prefill_seconds=3600.0, cached_prefill_seconds=3600.0)
         async with anyio.create_task_group() as tasks:
             replies = []
 
@@ -112,7 +112,7 @@
         assert first.is_whole and again.is_whole
         assert again.text() == first.text()
         assert len(ends.runs()) == 1
-        ends.switch(prefill_seconds=3600.0)
+        ends.switch(prefill_seconds=3600.0, cached_prefill_seconds=3600.0)
         async with anyio.create_task_group() as tasks:
             replies = []
 
