--- a/tests/process/router/test_model_failures.py
+++ b/tests/process/router/test_model_failures.py
@@ -61,7 +61,7 @@
 async def test_engine_lost_before_the_first_part_is_followed_by_another():
     """Nothing was sent to the caller, so that another engine may answer whole."""
     async with served_router() as (bench, ends):
-        ends.switch(prefill_seconds=3600.0)
+        ends.switch(prefill_seconds=3600.0, cached_prefill_seconds=3600.0)
         async with anyio.create_task_group() as tasks:
             replies = []
 
@@ -112,7 +112,7 @@
         assert first.is_whole and again.is_whole
         assert again.text() == first.text()
         assert len(ends.runs()) == 1
-        ends.switch(prefill_seconds=3600.0)
+        ends.switch(prefill_seconds=3600.0, cached_prefill_seconds=3600.0)
         async with anyio.create_task_group() as tasks:
             replies = []
 
@@ -130,14 +130,20 @@
 
 @async_test
 async def test_request_that_crashes_engines_is_refused():
-    """After two crashes the same content is refused, also under another identifier."""
+    """After two crashes the same content is refused, here and at other routers."""
     async with served_router() as (bench, ends):
-        messages = [{"role": "user", "content": "CRASH-ENGINE"}]
-        body = chat_body(messages=messages)
-        replies = [await bench.request("POST", CHAT, body) for _ in range(3)]
-        assert replies[-1].json()["reason"] == "poisonous"
-        assert len(ends.runs()) == 2
-        assert (await bench.chat()).is_whole
+        other = RouterBench(bench.keeper, "bravo")
+        async with other.running():
+            await other.ready()
+            messages = [{"role": "user", "content": "CRASH-ENGINE"}]
+            body = chat_body(messages=messages)
+            replies = [await bench.request("POST", CHAT, body) for _ in range(3)]
+            await bench.router.entry.poll()
+            await other.router.entry.poll()
+            replies.append(await other.request("POST", CHAT, body))
+            assert (await other.chat()).is_whole
+        assert [r.json()["reason"] for r in replies[-2:]] == ["poisonous"] * 2
+        assert sum(run.crashed for run in ends.runs()) == 2
 
 
 @async_test
