Let a keeper that started in an outage become ready from its peers

A peer now tells its position with the records: before, a stream without records left the new keeper without a state for ever (seen in test_keeper_started_in_an_outage_catches_up_from_peers, which hung). The claim test now delays appends; before, it could not hide a record from its own reader.

--- a/src/knapweeddrum/process/keeper/peer_records.py
+++ b/src/knapweeddrum/process/keeper/peer_records.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Sequence
 
 from knapweeddrum.message.call.entry_host import EntryHost
-from knapweeddrum.message.call.fetch_reply import FetchReply
+from knapweeddrum.message.call.fetch_reply import NO_STATE, FetchReply
 from knapweeddrum.message.call.fetch_request import FetchRequest
 from knapweeddrum.process.keeper.peer_channels import PeerChannels
 from knapweeddrum.process.keeper.record_source import RecordSource
@@ -42,6 +42,6 @@
                 )
             except RpcError:
                 continue
-            if reply.records or reply.state:
+            if reply.position != NO_STATE:
                 return reply
         return None
--- a/src/knapweeddrum/process/keeper/stream_follower.py
+++ b/src/knapweeddrum/process/keeper/stream_follower.py
@@ -90,12 +90,17 @@
 
     def held_for_peer(self, start: int, limit: int) -> FetchReply:
         """Return records from ``start`` on, or the whole state when they are gone."""
-        if not self.ready.is_set() or start > self.fold.position:
+        if not self.ready.is_set():
             return FetchReply(records=())
+        position = self.fold.position
+        if start > position:
+            return FetchReply(records=(), position=position)
         records = self._buffer.since(start, min(limit, FETCH_LIMIT))
         if records is not None:
-            return FetchReply(records=records)
-        return FetchReply(records=(), covers=self.fold.position, state=self.fold.dump())
+            return FetchReply(records=records, position=position)
+        return FetchReply(
+            records=(), covers=position, state=self.fold.dump(), position=position
+        )
 
     async def run(self) -> None:
         """Follow the stream until cancelled."""
@@ -161,12 +166,13 @@
             return
         if reply.state and reply.covers > self.fold.position:
             self._load(reply.state)
-            self._become_ready()
         records = [
             LogRecord(held.offset, held.time, held.payload) for held in reply.records
         ]
         if records and records[0].offset == self.fold.position + 1:
             self._fold_records(records)
+        if self.fold.position >= reply.position:
+            self._become_ready()
 
     def _fold_records(self, records: Iterable[LogRecord]) -> None:
         for record in records:
--- a/tests/process/keeper/memory_log.py
+++ b/tests/process/keeper/memory_log.py
@@ -25,10 +25,10 @@
         self.streams = collections.defaultdict(list)
         self.changed = anyio.Event()
 
-    def expire_all(self) -> None:
-        """Let all records but the last of each stream expire."""
+    def expire_all_but(self, count: int) -> None:
+        """Let all records but the last ``count`` of each stream expire."""
         for name, records in self.streams.items():
-            self.first[name] = max(0, len(records) - 1)
+            self.first[name] = max(0, len(records) - count)
 
     def add(self, stream: str, payload: bytes) -> int:
         records = self.streams[stream]
@@ -39,22 +39,38 @@
 
 
 class MemoryLogHandle(AppendLog):
-    """One keeper's access: ``out`` cuts it off, ``lose_replies`` hides successes."""
+    """One keeper's access to the log.
+
+    ``out`` cuts it off, ``lose_replies`` hides successes, and with ``delay_appends``
+    appends take effect only when they are delivered.
+    """
 
     def __init__(self, log: MemoryLog) -> None:
         self.out = False
         self.lose_replies = 0
+        self.delay_appends = False
+        self._delayed: list[tuple[str, bytes]] = []
         self._log = log
 
     async def append(self, stream: str, payload: bytes) -> int:
         await anyio.sleep(0)
         self._check()
+        if self.delay_appends:
+            self._delayed.append((stream, payload))
+            raise AppendUnknownError("reply late")
         offset = self._log.add(stream, payload)
         if self.lose_replies:
             self.lose_replies -= 1
             raise AppendUnknownError("reply lost")
         return offset
 
+    def deliver(self) -> None:
+        """Let the delayed appends take effect now."""
+        self.delay_appends = False
+        for stream, payload in self._delayed:
+            self._log.add(stream, payload)
+        self._delayed.clear()
+
     async def read(self, stream: str, start: int, limit: int, wait: float) -> LogPage:
         await anyio.sleep(0)
         self._check()
--- a/tests/process/keeper/test_recovery.py
+++ b/tests/process/keeper/test_recovery.py
@@ -41,7 +41,7 @@
             await first.top_up(f"t{number}", 10)
         follower = first.process._streams[1].follower
         await until(lambda: follower.checkpoint_need(0.0).records < 3)
-        bench.log.expire_all()
+        bench.log.expire_all_but(3)
         second.kill()
         fresh = bench.start(1, 2)
         first.cut = True
@@ -100,27 +100,19 @@
 async def test_claim_that_lands_late_is_withdrawn():
     """A claim refused as not run frees the key once the log is back."""
     async with keeper_bench(2) as (_, (first, second)):
-        first.log.lose_replies = 1
-        first.log.out = False
-        follower = first.process._streams[2].follower
-        assert follower.stream == "claim-0"
-
-        async def hidden_read(*_) -> None:
-            await anyio.sleep_forever()
-
-        # The claim is written but its keeper can't read it back.
-        first.log.read = hidden_read
+        first.log.delay_appends = True
         reply = await first.call(CLAIM, claim("a"))
         assert reply.verdict is ClaimVerdict.UNAVAILABLE
-        del first.log.read
-        first.scope.cancel()
-        reply = await second.call(CLAIM, claim("b"))
-        assert reply.verdict is ClaimVerdict.PENDING
+        first.log.deliver()
+        claims = first.process._streams[2]
+        await until(lambda: claims.appender.idle)
+        assert (await second.call(CLAIM, claim("b"))).verdict is ClaimVerdict.WON
+        assert (await first.call(CLAIM, claim("a"))).verdict is ClaimVerdict.NOT_RUN
 
 
 @async_test
 async def test_first_of_two_racing_changes_wins():
-    """The loser gets a conflict with the winner's version; a repeat the same verdict."""
+    """The loser gets a conflict with the winner's version."""
     async with keeper_bench(2) as (_, (first, second)):
         won = await first.call(CHANGE, change("c1", 0))
         lost = await second.call(CHANGE, change("c2", 0))
