--- a/tests/core/budget/fleet_model.py
+++ b/tests/core/budget/fleet_model.py
@@ -19,6 +19,7 @@
 from knapweeddrum.message.call.allowance import Allowance
 from knapweeddrum.message.fact.any_fact import AnyFact
 from knapweeddrum.message.fact.bill import Bill
+from knapweeddrum.message.fact.deposit import Deposit
 from knapweeddrum.message.fact.fact_codec import encode_batch
 from knapweeddrum.message.fact.grant import Grant
 from knapweeddrum.message.fact.grant_return import GrantReturn
@@ -91,6 +92,7 @@
         self.classes = classes
         self.reference = StreamFold(classes.ledger(WINDOWS), SHORT)
         self.billed_keys: set[str] = set()
+        self.paid: dict[str, int] = {}
         self.log: list[tuple[float, bytes]] = []
         self.sent: list[bytes] = []
         self.late: list[Callable[[], None]] = []
@@ -121,6 +123,8 @@
         for verdict in self.reference.apply(offset, self.time, payload):
             if isinstance(verdict.fact, Bill):
                 self.billed_keys.add(verdict.fact.request_key)
+            if isinstance(verdict.fact, Deposit):
+                self.paid[verdict.fact.topup_id] = verdict.fact.tokens
 
     def read(self, keeper: Keeper) -> None:
         for offset in range(keeper.fold.position + 1, len(self.log)):
--- a/tests/core/budget/test_fleet_properties.py
+++ b/tests/core/budget/test_fleet_properties.py
@@ -10,6 +10,7 @@
     rule,
     run_state_machine_as_test,
 )
+from msgspec import structs
 from nose2.tools import params
 
 from knapweeddrum.core.budget.allowance_pool import AllowancePool
@@ -169,7 +170,7 @@
     @invariant()
     def spend_stays_within_deposits(self):
         status = self.fleet.reference.ledger.status(BUDGET)
-        assert self.fleet.consumed <= status.deposited
+        assert self.fleet.consumed <= sum(self.fleet.paid.values())
         assert status.excess == 0
 
     @invariant()
@@ -212,6 +213,21 @@
                 self._close_if_empty(grant_id, entry, time)
 
 
+class LedgerWithoutTopUpIds(BudgetLedger):
+    """A simpler version that adds each deposit to the balance."""
+
+    def _apply_deposit(self, fact, time):
+        self._topups.clear()
+        return super()._apply_deposit(fact, time)
+
+
+class LedgerWithoutOpenedMark(BudgetLedger):
+    """A simpler version that takes unopened tokens back after their release."""
+
+    def _apply_return(self, fact, time):
+        return super()._apply_return(structs.replace(fact, opened=True), time)
+
+
 class LedgerWithoutBillKeys(BudgetLedger):
     """A simpler version that charges each bill."""
 
@@ -228,6 +244,16 @@
         return super().credit(credit_id, allowances)
 
 
+class PoolWithoutDebit(AllowancePool):
+    """A simpler version that keeps what it gives until it hears of its arrival."""
+
+    def give(self, budget, tokens):
+        given = super().give(budget, tokens)
+        for allowance in given:
+            self._add(allowance)
+        return given
+
+
 class WitnessThatReopens(WitnessBook):
     """A simpler version that forgets that it closed a grant."""
 
@@ -247,6 +273,9 @@
 @params(
     FleetClasses(ledger=LedgerWithLeases),
     FleetClasses(ledger=LedgerWithoutBillKeys),
+    FleetClasses(ledger=LedgerWithoutTopUpIds),
+    FleetClasses(ledger=LedgerWithoutOpenedMark),
+    FleetClasses(pool=PoolWithoutDebit),
     FleetClasses(pool=PoolWithoutIdentifiers),
     FleetClasses(witness=WitnessThatReopens),
     FleetClasses(witness=WitnessWithoutOpenings),
