--- a/tests/process/router/test_allowances.py
+++ b/tests/process/router/test_allowances.py
@@ -43,14 +43,24 @@
 async def test_requests_share_one_draw():
     """While a draw of a budget is in flight no other one is sent."""
     async with served_router() as (bench, _):
-        bench.keeper.silent = {"Draw"}
+        draw = bench.keeper._draw
+        may_reply = anyio.Event()
+        sent = []
+
+        async def draw_later(req):
+            sent.append(req)
+            await may_reply.wait()
+            return await draw(req)
+
+        bench.keeper._draw = draw_later
         async with anyio.create_task_group() as tasks:
-            for _ in range(20):
+            for number in range(1, 6):
                 tasks.start_soon(bench.chat, 2)
-            await until(lambda: bench.router.gate.at_border == 20)
-            bench.keeper.silent = set()
-        assert len(bench.keeper.draws) <= 2
-        assert bench.metrics.counts["answered"] == 20
+                await until(lambda: bench.router.gate.in_progress == number)  # noqa: B023
+                await until(lambda: sent)
+            may_reply.set()
+        assert len(sent) <= 2
+        assert bench.metrics.counts["answered"] == 5
 
 
 @async_test
--- a/tests/process/router/test_model_failures.py
+++ b/tests/process/router/test_model_failures.py
@@ -210,6 +210,53 @@
         assert reply.text() in {answer_text(run.run_id, 300) for run in ends.runs()}
 
 
+@async_test
+async def test_retry_does_not_get_a_run_that_was_stopped():
+    """A hint that leads to a cancelled run is followed by a run of its own."""
+    async with served_router() as (bench, ends):
+        other = RouterBench(bench.keeper, "bravo")
+        async with other.running():
+            await other.ready()
+            body = chat_body(300)
+            async with bench.open("POST", CHAT, body, X_Request_Id="r") as response:
+                await anext(response.aiter_stream())
+                hint = bench.keeper.located["mill/r"]
+            await until(bench.keeper.billed)
+            bench.keeper.located["mill/r"] = hint
+            reply = await other.chat(300, X_Request_Id="r")
+        assert reply.is_whole
+        assert [run.finished for run in ends.runs()] == [False, True]
+
+
+@async_test
+async def test_abandoned_run_is_settled_after_the_answer():
+    """The first settlement of a request is its bill: that of the run it was given."""
+    async with served_router() as (bench, ends):
+        ends.engines[0].set_switches(cut_streams=1000, cut_after_parts=0)
+        for number in range(6):
+            assert (await bench.chat(4, X_Request_Id=f"r{number}")).is_whole
+        await settled(bench)
+        outcomes: dict[str, list[str]] = {}
+        for entry in bench.keeper.settlements.values():
+            outcomes.setdefault(entry.request_key, []).append(entry.outcome)
+        assert ["finished", "cut"] in outcomes.values()
+        assert all(found[0] == "finished" for found in outcomes.values())
+        assert sum(tokens for _, tokens in bench.keeper.billed()) == ends.consumed()
+
+
+@async_test
+async def test_settlement_waits_for_a_silent_keeper():
+    """A settlement is sent until it is accepted; callers don't wait for it."""
+    async with served_router() as (bench, ends):
+        bench.keeper.silent = {"Settle"}
+        assert (await bench.chat(4, X_Request_Id="r")).is_whole
+        await until(lambda: bench.metrics.counts["retry.keeper_unreachable"] >= 2)
+        assert bench.keeper.billed() == []
+        bench.keeper.silent = set()
+        await settled(bench)
+        assert bench.keeper.billed() == [("mill/r", ends.consumed())]
+
+
 @async_test
 async def test_lost_replies_of_the_keeper_change_no_bill():
     """Draws and settlements are repeated with their identifiers until answered."""
@@ -218,6 +265,7 @@
         for number in range(3):
             assert (await bench.chat(4, X_Request_Id=f"r{number}")).is_whole
         await settled(bench)
+        bench.keeper.lost_replies["Settle"] = 2
         bench.router.allowances.return_free()
         await settled(bench)
         assert sum(tokens for _, tokens in bench.keeper.billed()) == ends.consumed()
--- a/tests/process/router/test_services.py
+++ b/tests/process/router/test_services.py
@@ -131,21 +131,22 @@
 
 @async_test
 async def test_router_paused_after_its_claim_was_won_dispatches_nothing():
-    """A verdict read after the deadline is not acted on; the outcome is not_run."""
+    """A verdict that is read too late is not acted on; the outcome is not_run."""
     async with served_router() as (bench, ends):
         claim = bench.keeper._claim
+        for pause, reason in ((3600.0, "deadline"), (15.0, "log_unavailable")):
 
-        async def claim_and_pause(req):
-            reply = await claim(req)
-            bench.skip += 3600.0
-            return reply
+            async def claim_and_pause(req, pause=pause):
+                reply = await claim(req)
+                bench.skip += pause
+                return reply
 
-        bench.keeper._claim = claim_and_pause
-        reply = await book(bench)
-        assert reply.json()["reason"] == "deadline"
-        assert reply.json()["run_state"] == "not_run"
-        await until(lambda: CLAIM_KEY in bench.keeper.outcomes)
-        assert bench.keeper.outcomes[CLAIM_KEY].state == "not_run"
+            bench.keeper._claim = claim_and_pause
+            reply = await book(bench)
+            assert reply.json()["reason"] == reason
+            assert reply.json()["run_state"] == "not_run"
+            await until(lambda: CLAIM_KEY in bench.keeper.outcomes)
+            assert bench.keeper.outcomes[CLAIM_KEY].state == "not_run"
         assert ends.executions() == 0
 
 
