--- a/src/knapweeddrum/process/router/caller_headers.py
+++ b/src/knapweeddrum/process/router/caller_headers.py
@@ -16,6 +16,8 @@
 
 BUDGET = re.compile(r"[A-Za-z0-9._-]{1,64}")
 
+CONTENT_TYPE = re.compile(r"[ -~]{0,256}")
+
 DEADLINE_LIMIT_SECONDS = 3600.0
 DEFAULT_BUDGET = "main"
 
@@ -51,7 +53,7 @@
             budget=_matching(values, "knapweed-budget", BUDGET) or DEFAULT_BUDGET,
             deadline=_deadline(values.get("knapweed-deadline", "")),
             priority=_priority(values.get("knapweed-priority", "live")),
-            content_type=values.get("content-type", ""),
+            content_type=_matching(values, "content-type", CONTENT_TYPE),
         )
 
 
--- a/src/knapweeddrum/process/router/caller_server.py
+++ b/src/knapweeddrum/process/router/caller_server.py
@@ -55,6 +55,7 @@
         ws="none",
         lifespan="off",
         log_config=None,
+        log_level="critical",
         access_log=False,
         server_header=False,
         timeout_keep_alive=KEEP_ALIVE_SECONDS,
--- a/src/knapweeddrum/process/router/chat_body.py
+++ b/src/knapweeddrum/process/router/chat_body.py
@@ -64,6 +64,8 @@
 def decode_chat_body(body: bytes) -> ChatBody:
     """Return the checked body; raises RefusedError that names the wrong field."""
     try:
+        # The decoder doesn't look into the parts that it leaves raw.
+        body.decode("utf-8")
         return _DECODER.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as exc:
         raise refused(RefusalReason.BAD_REQUEST, f"body: {exc}") from exc
--- a/tests/process/router/test_border.py
+++ b/tests/process/router/test_border.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import contextlib
+
 import msgspec
 from hypothesis import given
 from hypothesis import strategies as st
@@ -9,6 +11,7 @@
 from knapweeddrum.message.call.resource_record import ResourceRecord
 from knapweeddrum.message.resource.budget import Budget
 from knapweeddrum.process.router.chat_body import decode_chat_body
+from knapweeddrum.process.router.exceptions import RefusedError
 from knapweeddrum.process.router.prefix_digests import prefix_digests
 from knapweeddrum.process.router.resource_table import ResourceTable
 from tests.async_test import async_test
@@ -50,6 +53,14 @@
     assert bound >= max(counted, sum(len(text.encode()) for text in texts))
 
 
+@given(st.binary(max_size=200))
+def test_any_body_is_taken_or_refused(noise: bytes):
+    """Whatever the bytes, decoding ends with a body or with a bad request."""
+    for body in (noise, b'{"model": "m", "messages": ' + noise):
+        with contextlib.suppress(RefusedError):
+            decode_chat_body(body)
+
+
 @async_test
 async def test_entry_advice_leaves_out_hosts_that_take_no_work():
     """Near hosts come first; draining and silent ones are not named."""
--- a/tests/process/router/test_model_failures.py
+++ b/tests/process/router/test_model_failures.py
@@ -210,6 +210,39 @@
         assert reply.text() in {answer_text(run.run_id, 300) for run in ends.runs()}
 
 
+@async_test
+async def test_retry_after_a_router_was_killed_resumes_its_run():
+    """The killed router settles nothing; the one that resumes the run bills it once."""
+    async with served_router() as (bench, ends):
+        body = chat_body(300)
+        async with anyio.create_task_group() as tasks:
+            started = anyio.Event()
+
+            async def live_and_die() -> None:
+                killed = RouterBench(bench.keeper, "bravo")
+                async with killed.running():
+                    await killed.ready()
+                    async with killed.open(
+                        "POST", CHAT, body, X_Request_Id="r"
+                    ) as response:
+                        stream = response.aiter_stream()
+                        await anext(stream)
+                        started.set()
+                        await anyio.sleep_forever()
+
+            tasks.start_soon(live_and_die)
+            await started.wait()
+            bench.keeper.silent = {"Settle"}
+            tasks.cancel_scope.cancel()
+        bench.keeper.silent = set()
+        reply = await bench.chat(300, X_Request_Id="r")
+        (run,) = ends.runs()
+        assert reply.is_whole
+        assert reply.text() == answer_text(run.run_id, 300)
+        await settled(bench)
+        assert bench.keeper.billed() == [("mill/r", ends.consumed())]
+
+
 @async_test
 async def test_retry_does_not_get_a_run_that_was_stopped():
     """A hint that leads to a cancelled run is followed by a run of its own."""
--- a/tests/process/router/test_refusals.py
+++ b/tests/process/router/test_refusals.py
@@ -22,6 +22,9 @@
     b"{",
     b"\xff\xfe",
     b"[]",
+    b'{"x":' + b"[" * 800,
+    b'{"model": "drafts", "messages": ' + b"[" * 1_500,
+    chat_body().replace(b"quote", b"quot\xff"),
     chat_body(model=""),
     chat_body(messages=[]),
     chat_body(tokens=0),
@@ -42,6 +45,7 @@
     {"Knapweed_Deadline": "nan"},
     {"Knapweed_Deadline": "soon"},
     {"Knapweed_Priority": "first"},
+    {"Content_Type": "x" * 257},
 )
 
 BAD_PATHS = (
