--- a/src/knapweeddrum/core/admission/admission_controller.py
+++ b/src/knapweeddrum/core/admission/admission_controller.py
@@ -59,22 +59,25 @@
 
     def release(
         self, route: RouteName, request_id: str, now: float
-    ) -> tuple[Admitted | Refused, ...]:
+    ) -> tuple[Admitted, ...]:
         """Free the slot of a request that ended or was cancelled."""
         queue = self.queue(route)
         queue.release(request_id, now)
-        return queue.poll(now)
+        return queue.fill(now)
 
     def withdraw(
         self, route: RouteName, request_id: str, now: float
-    ) -> tuple[Admitted | Refused, ...]:
+    ) -> tuple[Admitted, ...]:
         """Drop a queued request whose caller left."""
         queue = self.queue(route)
         queue.withdraw(request_id)
-        return queue.poll(now)
+        return queue.fill(now)
 
     def poll(self, now: float) -> tuple[Admitted | Refused, ...]:
-        """Decide on queued requests of all routes; call it a few times a second."""
+        """Decide on queued requests of all routes.
+
+        Call it a few times a second: it refuses what has become too late.
+        """
         decisions: list[Admitted | Refused] = []
         for queue in self._queues.values():
             decisions += queue.poll(now)
--- a/src/knapweeddrum/core/admission/admission_queue.py
+++ b/src/knapweeddrum/core/admission/admission_queue.py
@@ -52,6 +52,7 @@
         self.limits = limits
         self._queues = {priority: FairQueue() for priority in Priority}
         self._running: dict[str, _Running] = {}
+        self._running_reviews = 0
         self._waiting: dict[str, QueueEntry] = {}
         self._rate = ServiceRate(limits.service_seconds)
         self._retry_after = RetryAfter(rng)
@@ -89,8 +90,10 @@
     def release(self, request_id: str, now: float) -> None:
         """Free the slot of a request that ended."""
         running = self._running.pop(request_id, None)
-        if running is not None:
-            self._rate.served(now - running.started_at)
+        if running is None:
+            return
+        self._rate.served(now - running.started_at)
+        self._running_reviews -= running.priority is Priority.REVIEW
 
     def withdraw(self, request_id: str) -> None:
         """Drop a queued request whose caller left."""
@@ -100,9 +103,19 @@
 
     def poll(self, now: float) -> tuple[Admitted | Refused, ...]:
         """Decide on queued requests: refuse what is too late, then fill the slots."""
-        refused = self._refuse_late(now)
-        admitted = self._fill(now)
-        return (*refused, *admitted)
+        return (*self._refuse_late(now), *self.fill(now))
+
+    def fill(self, now: float) -> tuple[Admitted, ...]:
+        """Admit queued requests into free slots."""
+        admitted = []
+        for priority, queue in self._queues.items():
+            while len(queue) and self._may_start(priority):
+                entry = queue.pop()
+                del self._waiting[entry.req.request_id]
+                self._start(entry.req, now)
+                waited = now - entry.queued_at
+                admitted.append(Admitted(entry.req.request_id, waited))
+        return tuple(admitted)
 
     def predicted_wait(self, priority: Priority, position: int, now: float) -> float:
         """Return the seconds until a request starts that is at ``position``.
@@ -185,19 +198,9 @@
                     ahead += 1
         return late
 
-    def _fill(self, now: float) -> list[Admitted]:
-        admitted = []
-        for priority, queue in self._queues.items():
-            while len(queue) and self._may_start(priority):
-                entry = queue.pop()
-                del self._waiting[entry.req.request_id]
-                self._start(entry.req, now)
-                waited = now - entry.queued_at
-                admitted.append(Admitted(entry.req.request_id, waited))
-        return admitted
-
     def _start(self, req: AdmissionRequest, now: float) -> None:
         self._running[req.request_id] = _Running(req.priority, now)
+        self._running_reviews += req.priority is Priority.REVIEW
         self._rate.admitted(req.priority, now)
 
     def _is_next(self, priority: Priority) -> bool:
@@ -217,13 +220,8 @@
         return max(1, math.floor(REVIEW_SLOTS_SHARE * self.limits.in_progress))
 
     def _has_review_slot(self) -> bool:
-        return self._running_reviews() < self._review_slots()
+        return self._running_reviews < self._review_slots()
 
     def _reviews_over(self) -> int:
         """Return the running reviews that occupy the slots over the limit."""
-        return min(self._running_reviews(), self._review_slots())
-
-    def _running_reviews(self) -> int:
-        return sum(
-            running.priority is Priority.REVIEW for running in self._running.values()
-        )
+        return min(self._running_reviews, self._review_slots())
--- a/src/knapweeddrum/core/membership/member_table.py
+++ b/src/knapweeddrum/core/membership/member_table.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import zlib
 from collections.abc import Iterable
 
 import msgspec
@@ -11,15 +12,25 @@
 from knapweeddrum.core.membership.member import Member
 from knapweeddrum.core.membership.member_state import MemberState
 from knapweeddrum.core.membership.peer_address import PeerAddress
+from knapweeddrum.core.membership.urgent_changes import UrgentChanges
 from knapweeddrum.message.call.entry_host import EntryHost
+from knapweeddrum.message.call.exchange_reply import ExchangeReply
+from knapweeddrum.message.call.exchange_request import ExchangeRequest
 from knapweeddrum.message.call.heartbeat import Heartbeat
+from knapweeddrum.message.call.heartbeat_mark import HeartbeatMark
 from knapweeddrum.value.identifiers import HostName
 
 PEERS_PER_ROUND = 1
 """Peers that a node exchanges heartbeats with in a round."""
 
-HEARTBEATS_PER_MESSAGE = 16
-"""Heartbeats in one message, the sender's own included."""
+HEARTBEATS_PER_MESSAGE = 4
+"""Whole heartbeats in one message, the sender's own included."""
+
+HEARTBEATS_PER_WELCOME = 48
+"""Whole heartbeats in a reply to a host that knows fewer members."""
+
+MARKS_PER_MESSAGE = 32
+"""Heartbeat marks in one message."""
 
 ROUND_SECONDS = 1.0
 """Time between two rounds."""
@@ -48,7 +59,9 @@
 
     Incarnations of one host are ordered as strings; see ``new_incarnation``. What a
     node knows of a host only ever moves to a newer heartbeat, so merges are idempotent
-    and commutative, and a process that was frozen can bring nothing old back. Times
+    and commutative, and a process that was frozen can bring nothing old back. A message
+    holds few whole heartbeats, above all of hosts that changed, and many marks, which
+    renew heartbeats that the receiver has; its size doesn't grow with the fleet. Times
     are monotonic seconds.
     """
 
@@ -59,7 +72,8 @@
         self._seeds: dict[str, PeerAddress] = {}
         self._leaving: frozenset[str] = frozenset()
         self._superseded_by = ""
-        self._urgent: dict[str, int] = {}
+        self._urgent = UrgentChanges()
+        self._hosts_by_crc: dict[int, str] = {}
 
     @property
     def own(self) -> Heartbeat:
@@ -111,23 +125,65 @@
                 self._check_superseded(heartbeat)
                 continue
             known = self._members.get(heartbeat.host)
-            if known is not None and _age_key(heartbeat) <= _age_key(known.heartbeat):
+            if known is None or _age_key(heartbeat) > _age_key(known.heartbeat):
+                self._set(heartbeat, now)
+
+    def merge_marks(self, marks: Iterable[HeartbeatMark], now: float) -> None:
+        """Take marks from a peer; those of unknown incarnations are disregarded."""
+        for mark in marks:
+            host = self._hosts_by_crc.get(mark.incarnation_crc)
+            known = None if host is None else self._members.get(host)
+            if known is None or mark.sequence <= known.heartbeat.sequence:
                 continue
-            self._members[heartbeat.host] = Member(heartbeat, now)
-            if known is None or _is_urgent(known.heartbeat, heartbeat):
-                self._urgent[heartbeat.host] = self._urgent_sends()
+            if _crc(known.heartbeat.incarnation) != mark.incarnation_crc:
+                continue
+            heartbeat = msgspec.structs.replace(
+                known.heartbeat,
+                sequence=mark.sequence,
+                draining=mark.draining,
+                config_offset=mark.config_offset,
+            )
+            self._set(heartbeat, now)
 
-    def outgoing(self) -> tuple[Heartbeat, ...]:
-        """Return what to send in one message: the own heartbeat, then some others.
+    def outgoing(self, count: int = HEARTBEATS_PER_MESSAGE) -> tuple[Heartbeat, ...]:
+        """Return the whole heartbeats for one message: the own one, then others.
 
         Those with a change of incarnation or drain come first, for a bounded number
         of messages; the rest is a random choice of the fresher half.
         """
-        urgent = self._take_urgent()
-        rest = HEARTBEATS_PER_MESSAGE - 1 - len(urgent)
-        others = [*urgent, *self._sample_fresh(rest, set(urgent))]
+        urgent = self._urgent.take(count - 1)
+        others = [*urgent, *self._sample_fresh(count - 1 - len(urgent), set(urgent))]
         return (self._own, *(self._members[host].heartbeat for host in others))
 
+    def outgoing_marks(self) -> tuple[HeartbeatMark, ...]:
+        """Return the marks for one message, a random choice of the fresher half."""
+        hosts = self._sample_fresh(MARKS_PER_MESSAGE, set())
+        return tuple(_mark(self._members[host].heartbeat) for host in hosts)
+
+    def request(self) -> ExchangeRequest:
+        """Return the message to a peer that was chosen."""
+        return ExchangeRequest(
+            self.outgoing(), self.outgoing_marks(), known=len(self._members)
+        )
+
+    def reply(self, req: ExchangeRequest, now: float) -> ExchangeReply:
+        """Take a peer's message and return the reply.
+
+        A peer that knows fewer members gets more; one that was replaced gets the
+        heartbeat of the newer incarnation.
+        """
+        self.merge(req.heartbeats, now)
+        self.merge_marks(req.marks, now)
+        is_behind = req.known < len(self._members)
+        count = HEARTBEATS_PER_WELCOME if is_behind else HEARTBEATS_PER_MESSAGE
+        heartbeats = (*self.outgoing(count), *self._newer_of_sender(req))
+        return ExchangeReply(heartbeats, self.outgoing_marks())
+
+    def take_reply(self, reply: ExchangeReply, now: float) -> None:
+        """Take a peer's reply."""
+        self.merge(reply.heartbeats, now)
+        self.merge_marks(reply.marks, now)
+
     def choose_peers(self, now: float) -> tuple[PeerAddress, ...]:
         """Return the peers of this round.
 
@@ -141,14 +197,16 @@
             return (self._rng.choice(absent), *others)
         return tuple(self._rng.sample(present, count))
 
+    def silence(self, host: HostName, now: float) -> float:
+        """Return the seconds since a fresh heartbeat of a host; infinite for none."""
+        member = self._members.get(host)
+        return float("inf") if member is None else now - member.heard_at
+
     def state(self, host: HostName, now: float) -> MemberState:
         """Return the state of a host; an unknown one is gone."""
         if host == self._own.host:
             return MemberState.ALIVE
-        member = self._members.get(host)
-        if member is None:
-            return MemberState.GONE
-        silence = now - member.heard_at
+        silence = self.silence(host, now)
         limit = self.suspect_seconds()
         if silence < limit:
             return MemberState.ALIVE
@@ -180,21 +238,23 @@
             if now - member.heard_at >= FORGET_SECONDS
         ]
         for host in old:
-            del self._members[host]
-            self._urgent.pop(host, None)
+            member = self._members.pop(host)
+            self._hosts_by_crc.pop(_crc(member.heartbeat.incarnation), None)
+            self._urgent.discard(host)
 
     def suspect_seconds(self) -> float:
         """Return the silence that makes a member suspect; it grows with the fleet."""
-        heard = 2 * PEERS_PER_ROUND * (HEARTBEATS_PER_MESSAGE - 1) / ROUND_SECONDS
+        heard = 2 * PEERS_PER_ROUND * MARKS_PER_MESSAGE / ROUND_SECONDS
         return SUSPECT_SECONDS + SPREAD_FACTOR * len(self._members) / heard
 
     def _split_peers(self, now: float) -> tuple[list[PeerAddress], list[PeerAddress]]:
         """Return the peers that are not gone, and those that are or never came."""
+        gone_seconds = GONE_FACTOR * self.suspect_seconds()
         present: list[PeerAddress] = []
         absent: list[PeerAddress] = []
-        for host, member in sorted(self._members.items()):
+        for _, member in sorted(self._members.items()):
             peer = _peer_address(member.heartbeat)
-            is_gone = self.state(HostName(host), now) is MemberState.GONE
+            is_gone = now - member.heard_at >= gone_seconds
             (absent if is_gone else present).append(peer)
         absent += [
             seed
@@ -203,17 +263,27 @@
         ]
         return present, absent
 
-    def _urgent_sends(self) -> int:
-        return URGENT_SENDS + len(self._members).bit_length()
-
-    def _take_urgent(self) -> list[str]:
-        by_need = sorted(self._urgent, key=lambda host: (-self._urgent[host], host))
-        taken = by_need[: HEARTBEATS_PER_MESSAGE - 1]
-        for host in taken:
-            self._urgent[host] -= 1
-            if self._urgent[host] == 0:
-                del self._urgent[host]
-        return taken
+    def _set(self, heartbeat: Heartbeat, now: float) -> None:
+        known = self._members.get(heartbeat.host)
+        self._members[heartbeat.host] = Member(heartbeat, now)
+        if known is None or known.heartbeat.incarnation != heartbeat.incarnation:
+            self._hosts_by_crc[_crc(heartbeat.incarnation)] = heartbeat.host
+            if known is not None:
+                self._hosts_by_crc.pop(_crc(known.heartbeat.incarnation), None)
+        elif known.heartbeat.draining == heartbeat.draining:
+            return
+        sends = URGENT_SENDS + len(self._members).bit_length()
+        self._urgent.add(heartbeat.host, sends)
+
+    def _newer_of_sender(self, req: ExchangeRequest) -> tuple[Heartbeat, ...]:
+        """Return the heartbeat that replaces the sender's, if there is one."""
+        if not req.heartbeats:
+            return ()
+        sender = req.heartbeats[0]
+        known = self._members.get(sender.host)
+        if known is None or known.heartbeat.incarnation <= sender.incarnation:
+            return ()
+        return (known.heartbeat,)
 
     def _sample_fresh(self, count: int, taken: set[str]) -> list[str]:
         hosts = [host for host in sorted(self._members) if host not in taken]
@@ -246,10 +316,17 @@
     return (heartbeat.incarnation, heartbeat.sequence)
 
 
-def _is_urgent(known: Heartbeat, heartbeat: Heartbeat) -> bool:
-    if heartbeat.incarnation != known.incarnation:
-        return True
-    return heartbeat.draining != known.draining
+def _crc(incarnation: str) -> int:
+    return zlib.crc32(incarnation.encode())
+
+
+def _mark(heartbeat: Heartbeat) -> HeartbeatMark:
+    return HeartbeatMark(
+        _crc(heartbeat.incarnation),
+        heartbeat.sequence,
+        heartbeat.draining,
+        heartbeat.config_offset,
+    )
 
 
 def _peer_address(heartbeat: Heartbeat) -> PeerAddress:
--- a/src/knapweeddrum/core/routing/endpoint_table.py
+++ b/src/knapweeddrum/core/routing/endpoint_table.py
@@ -109,18 +109,19 @@
     ) -> tuple[EndpointView, ...]:
         """Return the views among ``names`` that may get a request.
 
-        Without ``allow_probe`` (for requests that are not idempotent) an endpoint on
-        probation is left out. When too few are healthy, all that don't leave are
-        returned, so that a wrong verdict can't take the last endpoints away.
+        When too few are healthy, all that don't leave are returned, so that a wrong
+        verdict can't take the last endpoints away. Without ``allow_probe`` (for
+        requests that are not idempotent) only healthy ones are, or those on probation
+        when none is healthy: better refused than lost at a failing endpoint.
         """
         present = [self._views[name] for name in names if name in self._views]
         staying = [view for view in present if not view.leaving]
         healthy = [view for view in staying if _is_healthy(view, now)]
+        probes = [view for view in staying if view.health.is_probe_free(now)]
+        if not allow_probe:
+            return tuple(healthy or probes)
         if len(healthy) < PANIC_SHARE * len(staying):
             return tuple(staying)
-        if not allow_probe:
-            return tuple(healthy)
-        probes = [view for view in staying if view.health.is_probe_free(now)]
         return tuple(healthy + probes)
 
 
--- a/src/knapweeddrum/message/call/exchange_reply.py
+++ b/src/knapweeddrum/message/call/exchange_reply.py
@@ -5,9 +5,11 @@
 import msgspec
 
 from knapweeddrum.message.call.heartbeat import Heartbeat
+from knapweeddrum.message.call.heartbeat_mark import HeartbeatMark
 
 
 class ExchangeReply(msgspec.Struct, frozen=True):
     """The receiver's own heartbeat first, then some that it heard."""
 
     heartbeats: tuple[Heartbeat, ...]
+    marks: tuple[HeartbeatMark, ...] = ()
--- a/tests/core/membership/test_member_table.py
+++ b/tests/core/membership/test_member_table.py
@@ -10,6 +10,7 @@
 from knapweeddrum.core.membership.member_state import MemberState
 from knapweeddrum.core.membership.member_table import (
     HEARTBEATS_PER_MESSAGE,
+    MARKS_PER_MESSAGE,
     PEERS_PER_ROUND,
 )
 from knapweeddrum.core.membership.new_incarnation import new_incarnation
@@ -52,8 +53,9 @@
 
 def test_frozen_process_that_wakes_learns_that_it_was_replaced():
     """It finds the newer incarnation of its own host in a peer's reply."""
-    table = new_table("h2")
-    table.merge([new_heartbeat("h2", 1, NEW)], 9.0)
+    table, peer = new_table("h2"), new_table("h1")
+    peer.merge([new_heartbeat("h2", 1, NEW)], 1.0)
+    table.take_reply(peer.reply(table.request(), 9.0), 9.0)
     assert table.superseded_by == NEW
     table.merge([new_heartbeat("h2", 5, OLD)], 9.0)
     assert table.superseded_by == NEW
@@ -94,6 +96,23 @@
     assert set(tried) == {"h2", "h3", "h4"}
 
 
+def test_mark_renews_only_the_incarnation_that_it_is_of():
+    """Marks of a replaced or unknown incarnation, and older ones, change nothing."""
+    table, peer = new_table("h1"), new_table("h3")
+    peer.merge([new_heartbeat("h2", 7, NEW, draining=True)], 0.0)
+    marks = peer.outgoing_marks()
+    table.merge_marks(marks, 1.0)
+    assert table.state("h2", 1.0) is MemberState.GONE
+    table.merge([new_heartbeat("h2", 9, OLD)], 2.0)
+    table.merge_marks(marks, 3.0)
+    assert table.silence("h2", 3.0) == 1.0
+    table.merge([new_heartbeat("h2", 1, NEW)], 4.0)
+    table.merge_marks(marks, 5.0)
+    assert (table.silence("h2", 5.0), table.is_draining("h2")) == (0.0, True)
+    table.merge_marks(marks, 6.0)
+    assert table.silence("h2", 6.0) == 1.0
+
+
 HEARTBEATS = st.lists(
     st.builds(
         new_heartbeat,
@@ -126,8 +145,8 @@
             for peer in table.choose_peers(now):
                 if (name in cut) != (peer.host in cut):
                     continue
-                tables[peer.host].merge(table.outgoing(), now)
-                table.merge(tables[peer.host].outgoing(), now)
+                reply = tables[peer.host].reply(table.request(), now)
+                table.take_reply(reply, now)
     return now
 
 
@@ -160,7 +179,8 @@
     now = _run_rounds(tables, 50, 0.0)
     assert {_alive(table, now) for table in tables.values()} == {60}
     for table in tables.values():
-        assert len(table.outgoing()) == HEARTBEATS_PER_MESSAGE
+        assert len(table.request().heartbeats) == HEARTBEATS_PER_MESSAGE
+        assert len(table.request().marks) == MARKS_PER_MESSAGE
         assert len(table.choose_peers(now)) <= PEERS_PER_ROUND
 
 
--- a/tests/core/routing/test_endpoint_table.py
+++ b/tests/core/routing/test_endpoint_table.py
@@ -126,6 +126,15 @@
     assert _candidates(table, 1.1) == list(NAMES)
 
 
+def test_booking_is_not_sent_to_failing_endpoints():
+    """It is refused while all are ejected, and may be the probe once none is left."""
+    table = new_table()
+    for name in NAMES:
+        _fail(table, name, 1.0)
+    assert _candidates(table, 1.1, allow_probe=False) == []
+    assert _candidates(table, 3.1, allow_probe=False) == list(NAMES)
+
+
 def test_foreign_load_leaves_out_own_requests_at_the_time_of_the_report():
     """What a lagging report counted of this router isn't counted twice."""
     table = new_table()
--- a/tools/measure_routing.py
+++ b/tools/measure_routing.py
@@ -11,6 +11,7 @@
 from tools.routing_model.crash_scenario import crash_rows
 from tools.routing_model.fairness_scenario import fairness_rows
 from tools.routing_model.load_scenario import load_rows
+from tools.routing_model.membership_scenario import membership_rows
 from tools.routing_model.retry_scenario import retry_rows
 from tools.routing_model.row import print_row
 
@@ -19,6 +20,7 @@
     "fairness": fairness_rows,
     "retry": retry_rows,
     "crash": crash_rows,
+    "membership": membership_rows,
 }
 
 
--- /dev/null
+++ b/tools/routing_model/membership_scenario.py
@@ -0,0 +1,152 @@
+"""Spread of heartbeats, of a drain and of a loss, at several sizes of the fleet."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+
+import msgspec
+
+from knapweeddrum.core.membership.member_state import MemberState
+from knapweeddrum.core.membership.member_table import ROUND_SECONDS, MemberTable
+from knapweeddrum.core.membership.peer_address import PeerAddress
+from knapweeddrum.message.call.heartbeat import Heartbeat
+from knapweeddrum.value.identifiers import HostName
+from tools.routing_model.figures import percentile, rounded
+from tools.routing_model.row import Row
+
+SIZES = (7, 120, 370)
+SEED = 1
+SEEDS_IN_SETTINGS = 7
+WARM_UP_ROUNDS = 60
+MEASURED_ROUNDS = 20
+LOSS_ROUNDS = 200
+OBSERVERS = 20
+
+
+class _Gossip:
+    """Tables that exchange heartbeats in rounds, all hosts once a round."""
+
+    def __init__(self, size: int) -> None:
+        self.now = 0.0
+        self.sent_bytes = 0
+        self.tables = {
+            HostName(f"entry-{number:03}.xela-norte"): self._new_table(number)
+            for number in range(size)
+        }
+        self.names = list(self.tables)
+        self.draining: set[HostName] = set()
+        self.lost: set[HostName] = set()
+        seeds = [
+            PeerAddress(name, "10.20.30.40", 8081)
+            for name in self.names[:SEEDS_IN_SETTINGS]
+        ]
+        for table in self.tables.values():
+            table.add_seeds(seeds)
+
+    def run_round(self) -> None:
+        """Let each host exchange once."""
+        self.now += ROUND_SECONDS
+        for name, table in self.tables.items():
+            if name in self.lost:
+                continue
+            table.update_own(name in self.draining, 1_000_000)
+            for peer in table.choose_peers(self.now):
+                self._exchange(table, peer.host)
+
+    def count(self, host: HostName, state: MemberState) -> int:
+        """Return how many hosts have ``host`` in a state."""
+        return sum(
+            table.state(host, self.now) is state
+            for name, table in self.tables.items()
+            if name not in self.lost
+        )
+
+    def _exchange(self, table: MemberTable, host: HostName) -> None:
+        req = table.request()
+        self.sent_bytes += len(msgspec.msgpack.encode(req))
+        if host in self.lost:
+            return
+        reply = self.tables[host].reply(req, self.now)
+        self.sent_bytes += len(msgspec.msgpack.encode(reply))
+        table.take_reply(reply, self.now)
+
+    def _new_table(self, number: int) -> MemberTable:
+        host = f"entry-{number:03}.xela-norte"
+        own = Heartbeat(
+            host=host,
+            data_centre="xela-norte",
+            incarnation=f"{host}/keeper/0199a1b2c3d4-01234567",
+            address="10.20.30.40",
+            router_port=8080,
+            keeper_port=8081,
+            control_port=8082,
+            sequence=100_000,
+            draining=False,
+            config_offset=1_000_000,
+        )
+        return MemberTable(own, random.Random(f"{SEED}/{number}"))
+
+
+def membership_rows() -> Iterator[Row]:
+    """Yield a row for each size."""
+    for size in SIZES:
+        gossip = _Gossip(size)
+        for _ in range(WARM_UP_ROUNDS):
+            gossip.run_round()
+        figures: dict[str, float | None] = {"hosts": float(size)}
+        figures |= _steady_figures(gossip, size)
+        figures["drain_known_by_all_s"] = _drain_seconds(gossip, size)
+        figures |= _loss_figures(gossip, size)
+        yield Row("membership", "gossip", SEED, figures)
+
+
+def _steady_figures(gossip: _Gossip, size: int) -> dict[str, float | None]:
+    gossip.sent_bytes = 0
+    for _ in range(MEASURED_ROUNDS):
+        gossip.run_round()
+    # Each byte is sent by one host and received by another.
+    seconds = MEASURED_ROUNDS * ROUND_SECONDS
+    silences = []
+    gone = 0
+    for name in gossip.names[:OBSERVERS]:
+        table = gossip.tables[name]
+        silences += [
+            table.silence(other, gossip.now) for other in gossip.names if other != name
+        ]
+        gone += sum(not host.alive for host in table.hosts(gossip.now))
+    return {
+        "payload_bytes_per_s": rounded(2 * gossip.sent_bytes / seconds / size, 0),
+        "silence_p50_s": percentile(silences, 0.5),
+        "silence_p99_s": percentile(silences, 0.99),
+        "silence_max_s": max(silences),
+        "wrongly_gone": float(gone),
+        "suspect_after_s": rounded(table.suspect_seconds(), 1),
+    }
+
+
+def _drain_seconds(gossip: _Gossip, size: int) -> float:
+    host = gossip.names[-2]
+    gossip.draining.add(host)
+    started_at = gossip.now
+    while sum(t.is_draining(host) for t in gossip.tables.values()) < size:
+        gossip.run_round()
+    return gossip.now - started_at
+
+
+def _loss_figures(gossip: _Gossip, size: int) -> dict[str, float | None]:
+    host = gossip.names[-1]
+    gossip.lost.add(host)
+    started_at = gossip.now
+    half = None
+    for _ in range(LOSS_ROUNDS):
+        gossip.run_round()
+        gone = gossip.count(host, MemberState.GONE)
+        if half is None and 2 * gone >= size:
+            half = gossip.now - started_at
+        if gone == size - 1:
+            break
+    return {
+        "loss_known_by_half_s": half,
+        "loss_known_by_all_s": gossip.now - started_at,
+    }
