--- a/src/knapweeddrum/core/membership/drain_plan.py
+++ b/src/knapweeddrum/core/membership/drain_plan.py
@@ -4,7 +4,7 @@
 
 from knapweeddrum.core.membership.drain_state import DrainState
 
-ADVICE_SPREAD_SECONDS = 5.0
+ADVICE_SPREAD_SECONDS = 10.0
 """Time until other hosts have heard of the drain and leave the host out."""
 
 
--- a/src/knapweeddrum/core/membership/member.py
+++ b/src/knapweeddrum/core/membership/member.py
@@ -9,7 +9,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
-    """The newest heartbeat of a host and when it came, in monotonic seconds."""
+    """The newest heartbeat of a host and when it left there, in monotonic seconds."""
 
     heartbeat: Heartbeat
     heard_at: float
--- a/src/knapweeddrum/core/membership/member_table.py
+++ b/src/knapweeddrum/core/membership/member_table.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 import zlib
 from collections.abc import Iterable
@@ -23,13 +24,16 @@
 PEERS_PER_ROUND = 1
 """Peers that a node exchanges heartbeats with in a round."""
 
-HEARTBEATS_PER_MESSAGE = 4
+HEARTBEATS_PER_MESSAGE = 2
 """Whole heartbeats in one message, the sender's own included."""
 
 HEARTBEATS_PER_WELCOME = 48
 """Whole heartbeats in a reply to a host that knows fewer members."""
 
-MARKS_PER_MESSAGE = 32
+MAX_WANTED = 8
+"""Unknown incarnations that are asked for in one message."""
+
+MARKS_PER_MESSAGE = 40
 """Heartbeat marks in one message."""
 
 ROUND_SECONDS = 1.0
@@ -60,9 +64,10 @@
     Incarnations of one host are ordered as strings; see ``new_incarnation``. What a
     node knows of a host only ever moves to a newer heartbeat, so merges are idempotent
     and commutative, and a process that was frozen can bring nothing old back. A message
-    holds few whole heartbeats, above all of hosts that changed, and many marks, which
-    renew heartbeats that the receiver has; its size doesn't grow with the fleet. Times
-    are monotonic seconds.
+    holds the sender's heartbeat, few of others, and many marks, which renew heartbeats
+    that the receiver has; its size doesn't grow with the fleet. Marks carry their age,
+    so that news of a lost host doesn't look fresh for having travelled long. Times are
+    monotonic seconds.
     """
 
     def __init__(self, own: Heartbeat, rng: random.Random) -> None:
@@ -74,6 +79,7 @@
         self._superseded_by = ""
         self._urgent = UrgentChanges()
         self._hosts_by_crc: dict[int, str] = {}
+        self._wanted: dict[int, None] = {}
 
     @property
     def own(self) -> Heartbeat:
@@ -129,60 +135,63 @@
                 self._set(heartbeat, now)
 
     def merge_marks(self, marks: Iterable[HeartbeatMark], now: float) -> None:
-        """Take marks from a peer; those of unknown incarnations are disregarded."""
+        """Take marks from a peer; unknown incarnations are asked for later."""
         for mark in marks:
-            host = self._hosts_by_crc.get(mark.incarnation_crc)
-            known = None if host is None else self._members.get(host)
-            if known is None or mark.sequence <= known.heartbeat.sequence:
-                continue
-            if _crc(known.heartbeat.incarnation) != mark.incarnation_crc:
-                continue
-            heartbeat = msgspec.structs.replace(
-                known.heartbeat,
-                sequence=mark.sequence,
-                draining=mark.draining,
-                config_offset=mark.config_offset,
-            )
-            self._set(heartbeat, now)
-
-    def outgoing(self, count: int = HEARTBEATS_PER_MESSAGE) -> tuple[Heartbeat, ...]:
-        """Return the whole heartbeats for one message: the own one, then others.
+            known = self._member_by_crc(mark.incarnation_crc)
+            if known is None:
+                self._want(mark.incarnation_crc)
+            elif mark.sequence > known.heartbeat.sequence:
+                heartbeat = msgspec.structs.replace(
+                    known.heartbeat,
+                    sequence=mark.sequence,
+                    draining=mark.draining,
+                    config_offset=mark.config_offset,
+                )
+                self._set(heartbeat, now - mark.age)
+
+    def outgoing(self) -> tuple[Heartbeat, ...]:
+        """Return the whole heartbeats for one message: the own one, then others."""
+        hosts = sorted(self._members)
+        count = min(HEARTBEATS_PER_MESSAGE - 1, len(hosts))
+        chosen = self._rng.sample(hosts, count)
+        return (self._own, *(self._members[host].heartbeat for host in chosen))
+
+    def outgoing_marks(self, now: float) -> tuple[HeartbeatMark, ...]:
+        """Return the marks for one message.
 
         Those with a change of incarnation or drain come first, for a bounded number
         of messages; the rest is a random choice of the fresher half.
         """
-        urgent = self._urgent.take(count - 1)
-        others = [*urgent, *self._sample_fresh(count - 1 - len(urgent), set(urgent))]
-        return (self._own, *(self._members[host].heartbeat for host in others))
+        urgent = self._urgent.take(MARKS_PER_MESSAGE // 2)
+        fresh = self._sample_fresh(MARKS_PER_MESSAGE - len(urgent), set(urgent))
+        return tuple(_mark(self._members[host], now) for host in (*urgent, *fresh))
 
-    def outgoing_marks(self) -> tuple[HeartbeatMark, ...]:
-        """Return the marks for one message, a random choice of the fresher half."""
-        hosts = self._sample_fresh(MARKS_PER_MESSAGE, set())
-        return tuple(_mark(self._members[host].heartbeat) for host in hosts)
-
-    def request(self) -> ExchangeRequest:
+    def request(self, now: float) -> ExchangeRequest:
         """Return the message to a peer that was chosen."""
+        wanted = tuple(self._wanted)
+        self._wanted.clear()
         return ExchangeRequest(
-            self.outgoing(), self.outgoing_marks(), known=len(self._members)
+            self.outgoing(), self.outgoing_marks(now), len(self._members), wanted
         )
 
     def reply(self, req: ExchangeRequest, now: float) -> ExchangeReply:
         """Take a peer's message and return the reply.
 
-        A peer that knows fewer members gets more; one that was replaced gets the
+        A peer that knows far fewer members gets more; one that was replaced gets the
         heartbeat of the newer incarnation.
         """
-        self.merge(req.heartbeats, now)
-        self.merge_marks(req.marks, now)
-        is_behind = req.known < len(self._members)
-        count = HEARTBEATS_PER_WELCOME if is_behind else HEARTBEATS_PER_MESSAGE
-        heartbeats = (*self.outgoing(count), *self._newer_of_sender(req))
-        return ExchangeReply(heartbeats, self.outgoing_marks())
+        self._take_message(req.heartbeats, req.marks, now)
+        heartbeats = (
+            *self.outgoing(),
+            *self._newer_of_sender(req),
+            *self._wanted_by(req),
+            *self._welcome(req),
+        )
+        return ExchangeReply(heartbeats, self.outgoing_marks(now))
 
     def take_reply(self, reply: ExchangeReply, now: float) -> None:
         """Take a peer's reply."""
-        self.merge(reply.heartbeats, now)
-        self.merge_marks(reply.marks, now)
+        self._take_message(reply.heartbeats, reply.marks, now)
 
     def choose_peers(self, now: float) -> tuple[PeerAddress, ...]:
         """Return the peers of this round.
@@ -263,6 +272,25 @@
         ]
         return present, absent
 
+    def _take_message(
+        self,
+        heartbeats: tuple[Heartbeat, ...],
+        marks: tuple[HeartbeatMark, ...],
+        now: float,
+    ) -> None:
+        """Take the sender's own heartbeat, then what it relays.
+
+        A relayed heartbeat has no age: it only counts when its incarnation is new.
+        """
+        self.merge(heartbeats[:1], now)
+        relayed = [item for item in heartbeats[1:] if self._is_new(item)]
+        self.merge(relayed, now)
+        self.merge_marks(marks, now)
+
+    def _is_new(self, heartbeat: Heartbeat) -> bool:
+        known = self._members.get(heartbeat.host)
+        return known is None or heartbeat.incarnation > known.heartbeat.incarnation
+
     def _set(self, heartbeat: Heartbeat, now: float) -> None:
         known = self._members.get(heartbeat.host)
         self._members[heartbeat.host] = Member(heartbeat, now)
@@ -275,6 +303,26 @@
         sends = URGENT_SENDS + len(self._members).bit_length()
         self._urgent.add(heartbeat.host, sends)
 
+    def _member_by_crc(self, crc: int) -> Member | None:
+        host = self._hosts_by_crc.get(crc)
+        return None if host is None else self._members.get(host)
+
+    def _want(self, crc: int) -> None:
+        if crc != _crc(self._own.incarnation) and len(self._wanted) < MAX_WANTED:
+            self._wanted[crc] = None
+
+    def _wanted_by(self, req: ExchangeRequest) -> tuple[Heartbeat, ...]:
+        members = [self._member_by_crc(crc) for crc in req.wanted[:MAX_WANTED]]
+        return tuple(member.heartbeat for member in members if member is not None)
+
+    def _welcome(self, req: ExchangeRequest) -> tuple[Heartbeat, ...]:
+        """Return many heartbeats for a sender that knows less than half."""
+        if 2 * req.known >= len(self._members):
+            return ()
+        hosts = sorted(self._members)
+        chosen = self._rng.sample(hosts, min(HEARTBEATS_PER_WELCOME, len(hosts)))
+        return tuple(self._members[host].heartbeat for host in chosen)
+
     def _newer_of_sender(self, req: ExchangeRequest) -> tuple[Heartbeat, ...]:
         """Return the heartbeat that replaces the sender's, if there is one."""
         if not req.heartbeats:
@@ -320,12 +368,14 @@
     return zlib.crc32(incarnation.encode())
 
 
-def _mark(heartbeat: Heartbeat) -> HeartbeatMark:
+def _mark(member: Member, now: float) -> HeartbeatMark:
+    heartbeat = member.heartbeat
     return HeartbeatMark(
         _crc(heartbeat.incarnation),
         heartbeat.sequence,
         heartbeat.draining,
         heartbeat.config_offset,
+        age=math.ceil(now - member.heard_at),
     )
 
 
--- a/src/knapweeddrum/message/call/exchange_request.py
+++ b/src/knapweeddrum/message/call/exchange_request.py
@@ -12,9 +12,11 @@
     """The sender's own heartbeat first, then some that it heard.
 
     ``known`` is the number of other hosts that the sender knows: a receiver that knows
-    more answers with more.
+    far more answers with more. ``wanted`` are the CRC-32 of incarnations that the
+    sender has heard marks of but no heartbeat.
     """
 
     heartbeats: tuple[Heartbeat, ...]
     marks: tuple[HeartbeatMark, ...] = ()
     known: int = 0
+    wanted: tuple[int, ...] = ()
--- a/tests/core/membership/test_member_table.py
+++ b/tests/core/membership/test_member_table.py
@@ -55,7 +55,7 @@
     """It finds the newer incarnation of its own host in a peer's reply."""
     table, peer = new_table("h2"), new_table("h1")
     peer.merge([new_heartbeat("h2", 1, NEW)], 1.0)
-    table.take_reply(peer.reply(table.request(), 9.0), 9.0)
+    table.take_reply(peer.reply(table.request(9.0), 9.0), 9.0)
     assert table.superseded_by == NEW
     table.merge([new_heartbeat("h2", 5, OLD)], 9.0)
     assert table.superseded_by == NEW
@@ -100,9 +100,10 @@
     """Marks of a replaced or unknown incarnation, and older ones, change nothing."""
     table, peer = new_table("h1"), new_table("h3")
     peer.merge([new_heartbeat("h2", 7, NEW, draining=True)], 0.0)
-    marks = peer.outgoing_marks()
+    marks = peer.outgoing_marks(0.0)
     table.merge_marks(marks, 1.0)
     assert table.state("h2", 1.0) is MemberState.GONE
+    assert len(table.request(1.0).wanted) == 1
     table.merge([new_heartbeat("h2", 9, OLD)], 2.0)
     table.merge_marks(marks, 3.0)
     assert table.silence("h2", 3.0) == 1.0
@@ -113,6 +114,16 @@
     assert table.silence("h2", 6.0) == 1.0
 
 
+def test_relayed_mark_keeps_its_age():
+    """A heartbeat that took long to arrive doesn't make its host look fresh."""
+    first, second = new_table("h1"), new_table("h3")
+    for table in (first, second):
+        table.merge([new_heartbeat("h2", 1)], 0.0)
+    first.merge([new_heartbeat("h2", 2)], 1.0)
+    second.merge_marks(first.outgoing_marks(4.0), 5.0)
+    assert second.silence("h2", 5.0) == 3.0
+
+
 HEARTBEATS = st.lists(
     st.builds(
         new_heartbeat,
@@ -145,7 +156,7 @@
             for peer in table.choose_peers(now):
                 if (name in cut) != (peer.host in cut):
                     continue
-                reply = tables[peer.host].reply(table.request(), now)
+                reply = tables[peer.host].reply(table.request(now), now)
                 table.take_reply(reply, now)
     return now
 
@@ -179,8 +190,8 @@
     now = _run_rounds(tables, 50, 0.0)
     assert {_alive(table, now) for table in tables.values()} == {60}
     for table in tables.values():
-        assert len(table.request().heartbeats) == HEARTBEATS_PER_MESSAGE
-        assert len(table.request().marks) == MARKS_PER_MESSAGE
+        assert len(table.request(now).heartbeats) == HEARTBEATS_PER_MESSAGE
+        assert len(table.request(now).marks) == MARKS_PER_MESSAGE
         assert len(table.choose_peers(now)) <= PEERS_PER_ROUND
 
 
--- a/tools/routing_model/membership_scenario.py
+++ b/tools/routing_model/membership_scenario.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterator
 
@@ -63,7 +64,7 @@
         )
 
     def _exchange(self, table: MemberTable, host: HostName) -> None:
-        req = table.request()
+        req = table.request(self.now)
         self.sent_bytes += len(msgspec.msgpack.encode(req))
         if host in self.lost:
             return
@@ -115,11 +116,13 @@
             table.silence(other, gossip.now) for other in gossip.names if other != name
         ]
         gone += sum(not host.alive for host in table.hosts(gossip.now))
+    known = [silence for silence in silences if math.isfinite(silence)]
     return {
         "payload_bytes_per_s": rounded(2 * gossip.sent_bytes / seconds / size, 0),
-        "silence_p50_s": percentile(silences, 0.5),
-        "silence_p99_s": percentile(silences, 0.99),
-        "silence_max_s": max(silences),
+        "silence_p50_s": percentile(known, 0.5),
+        "silence_p99_s": percentile(known, 0.99),
+        "silence_max_s": max(known),
+        "unknown": float(len(silences) - len(known)),
         "wrongly_gone": float(gone),
         "suspect_after_s": rounded(table.suspect_seconds(), 1),
     }
