--- a/src/knapweeddrum/core/membership/member_table.py
+++ b/src/knapweeddrum/core/membership/member_table.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import math
 import random
+import zlib
 from collections.abc import Iterable
 
 import msgspec
@@ -11,15 +13,28 @@
 from knapweeddrum.core.membership.member import Member
 from knapweeddrum.core.membership.member_state import MemberState
 from knapweeddrum.core.membership.peer_address import PeerAddress
+from knapweeddrum.core.membership.urgent_changes import UrgentChanges
 from knapweeddrum.message.call.entry_host import EntryHost
+from knapweeddrum.message.call.exchange_reply import ExchangeReply
+from knapweeddrum.message.call.exchange_request import ExchangeRequest
 from knapweeddrum.message.call.heartbeat import Heartbeat
+from knapweeddrum.message.call.heartbeat_mark import HeartbeatMark
 from knapweeddrum.value.identifiers import HostName
 
 PEERS_PER_ROUND = 1
 """Peers that a node exchanges heartbeats with in a round."""
 
-HEARTBEATS_PER_MESSAGE = 16
-"""Heartbeats in one message, the sender's own included."""
+HEARTBEATS_PER_MESSAGE = 2
+"""Whole heartbeats in one message, the sender's own included."""
+
+HEARTBEATS_PER_WELCOME = 48
+"""Whole heartbeats in a reply to a host that knows fewer members."""
+
+MAX_WANTED = 8
+"""Unknown incarnations that are asked for in one message."""
+
+MARKS_PER_MESSAGE = 40
+"""Heartbeat marks in one message."""
 
 ROUND_SECONDS = 1.0
 """Time between two rounds."""
@@ -48,8 +63,11 @@
 
     Incarnations of one host are ordered as strings; see ``new_incarnation``. What a
     node knows of a host only ever moves to a newer heartbeat, so merges are idempotent
-    and commutative, and a process that was frozen can bring nothing old back. Times
-    are monotonic seconds.
+    and commutative, and a process that was frozen can bring nothing old back. A message
+    holds the sender's heartbeat, few of others, and many marks, which renew heartbeats
+    that the receiver has; its size doesn't grow with the fleet. Marks carry their age,
+    so that news of a lost host doesn't look fresh for having travelled long. Times are
+    monotonic seconds.
     """
 
     def __init__(self, own: Heartbeat, rng: random.Random) -> None:
@@ -59,7 +77,9 @@
         self._seeds: dict[str, PeerAddress] = {}
         self._leaving: frozenset[str] = frozenset()
         self._superseded_by = ""
-        self._urgent: dict[str, int] = {}
+        self._urgent = UrgentChanges()
+        self._hosts_by_crc: dict[int, str] = {}
+        self._wanted: dict[int, None] = {}
 
     @property
     def own(self) -> Heartbeat:
@@ -111,22 +131,67 @@
                 self._check_superseded(heartbeat)
                 continue
             known = self._members.get(heartbeat.host)
-            if known is not None and _age_key(heartbeat) <= _age_key(known.heartbeat):
-                continue
-            self._members[heartbeat.host] = Member(heartbeat, now)
-            if known is None or _is_urgent(known.heartbeat, heartbeat):
-                self._urgent[heartbeat.host] = self._urgent_sends()
+            if known is None or _age_key(heartbeat) > _age_key(known.heartbeat):
+                self._set(heartbeat, now)
+
+    def merge_marks(self, marks: Iterable[HeartbeatMark], now: float) -> None:
+        """Take marks from a peer; unknown incarnations are asked for later."""
+        for mark in marks:
+            known = self._member_by_crc(mark.incarnation_crc)
+            if known is None:
+                self._want(mark.incarnation_crc)
+            elif mark.sequence > known.heartbeat.sequence:
+                heartbeat = msgspec.structs.replace(
+                    known.heartbeat,
+                    sequence=mark.sequence,
+                    draining=mark.draining,
+                    config_offset=mark.config_offset,
+                )
+                self._set(heartbeat, now - mark.age)
 
     def outgoing(self) -> tuple[Heartbeat, ...]:
-        """Return what to send in one message: the own heartbeat, then some others.
+        """Return the whole heartbeats for one message: the own one, then others."""
+        hosts = sorted(self._members)
+        count = min(HEARTBEATS_PER_MESSAGE - 1, len(hosts))
+        chosen = self._rng.sample(hosts, count)
+        return (self._own, *(self._members[host].heartbeat for host in chosen))
+
+    def outgoing_marks(self, now: float) -> tuple[HeartbeatMark, ...]:
+        """Return the marks for one message.
 
         Those with a change of incarnation or drain come first, for a bounded number
         of messages; the rest is a random choice of the fresher half.
         """
-        urgent = self._take_urgent()
-        rest = HEARTBEATS_PER_MESSAGE - 1 - len(urgent)
-        others = [*urgent, *self._sample_fresh(rest, set(urgent))]
-        return (self._own, *(self._members[host].heartbeat for host in others))
+        urgent = self._urgent.take(MARKS_PER_MESSAGE // 2)
+        fresh = self._sample_fresh(MARKS_PER_MESSAGE - len(urgent), set(urgent))
+        return tuple(_mark(self._members[host], now) for host in (*urgent, *fresh))
+
+    def request(self, now: float) -> ExchangeRequest:
+        """Return the message to a peer that was chosen."""
+        wanted = tuple(self._wanted)
+        self._wanted.clear()
+        return ExchangeRequest(
+            self.outgoing(), self.outgoing_marks(now), len(self._members), wanted
+        )
+
+    def reply(self, req: ExchangeRequest, now: float) -> ExchangeReply:
+        """Take a peer's message and return the reply.
+
+        A peer that knows far fewer members gets more; one that was replaced gets the
+        heartbeat of the newer incarnation.
+        """
+        self._take_message(req.heartbeats, req.marks, now)
+        heartbeats = (
+            *self.outgoing(),
+            *self._newer_of_sender(req),
+            *self._wanted_by(req),
+            *self._welcome(req),
+        )
+        return ExchangeReply(heartbeats, self.outgoing_marks(now))
+
+    def take_reply(self, reply: ExchangeReply, now: float) -> None:
+        """Take a peer's reply."""
+        self._take_message(reply.heartbeats, reply.marks, now)
 
     def choose_peers(self, now: float) -> tuple[PeerAddress, ...]:
         """Return the peers of this round.
@@ -141,14 +206,16 @@
             return (self._rng.choice(absent), *others)
         return tuple(self._rng.sample(present, count))
 
+    def silence(self, host: HostName, now: float) -> float:
+        """Return the seconds since a fresh heartbeat of a host; infinite for none."""
+        member = self._members.get(host)
+        return float("inf") if member is None else now - member.heard_at
+
     def state(self, host: HostName, now: float) -> MemberState:
         """Return the state of a host; an unknown one is gone."""
         if host == self._own.host:
             return MemberState.ALIVE
-        member = self._members.get(host)
-        if member is None:
-            return MemberState.GONE
-        silence = now - member.heard_at
+        silence = self.silence(host, now)
         limit = self.suspect_seconds()
         if silence < limit:
             return MemberState.ALIVE
@@ -180,21 +247,23 @@
             if now - member.heard_at >= FORGET_SECONDS
         ]
         for host in old:
-            del self._members[host]
-            self._urgent.pop(host, None)
+            member = self._members.pop(host)
+            self._hosts_by_crc.pop(_crc(member.heartbeat.incarnation), None)
+            self._urgent.discard(host)
 
     def suspect_seconds(self) -> float:
         """Return the silence that makes a member suspect; it grows with the fleet."""
-        heard = 2 * PEERS_PER_ROUND * (HEARTBEATS_PER_MESSAGE - 1) / ROUND_SECONDS
+        heard = 2 * PEERS_PER_ROUND * MARKS_PER_MESSAGE / ROUND_SECONDS
         return SUSPECT_SECONDS + SPREAD_FACTOR * len(self._members) / heard
 
     def _split_peers(self, now: float) -> tuple[list[PeerAddress], list[PeerAddress]]:
         """Return the peers that are not gone, and those that are or never came."""
+        gone_seconds = GONE_FACTOR * self.suspect_seconds()
         present: list[PeerAddress] = []
         absent: list[PeerAddress] = []
-        for host, member in sorted(self._members.items()):
+        for _, member in sorted(self._members.items()):
             peer = _peer_address(member.heartbeat)
-            is_gone = self.state(HostName(host), now) is MemberState.GONE
+            is_gone = now - member.heard_at >= gone_seconds
             (absent if is_gone else present).append(peer)
         absent += [
             seed
@@ -203,17 +272,66 @@
         ]
         return present, absent
 
-    def _urgent_sends(self) -> int:
-        return URGENT_SENDS + len(self._members).bit_length()
+    def _take_message(
+        self,
+        heartbeats: tuple[Heartbeat, ...],
+        marks: tuple[HeartbeatMark, ...],
+        now: float,
+    ) -> None:
+        """Take the sender's own heartbeat, then what it relays.
 
-    def _take_urgent(self) -> list[str]:
-        by_need = sorted(self._urgent, key=lambda host: (-self._urgent[host], host))
-        taken = by_need[: HEARTBEATS_PER_MESSAGE - 1]
-        for host in taken:
-            self._urgent[host] -= 1
-            if self._urgent[host] == 0:
-                del self._urgent[host]
-        return taken
+        A relayed heartbeat has no age: it only counts when its incarnation is new.
+        """
+        self.merge(heartbeats[:1], now)
+        relayed = [item for item in heartbeats[1:] if self._is_new(item)]
+        self.merge(relayed, now)
+        self.merge_marks(marks, now)
+
+    def _is_new(self, heartbeat: Heartbeat) -> bool:
+        known = self._members.get(heartbeat.host)
+        return known is None or heartbeat.incarnation > known.heartbeat.incarnation
+
+    def _set(self, heartbeat: Heartbeat, now: float) -> None:
+        known = self._members.get(heartbeat.host)
+        self._members[heartbeat.host] = Member(heartbeat, now)
+        if known is None or known.heartbeat.incarnation != heartbeat.incarnation:
+            self._hosts_by_crc[_crc(heartbeat.incarnation)] = heartbeat.host
+            if known is not None:
+                self._hosts_by_crc.pop(_crc(known.heartbeat.incarnation), None)
+        elif known.heartbeat.draining == heartbeat.draining:
+            return
+        sends = URGENT_SENDS + len(self._members).bit_length()
+        self._urgent.add(heartbeat.host, sends)
+
+    def _member_by_crc(self, crc: int) -> Member | None:
+        host = self._hosts_by_crc.get(crc)
+        return None if host is None else self._members.get(host)
+
+    def _want(self, crc: int) -> None:
+        if crc != _crc(self._own.incarnation) and len(self._wanted) < MAX_WANTED:
+            self._wanted[crc] = None
+
+    def _wanted_by(self, req: ExchangeRequest) -> tuple[Heartbeat, ...]:
+        members = [self._member_by_crc(crc) for crc in req.wanted[:MAX_WANTED]]
+        return tuple(member.heartbeat for member in members if member is not None)
+
+    def _welcome(self, req: ExchangeRequest) -> tuple[Heartbeat, ...]:
+        """Return many heartbeats for a sender that knows less than half."""
+        if 2 * req.known >= len(self._members):
+            return ()
+        hosts = sorted(self._members)
+        chosen = self._rng.sample(hosts, min(HEARTBEATS_PER_WELCOME, len(hosts)))
+        return tuple(self._members[host].heartbeat for host in chosen)
+
+    def _newer_of_sender(self, req: ExchangeRequest) -> tuple[Heartbeat, ...]:
+        """Return the heartbeat that replaces the sender's, if there is one."""
+        if not req.heartbeats:
+            return ()
+        sender = req.heartbeats[0]
+        known = self._members.get(sender.host)
+        if known is None or known.heartbeat.incarnation <= sender.incarnation:
+            return ()
+        return (known.heartbeat,)
 
     def _sample_fresh(self, count: int, taken: set[str]) -> list[str]:
         hosts = [host for host in sorted(self._members) if host not in taken]
@@ -246,10 +364,19 @@
     return (heartbeat.incarnation, heartbeat.sequence)
 
 
-def _is_urgent(known: Heartbeat, heartbeat: Heartbeat) -> bool:
-    if heartbeat.incarnation != known.incarnation:
-        return True
-    return heartbeat.draining != known.draining
+def _crc(incarnation: str) -> int:
+    return zlib.crc32(incarnation.encode())
+
+
+def _mark(member: Member, now: float) -> HeartbeatMark:
+    heartbeat = member.heartbeat
+    return HeartbeatMark(
+        _crc(heartbeat.incarnation),
+        heartbeat.sequence,
+        heartbeat.draining,
+        heartbeat.config_offset,
+        age=math.ceil(now - member.heard_at),
+    )
 
 
 def _peer_address(heartbeat: Heartbeat) -> PeerAddress:
