--- /dev/null
+++ b/tools/slopes/__init__.py
@@ -0,0 +1,3 @@
+"""Cost slopes of the fleet's parts, for docs/CAPACITY.md."""
+
+from __future__ import annotations
--- /dev/null
+++ b/tools/slopes/batch_cost_slope.py
@@ -0,0 +1,44 @@
+"""Cost of a bill, by the size of its batch."""
+
+from __future__ import annotations
+
+from tools.slopes.fact_maker import BillMaker
+from tools.slopes.figure import Figure
+from tools.slopes.fold_cost_slope import follow_cost
+from tools.slopes.reading import Reading
+from tools.slopes.record_maker import first_payload, made_payloads
+from tools.slopes.slope import Slope
+
+BILLS = 2_048
+TINY_BILLS = 8
+
+
+class BatchCostSlope(Slope):
+    """Follows as many bills in batches of one size; the figures are for one record.
+
+    The fixed part of the fit is the cost of a record, the other that of a bill.
+    """
+
+    name = "batch-bill"
+    unit = "bills/record"
+    sizes = (1, 8, 32, 128)
+    tiny_sizes = (1, 2)
+
+    def __init__(self, bills: int = BILLS) -> None:
+        self._bills = bills
+
+    def measure(self, size: float) -> Reading:
+        """Run once at a size and return what it took."""
+        maker = BillMaker()
+        payloads = list(made_payloads(maker, self._bills, int(size)))
+        cost = follow_cost(maker, [first_payload(maker), *payloads])
+        return Reading(
+            size,
+            (
+                Figure("cpu", "us/record", cost.cpu_microseconds / len(payloads)),
+                Figure("page", "bytes/record", cost.page_bytes / len(payloads)),
+                Figure(
+                    "payload", "bytes/record", sum(map(len, payloads)) / len(payloads)
+                ),
+            ),
+        )
--- /dev/null
+++ b/tools/slopes/catalogue.py
@@ -0,0 +1,37 @@
+"""All slopes."""
+
+from __future__ import annotations
+
+from tools.slopes.batch_cost_slope import BatchCostSlope
+from tools.slopes.fact_maker import (
+    ActiveBudgetMaker,
+    BillMaker,
+    ClaimMaker,
+    ConfigMaker,
+    DepositMaker,
+    GrantMaker,
+)
+from tools.slopes.fold_cost_slope import FoldCostSlope
+from tools.slopes.gossip_slope import GossipSlope
+from tools.slopes.host_view_slope import HostViewSlope
+from tools.slopes.ledger_memory_slope import LedgerMemorySlope
+from tools.slopes.slope import Slope
+
+
+def all_slopes() -> tuple[Slope, ...]:
+    """Return the slopes, those within one process first."""
+    return (
+        FoldCostSlope(GrantMaker()),
+        FoldCostSlope(BillMaker()),
+        FoldCostSlope(ClaimMaker()),
+        FoldCostSlope(ConfigMaker()),
+        BatchCostSlope(),
+        LedgerMemorySlope("idle-budget", DepositMaker()),
+        LedgerMemorySlope("active-budget", ActiveBudgetMaker(), facts_per_entry=2),
+        LedgerMemorySlope("grant", GrantMaker()),
+        LedgerMemorySlope("billed-request", BillMaker()),
+        LedgerMemorySlope("claim", ClaimMaker(), facts_per_entry=2),
+        LedgerMemorySlope("config", ConfigMaker()),
+        GossipSlope(),
+        HostViewSlope(),
+    )
--- /dev/null
+++ b/tools/slopes/fact_maker.py
@@ -0,0 +1,207 @@
+"""Facts such as a fleet at work appends."""
+
+from __future__ import annotations
+
+import abc
+import json
+
+from knapweeddrum.core.budget.budget_ledger import BudgetLedger
+from knapweeddrum.core.claim.claim_ledger import ClaimLedger
+from knapweeddrum.core.config.config_ledger import ConfigLedger
+from knapweeddrum.core.fold.ledger import Ledger
+from knapweeddrum.message.fact.any_fact import AnyFact
+from knapweeddrum.message.fact.bill import Bill
+from knapweeddrum.message.fact.claim import Claim
+from knapweeddrum.message.fact.claim_outcome import ClaimOutcome
+from knapweeddrum.message.fact.config_change import ConfigChange
+from knapweeddrum.message.fact.deposit import Deposit
+from knapweeddrum.message.fact.grant import Grant
+
+DEPOSIT_TOKENS = 10**12
+GRANT_TOKENS = 50_000
+BILL_TOKENS = 300
+ANSWER_BYTES = 200
+HOLDER = "host-123/keeper/0198a0b1c2d3-0a1b2c3d"
+ROUTER = "host-123/router/0198a0b1c2d3-0a1b2c3d"
+WITNESS = "host-207/keeper/0198a0b1c2d3-1a1b2c3d"
+BUDGET = "organisation-117/budget-0000042"
+
+
+def budget_name(number: int) -> str:
+    """Return the name of a budget."""
+    return f"organisation-{number % 370:03}/budget-{number:07}"
+
+
+class FactMaker(abc.ABC):
+    """Makes the n-th fact of one kind, and what has to stand before the first."""
+
+    name: str
+
+    @abc.abstractmethod
+    def ledger(self) -> Ledger:
+        """Return an empty ledger for these facts."""
+
+    def before(self) -> tuple[AnyFact, ...]:
+        """Return facts that the others build upon."""
+        return ()
+
+    @abc.abstractmethod
+    def fact(self, number: int) -> AnyFact:
+        """Return a fact."""
+
+
+class DepositMaker(FactMaker):
+    """A deposit for a new budget each."""
+
+    name = "deposit"
+
+    def ledger(self) -> Ledger:
+        """Return an empty ledger for these facts."""
+        return BudgetLedger()
+
+    def fact(self, number: int) -> AnyFact:
+        """Return a fact."""
+        return Deposit(
+            topup_id=f"topup-2026-12-{number:09}",
+            budget=budget_name(number),
+            tokens=DEPOSIT_TOKENS,
+        )
+
+
+class GrantMaker(FactMaker):
+    """Grants of one budget."""
+
+    name = "grant"
+
+    def ledger(self) -> Ledger:
+        """Return an empty ledger for these facts."""
+        return BudgetLedger()
+
+    def before(self) -> tuple[AnyFact, ...]:
+        """Return facts that the others build upon."""
+        return (Deposit(topup_id="topup-1", budget=BUDGET, tokens=DEPOSIT_TOKENS),)
+
+    def fact(self, number: int) -> AnyFact:
+        """Return a fact."""
+        return Grant(
+            grant_id=f"{HOLDER}/grant-{number}",
+            budget=BUDGET,
+            holder=HOLDER,
+            tokens=GRANT_TOKENS,
+            witness=WITNESS,
+        )
+
+
+class ActiveBudgetMaker(FactMaker):
+    """A deposit and an open grant for a new budget each, in turn."""
+
+    name = "active-budget"
+
+    def ledger(self) -> Ledger:
+        """Return an empty ledger for these facts."""
+        return BudgetLedger()
+
+    def fact(self, number: int) -> AnyFact:
+        """Return a fact."""
+        budget = budget_name(number // 2)
+        if number % 2 == 0:
+            topup_id = f"topup-2026-12-{number:09}"
+            return Deposit(topup_id=topup_id, budget=budget, tokens=DEPOSIT_TOKENS)
+        return Grant(
+            grant_id=f"{HOLDER}/grant-{number}",
+            budget=budget,
+            holder=HOLDER,
+            tokens=GRANT_TOKENS,
+            witness=WITNESS,
+        )
+
+
+class BillMaker(FactMaker):
+    """Bills of one grant."""
+
+    name = "bill"
+    grant_id = f"{HOLDER}/grant-0"
+
+    def ledger(self) -> Ledger:
+        """Return an empty ledger for these facts."""
+        return BudgetLedger()
+
+    def before(self) -> tuple[AnyFact, ...]:
+        """Return facts that the others build upon."""
+        deposit = Deposit(topup_id="topup-1", budget=BUDGET, tokens=DEPOSIT_TOKENS)
+        grant = Grant(
+            grant_id=self.grant_id,
+            budget=BUDGET,
+            holder=HOLDER,
+            tokens=DEPOSIT_TOKENS,
+            witness=WITNESS,
+        )
+        return (deposit, grant)
+
+    def fact(self, number: int) -> AnyFact:
+        """Return a fact."""
+        return Bill(
+            request_key=f"organisation-117/0d9c2a4e-77b1-4b6e-9f0e-{number:012x}",
+            run_id=f"{ROUTER}/{number}",
+            budget=BUDGET,
+            grant_id=self.grant_id,
+            tokens=BILL_TOKENS,
+            outcome="finished",
+            settler=ROUTER,
+        )
+
+
+class ClaimMaker(FactMaker):
+    """A claim and its outcome with a small answer, in turn."""
+
+    name = "claim"
+
+    def ledger(self) -> Ledger:
+        """Return an empty ledger for these facts."""
+        return ClaimLedger()
+
+    def fact(self, number: int) -> AnyFact:
+        """Return a fact."""
+        claim_key = f"organisation-117/orders/booking-{number // 2:012x}"
+        claimant = f"{ROUTER}/{number // 2}"
+        if number % 2 == 0:
+            return Claim(
+                claim_key=claim_key, claimant=claimant, fingerprint=f"{number:064x}"
+            )
+        return ClaimOutcome(
+            claim_key=claim_key,
+            claimant=claimant,
+            state="done",
+            status=200,
+            content_type="application/json",
+            body=b"x" * ANSWER_BYTES,
+        )
+
+
+class ConfigMaker(FactMaker):
+    """Endpoint resources, each new."""
+
+    name = "config"
+
+    def ledger(self) -> Ledger:
+        """Return an empty ledger for these facts."""
+        return ConfigLedger()
+
+    def fact(self, number: int) -> AnyFact:
+        """Return a fact."""
+        body = {
+            "kind": "model_engine",
+            "address": "http://10.20.30.40:8000",
+            "data_centre": "dc-3",
+            "slots": 16,
+            "checks_fence": True,
+            "leaving": False,
+        }
+        return ConfigChange(
+            change_id=f"0d9c2a4e-77b1-4b6e-9f0e-{number:012x}",
+            resource_kind="endpoint",
+            name=f"model-desk-{number:06}",
+            base_version=0,
+            author="operator-3",
+            body=json.dumps(body).encode(),
+        )
--- /dev/null
+++ b/tools/slopes/fold_cost_slope.py
@@ -0,0 +1,81 @@
+"""Cost of following a stream, by records."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import anyio
+
+from knapweeddrum.core.fold.stream_fold import StreamFold
+from knapweeddrum.process.keeper.stream_follower import StreamFollower
+from knapweeddrum.telemetry.event_log import EventLog
+from tools.slopes.cpu_timer import CpuTimer
+from tools.slopes.fact_maker import FactMaker
+from tools.slopes.figure import Figure
+from tools.slopes.no_peers import NoPeers
+from tools.slopes.page_log import PageLog
+from tools.slopes.reading import Reading
+from tools.slopes.record_maker import first_payload, made_payloads
+from tools.slopes.slope import Slope
+
+PAGE_RECORDS = 16
+END_WAIT_SECONDS = 60.0
+
+
+class FoldCostSlope(Slope):
+    """Follows records of one fact each; the size is the records in a second.
+
+    The cost is that of decoding pages, the fold, the search for checkpoints and the
+    buffer for peers, without HTTP.
+    """
+
+    unit = "records/s"
+    sizes = (250, 500, 1_000, 2_000)
+    tiny_sizes = (4, 8)
+
+    def __init__(self, maker: FactMaker) -> None:
+        self.name = f"fold-{maker.name}"
+        self._maker = maker
+
+    def measure(self, size: float) -> Reading:
+        """Run once at a size and return what it took."""
+        payloads = [
+            first_payload(self._maker),
+            *made_payloads(self._maker, int(size), 1),
+        ]
+        follow = follow_cost(self._maker, payloads)
+        return Reading(
+            size,
+            (
+                Figure("cpu", "us", follow.cpu_microseconds),
+                Figure("page", "bytes", follow.page_bytes),
+                Figure("payload", "bytes", sum(map(len, payloads))),
+            ),
+        )
+
+
+class FollowCost:
+    """Processor time and bytes of following some records."""
+
+    def __init__(self, cpu_microseconds: float, page_bytes: int) -> None:
+        self.cpu_microseconds = cpu_microseconds
+        self.page_bytes = page_bytes
+
+
+def follow_cost(maker: FactMaker, payloads: Iterable[bytes]) -> FollowCost:
+    """Follow records in pages from memory and return the cost."""
+    log = PageLog(payloads, PAGE_RECORDS)
+    fold = StreamFold(maker.ledger())
+    timer = CpuTimer()
+
+    async def follow() -> None:
+        events = EventLog("error")
+        follower = StreamFollower(log, "slope", fold, NoPeers(), events)
+        async with anyio.create_task_group() as tasks:
+            with timer.running():
+                tasks.start_soon(follower.run)
+                await follower.wait_beyond(log.next - 2, END_WAIT_SECONDS)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(follow)
+    return FollowCost(timer.microseconds, log.bytes_read)
--- /dev/null
+++ b/tools/slopes/memory_caller.py
@@ -0,0 +1,91 @@
+"""Calls within one process, encoded as between processes."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import anyio
+import msgspec
+
+from knapweeddrum.rpc.caller import Caller
+from knapweeddrum.rpc.exceptions import PeerUnreachableError
+from knapweeddrum.rpc.message_codec import MessageCodec
+from knapweeddrum.rpc.method import Method
+from knapweeddrum.rpc.rpc_service import RpcService
+
+RequestT = TypeVar("RequestT", bound=msgspec.Struct)
+ReplyT = TypeVar("ReplyT", bound=msgspec.Struct)
+Handler = Callable[[Any], Awaitable[Any]]
+
+
+@dataclasses.dataclass(slots=True)
+class CallCounts:
+    """Calls and the bytes of their requests and replies, without transport."""
+
+    calls: int = 0
+    bytes: int = 0
+
+
+class MemoryNetwork:
+    """The services of one process by address and port."""
+
+    def __init__(self, latency: float = 0.0) -> None:
+        """``latency`` of each call is in seconds."""
+        self.latency = latency
+        self.counts: dict[str, CallCounts] = {}
+        self._handlers: dict[tuple[str, int], dict[str, Handler]] = {}
+
+    def serve(self, address: str, port: int, service: RpcService) -> None:
+        """Offer a service at an address."""
+        handlers = {method.path: handler for method, handler in service.handlers()}
+        self._handlers[address, port] = handlers
+
+    def end(self, address: str, port: int) -> None:
+        """End the service at an address."""
+        del self._handlers[address, port]
+
+    def connect(self, address: str, port: int) -> Caller:
+        """Return a caller of the service at an address."""
+        return MemoryCaller(self, address, port)
+
+    def handler(self, address: str, port: int, path: str) -> Handler:
+        """Return a handler; raises PeerUnreachableError when there is no service."""
+        handlers = self._handlers.get((address, port))
+        if handlers is None:
+            raise PeerUnreachableError(f"{address}:{port}")
+        return handlers[path]
+
+    def count(self, path: str, size: int) -> None:
+        """Count a call."""
+        counts = self.counts.setdefault(path, CallCounts())
+        counts.calls += 1
+        counts.bytes += size
+
+
+class MemoryCaller(Caller):
+    """Calls a service of the same process."""
+
+    def __init__(self, network: MemoryNetwork, address: str, port: int) -> None:
+        self._network = network
+        self._address = address
+        self._port = port
+        self._codec = MessageCodec()
+
+    async def call(
+        self,
+        method: Method[RequestT, ReplyT],
+        request: RequestT,
+        timeout: float,
+    ) -> ReplyT:
+        """Return the reply."""
+        handler = self._network.handler(self._address, self._port, method.path)
+        asked = self._codec.encode(request, method.request_type)
+        if self._network.latency:
+            await anyio.sleep(self._network.latency)
+        reply = await handler(self._codec.decode(asked, method.request_type))
+        answered = self._codec.encode(reply, method.reply_type)
+        self._network.count(method.path, len(asked) + len(answered))
+        decoded: ReplyT = self._codec.decode(answered, method.reply_type)
+        return decoded
--- /dev/null
+++ b/tools/slopes/record_maker.py
@@ -0,0 +1,21 @@
+"""Encoded log records of made facts."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from knapweeddrum.message.fact.fact_codec import encode_batch
+from tools.slopes.fact_maker import HOLDER, FactMaker
+
+
+def made_payloads(maker: FactMaker, facts: int, batch: int) -> Iterator[bytes]:
+    """Yield the payloads of ``facts`` facts, ``batch`` in each record."""
+    for sequence, start in enumerate(range(0, facts, batch), start=2):
+        numbers = range(start, min(facts, start + batch))
+        made = tuple(maker.fact(number) for number in numbers)
+        yield encode_batch(HOLDER, sequence, made)
+
+
+def first_payload(maker: FactMaker) -> bytes:
+    """Return the payload of what stands before the made facts."""
+    return encode_batch(HOLDER, 1, maker.before())
--- /dev/null
+++ b/tools/slopes/runner.py
@@ -0,0 +1,37 @@
+"""Runs slopes and prints their readings and fits."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Sequence
+from typing import TextIO
+
+import msgspec
+
+from tools.slopes.fit import fit_all
+from tools.slopes.slope import Slope
+
+
+class Runner:
+    """Prints a JSON line for each reading and, after a slope's last, for each fit."""
+
+    def __init__(self, output: TextIO) -> None:
+        self._output = output
+
+    def run(self, slope: Slope, sizes: Sequence[float], repeats: int) -> None:
+        """Measure a slope ``repeats`` times at each size."""
+        start = time.monotonic()
+        readings = []
+        # All sizes take turns, so that a busy spell of the machine hits them alike.
+        for _ in range(repeats):
+            for size in sizes:
+                reading = slope.measure(size)
+                readings.append(reading)
+                self._print("reading", slope, reading)
+        for fit in fit_all(slope.name, slope.unit, readings):
+            self._print("fit", slope, fit)
+        self._print("took", slope, round(time.monotonic() - start, 1))
+
+    def _print(self, kind: str, slope: Slope, content: object) -> None:
+        line = msgspec.json.encode({"slope": slope.name, kind: content})
+        print(line.decode(), file=self._output, flush=True)
