--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -16,6 +16,19 @@
 DEPENDENCY_READY = Event(106, "dependency_ready", "info", ("dependency",))
 TASK_FAILED = Event(107, "task_failed", "error", ("task", "error"))
 
+# Router
+
+CONFIG_IN_FORCE = Event(200, "config_in_force", "info", ("offset",))
+USAGE_PENDING = Event(201, "usage_pending", "warning", ("run_id", "endpoint", "error"))
+USAGE_LOST = Event(202, "usage_lost", "error", ("run_id", "endpoint"))
+OUTCOME_LATE = Event(203, "outcome_late", "warning", ("claim_key",))
+STOPPED_UNSETTLED = Event(
+    204, "stopped_unsettled", "error", ("runs", "settlements", "outcomes")
+)
+ENDPOINT_CRASHED = Event(205, "endpoint_crashed", "error", ("endpoint", "requests"))
+
+# Keeper
+
 LOG_LOST = Event(300, "log_lost", "warning", ("stream", "error"))
 LOG_REACHED = Event(301, "log_reached", "info", ("stream",))
 STREAM_READY = Event(302, "stream_ready", "info", ("stream", "offset"))
@@ -42,3 +55,7 @@
     401, "order_finished", "info", ("endpoint", "action", "fence", "state")
 )
 ORDER_DELAYED = Event(402, "order_delayed", "warning", ("endpoint", "error"))
+STOPPED_UNSETTLED = Event(
+    204, "stopped_unsettled", "error", ("runs", "settlements", "outcomes")
+)
+ENDPOINT_CRASHED = Event(205, "endpoint_crashed", "error", ("endpoint", "requests"))
