--- a/src/knapweeddrum/process/keeper/log_appender.py
+++ b/src/knapweeddrum/process/keeper/log_appender.py
@@ -37,13 +37,20 @@
     """
 
     def __init__(
-        self, log: AppendLog, stream: str, writer: str, metrics: Metrics
+        self,
+        log: AppendLog,
+        stream: str,
+        writer: str,
+        metrics: Metrics,
+        batch_window: float = BATCH_WINDOW_SECONDS,
     ) -> None:
+        """``batch_window`` is the wait (s) for more facts after the first of a batch."""
         self.stream = stream
         self.writer = writer
         self.available = True
         self._log = log
         self._metrics = metrics
+        self._batch_window = batch_window
         self._queue: list[PendingFact] = []
         self._wakeup = anyio.Event()
         self._batch: PendingBatch | None = None
@@ -105,7 +112,7 @@
         """Append queued facts until cancelled."""
         while True:
             await self._wait_for_facts()
-            await anyio.sleep(BATCH_WINDOW_SECONDS)
+            await anyio.sleep(self._batch_window)
             self._sequence += 1
             self._batch = PendingBatch(self._sequence, self._take_entries())
             await self._land(self._batch)
--- a/tools/slopes/catalogue.py
+++ b/tools/slopes/catalogue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tools.slopes.batch_cost_slope import BatchCostSlope
+from tools.slopes.claim_window_slope import ClaimWindowSlope
 from tools.slopes.fact_maker import (
     ActiveBudgetMaker,
     BillMaker,
@@ -13,8 +14,10 @@
 )
 from tools.slopes.fold_cost_slope import FoldCostSlope
 from tools.slopes.gossip_slope import GossipSlope
+from tools.slopes.grant_traffic_slope import GrantKeepersSlope, GrantRateSlope
 from tools.slopes.host_view_slope import HostViewSlope
 from tools.slopes.ledger_memory_slope import LedgerMemorySlope
+from tools.slopes.rpc_cost_slope import RpcCostSlope
 from tools.slopes.slope import Slope
 
 
@@ -34,4 +37,8 @@
         LedgerMemorySlope("config", ConfigMaker()),
         GossipSlope(),
         HostViewSlope(),
+        RpcCostSlope(),
+        ClaimWindowSlope(),
+        GrantRateSlope(),
+        GrantKeepersSlope(),
     )
--- a/tools/slopes/gossip_slope.py
+++ b/tools/slopes/gossip_slope.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-import statistics
+import itertools
+from collections.abc import Callable
 
 import anyio
 
+from knapweeddrum.message.call.entry_host import EntryHost
 from tools.slopes.cpu_timer import CpuTimer
 from tools.slopes.figure import Figure
 from tools.slopes.members import Members
@@ -14,6 +16,8 @@
 
 ROUNDS = 10
 ROUND_LIMIT = 600
+WATCHERS = 20
+SPREAD_SHARE = 0.95
 
 
 class GossipSlope(Slope):
@@ -29,12 +33,15 @@
     tiny_sizes = (3, 5)
     repeats = 3
 
+    def __init__(self) -> None:
+        self._seeds = itertools.count(1)
+
     def measure(self, size: float) -> Reading:
         """Run once at a size and return what it took."""
         return anyio.run(self._measure, size)
 
     async def _measure(self, size: float) -> Reading:
-        members = Members(int(size))
+        members = Members(int(size), seed=next(self._seeds))
         timer = CpuTimer()
         with timer.running():
             for _ in range(ROUNDS):
@@ -42,6 +49,7 @@
         host_rounds = len(members.tasks) * ROUNDS
         calls = sum(counts.calls for counts in members.network.counts.values())
         size_bytes = sum(counts.bytes for counts in members.network.counts.values())
+        drain = await self._rounds_until_draining(members)
         heard = await self._rounds_until_heard(members)
         gone = await self._rounds_until_gone(members)
         return Reading(
@@ -50,37 +58,40 @@
                 Figure("calls", "calls/host/s", calls / host_rounds),
                 Figure("bytes", "bytes/host/s", 2 * size_bytes / host_rounds),
                 Figure("cpu", "us/host/s", timer.microseconds / host_rounds),
+                Figure("drain_spread", "s", drain),
                 Figure("offset_spread", "s", heard),
                 Figure("loss_noticed", "s", gone),
             ),
         )
 
+    async def _rounds_until_draining(self, members: Members) -> float:
+        """Return the rounds until 95 in 100 watchers know that the first drains."""
+        members.tasks[0].draining = True
+        return await self._rounds_until(members, 0, lambda host: host.draining)
+
     async def _rounds_until_heard(self, members: Members) -> float:
-        """Return the rounds until 95 in 100 hosts know a new offset of the first."""
+        """Return the rounds until 95 in 100 watchers know a new offset of the first."""
         members.offsets[0] = 1
-        source = members.heartbeats[0].host
-        heard: dict[int, int] = {}
-        for number in range(1, ROUND_LIMIT):
-            await members.round()
-            for index, task in enumerate(members.tasks[1:]):
-                offsets = [h.config_offset for h in task.hosts() if h.host == source]
-                if offsets == [1]:
-                    heard.setdefault(index, number)
-            if len(heard) >= 0.95 * (len(members.tasks) - 1):
-                return float(max(heard.values()))
-        return float(ROUND_LIMIT)
+        return await self._rounds_until(members, 0, lambda host: host.config_offset > 0)
 
     async def _rounds_until_gone(self, members: Members) -> float:
-        """Return the median rounds until the others take a lost host for gone."""
-        lost = members.heartbeats[-1].host
-        members.end(len(members.tasks) - 1)
-        gone: dict[int, int] = {}
+        """Return the rounds until 95 in 100 watchers take a lost host for gone."""
+        last = len(members.tasks) - 1
+        members.end(last)
+        return await self._rounds_until(members, last, lambda host: not host.alive)
+
+    async def _rounds_until(
+        self, members: Members, subject: int, seen: Callable[[EntryHost], bool]
+    ) -> float:
+        """Run rounds until 95 in 100 watchers see something of a host."""
+        name = members.heartbeats[subject].host
+        watchers = members.tasks[1 : 1 + WATCHERS]
         for number in range(1, ROUND_LIMIT):
             await members.round()
-            for index, task in enumerate(members.tasks):
-                alive = [host.alive for host in task.hosts() if host.host == lost]
-                if alive == [False]:
-                    gone.setdefault(index, number)
-            if len(gone) == len(members.tasks):
-                break
-        return float(statistics.median(gone.values())) if gone else float(ROUND_LIMIT)
+            count = sum(
+                any(seen(host) for host in task.hosts() if host.host == name)
+                for task in watchers
+            )
+            if count >= SPREAD_SHARE * len(watchers):
+                return float(number)
+        return float(ROUND_LIMIT)
--- /dev/null
+++ b/tools/slopes/grant_traffic_slope.py
@@ -0,0 +1,119 @@
+"""Traffic of grants on one busy budget."""
+
+from __future__ import annotations
+
+import anyio
+
+from knapweeddrum.message.call.draw_request import DrawRequest
+from knapweeddrum.message.call.want import Want
+from knapweeddrum.message.fact.deposit import Deposit
+from knapweeddrum.rpc.keeper_methods import OPEN, TRANSFER
+from tools.slopes.fact_maker import BUDGET, DEPOSIT_TOKENS
+from tools.slopes.figure import Figure
+from tools.slopes.members import Members
+from tools.slopes.memory_caller import CallCounts, MemoryNetwork
+from tools.slopes.memory_keeper import MemoryKeeper
+from tools.slopes.memory_log import MemoryLog
+from tools.slopes.paced_load import PacedLoad
+from tools.slopes.reading import Reading
+from tools.slopes.slope import Slope
+
+APPEND_SECONDS = 0.005
+CALL_SECONDS = 0.001
+WARM_UP_SECONDS = 3.0
+RUN_SECONDS = 5.0
+DRAW_TOKENS = 250
+DEPOSIT_PATIENCE_SECONDS = 5.0
+MILLISECONDS = 1_000
+
+
+class GrantTrafficSlope(Slope):
+    """Draws of one budget, spread evenly over keepers on a log in memory.
+
+    Appends take 5 ms and calls 1 ms; the balance never runs out.
+    """
+
+    repeats = 2
+
+    def __init__(
+        self, warm_up: float = WARM_UP_SECONDS, run_seconds: float = RUN_SECONDS
+    ) -> None:
+        self._warm_up = warm_up
+        self._run_seconds = run_seconds
+
+    def measure_with(self, size: float, keepers: int, rate: float) -> Reading:
+        """Run once with a number of keepers and of draws a second in all."""
+        return anyio.run(self._measure, size, keepers, rate)
+
+    async def _measure(self, size: float, count: int, rate: float) -> Reading:
+        log = MemoryLog(APPEND_SECONDS)
+        members = Members(count)
+        network = MemoryNetwork(CALL_SECONDS)
+        keepers = [
+            MemoryKeeper(index, members.heartbeats, log, network)
+            for index in range(count)
+        ]
+
+        async def draw(number: int) -> bool:
+            want = Want(BUDGET, DRAW_TOKENS, DRAW_TOKENS)
+            request = DrawRequest(f"draw-{number}", "router", (want,))
+            reply = await keepers[number % count].grants.draw(request)
+            return bool(reply.allowances)
+
+        async with anyio.create_task_group() as tasks:
+            for keeper in keepers:
+                keeper.start(tasks)
+                await keeper.budgets.follower.ready.wait()
+            deposit = Deposit("topup-1", BUDGET, DEPOSIT_TOKENS)
+            appender = keepers[0].budgets.appender
+            await appender.append(deposit, DEPOSIT_PATIENCE_SECONDS)
+            await PacedLoad(draw).run(rate, self._warm_up)
+            network.counts.clear()
+            appends = log.appends
+            load = PacedLoad(lambda number: draw(-1 - number))
+            await load.run(rate, self._run_seconds)
+            tasks.cancel_scope.cancel()
+        appends = log.appends - appends
+        return Reading(
+            size,
+            (
+                Figure("appends", "appends/s", appends / self._run_seconds),
+                self._calls(network, OPEN.path, "opens"),
+                self._calls(network, TRANSFER.path, "transfers"),
+                Figure("median", "ms", load.quantile(0.5) * MILLISECONDS),
+                Figure("p95", "ms", load.quantile(0.95) * MILLISECONDS),
+                Figure("refused", "draws", load.failed),
+            ),
+        )
+
+    def _calls(self, network: MemoryNetwork, path: str, name: str) -> Figure:
+        counts = network.counts.get(path, CallCounts())
+        return Figure(name, "calls/s", counts.calls / self._run_seconds)
+
+
+class GrantRateSlope(GrantTrafficSlope):
+    """By draws a second, at three keepers."""
+
+    name = "grant-rate"
+    unit = "draws/s"
+    sizes = (30, 120, 480)
+    tiny_sizes = (50, 100)
+    keepers = 3
+
+    def measure(self, size: float) -> Reading:
+        """Run once at a size and return what it took."""
+        return self.measure_with(size, self.keepers, size)
+
+
+class GrantKeepersSlope(GrantTrafficSlope):
+    """By keepers that share 160 draws a second."""
+
+    name = "grant-keepers"
+    unit = "keepers"
+    sizes = (2, 4, 8, 16)
+    tiny_sizes = (2, 3)
+    draws_per_second = 160.0
+
+    def measure(self, size: float) -> Reading:
+        """Run once at a size and return what it took."""
+        return self.measure_with(size, int(size), self.draws_per_second)
