Send small parts at once: name TCP at the callers' listening socket

asyncio switches Nagle's algorithm off only on sockets whose protocol is named, and accepted sockets take the protocol of their listener. On kept-alive connections each reply in two writes waited for the delayed acknowledgement of the first.

--- a/src/knapweeddrum/process/router/caller_server.py
+++ b/src/knapweeddrum/process/router/caller_server.py
@@ -33,7 +33,8 @@
 def listen(address: str, port: int) -> socket.socket:
     """Return a listening socket; raises OSError when the address can't be had."""
     family = socket.AF_INET6 if ":" in address else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
+    # Named, because asyncio sets TCP_NODELAY only where the protocol is known.
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.bind((address, port))
--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -29,7 +29,7 @@
     The stand-in keeps its state, so that it can be served again afterwards. With
     ``exits`` a crash ends the process.
     """
-    with contextlib.closing(_bind(address, port)) as sock:
+    with contextlib.closing(bind(address, port)) as sock:
         server = EmbeddedServer(_config(app))
         async with anyio.create_task_group() as tasks:
             app.attach(UvicornControl(server, exits=exits), tasks)
@@ -62,8 +62,9 @@
                 return
 
 
-def _bind(address: str, port: int) -> socket.socket:
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+def bind(address: str, port: int) -> socket.socket:
+    # Named, because asyncio sets TCP_NODELAY only where the protocol is known.
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     sock.bind((address, port))
     return sock
