--- a/tools/slopes/__main__.py
+++ b/tools/slopes/__main__.py
@@ -16,7 +16,10 @@
     """Measure the selected slopes."""
     parser = argparse.ArgumentParser(prog="tools.slopes", description=__doc__)
     parser.add_argument("names", nargs="*", help="slopes to measure")
-    names = parser.parse_args().names
+    parser.add_argument("--sizes", type=float, nargs="+", help="instead of their own")
+    parser.add_argument("--repeats", type=int, help="runs at each size")
+    args = parser.parse_args()
+    names = args.names
     slopes = {slope.name: slope for slope in all_slopes()}
     unknown = [name for name in names if name not in slopes]
     if unknown:
@@ -24,7 +27,8 @@
     runner = Runner(sys.stdout)
     for name in names or slopes:
         slope = slopes[name]
-        runner.run(slope, slope.sizes, slope.repeats)
+        sizes = args.sizes or slope.sizes
+        runner.run(slope, sizes, args.repeats or slope.repeats)
     return 0
 
 
--- a/tools/slopes/byte_relay.py
+++ b/tools/slopes/byte_relay.py
@@ -30,10 +30,13 @@
             tasks.cancel_scope.cancel()
 
     async def _serve(self, client: anyio.abc.SocketStream) -> None:
-        async with client, await anyio.connect_tcp(LOOPBACK, self._target_port) as peer:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._copy, client, peer)
-                tasks.start_soon(self._copy, peer, client)
+        async with (
+            client,
+            await anyio.connect_tcp(LOOPBACK, self._target_port) as peer,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(self._copy, client, peer)
+            tasks.start_soon(self._copy, peer, client)
 
     async def _copy(
         self, source: anyio.abc.SocketStream, target: anyio.abc.SocketStream
--- a/tools/slopes/catalogue.py
+++ b/tools/slopes/catalogue.py
@@ -4,6 +4,8 @@
 
 from tools.slopes.batch_cost_slope import BatchCostSlope
 from tools.slopes.claim_window_slope import ClaimWindowSlope
+from tools.slopes.client_slope import ClientSlope
+from tools.slopes.config_spread_slope import ConfigSpreadSlope
 from tools.slopes.fact_maker import (
     ActiveBudgetMaker,
     BillMaker,
@@ -16,7 +18,11 @@
 from tools.slopes.gossip_slope import GossipSlope
 from tools.slopes.grant_traffic_slope import GrantKeepersSlope, GrantRateSlope
 from tools.slopes.host_view_slope import HostViewSlope
+from tools.slopes.idle_slope import IdleSlope
 from tools.slopes.ledger_memory_slope import LedgerMemorySlope
+from tools.slopes.live_follow_slope import LiveFollowSlope
+from tools.slopes.real_fleet import ALL_ROLES
+from tools.slopes.router_cost_slope import RouterCostSlope
 from tools.slopes.rpc_cost_slope import RpcCostSlope
 from tools.slopes.slope import Slope
 
@@ -41,4 +47,11 @@
         ClaimWindowSlope(),
         GrantRateSlope(),
         GrantKeepersSlope(),
+        IdleSlope("idle-host", ALL_ROLES, (1, 3, 7)),
+        IdleSlope("idle-keeper", ("keeper",), (3, 7, 20)),
+        LiveFollowSlope(batch=1),
+        LiveFollowSlope(batch=16),
+        ConfigSpreadSlope(),
+        RouterCostSlope(),
+        ClientSlope(),
     )
--- a/tools/slopes/grant_traffic_slope.py
+++ b/tools/slopes/grant_traffic_slope.py
@@ -20,8 +20,8 @@
 
 APPEND_SECONDS = 0.005
 CALL_SECONDS = 0.001
-WARM_UP_SECONDS = 3.0
-RUN_SECONDS = 5.0
+WARM_UP_SECONDS = 12.0
+RUN_SECONDS = 10.0
 DRAW_TOKENS = 250
 DEPOSIT_PATIENCE_SECONDS = 5.0
 MILLISECONDS = 1_000
@@ -33,7 +33,7 @@
     Appends take 5 ms and calls 1 ms; the balance never runs out.
     """
 
-    repeats = 2
+    repeats = 1
 
     def __init__(
         self, warm_up: float = WARM_UP_SECONDS, run_seconds: float = RUN_SECONDS
--- a/tools/slopes/runner.py
+++ b/tools/slopes/runner.py
@@ -28,7 +28,9 @@
                 reading = slope.measure(size)
                 readings.append(reading)
                 self._print("reading", slope, reading)
-        for fit in fit_all(slope.name, slope.unit, readings):
+        # A line needs two sizes.
+        fits = fit_all(slope.name, slope.unit, readings) if len(sizes) > 1 else ()
+        for fit in fits:
             self._print("fit", slope, fit)
         self._print("took", slope, round(time.monotonic() - start, 1))
 
