--- a/src/knapweeddrum/core/budget/budget_state.py
+++ b/src/knapweeddrum/core/budget/budget_state.py
@@ -42,13 +42,11 @@
 
 
 class BilledState(msgspec.Struct, frozen=True, array_like=True):
-    """One billed request, as in ``BilledRequest``."""
+    """One billed request, as in ``BilledRequest``, by the digest of its key."""
 
     time: float
-    request_key: str
-    run_id: str
-    figure: int
-    seen: tuple[tuple[str, str], ...]
+    key: bytes
+    seen: bytes
 
 
 class BudgetState(msgspec.Struct, frozen=True, array_like=True):
--- a/src/knapweeddrum/process/router/router.py
+++ b/src/knapweeddrum/process/router/router.py
@@ -32,6 +32,7 @@
 from knapweeddrum.process.router.service_directory import ServiceDirectory
 from knapweeddrum.process.router.service_handler import ServiceHandler
 from knapweeddrum.process.router.settler import Settler
+from knapweeddrum.process.router.slot_limiter import SlotLimiter
 from knapweeddrum.process.router.usage_collector import UsageCollector
 
 
@@ -52,7 +53,7 @@
         self._pollers = PollerGroup(parts, self.directory, tasks)
         self._config = ConfigFollower(parts, self._configure)
         crashes = CrashWatch(parts)
-        self._entry = EntryFollower(parts, crashes)
+        self.entry = EntryFollower(parts, crashes)
         recorder = OutcomeRecorder(parts, tasks)
         services = RunServices(
             parts=parts,
@@ -65,6 +66,9 @@
             locator=locator,
         )
         table = self._config.table
+        self._limiter = SlotLimiter(
+            parts, table, self.directory, self._admission, self.entry
+        )
         models = RunDirectory(services, tasks)
         plain = ServiceDirectory(services, tasks)
         self.gate = RouterGate(parts, table, plan, models, plain, self.collector)
@@ -84,14 +88,15 @@
             self.gate,
             ModelHandler(parts, table, models),
             ServiceHandler(parts, table, plain),
-            EntryHandler(parts, self._entry, plan),
+            EntryHandler(parts, self.entry, plan),
         )
 
     def start(self) -> None:
         """Start the tasks that run as long as the router."""
         self._tasks.start_soon(self._config.run)
-        self._tasks.start_soon(self._entry.run)
+        self._tasks.start_soon(self.entry.run)
         self._tasks.start_soon(self._admission.run)
+        self._tasks.start_soon(self._limiter.run)
         self._tasks.start_soon(self.allowances.run)
         self._tasks.start_soon(self.settler.run)
         self._tasks.start_soon(self.drain.tell_keeper, False)
