--- /dev/null
+++ b/tools/slopes/gossip_slope.py
@@ -0,0 +1,97 @@
+"""Cost and speed of the membership exchange, by hosts."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Callable
+
+import anyio
+
+from knapweeddrum.message.call.entry_host import EntryHost
+from tools.slopes.cpu_timer import CpuTimer
+from tools.slopes.figure import Figure
+from tools.slopes.members import Members
+from tools.slopes.reading import Reading
+from tools.slopes.slope import Slope
+
+ROUNDS = 10
+ROUND_LIMIT = 600
+WATCHERS = 20
+SPREAD_SHARE = 0.95
+
+
+class GossipSlope(Slope):
+    """Runs rounds of all hosts in one process, with calls in memory.
+
+    Bytes are those of the messages, counted once for the sender and once for the
+    receiver. A round is one second.
+    """
+
+    name = "gossip"
+    unit = "hosts"
+    sizes = (7, 20, 60, 120)
+    tiny_sizes = (3, 5)
+    repeats = 3
+
+    def __init__(self) -> None:
+        self._seeds = itertools.count(1)
+
+    def measure(self, size: float) -> Reading:
+        """Run once at a size and return what it took."""
+        return anyio.run(self._measure, size)
+
+    async def _measure(self, size: float) -> Reading:
+        members = Members(int(size), seed=next(self._seeds))
+        timer = CpuTimer()
+        with timer.running():
+            for _ in range(ROUNDS):
+                await members.round()
+        host_rounds = len(members.tasks) * ROUNDS
+        calls = sum(counts.calls for counts in members.network.counts.values())
+        size_bytes = sum(counts.bytes for counts in members.network.counts.values())
+        drain = await self._rounds_until_draining(members)
+        heard = await self._rounds_until_heard(members)
+        gone = await self._rounds_until_gone(members)
+        return Reading(
+            size,
+            (
+                Figure("calls", "calls/host/s", calls / host_rounds),
+                Figure("bytes", "bytes/host/s", 2 * size_bytes / host_rounds),
+                Figure("cpu", "us/host/s", timer.microseconds / host_rounds),
+                Figure("drain_spread", "s", drain),
+                Figure("offset_spread", "s", heard),
+                Figure("loss_noticed", "s", gone),
+            ),
+        )
+
+    async def _rounds_until_draining(self, members: Members) -> float:
+        """Return the rounds until 95 in 100 watchers know that the first drains."""
+        members.tasks[0].draining = True
+        return await self._rounds_until(members, 0, lambda host: host.draining)
+
+    async def _rounds_until_heard(self, members: Members) -> float:
+        """Return the rounds until 95 in 100 watchers know a new offset of the first."""
+        members.offsets[0] = 1
+        return await self._rounds_until(members, 0, lambda host: host.config_offset > 0)
+
+    async def _rounds_until_gone(self, members: Members) -> float:
+        """Return the rounds until 95 in 100 watchers take a lost host for gone."""
+        last = len(members.tasks) - 1
+        members.end(last)
+        return await self._rounds_until(members, last, lambda host: not host.alive)
+
+    async def _rounds_until(
+        self, members: Members, subject: int, seen: Callable[[EntryHost], bool]
+    ) -> float:
+        """Run rounds until 95 in 100 watchers see something of a host."""
+        name = members.heartbeats[subject].host
+        watchers = members.tasks[1 : 1 + WATCHERS]
+        for number in range(1, ROUND_LIMIT):
+            await members.round()
+            count = sum(
+                any(seen(host) for host in task.hosts() if host.host == name)
+                for task in watchers
+            )
+            if count >= SPREAD_SHARE * len(watchers):
+                return float(number)
+        return float(ROUND_LIMIT)
