Put a router's returned allowances on the log, not into the pool

Cause: a router repeats its settlement at another keeper when it gets no reply, and both keepers credited the returned tokens to their pools: 200 tokens could be drawn from a deposit of 100. Ruled out: a memory of settlement identifiers with a time window, because a frozen router may wake after any window, and because two keepers share no memory. Before: test_return_repeated_at_another_keeper_counts_once drew 200. After: 100; the log drops the second return by its identifier. A draw whose caller gives up is now finished, and what a keeper keeps for each budget is forgotten when it is not used.

--- a/src/knapweeddrum/process/keeper/grant_manager.py
+++ b/src/knapweeddrum/process/keeper/grant_manager.py
@@ -10,7 +10,6 @@
 from knapweeddrum.core.budget.allowance_pool import AllowancePool
 from knapweeddrum.core.budget.budget_demand import BudgetDemand
 from knapweeddrum.core.budget.budget_ledger import BudgetLedger
-from knapweeddrum.core.budget.demand_rate import DemandRate
 from knapweeddrum.core.budget.grant_policy import GrantPolicy
 from knapweeddrum.core.budget.transfer_book import TransferBook
 from knapweeddrum.core.fold.fact_verdict import FactVerdict
@@ -27,6 +26,7 @@
 from knapweeddrum.message.fact.bill import Bill
 from knapweeddrum.message.fact.grant import Grant
 from knapweeddrum.message.fact.grant_return import GrantReturn
+from knapweeddrum.process.keeper.budget_use import BudgetUse
 from knapweeddrum.process.keeper.draw_replies import DrawReplies
 from knapweeddrum.process.keeper.exceptions import (
     AppendPendingError,
@@ -42,9 +42,7 @@
 
 GRANT_PATIENCE_SECONDS = 1.5
 SETTLE_PATIENCE_SECONDS = 3.0
-DEMAND_TIME_CONSTANT_SECONDS = 10.0
 SURPLUS_PERIOD_SECONDS = 5.0
-IDLE_SECONDS = 30.0
 OPEN_AHEAD_SECONDS = 2.0
 EXHAUSTED_RETRY_SECONDS = 30.0
 UNREACHABLE_RETRY_SECONDS = 2.0
@@ -74,11 +72,9 @@
         self._opener = GrantOpener(incarnation, self._pool, membership, peers)
         self._witnessed = witnessed
         self._given = TransferBook(self._pool)
-        self._rates: dict[str, DemandRate] = {}
-        self._last_draw: dict[str, float] = {}
-        self._locks: dict[str, anyio.Lock] = {}
-        self._refilling: set[str] = set()
+        self._uses: dict[str, BudgetUse] = {}
         self._replies = DrawReplies()
+        self._draws: dict[str, anyio.Event] = {}
         self._credited: set[str] = set()
         self._numbers = itertools.count()
         for stream in streams:
@@ -86,10 +82,26 @@
             stream.follower.listen_for_jumps(self._credit_known_grants)
 
     async def draw(self, req: DrawRequest) -> DrawReply:
-        """Hand allowances to a router."""
+        """Hand allowances to a router.
+
+        A draw whose caller gives up is finished all the same: its repeat gets the
+        tokens.
+        """
+        running = self._draws.get(req.draw_id)
+        if running is not None:
+            await running.wait()
         known = self._replies.get(req.draw_id)
         if known is not None:
             return known
+        done = self._draws[req.draw_id] = anyio.Event()
+        with anyio.CancelScope(shield=True):
+            reply = await self._meet_all(req)
+        self._replies.keep(req.draw_id, reply, self._clock())
+        del self._draws[req.draw_id]
+        done.set()
+        return reply
+
+    async def _meet_all(self, req: DrawRequest) -> DrawReply:
         allowances: list[Allowance] = []
         shortfalls: list[Shortfall] = []
         for want in req.wants:
@@ -97,28 +109,34 @@
                 allowances += await self._meet(want)
             except ShortfallError as exc:
                 shortfalls.append(exc.shortfall)
-        reply = DrawReply(allowances=tuple(allowances), shortfalls=tuple(shortfalls))
-        self._replies.keep(req.draw_id, reply, self._clock())
-        return reply
+        return DrawReply(allowances=tuple(allowances), shortfalls=tuple(shortfalls))
 
     async def settle(self, req: SettleRequest) -> SettleReply:
-        """Put settlements on the log as bills and take back allowances."""
-        self._pool.credit(req.settle_id, req.returns)
+        """Put settlements and returned allowances on the log.
+
+        Returns go to the log and not into the pool: a router repeats them at another
+        keeper when it gets no reply, and only the log can tell that it did.
+        """
         accepted = True
         async with anyio.create_task_group() as tasks:
 
-            async def bill(settlement: Settlement) -> None:
+            async def append(fact: Bill | GrantReturn) -> None:
                 nonlocal accepted
-                accepted = await self._bill(settlement) and accepted
+                accepted = await self._append(fact) and accepted
 
             for settlement in req.settlements:
-                tasks.start_soon(bill, settlement)
+                tasks.start_soon(append, _bill(settlement))
+            for index, allowance in enumerate(req.returns):
+                return_id = f"{req.settle_id}/{index}"
+                tasks.start_soon(append, _return(return_id, allowance))
         return SettleReply(accepted=accepted)
 
     def transfer(self, req: TransferRequest) -> TransferReply:
         """Hand tokens to a peer: at most half of what is free, unless it is idle."""
         free = self._pool.free(req.budget)
-        spare = free if self._is_idle(req.budget) else free // 2
+        use = self._uses.get(req.budget)
+        idle = use is None or use.is_idle(self._clock())
+        spare = free if idle else free // 2
         tokens = min(req.tokens, spare)
         allowances = self._given.give(
             req.transfer_id, req.budget, tokens, self._clock()
@@ -132,6 +150,7 @@
             held = {*self._pool.budgets(), *self._opener.budgets()}
             for budget in sorted(held):
                 self._return_surplus(budget)
+            self._forget_unused(held)
 
     def return_all(self) -> None:
         """Hand everything back to the log, at a planned stop."""
@@ -141,11 +160,9 @@
             self._submit_return(allowance)
 
     async def _meet(self, want: Want) -> tuple[Allowance, ...]:
-        now = self._clock()
-        self._rate(want.budget).add(want.minimum, now)
-        self._last_draw[want.budget] = now
-        lock = self._locks.setdefault(want.budget, anyio.Lock())
-        async with lock:
+        use = self._use(want.budget)
+        use.note_draw(want.minimum, self._clock())
+        async with use.lock:
             if self._pool.free(want.budget) < want.minimum:
                 await self._obtain(want)
             if self._pool.free(want.budget) < want.minimum:
@@ -179,18 +196,20 @@
     async def _open_for(self, want: Want) -> None:
         missing = want.minimum - self._pool.free(want.budget)
         if missing > 0 and self._opener.unopened(want.budget):
-            ahead = self._rate(want.budget).at(self._clock()) * OPEN_AHEAD_SECONDS
+            rate = self._use(want.budget).rate.at(self._clock())
+            ahead = rate * OPEN_AHEAD_SECONDS
             await self._opener.open(want.budget, missing + int(ahead))
 
     def _refill(self, budget: str) -> None:
         """Ask for the next grant ahead of need, one at a time for each budget."""
-        if budget in self._refilling:
+        use = self._use(budget)
+        if use.is_refilling:
             return
         stream = shard_of(budget, self._streams)
         fact = self._grant(stream, budget, wanted=0)
         if fact is None:
             return
-        self._refilling.add(budget)
+        use.is_refilling = True
         stream.appender.submit(fact)
 
     def _grant(
@@ -216,7 +235,7 @@
             balance=stream.ledger.balance(budget),
             free=self._pool.free(budget) + self._opener.unopened(budget),
             wanted=wanted,
-            rate=self._rate(budget).at(self._clock()),
+            rate=self._use(budget).rate.at(self._clock()),
             live_keepers=len(self._membership.live_incarnations()),
         )
 
@@ -232,19 +251,9 @@
             ),
         )
 
-    async def _bill(self, settlement: Settlement) -> bool:
-        stream = shard_of(settlement.budget, self._streams)
-        fact = Bill(
-            request_key=settlement.request_key,
-            run_id=settlement.run_id,
-            budget=settlement.budget,
-            grant_id=settlement.grant_id,
-            tokens=settlement.tokens,
-            outcome=settlement.outcome,
-            settler=settlement.settler,
-            further=settlement.further,
-            abandoned=settlement.abandoned,
-        )
+    async def _append(self, fact: Bill | GrantReturn) -> bool:
+        """Append a fact of a router; return whether it has been read back."""
+        stream = shard_of(fact.budget, self._streams)
         try:
             await stream.appender.append(fact, SETTLE_PATIENCE_SECONDS)
         except KeeperError:
@@ -255,7 +264,7 @@
         stream = shard_of(budget, self._streams)
         if not stream.appender.available:
             return
-        if self._is_idle(budget):
+        if self._use(budget).is_idle(self._clock()):
             tokens = self._pool.free(budget)
             self._return_unopened(budget)
         else:
@@ -274,16 +283,8 @@
 
     def _submit_return(self, allowance: Allowance, opened: bool = True) -> None:
         stream = shard_of(allowance.budget, self._streams)
-        number = next(self._numbers)
-        stream.appender.submit(
-            GrantReturn(
-                return_id=f"{self._incarnation}/return-{number}",
-                grant_id=allowance.grant_id,
-                budget=allowance.budget,
-                tokens=allowance.tokens,
-                opened=opened,
-            )
-        )
+        return_id = f"{self._incarnation}/return-{next(self._numbers)}"
+        stream.appender.submit(_return(return_id, allowance, opened))
 
     def _take_verdicts(self, verdicts: tuple[FactVerdict, ...]) -> None:
         """Credit grants of this incarnation when they are read back, also late."""
@@ -291,7 +292,7 @@
             fact = verdict.fact
             if not isinstance(fact, Grant) or fact.holder != self._incarnation:
                 continue
-            self._refilling.discard(fact.budget)
+            self._use(fact.budget).is_refilling = False
             self._credit(fact.grant_id, fact.budget, fact.witness, verdict.tokens)
 
     def _credit_known_grants(self) -> None:
@@ -301,7 +302,8 @@
                     self._credit(
                         grant.grant_id, grant.budget, grant.witness, grant.remaining
                     )
-        self._refilling.clear()
+        for use in self._uses.values():
+            use.is_refilling = False
 
     def _credit(self, grant_id: str, budget: str, witness: str, tokens: int) -> None:
         if not tokens or grant_id in self._credited:
@@ -312,10 +314,46 @@
             return
         allowance = Allowance(budget=budget, grant_id=grant_id, tokens=tokens)
         self._pool.credit(grant_id, (allowance,))
+        self._pool.forget(grant_id)
 
-    def _rate(self, budget: str) -> DemandRate:
-        return self._rates.setdefault(budget, DemandRate(DEMAND_TIME_CONSTANT_SECONDS))
+    def _use(self, budget: str) -> BudgetUse:
+        use = self._uses.get(budget)
+        if use is None:
+            use = self._uses[budget] = BudgetUse(last_draw=self._clock())
+        return use
 
-    def _is_idle(self, budget: str) -> bool:
-        last = self._last_draw.get(budget)
-        return last is None or self._clock() - last > IDLE_SECONDS
+    def _forget_unused(self, held: set[str]) -> None:
+        """Forget budgets that nobody uses, and grants that are spent."""
+        now = self._clock()
+        for budget, use in list(self._uses.items()):
+            if budget not in held and use.is_forgettable(now):
+                del self._uses[budget]
+        still_open: set[str] = set()
+        for stream in self._streams:
+            grants = stream.ledger.grants_of(self._incarnation)
+            still_open.update(grant.grant_id for grant in grants)
+        self._credited &= still_open
+
+
+def _bill(settlement: Settlement) -> Bill:
+    return Bill(
+        request_key=settlement.request_key,
+        run_id=settlement.run_id,
+        budget=settlement.budget,
+        grant_id=settlement.grant_id,
+        tokens=settlement.tokens,
+        outcome=settlement.outcome,
+        settler=settlement.settler,
+        further=settlement.further,
+        abandoned=settlement.abandoned,
+    )
+
+
+def _return(return_id: str, allowance: Allowance, opened: bool = True) -> GrantReturn:
+    return GrantReturn(
+        return_id=return_id,
+        grant_id=allowance.grant_id,
+        budget=allowance.budget,
+        tokens=allowance.tokens,
+        opened=opened,
+    )
--- a/src/knapweeddrum/process/keeper/grant_opener.py
+++ b/src/knapweeddrum/process/keeper/grant_opener.py
@@ -101,7 +101,9 @@
             return
         if reply.allowed:
             allowance = holding.grant.acknowledge(mark)
-            self._pool.credit(f"{grant_id}/{mark}", (allowance,))
+            credit_id = f"{grant_id}/{mark}"
+            self._pool.credit(credit_id, (allowance,))
+            self._pool.forget(credit_id)
         elif reply.closed:
             holding.grant.close()
         self._drop_spent(budget)
--- a/src/knapweeddrum/process/keeper/transfer_client.py
+++ b/src/knapweeddrum/process/keeper/transfer_client.py
@@ -56,4 +56,5 @@
                     # The peer may have debited: the same identifier asks again.
                     continue
                 pool.credit(transfer_id, reply.allowances)
+                pool.forget(transfer_id)
                 break
--- a/tests/process/keeper/keeper_bench.py
+++ b/tests/process/keeper/keeper_bench.py
@@ -83,6 +83,12 @@
         )
         return await self.call(keeper_methods.SETTLE, request)
 
+    async def give_back(self, settle_id: str, allowances):
+        request = SettleRequest(
+            settle_id=settle_id, router="router-1", settlements=(), returns=allowances
+        )
+        return await self.call(keeper_methods.SETTLE, request)
+
     async def status(self):
         reply = await self.call(keeper_methods.BUDGET, BudgetRequest(prefix=BUDGET))
         return reply.budgets[0]
--- a/tests/process/keeper/test_grants.py
+++ b/tests/process/keeper/test_grants.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import anyio
+
 from tests.async_test import async_test
 from tests.process.keeper.keeper_bench import keeper_bench, until_status
 
@@ -108,3 +110,28 @@
         first.kill()
         status = await until_status(second, lambda status: status.stranded > 0)
         assert status.held == status.stranded == held
+
+
+@async_test
+async def test_return_repeated_at_another_keeper_counts_once():
+    """Tokens returned through two keepers, after a lost reply, are drawn once."""
+    async with keeper_bench(2, witnessed=False) as (_, keepers):
+        await keepers[0].top_up("t1", 100)
+        reply = await keepers[0].draw("d1", 100)
+        assert tokens(reply) == 100
+        for keeper in keepers:
+            await keeper.give_back("s1", reply.allowances)
+        given = 0
+        for number, keeper in enumerate(keepers):
+            given += tokens(await keeper.draw(f"again-{number}", 100))
+        assert given == 100
+
+
+@async_test
+async def test_draw_whose_caller_gave_up_keeps_its_tokens():
+    """A draw cut off half way is finished, and its repeat gets the tokens."""
+    async with keeper_bench(1, witnessed=False) as (_, (keeper,)):
+        await keeper.top_up("t1", 100)
+        with anyio.move_on_after(0):
+            await keeper.draw("d1", 100)
+        assert tokens(await keeper.draw("d1", 100)) == 100
