--- a/src/knapweeddrum/core/membership/member_table.py
+++ b/src/knapweeddrum/core/membership/member_table.py
@@ -4,11 +4,15 @@
 
 import math
 import random
-import zlib
 from collections.abc import Iterable
 
 import msgspec
 
+from knapweeddrum.core.membership.incarnation_index import (
+    MAX_WANTED,
+    IncarnationIndex,
+    incarnation_crc,
+)
 from knapweeddrum.core.membership.listed_member import ListedMember
 from knapweeddrum.core.membership.member import Member
 from knapweeddrum.core.membership.member_state import MemberState
@@ -30,9 +34,6 @@
 HEARTBEATS_PER_WELCOME = 48
 """Whole heartbeats in a reply to a host that knows fewer members."""
 
-MAX_WANTED = 8
-"""Unknown incarnations that are asked for in one message."""
-
 MARKS_PER_MESSAGE = 40
 """Heartbeat marks in one message."""
 
@@ -78,8 +79,7 @@
         self._leaving: frozenset[str] = frozenset()
         self._superseded_by = ""
         self._urgent = UrgentChanges()
-        self._hosts_by_crc: dict[int, str] = {}
-        self._wanted: dict[int, None] = {}
+        self._incarnations = IncarnationIndex()
 
     @property
     def own(self) -> Heartbeat:
@@ -137,9 +137,11 @@
     def merge_marks(self, marks: Iterable[HeartbeatMark], now: float) -> None:
         """Take marks from a peer; unknown incarnations are asked for later."""
         for mark in marks:
+            if mark.incarnation_crc == incarnation_crc(self._own.incarnation):
+                continue
             known = self._member_by_crc(mark.incarnation_crc)
             if known is None:
-                self._want(mark.incarnation_crc)
+                self._incarnations.want(mark.incarnation_crc)
             elif mark.sequence > known.heartbeat.sequence:
                 heartbeat = msgspec.structs.replace(
                     known.heartbeat,
@@ -168,8 +170,7 @@
 
     def request(self, now: float) -> ExchangeRequest:
         """Return the message to a peer that was chosen."""
-        wanted = tuple(self._wanted)
-        self._wanted.clear()
+        wanted = self._incarnations.take_wanted()
         return ExchangeRequest(
             self.outgoing(), self.outgoing_marks(now), len(self._members), wanted
         )
@@ -248,7 +249,7 @@
         ]
         for host in old:
             member = self._members.pop(host)
-            self._hosts_by_crc.pop(_crc(member.heartbeat.incarnation), None)
+            self._incarnations.remove(member.heartbeat.incarnation)
             self._urgent.discard(host)
 
     def suspect_seconds(self) -> float:
@@ -295,22 +296,18 @@
         known = self._members.get(heartbeat.host)
         self._members[heartbeat.host] = Member(heartbeat, now)
         if known is None or known.heartbeat.incarnation != heartbeat.incarnation:
-            self._hosts_by_crc[_crc(heartbeat.incarnation)] = heartbeat.host
             if known is not None:
-                self._hosts_by_crc.pop(_crc(known.heartbeat.incarnation), None)
+                self._incarnations.remove(known.heartbeat.incarnation)
+            self._incarnations.add(heartbeat.incarnation, heartbeat.host)
         elif known.heartbeat.draining == heartbeat.draining:
             return
         sends = URGENT_SENDS + len(self._members).bit_length()
         self._urgent.add(heartbeat.host, sends)
 
     def _member_by_crc(self, crc: int) -> Member | None:
-        host = self._hosts_by_crc.get(crc)
+        host = self._incarnations.host(crc)
         return None if host is None else self._members.get(host)
 
-    def _want(self, crc: int) -> None:
-        if crc != _crc(self._own.incarnation) and len(self._wanted) < MAX_WANTED:
-            self._wanted[crc] = None
-
     def _wanted_by(self, req: ExchangeRequest) -> tuple[Heartbeat, ...]:
         members = [self._member_by_crc(crc) for crc in req.wanted[:MAX_WANTED]]
         return tuple(member.heartbeat for member in members if member is not None)
@@ -364,14 +361,10 @@
     return (heartbeat.incarnation, heartbeat.sequence)
 
 
-def _crc(incarnation: str) -> int:
-    return zlib.crc32(incarnation.encode())
-
-
 def _mark(member: Member, now: float) -> HeartbeatMark:
     heartbeat = member.heartbeat
     return HeartbeatMark(
-        _crc(heartbeat.incarnation),
+        incarnation_crc(heartbeat.incarnation),
         heartbeat.sequence,
         heartbeat.draining,
         heartbeat.config_offset,
