--- a/src/knapweeddrum/core/membership/member_table.py
+++ b/src/knapweeddrum/core/membership/member_table.py
@@ -9,7 +9,6 @@
 import msgspec
 
 from knapweeddrum.core.membership.incarnation_index import (
-    MAX_WANTED,
     IncarnationIndex,
     incarnation_crc,
 )
@@ -19,8 +18,6 @@
 from knapweeddrum.core.membership.peer_address import PeerAddress
 from knapweeddrum.core.membership.urgent_changes import UrgentChanges
 from knapweeddrum.message.call.entry_host import EntryHost
-from knapweeddrum.message.call.exchange_reply import ExchangeReply
-from knapweeddrum.message.call.exchange_request import ExchangeRequest
 from knapweeddrum.message.call.heartbeat import Heartbeat
 from knapweeddrum.message.call.heartbeat_mark import HeartbeatMark
 from knapweeddrum.value.identifiers import HostName
@@ -31,9 +28,6 @@
 HEARTBEATS_PER_MESSAGE = 2
 """Whole heartbeats in one message, the sender's own included."""
 
-HEARTBEATS_PER_WELCOME = 48
-"""Whole heartbeats in a reply to a host that knows fewer members."""
-
 MARKS_PER_MESSAGE = 40
 """Heartbeat marks in one message."""
 
@@ -81,6 +75,9 @@
         self._urgent = UrgentChanges()
         self._incarnations = IncarnationIndex()
 
+    def __len__(self) -> int:
+        return len(self._members)
+
     @property
     def own(self) -> Heartbeat:
         """Return this node's last heartbeat."""
@@ -139,12 +136,12 @@
         for mark in marks:
             if mark.incarnation_crc == incarnation_crc(self._own.incarnation):
                 continue
-            known = self._member_by_crc(mark.incarnation_crc)
+            known = self.heartbeat_of(mark.incarnation_crc)
             if known is None:
                 self._incarnations.want(mark.incarnation_crc)
-            elif mark.sequence > known.heartbeat.sequence:
+            elif mark.sequence > known.sequence:
                 heartbeat = msgspec.structs.replace(
-                    known.heartbeat,
+                    known,
                     sequence=mark.sequence,
                     draining=mark.draining,
                     config_offset=mark.config_offset,
@@ -153,10 +150,7 @@
 
     def outgoing(self) -> tuple[Heartbeat, ...]:
         """Return the whole heartbeats for one message: the own one, then others."""
-        hosts = sorted(self._members)
-        count = min(HEARTBEATS_PER_MESSAGE - 1, len(hosts))
-        chosen = self._rng.sample(hosts, count)
-        return (self._own, *(self._members[host].heartbeat for host in chosen))
+        return (self._own, *self.sample(HEARTBEATS_PER_MESSAGE - 1))
 
     def outgoing_marks(self, now: float) -> tuple[HeartbeatMark, ...]:
         """Return the marks for one message.
@@ -168,31 +162,25 @@
         fresh = self._sample_fresh(MARKS_PER_MESSAGE - len(urgent), set(urgent))
         return tuple(_mark(self._members[host], now) for host in (*urgent, *fresh))
 
-    def request(self, now: float) -> ExchangeRequest:
-        """Return the message to a peer that was chosen."""
-        wanted = self._incarnations.take_wanted()
-        return ExchangeRequest(
-            self.outgoing(), self.outgoing_marks(now), len(self._members), wanted
-        )
+    def sample(self, count: int) -> tuple[Heartbeat, ...]:
+        """Return the heartbeats of ``count`` random members, or of all."""
+        hosts = sorted(self._members)
+        chosen = self._rng.sample(hosts, min(count, len(hosts)))
+        return tuple(self._members[host].heartbeat for host in chosen)
 
-    def reply(self, req: ExchangeRequest, now: float) -> ExchangeReply:
-        """Take a peer's message and return the reply.
+    def take_wanted(self) -> tuple[int, ...]:
+        """Return the unknown incarnations to ask a peer for, once."""
+        return self._incarnations.take_wanted()
 
-        A peer that knows far fewer members gets more; one that was replaced gets the
-        heartbeat of the newer incarnation.
-        """
-        self._take_message(req.heartbeats, req.marks, now)
-        heartbeats = (
-            *self.outgoing(),
-            *self._newer_of_sender(req),
-            *self._wanted_by(req),
-            *self._welcome(req),
-        )
-        return ExchangeReply(heartbeats, self.outgoing_marks(now))
+    def heartbeat(self, host: str) -> Heartbeat | None:
+        """Return the newest heartbeat of another host, or None."""
+        member = self._members.get(host)
+        return None if member is None else member.heartbeat
 
-    def take_reply(self, reply: ExchangeReply, now: float) -> None:
-        """Take a peer's reply."""
-        self._take_message(reply.heartbeats, reply.marks, now)
+    def heartbeat_of(self, crc: int) -> Heartbeat | None:
+        """Return the newest heartbeat of an incarnation by its CRC-32, or None."""
+        host = self._incarnations.host(crc)
+        return None if host is None else self.heartbeat(host)
 
     def choose_peers(self, now: float) -> tuple[PeerAddress, ...]:
         """Return the peers of this round.
@@ -273,25 +261,6 @@
         ]
         return present, absent
 
-    def _take_message(
-        self,
-        heartbeats: tuple[Heartbeat, ...],
-        marks: tuple[HeartbeatMark, ...],
-        now: float,
-    ) -> None:
-        """Take the sender's own heartbeat, then what it relays.
-
-        A relayed heartbeat has no age: it only counts when its incarnation is new.
-        """
-        self.merge(heartbeats[:1], now)
-        relayed = [item for item in heartbeats[1:] if self._is_new(item)]
-        self.merge(relayed, now)
-        self.merge_marks(marks, now)
-
-    def _is_new(self, heartbeat: Heartbeat) -> bool:
-        known = self._members.get(heartbeat.host)
-        return known is None or heartbeat.incarnation > known.heartbeat.incarnation
-
     def _set(self, heartbeat: Heartbeat, now: float) -> None:
         known = self._members.get(heartbeat.host)
         self._members[heartbeat.host] = Member(heartbeat, now)
@@ -304,32 +273,6 @@
         sends = URGENT_SENDS + len(self._members).bit_length()
         self._urgent.add(heartbeat.host, sends)
 
-    def _member_by_crc(self, crc: int) -> Member | None:
-        host = self._incarnations.host(crc)
-        return None if host is None else self._members.get(host)
-
-    def _wanted_by(self, req: ExchangeRequest) -> tuple[Heartbeat, ...]:
-        members = [self._member_by_crc(crc) for crc in req.wanted[:MAX_WANTED]]
-        return tuple(member.heartbeat for member in members if member is not None)
-
-    def _welcome(self, req: ExchangeRequest) -> tuple[Heartbeat, ...]:
-        """Return many heartbeats for a sender that knows less than half."""
-        if 2 * req.known >= len(self._members):
-            return ()
-        hosts = sorted(self._members)
-        chosen = self._rng.sample(hosts, min(HEARTBEATS_PER_WELCOME, len(hosts)))
-        return tuple(self._members[host].heartbeat for host in chosen)
-
-    def _newer_of_sender(self, req: ExchangeRequest) -> tuple[Heartbeat, ...]:
-        """Return the heartbeat that replaces the sender's, if there is one."""
-        if not req.heartbeats:
-            return ()
-        sender = req.heartbeats[0]
-        known = self._members.get(sender.host)
-        if known is None or known.heartbeat.incarnation <= sender.incarnation:
-            return ()
-        return (known.heartbeat,)
-
     def _sample_fresh(self, count: int, taken: set[str]) -> list[str]:
         hosts = [host for host in sorted(self._members) if host not in taken]
         hosts.sort(key=lambda host: -self._members[host].heard_at)
--- a/tests/core/membership/test_member_table.py
+++ b/tests/core/membership/test_member_table.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from knapweeddrum.core.membership.drain_plan import ADVICE_SPREAD_SECONDS
+from knapweeddrum.core.membership.gossip_exchange import GossipExchange
 from knapweeddrum.core.membership.listed_member import ListedMember
 from knapweeddrum.core.membership.member_state import MemberState
 from knapweeddrum.core.membership.member_table import (
@@ -21,6 +22,12 @@
 NEW = "h2/keeper/000000000002-0"
 
 
+def _exchange(table, peer, now):
+    """Let ``table`` ask ``peer`` once."""
+    exchange = GossipExchange(table)
+    exchange.take_reply(GossipExchange(peer).reply(exchange.request(now), now), now)
+
+
 def test_silence_makes_a_member_suspect_then_gone():
     """Only a fresh heartbeat counts; a repeated one is silence."""
     table = new_table("h1")
@@ -55,7 +62,7 @@
     """It finds the newer incarnation of its own host in a peer's reply."""
     table, peer = new_table("h2"), new_table("h1")
     peer.merge([new_heartbeat("h2", 1, NEW)], 1.0)
-    table.take_reply(peer.reply(table.request(9.0), 9.0), 9.0)
+    _exchange(table, peer, 9.0)
     assert table.superseded_by == NEW
     table.merge([new_heartbeat("h2", 5, OLD)], 9.0)
     assert table.superseded_by == NEW
@@ -103,7 +110,7 @@
     marks = peer.outgoing_marks(0.0)
     table.merge_marks(marks, 1.0)
     assert table.state("h2", 1.0) is MemberState.GONE
-    assert len(table.request(1.0).wanted) == 1
+    assert len(GossipExchange(table).request(1.0).wanted) == 1
     table.merge([new_heartbeat("h2", 9, OLD)], 2.0)
     table.merge_marks(marks, 3.0)
     assert table.silence("h2", 3.0) == 1.0
@@ -156,8 +163,7 @@
             for peer in table.choose_peers(now):
                 if (name in cut) != (peer.host in cut):
                     continue
-                reply = tables[peer.host].reply(table.request(now), now)
-                table.take_reply(reply, now)
+                _exchange(table, tables[peer.host], now)
     return now
 
 
@@ -190,8 +196,10 @@
     now = _run_rounds(tables, 50, 0.0)
     assert {_alive(table, now) for table in tables.values()} == {60}
     for table in tables.values():
-        assert len(table.request(now).heartbeats) == HEARTBEATS_PER_MESSAGE
-        assert len(table.request(now).marks) == MARKS_PER_MESSAGE
+        assert (
+            len(GossipExchange(table).request(now).heartbeats) == HEARTBEATS_PER_MESSAGE
+        )
+        assert len(GossipExchange(table).request(now).marks) == MARKS_PER_MESSAGE
         assert len(table.choose_peers(now)) <= PEERS_PER_ROUND
 
 
--- a/tools/routing_model/membership_scenario.py
+++ b/tools/routing_model/membership_scenario.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from knapweeddrum.core.membership.gossip_exchange import GossipExchange
 from knapweeddrum.core.membership.member_state import MemberState
 from knapweeddrum.core.membership.member_table import ROUND_SECONDS, MemberTable
 from knapweeddrum.core.membership.peer_address import PeerAddress
@@ -64,13 +65,13 @@
         )
 
     def _exchange(self, table: MemberTable, host: HostName) -> None:
-        req = table.request(self.now)
+        req = GossipExchange(table).request(self.now)
         self.sent_bytes += len(msgspec.msgpack.encode(req))
         if host in self.lost:
             return
-        reply = self.tables[host].reply(req, self.now)
+        reply = GossipExchange(self.tables[host]).reply(req, self.now)
         self.sent_bytes += len(msgspec.msgpack.encode(reply))
-        table.take_reply(reply, self.now)
+        GossipExchange(table).take_reply(reply, self.now)
 
     def _new_table(self, number: int) -> MemberTable:
         host = f"entry-{number:03}.xela-norte"
