--- a/src/knapweeddrum/core/claim/claim_ledger.py
+++ b/src/knapweeddrum/core/claim/claim_ledger.py
@@ -20,6 +20,9 @@
 from knapweeddrum.message.fact.claim import Claim
 from knapweeddrum.message.fact.claim_outcome import ClaimOutcome
 
+ENDED_LIMIT = 64
+"""Claimants of one key that may end with ``not_run``; then no other wins it."""
+
 _ACCEPTED = LedgerOutcome(FoldOutcome.ACCEPTED)
 _CONFLICT = LedgerOutcome(FoldOutcome.CONFLICT)
 _REJECTED = LedgerOutcome(FoldOutcome.REJECTED)
@@ -150,6 +153,8 @@
             return _REPEATED
         if entry.state is not ClaimState.NOT_RUN:
             return _CONFLICT
+        if len(entry.ended) >= ENDED_LIMIT:
+            return _REJECTED
         entry.claimant = fact.claimant
         entry.state = ClaimState.PENDING
         entry.time = time
--- a/tests/core/claim/test_claim_ledger.py
+++ b/tests/core/claim/test_claim_ledger.py
@@ -2,7 +2,7 @@
 
 from nose2.tools import params
 
-from knapweeddrum.core.claim.claim_ledger import ClaimLedger
+from knapweeddrum.core.claim.claim_ledger import ENDED_LIMIT, ClaimLedger
 from knapweeddrum.core.claim.claim_windows import ClaimWindows
 from knapweeddrum.core.fold.fold_outcome import FoldOutcome
 from knapweeddrum.message.call.claim_verdict import ClaimVerdict
@@ -47,6 +47,17 @@
     assert ledger.verdict(KEY, "c2", "print").verdict is ClaimVerdict.WON
 
 
+def test_key_that_is_given_up_too_often_is_closed():
+    """A caller's endless retries don't grow the state; each is told NOT_RUN."""
+    ledger, log = claimed(outcome("c1", "not_run"))
+    for number in range(2, ENDED_LIMIT + 2):
+        claimant = f"c{number}"
+        log.append(Claim(KEY, claimant, "print"), outcome(claimant, "not_run"))
+    assert ledger.verdict(KEY, claimant, "print").verdict is ClaimVerdict.NOT_RUN
+    (verdict,) = log.append(Claim(KEY, "late", "print"))
+    assert verdict.outcome is FoldOutcome.REJECTED
+
+
 @params("done", "unknown")
 def test_outcome_after_dispatch_is_final(state):
     """No later fact changes ``done`` or ``unknown``, nor frees the key."""
