--- a/tests/process/router/test_model_failures.py
+++ b/tests/process/router/test_model_failures.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from knapweeddrum.message.resource.rule import Rule
+from knapweeddrum.process.router.model_dispatch import RESUME_LIMIT
 from tests.async_test import async_test
 from tests.process.router.chat_reply import ChatReply
 from tests.process.router.router_bench import (
@@ -262,19 +263,17 @@
 
 
 @async_test
-async def test_abandoned_run_is_settled_after_the_answer():
+async def test_abandoned_runs_are_settled_after_the_answer():
     """The first settlement of a request is its bill: that of the run it was given."""
     async with served_router() as (bench, ends):
-        ends.engines[0].set_switches(cut_streams=1000, cut_after_parts=0)
-        for number in range(6):
-            assert (await bench.chat(4, X_Request_Id=f"r{number}")).is_whole
+        ends.switch(cut_streams=1 + RESUME_LIMIT, cut_after_parts=0)
+        reply = await bench.chat(4, X_Request_Id="r")
+        assert reply.is_whole
         await settled(bench)
-        outcomes: dict[str, list[str]] = {}
-        for entry in bench.keeper.settlements.values():
-            outcomes.setdefault(entry.request_key, []).append(entry.outcome)
-        assert ["finished", "cut"] in outcomes.values()
-        assert all(found[0] == "finished" for found in outcomes.values())
-        assert sum(tokens for _, tokens in bench.keeper.billed()) == ends.consumed()
+        settlements = list(bench.keeper.settlements.values())
+        assert [entry.outcome for entry in settlements] == ["finished", "cut", "cut"]
+        assert reply.text() == answer_text(settlements[0].run_id, 4)
+        assert sum(entry.tokens for entry in settlements) == ends.consumed()
 
 
 @async_test
