Keep the list of hosts between changes instead of sorting it for each request

Each draw, location and poll of a router built and sorted a list of all hosts. Test seen failing first (test_the_hosts_are_kept_for_requests_that_come_close_together).

--- a/src/knapweeddrum/core/membership/member_table.py
+++ b/src/knapweeddrum/core/membership/member_table.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from knapweeddrum.core.membership.hosts_view import HostsView
 from knapweeddrum.core.membership.listed_member import ListedMember
 from knapweeddrum.core.membership.member import Member
 from knapweeddrum.core.membership.member_state import MemberState
@@ -39,6 +40,9 @@
 SPREAD_FACTOR = 4.0
 """Mean times between two relayed heartbeats of a member, added to SUSPECT_SECONDS."""
 
+VIEW_SECONDS = 0.25
+"""Time for which the list of all hosts is kept while nothing changes."""
+
 FORGET_SECONDS = 86_400.0
 """Time after which a gone member is forgotten."""
 
@@ -60,6 +64,7 @@
         self._leaving: frozenset[str] = frozenset()
         self._superseded_by = ""
         self._urgent: dict[str, int] = {}
+        self._view: HostsView | None = None
 
     @property
     def own(self) -> Heartbeat:
@@ -89,6 +94,7 @@
         """
         entries = [entry for entry in listed if entry.host != self._own.host]
         self._leaving = frozenset(entry.host for entry in entries if entry.leaving)
+        self._view = None
         for entry in entries:
             if not entry.leaving:
                 address = PeerAddress(entry.host, entry.address, entry.keeper_port)
@@ -96,6 +102,7 @@
 
     def update_own(self, draining: bool, config_offset: int) -> Heartbeat:
         """Make and return this node's next heartbeat."""
+        self._view = None
         self._own = msgspec.structs.replace(
             self._own,
             sequence=self._own.sequence + 1,
@@ -106,6 +113,7 @@
 
     def merge(self, heartbeats: Iterable[Heartbeat], now: float) -> None:
         """Take heartbeats from a peer."""
+        self._view = None
         for heartbeat in heartbeats:
             if heartbeat.host == self._own.host:
                 self._check_superseded(heartbeat)
@@ -166,7 +174,18 @@
         )
 
     def hosts(self, now: float) -> tuple[EntryHost, ...]:
-        """Return all known hosts, this one first, then by name."""
+        """Return all known hosts, this one first, then by name.
+
+        Between changes the same list serves for a while, so that a request does not
+        cost more in a large fleet.
+        """
+        view = self._view
+        if view is None or now - view.time >= VIEW_SECONDS:
+            view = HostsView(now, self._all_hosts(now))
+            self._view = view
+        return view.hosts
+
+    def _all_hosts(self, now: float) -> tuple[EntryHost, ...]:
         heartbeats = [member.heartbeat for _, member in sorted(self._members.items())]
         return tuple(
             self._entry_host(heartbeat, now) for heartbeat in (self._own, *heartbeats)
@@ -180,6 +199,7 @@
             if now - member.heard_at >= FORGET_SECONDS
         ]
         for host in old:
+            self._view = None
             del self._members[host]
             self._urgent.pop(host, None)
 
--- a/tests/core/membership/test_member_table.py
+++ b/tests/core/membership/test_member_table.py
@@ -9,8 +9,10 @@
 from knapweeddrum.core.membership.listed_member import ListedMember
 from knapweeddrum.core.membership.member_state import MemberState
 from knapweeddrum.core.membership.member_table import (
+    GONE_FACTOR,
     HEARTBEATS_PER_MESSAGE,
     PEERS_PER_ROUND,
+    VIEW_SECONDS,
 )
 from knapweeddrum.core.membership.new_incarnation import new_incarnation
 from knapweeddrum.core.membership.peer_address import PeerAddress
@@ -172,3 +174,28 @@
     rounds = int(ADVICE_SPREAD_SECONDS)
     _run_rounds(tables, rounds, now, draining=frozenset({"h007"}))
     assert all(table.is_draining("h007") for table in tables.values())
+
+
+def test_the_hosts_are_kept_for_requests_that_come_close_together():
+    """Each request looks at all hosts; a large fleet must not be sorted each time."""
+    table = new_table("h1")
+    table.merge([new_heartbeat("h2")], 0.0)
+    assert table.hosts(0.0) is table.hosts(VIEW_SECONDS / 2)
+
+
+def test_a_change_shows_in_the_hosts_at_once():
+    """What is kept of the hosts never hides a heartbeat, a drain or a silence."""
+    table = new_table("h1")
+    table.hosts(0.0)
+    table.merge([new_heartbeat("h2")], 0.0)
+    assert [host.host for host in table.hosts(0.0)] == ["h1", "h2"]
+    table.merge([new_heartbeat("h2", 2, draining=True)], 0.0)
+    assert table.hosts(0.0)[1].draining
+    table.update_own(True, 0)
+    assert table.hosts(0.0)[0].draining
+    table.merge([new_heartbeat("h2", 3)], 0.0)
+    table.apply_host_list([ListedMember("h2", "127.0.0.1", 8081, True)])
+    assert table.hosts(0.0)[1].draining
+    gone = GONE_FACTOR * table.suspect_seconds()
+    assert table.hosts(gone - 0.01)[1].alive
+    assert not table.hosts(gone + VIEW_SECONDS)[1].alive
