Decode a record only once unless it may hold a part of a checkpoint

The search for checkpoints decoded each record and each fact a second time. Test seen failing first (test_records_without_parts_are_not_decoded).

--- a/src/knapweeddrum/core/fold/checkpoint_reader.py
+++ b/src/knapweeddrum/core/fold/checkpoint_reader.py
@@ -11,6 +11,9 @@
 ASSEMBLY_LIMIT = 8
 """Incomplete checkpoints that are kept at a time."""
 
+_PART_MARK = str(CheckpointPart.__struct_config__.tag).encode()
+"""Bytes that each record with a part contains; others need not be decoded."""
+
 
 class CheckpointReader:
     """Assembles the parts of checkpoints, which several writers may interleave.
@@ -26,6 +29,8 @@
 
     def read(self, offset: int, payload: bytes) -> None:
         """Take one record; records without parts and malformed ones change nothing."""
+        if _PART_MARK not in payload:
+            return
         try:
             batch = decode_batch(payload)
         except MessageError:
