--- a/src/knapweeddrum/process/keeper/log_appender.py
+++ b/src/knapweeddrum/process/keeper/log_appender.py
@@ -44,7 +44,7 @@
         metrics: Metrics,
         batch_window: float = BATCH_WINDOW_SECONDS,
     ) -> None:
-        """``batch_window`` is the wait (s) for more facts after the first of a batch."""
+        """Wait ``batch_window`` seconds for more facts after the first of a batch."""
         self.stream = stream
         self.writer = writer
         self.available = True
--- a/tools/slopes/client_slope.py
+++ b/tools/slopes/client_slope.py
@@ -22,7 +22,7 @@
     unit = "resources"
     sizes = (10, 100, 300)
     tiny_sizes = (1, 2)
-    repeats = 2
+    repeats = 1
 
     def measure(self, size: float) -> Reading:
         """Run once at a size and return what it took."""
--- a/tools/slopes/grant_traffic_slope.py
+++ b/tools/slopes/grant_traffic_slope.py
@@ -110,7 +110,7 @@
 
     name = "grant-keepers"
     unit = "keepers"
-    sizes = (2, 4, 8, 16)
+    sizes = (2, 6, 16)
     tiny_sizes = (2, 3)
     draws_per_second = 160.0
 
--- a/tools/slopes/idle_slope.py
+++ b/tools/slopes/idle_slope.py
@@ -11,8 +11,8 @@
 from tools.slopes.real_fleet import real_fleet, usages
 from tools.slopes.slope import Slope
 
-SETTLE_SECONDS = 6.0
-RUN_SECONDS = 6.0
+SETTLE_SECONDS = 5.0
+RUN_SECONDS = 5.0
 MILLISECONDS = 1_000
 
 
@@ -54,4 +54,6 @@
                 cpu = seconds / self._run_seconds * MILLISECONDS
                 figures.append(Figure(f"{role}_cpu", "ms/s", cpu))
                 figures.append(Figure(f"{role}_resident", "KiB", resident / KIB))
+                shares = statistics.fmean(usage.proportional_bytes for usage in after)
+                figures.append(Figure(f"{role}_proportional", "KiB", shares / KIB))
         return Reading(size, tuple(figures))
--- a/tools/slopes/live_follow_slope.py
+++ b/tools/slopes/live_follow_slope.py
@@ -25,7 +25,7 @@
     """A keeper follows bills that others write, ``batch`` in each record."""
 
     unit = "records/s"
-    sizes = (0, 50, 100, 200, 400)
+    sizes = (0, 100, 400)
     tiny_sizes = (0, 10)
     repeats = 2
 
--- a/tools/slopes/process_usage.py
+++ b/tools/slopes/process_usage.py
@@ -11,10 +11,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProcessUsage:
-    """Processor seconds since the start and resident bytes."""
+    """Processor seconds since the start, and resident bytes.
+
+    ``proportional_bytes`` divides each shared page by the processes that share it.
+    """
 
     cpu_seconds: float
     resident_bytes: int
+    proportional_bytes: int
 
     @classmethod
     def of(cls, pid: int) -> ProcessUsage:
@@ -24,11 +28,16 @@
             int(path.read_text(encoding="ascii").split()[0])
             for path in root.glob("task/*/schedstat")
         )
-        return cls(nanoseconds / NANOSECONDS, _resident_bytes(root / "status"))
+        return cls(
+            nanoseconds / NANOSECONDS,
+            _read_bytes(root / "status", "VmRSS:"),
+            _read_bytes(root / "smaps_rollup", "Pss:"),
+        )
 
 
-def _resident_bytes(path: pathlib.Path) -> int:
+def _read_bytes(path: pathlib.Path, label: str) -> int:
+    """Return a size that a file of /proc gives in KiB."""
     for line in path.read_text(encoding="ascii").splitlines():
-        if line.startswith("VmRSS:"):
+        if line.startswith(label):
             return int(line.split()[1]) * KIB
     return 0
--- a/tools/slopes/router_cost_slope.py
+++ b/tools/slopes/router_cost_slope.py
@@ -33,7 +33,7 @@
 
     name = "router-request"
     unit = "tokens"
-    sizes = (10, 50, 150, 400)
+    sizes = (10, 100, 400)
     tiny_sizes = (1, 2)
     repeats = 2
 
