--- a/tools/slopes/catalogue.py
+++ b/tools/slopes/catalogue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from tools.slopes.batch_cost_slope import BatchCostSlope
+from tools.slopes.catch_up_slope import CatchUpSlope
 from tools.slopes.claim_window_slope import ClaimWindowSlope
 from tools.slopes.client_slope import ClientSlope
 from tools.slopes.config_spread_slope import ConfigSpreadSlope
@@ -51,6 +52,7 @@
         IdleSlope("idle-keeper", ("keeper",), (3, 7, 20)),
         LiveFollowSlope(batch=1),
         LiveFollowSlope(batch=16),
+        CatchUpSlope(),
         ConfigSpreadSlope(),
         RouterCostSlope(),
         ClientSlope(),
--- /dev/null
+++ b/tools/slopes/catch_up_slope.py
@@ -0,0 +1,74 @@
+"""Time until a keeper that starts has caught up, by records on the log."""
+
+from __future__ import annotations
+
+import time
+
+import httpcore
+
+from tools.launcher import Launched, SmallFleet
+from tools.slopes.fact_maker import BillMaker
+from tools.slopes.figure import Figure
+from tools.slopes.process_usage import KIB, ProcessUsage
+from tools.slopes.reading import Reading
+from tools.slopes.real_fleet import real_fleet
+from tools.slopes.record_maker import first_payload, made_payloads
+from tools.slopes.slope import Slope
+
+STREAM = "budget-0"
+BILLS_PER_RECORD = 16
+POLL_SECONDS = 0.01
+LIMIT_SECONDS = 120.0
+MILLISECONDS = 1_000
+
+
+class CatchUpSlope(Slope):
+    """A real keeper reads a stream of bills, 16 in each record, from its start."""
+
+    name = "catch-up"
+    unit = "records"
+    sizes = (0, 1_000, 4_000)
+    tiny_sizes = (0, 4)
+    repeats = 2
+
+    def measure(self, size: float) -> Reading:
+        """Run once at a size and return what it took."""
+        maker = BillMaker()
+        bills = int(size) * BILLS_PER_RECORD
+        payloads = [
+            first_payload(maker),
+            *made_payloads(maker, bills, BILLS_PER_RECORD),
+        ]
+        with real_fleet(1, (), engine_count=0) as fleet:
+            self._fill(fleet, payloads)
+            start = time.monotonic()
+            keeper = fleet.start_process(fleet.hosts[0], "keeper")
+            self._wait_until_ready(keeper)
+            seconds = time.monotonic() - start
+            usage = ProcessUsage.of(keeper.process.pid)
+        return Reading(
+            size,
+            (
+                Figure("ready", "ms", seconds * MILLISECONDS),
+                Figure("cpu", "ms", usage.cpu_seconds * MILLISECONDS),
+                Figure("payload", "bytes", sum(map(len, payloads))),
+                Figure("resident", "KiB", usage.resident_bytes / KIB),
+            ),
+        )
+
+    @staticmethod
+    def _fill(fleet: SmallFleet, payloads: list[bytes]) -> None:
+        url = f"{fleet.log.url}/v1/streams/{STREAM}/records"
+        with httpcore.ConnectionPool() as pool:
+            for payload in payloads:
+                pool.request("POST", url, content=payload)
+
+    @staticmethod
+    def _wait_until_ready(keeper: Launched) -> None:
+        limit = time.monotonic() + LIMIT_SECONDS
+        while time.monotonic() < limit:
+            for line in keeper.log_path.read_text(encoding="utf-8").splitlines():
+                if "stream_ready" in line and STREAM in line:
+                    return
+            time.sleep(POLL_SECONDS)
+        raise SystemExit("the keeper does not catch up")
