Measure allocation ways in simulated time

The model drives the keeper's and the router's own tasks (GrantManager, WitnessTask, TransferClient, LogAppender, StreamFollower, AllowanceManager, Settler) on an event loop whose clock is simulated.

--- /dev/null
+++ b/tools/budget_model/budget_run.py
@@ -0,0 +1,67 @@
+"""One run of a scenario."""
+
+from __future__ import annotations
+
+import anyio
+
+from tools.budget_model.budget_row import BudgetRow
+from tools.budget_model.fleet import Fleet
+from tools.budget_model.host import HOSTS
+from tools.budget_model.scenario import Event, Scenario
+from tools.budget_model.virtual_loop import run_virtual
+from tools.budget_model.way import Way
+from tools.budget_model.workload import MEAN_USED_TOKENS, Workload
+
+START_SECONDS = 5.0
+SETTLE_SECONDS = 60.0
+"""Time after the load in which settlements and releases reach the log."""
+
+
+def run_scenario(scenario: Scenario, way: Way, seed: int) -> BudgetRow:
+    """Run a scenario in one way and return its figures."""
+    rows: list[BudgetRow] = []
+
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            fleet = Fleet(way, seed, tasks, anyio.current_time)
+            await _play(fleet, scenario, tasks)
+            rows.append(_row(fleet, scenario))
+            tasks.cancel_scope.cancel()
+
+    run_virtual(main)
+    return rows[0]
+
+
+async def _play(fleet: Fleet, scenario: Scenario, tasks: anyio.abc.TaskGroup) -> None:
+    tokens = int(
+        scenario.seconds * scenario.rate * MEAN_USED_TOKENS * scenario.deposit_share
+    )
+    fleet.top_up("first", tokens, HOSTS[0])
+    await anyio.sleep(START_SECONDS)
+    for event in scenario.events:
+        tasks.start_soon(_apply_later, fleet, event)
+    await Workload(fleet, scenario.rate).run(scenario.seconds)
+    await anyio.sleep(SETTLE_SECONDS)
+
+
+async def _apply_later(fleet: Fleet, event: Event) -> None:
+    await anyio.sleep(event.at)
+    event.apply(fleet)
+
+
+def _row(fleet: Fleet, scenario: Scenario) -> BudgetRow:
+    tally = fleet.tally
+    return BudgetRow(
+        scenario=scenario.name,
+        way=fleet.way.name,
+        weigh=fleet.way.weigh or "",
+        seed=fleet.seed,
+        requests=tally.requests,
+        overspent_tokens=tally.overspent,
+        false_refusals=tally.false_refusals,
+        true_refusals=tally.true_refusals,
+        false_exhausted=tally.false_exhausted,
+        stranded_tokens=tally.stranded(fleet.live_keepers()),
+        billed_twice=tally.billed_twice(),
+        unbilled=tally.unbilled(),
+    )
--- /dev/null
+++ b/tools/budget_model/fleet.py
@@ -0,0 +1,107 @@
+"""The fleet of the model and what can happen to it."""
+
+from __future__ import annotations
+
+import itertools
+import random
+from collections.abc import Callable
+
+import anyio
+import anyio.abc
+
+from knapweeddrum.message.fact.deposit import Deposit
+from tools.budget_model.fake_log import LogStore
+from tools.budget_model.host import HOSTS, Host
+from tools.budget_model.model_keeper import ModelKeeper
+from tools.budget_model.model_router import ModelRouter
+from tools.budget_model.network import Network
+from tools.budget_model.streams import BUDGET
+from tools.budget_model.tally import Tally
+from tools.budget_model.way import Way
+
+ADVICE_SECONDS = 5.0
+"""Time from the start of a drain until callers have left the host."""
+
+
+class Fleet:
+    """A keeper and a router on each host, the log, and the faults."""
+
+    def __init__(
+        self, way: Way, seed: int, tasks: anyio.abc.TaskGroup, clock: Callable
+    ) -> None:
+        self.way = way
+        self.seed = seed
+        self.clock: Callable[[], float] = clock
+        self.rng = random.Random(seed)
+        self.network = Network()
+        self.tally = Tally(way.ledger())
+        self.store = LogStore(clock, self.tally.record)
+        self.keepers: dict[Host, ModelKeeper] = {}
+        self.routers: dict[Host, ModelRouter] = {}
+        self.incarnations: dict[Host, str] = {}
+        self._tasks = tasks
+        self._numbers = itertools.count()
+        for host in HOSTS:
+            self.start_keeper(host)
+            self.start_router(host)
+
+    def host(self, name: str) -> Host:
+        """Return a host by name."""
+        return next(host for host in HOSTS if host.name == name)
+
+    def live_keepers(self) -> set[str]:
+        """Return the incarnations of the keepers that run."""
+        return {k.incarnation for k in self.keepers.values() if not k.is_dead}
+
+    def start_keeper(self, host: Host) -> None:
+        """Start the next incarnation of a host's keeper."""
+        keeper = ModelKeeper(self, host, next(self._numbers))
+        self.keepers[host] = keeper
+        self.incarnations[host] = keeper.incarnation
+        self.network.set_down(host, False, self.clock())
+        self._tasks.start_soon(keeper.run)
+
+    def start_router(self, host: Host) -> None:
+        """Start the next incarnation of a host's router."""
+        router = ModelRouter(self, host, next(self._numbers))
+        self.routers[host] = router
+        self._tasks.start_soon(router.run)
+
+    def kill_keeper(self, host: Host) -> None:
+        """Kill a keeper."""
+        self.keepers[host].kill()
+        self.network.set_down(host, True, self.clock())
+
+    def kill_router(self, host: Host) -> None:
+        """Kill a router with its streams open."""
+        self.routers[host].kill()
+
+    def set_log_out(self, is_out: bool) -> None:
+        """Start or end an outage of the log."""
+        self.network.is_log_out = is_out
+
+    def set_cut(self, data_centre: str, is_cut: bool) -> None:
+        """Cut a data centre off from log and peers, or join it again."""
+        self.network.set_cut(data_centre, is_cut, self.clock())
+
+    def top_up(self, topup_id: str, tokens: int, host: Host) -> None:
+        """Give a top-up to the keeper of a host."""
+        deposit = Deposit(topup_id, BUDGET, tokens)
+        self.keepers[host].budget.appender.submit(deposit)
+
+    def start_replacement(self, host: Host) -> None:
+        """Begin to replace a host's processes in a planned stop."""
+        self._tasks.start_soon(self._replace, host)
+
+    async def _replace(self, host: Host) -> None:
+        keeper = self.keepers[host]
+        router = self.routers[host]
+        router.is_draining = True
+        await anyio.sleep(ADVICE_SECONDS)
+        await router.drain()
+        router.kill()
+        await keeper.hand_back()
+        self.kill_keeper(host)
+        await anyio.sleep(ADVICE_SECONDS)
+        self.start_keeper(host)
+        self.start_router(host)
--- /dev/null
+++ b/tools/budget_model/model_keeper.py
@@ -0,0 +1,131 @@
+"""A keeper incarnation: the tasks of the real process on the model's fakes."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import anyio
+import msgspec
+
+from knapweeddrum.core.claim.claim_ledger import ClaimLedger
+from knapweeddrum.core.fold.fact_verdict import FactVerdict
+from knapweeddrum.core.fold.ledger import Ledger
+from knapweeddrum.core.fold.stream_fold import StreamFold
+from knapweeddrum.message.call.transfer_reply import TransferReply
+from knapweeddrum.message.call.transfer_request import TransferRequest
+from knapweeddrum.process.keeper.claim_manager import ClaimManager
+from knapweeddrum.process.keeper.grant_manager import GrantManager
+from knapweeddrum.process.keeper.keeper_stream import KeeperStream
+from knapweeddrum.process.keeper.log_appender import LogAppender
+from knapweeddrum.process.keeper.peer_channels import PeerChannels
+from knapweeddrum.process.keeper.stream_follower import StreamFollower
+from knapweeddrum.process.keeper.transfer_client import TransferClient
+from knapweeddrum.process.keeper.witness_task import WitnessTask
+from knapweeddrum.rpc import keeper_methods
+from knapweeddrum.telemetry.event_log import EventLog
+from knapweeddrum.telemetry.metrics import Metrics
+from tools.budget_model.fake_log import FakeLog
+from tools.budget_model.fake_membership import FakeMembership
+from tools.budget_model.host import Host
+from tools.budget_model.model_caller import ModelCaller
+from tools.budget_model.no_records import NoRecords
+from tools.budget_model.no_transfers import NoTransfers
+from tools.budget_model.streams import BUDGET_STREAM, CLAIM_STREAM
+
+if TYPE_CHECKING:
+    from tools.budget_model.fleet import Fleet
+
+EVENTS = EventLog("critical")
+FLUSH_POLL_SECONDS = 0.1
+FLUSH_LIMIT_SECONDS = 10.0
+
+
+class ModelKeeper:
+    """Its state ends with it; another incarnation takes its place."""
+
+    def __init__(self, fleet: Fleet, host: Host, number: int) -> None:
+        self.host = host
+        self.incarnation = f"{host.name}/keeper/{number}"
+        self.is_dead = False
+        self.tasks: anyio.abc.TaskGroup | None = None
+        self._fleet = fleet
+        self._scope = anyio.CancelScope()
+        rng = random.Random(f"{fleet.seed}/{self.incarnation}")
+        self._log = FakeLog(fleet.store, fleet.network, host, rng)
+        budget = self._stream(BUDGET_STREAM, fleet.way.ledger())
+        claim = self._stream(CLAIM_STREAM, ClaimLedger())
+        self._streams: list[KeeperStream[Ledger]] = [budget, claim]
+        membership = FakeMembership(
+            host, self.incarnation, fleet.network, fleet.incarnations, fleet.clock
+        )
+        peers = PeerChannels(
+            lambda address, _: ModelCaller(fleet, host, fleet.host(address))
+        )
+        client = TransferClient if fleet.way.transfers else NoTransfers
+        self.budget = budget
+        self.grants = GrantManager(
+            self.incarnation,
+            [budget],
+            fleet.way.policy(),
+            membership,
+            client(self.incarnation, membership, peers, rng),
+            peers,
+            fleet.clock,
+            fleet.way.witnessed,
+        )
+        self._witness = WitnessTask(
+            self.incarnation, [budget], membership, fleet.clock, EVENTS
+        )
+        claims = ClaimManager([claim])
+        self.handlers: dict[str, Callable] = {
+            keeper_methods.DRAW.path: self.grants.draw,
+            keeper_methods.SETTLE.path: self.grants.settle,
+            keeper_methods.TRANSFER.path: self._transfer,
+            keeper_methods.OPEN.path: self._witness.open,
+            keeper_methods.CLAIM.path: claims.claim,
+            keeper_methods.OUTCOME.path: claims.record,
+        }
+
+    async def run(self) -> None:
+        """Run until killed or stopped."""
+        with self._scope:
+            async with anyio.create_task_group() as tasks:
+                self.tasks = tasks
+                for stream in self._streams:
+                    tasks.start_soon(stream.follower.run)
+                    tasks.start_soon(stream.appender.run)
+                tasks.start_soon(self.grants.run)
+                tasks.start_soon(self._witness.run)
+
+    def kill(self) -> None:
+        """End at once."""
+        self.is_dead = True
+        self._scope.cancel()
+
+    async def hand_back(self) -> None:
+        """Return what is unspent, as at a planned stop."""
+        self.grants.return_all()
+        with anyio.move_on_after(FLUSH_LIMIT_SECONDS):
+            while not all(stream.appender.idle for stream in self._streams):
+                await anyio.sleep(FLUSH_POLL_SECONDS)
+
+    async def _transfer(self, req: TransferRequest) -> TransferReply:
+        return self.grants.transfer(req)
+
+    async def handle(self, path: str, req: msgspec.Struct) -> msgspec.Struct:
+        """Answer a call."""
+        return await self.handlers[path](req)
+
+    def _stream(self, name: str, ledger: Ledger) -> KeeperStream[Ledger]:
+        fold = StreamFold(ledger)
+        follower = StreamFollower(self._log, name, fold, NoRecords(), EVENTS)
+        appender = LogAppender(self._log, name, self.incarnation, Metrics())
+
+        def on_folded(verdicts: tuple[FactVerdict, ...] = ()) -> None:
+            appender.on_folded(verdicts, fold.last_sequence(self.incarnation))
+
+        follower.listen(on_folded)
+        follower.listen_for_jumps(on_folded)
+        return KeeperStream(ledger, follower, appender)
--- /dev/null
+++ b/tools/budget_model/model_router.py
@@ -0,0 +1,73 @@
+"""A router incarnation: its allowances and settlements."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+import anyio
+
+from knapweeddrum.process.control.keeper_failover import KeeperFailover
+from knapweeddrum.process.router.allowance_manager import AllowanceManager
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.settler import Settler
+from knapweeddrum.telemetry.metrics import Metrics
+from tools.budget_model.host import HOSTS, Host
+from tools.budget_model.model_caller import ModelCaller
+from tools.budget_model.model_keeper import EVENTS
+
+if TYPE_CHECKING:
+    from tools.budget_model.fleet import Fleet
+
+STREAMS_END_POLL_SECONDS = 0.1
+
+
+class ModelRouter:
+    """Serves the requests of its callers until it is killed or replaced."""
+
+    def __init__(self, fleet: Fleet, host: Host, number: int) -> None:
+        self.host = host
+        self.incarnation = f"{host.name}/router/{number}"
+        self.is_dead = False
+        self.is_draining = False
+        self.streams = 0
+        self.allowances: AllowanceManager | None = None
+        self.tasks: anyio.abc.TaskGroup | None = None
+        self._scope = anyio.CancelScope()
+        others = [HOSTS[(host.index + n) % len(HOSTS)] for n in range(len(HOSTS))]
+        callers = [ModelCaller(fleet, host, other) for other in others]
+        self.keeper = KeeperFailover(callers, fleet.clock)
+        self._parts = Collaborators(
+            settings=None,
+            keeper=self.keeper,
+            clients=None,
+            events=EVENTS,
+            metrics=Metrics(),
+            rng=random.Random(f"{fleet.seed}/{self.incarnation}"),
+            clock=fleet.clock,
+            wall_clock=fleet.clock,
+            incarnation=self.incarnation,
+        )
+        self._settler = Settler(self._parts)
+
+    async def run(self) -> None:
+        """Run until killed or stopped."""
+        with self._scope:
+            async with anyio.create_task_group() as tasks:
+                self.tasks = tasks
+                self.allowances = AllowanceManager(self._parts, self._settler, tasks)
+                tasks.start_soon(self.allowances.run)
+                tasks.start_soon(self._settler.run)
+
+    def kill(self) -> None:
+        """End at once, with streams open."""
+        self.is_dead = True
+        self._scope.cancel()
+
+    async def drain(self) -> None:
+        """Take nothing new, finish all streams, and return what is unspent."""
+        self.is_draining = True
+        while self.streams:
+            await anyio.sleep(STREAMS_END_POLL_SECONDS)
+        self.allowances.return_free()
+        await self._settler.flush()
--- /dev/null
+++ b/tools/budget_model/network.py
@@ -0,0 +1,61 @@
+"""What reaches what in the model."""
+
+from __future__ import annotations
+
+from tools.budget_model.host import HOSTS, Host
+
+
+class Network:
+    """Data centres that are cut off, hosts that are down, and the log's outage.
+
+    A cut data centre reaches neither the log nor hosts elsewhere.
+    """
+
+    def __init__(self) -> None:
+        self.is_log_out = False
+        self._cut: set[str] = set()
+        self._down: set[Host] = set()
+        self._lost_since: dict[tuple[Host, Host], float] = {}
+
+    def set_cut(self, data_centre: str, is_cut: bool, now: float) -> None:
+        """Cut a data centre off, or join it again."""
+        _set_member(self._cut, data_centre, is_cut)
+        self._note_losses(now)
+
+    def set_down(self, host: Host, is_down: bool, now: float) -> None:
+        """Note that a host's keeper has gone or started."""
+        _set_member(self._down, host, is_down)
+        self._note_losses(now)
+
+    def is_linked(self, one: Host, other: Host) -> bool:
+        """Tell whether packets go from one host to another."""
+        if one.data_centre == other.data_centre:
+            return True
+        return not {one.data_centre, other.data_centre} & self._cut
+
+    def is_down(self, host: Host) -> bool:
+        """Tell whether a host has no keeper."""
+        return host in self._down
+
+    def reaches_log(self, host: Host) -> bool:
+        """Tell whether a host reaches the log."""
+        return not self.is_log_out and host.data_centre not in self._cut
+
+    def lost_since(self, one: Host, other: Host) -> float | None:
+        """Return since when (s) one hears nothing of the other; None if it does."""
+        return self._lost_since.get((one, other))
+
+    def _note_losses(self, now: float) -> None:
+        for one in HOSTS:
+            for other in HOSTS:
+                if self.is_linked(one, other) and not self.is_down(other):
+                    self._lost_since.pop((one, other), None)
+                else:
+                    self._lost_since.setdefault((one, other), now)
+
+
+def _set_member(members: set, member: object, is_in: bool) -> None:
+    if is_in:
+        members.add(member)
+    else:
+        members.discard(member)
--- /dev/null
+++ b/tools/budget_model/scenarios.py
@@ -0,0 +1,100 @@
+"""The budget scenarios."""
+
+from __future__ import annotations
+
+from tools.budget_model.fleet import Fleet
+from tools.budget_model.host import HOSTS
+from tools.budget_model.scenario import Event, Scenario
+
+MINUTE = 60.0
+HOUR = 3600.0
+AMPLE = 2.0
+SCARCE = 0.7
+TOP_UP_TOKENS = 100_000
+REPLACEMENT_SECONDS = 40.0
+"""From the replacement of one host to that of the next."""
+
+CUT_HOST = HOSTS[0]
+"""The busiest host, in the data centre that is cut off."""
+
+OTHER_HOST = HOSTS[1]
+
+
+def _outage(start: float, seconds: float) -> tuple[Event, ...]:
+    return (
+        Event(start, lambda fleet: fleet.set_log_out(True)),
+        Event(start + seconds, lambda fleet: fleet.set_log_out(False)),
+    )
+
+
+def _cut(start: float, seconds: float) -> tuple[Event, ...]:
+    data_centre = CUT_HOST.data_centre
+    return (
+        Event(start, lambda fleet: fleet.set_cut(data_centre, True)),
+        Event(start + seconds, lambda fleet: fleet.set_cut(data_centre, False)),
+    )
+
+
+def _keeper_kill(at: float, back_after: float) -> tuple[Event, ...]:
+    return (
+        Event(at, lambda fleet: fleet.kill_keeper(CUT_HOST)),
+        Event(at + back_after, lambda fleet: fleet.start_keeper(CUT_HOST)),
+    )
+
+
+def _router_kill(at: float, back_after: float) -> tuple[Event, ...]:
+    return (
+        Event(at, lambda fleet: fleet.kill_router(CUT_HOST)),
+        Event(at + back_after, lambda fleet: fleet.start_router(CUT_HOST)),
+    )
+
+
+def _rolling(start: float) -> tuple[Event, ...]:
+    def replace(host_index: int) -> Event:
+        at = start + host_index * REPLACEMENT_SECONDS
+        return Event(at, lambda fleet: fleet.start_replacement(HOSTS[host_index]))
+
+    return tuple(replace(host.index) for host in HOSTS)
+
+
+def _top_up(at: float, is_cut_side: bool) -> Event:
+    host = CUT_HOST if is_cut_side else OTHER_HOST
+
+    def apply(fleet: Fleet) -> None:
+        fleet.top_up("second", TOP_UP_TOKENS, host)
+
+    return Event(at, apply)
+
+
+BUDGET_SCENARIOS = (
+    Scenario("steady", 300.0, 4.0, AMPLE),
+    Scenario("outage_minute", 300.0, 4.0, AMPLE, _outage(120.0, MINUTE)),
+    Scenario("outage_hour", HOUR + 300.0, 0.5, AMPLE, _outage(200.0, HOUR)),
+    Scenario("cut_minute", 300.0, 4.0, AMPLE, _cut(120.0, MINUTE)),
+    Scenario("cut_hour", HOUR + 300.0, 0.5, AMPLE, _cut(200.0, HOUR)),
+    Scenario("router_killed", 300.0, 4.0, AMPLE, _router_kill(120.0, 30.0)),
+    Scenario("keeper_killed", 300.0, 4.0, AMPLE, _keeper_kill(120.0, 30.0)),
+    Scenario("rolling_replacement", 400.0, 4.0, AMPLE, _rolling(60.0)),
+    Scenario(
+        "top_up_cut_side",
+        300.0,
+        4.0,
+        SCARCE,
+        (*_cut(120.0, 2 * MINUTE), _top_up(150.0, True)),
+    ),
+    Scenario(
+        "top_up_other_side",
+        300.0,
+        4.0,
+        SCARCE,
+        (*_cut(120.0, 2 * MINUTE), _top_up(150.0, False)),
+    ),
+    Scenario("budget_end", 300.0, 4.0, SCARCE),
+    Scenario(
+        "outage_and_keeper_killed",
+        300.0,
+        4.0,
+        SCARCE,
+        (*_outage(90.0, MINUTE), *_keeper_kill(120.0, 60.0)),
+    ),
+)
--- /dev/null
+++ b/tools/budget_model/tally.py
@@ -0,0 +1,83 @@
+"""What the model counts of one run."""
+
+from __future__ import annotations
+
+import collections
+
+from knapweeddrum.core.budget.budget_ledger import BudgetLedger
+from knapweeddrum.core.fold.fact_verdict import FactVerdict
+from knapweeddrum.core.fold.fold_outcome import FoldOutcome
+from knapweeddrum.core.fold.stream_fold import StreamFold
+from knapweeddrum.message.fact.bill import Bill
+from knapweeddrum.platform.log_record import LogRecord
+from tools.budget_model.streams import BUDGET, BUDGET_STREAM
+
+COUNTED = {FoldOutcome.ACCEPTED, FoldOutcome.PARTIAL}
+
+
+class Tally:
+    """Folds the log by itself and follows all consumption at the engines."""
+
+    def __init__(self, ledger: BudgetLedger) -> None:
+        self.requests = 0
+        self.consumed = 0
+        self.false_refusals = 0
+        self.true_refusals = 0
+        self.false_exhausted = 0
+        self.overspent = 0
+        self._reserved = 0
+        self._served: set[str] = set()
+        self._billed_runs: dict[str, set[str]] = collections.defaultdict(set)
+        self._fold = StreamFold(ledger)
+        self._ledger = ledger
+
+    def record(self, stream: str, record: LogRecord) -> None:
+        """Take a record of the log."""
+        if stream != BUDGET_STREAM:
+            return
+        for verdict in self._fold.apply(record.offset, record.time, record.payload):
+            self._note_bill(verdict)
+
+    def dispatch(self, reserved: int, used: int) -> None:
+        """Count a run that an engine starts; it uses its tokens whatever happens."""
+        self.consumed += used
+        self._reserved += reserved - used
+        deposited = self._ledger.status(BUDGET).deposited
+        self.overspent = max(self.overspent, self.consumed - deposited)
+
+    def end(self, reserved: int, used: int) -> None:
+        """Note that a run's reservation is over."""
+        self._reserved -= reserved - used
+
+    def answer(self, request_key: str) -> None:
+        """Note that a caller has got its answer."""
+        self._served.add(request_key)
+
+    def refuse(self, wanted: int, says_exhausted: bool) -> None:
+        """Count a refusal; false while the budget had the tokens unspent."""
+        deposited = self._ledger.status(BUDGET).deposited
+        if deposited - self.consumed - self._reserved < wanted:
+            self.true_refusals += 1
+            return
+        self.false_refusals += 1
+        self.false_exhausted += says_exhausted
+
+    def billed_twice(self) -> int:
+        """Return the requests of which two runs were billed."""
+        return sum(len(runs) > 1 for runs in self._billed_runs.values())
+
+    def unbilled(self) -> int:
+        """Return the answered requests without a bill."""
+        return len(self._served - set(self._billed_runs))
+
+    def stranded(self, live: set[str]) -> int:
+        """Return the tokens in grants of holders that are no more."""
+        return self._ledger.status(BUDGET, live).stranded
+
+    def _note_bill(self, verdict: FactVerdict) -> None:
+        fact = verdict.fact
+        if not isinstance(fact, Bill) or verdict.outcome not in COUNTED:
+            return
+        runs = self._billed_runs[fact.request_key]
+        if verdict.tokens or not runs:
+            runs.add(fact.run_id)
--- a/tools/measure_routing.py
+++ b/tools/measure_routing.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Sequence
 
 from tools.routing_model.crash_scenario import crash_rows
 from tools.routing_model.fairness_scenario import fairness_rows
@@ -24,11 +25,16 @@
 }
 
 
-def main() -> int:
-    """Run all scenarios, or those named on the command line."""
-    for name in sys.argv[1:] or SCENARIOS:
+def measure_routing(names: Sequence[str] = ()) -> None:
+    """Print the rows of the named scenarios, or of all."""
+    for name in names or SCENARIOS:
         for row in SCENARIOS[name]():
             print_row(row)
+
+
+def main() -> int:
+    """Run all scenarios, or those named on the command line."""
+    measure_routing(sys.argv[1:])
     return 0
 
 
