--- /dev/null
+++ b/tools/budget_model/booking_run.py
@@ -0,0 +1,179 @@
+"""One run of a booking scenario."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import anyio
+
+from knapweeddrum.process.router.exceptions import RefusedError
+from knapweeddrum.process.router.held_claim import HeldClaim
+from knapweeddrum.value.run_state import RunState
+from tools.budget_model.booking_row import BookingRow
+from tools.budget_model.booking_scenario import BookingScenario
+from tools.budget_model.booking_service import BookingService, LostReplyError
+from tools.budget_model.fleet import Fleet
+from tools.budget_model.host import HOSTS
+from tools.budget_model.model_router import ModelRouter
+from tools.budget_model.virtual_loop import run_virtual
+from tools.budget_model.way import WAYS
+
+RATE = 4.0
+"""Bookings per second."""
+
+ATTEMPTS = 3
+"""How often a caller asks before it gives up."""
+
+RETRY_SECONDS = 2.0
+DEADLINE_SECONDS = 10.0
+RESTART_SECONDS = 3.0
+START_SECONDS = 5.0
+SETTLE_SECONDS = 30.0
+
+WITH_CLAIMS = "with_claims"
+WITHOUT_CLAIMS = "without_claims"
+
+
+class BookingRun:
+    """Callers that book, ask again, and count what they were told."""
+
+    def __init__(self, scenario: BookingScenario, way: str, seed: int) -> None:
+        self._scenario = scenario
+        self._way = way
+        self._seed = seed
+        self._rng = random.Random(f"{seed}/bookings")
+        self._service = BookingService(scenario.lost_share, self._rng)
+        self._told: collections.Counter[RunState] = collections.Counter()
+        self._requests = 0
+        self._false_not_run = 0
+        self._wrong_answers = 0
+
+    def row(self) -> BookingRow:
+        """Return the figures of the run."""
+        bookings = self._service.bookings.values()
+        return BookingRow(
+            scenario=self._scenario.name,
+            way=self._way,
+            seed=self._seed,
+            requests=self._requests,
+            booked_twice=sum(count > 1 for count in bookings),
+            false_not_run=self._false_not_run,
+            wrong_answers=self._wrong_answers,
+            answered=self._told[RunState.RAN],
+            not_run=self._told[RunState.NOT_RUN],
+            unknown=self._told[RunState.UNKNOWN],
+        )
+
+    async def main(self) -> None:
+        """Run to the end."""
+        async with anyio.create_task_group() as tasks:
+            fleet = Fleet(WAYS[0], self._seed, tasks, anyio.current_time)
+            await anyio.sleep(START_SECONDS)
+            for event in self._scenario.events:
+                tasks.start_soon(event.happen, fleet)
+            await self._load(fleet)
+            await anyio.sleep(SETTLE_SECONDS)
+            tasks.cancel_scope.cancel()
+
+    async def _load(self, fleet: Fleet) -> None:
+        end = fleet.clock() + self._scenario.seconds
+        async with anyio.create_task_group() as tasks:
+            while fleet.clock() < end:
+                await anyio.sleep(self._rng.expovariate(RATE))
+                self._requests += 1
+                key = f"org/booking-{self._requests}"
+                for copy in range(self._scenario.copies):
+                    tasks.start_soon(self._send, fleet, key, self._requests + copy)
+
+    async def _send(self, fleet: Fleet, key: str, first: int) -> None:
+        """Ask one router after the other until there is an answer."""
+        for number in range(ATTEMPTS):
+            router = _live_router(fleet, first + number)
+            told = await self._ask(fleet, key, router)
+            if told is RunState.RAN:
+                break
+            await anyio.sleep(RETRY_SECONDS)
+        self._told[told] += 1
+
+    async def _ask(self, fleet: Fleet, key: str, router: ModelRouter) -> RunState:
+        """Send a request once and return what its caller knows afterwards."""
+        told = RunState.UNKNOWN
+        ended = anyio.Event()
+
+        async def attempt() -> None:
+            nonlocal told
+            try:
+                told = await self._attempt(fleet, key, router)
+            finally:
+                ended.set()
+
+        router.tasks.start_soon(attempt)
+        await ended.wait()
+        return told
+
+    async def _attempt(self, fleet: Fleet, key: str, router: ModelRouter) -> RunState:
+        try:
+            answer = await self._answer(fleet, key, router)
+        except RefusedError as exc:
+            return self._check_refusal(key, exc.refusal.run_state)
+        except LostReplyError:
+            return RunState.UNKNOWN
+        self._wrong_answers += answer != self._service.answer(key)
+        return RunState.RAN
+
+    async def _answer(self, fleet: Fleet, key: str, router: ModelRouter) -> bytes:
+        if self._way == WITHOUT_CLAIMS:
+            return await self._dispatch(fleet, key, router, None)
+        deadline = fleet.clock() + DEADLINE_SECONDS
+        with router.claims.hold(key) as claim:
+            recorded = await router.claims.ask(claim, key, deadline)
+            if recorded is not None:
+                return recorded.body
+            try:
+                answer = await self._dispatch(fleet, key, router, claim)
+            except LostReplyError:
+                await claim.give_up()
+                raise
+            await claim.done(200, "text/plain", answer)
+            return answer
+
+    async def _dispatch(
+        self, fleet: Fleet, key: str, router: ModelRouter, claim: HeldClaim | None
+    ) -> bytes:
+        """Send the request to the service, unless the router dies."""
+        if self._rng.random() < self._scenario.killed_before_share:
+            await _die(fleet, router)
+        if claim is not None:
+            claim.dispatch()
+        if self._rng.random() < self._scenario.killed_after_share:
+            self._service.bookings[key] += 1
+            await _die(fleet, router)
+        return await self._service.book(key)
+
+    def _check_refusal(self, key: str, run_state: RunState) -> RunState:
+        if run_state is RunState.NOT_RUN and self._service.bookings[key]:
+            self._false_not_run += 1
+        return run_state
+
+
+def run_booking(scenario: BookingScenario, way: str, seed: int) -> BookingRow:
+    """Run a booking scenario and return its figures."""
+    run = BookingRun(scenario, way, seed)
+    run_virtual(run.main)
+    return run.row()
+
+
+async def _die(fleet: Fleet, router: ModelRouter) -> None:
+    """Kill the router in which this task runs, and start another later."""
+    router.kill()
+    fleet.restart_router_later(router.host, RESTART_SECONDS)
+    await anyio.sleep_forever()
+
+
+def _live_router(fleet: Fleet, first: int) -> ModelRouter:
+    for step in range(len(HOSTS)):
+        router = fleet.routers[HOSTS[(first + step) % len(HOSTS)]]
+        if not router.is_dead and router.tasks:
+            return router
+    raise RuntimeError("no router serves")
--- /dev/null
+++ b/tools/budget_model/booking_scenario.py
@@ -0,0 +1,40 @@
+"""The booking scenarios."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from tools.budget_model.scenario import Event
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BookingScenario:
+    """Bookings for ``seconds``; each goes to ``copies`` routers at once.
+
+    ``lost_share`` of the service's replies are lost. ``killed_share`` of the attempts
+    have their router killed right before the dispatch, or right after it.
+    """
+
+    name: str
+    seconds: float = 120.0
+    copies: int = 1
+    lost_share: float = 0.0
+    killed_before_share: float = 0.0
+    killed_after_share: float = 0.0
+    events: tuple[Event, ...] = ()
+
+
+BOOKING_SCENARIOS = (
+    BookingScenario("booking_copies", copies=3),
+    BookingScenario("booking_lost_reply", lost_share=0.2),
+    BookingScenario("booking_killed_before_dispatch", killed_before_share=0.05),
+    BookingScenario("booking_killed_after_dispatch", killed_after_share=0.05),
+    BookingScenario(
+        "booking_log_down",
+        copies=2,
+        events=(
+            Event(30.0, lambda fleet: fleet.set_log_out(True)),
+            Event(90.0, lambda fleet: fleet.set_log_out(False)),
+        ),
+    ),
+)
--- /dev/null
+++ b/tools/budget_model/booking_service.py
@@ -0,0 +1,37 @@
+"""The order service of the model."""
+
+from __future__ import annotations
+
+import collections
+import random
+
+import anyio
+
+SERVICE_SECONDS = 0.2
+
+
+class LostReplyError(Exception):
+    """The service ran the request and its reply was lost."""
+
+
+class BookingService:
+    """Books whatever arrives, also twice."""
+
+    def __init__(self, lost_share: float, rng: random.Random) -> None:
+        """``lost_share`` of the replies are lost."""
+        self.bookings: collections.Counter[str] = collections.Counter()
+        self._lost_share = lost_share
+        self._rng = rng
+
+    async def book(self, key: str) -> bytes:
+        """Book and return the answer."""
+        self.bookings[key] += 1
+        await anyio.sleep(SERVICE_SECONDS)
+        if self._rng.random() < self._lost_share:
+            raise LostReplyError(key)
+        return self.answer(key)
+
+    @staticmethod
+    def answer(key: str) -> bytes:
+        """Return the right answer to a request."""
+        return f"booked {key}".encode()
--- a/tools/budget_model/budget_run.py
+++ b/tools/budget_model/budget_run.py
@@ -7,7 +7,7 @@
 from tools.budget_model.budget_row import BudgetRow
 from tools.budget_model.fleet import Fleet
 from tools.budget_model.host import HOSTS
-from tools.budget_model.scenario import Event, Scenario
+from tools.budget_model.scenario import Scenario
 from tools.budget_model.virtual_loop import run_virtual
 from tools.budget_model.way import Way
 from tools.budget_model.workload import MEAN_USED_TOKENS, Workload
@@ -39,16 +39,11 @@
     fleet.top_up("first", tokens, HOSTS[0])
     await anyio.sleep(START_SECONDS)
     for event in scenario.events:
-        tasks.start_soon(_apply_later, fleet, event)
+        tasks.start_soon(event.happen, fleet)
     await Workload(fleet, scenario.rate).run(scenario.seconds)
     await anyio.sleep(SETTLE_SECONDS)
 
 
-async def _apply_later(fleet: Fleet, event: Event) -> None:
-    await anyio.sleep(event.at)
-    event.apply(fleet)
-
-
 def _row(fleet: Fleet, scenario: Scenario) -> BudgetRow:
     tally = fleet.tally
     return BudgetRow(
--- a/tools/budget_model/fleet.py
+++ b/tools/budget_model/fleet.py
@@ -76,6 +76,15 @@
         """Kill a router with its streams open."""
         self.routers[host].kill()
 
+    def restart_router_later(self, host: Host, seconds: float) -> None:
+        """Start another router on a host after some time."""
+
+        async def restart() -> None:
+            await anyio.sleep(seconds)
+            self.start_router(host)
+
+        self._tasks.start_soon(restart)
+
     def set_log_out(self, is_out: bool) -> None:
         """Start or end an outage of the log."""
         self.network.is_log_out = is_out
--- a/tools/budget_model/scenario.py
+++ b/tools/budget_model/scenario.py
@@ -5,6 +5,8 @@
 import dataclasses
 from collections.abc import Callable
 
+import anyio
+
 from tools.budget_model.fleet import Fleet
 
 
@@ -15,6 +17,11 @@
     at: float
     apply: Callable[[Fleet], None]
 
+    async def happen(self, fleet: Fleet) -> None:
+        """Wait until the time has come and apply the event."""
+        await anyio.sleep(self.at)
+        self.apply(fleet)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Scenario:
