--- a/src/knapweeddrum/core/budget/demand_horizon.py
+++ b/src/knapweeddrum/core/budget/demand_horizon.py
@@ -35,10 +35,10 @@
         """Return the free tokens far above what this keeper should hold.
 
         It holds no more ahead than the balance leaves for the others, so that tokens
-        go back from idle keepers when a budget nears its end.
+        go back when a budget nears its end.
         """
-        ahead = min(self._ahead(demand), demand.balance)
-        target = max(self._parameters.minimum, demand.wanted, ahead)
+        ahead = max(self._parameters.minimum, self._ahead(demand))
+        target = max(demand.wanted, min(ahead, demand.balance))
         if demand.free <= target * self._parameters.surplus_factor:
             return 0
         return demand.free - target
--- a/src/knapweeddrum/process/keeper/budget_use.py
+++ b/src/knapweeddrum/process/keeper/budget_use.py
@@ -25,7 +25,7 @@
     is_refilling: bool = False
 
     def note_draw(self, tokens: int, now: float) -> None:
-        """Count a draw."""
+        """Count the tokens of a draw: what was handed out, or what was lacking."""
         self.rate.add(tokens, now)
         self.last_draw = now
 
--- a/src/knapweeddrum/process/keeper/grant_manager.py
+++ b/src/knapweeddrum/process/keeper/grant_manager.py
@@ -69,7 +69,7 @@
         self._transfers = transfers
         self._clock = clock
         self._pool = AllowancePool(incarnation)
-        self._opener = GrantOpener(incarnation, self._pool, membership, peers)
+        self._opener = GrantOpener(incarnation, self._pool, membership, peers, clock)
         self._witnessed = witnessed
         self._given = TransferBook(self._pool)
         self._uses: dict[str, BudgetUse] = {}
@@ -154,24 +154,34 @@
 
     def return_all(self) -> None:
         """Hand everything back to the log, at a planned stop."""
-        for budget in self._opener.budgets():
-            self._return_unopened(budget)
-        for allowance in self._pool.return_all():
-            self._submit_return(allowance)
+        for budget in sorted({*self._opener.budgets(), *self._pool.budgets()}):
+            self._return_all_of(budget)
 
     async def _meet(self, want: Want) -> tuple[Allowance, ...]:
         use = self._use(want.budget)
-        use.note_draw(want.minimum, self._clock())
+        use.last_draw = self._clock()
         async with use.lock:
             if self._pool.free(want.budget) < want.minimum:
                 await self._obtain(want)
             if self._pool.free(want.budget) < want.minimum:
-                raise ShortfallError(self._shortfall(want))
+                use.note_draw(want.minimum, self._clock())
+                raise ShortfallError(self._give_up(want))
             tokens = max(want.minimum, self._share(want))
             allowances = self._pool.give(want.budget, tokens)
+        use.note_draw(tokens, self._clock())
         self._refill(want.budget)
         return allowances
 
+    def _give_up(self, want: Want) -> Shortfall:
+        """Return the shortfall; what is left of an exhausted budget goes back.
+
+        The rests of several keepers may serve a request together.
+        """
+        shortfall = self._shortfall(want)
+        if shortfall.exhausted:
+            self._return_all_of(want.budget)
+        return shortfall
+
     def _share(self, want: Want) -> int:
         """Return the tokens to give when more than the minimum is free."""
         return min(want.preferred, self._pool.free(want.budget) // 2)
@@ -195,7 +205,7 @@
 
     async def _open_for(self, want: Want) -> None:
         missing = want.minimum - self._pool.free(want.budget)
-        if missing > 0 and self._opener.unopened(want.budget):
+        if missing > 0 and self._opener.openable(want.budget):
             rate = self._use(want.budget).rate.at(self._clock())
             ahead = rate * OPEN_AHEAD_SECONDS
             await self._opener.open(want.budget, missing + int(ahead))
@@ -233,7 +243,7 @@
     ) -> BudgetDemand:
         return BudgetDemand(
             balance=stream.ledger.balance(budget),
-            free=self._pool.free(budget) + self._opener.unopened(budget),
+            free=self._pool.free(budget) + self._opener.openable(budget),
             wanted=wanted,
             rate=self._use(budget).rate.at(self._clock()),
             live_keepers=len(self._membership.live_incarnations()),
@@ -264,6 +274,8 @@
         stream = shard_of(budget, self._streams)
         if not stream.appender.available:
             return
+        for allowance in self._opener.give_up_unreachable(budget):
+            self._submit_return(allowance, opened=False)
         if self._use(budget).is_idle(self._clock()):
             tokens = self._pool.free(budget)
             self._return_unopened(budget)
@@ -277,6 +289,11 @@
         for allowance in self._pool.give(budget, tokens):
             self._submit_return(allowance)
 
+    def _return_all_of(self, budget: str) -> None:
+        self._return_unopened(budget)
+        for allowance in self._pool.give(budget, self._pool.free(budget)):
+            self._submit_return(allowance)
+
     def _return_unopened(self, budget: str) -> None:
         for allowance in self._opener.give_up(budget):
             self._submit_return(allowance, opened=False)
--- a/src/knapweeddrum/process/keeper/grant_opener.py
+++ b/src/knapweeddrum/process/keeper/grant_opener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Callable, Mapping
 
 from knapweeddrum.core.budget.allowance_pool import AllowancePool
 from knapweeddrum.core.budget.opened_grant import OpenedGrant
@@ -17,6 +18,9 @@
 
 OPEN_TIMEOUT_SECONDS = 0.5
 
+AVOID_SECONDS = 15.0
+"""How long a witness that gave no reply is taken to be out of reach."""
+
 
 class GrantOpener:
     """Holds the unopened rest of witnessed grants; what opens goes into the pool."""
@@ -27,12 +31,15 @@
         pool: AllowancePool,
         membership: MembershipTask,
         peers: PeerChannels,
+        clock: Callable[[], float],
     ) -> None:
         self._incarnation = incarnation
         self._pool = pool
         self._membership = membership
         self._peers = peers
+        self._clock = clock
         self._holdings: dict[str, dict[str, WitnessedHolding]] = {}
+        self._avoid_until: dict[str, float] = {}
 
     def choose_witness(self, grant_id: str) -> str:
         """Return a live peer's incarnation, of another data centre if there is one.
@@ -40,7 +47,11 @@
         Empty when no peer is live.
         """
         own, *others = self._membership.hosts()
-        live = [host for host in others if host.alive and not host.draining]
+        live = [
+            host
+            for host in others
+            if host.alive and not host.draining and self._replies(host.incarnation)
+        ]
         far = [host for host in live if host.data_centre != own.data_centre]
         candidates = far or live
         if not candidates:
@@ -55,10 +66,13 @@
             opened = OpenedGrant(grant_id, budget, tokens)
             holdings[grant_id] = WitnessedHolding(witness, opened)
 
-    def unopened(self, budget: str) -> int:
-        """Return the tokens of a budget that could be opened."""
-        holdings = self._holdings.get(budget, {}).values()
-        return sum(holding.grant.unopened for holding in holdings)
+    def openable(self, budget: str) -> int:
+        """Return the unopened tokens of a budget whose witnesses are in reach."""
+        return sum(
+            holding.grant.unopened
+            for holding in self._holdings.get(budget, {}).values()
+            if self._replies(holding.witness) and self._host_of(holding.witness)
+        )
 
     async def open(self, budget: str, tokens: int) -> None:
         """Open ``tokens`` more of a budget, as far as witnesses can be reached."""
@@ -71,8 +85,19 @@
 
     def give_up(self, budget: str) -> tuple[Allowance, ...]:
         """Give up what was never opened and return it, a slice for each grant."""
+        return self._give_up(budget, self._holdings.get(budget, {}))
+
+    def give_up_unreachable(self, budget: str) -> tuple[Allowance, ...]:
+        """Give up what was never opened of grants whose witnesses are gone."""
+        holdings = self._holdings.get(budget, {})
+        gone = {g: h for g, h in holdings.items() if self._host_of(h.witness) is None}
+        return self._give_up(budget, gone)
+
+    def _give_up(
+        self, budget: str, holdings: Mapping[str, WitnessedHolding]
+    ) -> tuple[Allowance, ...]:
         returned = []
-        for grant_id, holding in self._holdings.get(budget, {}).items():
+        for grant_id, holding in holdings.items():
             tokens = holding.grant.give_up()
             if tokens:
                 returned.append(Allowance(budget, grant_id, tokens))
@@ -87,7 +112,7 @@
         self, grant_id: str, holding: WitnessedHolding, budget: str, tokens: int
     ) -> None:
         host = self._host_of(holding.witness)
-        if host is None:
+        if host is None or not self._replies(holding.witness):
             return
         mark = holding.grant.ask(tokens)
         request = OpenRequest(
@@ -98,7 +123,9 @@
             reply = await caller.call(OPEN, request, OPEN_TIMEOUT_SECONDS)
         except RpcError:
             # The mark may be opened there; asking for it again is harmless.
+            self._avoid_until[holding.witness] = self._clock() + AVOID_SECONDS
             return
+        self._avoid_until.pop(holding.witness, None)
         if reply.allowed:
             allowance = holding.grant.acknowledge(mark)
             credit_id = f"{grant_id}/{mark}"
@@ -108,6 +135,9 @@
             holding.grant.close()
         self._drop_spent(budget)
 
+    def _replies(self, witness: str) -> bool:
+        return self._clock() >= self._avoid_until.get(witness, 0.0)
+
     def _host_of(self, incarnation: str) -> EntryHost | None:
         for host in self._membership.hosts():
             if host.incarnation == incarnation and host.alive:
--- a/src/knapweeddrum/process/router/allowance_manager.py
+++ b/src/knapweeddrum/process/router/allowance_manager.py
@@ -223,6 +223,9 @@
             return
         while line.waiters:
             line.waiters.popleft().reply.send_nowait(self._refusal(shortfall))
+        if shortfall.exhausted:
+            # The rests of several routers may serve a request together.
+            self._settler.add(*self._pool.give(budget, self._pool.free(budget)))
 
     async def _return_idle(self) -> None:
         """Send back the free tokens of budgets that nobody asks for."""
--- a/tests/core/budget/test_grant_policies.py
+++ b/tests/core/budget/test_grant_policies.py
@@ -91,3 +91,10 @@
     """With uneven demand the end of a budget lies where it is used."""
     shares, *horizons = (refused_while_tokens_remain(policy) for policy in POLICIES)
     assert max(horizons) < shares
+
+
+@params(*POLICIES[1:])
+def test_nothing_stays_ahead_of_demand_at_the_end_of_a_budget(policy):
+    """Without a balance, all that no request at hand needs goes back."""
+    demand = BudgetDemand(balance=0, free=150, wanted=0, rate=1e3, live_keepers=KEEPERS)
+    assert policy.surplus_tokens(demand) == 150
--- a/tests/process/keeper/test_grants.py
+++ b/tests/process/keeper/test_grants.py
@@ -2,8 +2,9 @@
 
 import anyio
 
+from knapweeddrum.process.keeper.budget_use import DEMAND_TIME_CONSTANT_SECONDS
 from tests.async_test import async_test
-from tests.process.keeper.keeper_bench import keeper_bench, until_status
+from tests.process.keeper.keeper_bench import BUDGET, keeper_bench, until_status
 
 
 def tokens(reply) -> int:
@@ -135,3 +136,41 @@
         with anyio.move_on_after(0):
             await keeper.draw("d1", 100)
         assert tokens(await keeper.draw("d1", 100)) == 100
+
+
+@async_test
+async def test_demand_counts_all_tokens_handed_out():
+    """The rate follows what routers draw, not only the least that they ask for."""
+    async with keeper_bench(1, witnessed=False) as (_, (keeper,)):
+        await keeper.top_up("t1", 1_000_000)
+        grants = keeper.process._grants
+        handed = tokens(await keeper.draw("d1", 20, 1000))
+        assert handed > 20
+        rate = grants._use(BUDGET).rate.at(grants._clock())
+        assert rate > 0.9 * handed / DEMAND_TIME_CONSTANT_SECONDS
+
+
+@async_test
+async def test_unopened_tokens_of_a_silent_witness_do_not_block_a_grant():
+    """A keeper whose witness is gone draws on the balance instead of refusing."""
+    async with keeper_bench(3) as (_, keepers):
+        first, *others = keepers
+        await first.top_up("t1", 100_000)
+        assert tokens(await first.draw("d1", 20)) >= 20
+        opener = first.process._grants._opener
+        witnesses = {h.witness for h in opener._holdings[BUDGET].values()}
+        for keeper in others:
+            if keeper.process._incarnation in witnesses:
+                keeper.kill()
+        assert tokens(await first.draw("d2", 90)) >= 90
+
+
+@async_test
+async def test_the_rest_of_a_budget_goes_back_when_it_is_too_small():
+    """Tokens that don't reach for a request don't stay at the keeper."""
+    async with keeper_bench(2, witnessed=False) as (_, (first, second)):
+        await first.top_up("t1", 100)
+        await first.draw("d1", 60, 60)
+        assert (await first.draw("d2", 50)).shortfalls[0].exhausted
+        await until_status(first, lambda status: status.balance == 40)
+        assert tokens(await second.draw("d3", 40)) == 40
