Let only the claimant withdraw a claim

Cause: a keeper that got no verdict in time put the outcome not_run of the claim on the log by itself. When its reply was lost, the router repeated the claim at another keeper and won it there; the withdrawal then freed the key of a booking that was dispatched. Ruled out: claimants qualified by keeper, because a lost WON would leave the key pending with nobody to free it. Now the router alone withdraws, as it did already, and the fold takes a withdrawal that comes before its claim, so that the claim can't win later and the router needn't repeat the withdrawal for ever. Both tests were seen failing first: test_late_claim_frees_no_key_that_its_claimant_won_elsewhere and test_claim_given_up_by_its_router_wins_nothing_when_it_lands_late; they replace test_claim_that_lands_late_is_withdrawn, which asserted the faulty withdrawal.

--- a/src/knapweeddrum/core/claim/claim_entry.py
+++ b/src/knapweeddrum/core/claim/claim_entry.py
@@ -29,3 +29,10 @@
     def is_unresolved(self) -> bool:
         """Tell whether the request may still be dispatched or may have run."""
         return self.state in {ClaimState.PENDING, ClaimState.UNKNOWN}
+
+    def is_mismatch(self, fingerprint: str) -> bool:
+        """Tell whether the key was claimed with another request.
+
+        The fingerprint is empty while the key was only given up, never claimed.
+        """
+        return bool(self.fingerprint) and self.fingerprint != fingerprint
--- a/src/knapweeddrum/core/claim/claim_ledger.py
+++ b/src/knapweeddrum/core/claim/claim_ledger.py
@@ -76,7 +76,7 @@
         NOT_RUN.
         """
         entry = self._entries.get(claim_key)
-        if entry and entry.fingerprint != fingerprint:
+        if entry and entry.is_mismatch(fingerprint):
             return ClaimReply(ClaimVerdict.MISMATCH)
         if entry and claimant in entry.ended:
             return ClaimReply(ClaimVerdict.NOT_RUN)
@@ -147,7 +147,7 @@
             return _ACCEPTED
         if fact.claimant in entry.ended:
             return _REJECTED
-        if entry.fingerprint != fact.fingerprint:
+        if entry.is_mismatch(fact.fingerprint):
             return LedgerOutcome(FoldOutcome.MISMATCH)
         if entry.claimant == fact.claimant:
             return _REPEATED
@@ -156,6 +156,7 @@
         if len(entry.ended) >= ENDED_LIMIT:
             return _REJECTED
         entry.claimant = fact.claimant
+        entry.fingerprint = fact.fingerprint
         entry.state = ClaimState.PENDING
         entry.time = time
         self._enqueue(fact.claim_key, entry)
@@ -164,12 +165,12 @@
     def _apply_outcome(self, fact: ClaimOutcome, time: float) -> LedgerOutcome:
         entry = self._entries.get(fact.claim_key)
         state = _outcome_state(fact.state)
-        if entry is None or state is None:
+        if state is None:
             return _REJECTED
+        if entry is None or entry.claimant != fact.claimant:
+            return self._end_unclaimed(fact, state, entry, time)
         if fact.claimant in entry.ended:
             return _REPEATED if state is ClaimState.NOT_RUN else _REJECTED
-        if entry.claimant != fact.claimant:
-            return _REJECTED
         if entry.state is not ClaimState.PENDING:
             return _REPEATED if entry.state is state else _REJECTED
         entry.state = state
@@ -181,6 +182,34 @@
             self._keep_answer(fact, entry)
         return _ACCEPTED
 
+    def _end_unclaimed(
+        self,
+        fact: ClaimOutcome,
+        state: ClaimState,
+        entry: ClaimEntry | None,
+        time: float,
+    ) -> LedgerOutcome:
+        """Take the outcome of a claimant that doesn't hold the key.
+
+        Its claim may still be on its way: one that was given up must not win later.
+        """
+        if state is not ClaimState.NOT_RUN:
+            return _REJECTED
+        if entry is None:
+            entry = ClaimEntry(
+                time=time,
+                claimant=fact.claimant,
+                fingerprint="",
+                state=ClaimState.NOT_RUN,
+                ended=(fact.claimant,),
+            )
+            self._entries[fact.claim_key] = entry
+            self._enqueue(fact.claim_key, entry)
+            return _ACCEPTED
+        if fact.claimant not in entry.ended and len(entry.ended) < ENDED_LIMIT:
+            entry.ended = (*entry.ended, fact.claimant)
+        return _REPEATED
+
     def _keep_answer(self, fact: ClaimOutcome, entry: ClaimEntry) -> None:
         entry.status = fact.status
         entry.content_type = fact.content_type
--- a/src/knapweeddrum/process/keeper/claim_manager.py
+++ b/src/knapweeddrum/process/keeper/claim_manager.py
@@ -15,12 +15,7 @@
 from knapweeddrum.message.call.outcome_request import OutcomeRequest
 from knapweeddrum.message.fact.claim import Claim
 from knapweeddrum.message.fact.claim_outcome import ClaimOutcome
-from knapweeddrum.process.keeper.exceptions import (
-    AppendPendingError,
-    KeeperError,
-    NoStateError,
-    NotAppendedError,
-)
+from knapweeddrum.process.keeper.exceptions import KeeperError
 from knapweeddrum.process.keeper.keeper_stream import KeeperStream, shard_of
 
 CLAIM_PATIENCE_SECONDS = 2.0
@@ -41,11 +36,9 @@
         try:
             stream.require_state()
             return await self._claim(stream, req)
-        except (NoStateError, NotAppendedError):
-            return _unavailable()
-        except AppendPendingError:
-            # The claim may land later; its attempt is over, so nobody dispatches it.
-            stream.appender.submit(self._withdrawal(req))
+        except KeeperError:
+            # The claim may land later. Only its claimant, which may have won it at
+            # another keeper, can say that it was not dispatched.
             return _unavailable()
 
     async def record(self, req: OutcomeRequest) -> OutcomeReply:
@@ -101,12 +94,6 @@
             req.claim_key, req.claimant, req.fingerprint, req.issued_at or None
         )
 
-    @staticmethod
-    def _withdrawal(req: ClaimRequest) -> ClaimOutcome:
-        return ClaimOutcome(
-            claim_key=req.claim_key, claimant=req.claimant, state="not_run"
-        )
-
 
 def _unavailable() -> ClaimReply:
     return ClaimReply(verdict=ClaimVerdict.UNAVAILABLE, retry_after=RETRY_AFTER_SECONDS)
