Give back the tokens of a draw whose caller has given up

Cause: a router that gets no reply in time asks another keeper; the first one, slow or frozen, met the draw all the same, and its tokens lay in a reply that was never sent. Ruled out: a shield around the handler, because the transport cancels its task past any shield. A draw now runs in a task of the keeper's own; when nobody waits for it at its end, its allowances go back into the pool. What stays: a reply that was sent and never read strands its tokens.

--- /dev/null
+++ b/src/knapweeddrum/process/keeper/draw_server.py
@@ -0,0 +1,76 @@
+"""Serves draws so that a caller that gives up strands no tokens."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+import anyio
+from anyio.abc import TaskGroup
+
+from knapweeddrum.message.call.draw_reply import DrawReply
+from knapweeddrum.message.call.draw_request import DrawRequest
+from knapweeddrum.process.keeper.draw_replies import DrawReplies
+
+
+@dataclasses.dataclass(slots=True)
+class _RunningDraw:
+    """A draw being met, the callers that wait for it, and its reply."""
+
+    done: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    waiters: int = 0
+    reply: DrawReply | None = None
+
+
+class DrawServer:
+    """Meets each draw in a task of its own, which its caller can't cancel.
+
+    A draw that nobody waits for any more gives its tokens back: its reply was never
+    sent. A repeat of an answered draw gets the same reply.
+    """
+
+    def __init__(
+        self,
+        meet: Callable[[DrawRequest], Awaitable[DrawReply]],
+        take_back: Callable[[DrawReply], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self._meet = meet
+        self._take_back = take_back
+        self._clock = clock
+        self._replies = DrawReplies()
+        self._running: dict[str, _RunningDraw] = {}
+
+    async def serve(self, req: DrawRequest, tasks: TaskGroup) -> DrawReply:
+        """Return the reply to a draw."""
+        known = self._replies.get(req.draw_id)
+        if known is not None:
+            return known
+        running = self._running.get(req.draw_id)
+        if running is None:
+            running = self._running[req.draw_id] = _RunningDraw()
+            tasks.start_soon(self._run, req, running)
+        running.waiters += 1
+        try:
+            await running.done.wait()
+        except anyio.get_cancelled_exc_class():
+            running.waiters -= 1
+            self._abandon(running)
+            raise
+        reply = running.reply
+        assert reply is not None
+        self._replies.keep(req.draw_id, reply, self._clock())
+        return reply
+
+    async def _run(self, req: DrawRequest, running: _RunningDraw) -> None:
+        running.reply = await self._meet(req)
+        del self._running[req.draw_id]
+        running.done.set()
+        self._abandon(running)
+
+    def _abandon(self, running: _RunningDraw) -> None:
+        """Take the tokens back once the draw is met and nobody waits for it."""
+        if running.waiters or running.reply is None:
+            return
+        self._take_back(running.reply)
+        running.reply = None
--- a/src/knapweeddrum/process/keeper/grant_manager.py
+++ b/src/knapweeddrum/process/keeper/grant_manager.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 
 import anyio
+from anyio.abc import TaskGroup
 
 from knapweeddrum.core.budget.allowance_pool import AllowancePool
 from knapweeddrum.core.budget.budget_demand import BudgetDemand
@@ -27,10 +28,11 @@
 from knapweeddrum.message.fact.grant import Grant
 from knapweeddrum.message.fact.grant_return import GrantReturn
 from knapweeddrum.process.keeper.budget_use import BudgetUse
-from knapweeddrum.process.keeper.draw_replies import DrawReplies
+from knapweeddrum.process.keeper.draw_server import DrawServer
 from knapweeddrum.process.keeper.exceptions import (
     AppendPendingError,
     KeeperError,
+    NoStateError,
     NotAppendedError,
 )
 from knapweeddrum.process.keeper.grant_opener import GrantOpener
@@ -73,8 +75,8 @@
         self._witnessed = witnessed
         self._given = TransferBook(self._pool)
         self._uses: dict[str, BudgetUse] = {}
-        self._replies = DrawReplies()
-        self._draws: dict[str, anyio.Event] = {}
+        self._draws = DrawServer(self._meet_all, self._take_back, clock)
+        self._tasks: TaskGroup | None = None
         self._credited: set[str] = set()
         self._numbers = itertools.count()
         for stream in streams:
@@ -84,22 +86,11 @@
     async def draw(self, req: DrawRequest) -> DrawReply:
         """Hand allowances to a router.
 
-        A draw whose caller gives up is finished all the same: its repeat gets the
-        tokens.
+        Raises NoStateError before this manager runs.
         """
-        running = self._draws.get(req.draw_id)
-        if running is not None:
-            await running.wait()
-        known = self._replies.get(req.draw_id)
-        if known is not None:
-            return known
-        done = self._draws[req.draw_id] = anyio.Event()
-        with anyio.CancelScope(shield=True):
-            reply = await self._meet_all(req)
-        self._replies.keep(req.draw_id, reply, self._clock())
-        del self._draws[req.draw_id]
-        done.set()
-        return reply
+        if self._tasks is None:
+            raise NoStateError("the keeper has not started yet")
+        return await self._draws.serve(req, self._tasks)
 
     async def _meet_all(self, req: DrawRequest) -> DrawReply:
         allowances: list[Allowance] = []
@@ -144,7 +135,12 @@
         return TransferReply(allowances=allowances)
 
     async def run(self) -> None:
-        """Return surplus tokens now and then, until cancelled."""
+        """Serve draws, and return surplus tokens now and then, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            await self._return_surpluses()
+
+    async def _return_surpluses(self) -> None:
         while True:
             await anyio.sleep(SURPLUS_PERIOD_SECONDS)
             held = {*self._pool.budgets(), *self._opener.budgets()}
@@ -159,6 +155,12 @@
         for allowance in self._pool.return_all():
             self._submit_return(allowance)
 
+    def _take_back(self, reply: DrawReply) -> None:
+        """Put the allowances of a reply that was never sent back into the pool."""
+        credit_id = f"{self._incarnation}/unsent-{next(self._numbers)}"
+        self._pool.credit(credit_id, reply.allowances)
+        self._pool.forget(credit_id)
+
     async def _meet(self, want: Want) -> tuple[Allowance, ...]:
         use = self._use(want.budget)
         use.note_draw(want.minimum, self._clock())
--- a/tests/process/keeper/test_grants.py
+++ b/tests/process/keeper/test_grants.py
@@ -1,9 +1,18 @@
 from __future__ import annotations
 
-import anyio
+import asyncio
 
+from knapweeddrum.message.call.draw_request import DrawRequest
+from knapweeddrum.message.call.top_up_request import TopUpRequest
+from knapweeddrum.message.call.want import Want
+from knapweeddrum.rpc.keeper_methods import DRAW, TOP_UP
 from tests.async_test import async_test
-from tests.process.keeper.keeper_bench import keeper_bench, until_status
+from tests.process.keeper.keeper_bench import (
+    BUDGET,
+    keeper_bench,
+    until,
+    until_status,
+)
 
 
 def tokens(reply) -> int:
@@ -128,10 +137,24 @@
 
 
 @async_test
-async def test_draw_whose_caller_gave_up_keeps_its_tokens():
-    """A draw cut off half way is finished, and its repeat gets the tokens."""
+async def test_draw_whose_caller_gave_up_strands_no_tokens():
+    """The tokens of a draw whose call was cancelled go to the next draw."""
     async with keeper_bench(1, witnessed=False) as (_, (keeper,)):
         await keeper.top_up("t1", 100)
-        with anyio.move_on_after(0):
-            await keeper.draw("d1", 100)
-        assert tokens(await keeper.draw("d1", 100)) == 100
+        other = TopUpRequest(topup_id="t2", budget="mill/other", tokens=50)
+        await keeper.call(TOP_UP, other)
+        await keeper.draw("d1", 10)
+        await until(lambda: keeper.process._streams[1].appender.idle)
+        left = keeper.process._grants._pool.free(BUDGET)
+        keeper.log.delay_appends = True
+        wants = (Want(BUDGET, left, left), Want("mill/other", 50, 50))
+        request = DrawRequest(draw_id="d2", router="router-1", wants=wants)
+        call = asyncio.create_task(keeper.call(DRAW, request))
+        await until(lambda: keeper.process._grants._pool.free(BUDGET) == 0)
+        # Cancelled as the transport does it, past any shield.
+        call.cancel()
+        await asyncio.wait([call])
+        keeper.log.deliver()
+        await until(lambda: keeper.process._streams[1].appender.idle)
+        again = await keeper.draw("d3", 90)
+        assert tokens(again) == 90
