--- a/src/knapweeddrum/process/router/allowance_manager.py
+++ b/src/knapweeddrum/process/router/allowance_manager.py
@@ -6,7 +6,6 @@
 
 import anyio
 import anyio.abc
-from anyio.streams.memory import MemoryObjectReceiveStream
 
 from knapweeddrum.core.budget.allowance_pool import AllowancePool
 from knapweeddrum.core.budget.reservation import Reservation
@@ -18,6 +17,7 @@
 from knapweeddrum.process.router.backoff import Backoff
 from knapweeddrum.process.router.collaborators import Collaborators
 from knapweeddrum.process.router.exceptions import RefusedError
+from knapweeddrum.process.router.guarded import guarded
 from knapweeddrum.process.router.reservation_waiter import ReservationWaiter
 from knapweeddrum.process.router.settler import Settler
 from knapweeddrum.process.router.waiting_line import WaitingLine
@@ -105,30 +105,19 @@
         self, budget: str, line: WaitingLine, tokens: int, patience: float
     ) -> Reservation | Refusal:
         """Queue for a reservation and return what came of it."""
-        send, receive = anyio.create_memory_object_stream[Reservation | Refusal](1)
-        waiter = ReservationWaiter(tokens, send)
+        waiter = ReservationWaiter(tokens)
         line.waiters.append(waiter)
         self._wake_send.send_nowait(budget)
         try:
             with anyio.move_on_after(patience):
-                return await receive.receive()
-            return self._refusal(line.shortfall)
+                await waiter.decided.wait()
+            return waiter.take() or self._refusal(line.shortfall)
         finally:
             if waiter in line.waiters:
                 line.waiters.remove(waiter)
-            self._recover(receive)
-
-    def _recover(
-        self, receive: MemoryObjectReceiveStream[Reservation | Refusal]
-    ) -> None:
-        """Free a reservation that came when nobody waited for it any more."""
-        try:
-            late = receive.receive_nowait()
-        except (anyio.WouldBlock, anyio.EndOfStream):
-            late = None
-        receive.close()
-        if isinstance(late, Reservation):
-            self.release(late)
+            left = waiter.take()
+            if isinstance(left, Reservation):
+                self.release(left)
 
     def _refusal(self, shortfall: Shortfall | None) -> Refusal:
         """Return the refusal of a request that got no tokens."""
@@ -168,7 +157,7 @@
             router=self._parts.incarnation,
             wants=tuple(wants),
         )
-        self._tasks.start_soon(self._draw, req)
+        self._tasks.start_soon(guarded, self._parts, "draw", self._draw, req)
 
     def _want(self, budget: str) -> Want:
         """Return what to draw: for the first waiter, better for all and some ahead."""
@@ -214,7 +203,7 @@
             reservation = self._pool.reserve(budget, line.waiters[0].tokens)
             if reservation is None:
                 return
-            line.waiters.popleft().reply.send_nowait(reservation)
+            line.waiters.popleft().decide(reservation)
 
     def _refuse_hopeless(self, budget: str, shortfall: Shortfall) -> None:
         """Refuse the waiters, unless requests in progress may free tokens in time."""
@@ -222,7 +211,7 @@
         if self._pool.reserved(budget):
             return
         while line.waiters:
-            line.waiters.popleft().reply.send_nowait(self._refusal(shortfall))
+            line.waiters.popleft().decide(self._refusal(shortfall))
 
     async def _return_idle(self) -> None:
         """Send back the free tokens of budgets that nobody asks for."""
--- /dev/null
+++ b/src/knapweeddrum/process/router/guarded.py
@@ -0,0 +1,24 @@
+"""Guard of the tasks whose failure must not end the router."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVarTuple, Unpack
+
+from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.telemetry.events import TASK_FAILED
+
+ArgsT = TypeVarTuple("ArgsT")
+
+
+async def guarded(
+    parts: Collaborators,
+    task: str,
+    func: Callable[[Unpack[ArgsT]], Awaitable[object]],
+    *args: *ArgsT,
+) -> None:
+    """Call ``func``; an unexpected error is logged and ends this task alone."""
+    try:
+        await func(*args)
+    except Exception as exc:  # noqa: BLE001
+        parts.events.emit(TASK_FAILED, task=task, error=repr(exc))
--- a/src/knapweeddrum/process/router/locator.py
+++ b/src/knapweeddrum/process/router/locator.py
@@ -34,13 +34,13 @@
         self, request_key: RequestKey, endpoint: EndpointName, run_id: RunId
     ) -> None:
         """Say that the request runs at an endpoint for a caller of this router."""
-        req = LocateRequest(
-            request_key=request_key,
-            router=self._parts.incarnation,
-            endpoint=endpoint,
-            run_id=run_id,
-        )
-        await self._call(req)
+        await self._call(self._found(request_key, endpoint, run_id))
+
+    def tell_later(
+        self, request_key: RequestKey, endpoint: EndpointName, run_id: RunId
+    ) -> None:
+        """Say the same in the background."""
+        self._tasks.start_soon(self._call, self._found(request_key, endpoint, run_id))
 
     async def is_moved(self, request_key: RequestKey, run_id: RunId) -> bool:
         """Return whether another router has taken the run over."""
@@ -59,6 +59,16 @@
         )
         self._tasks.start_soon(self._call, req)
 
+    def _found(
+        self, request_key: RequestKey, endpoint: EndpointName, run_id: RunId
+    ) -> LocateRequest:
+        return LocateRequest(
+            request_key=request_key,
+            router=self._parts.incarnation,
+            endpoint=endpoint,
+            run_id=run_id,
+        )
+
     async def _call(self, req: LocateRequest) -> LocateReply:
         # The caller may try several keepers; the limit is for all of them together.
         with anyio.move_on_after(TIMEOUT_SECONDS), contextlib.suppress(RpcError):
--- a/src/knapweeddrum/process/router/model_dispatch.py
+++ b/src/knapweeddrum/process/router/model_dispatch.py
@@ -225,10 +225,17 @@
         )
 
     async def _tell(self, attempt: EngineAttempt) -> None:
-        """Let a retry at another router find the run."""
-        await self._services.locator.tell(
-            self._job.request_key, attempt.endpoint, attempt.run_id
-        )
+        """Let a retry at another router find the run.
+
+        Only a caller that named its request is likely to ask again: for others the
+        dispatch doesn't wait.
+        """
+        locator = self._services.locator
+        where = (self._job.request_key, attempt.endpoint, attempt.run_id)
+        if self._job.locatable:
+            await locator.tell(*where)
+        else:
+            locator.tell_later(*where)
 
     def _check_deadline(self) -> None:
         """Raise RefusedError when the deadline passed, also while paused."""
--- a/src/knapweeddrum/process/router/outcome_recorder.py
+++ b/src/knapweeddrum/process/router/outcome_recorder.py
@@ -8,6 +8,7 @@
 from knapweeddrum.message.call.outcome_request import OutcomeRequest
 from knapweeddrum.process.router.backoff import Backoff
 from knapweeddrum.process.router.collaborators import Collaborators
+from knapweeddrum.process.router.guarded import guarded
 from knapweeddrum.rpc.exceptions import RpcError
 from knapweeddrum.rpc.keeper_methods import OUTCOME
 from knapweeddrum.telemetry.events import OUTCOME_LATE
@@ -46,7 +47,10 @@
     def start(self, req: OutcomeRequest, recorded: anyio.Event | None = None) -> None:
         """Record in the background and set the event once it is done."""
         self.unrecorded += 1
-        self._tasks.start_soon(self._repeat, req, recorded or anyio.Event())
+        recorded = recorded or anyio.Event()
+        self._tasks.start_soon(
+            guarded, self._parts, "outcome", self._repeat, req, recorded
+        )
 
     async def _repeat(self, req: OutcomeRequest, recorded: anyio.Event) -> None:
         backoff = Backoff(self._parts.rng, FIRST_DELAY_SECONDS, LONGEST_DELAY_SECONDS)
--- a/src/knapweeddrum/process/router/poller_group.py
+++ b/src/knapweeddrum/process/router/poller_group.py
@@ -8,6 +8,7 @@
 from knapweeddrum.process.router.cache_follower import CacheFollower
 from knapweeddrum.process.router.collaborators import Collaborators
 from knapweeddrum.process.router.endpoint_directory import EndpointDirectory
+from knapweeddrum.process.router.guarded import guarded
 from knapweeddrum.process.router.load_poller import LoadPoller
 from knapweeddrum.value.identifiers import EndpointName
 
@@ -40,7 +41,10 @@
     async def _poll(self, name: EndpointName, scope: anyio.CancelScope) -> None:
         with scope:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(LoadPoller(self._parts, self._directory, name).run)
+                poller = LoadPoller(self._parts, self._directory, name)
+                tasks.start_soon(guarded, self._parts, "load poller", poller.run)
                 if self._directory.engine(name) is not None:
                     follower = CacheFollower(self._parts, self._directory, name)
-                    tasks.start_soon(follower.run)
+                    tasks.start_soon(
+                        guarded, self._parts, "cache follower", follower.run
+                    )
--- a/src/knapweeddrum/process/router/reservation_waiter.py
+++ b/src/knapweeddrum/process/router/reservation_waiter.py
@@ -2,17 +2,30 @@
 
 from __future__ import annotations
 
-import dataclasses
-
-from anyio.streams.memory import MemoryObjectSendStream
+import anyio
 
 from knapweeddrum.core.budget.reservation import Reservation
 from knapweeddrum.value.refusal import Refusal
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
 class ReservationWaiter:
-    """Wants ``tokens`` and gets a reservation or a refusal through ``reply``."""
+    """Wants ``tokens``; ``outcome`` is set once, then ``decided``.
+
+    The outcome stays here until the waiting task takes it, so that a reservation
+    isn't lost when that task is cancelled at the same moment.
+    """
+
+    def __init__(self, tokens: int) -> None:
+        self.tokens = tokens
+        self.outcome: Reservation | Refusal | None = None
+        self.decided = anyio.Event()
+
+    def decide(self, outcome: Reservation | Refusal) -> None:
+        """Set the outcome."""
+        self.outcome = outcome
+        self.decided.set()
 
-    tokens: int
-    reply: MemoryObjectSendStream[Reservation | Refusal]
+    def take(self) -> Reservation | Refusal | None:
+        """Hand the outcome over; None when there is none, or it was taken."""
+        outcome, self.outcome = self.outcome, None
+        return outcome
--- a/src/knapweeddrum/process/router/usage_collector.py
+++ b/src/knapweeddrum/process/router/usage_collector.py
@@ -11,6 +11,7 @@
 from knapweeddrum.process.router.backoff import Backoff
 from knapweeddrum.process.router.collaborators import Collaborators
 from knapweeddrum.process.router.engine_attempt import EngineAttempt
+from knapweeddrum.process.router.guarded import guarded
 from knapweeddrum.process.router.locator import Locator
 from knapweeddrum.process.router.pending_usage import PendingUsage
 from knapweeddrum.telemetry.events import USAGE_LOST, USAGE_PENDING
@@ -57,7 +58,7 @@
     def collect(self, pending: PendingUsage) -> None:
         """Start collecting; the caller isn't kept waiting."""
         self.pending += 1
-        self._tasks.start_soon(self._collect, pending)
+        self._tasks.start_soon(guarded, self._parts, "usage", self._collect, pending)
 
     async def _collect(self, pending: PendingUsage) -> None:
         attempt = pending.attempt
