--- /dev/null
+++ b/src/knapweeddrum/process/router/attempt_outcome.py
@@ -0,0 +1,56 @@
+"""What the end of an attempt means to retries, health and the register of crashes."""
+
+from __future__ import annotations
+
+from knapweeddrum.core.admission.run_end import RunEnd
+from knapweeddrum.core.routing.attempt_result import AttemptResult
+from knapweeddrum.endpoint.exceptions import (
+    EndpointBusyError,
+    EndpointConnectError,
+    EndpointError,
+    InvalidRequestError,
+    StreamCutError,
+    UnknownRunError,
+    WrongStreamError,
+)
+from knapweeddrum.process.router.engine_attempt import EngineAttempt
+from knapweeddrum.value.retry_reason import RetryReason
+
+
+def retry_reason(failure: EndpointError) -> RetryReason:
+    """Return the reason of the retry that follows a failure."""
+    if isinstance(failure, EndpointConnectError):
+        return RetryReason.CONNECT_FAILED
+    if isinstance(failure, EndpointBusyError):
+        return RetryReason.ENDPOINT_BUSY
+    if isinstance(failure, StreamCutError | WrongStreamError):
+        return RetryReason.STREAM_CUT
+    return RetryReason.ENDPOINT_ERROR
+
+
+def retry_after(failure: EndpointError) -> float:
+    """Return the seconds that a busy engine asked for."""
+    return failure.retry_after if isinstance(failure, EndpointBusyError) else 0.0
+
+
+def run_end(attempt: EngineAttempt) -> RunEnd:
+    """Return what the register of crashes wants to know of an attempt."""
+    if attempt.meter.is_complete:
+        return RunEnd.COMPLETED
+    if attempt.failure is not None and attempt.is_sent:
+        return RunEnd.CUT
+    return RunEnd.CANCELLED
+
+
+def attempt_result(attempt: EngineAttempt) -> AttemptResult:
+    """Return what an attempt says about its engine's health."""
+    failure = attempt.failure
+    if isinstance(failure, EndpointBusyError):
+        return AttemptResult.BUSY
+    if isinstance(failure, InvalidRequestError | UnknownRunError):
+        return AttemptResult.CANCELLED
+    if failure is not None:
+        return AttemptResult.FAILURE
+    if attempt.meter.next_index:
+        return AttemptResult.SUCCESS
+    return AttemptResult.CANCELLED
--- a/src/knapweeddrum/process/router/model_dispatch.py
+++ b/src/knapweeddrum/process/router/model_dispatch.py
@@ -8,29 +8,29 @@
 import anyio
 
 from knapweeddrum.core.admission.placement import Placement
-from knapweeddrum.core.admission.run_end import RunEnd
 from knapweeddrum.core.billing.run_outcome import RunOutcome
-from knapweeddrum.core.routing.attempt_result import AttemptResult
 from knapweeddrum.core.routing.failed_attempt import FailedAttempt
 from knapweeddrum.core.routing.give_up import GiveUp
 from knapweeddrum.core.routing.request_features import RequestFeatures
 from knapweeddrum.endpoint.answer_part import AnswerPart
 from knapweeddrum.endpoint.exceptions import (
-    EndpointBusyError,
-    EndpointConnectError,
     EndpointError,
     InvalidRequestError,
-    StreamCutError,
-    UnknownRunError,
-    WrongStreamError,
 )
 from knapweeddrum.endpoint.model_engine import ModelEngine
 from knapweeddrum.endpoint.model_request import ModelRequest
-from knapweeddrum.process.router.engine_attempt import NOT_RUN_ERRORS, EngineAttempt
+from knapweeddrum.process.router.attempt_outcome import (
+    attempt_result,
+    retry_after,
+    retry_reason,
+    run_end,
+)
+from knapweeddrum.process.router.engine_attempt import EngineAttempt
 from knapweeddrum.process.router.exceptions import RefusedError, refused
 from knapweeddrum.process.router.held_claim import HeldClaim
 from knapweeddrum.process.router.model_job import ModelJob
 from knapweeddrum.process.router.pending_usage import PendingUsage
+from knapweeddrum.process.router.resuming_stream import ResumingStream
 from knapweeddrum.process.router.run_ending import RunEnding
 from knapweeddrum.process.router.run_services import RunServices
 from knapweeddrum.process.router.run_states import more_certain
@@ -39,12 +39,6 @@
 from knapweeddrum.value.retry_reason import RetryReason
 from knapweeddrum.value.run_state import RunState
 
-RESUME_LIMIT = 3
-"""Times that the stream of one run is resumed at its engine."""
-
-RESUME_DELAY_SECONDS = 0.05
-"""Delay before the first resumption; it doubles with each."""
-
 TAKEOVER_DELAY_SECONDS = 0.1
 """Time in which the cancel of a router whose caller left has reached the engine.
 
@@ -77,6 +71,7 @@
         self._services = services
         self._parts = services.parts
         self._publish_to_caller = publish
+        self._stream = ResumingStream(services, self._publish)
         self._request_over = request_over
         self._last: AnswerPart | None = None
         self._claim: HeldClaim | None = None
@@ -181,39 +176,11 @@
             if self._claim is not None:
                 self._claim.dispatch()
             try:
-                await self._stream(attempt)
+                await self._stream.start(attempt, self._request(attempt.run_id))
             except EndpointError as exc:
                 attempt.failure = exc
         return attempt.failure
 
-    async def _stream(self, attempt: EngineAttempt) -> None:
-        """Start the run, and resume its stream when it is cut."""
-        try:
-            await attempt.start(self._request(attempt.run_id), self._publish)
-        except NOT_RUN_ERRORS:
-            raise
-        except EndpointError as exc:
-            self._parts.metrics.retry(_retry_reason(exc))
-            await self._resume(attempt)
-
-    async def _resume(self, attempt: EngineAttempt) -> None:
-        """Resume a cut stream from the next part on; raises EndpointError."""
-        delay = RESUME_DELAY_SECONDS
-        for remaining in reversed(range(RESUME_LIMIT)):
-            await anyio.sleep(delay)
-            delay *= 2
-            self._parts.metrics.retry(RetryReason.STREAM_RESUMED)
-            try:
-                return await attempt.resume(self._publish)
-            except (UnknownRunError, EndpointConnectError) as exc:
-                self._services.crashes.crashed(attempt.endpoint)
-                if not remaining or isinstance(exc, UnknownRunError):
-                    raise
-            except EndpointError:
-                if not remaining:
-                    raise
-        return None
-
     def _request(self, run_id: RunId) -> ModelRequest:
         job = self._job
         return ModelRequest(
@@ -260,9 +227,9 @@
         try:
             yield attempt
         finally:
-            result = _attempt_result(attempt)
+            result = attempt_result(attempt)
             self._services.directory.finish(endpoint, result, started_at)
-            self._services.crashes.end(run_id, _run_end(attempt))
+            self._services.crashes.end(run_id, run_end(attempt))
             self.run_state = more_certain(self.run_state, attempt.run_state)
             if self._claim is not None and attempt.run_state is RunState.NOT_RUN:
                 self._claim.not_sent()
@@ -304,12 +271,12 @@
         if self._last is not None:
             raise self._truncated()
         failed = FailedAttempt(
-            reason=_retry_reason(failure),
+            reason=retry_reason(failure),
             attempts=self._attempts,
             idempotent=self._job.repeatable,
             run_state=self.run_state,
             deadline=self._job.deadline,
-            retry_after=_retry_after(failure),
+            retry_after=retry_after(failure),
         )
         policy = self._services.directory.retry_policy(self._job.route_name)
         decision = policy.decide(failed, self._parts.clock())
@@ -326,41 +293,3 @@
             RETRY_AFTER_SECONDS,
             RunState.RAN,
         )
-
-
-def _retry_reason(failure: EndpointError) -> RetryReason:
-    if isinstance(failure, EndpointConnectError):
-        return RetryReason.CONNECT_FAILED
-    if isinstance(failure, EndpointBusyError):
-        return RetryReason.ENDPOINT_BUSY
-    if isinstance(failure, StreamCutError | WrongStreamError):
-        return RetryReason.STREAM_CUT
-    return RetryReason.ENDPOINT_ERROR
-
-
-def _retry_after(failure: EndpointError) -> float:
-    """Return the seconds that a busy engine asked for."""
-    return failure.retry_after if isinstance(failure, EndpointBusyError) else 0.0
-
-
-def _run_end(attempt: EngineAttempt) -> RunEnd:
-    """Return what the register of crashes wants to know of an attempt."""
-    if attempt.meter.is_complete:
-        return RunEnd.COMPLETED
-    if attempt.failure is not None and attempt.is_sent:
-        return RunEnd.CUT
-    return RunEnd.CANCELLED
-
-
-def _attempt_result(attempt: EngineAttempt) -> AttemptResult:
-    """Return what an attempt says about its engine's health."""
-    failure = attempt.failure
-    if isinstance(failure, EndpointBusyError):
-        return AttemptResult.BUSY
-    if isinstance(failure, InvalidRequestError | UnknownRunError):
-        return AttemptResult.CANCELLED
-    if failure is not None:
-        return AttemptResult.FAILURE
-    if attempt.meter.next_index:
-        return AttemptResult.SUCCESS
-    return AttemptResult.CANCELLED
--- /dev/null
+++ b/src/knapweeddrum/process/router/resuming_stream.py
@@ -0,0 +1,64 @@
+"""Streaming of a run with resumption at its engine."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+
+from knapweeddrum.endpoint.answer_part import AnswerPart
+from knapweeddrum.endpoint.exceptions import (
+    EndpointConnectError,
+    EndpointError,
+    UnknownRunError,
+)
+from knapweeddrum.endpoint.model_request import ModelRequest
+from knapweeddrum.process.router.attempt_outcome import retry_reason
+from knapweeddrum.process.router.engine_attempt import NOT_RUN_ERRORS, EngineAttempt
+from knapweeddrum.process.router.run_services import RunServices
+from knapweeddrum.value.retry_reason import RetryReason
+
+RESUME_LIMIT = 3
+"""Times that the stream of one run is resumed at its engine."""
+
+RESUME_DELAY_SECONDS = 0.05
+"""Delay before the first resumption; it doubles with each."""
+
+
+class ResumingStream:
+    """Starts a run and, when its stream is cut, resumes it from the next part on."""
+
+    def __init__(
+        self, services: RunServices, publish: Callable[[AnswerPart], None]
+    ) -> None:
+        self._metrics = services.parts.metrics
+        self._crashes = services.crashes
+        self._publish = publish
+
+    async def start(self, attempt: EngineAttempt, req: ModelRequest) -> None:
+        """Run a request up to its final part; raises EndpointError."""
+        try:
+            await attempt.start(req, self._publish)
+        except NOT_RUN_ERRORS:
+            raise
+        except EndpointError as exc:
+            self._metrics.retry(retry_reason(exc))
+            await self._resume(attempt)
+
+    async def _resume(self, attempt: EngineAttempt) -> None:
+        """Resume a cut stream from the next part on; raises EndpointError."""
+        delay = RESUME_DELAY_SECONDS
+        for remaining in reversed(range(RESUME_LIMIT)):
+            await anyio.sleep(delay)
+            delay *= 2
+            self._metrics.retry(RetryReason.STREAM_RESUMED)
+            try:
+                return await attempt.resume(self._publish)
+            except (UnknownRunError, EndpointConnectError) as exc:
+                self._crashes.crashed(attempt.endpoint)
+                if not remaining or isinstance(exc, UnknownRunError):
+                    raise
+            except EndpointError:
+                if not remaining:
+                    raise
+        return None
--- a/tests/process/router/test_model_failures.py
+++ b/tests/process/router/test_model_failures.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from knapweeddrum.message.resource.rule import Rule
-from knapweeddrum.process.router.model_dispatch import RESUME_LIMIT
+from knapweeddrum.process.router.resuming_stream import RESUME_LIMIT
 from tests.async_test import async_test
 from tests.process.router.chat_reply import ChatReply
 from tests.process.router.router_bench import (
