--- a/tools/slopes/memory_keeper.py
+++ b/tools/slopes/memory_keeper.py
@@ -18,6 +18,7 @@
 from knapweeddrum.core.fold.ledger import Ledger
 from knapweeddrum.core.fold.stream_fold import StreamFold
 from knapweeddrum.core.membership.member_table import MemberTable
+from knapweeddrum.message.call.exchange_reply import ExchangeReply
 from knapweeddrum.message.call.exchange_request import ExchangeRequest
 from knapweeddrum.message.call.heartbeat import Heartbeat
 from knapweeddrum.message.call.transfer_reply import TransferReply
@@ -31,7 +32,7 @@
 from knapweeddrum.process.keeper.stream_follower import StreamFollower
 from knapweeddrum.process.keeper.transfer_client import TransferClient
 from knapweeddrum.process.keeper.witness_task import WitnessTask
-from knapweeddrum.rpc.keeper_methods import OPEN, TRANSFER
+from knapweeddrum.rpc.keeper_methods import EXCHANGE, OPEN, TRANSFER
 from knapweeddrum.rpc.method import Method
 from knapweeddrum.rpc.rpc_service import RpcService
 from knapweeddrum.telemetry.event_log import EventLog
@@ -49,7 +50,7 @@
 
 
 class MemoryKeeper(RpcService):
-    """Serves witnessed grants and claims of one shard each; every host is live."""
+    """Serves witnessed grants and claims of one shard each."""
 
     def __init__(
         self,
@@ -77,6 +78,7 @@
             (),
         )
         membership.take(ExchangeRequest(heartbeats))
+        self._membership = membership
         self.budgets = self._stream("budget-0", BudgetLedger())
         self.claim_stream = self._stream("claim-0", ClaimLedger())
         self._witness = WitnessTask(
@@ -104,12 +106,20 @@
             tasks.start_soon(stream.follower.run)
             tasks.start_soon(stream.appender.run)
         tasks.start_soon(self.grants.run)
+        tasks.start_soon(self._membership.run)
 
     def handlers(
         self,
     ) -> list[tuple[Method[Any, Any], Callable[[Any], Awaitable[Any]]]]:
         """Return the methods that peers call."""
-        return [(OPEN, self._witness.open), (TRANSFER, self._transfer)]
+        return [
+            (EXCHANGE, self._exchange),
+            (OPEN, self._witness.open),
+            (TRANSFER, self._transfer),
+        ]
+
+    async def _exchange(self, req: ExchangeRequest) -> ExchangeReply:
+        return self._membership.take(req)
 
     async def _transfer(self, req: TransferRequest) -> TransferReply:
         return self.grants.transfer(req)
