--- a/src/knapweeddrum/core/membership/member_table.py
+++ b/src/knapweeddrum/core/membership/member_table.py
@@ -2,25 +2,35 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterable
 
 import msgspec
 
 from knapweeddrum.core.membership.hosts_view import HostsView
+from knapweeddrum.core.membership.incarnation_index import (
+    IncarnationIndex,
+    incarnation_crc,
+)
 from knapweeddrum.core.membership.listed_member import ListedMember
 from knapweeddrum.core.membership.member import Member
 from knapweeddrum.core.membership.member_state import MemberState
 from knapweeddrum.core.membership.peer_address import PeerAddress
+from knapweeddrum.core.membership.urgent_changes import UrgentChanges
 from knapweeddrum.message.call.entry_host import EntryHost
 from knapweeddrum.message.call.heartbeat import Heartbeat
+from knapweeddrum.message.call.heartbeat_mark import HeartbeatMark
 from knapweeddrum.value.identifiers import HostName
 
 PEERS_PER_ROUND = 1
 """Peers that a node exchanges heartbeats with in a round."""
 
-HEARTBEATS_PER_MESSAGE = 16
-"""Heartbeats in one message, the sender's own included."""
+HEARTBEATS_PER_MESSAGE = 2
+"""Whole heartbeats in one message, the sender's own included."""
+
+MARKS_PER_MESSAGE = 40
+"""Heartbeat marks in one message."""
 
 ROUND_SECONDS = 1.0
 """Time between two rounds."""
@@ -52,8 +62,11 @@
 
     Incarnations of one host are ordered as strings; see ``new_incarnation``. What a
     node knows of a host only ever moves to a newer heartbeat, so merges are idempotent
-    and commutative, and a process that was frozen can bring nothing old back. Times
-    are monotonic seconds.
+    and commutative, and a process that was frozen can bring nothing old back. A message
+    holds the sender's heartbeat, few of others, and many marks, which renew heartbeats
+    that the receiver has; its size doesn't grow with the fleet. Marks carry their age,
+    so that news of a lost host doesn't look fresh for having travelled long. Times are
+    monotonic seconds.
     """
 
     def __init__(self, own: Heartbeat, rng: random.Random) -> None:
@@ -63,9 +76,13 @@
         self._seeds: dict[str, PeerAddress] = {}
         self._leaving: frozenset[str] = frozenset()
         self._superseded_by = ""
-        self._urgent: dict[str, int] = {}
+        self._urgent = UrgentChanges()
+        self._incarnations = IncarnationIndex()
         self._view: HostsView | None = None
 
+    def __len__(self) -> int:
+        return len(self._members)
+
     @property
     def own(self) -> Heartbeat:
         """Return this node's last heartbeat."""
@@ -119,22 +136,59 @@
                 self._check_superseded(heartbeat)
                 continue
             known = self._members.get(heartbeat.host)
-            if known is not None and _age_key(heartbeat) <= _age_key(known.heartbeat):
+            if known is None or _age_key(heartbeat) > _age_key(known.heartbeat):
+                self._set(heartbeat, now)
+
+    def merge_marks(self, marks: Iterable[HeartbeatMark], now: float) -> None:
+        """Take marks from a peer; unknown incarnations are asked for later."""
+        for mark in marks:
+            if mark.incarnation_crc == incarnation_crc(self._own.incarnation):
                 continue
-            self._members[heartbeat.host] = Member(heartbeat, now)
-            if known is None or _is_urgent(known.heartbeat, heartbeat):
-                self._urgent[heartbeat.host] = self._urgent_sends()
+            known = self.heartbeat_of(mark.incarnation_crc)
+            if known is None:
+                self._incarnations.want(mark.incarnation_crc)
+            elif mark.sequence > known.sequence:
+                heartbeat = msgspec.structs.replace(
+                    known,
+                    sequence=mark.sequence,
+                    draining=mark.draining,
+                    config_offset=mark.config_offset,
+                )
+                self._set(heartbeat, now - mark.age)
 
     def outgoing(self) -> tuple[Heartbeat, ...]:
-        """Return what to send in one message: the own heartbeat, then some others.
+        """Return the whole heartbeats for one message: the own one, then others."""
+        return (self._own, *self.sample(HEARTBEATS_PER_MESSAGE - 1))
+
+    def outgoing_marks(self, now: float) -> tuple[HeartbeatMark, ...]:
+        """Return the marks for one message.
 
         Those with a change of incarnation or drain come first, for a bounded number
         of messages; the rest is a random choice of the fresher half.
         """
-        urgent = self._take_urgent()
-        rest = HEARTBEATS_PER_MESSAGE - 1 - len(urgent)
-        others = [*urgent, *self._sample_fresh(rest, set(urgent))]
-        return (self._own, *(self._members[host].heartbeat for host in others))
+        urgent = self._urgent.take(MARKS_PER_MESSAGE // 2)
+        fresh = self._sample_fresh(MARKS_PER_MESSAGE - len(urgent), set(urgent))
+        return tuple(_mark(self._members[host], now) for host in (*urgent, *fresh))
+
+    def sample(self, count: int) -> tuple[Heartbeat, ...]:
+        """Return the heartbeats of ``count`` random members, or of all."""
+        hosts = sorted(self._members)
+        chosen = self._rng.sample(hosts, min(count, len(hosts)))
+        return tuple(self._members[host].heartbeat for host in chosen)
+
+    def take_wanted(self) -> tuple[int, ...]:
+        """Return the unknown incarnations to ask a peer for, once."""
+        return self._incarnations.take_wanted()
+
+    def heartbeat(self, host: str) -> Heartbeat | None:
+        """Return the newest heartbeat of another host, or None."""
+        member = self._members.get(host)
+        return None if member is None else member.heartbeat
+
+    def heartbeat_of(self, crc: int) -> Heartbeat | None:
+        """Return the newest heartbeat of an incarnation by its CRC-32, or None."""
+        host = self._incarnations.host(crc)
+        return None if host is None else self.heartbeat(host)
 
     def choose_peers(self, now: float) -> tuple[PeerAddress, ...]:
         """Return the peers of this round.
@@ -149,14 +203,16 @@
             return (self._rng.choice(absent), *others)
         return tuple(self._rng.sample(present, count))
 
+    def silence(self, host: HostName, now: float) -> float:
+        """Return the seconds since a fresh heartbeat of a host; infinite for none."""
+        member = self._members.get(host)
+        return float("inf") if member is None else now - member.heard_at
+
     def state(self, host: HostName, now: float) -> MemberState:
         """Return the state of a host; an unknown one is gone."""
         if host == self._own.host:
             return MemberState.ALIVE
-        member = self._members.get(host)
-        if member is None:
-            return MemberState.GONE
-        silence = now - member.heard_at
+        silence = self.silence(host, now)
         limit = self.suspect_seconds()
         if silence < limit:
             return MemberState.ALIVE
@@ -200,21 +256,23 @@
         ]
         for host in old:
             self._view = None
-            del self._members[host]
-            self._urgent.pop(host, None)
+            member = self._members.pop(host)
+            self._incarnations.remove(member.heartbeat.incarnation)
+            self._urgent.discard(host)
 
     def suspect_seconds(self) -> float:
         """Return the silence that makes a member suspect; it grows with the fleet."""
-        heard = 2 * PEERS_PER_ROUND * (HEARTBEATS_PER_MESSAGE - 1) / ROUND_SECONDS
+        heard = 2 * PEERS_PER_ROUND * MARKS_PER_MESSAGE / ROUND_SECONDS
         return SUSPECT_SECONDS + SPREAD_FACTOR * len(self._members) / heard
 
     def _split_peers(self, now: float) -> tuple[list[PeerAddress], list[PeerAddress]]:
         """Return the peers that are not gone, and those that are or never came."""
+        gone_seconds = GONE_FACTOR * self.suspect_seconds()
         present: list[PeerAddress] = []
         absent: list[PeerAddress] = []
-        for host, member in sorted(self._members.items()):
+        for _, member in sorted(self._members.items()):
             peer = _peer_address(member.heartbeat)
-            is_gone = self.state(HostName(host), now) is MemberState.GONE
+            is_gone = now - member.heard_at >= gone_seconds
             (absent if is_gone else present).append(peer)
         absent += [
             seed
@@ -223,17 +281,18 @@
         ]
         return present, absent
 
-    def _urgent_sends(self) -> int:
-        return URGENT_SENDS + len(self._members).bit_length()
-
-    def _take_urgent(self) -> list[str]:
-        by_need = sorted(self._urgent, key=lambda host: (-self._urgent[host], host))
-        taken = by_need[: HEARTBEATS_PER_MESSAGE - 1]
-        for host in taken:
-            self._urgent[host] -= 1
-            if self._urgent[host] == 0:
-                del self._urgent[host]
-        return taken
+    def _set(self, heartbeat: Heartbeat, now: float) -> None:
+        self._view = None
+        known = self._members.get(heartbeat.host)
+        self._members[heartbeat.host] = Member(heartbeat, now)
+        if known is None or known.heartbeat.incarnation != heartbeat.incarnation:
+            if known is not None:
+                self._incarnations.remove(known.heartbeat.incarnation)
+            self._incarnations.add(heartbeat.incarnation, heartbeat.host)
+        elif known.heartbeat.draining == heartbeat.draining:
+            return
+        sends = URGENT_SENDS + len(self._members).bit_length()
+        self._urgent.add(heartbeat.host, sends)
 
     def _sample_fresh(self, count: int, taken: set[str]) -> list[str]:
         hosts = [host for host in sorted(self._members) if host not in taken]
@@ -266,10 +325,15 @@
     return (heartbeat.incarnation, heartbeat.sequence)
 
 
-def _is_urgent(known: Heartbeat, heartbeat: Heartbeat) -> bool:
-    if heartbeat.incarnation != known.incarnation:
-        return True
-    return heartbeat.draining != known.draining
+def _mark(member: Member, now: float) -> HeartbeatMark:
+    heartbeat = member.heartbeat
+    return HeartbeatMark(
+        incarnation_crc(heartbeat.incarnation),
+        heartbeat.sequence,
+        heartbeat.draining,
+        heartbeat.config_offset,
+        age=math.ceil(now - member.heard_at),
+    )
 
 
 def _peer_address(heartbeat: Heartbeat) -> PeerAddress:
--- a/src/knapweeddrum/process/keeper/membership_task.py
+++ b/src/knapweeddrum/process/keeper/membership_task.py
@@ -5,7 +5,9 @@
 from collections.abc import Callable
 
 import anyio
+import msgspec
 
+from knapweeddrum.core.membership.gossip_exchange import GossipExchange
 from knapweeddrum.core.membership.listed_member import ListedMember
 from knapweeddrum.core.membership.member_table import ROUND_SECONDS, MemberTable
 from knapweeddrum.core.membership.peer_address import PeerAddress
@@ -48,6 +50,7 @@
         self.crashes = CrashExchange()
         self.superseded = anyio.Event()
         self._table = table
+        self._gossip = GossipExchange(table)
         self._peers = peers
         self._host_list = host_list
         self._offset_in_force = offset_in_force
@@ -75,9 +78,8 @@
 
     def take(self, req: ExchangeRequest) -> ExchangeReply:
         """Take a peer's heartbeats and return this host's view."""
-        self._table.merge(req.heartbeats, self._clock())
         self.crashes.merge(req.crashes)
-        return ExchangeReply(heartbeats=self._table.outgoing())
+        return self._gossip.reply(req, self._clock())
 
     async def run(self) -> None:
         """Exchange heartbeats until cancelled."""
@@ -104,13 +106,15 @@
         self, peer: PeerAddress, crashes: tuple[CrashRecord, ...]
     ) -> None:
         caller = self._peers.at(peer.address, peer.keeper_port)
-        request = ExchangeRequest(heartbeats=self._table.outgoing(), crashes=crashes)
+        request = msgspec.structs.replace(
+            self._gossip.request(self._clock()), crashes=crashes
+        )
         try:
             reply = await caller.call(EXCHANGE, request, EXCHANGE_TIMEOUT_SECONDS)
         except RpcError:
             # Silence shows in the table; the next round picks other peers.
             return
-        self._table.merge(reply.heartbeats, self._clock())
+        self._gossip.take_reply(reply, self._clock())
 
     async def _read_host_list(self) -> None:
         while True:
--- a/tests/core/membership/test_member_table.py
+++ b/tests/core/membership/test_member_table.py
@@ -6,11 +6,13 @@
 from hypothesis import strategies as st
 
 from knapweeddrum.core.membership.drain_plan import ADVICE_SPREAD_SECONDS
+from knapweeddrum.core.membership.gossip_exchange import GossipExchange
 from knapweeddrum.core.membership.listed_member import ListedMember
 from knapweeddrum.core.membership.member_state import MemberState
 from knapweeddrum.core.membership.member_table import (
     GONE_FACTOR,
     HEARTBEATS_PER_MESSAGE,
+    MARKS_PER_MESSAGE,
     PEERS_PER_ROUND,
     VIEW_SECONDS,
 )
@@ -22,6 +24,12 @@
 NEW = "h2/keeper/000000000002-0"
 
 
+def _exchange(table, peer, now):
+    """Let ``table`` ask ``peer`` once."""
+    exchange = GossipExchange(table)
+    exchange.take_reply(GossipExchange(peer).reply(exchange.request(now), now), now)
+
+
 def test_silence_makes_a_member_suspect_then_gone():
     """Only a fresh heartbeat counts; a repeated one is silence."""
     table = new_table("h1")
@@ -54,8 +62,9 @@
 
 def test_frozen_process_that_wakes_learns_that_it_was_replaced():
     """It finds the newer incarnation of its own host in a peer's reply."""
-    table = new_table("h2")
-    table.merge([new_heartbeat("h2", 1, NEW)], 9.0)
+    table, peer = new_table("h2"), new_table("h1")
+    peer.merge([new_heartbeat("h2", 1, NEW)], 1.0)
+    _exchange(table, peer, 9.0)
     assert table.superseded_by == NEW
     table.merge([new_heartbeat("h2", 5, OLD)], 9.0)
     assert table.superseded_by == NEW
@@ -96,6 +105,34 @@
     assert set(tried) == {"h2", "h3", "h4"}
 
 
+def test_mark_renews_only_the_incarnation_that_it_is_of():
+    """Marks of a replaced or unknown incarnation, and older ones, change nothing."""
+    table, peer = new_table("h1"), new_table("h3")
+    peer.merge([new_heartbeat("h2", 7, NEW, draining=True)], 0.0)
+    marks = peer.outgoing_marks(0.0)
+    table.merge_marks(marks, 1.0)
+    assert table.state("h2", 1.0) is MemberState.GONE
+    assert len(GossipExchange(table).request(1.0).wanted) == 1
+    table.merge([new_heartbeat("h2", 9, OLD)], 2.0)
+    table.merge_marks(marks, 3.0)
+    assert table.silence("h2", 3.0) == 1.0
+    table.merge([new_heartbeat("h2", 1, NEW)], 4.0)
+    table.merge_marks(marks, 5.0)
+    assert (table.silence("h2", 5.0), table.is_draining("h2")) == (0.0, True)
+    table.merge_marks(marks, 6.0)
+    assert table.silence("h2", 6.0) == 1.0
+
+
+def test_relayed_mark_keeps_its_age():
+    """A heartbeat that took long to arrive doesn't make its host look fresh."""
+    first, second = new_table("h1"), new_table("h3")
+    for table in (first, second):
+        table.merge([new_heartbeat("h2", 1)], 0.0)
+    first.merge([new_heartbeat("h2", 2)], 1.0)
+    second.merge_marks(first.outgoing_marks(4.0), 5.0)
+    assert second.silence("h2", 5.0) == 3.0
+
+
 HEARTBEATS = st.lists(
     st.builds(
         new_heartbeat,
@@ -128,8 +165,7 @@
             for peer in table.choose_peers(now):
                 if (name in cut) != (peer.host in cut):
                     continue
-                tables[peer.host].merge(table.outgoing(), now)
-                table.merge(tables[peer.host].outgoing(), now)
+                _exchange(table, tables[peer.host], now)
     return now
 
 
@@ -162,7 +198,10 @@
     now = _run_rounds(tables, 50, 0.0)
     assert {_alive(table, now) for table in tables.values()} == {60}
     for table in tables.values():
-        assert len(table.outgoing()) == HEARTBEATS_PER_MESSAGE
+        assert (
+            len(GossipExchange(table).request(now).heartbeats) == HEARTBEATS_PER_MESSAGE
+        )
+        assert len(GossipExchange(table).request(now).marks) == MARKS_PER_MESSAGE
         assert len(table.choose_peers(now)) <= PEERS_PER_ROUND
 
 
