--- a/tools/budget_model/model_caller.py
+++ b/tools/budget_model/model_caller.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 
+from knapweeddrum.process.keeper.exceptions import KeeperError
 from knapweeddrum.rpc.caller import Caller, ReplyT, RequestT
 from knapweeddrum.rpc.exceptions import PeerUnreachableError, RpcError
 from knapweeddrum.rpc.method import Method
@@ -47,7 +48,10 @@
         is_lost = self._fleet.rng.random() < LOST_REPLY_SHARE
 
         async def serve(target: ModelKeeper) -> None:
-            reply = await target.handle(method.path, request)
+            try:
+                reply = await target.handle(method.path, request)
+            except KeeperError:
+                return
             if not (is_lost or target.is_dead):
                 replies.append(reply)
                 done.set()
