--- a/src/knapweeddrum/process/keeper/grant_manager.py
+++ b/src/knapweeddrum/process/keeper/grant_manager.py
@@ -125,13 +125,16 @@
                 tasks.start_soon(append, _return(return_id, allowance))
         return SettleReply(accepted=accepted)
 
-    def transfer(self, req: TransferRequest) -> TransferReply:
-        """Hand tokens to a peer: at most half of what is free, unless it is idle."""
-        free = self._pool.free(req.budget)
+    async def transfer(self, req: TransferRequest) -> TransferReply:
+        """Hand tokens to a peer: at most half of what is left, unless it is idle."""
+        left = self._pool.free(req.budget) + self._opener.openable(req.budget)
         use = self._uses.get(req.budget)
-        idle = use is None or use.is_idle(self._clock())
-        spare = free if idle else free // 2
-        tokens = min(req.tokens, spare)
+        is_idle = use is None or use.is_idle(self._clock())
+        tokens = min(req.tokens, left if is_idle else left // 2)
+        missing = tokens - self._pool.free(req.budget)
+        if missing > 0:
+            await self._opener.open(req.budget, missing)
+        tokens = min(tokens, self._pool.free(req.budget))
         allowances = self._given.give(
             req.transfer_id, req.budget, tokens, self._clock()
         )
--- a/src/knapweeddrum/process/keeper/grant_opener.py
+++ b/src/knapweeddrum/process/keeper/grant_opener.py
@@ -18,7 +18,7 @@
 
 OPEN_TIMEOUT_SECONDS = 0.5
 
-AVOID_SECONDS = 15.0
+AVOID_SECONDS = 2.0
 """How long a witness that gave no reply is taken to be out of reach."""
 
 
--- a/src/knapweeddrum/process/keeper/keeper_service.py
+++ b/src/knapweeddrum/process/keeper/keeper_service.py
@@ -93,4 +93,4 @@
         return follower.held_for_peer(req.start, req.limit)
 
     async def _transfer(self, req: TransferRequest) -> TransferReply:
-        return self._parts.grants.transfer(req)
+        return await self._parts.grants.transfer(req)
--- a/tests/process/keeper/test_grants.py
+++ b/tests/process/keeper/test_grants.py
@@ -197,3 +197,13 @@
         assert (await first.draw("d2", 50)).shortfalls[0].exhausted
         await until_status(first, lambda status: status.balance == 40)
         assert tokens(await second.draw("d3", 40)) == 40
+
+
+@async_test
+async def test_unopened_tokens_can_be_transferred():
+    """A keeper opens more of its grant for a peer that can't reach the log."""
+    async with keeper_bench(3) as (_, (first, second, _third)):
+        await first.top_up("t1", 100_000)
+        await first.draw("d1", 10, 10)
+        second.log.out = True
+        assert tokens(await second.draw("d2", 20)) >= 20
--- a/tools/budget_model/model_keeper.py
+++ b/tools/budget_model/model_keeper.py
@@ -13,8 +13,6 @@
 from knapweeddrum.core.fold.fact_verdict import FactVerdict
 from knapweeddrum.core.fold.ledger import Ledger
 from knapweeddrum.core.fold.stream_fold import StreamFold
-from knapweeddrum.message.call.transfer_reply import TransferReply
-from knapweeddrum.message.call.transfer_request import TransferRequest
 from knapweeddrum.process.keeper.claim_manager import ClaimManager
 from knapweeddrum.process.keeper.grant_manager import GrantManager
 from knapweeddrum.process.keeper.keeper_stream import KeeperStream
@@ -83,7 +81,7 @@
         self.handlers: dict[str, Callable] = {
             keeper_methods.DRAW.path: self.grants.draw,
             keeper_methods.SETTLE.path: self.grants.settle,
-            keeper_methods.TRANSFER.path: self._transfer,
+            keeper_methods.TRANSFER.path: self.grants.transfer,
             keeper_methods.OPEN.path: self._witness.open,
             keeper_methods.CLAIM.path: claims.claim,
             keeper_methods.OUTCOME.path: claims.record,
@@ -112,9 +110,6 @@
             while not all(stream.appender.idle for stream in self._streams):
                 await anyio.sleep(FLUSH_POLL_SECONDS)
 
-    async def _transfer(self, req: TransferRequest) -> TransferReply:
-        return self.grants.transfer(req)
-
     async def handle(self, path: str, req: msgspec.Struct) -> msgspec.Struct:
         """Answer a call."""
         return await self.handlers[path](req)
--- a/tools/budget_model/way.py
+++ b/tools/budget_model/way.py
@@ -52,22 +52,28 @@
 
 
 def _horizon_ways(weigh: Weigh) -> tuple[Way, ...]:
-    transfers = Way("horizon_transfers", weigh, transfers=True)
     witness = Way("horizon_transfers_witness", weigh, transfers=True, witnessed=True)
     return (
         Way("demand_horizon", weigh),
-        transfers,
+        Way("horizon_transfers", weigh, transfers=True),
         witness,
-        dataclasses.replace(
-            transfers, name="long_horizon_transfers", horizon=LONG_HORIZON_SECONDS
-        ),
         dataclasses.replace(
             witness, name="long_horizon_witness", horizon=LONG_HORIZON_SECONDS
         ),
+    )
+
+
+def _long_ways(weigh: Weigh) -> tuple[Way, ...]:
+    """Return the long horizon without a witness, and with more opened at once."""
+    transfers = Way(
+        "long_horizon_transfers", weigh, transfers=True, horizon=LONG_HORIZON_SECONDS
+    )
+    return (
+        transfers,
         dataclasses.replace(
-            witness,
+            transfers,
             name="long_horizon_witness_open_ahead",
-            horizon=LONG_HORIZON_SECONDS,
+            witnessed=True,
             open_ahead=LONG_OPEN_AHEAD_SECONDS,
         ),
     )
@@ -80,5 +86,6 @@
     Way("fixed_shares", None),
     *_horizon_ways(Weigh.OVERSPEND),
     *_horizon_ways(Weigh.FALSE_REFUSALS),
+    *_long_ways(Weigh.FALSE_REFUSALS),
     UNSAFE_WAY,
 )
--- a/tools/slopes/memory_keeper.py
+++ b/tools/slopes/memory_keeper.py
@@ -122,7 +122,7 @@
         return self._membership.take(req)
 
     async def _transfer(self, req: TransferRequest) -> TransferReply:
-        return self.grants.transfer(req)
+        return await self.grants.transfer(req)
 
     def _stream(self, name: str, ledger: LedgerT) -> KeeperStream[LedgerT]:
         fold = StreamFold(ledger)
