Keep an operator's drain when the host's router starts

Cause: the router tells its keeper at start that it doesn't drain, and the keeper kept one flag for all. A host now drains while the operator, its router or its keeper says so.

--- a/src/knapweeddrum/message/call/drain_request.py
+++ b/src/knapweeddrum/message/call/drain_request.py
@@ -4,9 +4,12 @@
 
 import msgspec
 
+from knapweeddrum.value.drain_source import DrainSource
+
 
 class DrainRequest(msgspec.Struct, frozen=True):
-    """Tells the keeper of ``host`` that its host is draining, or no longer."""
+    """Tells the keeper of ``host`` that ``source`` drains its host, or no longer."""
 
     host: str
     draining: bool
+    source: DrainSource = DrainSource.OPERATOR
--- a/src/knapweeddrum/process/keeper/keeper_process.py
+++ b/src/knapweeddrum/process/keeper/keeper_process.py
@@ -50,6 +50,7 @@
 from knapweeddrum.telemetry.event_log import EventLog
 from knapweeddrum.telemetry.events import PROCESS_STARTED, PROCESS_STOPPED
 from knapweeddrum.telemetry.metrics import Metrics
+from knapweeddrum.value.drain_source import DrainSource
 from knapweeddrum.value.identifiers import HostName
 
 CONFIG_STREAM = "config"
@@ -175,7 +176,7 @@
 
     async def hand_back(self) -> None:
         """Return unspent tokens and wait a while for the log to take everything."""
-        self._membership.draining = True
+        self._membership.note_drain(DrainSource.KEEPER, True)
         self._grants.return_all()
         with anyio.move_on_after(FLUSH_LIMIT_SECONDS):
             while not all(stream.appender.idle for stream in self._streams):
@@ -187,13 +188,17 @@
         A router that drains says so first; when none does, this keeper stops alone.
         """
         with anyio.move_on_after(DRAIN_NOTICE_SECONDS):
-            while not self._membership.draining:
+            while not self._membership.is_drained_by(DrainSource.ROUTER):
                 await anyio.sleep(FLUSH_POLL_SECONDS)
         limit = self._settings.router.drain_limit_seconds
         with anyio.move_on_after(limit):
-            while self._membership.draining and self._config.has_own_router():
+            while self._is_router_draining():
                 await anyio.sleep(FLUSH_POLL_SECONDS)
 
+    def _is_router_draining(self) -> bool:
+        drains = self._membership.is_drained_by(DrainSource.ROUTER)
+        return drains and self._config.has_own_router()
+
     def _stream(self, name: str, ledger: LedgerT) -> KeeperStream[LedgerT]:
         fold = StreamFold(ledger)
         follower = StreamFollower(
--- a/src/knapweeddrum/process/keeper/keeper_service.py
+++ b/src/knapweeddrum/process/keeper/keeper_service.py
@@ -73,8 +73,7 @@
         membership = self._parts.membership
         own, *others = membership.hosts()
         if req.host == own.host:
-            membership.draining = req.draining
-            membership.beat()
+            membership.note_drain(req.source, req.draining)
             return DrainReply(accepted=True)
         for host in others:
             if host.host == req.host:
--- a/src/knapweeddrum/process/keeper/membership_task.py
+++ b/src/knapweeddrum/process/keeper/membership_task.py
@@ -24,6 +24,7 @@
 from knapweeddrum.rpc.keeper_methods import EXCHANGE
 from knapweeddrum.telemetry.event_log import EventLog
 from knapweeddrum.telemetry.events import SUPERSEDED
+from knapweeddrum.value.drain_source import DrainSource
 from knapweeddrum.value.identifiers import HostName
 
 EXCHANGE_TIMEOUT_SECONDS = 1.0
@@ -46,7 +47,7 @@
         events: EventLog,
         seeds: tuple[PeerAddress, ...],
     ) -> None:
-        self.draining = False
+        self._drains: set[DrainSource] = set()
         self.crashes = CrashExchange()
         self.superseded = anyio.Event()
         self._table = table
@@ -72,9 +73,21 @@
         own = self._table.own.incarnation
         return frozenset({own, *(peer.incarnation for peer in self.live_peers())})
 
+    def note_drain(self, source: DrainSource, draining: bool) -> None:
+        """Take note that a source drains this host, or no longer."""
+        if draining:
+            self._drains.add(source)
+        else:
+            self._drains.discard(source)
+        self.beat()
+
+    def is_drained_by(self, source: DrainSource) -> bool:
+        """Return whether a source drains this host."""
+        return source in self._drains
+
     def beat(self) -> None:
         """Make the next heartbeat of this host."""
-        self._table.update_own(self.draining, self._offset_in_force())
+        self._table.update_own(bool(self._drains), self._offset_in_force())
 
     def take(self, req: ExchangeRequest) -> ExchangeReply:
         """Take a peer's heartbeats and return this host's view."""
--- a/src/knapweeddrum/process/router/drain_sequence.py
+++ b/src/knapweeddrum/process/router/drain_sequence.py
@@ -22,6 +22,7 @@
     DRAIN_STARTED,
     STOPPED_UNSETTLED,
 )
+from knapweeddrum.value.drain_source import DrainSource
 
 CHECK_INTERVAL_SECONDS = 0.05
 CALL_TIMEOUT_SECONDS = 2.0
@@ -70,7 +71,11 @@
 
     async def tell_keeper(self, draining: bool) -> None:
         """Repeat the state of this host to the keeper until it has taken it."""
-        req = DrainRequest(host=self._parts.settings.host.name, draining=draining)
+        req = DrainRequest(
+            host=self._parts.settings.host.name,
+            draining=draining,
+            source=DrainSource.ROUTER,
+        )
         backoff = Backoff(self._parts.rng, FIRST_DELAY_SECONDS, LONGEST_DELAY_SECONDS)
         while not await self._is_accepted(req):
             await anyio.sleep(backoff.delay())
