--- a/src/knapweeddrum/process/keeper/membership_task.py
+++ b/src/knapweeddrum/process/keeper/membership_task.py
@@ -7,6 +7,7 @@
 import anyio
 import msgspec
 
+from knapweeddrum.core.membership.gossip_exchange import GossipExchange
 from knapweeddrum.core.membership.listed_member import ListedMember
 from knapweeddrum.core.membership.member_table import ROUND_SECONDS, MemberTable
 from knapweeddrum.core.membership.peer_address import PeerAddress
@@ -49,6 +50,7 @@
         self.crashes = CrashExchange()
         self.superseded = anyio.Event()
         self._table = table
+        self._gossip = GossipExchange(table)
         self._peers = peers
         self._host_list = host_list
         self._offset_in_force = offset_in_force
@@ -77,7 +79,7 @@
     def take(self, req: ExchangeRequest) -> ExchangeReply:
         """Take a peer's heartbeats and return this host's view."""
         self.crashes.merge(req.crashes)
-        return self._table.reply(req, self._clock())
+        return self._gossip.reply(req, self._clock())
 
     async def run(self) -> None:
         """Exchange heartbeats until cancelled."""
@@ -105,14 +107,14 @@
     ) -> None:
         caller = self._peers.at(peer.address, peer.keeper_port)
         request = msgspec.structs.replace(
-            self._table.request(self._clock()), crashes=crashes
+            self._gossip.request(self._clock()), crashes=crashes
         )
         try:
             reply = await caller.call(EXCHANGE, request, EXCHANGE_TIMEOUT_SECONDS)
         except RpcError:
             # Silence shows in the table; the next round picks other peers.
             return
-        self._table.take_reply(reply, self._clock())
+        self._gossip.take_reply(reply, self._clock())
 
     async def _read_host_list(self) -> None:
         while True:
--- a/tests/core/claim/test_claim_ledger.py
+++ b/tests/core/claim/test_claim_ledger.py
@@ -2,7 +2,7 @@
 
 from nose2.tools import params
 
-from knapweeddrum.core.claim.claim_ledger import ClaimLedger
+from knapweeddrum.core.claim.claim_ledger import ENDED_LIMIT, ClaimLedger
 from knapweeddrum.core.claim.claim_windows import ClaimWindows
 from knapweeddrum.core.fold.fold_outcome import FoldOutcome
 from knapweeddrum.message.call.claim_verdict import ClaimVerdict
@@ -45,6 +45,20 @@
     log.append(Claim(KEY, "c2", "print"), outcome("c1", "done", b"late"))
     assert ledger.verdict(KEY, "c1", "print").verdict is ClaimVerdict.NOT_RUN
     assert ledger.verdict(KEY, "c2", "print").verdict is ClaimVerdict.WON
+    log.append(outcome("c2", "not_run"), Claim(KEY, "c1", "print"))
+    log.append(Claim(KEY, "c3", "print"))
+    assert ledger.verdict(KEY, "c3", "print").verdict is ClaimVerdict.WON
+
+
+def test_key_that_is_given_up_too_often_is_closed():
+    """A caller's endless retries don't grow the state; each is told NOT_RUN."""
+    ledger, log = claimed(outcome("c1", "not_run"))
+    for number in range(2, ENDED_LIMIT + 2):
+        claimant = f"c{number}"
+        log.append(Claim(KEY, claimant, "print"), outcome(claimant, "not_run"))
+    assert ledger.verdict(KEY, claimant, "print").verdict is ClaimVerdict.NOT_RUN
+    (verdict,) = log.append(Claim(KEY, "late", "print"))
+    assert verdict.outcome is FoldOutcome.REJECTED
 
 
 @params("done", "unknown")
