Ask for a new grant when the witness of the old one is silent

Seen by test_killed_and_replaced_keeper_leaves_budgets_that_add_up: after a keeper was killed, requests at its router were refused as budget_unreachable with 16,000 of 20,000 tokens in the balance, for all of the 61 requests tried in 1.3 s.

Cause: the next keeper's grant named the dead keeper as witness before its silence was noticed. It could not be opened, but its tokens counted as free, so that no other grant was asked for. Ruled out: the log (its appends were read back), the router's failover (the draw reached the next keeper at once).

Now a witness that gives no reply comes last, what only it could open doesn't count as free and goes back to the log, and a want may take a second grant.

--- a/src/knapweeddrum/process/keeper/grant_manager.py
+++ b/src/knapweeddrum/process/keeper/grant_manager.py
@@ -43,6 +43,9 @@
 from knapweeddrum.process.keeper.transfer_client import TransferClient
 
 GRANT_PATIENCE_SECONDS = 1.5
+GRANT_ATTEMPTS = 2
+"""Grants for one want: the witness of the first may have died unnoticed."""
+
 SETTLE_PATIENCE_SECONDS = 3.0
 SURPLUS_PERIOD_SECONDS = 5.0
 OPEN_AHEAD_SECONDS = 2.0
@@ -180,24 +183,32 @@
 
     async def _obtain(self, want: Want) -> None:
         """Open more of the grants, then ask the log for one, then peers."""
-        await self._open_for(want)
-        if self._pool.free(want.budget) >= want.minimum:
-            return
-        stream = shard_of(want.budget, self._streams)
-        fact = self._grant(stream, want.budget, want.minimum)
-        if fact is not None:
-            try:
-                await stream.appender.append(fact, GRANT_PATIENCE_SECONDS)
-            except (AppendPendingError, NotAppendedError):
-                # A grant that lands late is credited when it is read back.
-                pass
+        for _ in range(GRANT_ATTEMPTS):
             await self._open_for(want)
+            if self._pool.free(want.budget) >= want.minimum:
+                return
+            if not await self._append_grant(want):
+                break
+        await self._open_for(want)
         if self._pool.free(want.budget) < want.minimum:
             await self._transfers.fetch(self._pool, want.budget, want.minimum)
 
+    async def _append_grant(self, want: Want) -> bool:
+        """Return whether a grant that the want needs was read back."""
+        stream = shard_of(want.budget, self._streams)
+        fact = self._grant(stream, want.budget, want.minimum)
+        if fact is None:
+            return False
+        try:
+            await stream.appender.append(fact, GRANT_PATIENCE_SECONDS)
+        except (AppendPendingError, NotAppendedError):
+            # A grant that lands late is credited when it is read back.
+            return False
+        return True
+
     async def _open_for(self, want: Want) -> None:
         missing = want.minimum - self._pool.free(want.budget)
-        if missing > 0 and self._opener.unopened(want.budget):
+        if missing > 0:
             rate = self._use(want.budget).rate.at(self._clock())
             ahead = rate * OPEN_AHEAD_SECONDS
             await self._opener.open(want.budget, missing + int(ahead))
@@ -266,6 +277,8 @@
         stream = shard_of(budget, self._streams)
         if not stream.appender.available:
             return
+        for allowance in self._opener.give_up_silent(budget):
+            self._submit_return(allowance, opened=False)
         if self._use(budget).is_idle(self._clock()):
             tokens = self._pool.free(budget)
             self._return_unopened(budget)
--- a/src/knapweeddrum/process/keeper/grant_opener.py
+++ b/src/knapweeddrum/process/keeper/grant_opener.py
@@ -33,16 +33,19 @@
         self._membership = membership
         self._peers = peers
         self._holdings: dict[str, dict[str, WitnessedHolding]] = {}
+        self._silent: set[str] = set()
 
     def choose_witness(self, grant_id: str) -> str:
         """Return a live peer's incarnation, of another data centre if there is one.
 
-        Empty when no peer is live.
+        Empty when no peer is live. A witness that gave no reply comes last.
         """
         own, *others = self._membership.hosts()
         live = [host for host in others if host.alive and not host.draining]
         far = [host for host in live if host.data_centre != own.data_centre]
-        candidates = far or live
+        answering = [host for host in live if host.incarnation not in self._silent]
+        far = [host for host in far if host in answering]
+        candidates = far or answering or live
         if not candidates:
             return ""
         digest = zlib.crc32(grant_id.encode())
@@ -56,14 +59,21 @@
             holdings[grant_id] = WitnessedHolding(witness, opened)
 
     def unopened(self, budget: str) -> int:
-        """Return the tokens of a budget that could be opened."""
+        """Return the tokens of a budget that could be opened now.
+
+        Those whose witness is silent don't count: they must not keep this keeper from
+        asking for a grant that it can open.
+        """
         holdings = self._holdings.get(budget, {}).values()
-        return sum(holding.grant.unopened for holding in holdings)
+        return sum(h.grant.unopened for h in holdings if not self._is_silent(h))
 
     async def open(self, budget: str, tokens: int) -> None:
         """Open ``tokens`` more of a budget, as far as witnesses can be reached."""
         goal = self._pool.free(budget) + tokens
-        for grant_id, holding in list(self._holdings.get(budget, {}).items()):
+        holdings = self._holdings.get(budget, {}).items()
+        for grant_id, holding in sorted(
+            holdings, key=lambda item: self._is_silent(item[1])
+        ):
             missing = goal - self._pool.free(budget)
             if missing <= 0:
                 return
@@ -79,6 +89,19 @@
         self._drop_spent(budget)
         return tuple(returned)
 
+    def give_up_silent(self, budget: str) -> tuple[Allowance, ...]:
+        """Give up what was never opened of the grants whose witness is silent."""
+        returned = []
+        for grant_id, holding in self._holdings.get(budget, {}).items():
+            if not self._is_silent(holding):
+                continue
+            self._silent.discard(holding.witness)
+            tokens = holding.grant.give_up()
+            if tokens:
+                returned.append(Allowance(budget, grant_id, tokens))
+        self._drop_spent(budget)
+        return tuple(returned)
+
     def budgets(self) -> tuple[str, ...]:
         """Return the budgets with unopened grants, sorted."""
         return tuple(sorted(self._holdings))
@@ -98,7 +121,9 @@
             reply = await caller.call(OPEN, request, OPEN_TIMEOUT_SECONDS)
         except RpcError:
             # The mark may be opened there; asking for it again is harmless.
+            self._silent.add(holding.witness)
             return
+        self._silent.discard(holding.witness)
         if reply.allowed:
             allowance = holding.grant.acknowledge(mark)
             credit_id = f"{grant_id}/{mark}"
@@ -108,6 +133,9 @@
             holding.grant.close()
         self._drop_spent(budget)
 
+    def _is_silent(self, holding: WitnessedHolding) -> bool:
+        return holding.witness in self._silent or self._host_of(holding.witness) is None
+
     def _host_of(self, incarnation: str) -> EntryHost | None:
         for host in self._membership.hosts():
             if host.incarnation == incarnation and host.alive:
--- a/tests/process/keeper/test_grants.py
+++ b/tests/process/keeper/test_grants.py
@@ -158,3 +158,13 @@
         await until(lambda: keeper.process._streams[1].appender.idle)
         again = await keeper.draw("d3", 90)
         assert tokens(again) == 90
+
+
+@async_test
+async def test_witness_that_died_unnoticed_holds_up_no_draw():
+    """What it can't open doesn't count as free: another witness opens a new grant."""
+    async with keeper_bench(3) as (_, (first, second, _third)):
+        await first.top_up("t1", 100_000)
+        second.kill()
+        for number in range(6):
+            assert tokens(await first.draw(f"d{number}", 3_000)) >= 3_000
