Ask for another grant when a grant's witness does not answer

Tokens that only a lost witness could open counted as free, so the keeper asked for no further grant and refused every draw of the budget for good; a replaced host is such a lost witness. What could not be opened now no longer counts for the request at hand, and a witness that did not answer is not chosen again while there are others.

Test seen failing first (test_a_lost_witness_does_not_block_the_budget).

--- a/src/knapweeddrum/process/keeper/grant_manager.py
+++ b/src/knapweeddrum/process/keeper/grant_manager.py
@@ -182,7 +182,8 @@
         if self._pool.free(want.budget) >= want.minimum:
             return
         stream = shard_of(want.budget, self._streams)
-        fact = self._grant(stream, want.budget, want.minimum)
+        # What could not be opened now is of no use to this request.
+        fact = self._grant(stream, want.budget, want.minimum, openable=False)
         if fact is not None:
             try:
                 await stream.appender.append(fact, GRANT_PATIENCE_SECONDS)
@@ -213,9 +214,13 @@
         stream.appender.submit(fact)
 
     def _grant(
-        self, stream: KeeperStream[BudgetLedger], budget: str, wanted: int
+        self,
+        stream: KeeperStream[BudgetLedger],
+        budget: str,
+        wanted: int,
+        openable: bool = True,
     ) -> Grant | None:
-        demand = self._demand(stream, budget, wanted)
+        demand = self._demand(stream, budget, wanted, openable)
         tokens = self._policy.grant_tokens(demand)
         if tokens <= 0:
             return None
@@ -229,11 +234,17 @@
         )
 
     def _demand(
-        self, stream: KeeperStream[BudgetLedger], budget: str, wanted: int
+        self,
+        stream: KeeperStream[BudgetLedger],
+        budget: str,
+        wanted: int,
+        openable: bool = True,
     ) -> BudgetDemand:
+        """Return the demand; ``openable`` counts what witnesses have yet to open."""
+        unopened = self._opener.unopened(budget) if openable else 0
         return BudgetDemand(
             balance=stream.ledger.balance(budget),
-            free=self._pool.free(budget) + self._opener.unopened(budget),
+            free=self._pool.free(budget) + unopened,
             wanted=wanted,
             rate=self._use(budget).rate.at(self._clock()),
             live_keepers=len(self._membership.live_incarnations()),
--- a/src/knapweeddrum/process/keeper/grant_opener.py
+++ b/src/knapweeddrum/process/keeper/grant_opener.py
@@ -33,16 +33,22 @@
         self._membership = membership
         self._peers = peers
         self._holdings: dict[str, dict[str, WitnessedHolding]] = {}
+        self._silent: set[str] = set()
 
     def choose_witness(self, grant_id: str) -> str:
         """Return a live peer's incarnation, of another data centre if there is one.
 
+        Those that did not answer of late are left out as long as there are others.
         Empty when no peer is live.
         """
         own, *others = self._membership.hosts()
         live = [host for host in others if host.alive and not host.draining]
         far = [host for host in live if host.data_centre != own.data_centre]
-        candidates = far or live
+        self._silent.intersection_update(host.incarnation for host in live)
+        candidates = [
+            host for host in far or live if host.incarnation not in self._silent
+        ]
+        candidates = candidates or far or live
         if not candidates:
             return ""
         digest = zlib.crc32(grant_id.encode())
@@ -98,7 +104,9 @@
             reply = await caller.call(OPEN, request, OPEN_TIMEOUT_SECONDS)
         except RpcError:
             # The mark may be opened there; asking for it again is harmless.
+            self._silent.add(holding.witness)
             return
+        self._silent.discard(holding.witness)
         if reply.allowed:
             allowance = holding.grant.acknowledge(mark)
             credit_id = f"{grant_id}/{mark}"
--- a/tests/process/keeper/keeper_bench.py
+++ b/tests/process/keeper/keeper_bench.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from knapweeddrum.core.budget.budget_ledger import BudgetLedger
 from knapweeddrum.message.call.budget_request import BudgetRequest
 from knapweeddrum.message.call.draw_request import DrawRequest
 from knapweeddrum.message.call.settle_request import SettleRequest
@@ -89,6 +90,17 @@
         )
         return await self.call(keeper_methods.SETTLE, request)
 
+    def grants(self):
+        """Return the open grants that this keeper holds in its own fold."""
+        own = self.process._incarnation
+        ledgers = [stream.ledger for stream in self.process._streams]
+        return [
+            grant
+            for ledger in ledgers
+            if isinstance(ledger, BudgetLedger)
+            for grant in ledger.grants_of(own)
+        ]
+
     async def status(self):
         reply = await self.call(keeper_methods.BUDGET, BudgetRequest(prefix=BUDGET))
         return reply.budgets[0]
--- a/tests/process/keeper/test_grants.py
+++ b/tests/process/keeper/test_grants.py
@@ -135,3 +135,18 @@
         with anyio.move_on_after(0):
             await keeper.draw("d1", 100)
         assert tokens(await keeper.draw("d1", 100)) == 100
+
+
+@async_test
+async def test_a_lost_witness_does_not_block_the_budget():
+    """What its witness can't open is no reason to refuse: another grant is asked for.
+
+    Witnesses go with each replacement of a host, so this is an ordinary event.
+    """
+    async with keeper_bench(3) as (bench, (first, *_)):
+        await first.top_up("t1", 100_000)
+        await first.draw("d0", 10)
+        (witness,) = {grant.witness for grant in first.grants()}
+        bench.keepers[witness.partition("/")[0]].kill()
+        replies = [await first.draw(f"d{number}", 50) for number in range(1, 4)]
+        assert [tokens(reply) >= 50 for reply in replies] == [True] * 3
