--- a/src/knapweeddrum/process/keeper/grant_opener.py
+++ b/src/knapweeddrum/process/keeper/grant_opener.py
@@ -43,6 +43,8 @@
         own, *others = self._membership.hosts()
         live = [host for host in others if host.alive and not host.draining]
         far = [host for host in live if host.data_centre != own.data_centre]
+        # Only what may still be chosen is worth remembering.
+        self._silent.intersection_update(host.incarnation for host in live)
         answering = [host for host in live if host.incarnation not in self._silent]
         far = [host for host in far if host in answering]
         candidates = far or answering or live
