--- a/src/knapweeddrum/process/keeper/grant_opener.py
+++ b/src/knapweeddrum/process/keeper/grant_opener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Mapping
 
 from knapweeddrum.core.budget.allowance_pool import AllowancePool
 from knapweeddrum.core.budget.opened_grant import OpenedGrant
@@ -83,8 +84,19 @@
 
     def give_up(self, budget: str) -> tuple[Allowance, ...]:
         """Give up what was never opened and return it, a slice for each grant."""
+        return self._give_up(budget, self._holdings.get(budget, {}))
+
+    def give_up_unreachable(self, budget: str) -> tuple[Allowance, ...]:
+        """Give up what was never opened of grants whose witnesses are gone."""
+        holdings = self._holdings.get(budget, {})
+        gone = {g: h for g, h in holdings.items() if self._host_of(h.witness) is None}
+        return self._give_up(budget, gone)
+
+    def _give_up(
+        self, budget: str, holdings: Mapping[str, WitnessedHolding]
+    ) -> tuple[Allowance, ...]:
         returned = []
-        for grant_id, holding in self._holdings.get(budget, {}).items():
+        for grant_id, holding in holdings.items():
             tokens = holding.grant.give_up()
             if tokens:
                 returned.append(Allowance(budget, grant_id, tokens))
