--- a/src/knapweeddrum/process/keeper/grant_opener.py
+++ b/src/knapweeddrum/process/keeper/grant_opener.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import zlib
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 from knapweeddrum.core.budget.allowance_pool import AllowancePool
 from knapweeddrum.core.budget.opened_grant import OpenedGrant
@@ -18,9 +18,6 @@
 
 OPEN_TIMEOUT_SECONDS = 0.5
 
-AVOID_SECONDS = 2.0
-"""How long a witness that gave no reply is taken to be out of reach."""
-
 
 class GrantOpener:
     """Holds the unopened rest of witnessed grants; what opens goes into the pool."""
@@ -31,29 +28,27 @@
         pool: AllowancePool,
         membership: MembershipTask,
         peers: PeerChannels,
-        clock: Callable[[], float],
     ) -> None:
         self._incarnation = incarnation
         self._pool = pool
         self._membership = membership
         self._peers = peers
-        self._clock = clock
         self._holdings: dict[str, dict[str, WitnessedHolding]] = {}
-        self._avoid_until: dict[str, float] = {}
+        self._silent: set[str] = set()
 
     def choose_witness(self, grant_id: str) -> str:
         """Return a live peer's incarnation, of another data centre if there is one.
 
-        Empty when no peer is live.
+        Empty when no peer is live. A witness that gave no reply comes last.
         """
         own, *others = self._membership.hosts()
-        live = [
-            host
-            for host in others
-            if host.alive and not host.draining and self._replies(host.incarnation)
-        ]
+        live = [host for host in others if host.alive and not host.draining]
         far = [host for host in live if host.data_centre != own.data_centre]
-        candidates = far or live
+        # Only what may still be chosen is worth remembering.
+        self._silent.intersection_update(host.incarnation for host in live)
+        answering = [host for host in live if host.incarnation not in self._silent]
+        far = [host for host in far if host in answering]
+        candidates = far or answering or live
         if not candidates:
             return ""
         digest = zlib.crc32(grant_id.encode())
@@ -66,18 +61,22 @@
             opened = OpenedGrant(grant_id, budget, tokens)
             holdings[grant_id] = WitnessedHolding(witness, opened)
 
-    def openable(self, budget: str) -> int:
-        """Return the unopened tokens of a budget whose witnesses are in reach."""
-        return sum(
-            holding.grant.unopened
-            for holding in self._holdings.get(budget, {}).values()
-            if self._replies(holding.witness) and self._host_of(holding.witness)
-        )
+    def unopened(self, budget: str) -> int:
+        """Return the tokens of a budget that could be opened now.
+
+        Those whose witness is silent don't count: they must not keep this keeper from
+        asking for a grant that it can open.
+        """
+        holdings = self._holdings.get(budget, {}).values()
+        return sum(h.grant.unopened for h in holdings if not self._is_silent(h))
 
     async def open(self, budget: str, tokens: int) -> None:
         """Open ``tokens`` more of a budget, as far as witnesses can be reached."""
         goal = self._pool.free(budget) + tokens
-        for grant_id, holding in list(self._holdings.get(budget, {}).items()):
+        holdings = self._holdings.get(budget, {}).items()
+        for grant_id, holding in sorted(
+            holdings, key=lambda item: self._is_silent(item[1])
+        ):
             missing = goal - self._pool.free(budget)
             if missing <= 0:
                 return
@@ -87,11 +86,12 @@
         """Give up what was never opened and return it, a slice for each grant."""
         return self._give_up(budget, self._holdings.get(budget, {}))
 
-    def give_up_unreachable(self, budget: str) -> tuple[Allowance, ...]:
-        """Give up what was never opened of grants whose witnesses are gone."""
+    def give_up_silent(self, budget: str) -> tuple[Allowance, ...]:
+        """Give up what was never opened of the grants whose witness is silent."""
         holdings = self._holdings.get(budget, {})
-        gone = {g: h for g, h in holdings.items() if self._host_of(h.witness) is None}
-        return self._give_up(budget, gone)
+        silent = {g: h for g, h in holdings.items() if self._is_silent(h)}
+        self._silent.difference_update(h.witness for h in silent.values())
+        return self._give_up(budget, silent)
 
     def _give_up(
         self, budget: str, holdings: Mapping[str, WitnessedHolding]
@@ -112,7 +112,7 @@
         self, grant_id: str, holding: WitnessedHolding, budget: str, tokens: int
     ) -> None:
         host = self._host_of(holding.witness)
-        if host is None or not self._replies(holding.witness):
+        if host is None:
             return
         mark = holding.grant.ask(tokens)
         request = OpenRequest(
@@ -123,9 +123,9 @@
             reply = await caller.call(OPEN, request, OPEN_TIMEOUT_SECONDS)
         except RpcError:
             # The mark may be opened there; asking for it again is harmless.
-            self._avoid_until[holding.witness] = self._clock() + AVOID_SECONDS
+            self._silent.add(holding.witness)
             return
-        self._avoid_until.pop(holding.witness, None)
+        self._silent.discard(holding.witness)
         if reply.allowed:
             allowance = holding.grant.acknowledge(mark)
             credit_id = f"{grant_id}/{mark}"
@@ -135,8 +135,8 @@
             holding.grant.close()
         self._drop_spent(budget)
 
-    def _replies(self, witness: str) -> bool:
-        return self._clock() >= self._avoid_until.get(witness, 0.0)
+    def _is_silent(self, holding: WitnessedHolding) -> bool:
+        return holding.witness in self._silent or self._host_of(holding.witness) is None
 
     def _host_of(self, incarnation: str) -> EntryHost | None:
         for host in self._membership.hosts():
--- a/tests/process/keeper/test_grants.py
+++ b/tests/process/keeper/test_grants.py
@@ -161,6 +161,31 @@
         assert tokens(again) == 90
 
 
+@async_test
+async def test_witness_that_died_unnoticed_holds_up_no_draw():
+    """What it can't open doesn't count as free: another witness opens a new grant."""
+    async with keeper_bench(3) as (_, (first, second, _third)):
+        await first.top_up("t1", 100_000)
+        second.kill()
+        for number in range(6):
+            assert tokens(await first.draw(f"d{number}", 3_000)) >= 3_000
+
+
+@async_test
+async def test_a_lost_witness_does_not_block_the_budget():
+    """What its witness can't open is no reason to refuse: another grant is asked for.
+
+    Witnesses go with each replacement of a host, so this is an ordinary event.
+    """
+    async with keeper_bench(3) as (bench, (first, *_)):
+        await first.top_up("t1", 100_000)
+        await first.draw("d0", 10)
+        (witness,) = {grant.witness for grant in first.grants()}
+        bench.keepers[witness.partition("/")[0]].kill()
+        replies = [await first.draw(f"d{number}", 50) for number in range(1, 4)]
+        assert [tokens(reply) >= 50 for reply in replies] == [True] * 3
+
+
 @async_test
 async def test_demand_counts_all_tokens_handed_out():
     """The rate follows what routers draw, not only the least that they ask for."""
