--- a/src/knapweeddrum/process/keeper/grant_manager.py
+++ b/src/knapweeddrum/process/keeper/grant_manager.py
@@ -66,7 +66,9 @@
         peers: PeerChannels,
         clock: Callable[[], float],
         witnessed: bool = True,
+        open_ahead: float = OPEN_AHEAD_SECONDS,
     ) -> None:
+        """``open_ahead`` is how many seconds of demand are opened at once."""
         self._incarnation = incarnation
         self._streams = streams
         self._policy = policy
@@ -76,6 +78,7 @@
         self._pool = AllowancePool(incarnation)
         self._opener = GrantOpener(incarnation, self._pool, membership, peers)
         self._witnessed = witnessed
+        self._open_ahead = open_ahead
         self._given = TransferBook(self._pool)
         self._uses: dict[str, BudgetUse] = {}
         self._draws = DrawServer(self._meet_all, self._take_back, clock)
@@ -153,10 +156,8 @@
 
     def return_all(self) -> None:
         """Hand everything back to the log, at a planned stop."""
-        for budget in self._opener.budgets():
-            self._return_unopened(budget)
-        for allowance in self._pool.return_all():
-            self._submit_return(allowance)
+        for budget in sorted({*self._opener.budgets(), *self._pool.budgets()}):
+            self._return_all_of(budget)
 
     def _take_back(self, reply: DrawReply) -> None:
         """Put the allowances of a reply that was never sent back into the pool."""
@@ -166,17 +167,29 @@
 
     async def _meet(self, want: Want) -> tuple[Allowance, ...]:
         use = self._use(want.budget)
-        use.note_draw(want.minimum, self._clock())
+        use.last_draw = self._clock()
         async with use.lock:
             if self._pool.free(want.budget) < want.minimum:
                 await self._obtain(want)
             if self._pool.free(want.budget) < want.minimum:
-                raise ShortfallError(self._shortfall(want))
+                use.note_draw(want.minimum, self._clock())
+                raise ShortfallError(self._give_up(want))
             tokens = max(want.minimum, self._share(want))
             allowances = self._pool.give(want.budget, tokens)
+        use.note_draw(tokens, self._clock())
         self._refill(want.budget)
         return allowances
 
+    def _give_up(self, want: Want) -> Shortfall:
+        """Return the shortfall; what is left of an exhausted budget goes back.
+
+        The rests of several keepers may serve a request together.
+        """
+        shortfall = self._shortfall(want)
+        if shortfall.exhausted:
+            self._return_all_of(want.budget)
+        return shortfall
+
     def _share(self, want: Want) -> int:
         """Return the tokens to give when more than the minimum is free."""
         return min(want.preferred, self._pool.free(want.budget) // 2)
@@ -210,7 +223,7 @@
         missing = want.minimum - self._pool.free(want.budget)
         if missing > 0:
             rate = self._use(want.budget).rate.at(self._clock())
-            ahead = rate * OPEN_AHEAD_SECONDS
+            ahead = rate * self._open_ahead
             await self._opener.open(want.budget, missing + int(ahead))
 
     def _refill(self, budget: str) -> None:
@@ -292,6 +305,11 @@
         for allowance in self._pool.give(budget, tokens):
             self._submit_return(allowance)
 
+    def _return_all_of(self, budget: str) -> None:
+        self._return_unopened(budget)
+        for allowance in self._pool.give(budget, self._pool.free(budget)):
+            self._submit_return(allowance)
+
     def _return_unopened(self, budget: str) -> None:
         for allowance in self._opener.give_up(budget):
             self._submit_return(allowance, opened=False)
--- a/tests/process/keeper/test_grants.py
+++ b/tests/process/keeper/test_grants.py
@@ -5,6 +5,7 @@
 from knapweeddrum.message.call.draw_request import DrawRequest
 from knapweeddrum.message.call.top_up_request import TopUpRequest
 from knapweeddrum.message.call.want import Want
+from knapweeddrum.process.keeper.budget_use import DEMAND_TIME_CONSTANT_SECONDS
 from knapweeddrum.rpc.keeper_methods import DRAW, TOP_UP
 from tests.async_test import async_test
 from tests.process.keeper.keeper_bench import (
@@ -168,3 +169,56 @@
         second.kill()
         for number in range(6):
             assert tokens(await first.draw(f"d{number}", 3_000)) >= 3_000
+
+
+@async_test
+async def test_a_lost_witness_does_not_block_the_budget():
+    """What its witness can't open is no reason to refuse: another grant is asked for.
+
+    Witnesses go with each replacement of a host, so this is an ordinary event.
+    """
+    async with keeper_bench(3) as (bench, (first, *_)):
+        await first.top_up("t1", 100_000)
+        await first.draw("d0", 10)
+        (witness,) = {grant.witness for grant in first.grants()}
+        bench.keepers[witness.partition("/")[0]].kill()
+        replies = [await first.draw(f"d{number}", 50) for number in range(1, 4)]
+        assert [tokens(reply) >= 50 for reply in replies] == [True] * 3
+
+
+@async_test
+async def test_demand_counts_all_tokens_handed_out():
+    """The rate follows what routers draw, not only the least that they ask for."""
+    async with keeper_bench(1, witnessed=False) as (_, (keeper,)):
+        await keeper.top_up("t1", 1_000_000)
+        grants = keeper.process._grants
+        handed = tokens(await keeper.draw("d1", 20, 1000))
+        assert handed > 20
+        rate = grants._use(BUDGET).rate.at(grants._clock())
+        assert rate > 0.9 * handed / DEMAND_TIME_CONSTANT_SECONDS
+
+
+@async_test
+async def test_unopened_tokens_of_a_silent_witness_do_not_block_a_grant():
+    """A keeper whose witness is gone draws on the balance instead of refusing."""
+    async with keeper_bench(3) as (_, keepers):
+        first, *others = keepers
+        await first.top_up("t1", 100_000)
+        assert tokens(await first.draw("d1", 20)) >= 20
+        opener = first.process._grants._opener
+        witnesses = {h.witness for h in opener._holdings[BUDGET].values()}
+        for keeper in others:
+            if keeper.process._incarnation in witnesses:
+                keeper.kill()
+        assert tokens(await first.draw("d2", 90)) >= 90
+
+
+@async_test
+async def test_the_rest_of_a_budget_goes_back_when_it_is_too_small():
+    """Tokens that don't reach for a request don't stay at the keeper."""
+    async with keeper_bench(2, witnessed=False) as (_, (first, second)):
+        await first.top_up("t1", 100)
+        await first.draw("d1", 60, 60)
+        assert (await first.draw("d2", 50)).shortfalls[0].exhausted
+        await until_status(first, lambda status: status.balance == 40)
+        assert tokens(await second.draw("d3", 40)) == 40
