--- a/src/knapweeddrum/process/router/claim_desk.py
+++ b/src/knapweeddrum/process/router/claim_desk.py
@@ -94,7 +94,10 @@
                 claim.lost()
             self._refuse_unless_done(reply)
             return reply
-        raise refused(RefusalReason.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS)
+        # This attempt did not run, but an earlier one with the same key may have.
+        raise refused(
+            RefusalReason.LOG_UNAVAILABLE, "", RETRY_AFTER_SECONDS, RunState.UNKNOWN
+        )
 
     async def _ask(self, req: ClaimRequest) -> ClaimReply:
         """Repeat the call until it is answered."""
