--- a/tests/tools/test_budget_model.py
+++ b/tests/tools/test_budget_model.py
@@ -67,3 +67,9 @@
     """Nobody is told that a booking wasn't run after it ran, whichever attempt did."""
     row = run_booking(BOOKING_SCENARIOS[1], WITH_CLAIMS, seed=1)
     assert row.false_not_run == 0
+
+
+def test_refusal_as_not_run_is_true_while_the_log_is_down():
+    """A copy that can't be claimed isn't told that the booking wasn't run, if it was."""
+    row = run_booking(BOOKING_SCENARIOS[-1], WITH_CLAIMS, seed=1)
+    assert row.false_not_run == 0
