--- a/tests/tools/test_budget_model.py
+++ b/tests/tools/test_budget_model.py
@@ -70,6 +70,6 @@
 
 
 def test_refusal_as_not_run_is_true_while_the_log_is_down():
-    """A copy that can't be claimed isn't told that the booking wasn't run, if it was."""
+    """A copy that can't be claimed isn't told not_run when the booking ran."""
     row = run_booking(BOOKING_SCENARIOS[-1], WITH_CLAIMS, seed=1)
     assert row.false_not_run == 0
