--- a/src/knapweeddrum/process/router/claim_desk.py
+++ b/src/knapweeddrum/process/router/claim_desk.py
@@ -37,10 +37,13 @@
     ClaimVerdict.UNKNOWN: (RefusalReason.OUTCOME_UNKNOWN, RunState.UNKNOWN),
     ClaimVerdict.MISMATCH: (RefusalReason.KEY_REUSED, RunState.NOT_RUN),
     ClaimVerdict.EXPIRED: (RefusalReason.KEY_EXPIRED, RunState.UNKNOWN),
-    ClaimVerdict.UNAVAILABLE: (RefusalReason.LOG_UNAVAILABLE, RunState.NOT_RUN),
+    ClaimVerdict.UNAVAILABLE: (RefusalReason.LOG_UNAVAILABLE, RunState.UNKNOWN),
     ClaimVerdict.NOT_RUN: (RefusalReason.LOG_UNAVAILABLE, RunState.NOT_RUN),
 }
-"""The refusal for each verdict that neither allows a dispatch nor has an answer."""
+"""The refusal for each verdict that neither allows a dispatch nor has an answer.
+
+Without the log nobody can tell whether another copy with the same key has run.
+"""
 
 _RETRIABLE = {
     ClaimVerdict.PENDING,
