Call a budget exhausted only when its tokens are spent

Cause: a keeper that found no balance said exhausted (402, come back in 30 s) though the tokens lay unspent at another router, which returns idle ones after 5 s. The demo's budget of 1,000 tokens was refused so after about 300. Ruled out: the transfer between keepers, because routers held the tokens. The keeper now counts what live holders have, without what the asking router holds itself, and says unreachable (503, come back in 2 s) while that reaches.

--- a/src/knapweeddrum/message/call/want.py
+++ b/src/knapweeddrum/message/call/want.py
@@ -6,8 +6,12 @@
 
 
 class Want(msgspec.Struct, frozen=True):
-    """At least ``minimum`` tokens to admit a request, better ``preferred``."""
+    """At least ``minimum`` tokens to admit a request, better ``preferred``.
+
+    ``free`` is what the router holds and adds to them.
+    """
 
     budget: str
     minimum: int
     preferred: int
+    free: int = 0
--- a/src/knapweeddrum/process/keeper/grant_manager.py
+++ b/src/knapweeddrum/process/keeper/grant_manager.py
@@ -271,7 +271,11 @@
     def _shortfall(self, want: Want) -> Shortfall:
         stream = shard_of(want.budget, self._streams)
         reachable = stream.follower.ready.is_set() and stream.appender.available
-        exhausted = reachable and stream.ledger.balance(want.budget) < want.minimum
+        live = self._membership.live_incarnations()
+        status = stream.ledger.status(want.budget, live)
+        # What live holders have may be settled for less, or come back unspent.
+        left = status.balance + status.held - status.stranded - want.free
+        exhausted = reachable and left < want.minimum
         return Shortfall(
             budget=want.budget,
             exhausted=exhausted,
--- a/src/knapweeddrum/process/router/allowance_manager.py
+++ b/src/knapweeddrum/process/router/allowance_manager.py
@@ -166,7 +166,7 @@
         minimum = max(1, line.waiters[0].tokens - free)
         ahead = line.recent_demand(self._parts.clock())
         preferred = max(minimum, line.waiting_tokens() + ahead - free)
-        return Want(budget=budget, minimum=minimum, preferred=preferred)
+        return Want(budget=budget, minimum=minimum, preferred=preferred, free=free)
 
     async def _draw(self, req: DrawRequest) -> None:
         """Repeat one draw until the keeper answers it, then hand the tokens out."""
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -148,9 +148,15 @@
 
 
 def spend_to_the_end(caller: DemoCaller, router: str) -> CallResult:
-    """Ask until the budget refuses; return that refusal."""
+    """Ask until the budget is exhausted; return that refusal.
+
+    Tokens that lie at another router for the moment are waited for.
+    """
     for _ in range(SPEND_LIMIT_REQUESTS):
         result = caller.draft(router, "more", DRAFT_TOKENS)
+        if result.reason == "budget_unreachable":
+            time.sleep(1.0)
+            continue
         if not result.whole:
             return result
     raise SystemExit("the budget never ended")
