--- a/src/knapweeddrum/process/composition.py
+++ b/src/knapweeddrum/process/composition.py
@@ -16,9 +16,9 @@
 from knapweeddrum.platform.http_weight_store import HttpWeightStore
 from knapweeddrum.process.control.control_parts import ControlParts
 from knapweeddrum.process.control.control_process import ControlProcess
-from knapweeddrum.process.control.keeper_failover import KeeperFailover
 from knapweeddrum.process.keeper.keeper_process import KeeperProcess
 from knapweeddrum.process.keeper.peer_channels import PeerChannels
+from knapweeddrum.process.keeper_failover import KeeperFailover
 from knapweeddrum.process.router.collaborators import Collaborators
 from knapweeddrum.process.router.endpoint_clients import EndpointClients
 from knapweeddrum.process.router.router_process import run_router_process
--- a/src/knapweeddrum/process/keeper/grant_manager.py
+++ b/src/knapweeddrum/process/keeper/grant_manager.py
@@ -17,25 +17,20 @@
 from knapweeddrum.message.call.allowance import Allowance
 from knapweeddrum.message.call.draw_reply import DrawReply
 from knapweeddrum.message.call.draw_request import DrawRequest
-from knapweeddrum.message.call.settle_reply import SettleReply
-from knapweeddrum.message.call.settle_request import SettleRequest
-from knapweeddrum.message.call.settlement import Settlement
 from knapweeddrum.message.call.shortfall import Shortfall
 from knapweeddrum.message.call.transfer_reply import TransferReply
 from knapweeddrum.message.call.transfer_request import TransferRequest
 from knapweeddrum.message.call.want import Want
-from knapweeddrum.message.fact.bill import Bill
 from knapweeddrum.message.fact.grant import Grant
-from knapweeddrum.message.fact.grant_return import GrantReturn
 from knapweeddrum.process.keeper.budget_use import BudgetUse
 from knapweeddrum.process.keeper.draw_server import DrawServer
 from knapweeddrum.process.keeper.exceptions import (
     AppendPendingError,
-    KeeperError,
     NoStateError,
     NotAppendedError,
 )
 from knapweeddrum.process.keeper.grant_opener import GrantOpener
+from knapweeddrum.process.keeper.grant_return_fact import grant_return
 from knapweeddrum.process.keeper.keeper_stream import KeeperStream, shard_of
 from knapweeddrum.process.keeper.membership_task import MembershipTask
 from knapweeddrum.process.keeper.peer_channels import PeerChannels
@@ -46,7 +41,6 @@
 GRANT_ATTEMPTS = 2
 """Grants for one want: the witness of the first may have died unnoticed."""
 
-SETTLE_PATIENCE_SECONDS = 3.0
 SURPLUS_PERIOD_SECONDS = 5.0
 OPEN_AHEAD_SECONDS = 2.0
 EXHAUSTED_RETRY_SECONDS = 30.0
@@ -108,26 +102,6 @@
                 shortfalls.append(exc.shortfall)
         return DrawReply(allowances=tuple(allowances), shortfalls=tuple(shortfalls))
 
-    async def settle(self, req: SettleRequest) -> SettleReply:
-        """Put settlements and returned allowances on the log.
-
-        Returns go to the log and not into the pool: a router repeats them at another
-        keeper when it gets no reply, and only the log can tell that it did.
-        """
-        accepted = True
-        async with anyio.create_task_group() as tasks:
-
-            async def append(fact: Bill | GrantReturn) -> None:
-                nonlocal accepted
-                accepted = await self._append(fact) and accepted
-
-            for settlement in req.settlements:
-                tasks.start_soon(append, _bill(settlement))
-            for index, allowance in enumerate(req.returns):
-                return_id = f"{req.settle_id}/{index}"
-                tasks.start_soon(append, _return(return_id, allowance))
-        return SettleReply(accepted=accepted)
-
     async def transfer(self, req: TransferRequest) -> TransferReply:
         """Hand tokens to a peer: at most half of what is left, unless it is idle."""
         left = self._pool.free(req.budget) + self._opener.unopened(req.budget)
@@ -284,15 +258,6 @@
             ),
         )
 
-    async def _append(self, fact: Bill | GrantReturn) -> bool:
-        """Append a fact of a router; return whether it has been read back."""
-        stream = shard_of(fact.budget, self._streams)
-        try:
-            await stream.appender.append(fact, SETTLE_PATIENCE_SECONDS)
-        except KeeperError:
-            return False
-        return True
-
     def _return_surplus(self, budget: str) -> None:
         stream = shard_of(budget, self._streams)
         if not stream.appender.available:
@@ -324,7 +289,7 @@
     def _submit_return(self, allowance: Allowance, opened: bool = True) -> None:
         stream = shard_of(allowance.budget, self._streams)
         return_id = f"{self._incarnation}/return-{next(self._numbers)}"
-        stream.appender.submit(_return(return_id, allowance, opened))
+        stream.appender.submit(grant_return(return_id, allowance, opened))
 
     def _take_verdicts(self, verdicts: tuple[FactVerdict, ...]) -> None:
         """Credit grants of this incarnation when they are read back, also late."""
@@ -373,27 +338,3 @@
             grants = stream.ledger.grants_of(self._incarnation)
             still_open.update(grant.grant_id for grant in grants)
         self._credited &= still_open
-
-
-def _bill(settlement: Settlement) -> Bill:
-    return Bill(
-        request_key=settlement.request_key,
-        run_id=settlement.run_id,
-        budget=settlement.budget,
-        grant_id=settlement.grant_id,
-        tokens=settlement.tokens,
-        outcome=settlement.outcome,
-        settler=settlement.settler,
-        further=settlement.further,
-        abandoned=settlement.abandoned,
-    )
-
-
-def _return(return_id: str, allowance: Allowance, opened: bool = True) -> GrantReturn:
-    return GrantReturn(
-        return_id=return_id,
-        grant_id=allowance.grant_id,
-        budget=allowance.budget,
-        tokens=allowance.tokens,
-        opened=opened,
-    )
--- a/src/knapweeddrum/process/keeper/keeper_parts.py
+++ b/src/knapweeddrum/process/keeper/keeper_parts.py
@@ -12,6 +12,7 @@
 from knapweeddrum.process.keeper.locate_manager import LocateManager
 from knapweeddrum.process.keeper.membership_task import MembershipTask
 from knapweeddrum.process.keeper.peer_channels import PeerChannels
+from knapweeddrum.process.keeper.settlement_manager import SettlementManager
 from knapweeddrum.process.keeper.stream_follower import StreamFollower
 from knapweeddrum.process.keeper.witness_task import WitnessTask
 
@@ -21,6 +22,7 @@
     """The parts of a keeper that answer calls."""
 
     grants: GrantManager
+    settlements: SettlementManager
     claims: ClaimManager
     config: ConfigManager
     budgets: BudgetReader
--- a/src/knapweeddrum/process/keeper/keeper_process.py
+++ b/src/knapweeddrum/process/keeper/keeper_process.py
@@ -39,6 +39,7 @@
 from knapweeddrum.process.keeper.membership_task import MembershipTask
 from knapweeddrum.process.keeper.peer_channels import PeerChannels
 from knapweeddrum.process.keeper.peer_records import PeerRecords
+from knapweeddrum.process.keeper.settlement_manager import SettlementManager
 from knapweeddrum.process.keeper.stream_follower import StreamFollower
 from knapweeddrum.process.keeper.transfer_client import TransferClient
 from knapweeddrum.process.keeper.witness_task import WitnessTask
@@ -123,6 +124,7 @@
         )
         parts = KeeperParts(
             grants=self._grants,
+            settlements=SettlementManager(budgets),
             claims=ClaimManager(claims),
             config=self._config,
             budgets=BudgetReader(budgets, self._membership),
--- a/src/knapweeddrum/process/keeper/keeper_service.py
+++ b/src/knapweeddrum/process/keeper/keeper_service.py
@@ -39,7 +39,7 @@
         parts = self._parts
         return [
             (keeper_methods.DRAW, parts.grants.draw),
-            (keeper_methods.SETTLE, parts.grants.settle),
+            (keeper_methods.SETTLE, parts.settlements.settle),
             (keeper_methods.CLAIM, parts.claims.claim),
             (keeper_methods.OUTCOME, parts.claims.record),
             (keeper_methods.CONFIG, parts.config.read),
--- /dev/null
+++ b/src/knapweeddrum/process/keeper/settlement_manager.py
@@ -0,0 +1,69 @@
+"""Settlements and returned allowances of routers."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import anyio
+
+from knapweeddrum.core.budget.budget_ledger import BudgetLedger
+from knapweeddrum.message.call.settle_reply import SettleReply
+from knapweeddrum.message.call.settle_request import SettleRequest
+from knapweeddrum.message.call.settlement import Settlement
+from knapweeddrum.message.fact.bill import Bill
+from knapweeddrum.message.fact.grant_return import GrantReturn
+from knapweeddrum.process.keeper.exceptions import KeeperError
+from knapweeddrum.process.keeper.grant_return_fact import grant_return
+from knapweeddrum.process.keeper.keeper_stream import KeeperStream, shard_of
+
+SETTLE_PATIENCE_SECONDS = 3.0
+
+
+class SettlementManager:
+    """Puts settlements on the log as bills, and returns as they are."""
+
+    def __init__(self, streams: Sequence[KeeperStream[BudgetLedger]]) -> None:
+        self._streams = streams
+
+    async def settle(self, req: SettleRequest) -> SettleReply:
+        """Put settlements and returned allowances on the log.
+
+        Returns go to the log and not into the pool: a router repeats them at another
+        keeper when it gets no reply, and only the log can tell that it did.
+        """
+        accepted = True
+        async with anyio.create_task_group() as tasks:
+
+            async def append(fact: Bill | GrantReturn) -> None:
+                nonlocal accepted
+                accepted = await self._append(fact) and accepted
+
+            for settlement in req.settlements:
+                tasks.start_soon(append, _bill(settlement))
+            for index, allowance in enumerate(req.returns):
+                return_id = f"{req.settle_id}/{index}"
+                tasks.start_soon(append, grant_return(return_id, allowance))
+        return SettleReply(accepted=accepted)
+
+    async def _append(self, fact: Bill | GrantReturn) -> bool:
+        """Append a fact of a router; return whether it has been read back."""
+        stream = shard_of(fact.budget, self._streams)
+        try:
+            await stream.appender.append(fact, SETTLE_PATIENCE_SECONDS)
+        except KeeperError:
+            return False
+        return True
+
+
+def _bill(settlement: Settlement) -> Bill:
+    return Bill(
+        request_key=settlement.request_key,
+        run_id=settlement.run_id,
+        budget=settlement.budget,
+        grant_id=settlement.grant_id,
+        tokens=settlement.tokens,
+        outcome=settlement.outcome,
+        settler=settlement.settler,
+        further=settlement.further,
+        abandoned=settlement.abandoned,
+    )
--- a/tests/process/control/test_keeper_failover.py
+++ b/tests/process/test_keeper_failover.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 from knapweeddrum.message.call.entry_request import EntryRequest
-from knapweeddrum.process.control.keeper_failover import AVOID_SECONDS, KeeperFailover
+from knapweeddrum.process.keeper_failover import AVOID_SECONDS, KeeperFailover
 from knapweeddrum.rpc.exceptions import PeerUnreachableError, RpcError
 from knapweeddrum.rpc.keeper_methods import ENTRY
 from tests.assertions import raises
--- a/tools/budget_model/model_keeper.py
+++ b/tools/budget_model/model_keeper.py
@@ -18,6 +18,7 @@
 from knapweeddrum.process.keeper.keeper_stream import KeeperStream
 from knapweeddrum.process.keeper.log_appender import LogAppender
 from knapweeddrum.process.keeper.peer_channels import PeerChannels
+from knapweeddrum.process.keeper.settlement_manager import SettlementManager
 from knapweeddrum.process.keeper.stream_follower import StreamFollower
 from knapweeddrum.process.keeper.transfer_client import TransferClient
 from knapweeddrum.process.keeper.witness_task import WitnessTask
@@ -80,7 +81,7 @@
         claims = ClaimManager([claim])
         self.handlers: dict[str, Callable] = {
             keeper_methods.DRAW.path: self.grants.draw,
-            keeper_methods.SETTLE.path: self.grants.settle,
+            keeper_methods.SETTLE.path: SettlementManager([budget]).settle,
             keeper_methods.TRANSFER.path: self.grants.transfer,
             keeper_methods.OPEN.path: self._witness.open,
             keeper_methods.CLAIM.path: claims.claim,
--- a/tools/budget_model/model_router.py
+++ b/tools/budget_model/model_router.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from knapweeddrum.process.control.keeper_failover import KeeperFailover
+from knapweeddrum.process.keeper_failover import KeeperFailover
 from knapweeddrum.process.router.allowance_manager import AllowanceManager
 from knapweeddrum.process.router.claim_desk import ClaimDesk
 from knapweeddrum.process.router.collaborators import Collaborators
