Call the rests of a budget back when no one of them serves a request

A router kept a rest too small for its requests while it was told to come back, so two rests could lie apart for as long as both routers were asked. A shortfall now says that the log has too few tokens, and holders return their rests on it, as they did before only at the budget's end.

--- a/src/knapweeddrum/message/call/shortfall.py
+++ b/src/knapweeddrum/message/call/shortfall.py
@@ -6,10 +6,15 @@
 
 
 class Shortfall(msgspec.Struct, frozen=True):
-    """``exhausted`` is true when the budget has no tokens left, false when the keeper
-    can't reach them now; ``retry_after`` is in seconds.
+    """Tells an empty budget from one whose tokens can't be had now.
+
+    ``exhausted`` is true when no live holder has tokens left either; ``retry_after`` is
+    in seconds. With ``return_rest`` the log can be reached and has too few tokens: a
+    holder whose rest is too small for its requests returns it, because the rests of
+    several may serve one together.
     """
 
     budget: str
     exhausted: bool
     retry_after: float
+    return_rest: bool = False
--- a/src/knapweeddrum/process/keeper/grant_manager.py
+++ b/src/knapweeddrum/process/keeper/grant_manager.py
@@ -163,7 +163,7 @@
         The rests of several keepers may serve a request together.
         """
         shortfall = self._shortfall(want)
-        if shortfall.exhausted:
+        if shortfall.return_rest:
             self._return_all_of(want.budget)
         return shortfall
 
@@ -256,6 +256,7 @@
             retry_after=(
                 EXHAUSTED_RETRY_SECONDS if exhausted else UNREACHABLE_RETRY_SECONDS
             ),
+            return_rest=reachable and status.balance < want.minimum,
         )
 
     def _return_surplus(self, budget: str) -> None:
--- a/src/knapweeddrum/process/router/admission_desk.py
+++ b/src/knapweeddrum/process/router/admission_task.py
@@ -22,7 +22,7 @@
 POLL_INTERVAL_SECONDS = 0.1
 
 
-class AdmissionDesk:
+class AdmissionTask:
     """Feeds requests to the admission controller and wakes those it decides on."""
 
     def __init__(self, parts: Collaborators) -> None:
--- a/src/knapweeddrum/process/router/allowance_manager.py
+++ b/src/knapweeddrum/process/router/allowance_manager.py
@@ -18,9 +18,9 @@
 from knapweeddrum.process.router.collaborators import Collaborators
 from knapweeddrum.process.router.exceptions import RefusedError
 from knapweeddrum.process.router.guarded import guarded
+from knapweeddrum.process.router.reservation_queue import ReservationQueue
 from knapweeddrum.process.router.reservation_waiter import ReservationWaiter
 from knapweeddrum.process.router.settler import Settler
-from knapweeddrum.process.router.waiting_line import WaitingLine
 from knapweeddrum.rpc.exceptions import RpcError
 from knapweeddrum.rpc.keeper_methods import DRAW
 from knapweeddrum.value.refusal import Refusal
@@ -56,7 +56,7 @@
         self._settler = settler
         self._tasks = tasks
         self._pool = AllowancePool(parts.incarnation)
-        self._lines: dict[str, WaitingLine] = {}
+        self._queues: dict[str, ReservationQueue] = {}
         self._wake_send, self._wakes = anyio.create_memory_object_stream[str](math.inf)
 
     async def reserve(self, budget: str, tokens: int, deadline: float) -> Reservation:
@@ -65,14 +65,14 @@
         Raises RefusedError when the budget has too few, or none can be had in time.
         """
         now = self._parts.clock()
-        line = self._lines.setdefault(budget, WaitingLine(now))
-        line.note_demand(tokens, now)
-        if not line.waiters:
+        queue = self._queues.setdefault(budget, ReservationQueue(now))
+        queue.note_demand(tokens, now)
+        if not queue.waiters:
             reservation = self._pool.reserve(budget, tokens)
             if reservation is not None:
                 return reservation
         patience = min(PATIENCE_SECONDS, max(0.0, deadline - now))
-        outcome = await self._wait(budget, line, tokens, patience)
+        outcome = await self._wait(budget, queue, tokens, patience)
         if isinstance(outcome, Refusal):
             raise RefusedError(outcome)
         return outcome
@@ -102,19 +102,19 @@
                 self._start_draw(self._collect(budget))
 
     async def _wait(
-        self, budget: str, line: WaitingLine, tokens: int, patience: float
+        self, budget: str, queue: ReservationQueue, tokens: int, patience: float
     ) -> Reservation | Refusal:
         """Queue for a reservation and return what came of it."""
         waiter = ReservationWaiter(tokens)
-        line.waiters.append(waiter)
+        queue.waiters.append(waiter)
         self._wake_send.send_nowait(budget)
         try:
             with anyio.move_on_after(patience):
                 await waiter.decided.wait()
-            return waiter.take() or self._refusal(line.shortfall)
+            return waiter.take() or self._refusal(queue.shortfall)
         finally:
-            if waiter in line.waiters:
-                line.waiters.remove(waiter)
+            if waiter in queue.waiters:
+                queue.waiters.remove(waiter)
             left = waiter.take()
             if isinstance(left, Reservation):
                 self.release(left)
@@ -141,8 +141,8 @@
                 return [name for name in budgets if self._wants_draw(name)]
 
     def _wants_draw(self, budget: str) -> bool:
-        line = self._lines.get(budget)
-        return line is not None and bool(line.waiters) and not line.is_drawing
+        queue = self._queues.get(budget)
+        return queue is not None and bool(queue.waiters) and not queue.is_drawing
 
     def _start_draw(self, budgets: list[str]) -> None:
         """Send the wants of some budgets to the keeper in one call."""
@@ -150,7 +150,7 @@
             return
         wants = []
         for budget in budgets:
-            self._lines[budget].is_drawing = True
+            self._queues[budget].is_drawing = True
             wants.append(self._want(budget))
         req = DrawRequest(
             draw_id=self._parts.mint(),
@@ -161,11 +161,11 @@
 
     def _want(self, budget: str) -> Want:
         """Return what to draw: for the first waiter, better for all and some ahead."""
-        line = self._lines[budget]
+        queue = self._queues[budget]
         free = self._pool.free(budget)
-        minimum = max(1, line.waiters[0].tokens - free)
-        ahead = line.recent_demand(self._parts.clock())
-        preferred = max(minimum, line.waiting_tokens() + ahead - free)
+        minimum = max(1, queue.waiters[0].tokens - free)
+        ahead = queue.recent_demand(self._parts.clock())
+        preferred = max(minimum, queue.waiting_tokens() + ahead - free)
         return Want(budget=budget, minimum=minimum, preferred=preferred, free=free)
 
     async def _draw(self, req: DrawRequest) -> None:
@@ -187,32 +187,32 @@
         self._pool.forget(req.draw_id)
         shortfalls = {shortfall.budget: shortfall for shortfall in reply.shortfalls}
         for want in req.wants:
-            line = self._lines[want.budget]
-            line.is_drawing = False
-            line.shortfall = shortfalls.get(want.budget)
+            queue = self._queues[want.budget]
+            queue.is_drawing = False
+            queue.shortfall = shortfalls.get(want.budget)
             self._serve(want.budget)
-            if line.shortfall is not None:
-                self._refuse_hopeless(want.budget, line.shortfall)
-            elif line.waiters:
+            if queue.shortfall is not None:
+                self._refuse_hopeless(want.budget, queue.shortfall)
+            elif queue.waiters:
                 self._wake_send.send_nowait(want.budget)
 
     def _serve(self, budget: str) -> None:
         """Give reservations to waiters, first come first served."""
-        line = self._lines.get(budget)
-        while line is not None and line.waiters:
-            reservation = self._pool.reserve(budget, line.waiters[0].tokens)
+        queue = self._queues.get(budget)
+        while queue is not None and queue.waiters:
+            reservation = self._pool.reserve(budget, queue.waiters[0].tokens)
             if reservation is None:
                 return
-            line.waiters.popleft().decide(reservation)
+            queue.waiters.popleft().decide(reservation)
 
     def _refuse_hopeless(self, budget: str, shortfall: Shortfall) -> None:
         """Refuse the waiters, unless requests in progress may free tokens in time."""
-        line = self._lines[budget]
+        queue = self._queues[budget]
         if self._pool.reserved(budget):
             return
-        while line.waiters:
-            line.waiters.popleft().decide(self._refusal(shortfall))
-        if shortfall.exhausted:
+        while queue.waiters:
+            queue.waiters.popleft().decide(self._refusal(shortfall))
+        if shortfall.return_rest:
             # The rests of several routers may serve a request together.
             self._settler.add(*self._pool.give(budget, self._pool.free(budget)))
 
@@ -221,9 +221,9 @@
         while True:
             await anyio.sleep(IDLE_CHECK_SECONDS)
             now = self._parts.clock()
-            for budget, line in list(self._lines.items()):
-                if now - line.used_at < IDLE_SECONDS:
+            for budget, queue in list(self._queues.items()):
+                if now - queue.used_at < IDLE_SECONDS:
                     continue
                 self._settler.add(*self._pool.give(budget, self._pool.free(budget)))
-                if not line.waiters and not line.is_drawing:
-                    del self._lines[budget]
+                if not queue.waiters and not queue.is_drawing:
+                    del self._queues[budget]
--- a/src/knapweeddrum/process/router/claim_desk.py
+++ b/src/knapweeddrum/process/router/claim_client.py
@@ -52,7 +52,7 @@
 }
 
 
-class ClaimDesk:
+class ClaimClient:
     """Asks the keeper for the sole right to dispatch a request."""
 
     def __init__(self, parts: Collaborators, recorder: OutcomeRecorder) -> None:
--- a/src/knapweeddrum/process/router/waiting_line.py
+++ b/src/knapweeddrum/process/router/reservation_queue.py
@@ -12,7 +12,7 @@
 """Time constant of the recent demand, which is drawn ahead."""
 
 
-class WaitingLine:
+class ReservationQueue:
     """Waiters in order of arrival, recent demand and the last shortfall."""
 
     def __init__(self, now: float) -> None:
--- a/src/knapweeddrum/process/router/router.py
+++ b/src/knapweeddrum/process/router/router.py
@@ -10,10 +10,10 @@
 import anyio.abc
 
 from knapweeddrum.core.membership.drain_plan import DrainPlan
-from knapweeddrum.process.router.admission_desk import AdmissionDesk
+from knapweeddrum.process.router.admission_task import AdmissionTask
 from knapweeddrum.process.router.allowance_manager import AllowanceManager
 from knapweeddrum.process.router.caller_server import caller_server
-from knapweeddrum.process.router.claim_desk import ClaimDesk
+from knapweeddrum.process.router.claim_client import ClaimClient
 from knapweeddrum.process.router.collaborators import Collaborators
 from knapweeddrum.process.router.config_follower import ConfigFollower
 from knapweeddrum.process.router.crash_watch import CrashWatch
@@ -49,7 +49,7 @@
         self.allowances = AllowanceManager(parts, self.settler, tasks)
         self.collector = UsageCollector(parts, self.allowances, locator, tasks)
         self.directory = EndpointDirectory(parts)
-        self._admission = AdmissionDesk(parts)
+        self._admission = AdmissionTask(parts)
         self._pollers = PollerGroup(parts, self.directory, tasks)
         self._config = ConfigFollower(parts, self._configure)
         crashes = CrashWatch(parts)
@@ -59,7 +59,7 @@
             parts=parts,
             admission=self._admission,
             allowances=self.allowances,
-            claims=ClaimDesk(parts, recorder),
+            claims=ClaimClient(parts, recorder),
             collector=self.collector,
             crashes=crashes,
             directory=self.directory,
--- a/src/knapweeddrum/process/router/run_services.py
+++ b/src/knapweeddrum/process/router/run_services.py
@@ -4,9 +4,9 @@
 
 import dataclasses
 
-from knapweeddrum.process.router.admission_desk import AdmissionDesk
+from knapweeddrum.process.router.admission_task import AdmissionTask
 from knapweeddrum.process.router.allowance_manager import AllowanceManager
-from knapweeddrum.process.router.claim_desk import ClaimDesk
+from knapweeddrum.process.router.claim_client import ClaimClient
 from knapweeddrum.process.router.collaborators import Collaborators
 from knapweeddrum.process.router.crash_watch import CrashWatch
 from knapweeddrum.process.router.endpoint_directory import EndpointDirectory
@@ -19,9 +19,9 @@
     """The router's tasks and tables that a run talks to."""
 
     parts: Collaborators
-    admission: AdmissionDesk
+    admission: AdmissionTask
     allowances: AllowanceManager
-    claims: ClaimDesk
+    claims: ClaimClient
     collector: UsageCollector
     crashes: CrashWatch
     directory: EndpointDirectory
--- a/src/knapweeddrum/process/router/slot_limiter.py
+++ b/src/knapweeddrum/process/router/slot_limiter.py
@@ -7,7 +7,7 @@
 import anyio
 
 from knapweeddrum.core.routing.slots_limit import slots_limit
-from knapweeddrum.process.router.admission_desk import AdmissionDesk
+from knapweeddrum.process.router.admission_task import AdmissionTask
 from knapweeddrum.process.router.collaborators import Collaborators
 from knapweeddrum.process.router.endpoint_directory import EndpointDirectory
 from knapweeddrum.process.router.entry_follower import EntryFollower
@@ -28,7 +28,7 @@
         parts: Collaborators,
         table: ResourceTable,
         directory: EndpointDirectory,
-        admission: AdmissionDesk,
+        admission: AdmissionTask,
         entry: EntryFollower,
     ) -> None:
         self._clock: Callable[[], float] = parts.clock
--- a/tests/process/keeper/keeper_bench.py
+++ b/tests/process/keeper/keeper_bench.py
@@ -60,8 +60,10 @@
         with anyio.fail_after(CALL_SECONDS):
             return await self.handlers[method.path](request)
 
-    async def draw(self, draw_id: str, minimum: int, preferred: int | None = None):
-        want = Want(BUDGET, minimum, preferred or minimum)
+    async def draw(
+        self, draw_id: str, minimum: int, preferred: int | None = None, free: int = 0
+    ):
+        want = Want(BUDGET, minimum, preferred or minimum, free)
         request = DrawRequest(draw_id=draw_id, router="router-1", wants=(want,))
         return await self.call(keeper_methods.DRAW, request)
 
--- a/tests/process/keeper/test_grants.py
+++ b/tests/process/keeper/test_grants.py
@@ -72,6 +72,20 @@
         assert short.exhausted
 
 
+@async_test
+async def test_rests_at_two_routers_are_called_back():
+    """Neither rest serves a request, both together do: they are asked back."""
+    async with keeper_bench(1, witnessed=False) as (_, (keeper,)):
+        await keeper.top_up("t1", 60)
+        rests = [await keeper.draw(f"d{number}", 30, 30) for number in range(2)]
+        short = (await keeper.draw("d2", 23, 23, free=30)).shortfalls[0]
+        assert not short.exhausted
+        assert short.return_rest
+        for number, rest in enumerate(rests):
+            await keeper.give_back(f"s{number}", rest.allowances)
+        assert tokens(await keeper.draw("d3", 53, 53)) == 53
+
+
 @async_test
 async def test_tokens_at_the_wrong_keeper_are_transferred():
     """A keeper without balance gets tokens that lie at a peer."""
--- a/tests/process/router/memory_keeper.py
+++ b/tests/process/router/memory_keeper.py
@@ -139,7 +139,7 @@
         shortfalls = []
         for want in req.wants:
             if self.balances.get(want.budget, 0) < want.minimum:
-                shortfalls.append(Shortfall(want.budget, True, 30.0))
+                shortfalls.append(Shortfall(want.budget, True, 30.0, True))
                 continue
             allowances.append(self._allow(want))
         return DrawReply(tuple(allowances), tuple(shortfalls))
--- a/tools/budget_model/model_router.py
+++ b/tools/budget_model/model_router.py
@@ -9,7 +9,7 @@
 
 from knapweeddrum.process.keeper_failover import KeeperFailover
 from knapweeddrum.process.router.allowance_manager import AllowanceManager
-from knapweeddrum.process.router.claim_desk import ClaimDesk
+from knapweeddrum.process.router.claim_client import ClaimClient
 from knapweeddrum.process.router.collaborators import Collaborators
 from knapweeddrum.process.router.outcome_recorder import OutcomeRecorder
 from knapweeddrum.process.router.settler import Settler
@@ -34,7 +34,7 @@
         self.is_draining = False
         self.streams = 0
         self.allowances: AllowanceManager | None = None
-        self.claims: ClaimDesk | None = None
+        self.claims: ClaimClient | None = None
         self.tasks: anyio.abc.TaskGroup | None = None
         self._scope = anyio.CancelScope()
         others = [HOSTS[(host.index + n) % len(HOSTS)] for n in range(len(HOSTS))]
@@ -60,7 +60,7 @@
                 self.tasks = tasks
                 self.allowances = AllowanceManager(self._parts, self._settler, tasks)
                 recorder = OutcomeRecorder(self._parts, tasks)
-                self.claims = ClaimDesk(self._parts, recorder)
+                self.claims = ClaimClient(self._parts, recorder)
                 tasks.start_soon(self.allowances.run)
                 tasks.start_soon(self._settler.run)
 
