--- a/src/knapweeddrum/console/commands/drain_command.py
+++ b/src/knapweeddrum/console/commands/drain_command.py
@@ -14,7 +14,7 @@
 
 
 class DrainCommand(Command):
-    """Take a host out of the entry advice, then let it refuse new requests."""
+    """Take a host out of the entry advice; SIGTERM to its router ends the drain."""
 
     name = "drain"
     help = "start or end the drain of a host"
--- /dev/null
+++ b/tests/fleet/fleet_bench.py
@@ -0,0 +1,145 @@
+"""A small fleet of real processes with its resources declared."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import pathlib
+import signal
+import tempfile
+from collections.abc import Iterator
+
+import msgspec
+
+from tests.fleet.conditions import until
+from tests.fleet.fleet_operator import FleetOperator
+from tests.fleet.resources import fleet_resources
+from tests.standins.execution import Execution
+from tests.standins.run_ledger_entry import RunLedgerEntry
+from tools.demo import client
+from tools.launcher import (
+    Launched,
+    SmallFleet,
+    get_json,
+    post_json,
+    wait_for_port,
+)
+
+LEDGER = list[RunLedgerEntry]
+
+
+class FleetBench:
+    """Faults to bring about, and the stand-ins' own records."""
+
+    def __init__(self, fleet: SmallFleet) -> None:
+        self.fleet = fleet
+        self.operators = [
+            FleetOperator(f"http://127.0.0.1:{host.control_port}")
+            for host in fleet.hosts
+        ]
+        self.routers = [f"http://127.0.0.1:{host.router_port}" for host in fleet.hosts]
+
+    def declare(self, budgets: tuple[str, ...]) -> None:
+        """Declare the resources and wait until each router has them in force."""
+        path = self.fleet.directory / "resources.jsonc"
+        path.write_text(json.dumps(fleet_resources(self.fleet, budgets)))
+        client(self.fleet, "apply", str(path))
+        for index in range(len(self.routers)):
+            self.await_config(index)
+        until(self._all_advised, "entry advice with all hosts")
+
+    def await_config(self, index: int) -> None:
+        """Wait until a router has the newest version of the configuration."""
+        last = self.operators[0].send("GET", "/v1/resources/rule/reservations")
+        offset = json.loads(last.body)["offset"]
+        until(
+            lambda: self.health(index)["config_offset"] >= offset,
+            f"configuration at router {index}",
+        )
+
+    def health(self, index: int) -> dict[str, object]:
+        """Return what a router tells of itself."""
+        return get_json(f"{self.routers[index]}/healthz")
+
+    def advised(self, index: int) -> set[str]:
+        """Return the routers that one router advises callers to use."""
+        hosts = get_json(f"{self.routers[index]}/v1/entry")["hosts"]
+        return {f"http://{host['address']}:{host['port']}" for host in hosts}
+
+    def switch(self, stand_in: Launched, **switches: object) -> None:
+        """Bring about failures at a stand-in."""
+        post_json(f"{stand_in.url}/-/switches", switches)
+
+    def switch_engines(self, **switches: object) -> None:
+        """Bring about failures at all engines."""
+        for engine in self.fleet.engines:
+            self.switch(engine, **switches)
+
+    def process(self, index: int, role: str) -> Launched:
+        """Return a process of a host."""
+        return self.fleet.hosts[index].processes[role]
+
+    def kill(self, index: int, role: str) -> None:
+        """End a process at once."""
+        launched = self.process(index, role)
+        launched.process.kill()
+        launched.process.wait()
+
+    def restart(self, index: int, role: str) -> Launched:
+        """Start a new incarnation of a process that has ended."""
+        launched = self.fleet.start_process(self.fleet.hosts[index], role)
+        wait_for_port(launched)
+        return launched
+
+    @contextlib.contextmanager
+    def frozen(self, index: int, role: str) -> Iterator[None]:
+        """Stop a process from running, and let it go on afterwards."""
+        process = self.process(index, role).process
+        process.send_signal(signal.SIGSTOP)
+        try:
+            yield
+        finally:
+            process.send_signal(signal.SIGCONT)
+
+    def runs(self) -> LEDGER:
+        """Return what the engines ran, in the order in which it started."""
+        runs: LEDGER = []
+        for engine in self.fleet.engines:
+            entries = get_json(f"{engine.url}/-/records")["runs"]
+            runs += msgspec.convert(entries, LEDGER)
+        return sorted(runs, key=lambda run: run.started_at)
+
+    def bookings(self, key: str) -> int:
+        """Return how often the plain service ran a booking."""
+        entries = get_json(f"{self.fleet.service.url}/-/records")["executions"]
+        return sum(e["count"] for e in entries if e["key"] == key)
+
+    def executions(self) -> list[Execution]:
+        """Return the calls that the plain service ran."""
+        entries = get_json(f"{self.fleet.service.url}/-/records")["executions"]
+        return msgspec.convert(entries, list[Execution])
+
+    def _all_advised(self) -> bool:
+        indices = range(len(self.routers))
+        return all(self.advised(i) == set(self.routers) for i in indices)
+
+
+def consumed(runs: LEDGER) -> int:
+    """Return the tokens that runs consumed; one that never started took none."""
+    return sum(run.prompt_tokens + run.output_tokens for run in runs if run.started_at)
+
+
+@contextlib.contextmanager
+def fleet_bench(
+    budgets: tuple[str, ...] = ("main",), host_count: int = 3, **settings: object
+) -> Iterator[FleetBench]:
+    """Start a fleet of real processes; whatever still runs at the end is killed."""
+    with tempfile.TemporaryDirectory(prefix="knapweed-test-") as name:
+        fleet = SmallFleet(pathlib.Path(name), host_count, **settings)
+        try:
+            fleet.start()
+            bench = FleetBench(fleet)
+            bench.declare(budgets)
+            yield bench
+        finally:
+            fleet.kill()
--- /dev/null
+++ b/tests/fleet/open_answer.py
@@ -0,0 +1,47 @@
+"""A streamed answer of which the caller has read a part."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import httpcore
+
+from tests.fleet.fleet_answer import FleetAnswer
+
+
+class OpenAnswer:
+    """Reads an answer event by event, and to its end."""
+
+    def __init__(self, response: httpcore.Response) -> None:
+        self._response = response
+        self._chunks: Iterator[bytes] = response.iter_stream()
+        self._body = b""
+        self._cut = False
+
+    def read_events(self, count: int) -> FleetAnswer:
+        """Return once so many events have come, or the answer has ended."""
+        while self._body.count(b"\n\n") < count and self._read_chunk():
+            pass
+        return self._answer()
+
+    def read_all(self) -> FleetAnswer:
+        """Return the answer at its end, also when it was cut."""
+        while self._read_chunk():
+            pass
+        return self._answer()
+
+    def _read_chunk(self) -> bool:
+        try:
+            chunk = next(self._chunks, None)
+        except (httpcore.ProtocolError, httpcore.NetworkError):
+            self._cut = True
+            return False
+        self._body += chunk or b""
+        return chunk is not None
+
+    def _answer(self) -> FleetAnswer:
+        headers = {
+            name.decode().lower(): value.decode()
+            for name, value in self._response.headers
+        }
+        return FleetAnswer(self._response.status, headers, self._body, self._cut)
--- /dev/null
+++ b/tests/golden/sessions.py
@@ -0,0 +1,161 @@
+"""The sessions of the golden files, each with a budget of its own."""
+
+from __future__ import annotations
+
+from tests.fleet.conditions import until
+from tests.fleet.fleet_bench import FleetBench, consumed
+from tests.fleet.fleet_caller import FleetCaller
+from tests.golden.transcript import Transcript
+from tools.demo import client
+
+DEPOSIT_TOKENS = 20_000
+ANSWER_TOKENS = 6
+LONG_ANSWER_TOKENS = 900
+SLOW_TOKEN_SECONDS = 0.05
+FAST_TOKEN_SECONDS = 0.0
+
+LONG_PROMPT = "Draft a tender reply. " * 20
+ONE_REQUEST_TOKENS = 600
+"""Room for the reservation of one long prompt; the second finds too little left."""
+
+
+def answer(bench: FleetBench, transcript: Transcript) -> None:
+    """An answer, refused keys and bodies, and the same request once more."""
+    caller = FleetCaller("answer")
+    _top_up(bench, transcript, "answer", DEPOSIT_TOKENS, "answer-1")
+    transcript.step("entry advice of host-0")
+    transcript.note(f"{len(bench.advised(0))} routers")
+    transcript.step("draft answer-a at host-0")
+    transcript.answer(caller.draft(bench.routers[0], "answer-a", ANSWER_TOKENS))
+    transcript.step("draft answer-a at host-0 again")
+    transcript.answer(caller.draft(bench.routers[0], "answer-a", ANSWER_TOKENS))
+    transcript.step("draft answer-a at host-0 with another body")
+    transcript.answer(caller.draft(bench.routers[0], "answer-a", ANSWER_TOKENS + 1))
+    transcript.step("draft with a negative limit")
+    transcript.answer(caller.draft(bench.routers[0], "answer-b", -1))
+    transcript.step("draft of an unknown budget")
+    transcript.answer(
+        FleetCaller("nobody").draft(bench.routers[0], "answer-c", ANSWER_TOKENS)
+    )
+    _settled(bench, transcript, "answer")
+    transcript.records()
+
+
+def cancel(bench: FleetBench, transcript: Transcript) -> None:
+    """A caller leaves; the engine stops and the bill is what it ran until then."""
+    _top_up(bench, transcript, "cancel", DEPOSIT_TOKENS, "cancel-1")
+    bench.switch_engines(token_seconds=SLOW_TOKEN_SECONDS)
+    transcript.step("draft cancel-a at host-1, left after 3 events")
+    router = bench.routers[1]
+    with FleetCaller("cancel").open_draft(
+        router, "cancel-a", LONG_ANSWER_TOKENS
+    ) as opened:
+        part = opened.read_events(3)
+    transcript.note(f"status {part.status}, whole {part.whole}")
+    until(lambda: transcript.runs()[0].cancelled, "the end of the cancelled run")
+    bench.switch_engines(token_seconds=FAST_TOKEN_SECONDS)
+    _settled(bench, transcript, "cancel")
+    transcript.records(counts=False)
+
+
+def booking(bench: FleetBench, transcript: Transcript) -> None:
+    """A booking, its repeats at other routers, and its key with another body."""
+    caller = FleetCaller("booking")
+    _top_up(bench, transcript, "booking", DEPOSIT_TOKENS, "booking-1")
+    for index in range(3):
+        transcript.step(f"book booking-a at host-{index}")
+        transcript.answer(caller.book(bench.routers[index], "booking-a"))
+    transcript.step("book booking-a at host-1 with another body")
+    transcript.answer(caller.book(bench.routers[1], "booking-a", b'{"lot": 2}'))
+    transcript.step("a booking that the service runs without an answer")
+    bench.switch(bench.fleet.service, cut_replies=1)
+    transcript.answer(caller.book(bench.routers[0], "booking-b"))
+    transcript.step("book booking-b at host-2")
+    transcript.answer(caller.book(bench.routers[2], "booking-b"))
+    transcript.records("booking-a", "booking-b")
+
+
+def budget(bench: FleetBench, transcript: Transcript) -> None:
+    """A budget is spent to its end and topped up, once for each identifier."""
+    caller = FleetCaller("budget")
+    _top_up(bench, transcript, "budget", ONE_REQUEST_TOKENS, "budget-1")
+    for name in ("budget-a", "budget-b"):
+        transcript.step(f"draft {name} at host-0")
+        transcript.answer(
+            caller.draft(bench.routers[0], name, ANSWER_TOKENS, LONG_PROMPT)
+        )
+    _top_up(bench, transcript, "budget", DEPOSIT_TOKENS, "budget-2")
+    _top_up(bench, transcript, "budget", DEPOSIT_TOKENS, "budget-2")
+    transcript.step("draft budget-b at host-0")
+    transcript.answer(
+        caller.draft(bench.routers[0], "budget-b", ANSWER_TOKENS, LONG_PROMPT)
+    )
+    _settled(bench, transcript, "budget")
+    transcript.records()
+
+
+def drain(bench: FleetBench, transcript: Transcript) -> None:
+    """A drained host leaves the advice, refuses, ends its stream and stops."""
+    caller = FleetCaller("drain")
+    router = bench.routers[2]
+    _top_up(bench, transcript, "drain", DEPOSIT_TOKENS, "drain-1")
+    bench.switch_engines(token_seconds=SLOW_TOKEN_SECONDS)
+    transcript.step("draft drain-a at host-2, still open")
+    with caller.open_draft(router, "drain-a", LONG_ANSWER_TOKENS) as opened:
+        transcript.note(f"status {opened.read_events(3).status}")
+        transcript.step("knapweedctl drain host-2")
+        transcript.note(client(bench.fleet, "drain", "host-2").strip())
+        until(lambda: router not in bench.advised(0), "advice without host-2")
+        transcript.note("host-2 has left the advice of host-0")
+        transcript.step("SIGTERM to the router of host-2")
+        bench.process(2, "router").ask_to_stop()
+        until(lambda: bench.health(2)["state"] == "refusing", "refusals of host-2")
+        transcript.step("draft drain-b at host-2")
+        transcript.answer(caller.draft(router, "drain-b", ANSWER_TOKENS))
+        transcript.step("the open stream of host-2 to its end")
+        bench.switch_engines(token_seconds=FAST_TOKEN_SECONDS)
+        rest = opened.read_all()
+        transcript.note(f"whole {rest.whole}, {len(rest.text.split())} tokens")
+    _stop_host(bench, transcript)
+    until(lambda: bench.operators[0].status("drain").held == 0, "all grants back")
+    transcript.note("no tokens held")
+    transcript.step("draft drain-b at host-0")
+    answer = caller.draft(bench.routers[0], "drain-b", ANSWER_TOKENS)
+    transcript.note(f"whole {answer.whole}")
+    _settled(bench, transcript, "drain")
+    transcript.records()
+
+
+def _stop_host(bench: FleetBench, transcript: Transcript) -> None:
+    # A second SIGTERM would cut the router's drain short.
+    transcript.step("end of the router of host-2")
+    transcript.note(f"exit code {bench.process(2, 'router').wait()}")
+    for role in ("control", "keeper"):
+        transcript.step(f"SIGTERM to the {role} of host-2")
+        transcript.note(f"exit code {bench.process(2, role).stop()}")
+
+
+def _top_up(
+    bench: FleetBench, transcript: Transcript, budget: str, tokens: int, topup_id: str
+) -> None:
+    transcript.step(f"top up {budget} by {tokens} tokens as {topup_id}")
+    answer = bench.operators[1].top_up(budget, tokens, topup_id)
+    repeated = b'"repeated":true' in answer.body
+    transcript.note(f"status {answer.status}, repeated {repeated}")
+    # The other keepers fold the deposit when they read it.
+    for operator in bench.operators:
+        until(
+            lambda operator=operator: operator.status(budget).deposited >= tokens,
+            "the deposit at each keeper",
+        )
+
+
+def _settled(bench: FleetBench, transcript: Transcript, budget: str) -> None:
+    """Wait until everything that the engines ran is billed."""
+    until(
+        lambda: bench.operators[0].status(budget).billed >= consumed(transcript.runs()),
+        "the bills of all runs",
+    )
+
+
+SESSIONS = (answer, cancel, booking, budget, drain)
--- /dev/null
+++ b/tests/golden/test_sessions.py
@@ -0,0 +1,36 @@
+from __future__ import annotations
+
+import difflib
+import os
+import pathlib
+
+from tests.fleet.fleet_bench import fleet_bench
+from tests.golden.sessions import SESSIONS
+from tests.golden.transcript import Transcript
+
+FILES = pathlib.Path(__file__).parent / "files"
+RENEW = "KNAPWEED_RENEW_GOLDEN"
+
+
+def compare(name: str, text: str) -> str:
+    """Return how a transcript differs from its golden file; renew it when asked."""
+    path = FILES / f"{name}.txt"
+    if os.environ.get(RENEW):
+        path.write_text(text, encoding="utf-8")
+    golden = path.read_text(encoding="utf-8") if path.exists() else ""
+    lines = difflib.unified_diff(
+        golden.splitlines(), text.splitlines(), path.name, "this run", lineterm=""
+    )
+    return "\n".join(lines)
+
+
+def test_sessions_equal_their_golden_files():
+    """Each session, played against real processes, gives the recorded transcript."""
+    differences = []
+    budgets = tuple(session.__name__ for session in SESSIONS)
+    with fleet_bench(budgets) as bench:
+        for session in SESSIONS:
+            transcript = Transcript(bench, session.__name__)
+            session(bench, transcript)
+            differences.append(compare(session.__name__, transcript.text()))
+    assert not any(differences), "\n".join(differences)
--- /dev/null
+++ b/tests/golden/transcript.py
@@ -0,0 +1,105 @@
+"""The normalised transcript of one session."""
+
+from __future__ import annotations
+
+import json
+import re
+
+from tests.fleet.fleet_answer import FleetAnswer, chunk_text
+from tests.fleet.fleet_bench import LEDGER, FleetBench, consumed
+from tests.standins.answer_text import token_text
+from tests.standins.run_ledger_entry import RunLedgerEntry
+
+HEADERS_THAT_MATTER = ("content-type", "cache-control", "retry-after", "x-request-id")
+CREATED = re.compile(r'"created":\d+')
+MINTED = re.compile(r"\b[0-9a-f]{24}\b")
+
+
+class Transcript:
+    """Collects steps and records; identifiers, ports and times are normalised."""
+
+    def __init__(self, bench: FleetBench, budget: str) -> None:
+        self._bench = bench
+        self._budget = budget
+        self._before = {run.run_id for run in bench.runs()}
+        self._lines: list[str] = []
+
+    def step(self, text: str) -> None:
+        """Note what the session does next."""
+        self._lines += ["", f"> {text}"]
+
+    def note(self, text: str) -> None:
+        """Note what was seen."""
+        self._lines.append(f"< {text}")
+
+    def answer(self, answer: FleetAnswer) -> None:
+        """Note the head and the body of an answer."""
+        self.note(f"status {answer.status}")
+        for name in HEADERS_THAT_MATTER:
+            if name in answer.headers:
+                self.note(f"{name}: {self._normalised(answer.headers[name])}")
+        for event in answer.events:
+            self.note(self._event(event))
+        if answer.cut:
+            self.note("connection cut")
+
+    def records(self, *booking_keys: str, counts: bool = True) -> None:
+        """Note runs, bookings and budget as the records of the others have them."""
+        self.step("records")
+        runs = self.runs()
+        for number, run in enumerate(runs, start=1):
+            self.note(f"engine: {self._run(run, number, counts)}")
+        for key in booking_keys:
+            self.note(f"service: booking {key} ran {self._bench.bookings(key)} times")
+        status = self._bench.operators[0].status(self._budget)
+        billed = "what the engines ran"
+        if status.billed != consumed(runs):
+            billed = f"{status.billed} of {consumed(runs)}"
+        rest = status.balance + status.held
+        self.note(
+            f"budget: deposited {status.deposited}, bills {status.bills}, "
+            f"billed {billed}, duplicate {status.duplicate}"
+        )
+        self.note(
+            f"budget: balance and grants {rest}"
+            if counts
+            else f"budget: adds up {status.deposited == rest + status.billed}"
+        )
+
+    def runs(self) -> LEDGER:
+        """Return the runs of this session."""
+        return [run for run in self._bench.runs() if run.run_id not in self._before]
+
+    def text(self) -> str:
+        """Return the transcript."""
+        return "\n".join(self._lines).lstrip() + "\n"
+
+    @staticmethod
+    def _run(run: RunLedgerEntry, number: int, counts: bool) -> str:
+        end = "finished" if run.finished else "cancelled" if run.cancelled else "open"
+        output = run.output_tokens if counts else "some"
+        return (
+            f"run-{number} of {run.model}, {run.prompt_tokens} prompt and "
+            f"{output} output tokens, {end}, {run.posts} posts"
+        )
+
+    def _event(self, event: str) -> str:
+        text = chunk_text(event)
+        if text:
+            event = event.replace(json.dumps(text), json.dumps(self._named(text)))
+        return self._normalised(event)
+
+    def _named(self, text: str) -> str:
+        """Return which tokens of which run a text is."""
+        for number, run in enumerate(self.runs(), start=1):
+            for index in range(run.output_tokens):
+                if token_text(run.run_id, index) == text:
+                    return f"token {index} of run-{number}"
+        return text
+
+    def _normalised(self, text: str) -> str:
+        for index, router in enumerate(self._bench.routers):
+            port = router.rpartition(":")[2]
+            text = text.replace(f'"port":{port}', f'"port":"router-{index}"')
+        text = CREATED.sub('"created":"time"', text)
+        return MINTED.sub("minted", text)
--- a/tools/launcher.py
+++ b/tools/launcher.py
@@ -131,9 +131,11 @@
         host_count: int,
         engine_count: int = 2,
         weigh: str = "overspend",
+        witnessed: bool = True,
     ) -> None:
         self.directory = directory
         self.weigh = weigh
+        self.witnessed = witnessed
         ports = free_ports(4 + engine_count + 3 * host_count)
         self.log = stand_in("append_log", "log", ports.pop(), directory)
         self.host_list = stand_in("host_list", "hosts", ports.pop(), directory)
@@ -219,7 +221,7 @@
                 "host_list": self.host_list.url,
                 "weight_store": self.weights.url,
             },
-            "budgets": {"weigh": self.weigh},
+            "budgets": {"weigh": self.weigh, "witnessed": self.witnessed},
             "router": {"advice_lifetime_seconds": 1.0},
         }
         text = "// Written by tools/launcher.py\n" + json.dumps(document, indent=2)
