--- /dev/null
+++ b/tests/failure/invariants.py
@@ -0,0 +1,41 @@
+"""What must hold after any failure, from the stand-ins' own records."""
+
+from __future__ import annotations
+
+from knapweeddrum.message.call.budget_status import BudgetStatus
+from tests.fleet.conditions import until
+from tests.fleet.fleet_answer import DONE_EVENT, FleetAnswer
+from tests.fleet.fleet_bench import FleetBench, consumed
+from tests.standins.answer_text import answer_text
+
+
+def settled(
+    bench: FleetBench, deposited: int, bills: int, index: int = 0
+) -> BudgetStatus:
+    """Wait for the bills of all runs and check the budget against the engines."""
+
+    def is_billed() -> bool:
+        status = bench.operators[index].status("main")
+        return status.billed + status.duplicate >= consumed(bench.runs())
+
+    until(is_billed, "the bills of all runs")
+    status = bench.operators[index].status("main")
+    assert status.deposited == deposited
+    assert status.billed + status.duplicate == consumed(bench.runs())
+    assert status.balance + status.held + consumed(bench.runs()) == deposited
+    assert status.bills == bills
+    assert status.excess == 0
+    return status
+
+
+def assert_whole(bench: FleetBench, answer: FleetAnswer, tokens: int) -> None:
+    """Fail unless the answer is all of one run."""
+    assert answer.whole, answer
+    texts = {answer_text(run.run_id, tokens) for run in bench.runs()}
+    assert answer.text in texts
+
+
+def assert_cut(answer: FleetAnswer) -> None:
+    """Fail when a truncated answer looks whole."""
+    assert not answer.whole
+    assert DONE_EVENT not in answer.events
--- /dev/null
+++ b/tests/failure/test_keeper_frozen.py
@@ -0,0 +1,69 @@
+from __future__ import annotations
+
+import concurrent.futures
+import itertools
+
+from tests.fleet.conditions import until
+from tests.fleet.fleet_answer import FleetAnswer
+from tests.fleet.fleet_bench import FleetBench, consumed, fleet_bench
+from tests.fleet.fleet_caller import FleetCaller
+
+DEPOSIT_TOKENS = 3_000
+TOP_UP_TOKENS = 1_000
+HELD_ANSWER_TOKENS = 900
+ANSWER_TOKENS = 150
+PREFILL_SECONDS = 15.0
+"""Keeps a reservation open meanwhile; the assertions hold however long it takes."""
+
+CALLER = FleetCaller("main")
+NUMBERS = itertools.count()
+
+
+def spend(bench: FleetBench, index: int) -> FleetAnswer:
+    """Ask at one router until it refuses; return the refusal."""
+    while True:
+        name = f"spend-{next(NUMBERS)}"
+        answer = CALLER.draft(bench.routers[index], name, ANSWER_TOKENS, f"{name}.")
+        if not answer.whole:
+            return answer
+
+
+def test_keeper_woken_after_its_release_does_not_overspend():
+    """What its router reserved stays out of the balance that others spend.
+
+    A keeper is stopped beyond the release by its witness, the rest is spent, a top-up
+    is spent elsewhere, and the keeper wakes.
+    """
+    with (
+        fleet_bench() as bench,
+        concurrent.futures.ThreadPoolExecutor(1) as threads,
+    ):
+        bench.operators[1].top_up("main", DEPOSIT_TOKENS, "t1")
+        bench.switch_engines(prefill_seconds=PREFILL_SECONDS)
+        held = threads.submit(
+            CALLER.draft, bench.routers[0], "held", HELD_ANSWER_TOKENS
+        )
+        until(lambda: any(run.started_at for run in bench.runs()), "the held run")
+        bench.switch_engines(prefill_seconds=0.0)
+        before = bench.operators[1].status("main").held
+        with bench.frozen(0, "keeper"):
+            until(
+                lambda: bench.operators[1].status("main").held < before,
+                "the release by the witness",
+            )
+            refusals = [spend(bench, index) for index in (1, 2)]
+            assert bench.operators[1].top_up("main", TOP_UP_TOKENS, "t2").status == 200
+            refusals += [spend(bench, index) for index in (2, 0)]
+        assert held.result().whole
+        refusals += [spend(bench, index) for index in (0, 1, 2)]
+        assert all(r.problem["run_state"] == "not_run" for r in refusals), refusals
+        runs = bench.runs()
+        assert consumed(runs) <= DEPOSIT_TOKENS + TOP_UP_TOKENS
+        assert all(run.posts == 1 for run in runs)
+        until(
+            lambda: bench.operators[1].status("main").billed >= consumed(runs),
+            "the bills of all runs",
+        )
+        status = bench.operators[1].status("main")
+        assert (status.billed, status.bills) == (consumed(runs), len(runs))
+        assert (status.excess, status.duplicate) == (0, 0)
