--- a/src/knapweeddrum/rpc/rpc_client.py
+++ b/src/knapweeddrum/rpc/rpc_client.py
@@ -4,6 +4,7 @@
 
 from typing import TypeVar
 
+import anyio
 import msgspec
 from grpclib.client import Channel, UnaryUnaryMethod
 from grpclib.const import Status
@@ -40,7 +41,35 @@
         request: RequestT,
         timeout: float,
     ) -> ReplyT:
-        """Return the reply of the peer."""
+        """Return the reply of the peer.
+
+        The exchange has a task of its own: grpclib ends it by cancelling the task, at
+        a timeout or a lost connection, and never takes that back. In the caller's task
+        each later cancellation of a scope would then end the whole task.
+        """
+        replies: list[ReplyT] = []
+        errors: list[RpcError] = []
+
+        async def exchange() -> None:
+            try:
+                replies.append(await self._exchange(method, request, timeout))
+            except RpcError as exc:
+                errors.append(exc)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(exchange)
+        if replies:
+            return replies[0]
+        if errors:
+            raise errors[0]
+        raise RpcError(f"{self.target}: the exchange was cancelled")
+
+    async def _exchange(
+        self,
+        method: Method[RequestT, ReplyT],
+        request: RequestT,
+        timeout: float,
+    ) -> ReplyT:
         stub = UnaryUnaryMethod(
             self._channel, method.path, method.request_type, method.reply_type
         )
--- a/tests/failure/test_keeper_frozen.py
+++ b/tests/failure/test_keeper_frozen.py
@@ -8,9 +8,10 @@
 from tests.fleet.fleet_bench import FleetBench, consumed, fleet_bench
 from tests.fleet.fleet_caller import FleetCaller
 
-DEPOSIT_TOKENS = 3_000
+DEPOSIT_TOKENS = 6_000
 TOP_UP_TOKENS = 1_000
 HELD_ANSWER_TOKENS = 900
+HELD_REQUESTS = 3
 ANSWER_TOKENS = 150
 PREFILL_SECONDS = 15.0
 """Keeps a reservation open meanwhile; the assertions hold however long it takes."""
@@ -32,18 +33,25 @@
     """What its router reserved stays out of the balance that others spend.
 
     A keeper is stopped beyond the release by its witness, the rest is spent, a top-up
-    is spent elsewhere, and the keeper wakes.
+    is spent elsewhere, and the keeper wakes. A witness that frees opened tokens too,
+    as a lease would, fails this test.
     """
     with (
         fleet_bench() as bench,
-        concurrent.futures.ThreadPoolExecutor(1) as threads,
+        concurrent.futures.ThreadPoolExecutor(HELD_REQUESTS) as threads,
     ):
         bench.operators[1].top_up("main", DEPOSIT_TOKENS, "t1")
         bench.switch_engines(prefill_seconds=PREFILL_SECONDS)
-        held = threads.submit(
-            CALLER.draft, bench.routers[0], "held", HELD_ANSWER_TOKENS
+        held = [
+            threads.submit(
+                CALLER.draft, bench.routers[0], f"held-{number}", HELD_ANSWER_TOKENS
+            )
+            for number in range(HELD_REQUESTS)
+        ]
+        until(
+            lambda: sum(run.started_at > 0 for run in bench.runs()) == HELD_REQUESTS,
+            "the held runs",
         )
-        until(lambda: any(run.started_at for run in bench.runs()), "the held run")
         bench.switch_engines(prefill_seconds=0.0)
         before = bench.operators[1].status("main").held
         with bench.frozen(0, "keeper"):
@@ -54,7 +62,8 @@
             refusals = [spend(bench, index) for index in (1, 2)]
             assert bench.operators[1].top_up("main", TOP_UP_TOKENS, "t2").status == 200
             refusals += [spend(bench, index) for index in (2, 0)]
-        assert held.result().whole
+        answers = [fut.result() for fut in held]
+        assert all(answer.whole for answer in answers), [a.refusal for a in answers]
         refusals += [spend(bench, index) for index in (0, 1, 2)]
         assert all(r.problem["run_state"] == "not_run" for r in refusals), refusals
         runs = bench.runs()
