--- a/src/knapweeddrum/core/admission/crash_evidence.py
+++ b/src/knapweeddrum/core/admission/crash_evidence.py
@@ -57,9 +57,18 @@
         self._refused_probes = 0
         self._answered_as: Listing | None = None
 
+    @property
+    def has_answered(self) -> bool:
+        """Return whether a probe was accepted."""
+        return self._answered_as is not None
+
+    def age(self, now: float) -> float:
+        """Return the seconds since the loss."""
+        return now - self._lost_at
+
     def is_expired(self, now: float) -> bool:
         """Return whether the loss stays unexplained."""
-        return now - self._lost_at > EVIDENCE_LIFETIME_SECONDS
+        return self.age(now) > EVIDENCE_LIFETIME_SECONDS
 
     def is_alive(self, last_data_at: float) -> bool:
         """Return whether the endpoint sent data after the loss."""
--- a/src/knapweeddrum/process/entry/crash_detector.py
+++ b/src/knapweeddrum/process/entry/crash_detector.py
@@ -20,7 +20,8 @@
 from knapweeddrum.http.exceptions import NotSentError, PeerRefusedError
 from knapweeddrum.process.entry.crash_records import record_crash
 from knapweeddrum.process.entry.entry_context import EntryContext
-from knapweeddrum.process.entry.lost_connection import LostConnection
+from knapweeddrum.process.entry.lost_connection import LossCause, LostConnection
+from knapweeddrum.telemetry.events import ENDPOINT_EXAMINED
 from knapweeddrum.value.identifiers import EndpointName
 
 PROBE_INTERVAL_SECONDS = 0.25
@@ -40,7 +41,7 @@
     ) -> None:
         self._ctx = ctx
         self._losses = losses
-        self._open_cases: set[EndpointName] = set()
+        self._open_cases: dict[EndpointName, CrashEvidence] = {}
 
     async def run(self) -> None:
         """Examine losses until cancelled."""
@@ -59,26 +60,41 @@
             await anyio.sleep(UNLISTED_CHECK_SECONDS)
             now = time.monotonic()
             for state in list(self._ctx.open_attempts.values()):
-                if not state.is_unresponsive(now):
+                is_examined = instance_name(state.entry) in self._open_cases
+                if is_examined or not state.is_unresponsive(now):
                     continue
                 if self._listing(state.entry) is not Listing.LISTED:
-                    self._open_case(LostConnection(state, now), tasks)
+                    loss = LostConnection(state, now, LossCause.NO_ANSWER)
+                    self._open_case(loss, tasks)
 
     def _open_case(self, loss: LostConnection, tasks: TaskGroup) -> None:
         key = instance_name(loss.state.entry)
-        if key not in self._open_cases:
-            self._open_cases.add(key)
-            tasks.start_soon(self._examine, key, loss)
-
-    async def _examine(self, key: EndpointName, loss: LostConnection) -> None:
-        evidence = CrashEvidence(loss.lost_at)
+        known = self._open_cases.get(key)
+        self._log_loss(loss, known)
+        if known is None:
+            self._open_cases[key] = CrashEvidence(loss.lost_at)
+            tasks.start_soon(self._examine, key, loss.state, self._open_cases[key])
+
+    def _log_loss(self, loss: LostConnection, known: CrashEvidence | None) -> None:
+        open_for = known.age(loss.lost_at) if known is not None else None
+        self._ctx.events.emit(
+            ENDPOINT_EXAMINED,
+            endpoint=loss.state.entry.endpoint_id,
+            cause=loss.cause,
+            open_for_ms=int(open_for * 1000) if open_for is not None else None,
+            answered=known is not None and known.has_answered,
+        )
+
+    async def _examine(
+        self, key: EndpointName, state: EndpointState, evidence: CrashEvidence
+    ) -> None:
         try:
             while not evidence.is_expired(time.monotonic()):
-                if await self._is_settled(key, loss.state, evidence):
+                if await self._is_settled(key, state, evidence):
                     return
                 await anyio.sleep(PROBE_INTERVAL_SECONDS)
         finally:
-            self._open_cases.discard(key)
+            del self._open_cases[key]
 
     async def _is_settled(
         self, key: EndpointName, state: EndpointState, evidence: CrashEvidence
@@ -94,8 +110,9 @@
         sign = evidence.judge(listing, probe, probed_at)
         if sign is None:
             return False
-        state.eject(time.monotonic())
-        record_crash(self._ctx, state.entry, sign)
+        now = time.monotonic()
+        state.eject(now)
+        record_crash(self._ctx, state.entry, sign, evidence.age(now))
         return True
 
     def _is_leaving(self, entry: EndpointEntry) -> bool:
--- a/src/knapweeddrum/process/entry/crash_records.py
+++ b/src/knapweeddrum/process/entry/crash_records.py
@@ -55,8 +55,13 @@
     return ctx.placer.choose(states, req, now)
 
 
-def record_crash(ctx: EntryContext, entry: EndpointEntry, sign: CrashSign) -> None:
-    """Record that an endpoint crashed, against the requests that ran there."""
+def record_crash(
+    ctx: EntryContext, entry: EndpointEntry, sign: CrashSign, after: float
+) -> None:
+    """Record that an endpoint crashed, against the requests that ran there.
+
+    ``after`` is the time in seconds from the loss of its connection to this finding.
+    """
     marked = ctx.crash_register.record_crash(instance_name(entry), time.time())
     ctx.metrics.count(counters.ENDPOINT_ENDED)
     ctx.events.emit(
@@ -64,6 +69,7 @@
         endpoint=entry.endpoint_id,
         service=entry.service,
         sign=sign,
+        after_ms=int(after * 1000),
         requests=len(marked),
         fingerprints=list(marked[:MAX_LOGGED_FINGERPRINTS]),
     )
--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -27,7 +27,7 @@
 )
 from knapweeddrum.process.entry.attempt_error import AttemptError
 from knapweeddrum.process.entry.entry_context import EntryContext
-from knapweeddrum.process.entry.lost_connection import LostConnection
+from knapweeddrum.process.entry.lost_connection import LossCause, LostConnection
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.telemetry.counters import FIRST_ARRIVALS, REPEATED_ARRIVALS
 from knapweeddrum.value.retry_reason import RetryReason
@@ -140,18 +140,19 @@
 ) -> None:
     """Record how a run ended, for the recognition of requests that crash endpoints."""
     now = time.monotonic()
+    cause = LossCause.CONNECTION_LOST if is_lost else None
     if result is AttemptResult.CANCELLED and state.is_unresponsive(now):
         # The endpoint may have ended without closing its connections.
-        is_lost = True
+        cause = LossCause.NO_ANSWER
     run_end = RunEnd.CANCELLED
-    if is_lost:
+    if cause is not None:
         run_end = RunEnd.CUT
     elif result is AttemptResult.SUCCESS:
         run_end = RunEnd.COMPLETED
     ctx.crash_register.end(attempt, run_end, time.time())
-    if is_lost:
+    if cause is not None:
         with contextlib.suppress(anyio.WouldBlock):
-            ctx.losses.send_nowait(LostConnection(state, now))
+            ctx.losses.send_nowait(LostConnection(state, now, cause))
 
 
 async def _connect(
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -118,7 +118,10 @@
     608,
     "endpoint_ended",
     "error",
-    ("endpoint", "service", "sign", "requests", "fingerprints"),
+    ("endpoint", "service", "sign", "after_ms", "requests", "fingerprints"),
+)
+ENDPOINT_EXAMINED = Event(
+    628, "endpoint_examined", "info", ("endpoint", "cause", "open_for_ms", "answered")
 )
 CRASHES_COUNTED = Event(
     609, "crashes_counted", "warning", ("fingerprint", "crashes", "blamed", "source")
