Test that fails: a crash soon after an unexplained loss is found too late

A request hangs until its caller's deadline, so its endpoint is examined and accepts a connection; then another request crashes it.

--- a/tests/process/entry/test_crashing_requests.py
+++ b/tests/process/entry/test_crashing_requests.py
@@ -24,6 +24,8 @@
 WINDOW_SECONDS = STABLE_WINDOW_MS / 1000
 MAX_LATE_CRASHES = 3
 """Crashes later than the window after the third that the users' rules allow."""
+FOUND_SECONDS = WINDOW_SECONDS / 4
+"""Time from a crash until its host has found it, so that all know it in the window."""
 
 
 async def blame(fleet: CrashFleet) -> None:
@@ -234,6 +236,21 @@
         assert not refusals(harness)
 
 
+@async_test
+async def test_crash_soon_after_an_unexplained_loss_is_found_in_time():
+    """A loss at an endpoint that is examined already is examined as well."""
+    async with crash_fleet(1, 1) as fleet:
+        host = fleet.hosts[0]
+        fleet.service.endpoints[0].plan = [Behaviour.HANG]
+        await host.call("/book/1", attempt="hung", time_left_ms=900)
+        await host.wait_for_event("endpoint_examined")
+        await anyio.sleep(2 * PROBE_INTERVAL_SECONDS)
+        await fleet.send(host, "/book/2", b"fatal")
+        with anyio.fail_after(FOUND_SECONDS):
+            (ended,) = await host.wait_for_event("endpoint_ended")
+        assert ended["sign"] == "refused"
+
+
 @async_test
 async def test_answer_of_a_successor_does_not_hide_a_crash():
     """A 421 from a later start at the address is no sign of life of the earlier one."""
