Crash detector: a loss at an endpoint that is examined already is examined too

Callers saw copies of a crashing request sent on: a crash counted too late to stop them. The detector kept one case an endpoint for 10 s; a case whose probe had been accepted probed no more until the service list changed, and the loss of the crash itself, finding a case open, was dropped.

A further loss now renews the case: what the endpoint answered before it says nothing, and 10 s begin anew.

Cost: one probe more for each further loss.

--- a/src/knapweeddrum/core/admission/crash_evidence.py
+++ b/src/knapweeddrum/core/admission/crash_evidence.py
@@ -45,7 +45,7 @@
 
 
 class CrashEvidence:
-    """Tells the crash of an endpoint from a connection lost for another reason.
+    """Tells the crash of an endpoint from connections lost for another reason.
 
     An endpoint has crashed if it sent nothing after the loss, and it refuses
     connections, was replaced, or lapsed from the service list and doesn't answer.
@@ -57,6 +57,11 @@
         self._refused_probes = 0
         self._answered_as: Listing | None = None
 
+    def renew(self, lost_at: float) -> None:
+        """Look at a further loss, as the endpoint may have crashed since it answered."""
+        self._lost_at = lost_at
+        self._answered_as = None
+
     @property
     def has_answered(self) -> bool:
         """Return whether a probe was accepted."""
--- a/src/knapweeddrum/process/entry/crash_detector.py
+++ b/src/knapweeddrum/process/entry/crash_detector.py
@@ -71,9 +71,11 @@
         key = instance_name(loss.state.entry)
         known = self._open_cases.get(key)
         self._log_loss(loss, known)
-        if known is None:
-            self._open_cases[key] = CrashEvidence(loss.lost_at)
-            tasks.start_soon(self._examine, key, loss.state, self._open_cases[key])
+        if known is not None:
+            known.renew(loss.lost_at)
+            return
+        evidence = self._open_cases[key] = CrashEvidence(loss.lost_at)
+        tasks.start_soon(self._examine, key, loss.state, evidence)
 
     def _log_loss(self, loss: LostConnection, known: CrashEvidence | None) -> None:
         open_for = known.age(loss.lost_at) if known is not None else None
--- a/tests/core/admission/test_crash_evidence.py
+++ b/tests/core/admission/test_crash_evidence.py
@@ -49,6 +49,19 @@
     )
 
 
+def test_connection_accepted_before_a_further_loss_does_not_hide_a_crash():
+    """What was seen of the first loss says nothing of the second."""
+    evidence = CrashEvidence(10.0)
+    assert _judge(evidence, ProbeResult.CONNECTED) is None
+    evidence.renew(13.0)
+    assert evidence.needs_probe(Listing.LISTED)
+    assert not evidence.is_alive(12.9)
+    assert not evidence.is_expired(13.0 + EVIDENCE_LIFETIME_SECONDS)
+    assert _judge(evidence, *[ProbeResult.REFUSED] * REFUSED_PROBES) is (
+        CrashSign.REFUSED
+    )
+
+
 def test_cut_path_to_a_listed_endpoint_is_no_crash():
     """Unanswered probes show nothing while the endpoint renews its entry."""
     evidence = CrashEvidence(10.0)
