--- a/src/knapweeddrum/core/admission/crash_evidence.py
+++ b/src/knapweeddrum/core/admission/crash_evidence.py
@@ -58,7 +58,7 @@
         self._answered_as: Listing | None = None
 
     def renew(self, lost_at: float) -> None:
-        """Look at a further loss, as the endpoint may have crashed since it answered."""
+        """Look at a further loss: the endpoint may have crashed since it answered."""
         self._lost_at = lost_at
         self._answered_as = None
 
--- a/src/knapweeddrum/process/entry/token_allocator.py
+++ b/src/knapweeddrum/process/entry/token_allocator.py
@@ -136,7 +136,8 @@
             f"{token_accounts.ledger.claimed(organisation)} of "
             f"{token_accounts.prepaid(organisation)}, "
             f"claims up to offset {token_accounts.ledger.end} "
-            f"read {self._log.age:.1f} s ago"
+            f"read {self._log.age:.1f} s ago, "
+            f"{self._log.lost_in_row} claims lost in a row"
         )
 
     async def return_unused(self) -> bool:
--- a/src/knapweeddrum/process/entry/token_claim_log.py
+++ b/src/knapweeddrum/process/entry/token_claim_log.py
@@ -49,6 +49,8 @@
         self._read_at = float("-inf")
         self.is_store_unreachable = False
         """Whether a call to the store failed and none has succeeded since."""
+        self.lost_in_row = 0
+        """Writes since the last success before which another host had written."""
 
     @property
     def age(self) -> float:
@@ -69,11 +71,18 @@
                 expected_end,
             )
         except (ConditionFailedError, LogUnavailableError, AppendUnknownError) as exc:
-            if not isinstance(exc, ConditionFailedError):
+            if isinstance(exc, ConditionFailedError):
+                self.lost_in_row += 1
+            else:
                 self._record_failure(exc)
             if not isinstance(exc, AppendUnknownError):
                 ctx.token_accounts.record_not_written()
-            ctx.events.emit(CLAIM_FAILED, ledger_end=expected_end, error=repr(exc))
+            ctx.events.emit(
+                CLAIM_FAILED,
+                ledger_end=expected_end,
+                error=repr(exc),
+                lost_in_row=self.lost_in_row,
+            )
             ctx.metrics.count(FAILURE_COUNTERS[type(exc)])
             return False
         for offset, claim in enumerate(claims, start=expected_end):
@@ -82,6 +91,7 @@
         ctx.token_accounts.apply_ledger()
         self._record_success()
         self._log_written(claims, expected_end)
+        self.lost_in_row = 0
         return True
 
     async def load(self) -> bool:
@@ -138,6 +148,7 @@
                 TOKENS_CLAIMED,
                 offset=offset,
                 claims={claim.organisation: claim.claimed for claim in own},
+                lost_before=self.lost_in_row,
             )
         for claim in claims:
             if claim.incarnation != ctx.incarnation:
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -137,8 +137,12 @@
 ENDPOINT_UNLISTED = Event(613, "endpoint_unlisted", "info", ("endpoint", "lapsed"))
 ENTRY_IGNORED = Event(614, "entry_ignored", "warning", ("key", "offset", "error"))
 HOSTS_CHANGED = Event(615, "hosts_changed", "info", ("ready",))
-TOKENS_CLAIMED = Event(616, "tokens_claimed", "info", ("offset", "claims"))
-CLAIM_FAILED = Event(617, "claim_failed", "info", ("ledger_end", "error"))
+TOKENS_CLAIMED = Event(
+    616, "tokens_claimed", "info", ("offset", "claims", "lost_before")
+)
+CLAIM_FAILED = Event(
+    617, "claim_failed", "info", ("ledger_end", "error", "lost_in_row")
+)
 SETTINGS_RELOADED = Event(618, "settings_reloaded", "info", ("changed",))
 SETTINGS_REJECTED = Event(619, "settings_rejected", "error", ("error",))
 TOKENS_LENT = Event(
--- /dev/null
+++ b/tests/process/entry/claim_race.py
@@ -0,0 +1,249 @@
+"""Many hosts that claim prepaid tokens from one stream, in simulated time."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import random
+import time
+from collections.abc import Iterator, Sequence
+from typing import cast
+from unittest import mock
+
+import anyio
+
+from knapweeddrum.core.admission.crash_register import CrashRegister
+from knapweeddrum.core.catalog.service_list import ServiceList
+from knapweeddrum.core.directory.host_directory import HostDirectory
+from knapweeddrum.core.directory.host_record import HostRecord
+from knapweeddrum.core.placing.endpoint_states import EndpointStates
+from knapweeddrum.core.placing.placer import Placer
+from knapweeddrum.core.prepaid.claim_witness import ClaimWitness
+from knapweeddrum.core.prepaid.token_accounts import TokenAccounts
+from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
+from knapweeddrum.http.connection_pool import ConnectionPool
+from knapweeddrum.platform.exceptions import ConditionFailedError
+from knapweeddrum.platform.keyed_record import KeyedRecord
+from knapweeddrum.platform.store_client import StoreClient
+from knapweeddrum.platform.store_listing import StoreListing
+from knapweeddrum.platform.store_page import StorePage
+from knapweeddrum.process.entry.entry_context import EntryContext
+from knapweeddrum.process.entry.lost_connection import LostConnection
+from knapweeddrum.process.entry.token_allocator import TokenAllocator
+from knapweeddrum.process.entry.token_borrower import TokenBorrower
+from knapweeddrum.process.entry.token_unlocker import TokenUnlocker
+from knapweeddrum.settings.entry_settings import EntrySettings
+from knapweeddrum.telemetry.metrics import Metrics
+from tests.standins.recording_event_log import RecordingEventLog
+from tools.budget_model.virtual_loop import run_virtual
+
+ORGANISATIONS = tuple(f"organisation-{number}" for number in range(24))
+LARGE = ORGANISATIONS[0]
+PREPAID_TOKENS = 9_000_000
+REQUEST_TOKENS = (2_000, 6_000, 10_000)
+REQUEST_SECONDS = 1.0
+APPEND_SECONDS = 0.001
+"""Time in which the store carries out one append, one after the other."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimRacePlan:
+    """Hosts, their requests a second, and the time between a host and the store."""
+
+    hosts: int = 62
+    requests_per_second: float = 6.0
+    store_seconds: float = 0.005
+    """One way, with the host's own time to handle it."""
+    busy_requests_per_second: float = 55.0
+    busy_store_seconds: float = 0.015
+    seconds: float = 5.0
+
+
+@dataclasses.dataclass(slots=True)
+class HostTally:
+    """What the requests of one host got, by the second in which they came."""
+
+    reserved: list[float] = dataclasses.field(default_factory=list)
+    refused: list[float] = dataclasses.field(default_factory=list)
+
+    def refused_fraction(self, after: float) -> float:
+        """Return the fraction refused of the requests that came after a time."""
+        refused = sum(1 for at in self.refused if at >= after)
+        reserved = sum(1 for at in self.reserved if at >= after)
+        return refused / max(1, refused + reserved)
+
+
+class SharedStream:
+    """The claims of all hosts; carries out one append at a time."""
+
+    def __init__(self) -> None:
+        self.records: list[KeyedRecord] = []
+        self.appends = 0
+        self.conflicts = 0
+        self.reads = 0
+        self._turn = anyio.Lock()
+
+    async def append(self, records: Sequence[KeyedRecord], expected_end: int) -> int:
+        async with self._turn:
+            self.appends += 1
+            if expected_end != len(self.records):
+                self.conflicts += 1
+                raise ConditionFailedError("claims")
+            await anyio.sleep(APPEND_SECONDS)
+            for record in records:
+                offset = len(self.records)
+                self.records.append(KeyedRecord(record.key, record.value, offset))
+            return len(self.records)
+
+
+class DistantStore:
+    """The calls of one host to the shared stream."""
+
+    def __init__(self, stream: SharedStream, seconds: float) -> None:
+        self._stream = stream
+        self._seconds = seconds
+
+    async def append(
+        self, _name: str, records: Sequence[KeyedRecord], expected_end: int
+    ) -> int:
+        await anyio.sleep(self._seconds)
+        try:
+            return await self._stream.append(records, expected_end)
+        finally:
+            await anyio.sleep(self._seconds)
+
+    async def read(self, _name: str, start: int) -> StorePage:
+        await anyio.sleep(self._seconds)
+        self._stream.reads += 1
+        records = self._stream.records
+        page = StorePage(tuple(records[start:]), len(records), complete=True)
+        await anyio.sleep(self._seconds)
+        return page
+
+    async def list_newest(self, _name: str) -> StoreListing:
+        return StoreListing((), 0)
+
+
+class _ConsentingUnlocker:
+    """Stands in for witnesses that consent at once."""
+
+    def __init__(self, accounts: TokenAccounts) -> None:
+        self._accounts = accounts
+
+    async def unlock(self, organisation: str, tokens: int) -> None:
+        account = self._accounts.account(organisation, time.monotonic())
+        account.unlocked = max(account.unlocked, account.confirmed)
+
+
+class _NoLenders:
+    """Stands in for other hosts that have nothing to lend."""
+
+    async def borrow(self, organisation: str, tokens: int) -> bool:
+        return False
+
+
+class ClaimRace:
+    """Plays one race; host 0 is the busy one, for the largest organisation."""
+
+    def __init__(self, plan: ClaimRacePlan, seed: int) -> None:
+        self.plan = plan
+        self.stream: SharedStream
+        self.tallies = [HostTally() for _ in range(plan.hosts)]
+        self._rng = random.Random(seed)
+        self.allocators: list[TokenAllocator] = []
+        self.accounts: list[TokenAccounts] = []
+
+    def play(self) -> None:
+        """Play to the end."""
+        run_virtual(self._play)
+
+    async def _play(self) -> None:
+        with _virtual_clock():
+            self.stream = SharedStream()
+            for number in range(self.plan.hosts):
+                self._add_host(number)
+            async with anyio.create_task_group() as tasks:
+                for allocator in self.allocators:
+                    tasks.start_soon(allocator.run)
+                await anyio.sleep(1.0)
+                for number in range(self.plan.hosts):
+                    tasks.start_soon(self._callers, number)
+                await anyio.sleep(self.plan.seconds)
+                tasks.cancel_scope.cancel()
+
+    def _add_host(self, number: int) -> None:
+        plan = self.plan
+        seconds = plan.busy_store_seconds if number == 0 else plan.store_seconds
+        ctx = _context(number, plan.hosts, DistantStore(self.stream, seconds))
+        unlocker = cast("TokenUnlocker", _ConsentingUnlocker(ctx.token_accounts))
+        borrower = cast("TokenBorrower", _NoLenders())
+        self.accounts.append(ctx.token_accounts)
+        self.allocators.append(TokenAllocator(ctx, unlocker, borrower))
+
+    async def _callers(self, number: int) -> None:
+        plan, rng = self.plan, self._rng
+        rate = (
+            plan.busy_requests_per_second if number == 0 else plan.requests_per_second
+        )
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await anyio.sleep(rng.expovariate(rate))
+                organisation = LARGE if number == 0 else rng.choice(ORGANISATIONS)
+                tokens = rng.choice(REQUEST_TOKENS)
+                tasks.start_soon(self._request, number, organisation, tokens)
+
+    async def _request(self, number: int, organisation: str, tokens: int) -> None:
+        arrived_at = time.monotonic() - 1.0
+        allocator = self.allocators[number]
+        verdict = await allocator.reserve(organisation, tokens)
+        tally = self.tallies[number]
+        if verdict is not TokenVerdict.RESERVED:
+            tally.refused.append(arrived_at)
+            return
+        tally.reserved.append(arrived_at)
+        await anyio.sleep(REQUEST_SECONDS)
+        allocator.settle(organisation, tokens, tokens)
+
+
+@contextlib.contextmanager
+def _virtual_clock() -> Iterator[None]:
+    with mock.patch("time.monotonic", anyio.current_time):
+        yield
+
+
+def _context(number: int, hosts: int, store: DistantStore) -> EntryContext:
+    name = f"host-{number}"
+    directory = HostDirectory(name)
+    for other in range(hosts):
+        record = HostRecord(
+            f"host-{other}",
+            f"host-{other}/1",
+            f"10.0.0.{other}:1",
+            f"10.0.0.{other}:2",
+            "zone-a",
+            True,
+            1,
+        )
+        directory.apply_heartbeat(f"host-{other}", other, record)
+    directory.store_answered(0.0)
+    accounts = TokenAccounts(f"{name}/1")
+    accounts.set_prepaid(dict.fromkeys(ORGANISATIONS, PREPAID_TOKENS))
+    losses, _ = anyio.create_memory_object_stream[LostConnection](1)
+    service_list = ServiceList()
+    return EntryContext(
+        settings=EntrySettings(name, "zone-a", "", "", "", None, ""),
+        incarnation=f"{name}/1",
+        store=cast("StoreClient", store),
+        pool=ConnectionPool(lambda _: None),
+        service_list=service_list,
+        endpoint_states=EndpointStates(service_list),
+        hosts=directory,
+        token_accounts=accounts,
+        crash_register=CrashRegister(),
+        losses=losses,
+        claim_witness=ClaimWitness(f"{name}/1"),
+        placer=Placer(),
+        events=RecordingEventLog(),
+        metrics=Metrics(),
+        rng=random.Random(number),
+    )
