Crashing stand-in: count a crash when it happens

The red test test_request_under_suspicion_is_not_sent_to_a_third_endpoint failed at times: the second copy seemed to crash nothing. Traced: the stand-in counted a crash after its server had closed, and the reset reached the host, whose answer the test awaits, before that. A fault of the stand-in, not of the product; it counts at the crash now.

--- a/tests/standins/crashing_service.py
+++ b/tests/standins/crashing_service.py
@@ -35,10 +35,12 @@
         born: int,
         fatal_body: bytes,
         run_seconds: float,
+        crash_times: list[float],
         *,
         silent: bool,
     ) -> None:
         super().__init__(server_id, body=b"whole")
+        self._crash_times = crash_times
         self._silent = silent
         self._silent_streams: list[anyio.abc.SocketStream] = []
         self.checks_instance = True
@@ -79,6 +81,8 @@
         behaviour: Behaviour,
     ) -> bool:
         if self.bodies[-1] == self._fatal_body:
+            if not self.crashed.is_set():
+                self._crash_times.append(time.monotonic())
             self.crash()
             await anyio.sleep_forever()
         await self._take_time(self.bodies[-1])
@@ -154,6 +158,7 @@
             FIRST_BORN + self._started,
             self.fatal_body,
             self._run_seconds,
+            self.crash_times,
             silent=self._silent,
         )
 
@@ -172,8 +177,6 @@
                     task_status.started()
                     task_status = anyio.TASK_STATUS_IGNORED
                 await endpoint.crashed.wait()
-            if endpoint.bodies and endpoint.bodies[-1] == self.fatal_body:
-                self.crash_times.append(time.monotonic())
             self._tasks.start_soon(self._lapse, endpoint.server_id)
             await anyio.sleep(self._down_seconds)
             self.endpoints[position] = self._new_endpoint()
