Placing: an endpoint that has just crashed gets no request until its next start is listed

For 5 s, or until it sends data, others are preferred; with no other it is still tried. test_placer failed before: at 1.1 s the crashed endpoint was chosen.

--- a/src/knapweeddrum/core/placing/endpoint_condition.py
+++ b/src/knapweeddrum/core/placing/endpoint_condition.py
@@ -11,6 +11,8 @@
     USABLE = "usable"
     DRAINING = "draining"
     """The endpoint has announced that it is leaving."""
+    ENDED = "ended"
+    """The endpoint has crashed; its next start is not listed yet."""
     SILENT = "silent"
     """A request has waited too long and the endpoint has sent no data."""
     EJECTED = "ejected"
--- a/src/knapweeddrum/core/placing/endpoint_state.py
+++ b/src/knapweeddrum/core/placing/endpoint_state.py
@@ -13,6 +13,9 @@
 UNRESPONSIVE_AFTER_SECONDS = 0.7
 """Time without data, with a request unanswered, after which an endpoint is avoided."""
 
+ENDED_SECONDS = 5.0
+"""Time after its crash for which an endpoint is avoided, unless it sends data."""
+
 LOAD_REPORT_LIFETIME_SECONDS = 1.5
 """Age at which a load report is no longer used."""
 
@@ -42,6 +45,7 @@
         self._health = HealthTracker(HEALTH_LIMITS)
         self.last_data_at = float("-inf")
         """Time at which data arrived from the endpoint last."""
+        self._ended_at = float("-inf")
         self._unanswered: dict[str, float] = {}
         self._report: LoadReport | None = None
         self._reported_at = float("-inf")
@@ -79,6 +83,17 @@
         """Avoid the endpoint for a while, as it can't be reached."""
         self._health.eject(now)
 
+    def record_end(self, now: float) -> None:
+        """Avoid the endpoint, as it has crashed; a later start is another endpoint."""
+        self._ended_at = now
+        self.eject(now)
+
+    def is_ended(self, now: float) -> bool:
+        """Return whether the endpoint crashed a short time ago."""
+        return now - self._ended_at < ENDED_SECONDS and (
+            self.last_data_at <= self._ended_at
+        )
+
     def record_load(self, report: LoadReport, now: float) -> None:
         """Record the load that an answer reported."""
         self._report = report
@@ -95,6 +110,8 @@
         """Return whether the endpoint is used, or the first reason why not."""
         if self.entry.draining:
             return EndpointCondition.DRAINING
+        if self.is_ended(now):
+            return EndpointCondition.ENDED
         if self.is_unresponsive(now):
             return EndpointCondition.SILENT
         state = self._health.state(now)
@@ -104,9 +121,10 @@
 
     def is_usable(self, now: float) -> bool:
         """Return whether the endpoint responds and is healthy or free to be probed."""
-        return not self.is_unresponsive(now) and (
-            self._health.state(now) is HealthState.HEALTHY
-            or self._health.may_probe(now)
+        if self.is_unresponsive(now) or self.is_ended(now):
+            return False
+        return self._health.state(now) is HealthState.HEALTHY or self._health.may_probe(
+            now
         )
 
     def is_probing(self, now: float) -> bool:
--- a/src/knapweeddrum/process/entry/crash_detector.py
+++ b/src/knapweeddrum/process/entry/crash_detector.py
@@ -113,7 +113,7 @@
         if sign is None:
             return False
         now = time.monotonic()
-        state.eject(now)
+        state.record_end(now)
         record_crash(self._ctx, state.entry, sign, evidence.age(now))
         return True
 
--- a/tests/core/placing/test_placer.py
+++ b/tests/core/placing/test_placer.py
@@ -3,7 +3,9 @@
 import random
 
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
+from knapweeddrum.core.placing.endpoint_condition import EndpointCondition
 from knapweeddrum.core.placing.endpoint_state import (
+    ENDED_SECONDS,
     UNRESPONSIVE_AFTER_SECONDS,
     EndpointState,
 )
@@ -77,6 +79,18 @@
     assert chosen_id(fleet, cautious, later) != failing.entry.endpoint_id
 
 
+def test_copy_of_a_suspect_is_not_sent_where_an_endpoint_has_just_crashed():
+    """It would only be told that another start has the address."""
+    crashed, other = states(2)
+    crashed.record_end(0.0)
+    req = PlacementRequest(data_centre="a")
+    for now in (0.1, 1.1, ENDED_SECONDS - 0.1):
+        assert chosen_id([crashed, other], req, now) == other.entry.endpoint_id
+    assert crashed.condition(1.1) is EndpointCondition.ENDED
+    crashed.record_data(1.2)
+    assert chosen_id([crashed, other], req, 1.3) == crashed.entry.endpoint_id
+
+
 def test_ejected_endpoint_is_chosen_if_no_other_is_left():
     """If all endpoints fail, one is still chosen; without endpoints, none is."""
     fleet = states(3)
