Crash detector: an endpoint that answers nobody while its neighbours do has crashed

Callers' copies of a request that darkens its endpoints were sent on: an endpoint without reset or refusal was known to have ended only when its entry lapsed, 3.6 to 5 s later, more than stableWindowMs. And a request that waited there opened a case only then.

A request that waits 0.7 s at a silent endpoint opens a case while it is listed, too. Three unanswered connections in a row show the crash if another endpoint of its data centre has sent data since: that tells a dark endpoint from a cut path. What accepted a connection is probed again after 1 s, as it may go dark later.

The red test test_request_that_darkens_endpoints_reaches_few_after_the_third had fixed detection times (3.6 to 5 s), which only the old design has.

Not shown with real processes: a loopback address refuses at once.

--- a/src/knapweeddrum/process/entry/crash_detector.py
+++ b/src/knapweeddrum/process/entry/crash_detector.py
@@ -26,7 +26,7 @@
 
 PROBE_INTERVAL_SECONDS = 0.25
 PROBE_TIMEOUT_SECONDS = 0.25
-UNLISTED_CHECK_SECONDS = 0.5
+SILENCE_CHECK_SECONDS = 0.25
 
 
 class CrashDetector:
@@ -46,24 +46,23 @@
     async def run(self) -> None:
         """Examine losses until cancelled."""
         async with self._losses, anyio.create_task_group() as tasks:
-            tasks.start_soon(self._watch_unlisted, tasks)
+            tasks.start_soon(self._watch_silent, tasks)
             async for loss in self._losses:
                 if not self._is_leaving(loss.state.entry):
                     self._open_case(loss, tasks)
 
-    async def _watch_unlisted(self, tasks: TaskGroup) -> None:
-        """Examine endpoints that are listed no more and owe answers.
+    async def _watch_silent(self, tasks: TaskGroup) -> None:
+        """Examine endpoints that owe answers and send nothing.
 
         They may have ended without closing their connections.
         """
         while True:
-            await anyio.sleep(UNLISTED_CHECK_SECONDS)
+            await anyio.sleep(SILENCE_CHECK_SECONDS)
             now = time.monotonic()
             for state in list(self._ctx.open_attempts.values()):
-                is_examined = instance_name(state.entry) in self._open_cases
-                if is_examined or not state.is_unresponsive(now):
+                if instance_name(state.entry) in self._open_cases:
                     continue
-                if self._listing(state.entry) is not Listing.LISTED:
+                if state.is_unresponsive(now) and not self._is_draining(state.entry):
                     loss = LostConnection(state, now, LossCause.NO_ANSWER)
                     self._open_case(loss, tasks)
 
@@ -104,12 +103,13 @@
         listing = self._listing(state.entry)
         probe = None
         probed_at = time.monotonic()
-        if evidence.needs_probe(listing):
+        if evidence.needs_probe(listing, probed_at):
             probe = await _probe(state.entry.address)
         if evidence.is_alive(state.last_data_at):
             self._ctx.crash_register.forget_cuts(key)
             return True
-        sign = evidence.judge(listing, probe, probed_at)
+        neighbour_data_at = self._neighbour_data_at(state)
+        sign = evidence.judge(listing, probe, probed_at, neighbour_data_at)
         if sign is None:
             return False
         now = time.monotonic()
@@ -117,12 +117,27 @@
         record_crash(self._ctx, state.entry, sign, evidence.age(now))
         return True
 
+    def _neighbour_data_at(self, state: EndpointState) -> float:
+        """Return when another endpoint of the same data centre sent data last."""
+        return max(
+            (
+                other.last_data_at
+                for other in self._ctx.endpoint_states.all()
+                if other is not state
+                and other.entry.data_centre == state.entry.data_centre
+            ),
+            default=float("-inf"),
+        )
+
     def _is_leaving(self, entry: EndpointEntry) -> bool:
         """Return whether the end of the endpoint's connections was to be expected."""
-        listed = self._ctx.service_list.get(entry.endpoint_id)
-        if listed is None:
+        if self._ctx.service_list.get(entry.endpoint_id) is None:
             return self._listing(entry) is Listing.GONE
-        return listed.draining
+        return self._is_draining(entry)
+
+    def _is_draining(self, entry: EndpointEntry) -> bool:
+        listed = self._ctx.service_list.get(entry.endpoint_id)
+        return listed is not None and listed.draining
 
     def _listing(self, entry: EndpointEntry) -> Listing:
         listed = self._ctx.service_list.get(entry.endpoint_id)
