--- a/tests/standins/stamped_server.py
+++ b/tests/standins/stamped_server.py
@@ -6,6 +6,7 @@
 import enum
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator
 
 import anyio
@@ -67,6 +68,10 @@
         self.event_gap = 0.0
         self.checks_instance = False
         """Whether requests that expect another instance get 421."""
+        self.limit = b""
+        """Value of the header Server-Limit in each answer; empty for none."""
+        self.arrival_times: list[float] = []
+        """Monotonic time of each arrival, of rejected requests too."""
         self.plan: list[Behaviour] = []
         self.runs: list[HeaderList] = []
         self.targets: list[bytes] = []
@@ -122,6 +127,7 @@
             return False
         body = await conn.read_body(MAX_BODY_BYTES, IDLE_TIMEOUT_SECONDS)
         self.arrivals += 1
+        self.arrival_times.append(time.monotonic())
         behaviour = self.plan.pop(0) if self.plan else Behaviour.SERVE
         expected = received.headers.text(b"expect-instance")
         if self.checks_instance and expected != self.server_id:
@@ -155,6 +161,8 @@
             return False
         attempt = received.headers.get(b"attempt-id") or b""
         headers = [(b"Attempt-Id", attempt), (b"Server-Load", self.load())]
+        if self.limit:
+            headers.append((b"Server-Limit", self.limit))
         if behaviour is Behaviour.SILENT_REFUSAL:
             await conn.send_reply(503, headers, b"")
             return conn.finish()
