Token claims: take back the pause after a won race

Logs of its first seconds show why: the busiest host won once, at 0.33 s, for the little demand it had seen by then, and then lost 23 times in a row: its own time from read to write is 120 to 200 ms, more than the pauses leave; meanwhile all others paused with requests waiting.

--- a/src/knapweeddrum/process/entry/token_allocator.py
+++ b/src/knapweeddrum/process/entry/token_allocator.py
@@ -28,8 +28,6 @@
 RESERVE_TIMEOUT_SECONDS = 0.3
 """Time after which a request that waits for a claim is refused with a retry-after."""
 STORE_RETRY_SECONDS = 0.1
-PAUSE_POLL_SECONDS = 0.02
-"""Interval at which waiting requests are served from free tokens in a pause."""
 MAX_CLAIM_ATTEMPTS = 6
 """Attempts to write claims; each may fail because another host wrote first."""
 
@@ -166,8 +164,6 @@
             return
         for _ in range(MAX_CLAIM_ATTEMPTS):
             self._reserve_for_waiters()
-            if await self._is_paused():
-                return
             claims = self._plan()
             if claims and await self._write(claims):
                 self._reserve_for_waiters()
@@ -194,19 +190,12 @@
         interval = CLAIM_INTERVAL_SECONDS * self._ctx.rng.uniform(0.7, 1.3)
         return interval if retry is None else retry
 
-    async def _is_paused(self) -> bool:
-        """Return whether the stream is left to other hosts now, after a short wait."""
-        pause = self._pacer.pause(time.monotonic(), is_asked=bool(self._waiters))
-        if pause > 0.0 and self._waiters:
-            await anyio.sleep(min(pause, PAUSE_POLL_SECONDS))
-        return pause > 0.0
-
     async def _write(self, claims: list[TokenClaim]) -> bool:
-        hosts = self._ctx.hosts.host_count()
         if await self._log.write(claims):
-            self._pacer.record_written(hosts, time.monotonic())
+            self._pacer.record_written()
             return True
         if self._log.lost_in_row:
+            hosts = self._ctx.hosts.host_count()
             self._pacer.record_lost(hosts, time.monotonic())
         return False
 
