--- a/src/knapweeddrum/process/entry/token_allocator.py
+++ b/src/knapweeddrum/process/entry/token_allocator.py
@@ -8,7 +8,6 @@
 
 import anyio
 
-from knapweeddrum.core.prepaid.claim_pacer import ClaimPacer
 from knapweeddrum.core.prepaid.token_claim import TokenClaim
 from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
 from knapweeddrum.process.entry.entry_context import EntryContext
@@ -48,7 +47,6 @@
         self._waiters: list[TokenWaiter] = []
         self._wake = anyio.Event()
         self._log = TokenClaimLog(ctx)
-        self._pacer = ClaimPacer(ctx.rng)
         self._claim_lock = anyio.Lock()
         """Held from planning claims until the outcome of their write."""
         self._is_closed = False
@@ -61,7 +59,9 @@
                 await anyio.sleep(STORE_RETRY_SECONDS)
         while True:
             if not self._waiters:
-                with anyio.move_on_after(self._seconds_to_next_plan()):
+                with anyio.move_on_after(
+                    CLAIM_INTERVAL_SECONDS * self._ctx.rng.uniform(0.7, 1.3)
+                ):
                     await self._wake.wait()
             self._wake = anyio.Event()
             async with self._claim_lock:
@@ -155,9 +155,7 @@
     async def _serve_and_claim(self) -> None:
         """Serve the waiters, claiming the tokens that they lack."""
         is_old = (
-            self._log.is_store_unreachable
-            or self._log.age > MAX_CLAIMS_AGE_SECONDS
-            or self._pacer.has_lost
+            self._log.is_store_unreachable or self._log.age > MAX_CLAIMS_AGE_SECONDS
         )
         if self._is_closed or (is_old and not await self._log.read()):
             await self._fail_waiters()
@@ -165,13 +163,11 @@
         for _ in range(MAX_CLAIM_ATTEMPTS):
             self._reserve_for_waiters()
             claims = self._plan()
-            if claims and await self._write(claims):
+            if claims and await self._log.write(claims):
                 self._reserve_for_waiters()
                 claims = []
-            if not self._waiters:
+            if not claims and not self._waiters:
                 return
-            if claims:
-                await self._leave_to_needier_hosts()
             if not await self._log.read():
                 await self._fail_waiters()
                 return
@@ -181,24 +177,6 @@
                 return
         self._ctx.metrics.count(CLAIM_GIVEN_UP)
 
-    async def _leave_to_needier_hosts(self) -> None:
-        hosts = self._ctx.hosts.host_count()
-        await anyio.sleep(self._pacer.delay_after_loss(hosts, len(self._waiters)))
-
-    def _seconds_to_next_plan(self) -> float:
-        retry = self._pacer.seconds_to_retry(time.monotonic())
-        interval = CLAIM_INTERVAL_SECONDS * self._ctx.rng.uniform(0.7, 1.3)
-        return interval if retry is None else retry
-
-    async def _write(self, claims: list[TokenClaim]) -> bool:
-        if await self._log.write(claims):
-            self._pacer.record_written()
-            return True
-        if self._log.lost_in_row:
-            hosts = self._ctx.hosts.host_count()
-            self._pacer.record_lost(hosts, time.monotonic())
-        return False
-
     def _plan(self) -> list[TokenClaim]:
         ctx = self._ctx
         own = ctx.token_accounts.plan_claims(
