--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -17,6 +17,7 @@
 import h11
 from anyio.abc import SocketAttribute, SocketStream
 
+from knapweeddrum.http.body_framing import BodyFraming, reply_framing
 from knapweeddrum.http.exceptions import (
     MalformedReplyError,
     NoReplyError,
@@ -40,9 +41,10 @@
 class RawReplyHead:
     """Status and headers of a reply; names and values are bytes, as received."""
 
-    def __init__(self, status: int, headers: HeaderList) -> None:
+    def __init__(self, status: int, headers: HeaderList, framing: BodyFraming) -> None:
         self.status = status
         self.headers = headers
+        self.framing = framing
 
 
 class ClientConnection:
@@ -122,7 +124,8 @@
             if isinstance(event, h11.Response):
                 headers = HeaderList(event.headers.raw_items())
                 self._update_idle_timeout(headers)
-                return RawReplyHead(event.status_code, headers)
+                framing = reply_framing(headers, event.http_version)
+                return RawReplyHead(event.status_code, headers, framing)
             if not isinstance(event, h11.InformationalResponse):
                 raise MalformedReplyError(
                     f"expected the head of a reply, got {type(event).__name__}"
--- a/src/knapweeddrum/platform/endpoint_protocol.py
+++ b/src/knapweeddrum/platform/endpoint_protocol.py
@@ -6,6 +6,7 @@
 
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.core.placing.load_report import LoadReport
+from knapweeddrum.http.body_framing import BodyFraming
 from knapweeddrum.http.client_connection import RawReplyHead
 from knapweeddrum.http.header_list import Header
 from knapweeddrum.platform import header_names as names
@@ -31,8 +32,7 @@
     moved: bool
     """Whether another endpoint than the expected one serves the address."""
     load: LoadReport | None
-    has_content_length: bool
-    """Whether the reply has a Content-Length header."""
+    framing: BodyFraming
     headers: list[Header]
     """Headers that are passed on to the caller."""
 
@@ -78,7 +78,7 @@
         not_run=headers.get(names.NOT_EXECUTED) is not None,
         moved=head.status == MOVED_STATUS,
         load=_decode_load(headers.text(names.SERVER_LOAD)),
-        has_content_length=headers.get(names.CONTENT_LENGTH) is not None,
+        framing=head.framing,
         headers=headers.end_to_end(names.STRIPPED_REPLY_HEADERS),
     )
 
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -153,9 +153,12 @@
         state = self._choose_endpoint()
         resume_after = self._splitter.last_id or job.req.resume_after
         job.endpoint_id = state.entry.endpoint_id
+        job.answer_framing = None
+        job.rest_bytes = 0
         job.tried.add(job.endpoint_id)
         self._log.attempt_starting(state)
         async with endpoint_attempt(self._ctx, job, state, resume_after) as answer:
+            job.answer_framing = answer.head.framing
             if answer.head.status >= 500 and self._may_retry_error():
                 raise AttemptError(
                     RetryReason.ENDPOINT_ERROR,
@@ -266,6 +269,7 @@
             self._log.resumed(self._splitter.last_id)
         while (data := await answer.next_data()) is not None:
             complete_events = self._splitter.feed(data)
+            self._job.rest_bytes = len(self._splitter.incomplete_event)
             if complete_events:
                 await self._forward(answer, complete_events)
         self._answer_complete = True
--- a/src/knapweeddrum/process/entry/request_job.py
+++ b/src/knapweeddrum/process/entry/request_job.py
@@ -6,6 +6,7 @@
 
 from knapweeddrum.core.catalog.organisation import Organisation
 from knapweeddrum.core.catalog.route import Route
+from knapweeddrum.http.body_framing import BodyFraming
 from knapweeddrum.platform.caller_request import CallerRequest
 
 
@@ -43,6 +44,10 @@
     """Ids of the endpoints that are not tried again."""
     endpoint_id: str = ""
     first_chunk_at: float | None = None
+    answer_framing: BodyFraming | None = None
+    """Framing of the last attempt's answer, None before it."""
+    rest_bytes: int = 0
+    """Bytes received of that answer after its last complete event."""
 
     @property
     def may_have_run(self) -> bool:
--- a/src/knapweeddrum/process/entry/request_log.py
+++ b/src/knapweeddrum/process/entry/request_log.py
@@ -77,6 +77,8 @@
             reason=exc.reason,
             run_state=exc.run_state,
             error=str(exc),
+            framing=self._job.answer_framing,
+            rest_bytes=self._job.rest_bytes,
             after_ms=self._elapsed_ms(),
         )
 
@@ -104,6 +106,8 @@
             request=job.req.attempt_id,
             endpoint=job.endpoint_id,
             status=status,
+            framing=job.answer_framing,
+            rest_bytes=job.rest_bytes,
             first_ms=milliseconds(first_chunk_latency),
             total_ms=self._elapsed_ms(),
             tokens_spent=tokens_spent,
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -91,13 +91,31 @@
     602,
     "attempt_failed",
     "warning",
-    ("request", "endpoint", "reason", "run_state", "error", "after_ms"),
+    (
+        "request",
+        "endpoint",
+        "reason",
+        "run_state",
+        "error",
+        "framing",
+        "rest_bytes",
+        "after_ms",
+    ),
 )
 REQUEST_ANSWERED = Event(
     603,
     "request_answered",
     "info",
-    ("request", "endpoint", "status", "first_ms", "total_ms", "tokens_spent"),
+    (
+        "request",
+        "endpoint",
+        "status",
+        "framing",
+        "rest_bytes",
+        "first_ms",
+        "total_ms",
+        "tokens_spent",
+    ),
 )
 REQUEST_ABANDONED = Event(
     604, "request_abandoned", "info", ("request", "after_ms", "sent", "tokens_spent")
