--- /dev/null
+++ b/tests/standins/scripted_server.py
@@ -0,0 +1,126 @@
+"""Stand-in for an endpoint that sends scripted bytes as its next answers."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+import anyio
+import anyio.abc
+
+from knapweeddrum.http.body_framing import BodyFraming
+from knapweeddrum.http.server_connection import ReceivedRequest, ServerConnection
+from tests.standins.stamped_server import Behaviour, StampedServer, reset_when_closed
+
+STREAM_TYPE = b"text/event-stream"
+DISCONNECT_ERRORS = (anyio.BrokenResourceError, anyio.ClosedResourceError)
+
+
+def event(number: int) -> bytes:
+    """Return an event as StampedServer sends it."""
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
+class Ending(enum.Enum):
+    """What follows the last scripted byte of a body."""
+
+    END = "end"
+    """The body ends as its framing says."""
+    RESET = "reset"
+    """The connection is reset before the body has ended."""
+    CRASH = "crash"
+    """The connection ends and the server listens no more."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Script:
+    """An answer with status 200; ``body`` is sent piece by piece.
+
+    ``preamble`` is sent before the head. With ``endless`` these bytes are repeated
+    after the body, ``endless_gap`` seconds apart, until the connection closes.
+    """
+
+    body: tuple[bytes, ...] = ()
+    framing: BodyFraming = BodyFraming.CONNECTION
+    ending: Ending = Ending.END
+    http_version: bytes = b"1.1"
+    content_type: bytes = STREAM_TYPE
+    preamble: bytes = b""
+    endless: bytes = b""
+    endless_gap: float = 0.0
+    has_head: bool = True
+    piece_gap: float = 0.02
+
+
+class ScriptedServer(StampedServer):
+    """Answers as ``scripts`` says, which servers may share, then as its base class."""
+
+    def __init__(
+        self,
+        server_id: str,
+        scripts: list[Script],
+        *,
+        events: int = 0,
+        body: bytes = b"",
+    ) -> None:
+        super().__init__(server_id, events=events, body=body)
+        self.scripts = scripts
+        self.closed_early = 0
+        """Endless answers whose connection was closed."""
+        self.crashed = anyio.Event()
+
+    async def _run(
+        self,
+        conn: ServerConnection,
+        stream: anyio.abc.SocketStream,
+        received: ReceivedRequest,
+        behaviour: Behaviour,
+    ) -> bool:
+        if not self.scripts:
+            return await super()._run(conn, stream, received, behaviour)
+        script = self.scripts.pop(0)
+        try:
+            await self._send_script(stream, received, script)
+        except DISCONNECT_ERRORS:
+            self.closed_early += bool(script.endless)
+            return False
+        if script.ending is Ending.RESET:
+            reset_when_closed(stream)
+        if script.ending is Ending.CRASH:
+            self.crashed.set()
+        return False
+
+    async def _send_script(
+        self, stream: anyio.abc.SocketStream, received: ReceivedRequest, script: Script
+    ) -> None:
+        if script.preamble:
+            await stream.send(script.preamble)
+        if script.has_head:
+            await stream.send(self._head(received, script))
+        for piece in script.body:
+            await stream.send(_framed(piece, script.framing))
+            await anyio.sleep(script.piece_gap)
+        while script.endless:
+            await stream.send(_framed(script.endless, script.framing))
+            await anyio.sleep(script.endless_gap)
+        if script.ending is Ending.END and script.framing is BodyFraming.CHUNKS:
+            await stream.send(b"0\r\n\r\n")
+
+    def _head(self, received: ReceivedRequest, script: Script) -> bytes:
+        lines = [
+            b"HTTP/%s 200 OK" % script.http_version,
+            b"Attempt-Id: " + received.headers.text(b"attempt-id").encode(),
+            b"Response-Stamp: stamp-" + self.server_id.encode(),
+            b"Content-Type: " + script.content_type,
+        ]
+        if script.framing is BodyFraming.CHUNKS:
+            lines.append(b"Transfer-Encoding: chunked")
+        if script.framing is BodyFraming.LENGTH:
+            lines.append(b"Content-Length: %d" % sum(map(len, script.body)))
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def _framed(piece: bytes, framing: BodyFraming) -> bytes:
+    if framing is BodyFraming.CHUNKS:
+        return b"%x\r\n%s\r\n" % (len(piece), piece)
+    return piece
