Answers: one place decides whether an answer that has ended is whole

Cause: RequestHandler took the end of the body for the end of the stream and passed on what the splitter still held. Transport, splitter and handler each knew a part; none put them together. The same half event ended in a good frame for chunks and lengths too, was not resumed, counted as a completed run and charged the whole reservation.

An end of the connection inside an event is a lost connection (resumed, cut at the caller, a cut run for the recognition of crashing requests); a framed end inside an event is stream_cut. An end of the connection exactly after an event, or of a plain body, can't be told by its bytes: the endpoint is asked for a connection, and a refusal says that it broke off. That costs such an answer one round trip and a connection; framed ones nothing. An endpoint that had said it leaves isn't asked.

EventSplitter knows CR LF, CR and a byte order mark, searches each byte a bounded number of times, and counts no comments. A 200 on a streaming route that says it is no event stream is passed on as a plain body.

Open, red: a caller of HTTP/1.0 still gets a broken stream whose connection ends in good order.

--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -17,7 +17,6 @@
 import h11
 from anyio.abc import SocketAttribute, SocketStream
 
-from knapweeddrum.http.body_framing import BodyFraming, reply_framing
 from knapweeddrum.http.exceptions import (
     MalformedReplyError,
     NoReplyError,
@@ -25,11 +24,13 @@
     PeerRefusedError,
 )
 from knapweeddrum.http.header_list import Header, HeaderList
+from knapweeddrum.value.body_framing import BodyFraming
 
 MAX_RECEIVE_BYTES = 65_536
 MAX_INLINE_REQUEST_BYTES = 61_440
 """Largest request that is written before, not while, the reply is read."""
 MAX_REPLY_HEAD_BYTES = 65_536
+BODILESS_STATUSES = frozenset({204, 304})
 DEFAULT_IDLE_TIMEOUT_SECONDS = 12.0
 """Idle time after which a connection is not reused, if the server announces none."""
 IDLE_TIMEOUT_MARGIN_SECONDS = 0.8
@@ -124,7 +125,7 @@
             if isinstance(event, h11.Response):
                 headers = HeaderList(event.headers.raw_items())
                 self._update_idle_timeout(headers)
-                framing = reply_framing(headers, event.http_version)
+                framing = self._framing(event, headers)
                 return RawReplyHead(event.status_code, headers, framing)
             if not isinstance(event, h11.InformationalResponse):
                 raise MalformedReplyError(
@@ -253,6 +254,15 @@
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
             raise NoReplyError(f"connection lost: {exc!r}") from exc
 
+    def _framing(self, response: h11.Response, headers: HeaderList) -> BodyFraming:
+        if response.status_code in BODILESS_STATUSES or self._request_method == b"HEAD":
+            return BodyFraming.LENGTH
+        if response.http_version >= b"1.1" and headers.text(b"transfer-encoding"):
+            return BodyFraming.CHUNKS
+        if headers.get(b"content-length") is not None:
+            return BodyFraming.LENGTH
+        return BodyFraming.CONNECTION
+
     def _update_idle_timeout(self, headers: HeaderList) -> None:
         for part in headers.text(b"keep-alive").split(","):
             name, _, value = part.strip().partition("=")
--- a/src/knapweeddrum/http/event_splitter.py
+++ b/src/knapweeddrum/http/event_splitter.py
@@ -2,43 +2,84 @@
 
 from __future__ import annotations
 
-EVENT_END = b"\n\n"
-ID_FIELD = b"id:"
+import re
+from collections.abc import Iterable
+
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+LINE_END = re.compile(rb"\r\n|\n|\r")
+EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
+LONGEST_EVENT_END_BYTES = 4
 
 
 class EventSplitter:
-    """Returns complete events only; ``last_id`` is the identifier of the last one."""
+    """Returns complete events only; ``last_id`` is the identifier of the last one.
+
+    Lines may end with LF, CR LF or CR.
+    """
 
     def __init__(self) -> None:
         self.last_id = ""
         self.event_count = 0
-        """Complete events so far."""
-        self._incomplete = b""
+        """Complete events so far; a comment is none."""
+        self._rest = bytearray()
+        self._searched_bytes = 0
+        """Bytes of the rest that are known to contain no end of an event."""
+
+    @property
+    def rest(self) -> bytes:
+        """Return the bytes after the last complete event."""
+        return bytes(self._rest)
+
+    @property
+    def rest_bytes(self) -> int:
+        """Return the number of bytes after the last complete event."""
+        return len(self._rest)
 
     @property
-    def incomplete_event(self) -> bytes:
-        """Return the bytes of an incomplete event at the end of the stream."""
-        return self._incomplete
+    def is_inside_event(self) -> bool:
+        """Return whether an event has begun and not ended.
+
+        Comments and line ends between two events belong to neither.
+        """
+        return _has_field(_lines(self._rest))
 
     def feed(self, data: bytes) -> bytes:
         """Return the bytes of the events that ``data`` completes."""
-        buffered = self._incomplete + data
-        end = buffered.rfind(EVENT_END)
-        if end < 0:
-            self._incomplete = buffered
+        self._rest += data
+        end = self._last_event_end()
+        if end == 0:
+            self._searched_bytes = max(0, len(self._rest) - LONGEST_EVENT_END_BYTES)
             return b""
-        events = buffered[: end + len(EVENT_END)]
-        self._incomplete = buffered[end + len(EVENT_END) :]
-        self.event_count += events.count(EVENT_END)
-        self._update_last_id(events)
+        events = bytes(self._rest[:end])
+        del self._rest[:end]
+        self._searched_bytes = 0
+        for event in EVENT_END.split(events):
+            self._record(event)
         return events
 
     def reset(self) -> None:
         """Discard an incomplete event before the stream is resumed."""
-        self._incomplete = b""
+        self._rest.clear()
+        self._searched_bytes = 0
+
+    def _last_event_end(self) -> int:
+        end = 0
+        for match in EVENT_END.finditer(self._rest, self._searched_bytes):
+            end = match.end()
+        return end
+
+    def _record(self, event: bytes) -> None:
+        lines = _lines(event)
+        self.event_count += _has_field(lines)
+        for line in lines:
+            name, _, value = line.partition(b":")
+            if name == b"id":
+                self.last_id = value.strip().decode("latin-1")
+
+
+def _lines(data: bytes | bytearray) -> list[bytes]:
+    return LINE_END.split(bytes(data).removeprefix(BYTE_ORDER_MARK))
+
 
-    def _update_last_id(self, events: bytes) -> None:
-        for line in reversed(events.split(b"\n")):
-            if line.startswith(ID_FIELD):
-                self.last_id = line[len(ID_FIELD) :].strip().decode("latin-1")
-                return
+def _has_field(lines: Iterable[bytes]) -> bool:
+    return any(line and not line.startswith(b":") for line in lines)
--- a/src/knapweeddrum/http/exceptions.py
+++ b/src/knapweeddrum/http/exceptions.py
@@ -27,6 +27,10 @@
     """The bytes received are not a valid reply to the request."""
 
 
+class TruncatedReplyError(NoReplyError):
+    """The connection ended and the reply received is not whole."""
+
+
 class MalformedRequestError(Exception):
     """A request is invalid; ``status`` is the HTTP status to reply with."""
 
--- a/src/knapweeddrum/platform/endpoint_protocol.py
+++ b/src/knapweeddrum/platform/endpoint_protocol.py
@@ -6,14 +6,15 @@
 
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.core.placing.load_report import LoadReport
-from knapweeddrum.http.body_framing import BodyFraming
 from knapweeddrum.http.client_connection import RawReplyHead
 from knapweeddrum.http.header_list import Header
 from knapweeddrum.platform import header_names as names
 from knapweeddrum.platform.caller_request import CallerRequest
+from knapweeddrum.value.body_framing import BodyFraming
 
 LOWEST_PRIORITY = 9
 MOVED_STATUS = 421
+EVENT_STREAM_TYPE = "text/event-stream"
 METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE"})
 
 
@@ -33,6 +34,8 @@
     """Whether another endpoint than the expected one serves the address."""
     load: LoadReport | None
     framing: BodyFraming
+    is_event_stream: bool
+    """Whether the body is a stream of events; assumed if the reply doesn't say."""
     headers: list[Header]
     """Headers that are passed on to the caller."""
 
@@ -79,6 +82,7 @@
         moved=head.status == MOVED_STATUS,
         load=_decode_load(headers.text(names.SERVER_LOAD)),
         framing=head.framing,
+        is_event_stream=_is_event_stream(headers.text(names.CONTENT_TYPE)),
         headers=headers.end_to_end(names.STRIPPED_REPLY_HEADERS),
     )
 
@@ -93,6 +97,10 @@
     return headers
 
 
+def _is_event_stream(content_type: str) -> bool:
+    return not content_type or content_type.lower().startswith(EVENT_STREAM_TYPE)
+
+
 def _decode_load(value: str) -> LoadReport | None:
     figures = value.split(",")
     if len(figures) != 3 or not all(part.strip().isdigit() for part in figures):
--- a/src/knapweeddrum/platform/header_names.py
+++ b/src/knapweeddrum/platform/header_names.py
@@ -14,6 +14,7 @@
 RESPONSE_STAMP = b"response-stamp"
 NOT_EXECUTED = b"not-executed"
 SERVER_LOAD = b"server-load"
+CONTENT_TYPE = b"content-type"
 CONTENT_ENCODING = b"content-encoding"
 CONTENT_LENGTH = b"content-length"
 
--- /dev/null
+++ b/src/knapweeddrum/process/entry/answer_relay.py
@@ -0,0 +1,170 @@
+"""Passes an endpoint's answer on to the caller."""
+
+from __future__ import annotations
+
+import time
+
+from knapweeddrum.core.admission.crash_evidence import ProbeResult
+from knapweeddrum.core.catalog.route_kind import RouteKind
+from knapweeddrum.core.routing.answer_end import AnswerEnd
+from knapweeddrum.core.routing.answer_verdict import (
+    AnswerVerdict,
+    judge_body,
+    judge_by_endpoint,
+    judge_stream,
+)
+from knapweeddrum.http.event_splitter import EventSplitter
+from knapweeddrum.http.exceptions import TruncatedReplyError
+from knapweeddrum.http.header_list import Header
+from knapweeddrum.http.server_connection import ServerConnection
+from knapweeddrum.process.entry.attempt_error import AttemptError
+from knapweeddrum.process.entry.endpoint_attempt import EndpointAnswer
+from knapweeddrum.process.entry.endpoint_probe import probe_endpoint
+from knapweeddrum.process.entry.request_job import RequestJob
+from knapweeddrum.process.entry.request_log import RequestLog
+from knapweeddrum.value.body_framing import BodyFraming
+from knapweeddrum.value.retry_reason import RetryReason
+from knapweeddrum.value.run_state import RunState
+
+MAX_BUFFERED_BODY_BYTES = 4 * 1024 * 1024
+"""Largest answer that is buffered before it is passed on to the caller."""
+
+MAX_UNDELIVERED_EVENTS = 2
+"""Events that an endpoint may have generated but not delivered at a disconnect."""
+
+
+class AnswerRelay:
+    """Relays the answers to the attempts of one request as one answer."""
+
+    def __init__(
+        self, caller: ServerConnection, job: RequestJob, log: RequestLog
+    ) -> None:
+        self._caller = caller
+        self._job = job
+        self._log = log
+        self._splitter = EventSplitter()
+        self._is_complete = False
+        self._has_uncountable_output = False
+        """Whether the caller got output whose tokens can't be counted by events."""
+        self.started = False
+        """Whether the caller got the head of the answer."""
+
+    @property
+    def last_event_id(self) -> str:
+        """Return the identifier of the last event passed on, empty if none."""
+        return self._splitter.last_id
+
+    def tokens_to_charge(self) -> int:
+        """Return the tokens to charge, an upper bound if the answer is incomplete."""
+        job = self._job
+        if not job.may_have_run:
+            return 0
+        if self._has_uncountable_output:
+            return job.reserved_tokens
+        undelivered = 0 if self._is_complete else MAX_UNDELIVERED_EVENTS
+        events = self._splitter.event_count + undelivered
+        generated = job.input_tokens + events * job.tokens_per_event
+        return min(job.reserved_tokens, generated)
+
+    def prepare_retry(self) -> None:
+        """Discard what a failed attempt left, before another is made."""
+        self._splitter.reset()
+
+    async def relay(self, answer: EndpointAnswer) -> None:
+        """Pass on a whole answer.
+
+        Raises AttemptError or NoReplyError if it broke off, and PeerDisconnectedError.
+        """
+        head = answer.head
+        streamed = self._job.route.kind is RouteKind.STREAMING and head.status < 300
+        if streamed and head.is_event_stream:
+            await self._relay_stream(answer)
+        elif self.started:
+            raise AttemptError(
+                RetryReason.ENDPOINT_ERROR,
+                RunState.RAN,
+                f"stream not resumed: status {head.status}",
+            )
+        else:
+            await self._relay_buffered(answer)
+
+    async def _relay_buffered(self, answer: EndpointAnswer) -> None:
+        body = bytearray()
+        while (data := await answer.next_data()) is not None:
+            body += data
+            if len(body) > MAX_BUFFERED_BODY_BYTES:
+                raise AttemptError(
+                    RetryReason.MALFORMED_ANSWER, RunState.RAN, "answer too long"
+                )
+        await self._require_whole(answer, judge_body(answer.head.framing))
+        self._record_first_chunk(answer)
+        self._has_uncountable_output = answer.head.status < 300
+        headers = _without_length(answer.head.headers)
+        await self._caller.send_reply(answer.head.status, headers, bytes(body))
+        self._log.answered(answer.head.status, self.tokens_to_charge())
+
+    async def _relay_stream(self, answer: EndpointAnswer) -> None:
+        """Pass on complete events as they arrive."""
+        splitter = self._splitter
+        if self.started:
+            self._log.resumed(splitter.last_id)
+        while (data := await answer.next_data()) is not None:
+            complete_events = splitter.feed(data)
+            self._job.rest_bytes = splitter.rest_bytes
+            if complete_events:
+                await self._forward(answer, complete_events)
+        verdict = judge_stream(
+            answer.head.framing,
+            inside_event=splitter.is_inside_event,
+            has_events=splitter.event_count > 0,
+        )
+        await self._require_whole(answer, verdict)
+        await self._forward(answer, splitter.rest)
+        await self._caller.end_reply()
+        self._log.answered(answer.head.status, self.tokens_to_charge())
+
+    async def _require_whole(
+        self, answer: EndpointAnswer, verdict: AnswerVerdict
+    ) -> None:
+        """Raise an error if the answer broke off."""
+        if verdict.end is AnswerEnd.UNKNOWN:
+            verdict = await _ask_endpoint(answer)
+        self._log.answer_ended(verdict)
+        if verdict.end is AnswerEnd.WHOLE:
+            self._is_complete = True
+            return
+        detail = f"answer broke off: {verdict.reason}"
+        if answer.head.framing is BodyFraming.CONNECTION:
+            raise TruncatedReplyError(detail)
+        raise AttemptError(RetryReason.STREAM_CUT, RunState.RAN, detail)
+
+    async def _forward(self, answer: EndpointAnswer, data: bytes) -> None:
+        if not self.started:
+            self._record_first_chunk(answer)
+            self.started = True
+            headers = answer.head.headers
+            if self._job.route.resumable:
+                # A resumed stream may have a different length.
+                headers = _without_length(headers)
+            await self._caller.start_reply(answer.head.status, headers)
+        if data:
+            await self._caller.send_data(data)
+
+    def _record_first_chunk(self, answer: EndpointAnswer) -> None:
+        answer.first_chunk_received = True
+        if self._job.first_chunk_at is None:
+            self._job.first_chunk_at = time.monotonic()
+
+
+async def _ask_endpoint(answer: EndpointAnswer) -> AnswerVerdict:
+    """Judge an answer by whether its endpoint still accepts connections."""
+    entry = answer.state.entry
+    if entry.draining:
+        # Its process may end just after a whole answer.
+        return judge_by_endpoint(refuses_connections=False)
+    probe = await probe_endpoint(entry.address)
+    return judge_by_endpoint(refuses_connections=probe is ProbeResult.REFUSED)
+
+
+def _without_length(headers: list[Header]) -> list[Header]:
+    return [pair for pair in headers if pair[0].lower() != b"content-length"]
--- a/src/knapweeddrum/process/entry/crash_detector.py
+++ b/src/knapweeddrum/process/entry/crash_detector.py
@@ -11,21 +11,18 @@
 from knapweeddrum.core.admission.crash_evidence import (
     CrashEvidence,
     Listing,
-    ProbeResult,
 )
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.placing.endpoint_states import instance_name
-from knapweeddrum.http.client_connection import ClientConnection
-from knapweeddrum.http.exceptions import NotSentError, PeerRefusedError
 from knapweeddrum.process.entry.crash_records import record_crash
+from knapweeddrum.process.entry.endpoint_probe import probe_endpoint
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.lost_connection import LossCause, LostConnection
 from knapweeddrum.telemetry.events import ENDPOINT_EXAMINED
 from knapweeddrum.value.identifiers import EndpointName
 
 PROBE_INTERVAL_SECONDS = 0.25
-PROBE_TIMEOUT_SECONDS = 0.25
 SILENCE_CHECK_SECONDS = 0.25
 
 
@@ -104,7 +101,7 @@
         probe = None
         probed_at = time.monotonic()
         if evidence.needs_probe(listing, probed_at):
-            probe = await _probe(state.entry.address)
+            probe = await probe_endpoint(state.entry.address)
         if evidence.is_alive(state.last_data_at):
             self._ctx.crash_register.forget_cuts(key)
             return True
@@ -156,14 +153,3 @@
     return instance_name(other) != instance_name(entry) and (
         other.started_at_ms >= entry.started_at_ms
     )
-
-
-async def _probe(address: str) -> ProbeResult:
-    try:
-        conn = await ClientConnection.connect(address, PROBE_TIMEOUT_SECONDS)
-    except PeerRefusedError:
-        return ProbeResult.REFUSED
-    except NotSentError:
-        return ProbeResult.UNANSWERED
-    await conn.close()
-    return ProbeResult.CONNECTED
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -6,25 +6,21 @@
 
 import anyio
 
-from knapweeddrum.core.catalog.route_kind import RouteKind
 from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.placing.placer import PlacementRequest
 from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
 from knapweeddrum.core.routing.failed_attempt import FailedAttempt
 from knapweeddrum.core.routing.failover_policy import RETRY_AFTER_FRACTION
 from knapweeddrum.core.routing.give_up import GiveUp
-from knapweeddrum.http.event_splitter import EventSplitter
 from knapweeddrum.http.exceptions import NoReplyError
 from knapweeddrum.http.server_connection import ServerConnection
+from knapweeddrum.process.entry.answer_relay import AnswerRelay
 from knapweeddrum.process.entry.attempt_error import AttemptError
 from knapweeddrum.process.entry.crash_records import (
     choose_apart_from_suspects,
     crash_constraints,
 )
-from knapweeddrum.process.entry.endpoint_attempt import (
-    EndpointAnswer,
-    endpoint_attempt,
-)
+from knapweeddrum.process.entry.endpoint_attempt import endpoint_attempt
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.refused_error import RefusedError
 from knapweeddrum.process.entry.request_admission import refused
@@ -35,12 +31,6 @@
 from knapweeddrum.value.retry_reason import RetryReason
 from knapweeddrum.value.run_state import RunState
 
-MAX_BUFFERED_BODY_BYTES = 4 * 1024 * 1024
-"""Largest answer that is buffered before it is passed on to the caller."""
-
-MAX_UNDELIVERED_EVENTS = 2
-"""Events that an endpoint may have generated but not delivered at a disconnect."""
-
 REASON_BY_VERDICT = {
     TokenVerdict.EXHAUSTED: RefusalReason.BUDGET_EXHAUSTED,
     TokenVerdict.HELD_ELSEWHERE: RefusalReason.TOKENS_HELD_ELSEWHERE,
@@ -60,15 +50,10 @@
     ) -> None:
         self._ctx = ctx
         self._allocator = allocator
-        self._caller = caller
         self._job = job
         self._policy = ctx.failover_policy(job.service, time.monotonic())
         self._log = RequestLog(ctx, job)
-        self._splitter = EventSplitter()
-        self._answer_started = False
-        self._answer_complete = False
-        self._has_uncountable_output = False
-        """Whether the caller got output whose tokens can't be counted by events."""
+        self._relay = AnswerRelay(caller, job, self._log)
         self._last_failure: AttemptError | None = None
         self.spent = 0
         """Prepaid tokens charged for the request, set when it ends."""
@@ -92,7 +77,7 @@
             await self._attempt_until_answered()
         finally:
             if organisation is not None and reserved:
-                self.spent = self._tokens_to_charge()
+                self.spent = self._relay.tokens_to_charge()
                 self._allocator.settle(organisation, reserved, self.spent)
 
     def _prepaid_organisation(self) -> str | None:
@@ -113,19 +98,6 @@
         detail = f"wants {tokens} tokens: {self._allocator.describe(organisation)}"
         raise refused(REASON_BY_VERDICT[verdict], RunState.NOT_RUN, retry_after, detail)
 
-    def _tokens_to_charge(self) -> int:
-        """Return the tokens to charge, an upper bound if the answer is incomplete."""
-        job = self._job
-        if not job.may_have_run:
-            return 0
-        if self._has_uncountable_output:
-            return job.reserved_tokens
-        events = self._splitter.event_count + (
-            0 if self._answer_complete else MAX_UNDELIVERED_EVENTS
-        )
-        generated = job.input_tokens + events * job.tokens_per_event
-        return min(job.reserved_tokens, generated)
-
     async def _attempt_until_answered(self) -> None:
         with anyio.CancelScope(deadline=self._job.deadline) as scope:
             while True:
@@ -139,7 +111,7 @@
 
     def _raise_deadline_error(self) -> None:
         job = self._job
-        if self._answer_started:
+        if self._relay.started:
             raise AttemptError(
                 RetryReason.DEADLINE, RunState.UNKNOWN, "deadline passed"
             )
@@ -151,7 +123,7 @@
     async def _attempt(self) -> None:
         job = self._job
         state = self._choose_endpoint()
-        resume_after = self._splitter.last_id or job.req.resume_after
+        resume_after = self._relay.last_event_id or job.req.resume_after
         job.endpoint_id = state.entry.endpoint_id
         job.answer_framing = None
         job.rest_bytes = 0
@@ -165,17 +137,7 @@
                     RunState.RAN,
                     f"status {answer.head.status}",
                 )
-            streamed = job.route.kind is RouteKind.STREAMING
-            if streamed and answer.head.status < 300:
-                await self._relay_stream(answer)
-            elif self._answer_started:
-                raise AttemptError(
-                    RetryReason.ENDPOINT_ERROR,
-                    RunState.RAN,
-                    f"stream not resumed: status {answer.head.status}",
-                )
-            else:
-                await self._relay_buffered(answer)
+            await self._relay.relay(answer)
 
     def _may_retry_error(self) -> bool:
         route = self._job.route
@@ -232,9 +194,9 @@
         decision = self._policy.decide(failure, job.route.max_attempts, now)
         if not isinstance(decision, GiveUp):
             self._log.retried(decision.reason, self._policy.budget)
-            self._splitter.reset()
+            self._relay.prepare_retry()
             return
-        if self._answer_started:
+        if self._relay.started:
             raise exc
         raise RefusedError(decision.refusal) from exc
 
@@ -243,58 +205,3 @@
         if exc.run_state is RunState.NOT_RUN:
             return 0
         return self._job.earlier_crashes + self._job.lost_connections
-
-    async def _relay_buffered(self, answer: EndpointAnswer) -> None:
-        body = bytearray()
-        while (data := await answer.next_data()) is not None:
-            body += data
-            if len(body) > MAX_BUFFERED_BODY_BYTES:
-                raise AttemptError(
-                    RetryReason.MALFORMED_ANSWER, RunState.RAN, "answer too long"
-                )
-        self._record_first_chunk(answer)
-        self._answer_complete = True
-        self._has_uncountable_output = answer.head.status < 300
-        headers = [
-            (name, value)
-            for name, value in answer.head.headers
-            if name.lower() != b"content-length"
-        ]
-        await self._caller.send_reply(answer.head.status, headers, bytes(body))
-        self._log.answered(answer.head.status, self._tokens_to_charge())
-
-    async def _relay_stream(self, answer: EndpointAnswer) -> None:
-        """Pass on complete events as they arrive."""
-        if self._answer_started:
-            self._log.resumed(self._splitter.last_id)
-        while (data := await answer.next_data()) is not None:
-            complete_events = self._splitter.feed(data)
-            self._job.rest_bytes = len(self._splitter.incomplete_event)
-            if complete_events:
-                await self._forward(answer, complete_events)
-        self._answer_complete = True
-        self._has_uncountable_output = bool(self._splitter.incomplete_event)
-        await self._forward(answer, self._splitter.incomplete_event)
-        await self._caller.end_reply()
-        self._log.answered(answer.head.status, self._tokens_to_charge())
-
-    async def _forward(self, answer: EndpointAnswer, data: bytes) -> None:
-        if not self._answer_started:
-            self._record_first_chunk(answer)
-            self._answer_started = True
-            headers = answer.head.headers
-            if self._job.route.resumable:
-                # A resumed stream may have a different length.
-                headers = [
-                    (name, value)
-                    for name, value in headers
-                    if name.lower() != b"content-length"
-                ]
-            await self._caller.start_reply(answer.head.status, headers)
-        if data:
-            await self._caller.send_data(data)
-
-    def _record_first_chunk(self, answer: EndpointAnswer) -> None:
-        answer.first_chunk_received = True
-        if self._job.first_chunk_at is None:
-            self._job.first_chunk_at = time.monotonic()
--- a/src/knapweeddrum/process/entry/request_job.py
+++ b/src/knapweeddrum/process/entry/request_job.py
@@ -6,8 +6,8 @@
 
 from knapweeddrum.core.catalog.organisation import Organisation
 from knapweeddrum.core.catalog.route import Route
-from knapweeddrum.http.body_framing import BodyFraming
 from knapweeddrum.platform.caller_request import CallerRequest
+from knapweeddrum.value.body_framing import BodyFraming
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/knapweeddrum/process/entry/request_log.py
+++ b/src/knapweeddrum/process/entry/request_log.py
@@ -5,6 +5,7 @@
 import time
 
 from knapweeddrum.core.placing.endpoint_state import EndpointState
+from knapweeddrum.core.routing.answer_verdict import AnswerVerdict
 from knapweeddrum.core.routing.retry_window import RetryWindow
 from knapweeddrum.process.entry.attempt_error import AttemptError
 from knapweeddrum.process.entry.entry_context import EntryContext
@@ -91,6 +92,10 @@
             after_event=after_event,
         )
 
+    def answer_ended(self, verdict: AnswerVerdict) -> None:
+        """Count how an answer of an endpoint ended."""
+        self._ctx.metrics.count(counters.answer_end_counter(verdict.reason))
+
     def answered(self, status: int, tokens_spent: int) -> None:
         """Log an answer that was passed on completely, and record its latencies."""
         job = self._job
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from knapweeddrum.value.answer_end_reason import AnswerEndReason
 from knapweeddrum.value.control_refusal_reason import ControlRefusalReason
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.retry_reason import RetryReason
@@ -94,6 +95,11 @@
     return f"control.refusal.{reason.value}"
 
 
+def answer_end_counter(reason: AnswerEndReason) -> str:
+    """Return the name of the counter of answers of endpoints that ended this way."""
+    return f"answer_end.{reason.value}"
+
+
 def answer_counter(kind: str, status: int) -> str:
     """Return the name of the counter of answers with a route kind and HTTP status."""
     return f"answered.{kind}.{status}"
--- a/tests/http/test_client_connection.py
+++ b/tests/http/test_client_connection.py
@@ -159,7 +159,7 @@
     splitter = EventSplitter()
     assert splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
     assert (splitter.last_id, splitter.event_count) == ("1", 1)
-    assert splitter.incomplete_event == b"id: 2\nda"
+    assert splitter.rest == b"id: 2\nda"
     splitter.reset()
     assert splitter.feed(b"id: 2\ndata: b\n") == b""
     assert splitter.feed(b"\n") == b"id: 2\ndata: b\n\n"
--- a/tests/process/entry/test_broken_answers.py
+++ b/tests/process/entry/test_broken_answers.py
@@ -2,9 +2,17 @@
 
 import itertools
 
-from knapweeddrum.http.body_framing import BodyFraming
+import anyio
+
+from knapweeddrum.value.body_framing import BodyFraming
 from tests.async_test import async_test
-from tests.process.entry.entry_harness import Answer, EntryHarness, entry_harness
+from tests.process.entry.entry_harness import (
+    HOST_NAME,
+    KEY,
+    Answer,
+    EntryHarness,
+    entry_harness,
+)
 from tests.standins.scripted_server import Ending, Script, ScriptedServer, event
 
 EVENTS = 4
@@ -21,6 +29,17 @@
     return tuple(ScriptedServer(f"e-{n}", shared, events=EVENTS) for n in range(3))
 
 
+def services(*scripts: Script) -> tuple[ScriptedServer, ...]:
+    """Return two plain services, the first run at any of which follows the script."""
+    shared = list(scripts)
+    return tuple(ScriptedServer(f"s-{n}", shared, body=b"booked") for n in range(2))
+
+
+def runs(fleet: tuple[ScriptedServer, ...]) -> int:
+    """Return how often the servers ran a request."""
+    return sum(len(server.runs) for server in fleet)
+
+
 async def call(harness: EntryHarness, path: str) -> Answer:
     """Send a prompt and return its answer."""
     return await harness.call(path, tokens="35,60")
@@ -62,7 +81,7 @@
             async with entry_harness(engines=fleet) as harness:
                 answer = await call(harness, path)
                 assert (answer.body, answer.is_complete) == (WHOLE, True)
-                assert sum(len(server.runs) for server in fleet) == 1
+                assert runs(fleet) == 1
 
 
 @async_test
@@ -73,3 +92,101 @@
         async with entry_harness(engines=fleet) as harness:
             answer = await call(harness, NOT_RESUMABLE)
             assert not answer.is_complete
+
+
+@async_test
+async def test_stream_of_an_endpoint_that_is_gone_after_an_event_never_looks_complete():
+    """An end of the connection just after an event may be a crash."""
+    script = Script((event(1), event(2)), ending=Ending.CRASH)
+    fleet = servers(script)
+    async with entry_harness(engines=fleet) as harness:
+        answer = await call(harness, NOT_RESUMABLE)
+        assert (answer.status, answer.is_complete) == (200, False)
+    fleet = servers(script)
+    async with entry_harness(engines=fleet) as harness:
+        answer = await call(harness, RESUMABLE)
+        assert (answer.body, answer.is_complete) == (WHOLE, True)
+
+
+@async_test
+async def test_stream_that_ended_without_any_event_never_looks_complete():
+    """The caller of a stream that can't be repeated gets 502."""
+    fleet = servers(Script())
+    async with entry_harness(engines=fleet) as harness:
+        answer = await call(harness, NOT_RESUMABLE)
+        assert (answer.status, runs(fleet)) == (502, 1)
+
+
+@async_test
+async def test_comment_at_the_end_of_a_stream_is_passed_on():
+    """A stream that ends in a comment is whole."""
+    for ending in (b": end", b": end\n", b"\r\n"):
+        for framing in BodyFraming:
+            fleet = servers(Script((WHOLE, ending), framing))
+            async with entry_harness(engines=fleet) as harness:
+                answer = await call(harness, NOT_RESUMABLE)
+                assert (answer.body, answer.is_complete) == (WHOLE + ending, True)
+
+
+@async_test
+async def test_answer_of_a_streaming_route_that_is_no_stream_is_passed_on_whole():
+    """A body of another type isn't split into events."""
+    script = Script((b"no", b"ne"), BodyFraming.CHUNKS, content_type=b"text/plain")
+    fleet = servers(script)
+    async with entry_harness(engines=fleet) as harness:
+        answer = await call(harness, NOT_RESUMABLE)
+        assert (answer.status, answer.body) == (200, b"none")
+        (line,) = await harness.wait_for_event("request_answered")
+        assert line["tokens_spent"] == 95
+
+
+@async_test
+async def test_plain_answer_without_length_is_passed_on_whole():
+    """The end of the connection is the end of the body."""
+    for path in ("/book/1", "/read/1"):
+        fleet = services(Script((b"bo", b"ok"), content_type=b"text/plain"))
+        async with entry_harness(services=fleet) as harness:
+            answer = await harness.call(path)
+            assert (answer.status, answer.body) == (200, b"book")
+
+
+@async_test
+async def test_plain_answer_of_an_endpoint_that_is_gone_never_looks_complete():
+    """A safe request is repeated, a booking gets 502."""
+    for path, expected in (("/book/1", 502), ("/read/1", 200)):
+        fleet = services(Script((b"bo",), ending=Ending.CRASH))
+        async with entry_harness(services=fleet) as harness:
+            answer = await harness.call(path)
+            assert answer.status == expected
+            assert answer.body != b"bo"
+            assert runs(fleet) == (1 if expected == 502 else 2)
+
+
+@async_test
+async def test_broken_stream_never_looks_complete_to_a_caller_of_http_1_0():
+    """Without chunks the end of the connection must not look like a whole answer."""
+    for ending in (Ending.END, Ending.RESET):
+        fleet = servers(Script(INSIDE_FIRST_LINE, ending=ending))
+        async with entry_harness(engines=fleet) as harness:
+            assert not await _is_answer_complete(harness, NOT_RESUMABLE)
+    async with entry_harness(engines=servers()) as harness:
+        assert await _is_answer_complete(harness, NOT_RESUMABLE)
+
+
+async def _is_answer_complete(harness: EntryHarness, path: str) -> bool:
+    """Send a request of HTTP/1.0; return False if the connection was reset."""
+    host, _, port = harness.caller_address.rpartition(":")
+    request = (
+        f"POST {path} HTTP/1.0\r\nHost: {HOST_NAME}\r\nAttempt-Id: a-1\r\n"
+        f"Authorization: Bearer {KEY}\r\nDeadline-Ms: 4000\r\n"
+        "Token-Usage: 35,60\r\nPrompt-Prefix: aa:10,bb:25\r\nContent-Length: 0\r\n\r\n"
+    )
+    async with await anyio.connect_tcp(host, int(port)) as stream:
+        await stream.send(request.encode())
+        try:
+            while True:
+                await stream.receive()
+        except anyio.EndOfStream:
+            return True
+        except anyio.BrokenResourceError:
+            return False
--- a/tests/standins/scripted_server.py
+++ b/tests/standins/scripted_server.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import enum
+from collections.abc import AsyncIterator
 
 import anyio
 import anyio.abc
 
-from knapweeddrum.http.body_framing import BodyFraming
 from knapweeddrum.http.server_connection import ReceivedRequest, ServerConnection
+from knapweeddrum.value.body_framing import BodyFraming
 from tests.standins.stamped_server import Behaviour, StampedServer, reset_when_closed
 
 STREAM_TYPE = b"text/event-stream"
@@ -29,7 +31,7 @@
     RESET = "reset"
     """The connection is reset before the body has ended."""
     CRASH = "crash"
-    """The connection ends and the server listens no more."""
+    """The server stops listening, then ends the connection."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,7 +69,25 @@
         self.scripts = scripts
         self.closed_early = 0
         """Endless answers whose connection was closed."""
-        self.crashed = anyio.Event()
+        self._listener: anyio.abc.Listener[anyio.abc.SocketStream]
+
+    @contextlib.asynccontextmanager
+    async def serve(self) -> AsyncIterator[str]:
+        """Serve on a free port, until a crash, and yield ``IP:port``."""
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        self._listener = listener
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.address = f"127.0.0.1:{port}"
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(self._listen, tasks)
+            yield self.address
+            tasks.cancel_scope.cancel()
+
+    async def _listen(self, tasks: anyio.abc.TaskGroup) -> None:
+        try:
+            await self._listener.serve(self._connection, tasks)
+        except* anyio.ClosedResourceError:
+            pass
 
     async def _run(
         self,
@@ -86,8 +106,6 @@
             return False
         if script.ending is Ending.RESET:
             reset_when_closed(stream)
-        if script.ending is Ending.CRASH:
-            self.crashed.set()
         return False
 
     async def _send_script(
@@ -105,6 +123,8 @@
             await anyio.sleep(script.endless_gap)
         if script.ending is Ending.END and script.framing is BodyFraming.CHUNKS:
             await stream.send(b"0\r\n\r\n")
+        if script.ending is Ending.CRASH:
+            await self._listener.aclose()
 
     def _head(self, received: ReceivedRequest, script: Script) -> bytes:
         lines = [
--- a/tests/telemetry/test_counters_page.py
+++ b/tests/telemetry/test_counters_page.py
@@ -6,10 +6,12 @@
 from knapweeddrum.telemetry import counters
 from knapweeddrum.telemetry.counters import (
     FIXED_COUNTERS,
+    answer_end_counter,
     control_refusal_counter,
     refusal_counter,
     retry_counter,
 )
+from knapweeddrum.value.answer_end_reason import AnswerEndReason
 from knapweeddrum.value.control_refusal_reason import ControlRefusalReason
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.retry_reason import RetryReason
@@ -24,6 +26,7 @@
         *FIXED_COUNTERS,
         *map(refusal_counter, RefusalReason),
         *map(retry_counter, RetryReason),
+        *map(answer_end_counter, AnswerEndReason),
         *map(control_refusal_counter, ControlRefusalReason),
     ]
     rows = table_rows("COUNTERS.md")
