Caller connections: reset an unfinished answer that the connection would end

What callers of HTTP/1.0 saw: a stream that broke off, or whose host was killed, ended in good order, which is how their whole answers end too.

Cause: such an answer has neither a length nor chunks, and the session closes the connection as for chunked ones, where the missing last chunk tells.

Change: from the head of such an answer until its end the kernel is told to reset the connection if it is closed; that covers a kill of the process. Deadline, grace's end and internal errors close the same way.

Chunked answers and those with a length are closed as before.

--- a/src/knapweeddrum/http/server_connection.py
+++ b/src/knapweeddrum/http/server_connection.py
@@ -9,6 +9,8 @@
 
 import dataclasses
 import select
+import socket
+import struct
 
 import anyio
 import h11
@@ -43,9 +45,8 @@
         self._conn = h11.Connection(h11.SERVER, max_head_bytes)
         self._max_head_bytes = max_head_bytes
         self._poller = select.poll()
-        self._poller.register(
-            stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLIN
-        )
+        self._socket = stream.extra(SocketAttribute.raw_socket)
+        self._poller.register(self._socket.fileno(), select.POLLIN)
         self._read_ahead = bytearray()
         self._eof = False
 
@@ -116,7 +117,11 @@
         await self._send(*events, h11.EndOfMessage())
 
     async def start_reply(self, status: int, headers: list[Header]) -> None:
-        """Write the head of a reply; without a Content-Length its body is chunked."""
+        """Write the head of a reply; without a Content-Length its body is chunked.
+
+        To a client of HTTP/1.0 the end of the connection ends the body instead.
+        """
+        self._reset_when_closed(is_reset=self._is_ended_by_connection(headers))
         await self._send(h11.Response(status_code=status, headers=headers))
 
     async def send_data(self, data: bytes) -> None:
@@ -126,6 +131,7 @@
     async def end_reply(self) -> None:
         """Write the end of the body."""
         await self._send(h11.EndOfMessage())
+        self._reset_when_closed(is_reset=False)
 
     def finish(self) -> bool:
         """End the exchange and return whether the connection can be reused."""
@@ -156,6 +162,18 @@
         """Close at once, so that an unfinished reply does not look complete."""
         await anyio.aclose_forcefully(self._stream)
 
+    def _is_ended_by_connection(self, headers: list[Header]) -> bool:
+        has_length = any(name.lower() == b"content-length" for name, _ in headers)
+        return self._conn.their_http_version == b"1.0" and not has_length
+
+    def _reset_when_closed(self, *, is_reset: bool) -> None:
+        """Have the kernel reset the connection if it is closed from here on.
+
+        That holds for the end of the process too.
+        """
+        linger = struct.pack("ii", is_reset, 0)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     async def _first_event(self) -> object:
         """Return an event after at most one receive, None if the connection ended."""
         event = self._parse_event()
--- a/tests/process/entry/test_broken_answers.py
+++ b/tests/process/entry/test_broken_answers.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import itertools
+import signal
 
 import anyio
 
@@ -173,8 +174,33 @@
         assert await _is_answer_complete(harness, NOT_RESUMABLE)
 
 
-async def _is_answer_complete(harness: EntryHarness, path: str) -> bool:
-    """Send a request of HTTP/1.0; return False if the connection was reset."""
+@async_test
+async def test_stream_of_a_killed_host_never_looks_complete_to_a_caller_of_http_1_0():
+    """The kernel resets the connection when the process ends."""
+    fleet = servers()
+    for server in fleet:
+        server.event_gap = 30.0
+    async with entry_harness(engines=fleet) as harness, anyio.create_task_group() as tg:
+        results: list[bool] = []
+        begun = anyio.Event()
+
+        async def read_answer() -> None:
+            results.append(await _is_answer_complete(harness, NOT_RESUMABLE, begun))
+
+        tg.start_soon(read_answer)
+        await begun.wait()
+        harness.send_signal(signal.SIGKILL)
+    assert results == [False]
+
+
+async def _is_answer_complete(
+    harness: EntryHarness, path: str, begun: anyio.Event | None = None
+) -> bool:
+    """Send a request of HTTP/1.0; return False if the connection was reset.
+
+    ``begun`` is set when the first bytes of the answer have arrived.
+    """
+    begun = begun or anyio.Event()
     host, _, port = harness.caller_address.rpartition(":")
     request = (
         f"POST {path} HTTP/1.0\r\nHost: {HOST_NAME}\r\nAttempt-Id: a-1\r\n"
@@ -186,6 +212,7 @@
         try:
             while True:
                 await stream.receive()
+                begun.set()
         except anyio.EndOfStream:
             return True
         except anyio.BrokenResourceError:
