Answers: give up what has no end, with its own reason, before the deadline

Cause: each part of an answer was bounded by the deadline only, but for heads (64 KiB) and plain bodies (4 MiB, whether or not they have a length).

Change: bounds in bytes or count for an event, interim heads, an unsized body, a late answer that is skipped; in time for a head once it has begun, a late answer and a discarded body. Beyond them EndlessReplyError closes the connection, counts as a failure of the endpoint and as retry reason endless_answer; streams that can be resumed and safe requests go on elsewhere at once. An event is not bounded in time but by the deadline: a server may pause in the middle of one, and silence is no reason to end an answer.

The store's and other hosts' answers were bounded already (4 MiB and 64 KiB, 0.9 s and 0.15 s) and report the same error now.

--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -18,6 +18,7 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from knapweeddrum.http.exceptions import (
+    EndlessReplyError,
     MalformedReplyError,
     NoReplyError,
     NotSentError,
@@ -30,6 +31,14 @@
 MAX_INLINE_REQUEST_BYTES = 61_440
 """Largest request that is written before, not while, the reply is read."""
 MAX_REPLY_HEAD_BYTES = 65_536
+MAX_HEAD_SECONDS = 2.0
+"""Time from the first byte of a head to its last."""
+MAX_INTERIM_HEADS = 8
+"""Heads with a status below 200 that may precede that of a reply."""
+MAX_SKIPPED_REPLY_BYTES = 1024 * 1024
+MAX_SKIPPED_REPLY_SECONDS = 1.0
+HEAD_TOO_LARGE_STATUS = 431
+"""Status by which h11 marks a line or head that is too long."""
 BODILESS_STATUSES = frozenset({204, 304})
 DEFAULT_IDLE_TIMEOUT_SECONDS = 12.0
 """Idle time after which a connection is not reused, if the server announces none."""
@@ -120,8 +129,8 @@
 
     async def next_head(self) -> RawReplyHead:
         """Return the head of the next reply; raises NoReplyError."""
-        while True:
-            event = await self._next_event()
+        for _ in range(MAX_INTERIM_HEADS + 1):
+            event = await self._next_head_event()
             if isinstance(event, h11.Response):
                 headers = HeaderList(event.headers.raw_items())
                 self._update_idle_timeout(headers)
@@ -131,6 +140,7 @@
                 raise MalformedReplyError(
                     f"expected the head of a reply, got {type(event).__name__}"
                 )
+        raise EndlessReplyError(f"more than {MAX_INTERIM_HEADS} interim heads")
 
     async def next_data(self) -> bytes | None:
         """Return the next bytes of the body, None at its end; raises NoReplyError."""
@@ -145,22 +155,27 @@
         )
 
     async def read_body(self, limit: int) -> bytes:
-        """Return the whole body; raises MalformedReplyError above ``limit`` bytes."""
+        """Return the whole body; raises EndlessReplyError above ``limit`` bytes."""
         body = bytearray()
         while (data := await self.next_data()) is not None:
             body += data
             if len(body) > limit:
-                raise MalformedReplyError(f"body exceeds {limit} bytes")
+                raise EndlessReplyError(f"body exceeds {limit} bytes")
         return bytes(body)
 
     async def skip_reply(self) -> None:
         """Discard a late reply to an earlier request and expect the next reply.
 
         The new parser state needs a request, so a placeholder is encoded, not sent.
-        Raises MalformedReplyError if the connection ends with the discarded reply.
+        Raises MalformedReplyError if the connection ends with the discarded reply, and
+        EndlessReplyError if that is too long or takes too long.
         """
-        while await self.next_data() is not None:
-            pass
+        with anyio.move_on_after(MAX_SKIPPED_REPLY_SECONDS) as scope:
+            await self.read_body(MAX_SKIPPED_REPLY_BYTES)
+        if scope.cancelled_caught:
+            raise EndlessReplyError(
+                f"reply to another request exceeds {MAX_SKIPPED_REPLY_SECONDS} s"
+            )
         surplus, closed = self._conn.trailing_data
         if closed or self._conn.their_state is not h11.DONE:
             raise MalformedReplyError(
@@ -233,11 +248,21 @@
             # Reading the reply fails as well and reports the error.
             self._connection_lost = True
 
+    async def _next_head_event(self) -> h11.Event:
+        """Return the next event; a head that has begun must be received in time."""
+        if not self._conn.trailing_data[0]:
+            self._conn.receive_data(await self._receive())
+        with anyio.move_on_after(MAX_HEAD_SECONDS):
+            return await self._next_event()
+        raise EndlessReplyError(f"head not received within {MAX_HEAD_SECONDS} s")
+
     async def _next_event(self) -> h11.Event:
         while True:
             try:
                 event = self._conn.next_event()
             except h11.RemoteProtocolError as exc:
+                if exc.error_status_hint == HEAD_TOO_LARGE_STATUS:
+                    raise EndlessReplyError(str(exc)) from exc
                 raise MalformedReplyError(str(exc)) from exc
             if event is h11.PAUSED:
                 raise MalformedReplyError("reply has already ended")
--- a/src/knapweeddrum/http/event_splitter.py
+++ b/src/knapweeddrum/http/event_splitter.py
@@ -5,6 +5,9 @@
 import re
 from collections.abc import Iterable
 
+from knapweeddrum.http.exceptions import EndlessReplyError
+
+MAX_EVENT_BYTES = 65_536
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 LINE_END = re.compile(rb"\r\n|\n|\r")
 EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
@@ -44,17 +47,19 @@
         return _has_field(_lines(self._rest))
 
     def feed(self, data: bytes) -> bytes:
-        """Return the bytes of the events that ``data`` completes."""
+        """Return the bytes of the events that ``data`` completes.
+
+        Raises EndlessReplyError if an event exceeds MAX_EVENT_BYTES.
+        """
         self._rest += data
         end = self._last_event_end()
-        if end == 0:
-            self._searched_bytes = max(0, len(self._rest) - LONGEST_EVENT_END_BYTES)
-            return b""
         events = bytes(self._rest[:end])
         del self._rest[:end]
-        self._searched_bytes = 0
-        for event in EVENT_END.split(events):
-            self._record(event)
+        self._searched_bytes = max(0, len(self._rest) - LONGEST_EVENT_END_BYTES)
+        if len(self._rest) > MAX_EVENT_BYTES:
+            raise EndlessReplyError(f"event exceeds {MAX_EVENT_BYTES} bytes")
+        if events:
+            self._record(events)
         return events
 
     def reset(self) -> None:
@@ -68,13 +73,14 @@
             end = match.end()
         return end
 
-    def _record(self, event: bytes) -> None:
-        lines = _lines(event)
-        self.event_count += _has_field(lines)
-        for line in lines:
-            name, _, value = line.partition(b":")
-            if name == b"id":
-                self.last_id = value.strip().decode("latin-1")
+    def _record(self, events: bytes) -> None:
+        for event in EVENT_END.split(events):
+            lines = _lines(event)
+            self.event_count += _has_field(lines)
+            for line in lines:
+                name, _, value = line.partition(b":")
+                if name == b"id":
+                    self.last_id = value.strip().decode("latin-1")
 
 
 def _lines(data: bytes | bytearray) -> list[bytes]:
--- a/src/knapweeddrum/http/exceptions.py
+++ b/src/knapweeddrum/http/exceptions.py
@@ -27,6 +27,10 @@
     """The bytes received are not a valid reply to the request."""
 
 
+class EndlessReplyError(MalformedReplyError):
+    """The server goes on sending beyond the limit of what is read."""
+
+
 class TruncatedReplyError(NoReplyError):
     """The connection ended and the reply received is not whole."""
 
--- a/src/knapweeddrum/process/entry/answer_relay.py
+++ b/src/knapweeddrum/process/entry/answer_relay.py
@@ -14,7 +14,7 @@
     judge_stream,
 )
 from knapweeddrum.http.event_splitter import EventSplitter
-from knapweeddrum.http.exceptions import TruncatedReplyError
+from knapweeddrum.http.exceptions import EndlessReplyError, TruncatedReplyError
 from knapweeddrum.http.header_list import Header
 from knapweeddrum.http.server_connection import ServerConnection
 from knapweeddrum.process.entry.attempt_error import AttemptError
@@ -26,8 +26,11 @@
 from knapweeddrum.value.retry_reason import RetryReason
 from knapweeddrum.value.run_state import RunState
 
-MAX_BUFFERED_BODY_BYTES = 4 * 1024 * 1024
-"""Largest answer that is buffered before it is passed on to the caller."""
+MAX_SIZED_BODY_BYTES = 4 * 1024 * 1024
+"""Largest body with a length that is buffered before it is passed on."""
+
+MAX_UNSIZED_BODY_BYTES = 1024 * 1024
+"""The same for a body without a length, which may have no end."""
 
 MAX_UNDELIVERED_EVENTS = 2
 """Events that an endpoint may have generated but not delivered at a disconnect."""
@@ -89,18 +92,12 @@
             await self._relay_buffered(answer)
 
     async def _relay_buffered(self, answer: EndpointAnswer) -> None:
-        body = bytearray()
-        while (data := await answer.next_data()) is not None:
-            body += data
-            if len(body) > MAX_BUFFERED_BODY_BYTES:
-                raise AttemptError(
-                    RetryReason.MALFORMED_ANSWER, RunState.RAN, "answer too long"
-                )
+        body = await _read_body(answer)
         await self._require_whole(answer, judge_body(answer.head.framing))
         self._record_first_chunk(answer)
         self._has_uncountable_output = answer.head.status < 300
         headers = _without_length(answer.head.headers)
-        await self._caller.send_reply(answer.head.status, headers, bytes(body))
+        await self._caller.send_reply(answer.head.status, headers, body)
         self._log.answered(answer.head.status, self.tokens_to_charge())
 
     async def _relay_stream(self, answer: EndpointAnswer) -> None:
@@ -156,6 +153,20 @@
             self._job.first_chunk_at = time.monotonic()
 
 
+async def _read_body(answer: EndpointAnswer) -> bytes:
+    """Return the whole body; raises EndlessReplyError if it is too long."""
+    has_length = answer.head.framing is BodyFraming.LENGTH
+    limit = MAX_SIZED_BODY_BYTES if has_length else MAX_UNSIZED_BODY_BYTES
+    parts: list[bytes] = []
+    size = 0
+    while (data := await answer.next_data()) is not None:
+        parts.append(data)
+        size += len(data)
+        if size > limit:
+            raise EndlessReplyError(f"body exceeds {limit} bytes")
+    return b"".join(parts)
+
+
 async def _ask_endpoint(answer: EndpointAnswer) -> AnswerVerdict:
     """Judge an answer by whether its endpoint still accepts connections."""
     entry = answer.state.entry
--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -16,6 +16,7 @@
 from knapweeddrum.http.client_connection import ClientConnection
 from knapweeddrum.http.exceptions import (
     ConnectionLimitError,
+    EndlessReplyError,
     MalformedReplyError,
     NoReplyError,
     NotSentError,
@@ -35,6 +36,7 @@
 
 ENDPOINT_CONNECT_TIMEOUT_SECONDS = 0.25
 MAX_DISCARDED_BODY_BYTES = 65_536
+MAX_DISCARD_SECONDS = 0.1
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request has not run.
 
@@ -223,17 +225,24 @@
 
 
 async def _discard_body(answer: EndpointAnswer) -> None:
-    """Discard a short body so that the connection can be reused."""
+    """Discard a short body so that the connection can be reused.
+
+    One that is longer or slower is left, which closes the connection.
+    """
     read = 0
-    while (data := await answer.next_data()) is not None:
-        read += len(data)
-        if read > MAX_DISCARDED_BODY_BYTES:
-            return
+    with anyio.move_on_after(MAX_DISCARD_SECONDS):
+        while (data := await answer.next_data()) is not None:
+            read += len(data)
+            if read > MAX_DISCARDED_BODY_BYTES:
+                return
 
 
 def _broken_answer_error(exc: NoReplyError) -> AttemptError:
-    malformed = isinstance(exc, MalformedReplyError)
-    reason = RetryReason.MALFORMED_ANSWER if malformed else RetryReason.CONNECTION_LOST
+    reason = RetryReason.CONNECTION_LOST
+    if isinstance(exc, EndlessReplyError):
+        reason = RetryReason.ENDLESS_ANSWER
+    elif isinstance(exc, MalformedReplyError):
+        reason = RetryReason.MALFORMED_ANSWER
     return AttemptError(reason, RunState.UNKNOWN, str(exc))
 
 
--- a/src/knapweeddrum/value/retry_reason.py
+++ b/src/knapweeddrum/value/retry_reason.py
@@ -24,6 +24,8 @@
     MOVED = "moved"
     """Another endpoint now has the address."""
     MALFORMED_ANSWER = "malformed_answer"
+    ENDLESS_ANSWER = "endless_answer"
+    """The endpoint went on sending beyond the limit of a head, event or body."""
     CONNECTION_LOST = "connection_lost"
     """The connection ended before the answer was complete."""
     DEADLINE = "deadline"
--- a/tests/process/entry/test_endless_answers.py
+++ b/tests/process/entry/test_endless_answers.py
@@ -29,6 +29,8 @@
 ENDLESS_CHUNKED_BODY = Script((), BodyFraming.CHUNKS, content_type=PLAIN, endless=PIECE)
 ENDLESS_HEAD = Script(preamble=b"HTTP/1.1 200 OK\r\nX-Head: ", has_head=False)
 ENDLESS_HEAD = dataclasses.replace(ENDLESS_HEAD, endless=PIECE)
+SLOW_HEAD = Script(preamble=b"HTTP/1.1 200 OK\r\n", has_head=False)
+SLOW_HEAD = dataclasses.replace(SLOW_HEAD, endless=b"X: y\r\n", endless_gap=0.05)
 ENDLESS_STATUS_LINE = Script(has_head=False, endless=PIECE)
 ENDLESS_INTERIM_HEADS = Script(has_head=False, endless=INTERIM_HEAD, endless_gap=0.001)
 SLOW_INTERIM_HEADS = Script(has_head=False, endless=INTERIM_HEAD, endless_gap=0.05)
@@ -42,6 +44,7 @@
     ENDLESS_CHUNKED_BODY,
     ENDLESS_HEAD,
     ENDLESS_STATUS_LINE,
+    SLOW_HEAD,
     ENDLESS_INTERIM_HEADS,
     SLOW_INTERIM_HEADS,
     ENDLESS_LATE_ANSWER,
--- a/tests/standins/scripted_server.py
+++ b/tests/standins/scripted_server.py
@@ -48,7 +48,7 @@
     http_version: bytes = b"1.1"
     content_type: bytes = STREAM_TYPE
     preamble: bytes = b""
-    endless: bytes = b""
+    endless: bytes = dataclasses.field(default=b"", repr=False)
     endless_gap: float = 0.0
     has_head: bool = True
     piece_gap: float = 0.02
