Streams: log the software version of endpoints and what a caller takes up again

An entry whose version is missing, not a text or longer than 128 characters has an unknown one. No decision changes.

--- a/src/knapweeddrum/core/catalog/endpoint_entry.py
+++ b/src/knapweeddrum/core/catalog/endpoint_entry.py
@@ -4,6 +4,9 @@
 
 import dataclasses
 
+UNKNOWN_VERSION = ""
+"""Software version of an endpoint that names none; no other is known to equal it."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointEntry:
@@ -15,5 +18,7 @@
     data_centre: str
     slots: int
     draining: bool = False
+    software_version: str = UNKNOWN_VERSION
+    """Version of its software, which is not that of the weights it has loaded."""
     started_at_ms: int = 0
     """Unix time of its start in milliseconds; differs between instances of one id."""
--- a/src/knapweeddrum/platform/caller_protocol.py
+++ b/src/knapweeddrum/platform/caller_protocol.py
@@ -31,6 +31,7 @@
         time_left=_time_left(headers),
         prompt=_prompt_metadata(headers),
         resume_after=headers.text(names.LAST_EVENT_ID),
+        resumed_attempt=headers.text(names.RESUMES),
     )
 
 
--- a/src/knapweeddrum/platform/caller_request.py
+++ b/src/knapweeddrum/platform/caller_request.py
@@ -32,3 +32,6 @@
     prompt: PromptMetadata | None
     resume_after: str
     """Identifier of the last event that the caller received, empty if none."""
+    resumed_attempt: str
+    """Id of the attempt that brought the first event of a stream that the caller takes
+    up again, empty if none."""
--- a/src/knapweeddrum/platform/service_list_codec.py
+++ b/src/knapweeddrum/platform/service_list_codec.py
@@ -6,9 +6,10 @@
 
 import msgspec
 
-from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
+from knapweeddrum.core.catalog.endpoint_entry import UNKNOWN_VERSION, EndpointEntry
 from knapweeddrum.platform.exceptions import MalformedRecordError
 
+MAX_VERSION_CHARS = 128
 ENDPOINT_STATES = frozenset({"ready", "draining"})
 ADDRESS_PATTERN = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
 
@@ -20,6 +21,8 @@
     slots: int
     state: str
     seq: int
+    version: object = None
+    """Version of the endpoint's software."""
     born: int = 0
     """Unix time of the endpoint's start in milliseconds."""
 
@@ -45,5 +48,13 @@
         data_centre=entry.zone,
         slots=entry.slots,
         draining=entry.state == "draining",
+        software_version=_decode_version(entry.version),
         started_at_ms=entry.born,
     )
+
+
+def _decode_version(value: object) -> str:
+    """Return the version, UNKNOWN_VERSION unless it is a text of usual length."""
+    if isinstance(value, str) and len(value) <= MAX_VERSION_CHARS:
+        return value
+    return UNKNOWN_VERSION
--- a/src/knapweeddrum/process/entry/answer_relay.py
+++ b/src/knapweeddrum/process/entry/answer_relay.py
@@ -104,7 +104,7 @@
         """Pass on complete events as they arrive."""
         splitter = self._splitter
         if self.started:
-            self._log.resumed(splitter.last_id)
+            self._log.resumed(answer.state.entry, splitter.last_id)
         while (data := await answer.next_data()) is not None:
             complete_events = splitter.feed(data)
             self._job.rest_bytes = splitter.rest_bytes
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -128,7 +128,7 @@
         job.answer_framing = None
         job.rest_bytes = 0
         job.tried.add(job.endpoint_id)
-        self._log.attempt_starting(state)
+        self._log.attempt_starting(state, resume_after)
         async with endpoint_attempt(self._ctx, job, state, resume_after) as answer:
             job.answer_framing = answer.head.framing
             if answer.head.status >= 500 and self._may_retry_error():
--- a/src/knapweeddrum/process/entry/request_log.py
+++ b/src/knapweeddrum/process/entry/request_log.py
@@ -4,6 +4,7 @@
 
 import time
 
+from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.routing.answer_verdict import AnswerVerdict
 from knapweeddrum.core.routing.retry_window import RetryWindow
@@ -22,6 +23,9 @@
 )
 from knapweeddrum.value.retry_reason import RetryReason
 
+MAX_LOGGED_ID_CHARS = 64
+"""Part of an identifier chosen by others that is logged."""
+
 NEVER_READ_MS = -1
 """Logged as the age of data that was never read."""
 
@@ -33,7 +37,7 @@
         self._ctx = ctx
         self._job = job
 
-    def attempt_starting(self, state: EndpointState) -> None:
+    def attempt_starting(self, state: EndpointState, resume_after: str) -> None:
         """Log an attempt before it is sent, and why its endpoint was chosen."""
         ctx = self._ctx
         job = self._job
@@ -46,6 +50,9 @@
             organisation=job.organisation_name,
             service=job.service,
             endpoint=state.entry.endpoint_id,
+            software_version=state.entry.software_version,
+            resumes=job.req.resumed_attempt[:MAX_LOGGED_ID_CHARS],
+            after_event=resume_after[:MAX_LOGGED_ID_CHARS],
             attempt=job.sends + 1,
             load=state.load(now),
             list_version=ctx.service_list.version,
@@ -83,12 +90,13 @@
             after_ms=self._elapsed_ms(),
         )
 
-    def resumed(self, after_event: str) -> None:
+    def resumed(self, entry: EndpointEntry, after_event: str) -> None:
         """Log a stream that continues at another endpoint."""
         self._ctx.events.emit(
             STREAM_RESUMED,
             request=self._job.req.attempt_id,
-            endpoint=self._job.endpoint_id,
+            endpoint=entry.endpoint_id,
+            software_version=entry.software_version,
             after_event=after_event,
         )
 
--- a/src/knapweeddrum/process/entry/service_list_reader.py
+++ b/src/knapweeddrum/process/entry/service_list_reader.py
@@ -74,5 +74,6 @@
             endpoint=key,
             service=entry.service,
             address=entry.address,
+            software_version=entry.software_version,
             draining=entry.draining,
         )
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -78,6 +78,9 @@
         "organisation",
         "service",
         "endpoint",
+        "software_version",
+        "resumes",
+        "after_event",
         "attempt",
         "load",
         "list_version",
@@ -121,7 +124,10 @@
     604, "request_abandoned", "info", ("request", "after_ms", "sent", "tokens_spent")
 )
 STREAM_RESUMED = Event(
-    605, "stream_resumed", "info", ("request", "endpoint", "after_event")
+    605,
+    "stream_resumed",
+    "info",
+    ("request", "endpoint", "software_version", "after_event"),
 )
 ANSWER_CUT = Event(
     606, "answer_cut", "warning", ("request", "reason", "after_ms", "tokens_spent")
@@ -150,7 +156,10 @@
 )
 CONFIG_REJECTED = Event(611, "config_rejected", "warning", ("offset", "error"))
 ENDPOINT_LISTED = Event(
-    612, "endpoint_listed", "info", ("endpoint", "service", "address", "draining")
+    612,
+    "endpoint_listed",
+    "info",
+    ("endpoint", "service", "address", "software_version", "draining"),
 )
 ENDPOINT_UNLISTED = Event(613, "endpoint_unlisted", "info", ("endpoint", "lapsed"))
 ENTRY_IGNORED = Event(614, "entry_ignored", "warning", ("key", "offset", "error"))
