--- /dev/null
+++ b/tests/process/entry/test_stream_versions.py
@@ -0,0 +1,163 @@
+from __future__ import annotations
+
+import signal
+
+import anyio
+
+from tests.async_test import async_test
+from tests.process.entry.version_fleet import (
+    OTHER_KEY,
+    RESUMED_PATH,
+    Stream,
+    VersionFleet,
+    version_fleet,
+)
+
+STREAMS = 12
+TWO_OF_EACH = ("v1", "v2", "v1", "v2")
+
+
+def assert_one_version_each(streams: list[Stream]) -> None:
+    """Assert that no stream holds events of two versions."""
+    assert [len(stream.versions) for stream in streams] == [1] * len(streams)
+
+
+def went_on(streams: list[Stream]) -> int:
+    """Return how many streams were brought to their end."""
+    return sum(stream.is_whole for stream in streams)
+
+
+async def take_up_elsewhere(fleet: VersionFleet, streams: list[Stream]) -> None:
+    """Go on with each stream at the host after the one that began it."""
+    for number, stream in enumerate(streams):
+        await fleet.take_up(fleet.hosts[(number + 1) % len(fleet.hosts)], stream)
+
+
+@async_test
+async def test_interrupted_stream_never_goes_on_at_another_version_within_an_answer():
+    """It goes on at the other engine of its version."""
+    async with version_fleet(1, TWO_OF_EACH) as fleet:
+        streams = [
+            await fleet.begin(fleet.hosts[0], RESUMED_PATH) for _ in range(STREAMS)
+        ]
+    assert_one_version_each(streams)
+    assert went_on(streams) == STREAMS
+
+
+@async_test
+async def test_stream_without_another_engine_of_its_version_is_cut_at_once():
+    """The caller isn't held, and the answer doesn't look complete."""
+    async with version_fleet(1, ("v1", "v2", "v3")) as fleet:
+        streams = [
+            await fleet.begin(fleet.hosts[0], RESUMED_PATH) for _ in range(STREAMS)
+        ]
+        assert len(fleet.hosts[0].events("answer_cut")) == STREAMS
+    assert_one_version_each(streams)
+    assert not any(stream.answers[0].is_complete for stream in streams)
+
+
+@async_test
+async def test_stream_taken_up_at_another_host_never_goes_on_at_another_version():
+    """Any host knows which version began it."""
+    async with version_fleet(3, TWO_OF_EACH) as fleet:
+        streams = [await fleet.begin(fleet.hosts[n % 3]) for n in range(STREAMS)]
+        await take_up_elsewhere(fleet, streams)
+    assert_one_version_each(streams)
+    assert went_on(streams) >= STREAMS / 2
+
+
+@async_test
+async def test_stream_whose_host_was_killed_never_goes_on_at_another_version():
+    """Other hosts know which version began it."""
+    async with version_fleet(4, TWO_OF_EACH) as fleet:
+        streams = [await fleet.begin(fleet.hosts[0]) for _ in range(STREAMS)]
+        fleet.hosts.pop(0).send_signal(signal.SIGKILL)
+        await take_up_elsewhere(fleet, streams)
+    assert_one_version_each(streams)
+    assert went_on(streams) >= STREAMS / 2
+
+
+@async_test
+async def test_host_that_has_just_started_never_joins_two_versions():
+    """It asks those that know."""
+    async with version_fleet(3, TWO_OF_EACH) as fleet:
+        streams = [await fleet.begin(fleet.hosts[n % 3]) for n in range(STREAMS)]
+        newcomer = await fleet.add_host()
+        for stream in streams:
+            await fleet.take_up(newcomer, stream)
+    assert_one_version_each(streams)
+    assert went_on(streams) >= STREAMS / 2
+
+
+@async_test
+async def test_stream_of_before_the_second_version_never_goes_on_at_it():
+    """Streams that began while there was one version are known too."""
+    async with version_fleet(3, ("v1", "v1")) as fleet:
+        streams = [await fleet.begin(fleet.hosts[n % 3]) for n in range(STREAMS)]
+        for _ in range(2):
+            await fleet.add_engine("v2")
+        await take_up_elsewhere(fleet, streams)
+    assert_one_version_each(streams)
+    assert went_on(streams) >= STREAMS / 2
+
+
+@async_test
+async def test_stream_of_unknown_beginning_is_refused_while_two_versions_serve():
+    """A value that names no attempt of the caller's organisation allows nothing."""
+    async with version_fleet(2, TWO_OF_EACH) as fleet:
+        host = fleet.hosts[1]
+        stream = await fleet.begin(fleet.hosts[0])
+        runs = sum(len(engine.runs) for engine in fleet.engines)
+        for resumes, key in (
+            ("invented", OTHER_KEY),
+            ("x" * 1000, OTHER_KEY),
+            ("\xe9 \xff", OTHER_KEY),
+            (stream.first_attempt, OTHER_KEY),
+        ):
+            answer = await fleet.take_up(host, stream, resumes=resumes, key=key)
+            assert answer.status == 503, resumes
+            assert answer.headers.get(b"retry-after") is not None
+        assert sum(len(engine.runs) for engine in fleet.engines) == runs
+        reasons = {line["reason"] for line in host.events("request_refused")}
+        assert reasons == {"stream_version_unknown"}
+
+
+@async_test
+async def test_streams_of_a_single_version_go_on_at_any_host():
+    """With one version for long enough there is nothing to know."""
+    async with version_fleet(2, ("v1", "v1")) as fleet:
+        streams = [await fleet.begin(fleet.hosts[0]) for _ in range(STREAMS)]
+        await take_up_elsewhere(fleet, streams)
+    assert went_on(streams) == STREAMS
+
+
+@async_test
+async def test_stream_goes_on_at_an_engine_that_drains_within_its_notice():
+    """While versions change, the old one may be draining everywhere."""
+    async with version_fleet(1, ("v1", "v1", "v2", "v2")) as fleet:
+        host = fleet.hosts[0]
+        streams = [await fleet.begin(host) for _ in range(STREAMS)]
+        for engine in fleet.engines[:2]:
+            fleet.list_engine(engine, state="draining", seq=2)
+        while not any(line["draining"] for line in host.events("endpoint_listed")):
+            await anyio.sleep(0.02)
+        for stream in streams:
+            await fleet.take_up(host, stream)
+    assert_one_version_each(streams)
+    assert went_on(streams) == STREAMS
+
+
+@async_test
+async def test_entries_with_a_strange_version_join_nothing():
+    """A version that is missing, empty, very long or no text equals no other."""
+    async with version_fleet(1, ("v1", "v1")) as fleet:
+        for version in (None, "", "x" * 5000, 7, ["v1"], {"v": 1}):
+            engine = await fleet.add_engine("odd")
+            fleet.list_engine(engine, version=version, seq=2)
+        await anyio.sleep(1.5)
+        streams = [
+            await fleet.begin(fleet.hosts[0], RESUMED_PATH) for _ in range(STREAMS)
+        ]
+    for stream in streams:
+        assert stream.versions in ({b"v1"}, {b"odd"})
+        assert stream.is_whole == (stream.versions == {b"v1"})
--- a/tests/standins/stamped_server.py
+++ b/tests/standins/stamped_server.py
@@ -72,6 +72,10 @@
         """Value of the header Server-Limit in each answer; empty for none."""
         self.arrival_times: list[float] = []
         """Monotonic time of each arrival, of rejected requests too."""
+        self.version: object = "v1"
+        """Software version in the server's entry."""
+        self.piece = b"piece"
+        """Text before the number of each event."""
         self.plan: list[Behaviour] = []
         self.runs: list[HeaderList] = []
         self.targets: list[bytes] = []
@@ -94,7 +98,7 @@
             "service": service,
             "address": self.address,
             "zone": "zone-a",
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": "ready",
             "coldRemainingMs": 0,
@@ -202,7 +206,8 @@
                 if behaviour is Behaviour.CUT and number > self.events // 2:
                     await conn.send_data(b"id: %d\nda" % number)
                     return False
-                await conn.send_data(b"id: %d\ndata: piece %d\n\n" % (number, number))
+                event = b"id: %d\ndata: %s %d\n\n" % (number, self.piece, number)
+                await conn.send_data(event)
                 await anyio.sleep(self.event_gap)
             await conn.end_reply()
         except PeerDisconnectedError:
