Streams: go on within an answer only at the software version that began them

Cause: an entry's version was decoded nowhere, so a stream that broke off went on at any endpoint of the service.

Change: the version that brought the first event is kept with the request, and only its endpoints are eligible from then on, one that drains for as long as its notice allows (counted from the read of the list before the one that showed it). An unknown version equals none.

--- a/src/knapweeddrum/core/placing/endpoint_states.py
+++ b/src/knapweeddrum/core/placing/endpoint_states.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
+from knapweeddrum.core.catalog.endpoint_entry import UNKNOWN_VERSION, EndpointEntry
 from knapweeddrum.core.catalog.service_list import ServiceList
 from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.value.identifiers import EndpointName
@@ -25,6 +25,20 @@
         self._refresh()
         return self._by_service.get(service, [])
 
+    def of_version(self, service: str, version: str) -> list[EndpointState]:
+        """Return the states of a service's endpoints of a software version, by id.
+
+        Those that drain are included. None has an unknown version.
+        """
+        if version == UNKNOWN_VERSION:
+            return []
+        return [
+            state
+            for state in self.all()
+            if state.entry.service == service
+            and state.entry.software_version == version
+        ]
+
     def all(self) -> list[EndpointState]:
         """Return the states of all listed endpoints, by id."""
         self._refresh()
--- /dev/null
+++ b/src/knapweeddrum/core/streams/__init__.py
@@ -0,0 +1,3 @@
+"""Where a stream that broke off may go on."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/knapweeddrum/core/streams/endpoint_history.py
@@ -0,0 +1,80 @@
+"""What a host has observed of the listed endpoints over time."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable
+
+from knapweeddrum.core.catalog.endpoint_entry import UNKNOWN_VERSION, EndpointEntry
+
+STREAM_MEMORY_SECONDS = 30.0
+"""Time after its beginning for which a stream may be taken up again."""
+
+MAX_LIST_AGE_SECONDS = 2.0
+"""Age of the service list above which it may lack a version that serves."""
+
+DRAIN_MARGIN_SECONDS = 0.25
+"""Part of an endpoint's notice that is left for requests on their way to it."""
+
+
+@dataclasses.dataclass(slots=True)
+class _SoleVersion:
+    version: str
+    since: float
+
+
+class EndpointHistory:
+    """Knows since when a service has had a single version and an endpoint drains.
+
+    Times are in monotonic seconds.
+    """
+
+    def __init__(self) -> None:
+        self._sole: dict[str, _SoleVersion] = {}
+        self._drain_noticed_after: dict[str, float] = {}
+        self._read_at = float("-inf")
+
+    def observe(self, entries: Iterable[EndpointEntry], now: float) -> None:
+        """Record the complete list of endpoints as of ``now``."""
+        versions: dict[str, set[str]] = {}
+        draining = {}
+        for entry in entries:
+            versions.setdefault(entry.service, set()).add(entry.software_version)
+            if entry.draining:
+                known = self._drain_noticed_after.get(entry.endpoint_id, self._read_at)
+                draining[entry.endpoint_id] = known
+        self._drain_noticed_after = draining
+        self._read_at = now
+        for service, listed in versions.items():
+            self._observe_versions(service, listed, now)
+
+    def sole_version(self, service: str, now: float) -> str | None:
+        """Return the version at which any stream of a service must have begun.
+
+        None unless the service has had that version alone for as long as a stream may
+        be taken up again, by a list that is up to date.
+        """
+        sole = self._sole.get(service)
+        if sole is None or now - self._read_at > MAX_LIST_AGE_SECONDS:
+            return None
+        return sole.version if now - sole.since >= STREAM_MEMORY_SECONDS else None
+
+    def takes_streams(self, entry: EndpointEntry, notice: float, now: float) -> bool:
+        """Return whether a stream may go on at an endpoint.
+
+        One that drains takes further requests for ``notice`` seconds after the store
+        was told, which was after the read before the one that showed it.
+        """
+        if not entry.draining:
+            return True
+        noticed_after = self._drain_noticed_after.get(entry.endpoint_id, float("-inf"))
+        return now < noticed_after + notice - DRAIN_MARGIN_SECONDS
+
+    def _observe_versions(self, service: str, listed: set[str], now: float) -> None:
+        if len(listed) > 1 or UNKNOWN_VERSION in listed:
+            self._sole.pop(service, None)
+            return
+        (version,) = listed
+        known = self._sole.get(service)
+        if known is None or known.version != version:
+            self._sole[service] = _SoleVersion(version, now)
--- a/src/knapweeddrum/process/entry/answer_relay.py
+++ b/src/knapweeddrum/process/entry/answer_relay.py
@@ -139,6 +139,8 @@
         if not self.started:
             self._record_first_chunk(answer)
             self.started = True
+            if self._job.stream_version is None:
+                self._job.stream_version = answer.state.entry.software_version
             headers = answer.head.headers
             if self._job.route.resumable:
                 # A resumed stream may have a different length.
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -22,6 +22,7 @@
 from knapweeddrum.core.routing.answer_durations import AnswerDurations
 from knapweeddrum.core.routing.failover_policy import FailoverPolicy
 from knapweeddrum.core.routing.retry_window import RetryWindow
+from knapweeddrum.core.streams.endpoint_history import EndpointHistory
 from knapweeddrum.http.connection_pool import ConnectionPool
 from knapweeddrum.platform.store_client import StoreClient
 from knapweeddrum.process.entry.lost_connection import LostConnection
@@ -70,6 +71,9 @@
     """Time from which a drain refuses requests that may outlast it."""
     drain_ends_at: float = float("inf")
     """Time at which a drain cuts off requests in progress."""
+    endpoint_history: EndpointHistory = dataclasses.field(
+        default_factory=EndpointHistory
+    )
     open_attempts: dict[str, EndpointState] = dataclasses.field(default_factory=dict)
     """Endpoints that requests were sent to and that have not answered them whole."""
     in_progress: int = 0
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -101,8 +101,9 @@
     async def _attempt_until_answered(self) -> None:
         with anyio.CancelScope(deadline=self._job.deadline) as scope:
             while True:
+                state = self._choose_endpoint()
                 try:
-                    await self._attempt()
+                    await self._attempt(state)
                     return
                 except AttemptError as exc:
                     self._retry_or_raise(exc)
@@ -120,9 +121,8 @@
             raise refused(RefusalReason.DEADLINE, RunState.UNKNOWN, detail=detail)
         raise refused(RefusalReason.NO_ENDPOINT, retry_after=0.01)
 
-    async def _attempt(self) -> None:
+    async def _attempt(self, state: EndpointState) -> None:
         job = self._job
-        state = self._choose_endpoint()
         resume_after = self._relay.last_event_id or job.req.resume_after
         job.endpoint_id = state.entry.endpoint_id
         job.answer_framing = None
@@ -148,7 +148,7 @@
         prompt = job.req.prompt
         constraints = crash_constraints(self._ctx, job)
         has_affinity = job.route.session_affinity and not constraints.suspect
-        states = self._ctx.endpoint_states.of_service(job.service)
+        states = self._eligible_states()
         idle = self._ctx.pool.idle_keys()
         placement = PlacementRequest(
             session=prompt.session if prompt is not None and has_affinity else "",
@@ -162,8 +162,25 @@
             raise self._no_endpoint_error()
         return state
 
-    def _no_endpoint_error(self) -> RefusedError:
+    def _eligible_states(self) -> list[EndpointState]:
+        """Return the endpoints that may run the request, healthy or not."""
+        ctx = self._ctx
         job = self._job
+        if job.stream_version is None:
+            return ctx.endpoint_states.of_service(job.service)
+        now = time.monotonic()
+        return [
+            state
+            for state in ctx.endpoint_states.of_version(job.service, job.stream_version)
+            if ctx.endpoint_history.takes_streams(
+                state.entry, ctx.settings.drain_delay, now
+            )
+        ]
+
+    def _no_endpoint_error(self) -> RefusedError | AttemptError:
+        job = self._job
+        if self._relay.started and self._last_failure is not None:
+            return self._last_failure
         if job.may_have_run and self._last_failure is not None:
             return refused(RefusalReason.ENDPOINT_FAILED, self._last_failure.run_state)
         retry_after = self._policy.retry_after(job.deadline, time.monotonic())
--- a/src/knapweeddrum/process/entry/request_job.py
+++ b/src/knapweeddrum/process/entry/request_job.py
@@ -43,6 +43,8 @@
     tried: set[str] = dataclasses.field(default_factory=set)
     """Ids of the endpoints that are not tried again."""
     endpoint_id: str = ""
+    stream_version: str | None = None
+    """Software version that began the stream, None while none is known to have."""
     first_chunk_at: float | None = None
     answer_framing: BodyFraming | None = None
     """Framing of the last attempt's answer, None before it."""
--- a/src/knapweeddrum/process/entry/service_list_reader.py
+++ b/src/knapweeddrum/process/entry/service_list_reader.py
@@ -51,6 +51,7 @@
         self._ctx.service_list.store_reached(now)
         for key in self._ctx.service_list.expire(now):
             self._ctx.events.emit(ENDPOINT_UNLISTED, endpoint=key, lapsed=True)
+        self._ctx.endpoint_history.observe(self._ctx.service_list.all(), now)
 
     def _drop(self, record: KeyedRecord, now: float) -> None:
         if self._ctx.service_list.apply_removal(record.key, record.offset, now):
--- /dev/null
+++ b/tests/core/streams/test_endpoint_history.py
@@ -0,0 +1,79 @@
+from __future__ import annotations
+
+from knapweeddrum.core.catalog.endpoint_entry import UNKNOWN_VERSION, EndpointEntry
+from knapweeddrum.core.streams.endpoint_history import (
+    DRAIN_MARGIN_SECONDS,
+    MAX_LIST_AGE_SECONDS,
+    STREAM_MEMORY_SECONDS,
+    EndpointHistory,
+)
+
+NOTICE = 2.0
+READ_INTERVAL = 0.5
+
+
+def endpoint(name: str, version: str, *, draining: bool = False) -> EndpointEntry:
+    return EndpointEntry(
+        name, "engine", "10.0.0.1:1", "a", 8, draining, software_version=version
+    )
+
+
+def observe(history: EndpointHistory, start: float, end: float, *versions: str) -> None:
+    """Read a list with an endpoint of each version at each interval."""
+    entries = [endpoint(f"e{n}", version) for n, version in enumerate(versions)]
+    now = start
+    while now <= end:
+        history.observe(entries, now)
+        now += READ_INTERVAL
+
+
+def test_only_a_version_that_has_long_been_alone_is_known_to_have_begun_a_stream():
+    """Neither a short time nor a second version, which has gone again, allows it."""
+    history = EndpointHistory()
+    observe(history, 0.0, STREAM_MEMORY_SECONDS - 1, "v1", "v1")
+    assert history.sole_version("engine", STREAM_MEMORY_SECONDS - 1) is None
+    end = 2 * STREAM_MEMORY_SECONDS
+    observe(history, STREAM_MEMORY_SECONDS, end, "v1")
+    assert history.sole_version("engine", end) == "v1"
+    assert history.sole_version("other", end) is None
+    observe(history, end, end + 1, "v1", "v2")
+    assert history.sole_version("engine", end + 1) is None
+    observe(history, end + 1.5, end + STREAM_MEMORY_SECONDS, "v2")
+    assert history.sole_version("engine", end + STREAM_MEMORY_SECONDS) is None
+
+
+def test_list_that_is_not_up_to_date_proves_nothing():
+    """A host that can't read the list may miss a second version."""
+    history = EndpointHistory()
+    observe(history, 0.0, STREAM_MEMORY_SECONDS, "v1")
+    late = STREAM_MEMORY_SECONDS + MAX_LIST_AGE_SECONDS
+    assert history.sole_version("engine", late - 0.1) == "v1"
+    assert history.sole_version("engine", late + 0.1) is None
+
+
+def test_unknown_versions_are_never_alone():
+    """Two endpoints without a version may differ."""
+    history = EndpointHistory()
+    observe(history, 0.0, 2 * STREAM_MEMORY_SECONDS, UNKNOWN_VERSION)
+    assert history.sole_version("engine", 2 * STREAM_MEMORY_SECONDS) is None
+
+
+def test_endpoint_that_drains_takes_streams_for_its_notice():
+    """The notice counts from the read before the one that showed it."""
+    history = EndpointHistory()
+    history.observe([endpoint("e0", "v1")], 10.0)
+    leaving = endpoint("e0", "v1", draining=True)
+    history.observe([leaving], 10.5)
+    history.observe([leaving], 11.0)
+    end = 10.0 + NOTICE - DRAIN_MARGIN_SECONDS
+    assert history.takes_streams(leaving, NOTICE, end - 0.01)
+    assert not history.takes_streams(leaving, NOTICE, end)
+    assert history.takes_streams(endpoint("e1", "v1"), NOTICE, 99.0)
+
+
+def test_endpoint_that_drained_before_the_first_read_takes_no_stream():
+    """Nobody knows for how long it has been leaving."""
+    history = EndpointHistory()
+    leaving = endpoint("e0", "v1", draining=True)
+    history.observe([leaving], 10.0)
+    assert not history.takes_streams(leaving, NOTICE, 10.0)
