Streams: hosts know which software version began a stream that is taken up

Cause: Resumes was read nowhere, and a host that never saw a stream passed Last-Event-Id on to any endpoint.

Change: as the first event passes, its service and version are remembered under a digest of organisation and attempt id (at most 8,192, for 20 s), and two hosts, chosen by rendezvous hash of that key, are told in batches of 20 ms. A host that a stream is taken up at looks at its own memory, asks up to three hosts, one after the other and once more after 60 ms, and else goes on only where a single version was listed for 20 s by a list no older than 2 s, at itself or a host it asked. Otherwise it refuses: stream_version_unknown, stream_version_gone. While a version is alone nobody is told; streams of before are told when that ends.

Why a fifth way of telling: claims and crash records go through the store and change rarely; every stream through it would be some 25 writes a second at the small site and 300 at the grown one, priced and gone in an outage. Shares need no telling, loans ask any host. Broadcast grows with the hosts. What stands is used: PeerClient, the page server, the ranking idea of witnesses.

Evidence: six tests with real processes failed before and pass (kill of the first host, a host just started, second version midway, foreign and invented values, draining engines). Vain questions are limited to 64, then 10 a second and organisation.

Left: an endpoint that starts again under its id with another version.

--- a/src/knapweeddrum/core/catalog/route.py
+++ b/src/knapweeddrum/core/catalog/route.py
@@ -39,6 +39,11 @@
             return self.resumable
         return self.kind is RouteKind.SAFE
 
+    @property
+    def service_names(self) -> tuple[str, ...]:
+        """Return the names of the services that requests may go to."""
+        return tuple(destination.service for destination in self.destinations)
+
     def choose_service(self, fraction: float) -> str:
         """Return the service at ``fraction``, from 0 up to 1, of the total weight."""
         total = sum(destination.weight for destination in self.destinations)
--- a/src/knapweeddrum/core/streams/endpoint_history.py
+++ b/src/knapweeddrum/core/streams/endpoint_history.py
@@ -7,7 +7,7 @@
 
 from knapweeddrum.core.catalog.endpoint_entry import UNKNOWN_VERSION, EndpointEntry
 
-STREAM_MEMORY_SECONDS = 30.0
+STREAM_MEMORY_SECONDS = 20.0
 """Time after its beginning for which a stream may be taken up again."""
 
 MAX_LIST_AGE_SECONDS = 2.0
--- a/src/knapweeddrum/process/entry/answer_relay.py
+++ b/src/knapweeddrum/process/entry/answer_relay.py
@@ -5,6 +5,7 @@
 import time
 
 from knapweeddrum.core.admission.crash_evidence import ProbeResult
+from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.core.catalog.route_kind import RouteKind
 from knapweeddrum.core.routing.answer_end import AnswerEnd
 from knapweeddrum.core.routing.answer_verdict import (
@@ -13,6 +14,7 @@
     judge_by_endpoint,
     judge_stream,
 )
+from knapweeddrum.core.streams.stream_origin import StreamOrigin
 from knapweeddrum.http.event_splitter import EventSplitter
 from knapweeddrum.http.exceptions import EndlessReplyError, TruncatedReplyError
 from knapweeddrum.http.header_list import Header
@@ -22,6 +24,7 @@
 from knapweeddrum.process.entry.endpoint_probe import probe_endpoint
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.process.entry.request_log import RequestLog
+from knapweeddrum.process.entry.stream_origin_sharing import StreamOriginSharing
 from knapweeddrum.value.body_framing import BodyFraming
 from knapweeddrum.value.retry_reason import RetryReason
 from knapweeddrum.value.run_state import RunState
@@ -40,8 +43,13 @@
     """Relays the answers to the attempts of one request as one answer."""
 
     def __init__(
-        self, caller: ServerConnection, job: RequestJob, log: RequestLog
+        self,
+        caller: ServerConnection,
+        job: RequestJob,
+        log: RequestLog,
+        stream_origins: StreamOriginSharing,
     ) -> None:
+        self._stream_origins = stream_origins
         self._caller = caller
         self._job = job
         self._log = log
@@ -139,8 +147,7 @@
         if not self.started:
             self._record_first_chunk(answer)
             self.started = True
-            if self._job.stream_version is None:
-                self._job.stream_version = answer.state.entry.software_version
+            self._record_beginning(answer.state.entry)
             headers = answer.head.headers
             if self._job.route.resumable:
                 # A resumed stream may have a different length.
@@ -149,6 +156,15 @@
         if data:
             await self._caller.send_data(data)
 
+    def _record_beginning(self, entry: EndpointEntry) -> None:
+        """Record which software version began the stream."""
+        job = self._job
+        if job.stream_version is None:
+            job.stream_version = entry.software_version
+        if job.route.resumable:
+            origin = StreamOrigin(job.service, job.stream_version)
+            self._stream_origins.record_beginning(job, origin)
+
     def _record_first_chunk(self, answer: EndpointAnswer) -> None:
         answer.first_chunk_received = True
         if self._job.first_chunk_at is None:
--- a/src/knapweeddrum/process/entry/caller_server.py
+++ b/src/knapweeddrum/process/entry/caller_server.py
@@ -8,15 +8,22 @@
 from knapweeddrum.http.listener import listen
 from knapweeddrum.process.entry.caller_session import CallerSession
 from knapweeddrum.process.entry.entry_context import EntryContext
+from knapweeddrum.process.entry.stream_origin_sharing import StreamOriginSharing
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
 
 
 class CallerServer:
     """Accepts callers' connections and runs a session for each."""
 
-    def __init__(self, ctx: EntryContext, allocator: TokenAllocator) -> None:
+    def __init__(
+        self,
+        ctx: EntryContext,
+        allocator: TokenAllocator,
+        stream_origins: StreamOriginSharing,
+    ) -> None:
         self._ctx = ctx
         self._allocator = allocator
+        self._stream_origins = stream_origins
         self._sessions: set[CallerSession] = set()
         self._accepting = anyio.CancelScope()
 
@@ -43,7 +50,9 @@
             await session.abort()
 
     async def _serve(self, stream: SocketStream) -> None:
-        session = CallerSession(self._ctx, self._allocator, stream)
+        session = CallerSession(
+            self._ctx, self._allocator, self._stream_origins, stream
+        )
         self._sessions.add(session)
         try:
             await session.run()
--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -19,6 +19,7 @@
 from knapweeddrum.process.entry.request_handler import RequestHandler
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.process.entry.request_log import RequestLog, milliseconds
+from knapweeddrum.process.entry.stream_origin_sharing import StreamOriginSharing
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
 from knapweeddrum.process.router.problem import STATUS_BY_REASON, Problem
 from knapweeddrum.telemetry.events import (
@@ -40,10 +41,15 @@
     """Reads requests in order and answers each."""
 
     def __init__(
-        self, ctx: EntryContext, allocator: TokenAllocator, stream: SocketStream
+        self,
+        ctx: EntryContext,
+        allocator: TokenAllocator,
+        stream_origins: StreamOriginSharing,
+        stream: SocketStream,
     ) -> None:
         self._ctx = ctx
         self._allocator = allocator
+        self._stream_origins = stream_origins
         self._limits = _limits(ctx)
         self._conn = ServerConnection(stream, self._limits.max_header_bytes)
         self._admission = RequestAdmission(ctx)
@@ -114,7 +120,9 @@
 
     async def _run_until_disconnect(self, job: RequestJob) -> None:
         """Serve a request; raises PeerDisconnectedError if the caller leaves."""
-        handler = RequestHandler(self._ctx, self._allocator, self._conn, job)
+        handler = RequestHandler(
+            self._ctx, self._allocator, self._stream_origins, self._conn, job
+        )
         log = RequestLog(self._ctx, job)
         failure: Exception | None = None
         disconnected = False
--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -37,6 +37,11 @@
 from knapweeddrum.process.entry.peer_client import PeerClient
 from knapweeddrum.process.entry.service_list_reader import ServiceListReader
 from knapweeddrum.process.entry.stream_follower import RecordReader, StreamFollower
+from knapweeddrum.process.entry.stream_origin_sharing import (
+    NOTICE_PATH,
+    QUESTION_PATH,
+    StreamOriginSharing,
+)
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
 from knapweeddrum.process.entry.token_borrower import LOAN_PATH, TokenBorrower
 from knapweeddrum.process.entry.token_lender import TokenLender
@@ -79,7 +84,8 @@
         self._witness = TokenWitness(ctx, peers)
         self._allocator = TokenAllocator(ctx, self._unlocker, TokenBorrower(ctx, peers))
         self._lender = TokenLender(ctx, self._allocator)
-        self._server = CallerServer(ctx, self._allocator)
+        self._stream_origins = StreamOriginSharing(ctx, peers)
+        self._server = CallerServer(ctx, self._allocator, self._stream_origins)
         self._housekeeping = HousekeepingTask(ctx, writer, settings_path)
         self._heartbeat = HeartbeatTask(ctx)
         self._crash_detector = CrashDetector(ctx, losses)
@@ -102,6 +108,7 @@
                 tasks.start_soon(self._heartbeat.run)
                 tasks.start_soon(self._crash_detector.run)
                 tasks.start_soon(self._crash_sharing.run)
+                tasks.start_soon(self._stream_origins.run)
                 tasks.start_soon(self._housekeeping.run)
                 await self._wait_for_stop_signal(signals)
                 await self._drain(signals)
@@ -121,6 +128,8 @@
                     UNLOCK_PATH: self._witness.unlock,
                     WITNESS_LEAVE_PATH: self._witness.record_leave,
                     CRASH_EXCHANGE_PATH: self._crash_sharing.exchange,
+                    NOTICE_PATH: self._stream_origins.receive_notice,
+                    QUESTION_PATH: self._stream_origins.answer_question,
                 },
             ),
         ]
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -26,6 +26,7 @@
 from knapweeddrum.process.entry.request_admission import refused
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.process.entry.request_log import RequestLog
+from knapweeddrum.process.entry.stream_origin_sharing import StreamOriginSharing
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.retry_reason import RetryReason
@@ -45,15 +46,17 @@
         self,
         ctx: EntryContext,
         allocator: TokenAllocator,
+        stream_origins: StreamOriginSharing,
         caller: ServerConnection,
         job: RequestJob,
     ) -> None:
         self._ctx = ctx
         self._allocator = allocator
+        self._stream_origins = stream_origins
         self._job = job
         self._policy = ctx.failover_policy(job.service, time.monotonic())
         self._log = RequestLog(ctx, job)
-        self._relay = AnswerRelay(caller, job, self._log)
+        self._relay = AnswerRelay(caller, job, self._log, stream_origins)
         self._last_failure: AttemptError | None = None
         self.spent = 0
         """Prepaid tokens charged for the request, set when it ends."""
@@ -68,6 +71,8 @@
             self._job.fingerprint, time.time()
         )
         crash_constraints(self._ctx, self._job)
+        if self._job.takes_up_stream:
+            await self._find_origin()
         organisation = self._prepaid_organisation()
         reserved = self._job.reserved_tokens if organisation is not None else 0
         if organisation is not None and reserved:
@@ -80,6 +85,21 @@
                 self.spent = self._relay.tokens_to_charge()
                 self._allocator.settle(organisation, reserved, self.spent)
 
+    async def _find_origin(self) -> None:
+        """Find out where the stream that is taken up may go on."""
+        job = self._job
+        origin = await self._stream_origins.find(job)
+        if origin is None:
+            retry_after = self._policy.retry_after(job.deadline, time.monotonic())
+            raise refused(RefusalReason.STREAM_VERSION_UNKNOWN, retry_after=retry_after)
+        job.stream_version = origin.software_version
+        if origin.service != job.service and origin.service in job.route.service_names:
+            job.service = origin.service
+            self._policy = self._ctx.failover_policy(job.service, time.monotonic())
+        if origin.service != job.service or not self._eligible_states():
+            retry_after = self._policy.retry_after(job.deadline, time.monotonic())
+            raise refused(RefusalReason.STREAM_VERSION_GONE, retry_after=retry_after)
+
     def _prepaid_organisation(self) -> str | None:
         name = self._job.organisation_name
         if name is None or not self._ctx.token_accounts.is_prepaid(name):
--- a/src/knapweeddrum/process/entry/request_job.py
+++ b/src/knapweeddrum/process/entry/request_job.py
@@ -6,6 +6,7 @@
 
 from knapweeddrum.core.catalog.organisation import Organisation
 from knapweeddrum.core.catalog.route import Route
+from knapweeddrum.core.catalog.route_kind import RouteKind
 from knapweeddrum.platform.caller_request import CallerRequest
 from knapweeddrum.value.body_framing import BodyFraming
 
@@ -51,6 +52,12 @@
     rest_bytes: int = 0
     """Bytes received of that answer after its last complete event."""
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Return whether the caller goes on with a stream that it has a part of."""
+        is_stream = self.route.kind is RouteKind.STREAMING
+        return is_stream and bool(self.req.resumed_attempt or self.req.resume_after)
+
     @property
     def may_have_run(self) -> bool:
         """Return whether any endpoint may have run the request."""
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -147,6 +147,12 @@
 ENDPOINT_EXAMINED = Event(
     628, "endpoint_examined", "info", ("endpoint", "cause", "open_for_ms", "answered")
 )
+STREAM_ORIGIN_SOUGHT = Event(
+    629,
+    "stream_origin_sought",
+    "info",
+    ("request", "resumes", "source", "service", "software_version"),
+)
 CRASHES_COUNTED = Event(
     609, "crashes_counted", "warning", ("fingerprint", "crashes", "blamed", "source")
 )
