Streams: an endpoint that restarted under its id is not taken for its old version

Cause: the entry was believed until the next was read, whatever its connections showed. Expect-Instance names the id, which is the same.

Change: a restart ends all connections. A connection that could not be opened, an idle one that the server closed early, or an exchange cut 0.3 s ago or longer is a sign of one until the entry is written again (known from the read before the one that shows it). An idle connection open since before the entry was written rules a restart out, and so does one accepted within 0.3 s of the cut, by the request or by the crash detector's probe, as a restart takes longer. With a sign, no stream goes on there, and one that begins there has an unknown version.

Tried before and not kept: 0.1 s and a probe at the first loss only, which left every endpoint under suspicion when cuts came faster than the detector looks.

--- a/src/knapweeddrum/core/streams/endpoint_history.py
+++ b/src/knapweeddrum/core/streams/endpoint_history.py
@@ -32,22 +32,40 @@
     def __init__(self) -> None:
         self._sole: dict[str, _SoleVersion] = {}
         self._drain_noticed_after: dict[str, float] = {}
+        self._written_after: dict[str, float] = {}
         self._read_at = float("-inf")
 
-    def observe(self, entries: Iterable[EndpointEntry], now: float) -> None:
-        """Record the complete list of endpoints as of ``now``."""
+    def observe(
+        self, entries: Iterable[EndpointEntry], written: Iterable[str], now: float
+    ) -> None:
+        """Record the complete list of endpoints as of ``now``.
+
+        ``written`` are the ids of those that wrote their entry since the last call.
+        """
+        self._written_after.update(dict.fromkeys(written, self._read_at))
         versions: dict[str, set[str]] = {}
         draining = {}
+        listed_ids = set()
         for entry in entries:
+            listed_ids.add(entry.endpoint_id)
             versions.setdefault(entry.service, set()).add(entry.software_version)
             if entry.draining:
                 known = self._drain_noticed_after.get(entry.endpoint_id, self._read_at)
                 draining[entry.endpoint_id] = known
         self._drain_noticed_after = draining
+        self._written_after = {
+            endpoint_id: at
+            for endpoint_id, at in self._written_after.items()
+            if endpoint_id in listed_ids
+        }
         self._read_at = now
         for service, listed in versions.items():
             self._observe_versions(service, listed, now)
 
+    def written_after(self, endpoint_id: str) -> float:
+        """Return a time after which an endpoint wrote its entry last."""
+        return self._written_after.get(endpoint_id, float("-inf"))
+
     def sole_version(self, service: str, now: float) -> str | None:
         """Return the version at which any stream of a service must have begun.
 
--- a/src/knapweeddrum/process/entry/answer_relay.py
+++ b/src/knapweeddrum/process/entry/answer_relay.py
@@ -5,7 +5,6 @@
 import time
 
 from knapweeddrum.core.admission.crash_evidence import ProbeResult
-from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.core.catalog.route_kind import RouteKind
 from knapweeddrum.core.routing.answer_end import AnswerEnd
 from knapweeddrum.core.routing.answer_verdict import (
@@ -147,7 +146,7 @@
         if not self.started:
             self._record_first_chunk(answer)
             self.started = True
-            self._record_beginning(answer.state.entry)
+            self._record_beginning(answer.software_version)
             headers = answer.head.headers
             if self._job.route.resumable:
                 # A resumed stream may have a different length.
@@ -156,11 +155,11 @@
         if data:
             await self._caller.send_data(data)
 
-    def _record_beginning(self, entry: EndpointEntry) -> None:
+    def _record_beginning(self, software_version: str) -> None:
         """Record which software version began the stream."""
         job = self._job
         if job.stream_version is None:
-            job.stream_version = entry.software_version
+            job.stream_version = software_version
         if job.route.resumable:
             origin = StreamOrigin(job.service, job.stream_version)
             self._stream_origins.record_beginning(job, origin)
--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -30,6 +30,7 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.lost_connection import LossCause, LostConnection
 from knapweeddrum.process.entry.request_job import RequestJob
+from knapweeddrum.process.entry.restart_signs import serving_version
 from knapweeddrum.telemetry.counters import FIRST_ARRIVALS, REPEATED_ARRIVALS
 from knapweeddrum.value.retry_reason import RetryReason
 from knapweeddrum.value.run_state import RunState
@@ -52,6 +53,8 @@
     head: EndpointReplyHead
     state: EndpointState
     conn: ClientConnection
+    software_version: str
+    """Version of the endpoint that answers, unknown if it may have restarted."""
     first_chunk_received: bool = False
 
     async def next_data(self) -> bytes | None:
@@ -103,7 +106,8 @@
         sending = conn.exchange(job.req.method, job.req.target, headers, job.body)
         async with sending as raw_head:
             head = await _head_of_request(job, conn, decode_reply_head(raw_head))
-            answer = EndpointAnswer(head, state, conn)
+            version = serving_version(ctx, state, conn)
+            answer = EndpointAnswer(head, state, conn, version)
             answer.record_data()
             if head.load is not None and not head.moved:
                 state.record_load(head.load, time.monotonic())
@@ -147,6 +151,8 @@
         # The endpoint may have ended without closing its connections.
         cause = LossCause.NO_ANSWER
     run_end = RunEnd.CANCELLED
+    if is_lost:
+        state.cut_at = now
     if cause is not None:
         run_end = RunEnd.CUT
     elif result is AttemptResult.SUCCESS:
@@ -173,7 +179,8 @@
             RetryReason.CONNECT_FAILED, RunState.NOT_RUN, str(exc)
         ) from exc
     except NotSentError as exc:
-        state.eject(time.monotonic())
+        state.unreachable_at = time.monotonic()
+        state.eject(state.unreachable_at)
         raise AttemptError(
             RetryReason.CONNECT_FAILED, RunState.NOT_RUN, str(exc)
         ) from exc
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -26,6 +26,7 @@
 from knapweeddrum.process.entry.request_admission import refused
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.process.entry.request_log import RequestLog
+from knapweeddrum.process.entry.restart_signs import may_have_restarted
 from knapweeddrum.process.entry.stream_origin_sharing import StreamOriginSharing
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
 from knapweeddrum.value.refusal_reason import RefusalReason
@@ -195,6 +196,7 @@
             if ctx.endpoint_history.takes_streams(
                 state.entry, ctx.settings.drain_delay, now
             )
+            and not may_have_restarted(ctx, state, now)
         ]
 
     def _no_endpoint_error(self) -> RefusedError | AttemptError:
--- a/src/knapweeddrum/process/entry/service_list_reader.py
+++ b/src/knapweeddrum/process/entry/service_list_reader.py
@@ -22,6 +22,8 @@
 
     def __init__(self, ctx: EntryContext) -> None:
         self._ctx = ctx
+        self._written: set[str] = set()
+        """Endpoints whose entries were read since the list was up to date."""
 
     def apply_listing(
         self, records: Iterable[KeyedRecord], end: int, now: float
@@ -38,6 +40,7 @@
                 self._drop(record, now)
                 continue
             entry = self._decode(record, record.value)
+            self._written.add(record.key)
             if self._ctx.service_list.apply_entry(record.key, record.offset, entry):
                 self._log_change(record.key, entry)
 
@@ -51,7 +54,9 @@
         self._ctx.service_list.store_reached(now)
         for key in self._ctx.service_list.expire(now):
             self._ctx.events.emit(ENDPOINT_UNLISTED, endpoint=key, lapsed=True)
-        self._ctx.endpoint_history.observe(self._ctx.service_list.all(), now)
+        entries = self._ctx.service_list.all()
+        self._ctx.endpoint_history.observe(entries, self._written, now)
+        self._written.clear()
 
     def _drop(self, record: KeyedRecord, now: float) -> None:
         if self._ctx.service_list.apply_removal(record.key, record.offset, now):
--- a/tests/process/entry/test_stream_versions.py
+++ b/tests/process/entry/test_stream_versions.py
@@ -14,6 +14,8 @@
 )
 
 STREAMS = 12
+HEARTBEATS_READ_SECONDS = 2.0
+"""Time in which a host reads several heartbeats of each engine."""
 RETRIED_STREAMS = 6
 """Streams that one host may go on with by itself, by the users' bound on retries."""
 TWO_OF_EACH = ("v1", "v2", "v1", "v2")
@@ -141,7 +143,7 @@
         host = fleet.hosts[0]
         streams = [await fleet.begin(host) for _ in range(STREAMS)]
         for engine in fleet.engines[:2]:
-            fleet.list_engine(engine, state="draining", seq=2)
+            engine.entry_changes["state"] = "draining"
         while not any(line["draining"] for line in host.events("endpoint_listed")):
             await anyio.sleep(0.02)
         for stream in streams:
@@ -156,7 +158,7 @@
     async with version_fleet(1, ("v1", "v1")) as fleet:
         for version in (None, "", "x" * 5000, 7, ["v1"], {"v": 1}):
             engine = await fleet.add_engine("odd")
-            fleet.list_engine(engine, version=version, seq=2)
+            engine.entry_changes["version"] = version
         await anyio.sleep(1.5)
         streams = [
             await fleet.begin(fleet.hosts[0], RESUMED_PATH) for _ in range(STREAMS)
@@ -164,3 +166,50 @@
     for stream in streams:
         assert stream.versions in ({b"v1"}, {b"odd"})
         assert stream.is_whole == (stream.versions == {b"v1"})
+
+
+async def warm_up(fleet: VersionFleet) -> None:
+    """Have the first host open connections to all engines."""
+    for _ in range(STREAMS):
+        await fleet.begin(fleet.hosts[0])
+    fleet.cuts_next.clear()
+
+
+@async_test
+async def test_stream_never_goes_on_at_an_engine_restarted_under_its_id():
+    """The entry of before the restart still names the old version."""
+    async with version_fleet(1, ("v1", "v1", "v3")) as fleet:
+        await warm_up(fleet)
+        streams = [await fleet.begin(fleet.hosts[0]) for _ in range(STREAMS)]
+        for engine in fleet.engines[:2]:
+            await engine.restart("v2")
+        for stream in streams:
+            await fleet.take_up(fleet.hosts[0], stream)
+    assert_one_version_each(streams)
+
+
+@async_test
+async def test_stream_of_an_engine_restarted_under_its_id_goes_on_nowhere_else():
+    """The version that began it is not the one that the entry names."""
+    async with version_fleet(1, ("v1", "v1")) as fleet:
+        await warm_up(fleet)
+        await fleet.engines[0].restart("v2")
+        streams = [await fleet.begin(fleet.hosts[0]) for _ in range(STREAMS)]
+        for stream in streams:
+            await fleet.take_up(fleet.hosts[0], stream)
+    assert any(b"v2" in stream.versions for stream in streams)
+    assert_one_version_each(streams)
+
+
+@async_test
+async def test_engine_that_broke_off_a_stream_takes_streams_after_its_next_heartbeat():
+    """An entry that was written after the loss shows that it did not restart."""
+    async with version_fleet(1, ("v1", "v1", "v2")) as fleet:
+        streams = [await fleet.begin(fleet.hosts[0]) for _ in range(STREAMS)]
+        await anyio.sleep(HEARTBEATS_READ_SECONDS)
+        for stream in streams:
+            await fleet.take_up(fleet.hosts[0], stream)
+    assert_one_version_each(streams)
+    begun_at_v1 = [stream for stream in streams if stream.versions == {b"v1"}]
+    assert begun_at_v1
+    assert went_on(begun_at_v1) == len(begun_at_v1)
--- a/tests/process/entry/version_fleet.py
+++ b/tests/process/entry/version_fleet.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator, Callable
 
 import anyio
+import anyio.abc
 
 from tests.process.entry.entry_harness import (
     KEY,
@@ -21,10 +22,14 @@
 )
 from tests.standins.platform_store import PlatformStore
 from tests.standins.stamped_server import Behaviour, StampedServer
+from tests.standins.tcp_serving import serving
 
 EVENTS = 6
 OTHER_KEY = "key-of-office"
 PIECE = re.compile(rb"data: (\S+) (\d+)")
+BEAT_SECONDS = 0.3
+DOWN_SECONDS = 0.6
+"""Time for which an engine that restarts refuses connections."""
 ANSWER_TIMEOUT_SECONDS = 5.0
 ONE_ATTEMPT_PATH = "/once/1"
 """Route on which the fleet sends a request to one endpoint only."""
@@ -70,6 +75,54 @@
         self.version = version
         self.piece = version.encode()
         self._cuts = cuts
+        self._streams: set[anyio.abc.SocketStream] = set()
+        self._ended = anyio.Event()
+        self._started_again = anyio.Event()
+        self.entry_changes: dict[str, object] = {}
+        """Fields of the entry that differ from those of other engines."""
+        self.beats: int | None = 1
+        """Number of the last heartbeat, None once it writes none any more."""
+
+    async def restart(self, version: str) -> None:
+        """Be down for a while, then serve another version under the same id.
+
+        Its entry stays as it is.
+        """
+        self.beats = None
+        self._started_again = anyio.Event()
+        self._ended.set()
+        await self._started_again.wait()
+        self.version = version
+        self.piece = version.encode()
+
+    @contextlib.asynccontextmanager
+    async def serve(self) -> AsyncIterator[str]:
+        """Serve on a free port, which is kept over restarts; yield ``IP:port``."""
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(self._keep_listening)
+            yield self.address
+            tasks.cancel_scope.cancel()
+
+    async def _keep_listening(
+        self, *, task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        port = 0
+        while True:
+            async with serving(self._connection, port) as self.address:
+                if not port:
+                    task_status.started()
+                port = int(self.address.rpartition(":")[2])
+                self._started_again.set()
+                self._ended = anyio.Event()
+                await self._ended.wait()
+            for stream in list(self._streams):
+                await anyio.aclose_forcefully(stream)
+            await anyio.sleep(DOWN_SECONDS)
+
+    async def _connection(self, stream: anyio.abc.SocketStream) -> None:
+        self._streams.add(stream)
+        await super()._connection(stream)
+        self._streams.discard(stream)
 
     async def _run(self, conn, stream, received, behaviour):  # type: ignore[no-untyped-def]
         if self._cuts():
@@ -90,9 +143,18 @@
     stack: contextlib.AsyncExitStack
     attempts: itertools.count[int] = dataclasses.field(default_factory=itertools.count)
 
+    async def beat(self) -> None:
+        """Write the entries of all engines again and again."""
+        while True:
+            await anyio.sleep(BEAT_SECONDS)
+            for engine in self.engines:
+                if engine.beats is not None:
+                    engine.beats += 1
+                    self.list_engine(engine, seq=engine.beats)
+
     def list_engine(self, engine: VersionedEngine, **changes: object) -> None:
         """Write the entry of an engine."""
-        entry = engine.entry("engine", **changes)
+        entry = engine.entry("engine", **{**engine.entry_changes, **changes})
         self.store.put("keyed.servers", engine.server_id, entry)
 
     async def add_engine(self, version: str) -> VersionedEngine:
@@ -204,6 +266,9 @@
         store_address = await stack.enter_async_context(store.serve())
         store.put("keyed.op", "config", document())
         fleet = VersionFleet(store, store_address, [], [], [], stack)
+        tasks = await stack.enter_async_context(anyio.create_task_group())
+        stack.callback(tasks.cancel_scope.cancel)
+        tasks.start_soon(fleet.beat)
         for version in versions:
             await fleet.add_engine(version)
         for _ in range(host_count):
