--- a/tests/standins/stamped_server.py
+++ b/tests/standins/stamped_server.py
@@ -70,6 +70,12 @@
         """Whether requests that expect another instance get 421."""
         self.limit = b""
         """Value of the header Server-Limit in each answer; empty for none."""
+        self.leaving = False
+        """Whether answers say that the server leaves."""
+        self.refuses = False
+        """Whether each request is refused, not run."""
+        self.retry_after: tuple[bytes, ...] = ()
+        """Values of the header Retry-After of refusals."""
         self.arrival_times: list[float] = []
         """Monotonic time of each arrival, of rejected requests too."""
         self.version: object = "v1"
@@ -115,6 +121,9 @@
         """Return the header Server-Load: requests that run and wait, and slots."""
         return b"1,0,8"
 
+    def _notices(self) -> list[tuple[bytes, bytes]]:
+        return [(b"Server-Leaving", b"1")] if self.leaving else []
+
     async def _connection(self, stream: anyio.abc.SocketStream) -> None:
         self.connections += 1
         conn = ServerConnection(stream, 65_536)
@@ -136,8 +145,12 @@
         expected = received.headers.text(b"expect-instance")
         if self.checks_instance and expected != self.server_id:
             behaviour = Behaviour.MOVED
+        if self.refuses:
+            behaviour = Behaviour.REFUSE
         if behaviour is Behaviour.REFUSE or not self.admits(received):
-            await conn.send_reply(503, [(b"Not-Executed", b"1")], b"")
+            refusal = [(b"Not-Executed", b"1"), *self._notices()]
+            refusal += [(b"Retry-After", value) for value in self.retry_after]
+            await conn.send_reply(503, refusal, b"")
             return conn.finish()
         if behaviour is Behaviour.MOVED:
             await conn.send_reply(421, [(b"Instance-Id", b"another")], b"")
@@ -165,6 +178,7 @@
             return False
         attempt = received.headers.get(b"attempt-id") or b""
         headers = [(b"Attempt-Id", attempt), (b"Server-Load", self.load())]
+        headers += self._notices()
         if self.limit:
             headers.append((b"Server-Limit", self.limit))
         if behaviour is Behaviour.SILENT_REFUSAL:
