Placing: an endpoint that says in an answer that it leaves gets nothing new

Change: decoded in the adapter from the head of every own answer (success, refusal, failure); EndpointNotices holds what one start of an endpoint said. From then on it is no candidate for new requests at this host, its idle connections are given back, and a stream may go on there for the notice that an entry's draining allows too. It is neither a failure nor does it end what runs there. Only a new start comes back.

Not built: telling other hosts; each hears it from its own first answer.

--- a/src/knapweeddrum/core/placing/endpoint_condition.py
+++ b/src/knapweeddrum/core/placing/endpoint_condition.py
@@ -9,6 +9,8 @@
     """Whether a host sends requests to an endpoint, and why not."""
 
     USABLE = "usable"
+    LEAVING = "leaving"
+    """It said in an answer that it leaves."""
     DRAINING = "draining"
     """The endpoint has announced that it is leaving."""
     ENDED = "ended"
--- a/src/knapweeddrum/core/placing/endpoint_state.py
+++ b/src/knapweeddrum/core/placing/endpoint_state.py
@@ -4,6 +4,7 @@
 
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.core.placing.endpoint_condition import EndpointCondition
+from knapweeddrum.core.placing.endpoint_notices import EndpointNotices
 from knapweeddrum.core.placing.load_report import LoadReport
 from knapweeddrum.core.routing.attempt_result import AttemptResult
 from knapweeddrum.core.routing.health_limits import HealthLimits
@@ -39,6 +40,7 @@
 
     def __init__(self, entry: EndpointEntry) -> None:
         self.entry = entry
+        self.notices = EndpointNotices()
         self.in_flight = 0
         self.pending_prompt_tokens = 0
         """Prompt tokens of requests from this host whose answer has not begun."""
@@ -117,6 +119,8 @@
         """Return whether the endpoint is used, or the first reason why not."""
         if self.entry.draining:
             return EndpointCondition.DRAINING
+        if self.notices.leaving_since is not None:
+            return EndpointCondition.LEAVING
         if self.is_ended(now):
             return EndpointCondition.ENDED
         if self.is_unresponsive(now):
--- a/src/knapweeddrum/core/placing/endpoint_states.py
+++ b/src/knapweeddrum/core/placing/endpoint_states.py
@@ -21,9 +21,13 @@
         self._version = -1
 
     def of_service(self, service: str) -> list[EndpointState]:
-        """Return the states of a service's endpoints that are not draining, by id."""
+        """Return the states of a service's endpoints that don't leave, by id."""
         self._refresh()
-        return self._by_service.get(service, [])
+        return [
+            state
+            for state in self._by_service.get(service, [])
+            if state.notices.leaving_since is None
+        ]
 
     def of_version(self, service: str, version: str) -> list[EndpointState]:
         """Return the states of a service's endpoints of a software version, by id.
@@ -45,12 +49,13 @@
         return [state for _, state in sorted(self._states.items())]
 
     def connection_keys(self) -> list[str]:
-        """Return the connection keys of all endpoints that are not draining."""
+        """Return the connection keys of all endpoints that don't leave."""
         self._refresh()
         return [
             connection_key(state.entry)
             for states in self._by_service.values()
             for state in states
+            if state.notices.leaving_since is None
         ]
 
     def _refresh(self) -> None:
--- a/src/knapweeddrum/core/streams/endpoint_history.py
+++ b/src/knapweeddrum/core/streams/endpoint_history.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 from knapweeddrum.core.catalog.endpoint_entry import UNKNOWN_VERSION, EndpointEntry
+from knapweeddrum.core.placing.endpoint_state import EndpointState
 
 STREAM_MEMORY_SECONDS = 20.0
 """Time after its beginning for which a stream may be taken up again."""
@@ -77,16 +78,21 @@
             return None
         return sole.version if now - sole.since >= STREAM_MEMORY_SECONDS else None
 
-    def takes_streams(self, entry: EndpointEntry, notice: float, now: float) -> bool:
+    def takes_streams(self, state: EndpointState, notice: float, now: float) -> bool:
         """Return whether a stream may go on at an endpoint.
 
-        One that drains takes further requests for ``notice`` seconds after the store
-        was told, which was after the read before the one that showed it.
+        One that leaves takes further requests for ``notice`` seconds after it told this
+        host, or the store, which was after the read before the one that showed it.
         """
-        if not entry.draining:
-            return True
-        noticed_after = self._drain_noticed_after.get(entry.endpoint_id, float("-inf"))
-        return now < noticed_after + notice - DRAIN_MARGIN_SECONDS
+        leaving_since = state.notices.leaving_since
+        if leaving_since is None:
+            leaving_since = float("inf")
+        if state.entry.draining:
+            noticed_after = self._drain_noticed_after.get(
+                state.entry.endpoint_id, float("-inf")
+            )
+            leaving_since = min(leaving_since, noticed_after)
+        return now < leaving_since + notice - DRAIN_MARGIN_SECONDS
 
     def _observe_versions(self, service: str, listed: set[str], now: float) -> None:
         if len(listed) > 1 or UNKNOWN_VERSION in listed:
--- a/src/knapweeddrum/http/header_list.py
+++ b/src/knapweeddrum/http/header_list.py
@@ -44,6 +44,10 @@
         """Return the first value of a header; ``name`` is in lower case."""
         return self._by_name.get(name)
 
+    def get_all(self, name: bytes) -> list[bytes]:
+        """Return all values of a header in order; ``name`` is in lower case."""
+        return [value for key, value in self.raw if key.lower() == name]
+
     def text(self, name: bytes) -> str:
         """Return the first value of a header as text, empty if it is absent."""
         return self._by_name.get(name, b"").decode("latin-1")
--- a/src/knapweeddrum/platform/endpoint_protocol.py
+++ b/src/knapweeddrum/platform/endpoint_protocol.py
@@ -33,6 +33,8 @@
     moved: bool
     """Whether another endpoint than the expected one serves the address."""
     load: LoadReport | None
+    leaving: bool
+    """Whether the endpoint says that it leaves."""
     framing: BodyFraming
     is_event_stream: bool
     """Whether the body is a stream of events; assumed if the reply doesn't say."""
@@ -80,6 +82,7 @@
         has_content_encoding=headers.get(names.CONTENT_ENCODING) is not None,
         not_run=headers.get(names.NOT_EXECUTED) is not None,
         moved=head.status == MOVED_STATUS,
+        leaving=headers.text(names.SERVER_LEAVING).strip() == "1",
         load=_decode_load(headers.text(names.SERVER_LOAD)),
         framing=head.framing,
         is_event_stream=_is_event_stream(headers.text(names.CONTENT_TYPE)),
--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -29,6 +29,7 @@
 from knapweeddrum.process.entry.attempt_error import AttemptError
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.lost_connection import LossCause, LostConnection
+from knapweeddrum.process.entry.notice_recorder import record_notices
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.process.entry.restart_signs import serving_version
 from knapweeddrum.telemetry.counters import FIRST_ARRIVALS, REPEATED_ARRIVALS
@@ -109,6 +110,8 @@
             version = serving_version(ctx, state, conn)
             answer = EndpointAnswer(head, state, conn, version)
             answer.record_data()
+            if not head.moved:
+                record_notices(ctx, state, head)
             if head.load is not None and not head.moved:
                 state.record_load(head.load, time.monotonic())
             await _check_head(answer)
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -193,9 +193,7 @@
         return [
             state
             for state in ctx.endpoint_states.of_version(job.service, job.stream_version)
-            if ctx.endpoint_history.takes_streams(
-                state.entry, ctx.settings.drain_delay, now
-            )
+            if ctx.endpoint_history.takes_streams(state, ctx.settings.drain_delay, now)
             and not may_have_restarted(ctx, state, now)
         ]
 
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -8,6 +8,7 @@
 
 from knapweeddrum.value.answer_end_reason import AnswerEndReason
 from knapweeddrum.value.control_refusal_reason import ControlRefusalReason
+from knapweeddrum.value.endpoint_notice import EndpointNotice
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.retry_reason import RetryReason
 
@@ -100,6 +101,11 @@
     return f"answer_end.{reason.value}"
 
 
+def notice_counter(notice: EndpointNotice) -> str:
+    """Return the name of the counter of what endpoints said of themselves."""
+    return f"endpoint_notice.{notice.value}"
+
+
 def answer_counter(kind: str, status: int) -> str:
     """Return the name of the counter of answers with a route kind and HTTP status."""
     return f"answered.{kind}.{status}"
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -153,6 +153,9 @@
     "info",
     ("request", "resumes", "source", "service", "software_version"),
 )
+ENDPOINT_NOTICE = Event(
+    630, "endpoint_notice", "info", ("endpoint", "service", "notice", "seconds")
+)
 CRASHES_COUNTED = Event(
     609, "crashes_counted", "warning", ("fingerprint", "crashes", "blamed", "source")
 )
--- /dev/null
+++ b/src/knapweeddrum/value/endpoint_notice.py
@@ -0,0 +1,11 @@
+"""What an endpoint says of itself."""
+
+from __future__ import annotations
+
+import enum
+
+
+class EndpointNotice(enum.StrEnum):
+    """A field of log events and part of the name of a counter."""
+
+    LEAVING = "leaving"
--- a/tests/core/streams/test_endpoint_history.py
+++ b/tests/core/streams/test_endpoint_history.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 from knapweeddrum.core.catalog.endpoint_entry import UNKNOWN_VERSION, EndpointEntry
+from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.streams.endpoint_history import (
     DRAIN_MARGIN_SECONDS,
     MAX_LIST_AGE_SECONDS,
@@ -66,9 +67,9 @@
     history.observe([leaving], (), 10.5)
     history.observe([leaving], (), 11.0)
     end = 10.0 + NOTICE - DRAIN_MARGIN_SECONDS
-    assert history.takes_streams(leaving, NOTICE, end - 0.01)
-    assert not history.takes_streams(leaving, NOTICE, end)
-    assert history.takes_streams(endpoint("e1", "v1"), NOTICE, 99.0)
+    assert history.takes_streams(EndpointState(leaving), NOTICE, end - 0.01)
+    assert not history.takes_streams(EndpointState(leaving), NOTICE, end)
+    assert history.takes_streams(EndpointState(endpoint("e1", "v1")), NOTICE, 99.0)
 
 
 def test_endpoint_that_drained_before_the_first_read_takes_no_stream():
@@ -76,7 +77,7 @@
     history = EndpointHistory()
     leaving = endpoint("e0", "v1", draining=True)
     history.observe([leaving], (), 10.0)
-    assert not history.takes_streams(leaving, NOTICE, 10.0)
+    assert not history.takes_streams(EndpointState(leaving), NOTICE, 10.0)
 
 
 def test_entry_was_written_after_the_read_before_the_one_that_showed_it():
--- a/tests/telemetry/test_counters_page.py
+++ b/tests/telemetry/test_counters_page.py
@@ -8,11 +8,13 @@
     FIXED_COUNTERS,
     answer_end_counter,
     control_refusal_counter,
+    notice_counter,
     refusal_counter,
     retry_counter,
 )
 from knapweeddrum.value.answer_end_reason import AnswerEndReason
 from knapweeddrum.value.control_refusal_reason import ControlRefusalReason
+from knapweeddrum.value.endpoint_notice import EndpointNotice
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.retry_reason import RetryReason
 from tests.telemetry.catalogue import table_rows
@@ -27,6 +29,7 @@
         *map(refusal_counter, RefusalReason),
         *map(retry_counter, RetryReason),
         *map(answer_end_counter, AnswerEndReason),
+        *map(notice_counter, EndpointNotice),
         *map(control_refusal_counter, ControlRefusalReason),
     ]
     rows = table_rows("COUNTERS.md")
