Placing: an endpoint that turns requests away is neither idle nor asked before its time

Cause: Retry-After of endpoints was read nowhere, and one that refuses at once has nothing in flight, so it always had the lowest load.

Change: a back-off (at most 300 s) makes it no candidate, also not as the last resort; when it ends, spread over 0.25 s, one request goes first. Where all endpoints back off callers are refused at once: endpoints_back_off, with the time at which the first takes requests. A refusal without one makes others serve first for 0.1 s, doubled by each further in a row up to 3.2 s, until an answer begins. A date, a repeated header, anything else that is no number of seconds up to 300: counter and line endpoint_notice ignored.

--- a/src/knapweeddrum/core/placing/endpoint_condition.py
+++ b/src/knapweeddrum/core/placing/endpoint_condition.py
@@ -11,6 +11,8 @@
     USABLE = "usable"
     LEAVING = "leaving"
     """It said in an answer that it leaves."""
+    BACKS_OFF = "backs_off"
+    """It wants no requests from this host for a while."""
     DRAINING = "draining"
     """The endpoint has announced that it is leaving."""
     ENDED = "ended"
--- a/src/knapweeddrum/core/placing/endpoint_state.py
+++ b/src/knapweeddrum/core/placing/endpoint_state.py
@@ -121,6 +121,8 @@
             return EndpointCondition.DRAINING
         if self.notices.leaving_since is not None:
             return EndpointCondition.LEAVING
+        if self.notices.back_off_left(now):
+            return EndpointCondition.BACKS_OFF
         if self.is_ended(now):
             return EndpointCondition.ENDED
         if self.is_unresponsive(now):
@@ -134,6 +136,10 @@
         """Return whether the endpoint responds and is healthy or free to be probed."""
         if self.is_unresponsive(now) or self.is_ended(now):
             return False
+        if self.notices.is_avoided(now):
+            return False
+        if self.notices.is_returning(now) and self.in_flight:
+            return False
         return self._health.state(now) is HealthState.HEALTHY or self._health.may_probe(
             now
         )
--- a/src/knapweeddrum/core/placing/placer.py
+++ b/src/knapweeddrum/core/placing/placer.py
@@ -52,7 +52,10 @@
     ) -> EndpointState | None:
         """Return the endpoint for a request, None if there is none."""
         candidates = [
-            state for state in states if state.entry.endpoint_id not in req.exclude
+            state
+            for state in states
+            if state.entry.endpoint_id not in req.exclude
+            and not state.notices.back_off_left(now)
         ]
         usable = [
             state
--- a/src/knapweeddrum/platform/endpoint_protocol.py
+++ b/src/knapweeddrum/platform/endpoint_protocol.py
@@ -5,15 +5,18 @@
 import dataclasses
 
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
+from knapweeddrum.core.placing.back_off import BackOff
 from knapweeddrum.core.placing.load_report import LoadReport
 from knapweeddrum.http.client_connection import RawReplyHead
 from knapweeddrum.http.header_list import Header
 from knapweeddrum.platform import header_names as names
 from knapweeddrum.platform.caller_request import CallerRequest
+from knapweeddrum.platform.retry_after import decode_back_off
 from knapweeddrum.value.body_framing import BodyFraming
 
 LOWEST_PRIORITY = 9
 MOVED_STATUS = 421
+REFUSED_STATUS = 503
 EVENT_STREAM_TYPE = "text/event-stream"
 METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE"})
 
@@ -35,6 +38,8 @@
     load: LoadReport | None
     leaving: bool
     """Whether the endpoint says that it leaves."""
+    back_off: BackOff | None
+    """How long it wants no requests, None unless it turns one away and says so."""
     framing: BodyFraming
     is_event_stream: bool
     """Whether the body is a stream of events; assumed if the reply doesn't say."""
@@ -83,6 +88,7 @@
         not_run=headers.get(names.NOT_EXECUTED) is not None,
         moved=head.status == MOVED_STATUS,
         leaving=headers.text(names.SERVER_LEAVING).strip() == "1",
+        back_off=decode_back_off(headers) if head.status == REFUSED_STATUS else None,
         load=_decode_load(headers.text(names.SERVER_LOAD)),
         framing=head.framing,
         is_event_stream=_is_event_stream(headers.text(names.CONTENT_TYPE)),
--- a/src/knapweeddrum/process/entry/notice_recorder.py
+++ b/src/knapweeddrum/process/entry/notice_recorder.py
@@ -4,13 +4,17 @@
 
 import time
 
+from knapweeddrum.core.placing.back_off import BackOff
 from knapweeddrum.core.placing.endpoint_state import EndpointState
-from knapweeddrum.platform.endpoint_protocol import EndpointReplyHead
+from knapweeddrum.platform.endpoint_protocol import REFUSED_STATUS, EndpointReplyHead
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import notice_counter
 from knapweeddrum.telemetry.events import ENDPOINT_NOTICE
 from knapweeddrum.value.endpoint_notice import EndpointNotice
 
+MAX_RETURN_SPREAD_SECONDS = 0.25
+"""Time over which the hosts return to an endpoint after its back-off."""
+
 
 def record_notices(
     ctx: EntryContext, state: EndpointState, head: EndpointReplyHead
@@ -19,6 +23,23 @@
     now = time.monotonic()
     if head.leaving and state.notices.record_leaving(now):
         _report(ctx, state, EndpointNotice.LEAVING, None)
+    if not head.not_run and head.status != REFUSED_STATUS:
+        state.notices.record_acceptance()
+        return
+    state.notices.record_refusal(now)
+    if head.back_off is not None:
+        _record_back_off(ctx, state, head.back_off, now)
+
+
+def _record_back_off(
+    ctx: EntryContext, state: EndpointState, back_off: BackOff, now: float
+) -> None:
+    if back_off.seconds is None:
+        _report(ctx, state, EndpointNotice.IGNORED, None)
+        return
+    spread = ctx.rng.uniform(0.0, MAX_RETURN_SPREAD_SECONDS)
+    state.notices.record_back_off(now + back_off.seconds + spread)
+    _report(ctx, state, EndpointNotice.BACK_OFF, back_off.seconds)
 
 
 def _report(
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -203,7 +203,14 @@
             return self._last_failure
         if job.may_have_run and self._last_failure is not None:
             return refused(RefusalReason.ENDPOINT_FAILED, self._last_failure.run_state)
-        retry_after = self._policy.retry_after(job.deadline, time.monotonic())
+        now = time.monotonic()
+        waits = [state.notices.back_off_left(now) for state in self._eligible_states()]
+        if waits and min(waits) > 0:
+            retry_after = min(min(waits), (job.deadline - now) * RETRY_AFTER_FRACTION)
+            return refused(
+                RefusalReason.ENDPOINTS_BACK_OFF, retry_after=max(0.01, retry_after)
+            )
+        retry_after = self._policy.retry_after(job.deadline, now)
         return refused(RefusalReason.NO_ENDPOINT, retry_after=retry_after)
 
     def _retry_or_raise(self, exc: AttemptError) -> None:
--- a/src/knapweeddrum/value/endpoint_notice.py
+++ b/src/knapweeddrum/value/endpoint_notice.py
@@ -9,3 +9,7 @@
     """A field of log events and part of the name of a counter."""
 
     LEAVING = "leaving"
+    BACK_OFF = "back_off"
+    """It wants nothing from this host for a while."""
+    IGNORED = "ignored"
+    """What it said is meaningless."""
--- a/src/knapweeddrum/value/refusal_reason.py
+++ b/src/knapweeddrum/value/refusal_reason.py
@@ -35,6 +35,8 @@
     """Endpoints crashed under the request, and a copy of it is tried alone now."""
     QUARANTINED = "quarantined"
     """Endpoints crashed each time the request ran; it is not run again."""
+    ENDPOINTS_BACK_OFF = "endpoints_back_off"
+    """Each endpoint of the service wants no requests from this host for a while."""
     STREAM_VERSION_UNKNOWN = "stream_version_unknown"
     """It isn't known which software version began the stream to be taken up."""
     STREAM_VERSION_GONE = "stream_version_gone"
