--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -39,6 +39,8 @@
 ENDPOINT_CONNECT_TIMEOUT_SECONDS = 0.25
 MAX_DISCARDED_BODY_BYTES = 65_536
 MAX_DISCARD_SECONDS = 0.1
+MAX_SKIPPED_REPLIES = 8
+"""Answers to earlier requests that may precede the right one on a connection."""
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that tell a caller that its request has not run.
 
@@ -193,10 +195,12 @@
     job: RequestJob, conn: ClientConnection, head: EndpointReplyHead
 ) -> EndpointReplyHead:
     """Return the head of the request's own answer; skip answers to earlier requests."""
-    while head.attempt_id and head.attempt_id != job.req.attempt_id:
+    for _ in range(MAX_SKIPPED_REPLIES):
+        if not head.attempt_id or head.attempt_id == job.req.attempt_id:
+            return head
         await conn.skip_reply()
         head = decode_reply_head(await conn.next_head())
-    return head
+    raise EndlessReplyError(f"{MAX_SKIPPED_REPLIES} answers to other requests")
 
 
 async def _check_head(answer: EndpointAnswer) -> None:
--- a/tests/process/entry/test_endless_answers.py
+++ b/tests/process/entry/test_endless_answers.py
@@ -36,6 +36,13 @@
 SLOW_INTERIM_HEADS = Script(has_head=False, endless=INTERIM_HEAD, endless_gap=0.05)
 ENDLESS_LATE_ANSWER = Script(preamble=LATE_HEAD, has_head=False, endless=PIECE)
 SLOW_LATE_ANSWER = dataclasses.replace(ENDLESS_LATE_ANSWER, endless_gap=0.05)
+LATE_WHOLE_ANSWER = (
+    b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nResponse-Stamp: x\r\n"
+    b"Content-Length: 5\r\n\r\nwrong"
+)
+ENDLESS_LATE_ANSWERS = Script(
+    has_head=False, endless=LATE_WHOLE_ANSWER, endless_gap=0.01
+)
 SLOW_REFUSAL = Script(
     preamble=REFUSAL_HEAD, has_head=False, endless=b"x", endless_gap=0.05
 )
@@ -49,6 +56,7 @@
     SLOW_INTERIM_HEADS,
     ENDLESS_LATE_ANSWER,
     SLOW_LATE_ANSWER,
+    ENDLESS_LATE_ANSWERS,
 )
 STREAMING_ROUTE = (ENDLESS_EVENT, ENDLESS_CHUNKED_EVENT, *ANY_ROUTE)
 
