--- a/tests/process/entry/test_broken_answers.py
+++ b/tests/process/entry/test_broken_answers.py
@@ -174,6 +174,21 @@
         assert await _is_answer_complete(harness, NOT_RESUMABLE)
 
 
+@async_test
+async def test_endpoint_that_breaks_answers_off_and_lives_is_not_taken_for_crashed():
+    """Neither is the request blamed that it broke off again and again."""
+    scripts = [Script(INSIDE_FIRST_LINE, framing) for framing in BodyFraming] * 4
+    fleet = servers(*scripts)
+    async with entry_harness(engines=fleet) as harness:
+        while fleet[0].scripts:
+            await call(harness, NOT_RESUMABLE)
+            await anyio.sleep(0.3)
+        answer = await call(harness, NOT_RESUMABLE)
+        assert (answer.body, answer.is_complete) == (WHOLE, True)
+        assert not harness.events("endpoint_ended")
+        assert not harness.events("request_refused")
+
+
 @async_test
 async def test_stream_of_a_killed_host_never_looks_complete_to_a_caller_of_http_1_0():
     """The kernel resets the connection when the process ends."""
--- a/tests/process/entry/test_stream_versions.py
+++ b/tests/process/entry/test_stream_versions.py
@@ -213,3 +213,43 @@
     begun_at_v1 = [stream for stream in streams if stream.versions == {b"v1"}]
     assert begun_at_v1
     assert went_on(begun_at_v1) == len(begun_at_v1)
+
+
+@async_test
+async def test_streams_are_taken_up_while_the_store_is_away():
+    """Hosts tell and ask each other, and join no two versions."""
+    async with version_fleet(3, TWO_OF_EACH) as fleet:
+        fleet.store.busy = True
+        await anyio.sleep(1.0)
+        streams = [await fleet.begin(fleet.hosts[n % 3]) for n in range(STREAMS)]
+        await take_up_elsewhere(fleet, streams)
+        fleet.store.busy = False
+    assert_one_version_each(streams)
+    assert went_on(streams) >= STREAMS / 2
+
+
+@async_test
+async def test_streams_of_a_single_version_go_on_after_all_hosts_were_killed():
+    """No other version can have begun them."""
+    async with version_fleet(2, ("v1", "v1")) as fleet:
+        streams = [await fleet.begin(fleet.hosts[n % 2]) for n in range(STREAMS)]
+        while fleet.hosts:
+            fleet.hosts.pop().send_signal(signal.SIGKILL)
+        host = await fleet.add_host()
+        for stream in streams:
+            await fleet.take_up(host, stream)
+    assert went_on(streams) >= STREAMS / 2
+
+
+@async_test
+async def test_stream_never_goes_on_at_an_engine_that_restarted_at_once():
+    """A restart that takes less time than it takes to notice it."""
+    async with version_fleet(1, ("v1", "v1", "v3")) as fleet:
+        for engine in fleet.engines[:2]:
+            engine.beats = None
+        streams = [await fleet.begin(fleet.hosts[0]) for _ in range(STREAMS)]
+        for engine in fleet.engines[:2]:
+            await engine.restart("v2", down=0.0)
+        for stream in streams:
+            await fleet.take_up(fleet.hosts[0], stream)
+    assert_one_version_each(streams)
--- a/tests/process/entry/version_fleet.py
+++ b/tests/process/entry/version_fleet.py
@@ -78,17 +78,19 @@
         self._streams: set[anyio.abc.SocketStream] = set()
         self._ended = anyio.Event()
         self._started_again = anyio.Event()
+        self._down_seconds = 0.0
         self.entry_changes: dict[str, object] = {}
         """Fields of the entry that differ from those of other engines."""
         self.beats: int | None = 1
         """Number of the last heartbeat, None once it writes none any more."""
 
-    async def restart(self, version: str) -> None:
-        """Be down for a while, then serve another version under the same id.
+    async def restart(self, version: str, down: float = DOWN_SECONDS) -> None:
+        """Be down for so many seconds, then serve another version under the same id.
 
         Its entry stays as it is.
         """
         self.beats = None
+        self._down_seconds = down
         self._started_again = anyio.Event()
         self._ended.set()
         await self._started_again.wait()
@@ -117,7 +119,7 @@
                 await self._ended.wait()
             for stream in list(self._streams):
                 await anyio.aclose_forcefully(stream)
-            await anyio.sleep(DOWN_SECONDS)
+            await anyio.sleep(self._down_seconds)
 
     async def _connection(self, stream: anyio.abc.SocketStream) -> None:
         self._streams.add(stream)
