--- a/src/knapweeddrum/process/entry/stream_origin_sharing.py
+++ b/src/knapweeddrum/process/entry/stream_origin_sharing.py
@@ -27,6 +27,7 @@
 from knapweeddrum.process.entry.page_server import PageAnswer
 from knapweeddrum.process.entry.peer_client import PeerClient
 from knapweeddrum.process.entry.request_job import RequestJob
+from knapweeddrum.process.entry.request_log import MAX_LOGGED_ID_CHARS
 from knapweeddrum.telemetry.events import STREAM_ORIGIN_SOUGHT
 from knapweeddrum.value.origin_source import OriginSource
 
@@ -44,8 +45,6 @@
 REPEAT_SECONDS = 0.06
 """Time after which hosts are asked again, as a notice may be on its way."""
 
-MAX_LOGGED_ID_CHARS = 64
-
 
 class StreamOriginSharing:
     """Tells a few hosts what began each stream, and asks them when one is taken up.
