Answers: a body of unstated format without any field of an event is no broken stream

What a caller would have seen: 502 for a 200 on a streaming route that says nothing of its format and is no event stream, which was passed on before.

Change: the format is events, other or unstated. An unstated one in which no field of the standard was seen is judged as a plain body and charged in full, as before. One with a field is judged as a stream: the test of the broken ones plays both.

--- a/src/knapweeddrum/http/event_splitter.py
+++ b/src/knapweeddrum/http/event_splitter.py
@@ -8,6 +8,7 @@
 from knapweeddrum.http.exceptions import EndlessReplyError
 
 MAX_EVENT_BYTES = 65_536
+STANDARD_FIELDS = frozenset({b"data", b"event", b"id", b"retry"})
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 LINE_END = re.compile(rb"\r\n|\n|\r")
 EVENT_END = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
@@ -46,6 +47,13 @@
         """
         return _has_field(_lines(self._rest))
 
+    @property
+    def has_standard_field(self) -> bool:
+        """Return whether any event, complete or not, has a field of the standard."""
+        return self.event_count > 0 or any(
+            line.partition(b":")[0] in STANDARD_FIELDS for line in _lines(self._rest)
+        )
+
     def feed(self, data: bytes) -> bytes:
         """Return the bytes of the events that ``data`` completes.
 
--- a/src/knapweeddrum/platform/endpoint_protocol.py
+++ b/src/knapweeddrum/platform/endpoint_protocol.py
@@ -12,6 +12,7 @@
 from knapweeddrum.platform import header_names as names
 from knapweeddrum.platform.caller_request import CallerRequest
 from knapweeddrum.platform.retry_after import decode_back_off
+from knapweeddrum.value.answer_format import AnswerFormat
 from knapweeddrum.value.body_framing import BodyFraming
 
 LOWEST_PRIORITY = 9
@@ -41,8 +42,7 @@
     back_off: BackOff | None
     """How long it wants no requests, None unless it turns one away and says so."""
     framing: BodyFraming
-    is_event_stream: bool
-    """Whether the body is a stream of events; assumed if the reply doesn't say."""
+    format: AnswerFormat
     headers: list[Header]
     """Headers that are passed on to the caller."""
 
@@ -91,7 +91,7 @@
         back_off=decode_back_off(headers) if head.status == REFUSED_STATUS else None,
         load=_decode_load(headers.text(names.SERVER_LOAD)),
         framing=head.framing,
-        is_event_stream=_is_event_stream(headers.text(names.CONTENT_TYPE)),
+        format=_decode_format(headers.text(names.CONTENT_TYPE)),
         headers=headers.end_to_end(names.STRIPPED_REPLY_HEADERS),
     )
 
@@ -106,8 +106,11 @@
     return headers
 
 
-def _is_event_stream(content_type: str) -> bool:
-    return not content_type or content_type.lower().startswith(EVENT_STREAM_TYPE)
+def _decode_format(content_type: str) -> AnswerFormat:
+    if not content_type:
+        return AnswerFormat.UNSTATED
+    is_stream = content_type.lower().startswith(EVENT_STREAM_TYPE)
+    return AnswerFormat.EVENTS if is_stream else AnswerFormat.OTHER
 
 
 def _decode_load(value: str) -> LoadReport | None:
--- a/src/knapweeddrum/process/entry/answer_relay.py
+++ b/src/knapweeddrum/process/entry/answer_relay.py
@@ -18,12 +18,14 @@
 from knapweeddrum.http.exceptions import EndlessReplyError, TruncatedReplyError
 from knapweeddrum.http.header_list import Header
 from knapweeddrum.http.server_connection import ServerConnection
+from knapweeddrum.platform.endpoint_protocol import EndpointReplyHead
 from knapweeddrum.process.entry.attempt_error import AttemptError
 from knapweeddrum.process.entry.endpoint_attempt import EndpointAnswer
 from knapweeddrum.process.entry.endpoint_probe import probe_endpoint
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.process.entry.request_log import RequestLog
 from knapweeddrum.process.entry.stream_origin_sharing import StreamOriginSharing
+from knapweeddrum.value.answer_format import AnswerFormat
 from knapweeddrum.value.body_framing import BodyFraming
 from knapweeddrum.value.retry_reason import RetryReason
 from knapweeddrum.value.run_state import RunState
@@ -87,7 +89,7 @@
         """
         head = answer.head
         streamed = self._job.route.kind is RouteKind.STREAMING and head.status < 300
-        if streamed and head.is_event_stream:
+        if streamed and head.format is not AnswerFormat.OTHER:
             await self._relay_stream(answer)
         elif self.started:
             raise AttemptError(
@@ -117,16 +119,22 @@
             self._job.rest_bytes = splitter.rest_bytes
             if complete_events:
                 await self._forward(answer, complete_events)
-        verdict = judge_stream(
-            answer.head.framing,
-            inside_event=splitter.is_inside_event,
-            has_events=splitter.event_count > 0,
-        )
-        await self._require_whole(answer, verdict)
+        await self._require_whole(answer, self._judge_stream(answer.head))
         await self._forward(answer, splitter.rest)
         await self._caller.end_reply()
         self._log.answered(answer.head.status, self.tokens_to_charge())
 
+    def _judge_stream(self, head: EndpointReplyHead) -> AnswerVerdict:
+        splitter = self._splitter
+        if head.format is AnswerFormat.UNSTATED and not splitter.has_standard_field:
+            self._has_uncountable_output = True
+            return judge_body(head.framing)
+        return judge_stream(
+            head.framing,
+            inside_event=splitter.is_inside_event,
+            has_events=splitter.event_count > 0,
+        )
+
     async def _require_whole(
         self, answer: EndpointAnswer, verdict: AnswerVerdict
     ) -> None:
--- a/tests/process/entry/test_broken_answers.py
+++ b/tests/process/entry/test_broken_answers.py
@@ -14,7 +14,13 @@
     EntryHarness,
     entry_harness,
 )
-from tests.standins.scripted_server import Ending, Script, ScriptedServer, event
+from tests.standins.scripted_server import (
+    STREAM_TYPE,
+    Ending,
+    Script,
+    ScriptedServer,
+    event,
+)
 
 EVENTS = 4
 WHOLE = b"".join(event(number) for number in range(1, EVENTS + 1))
@@ -49,8 +55,9 @@
 @async_test
 async def test_stream_that_ended_inside_an_event_never_looks_complete():
     """A stream that can't be resumed is cut at the caller as well."""
-    for body, framing in itertools.product(BROKEN_BODIES, BodyFraming):
-        fleet = servers(Script(body, framing))
+    kinds = itertools.product(BROKEN_BODIES, BodyFraming, (STREAM_TYPE, b""))
+    for body, framing, content_type in kinds:
+        fleet = servers(Script(body, framing, content_type=content_type))
         async with entry_harness(engines=fleet) as harness:
             answer = await call(harness, NOT_RESUMABLE)
             assert (answer.status, answer.is_complete) == (200, False), body
--- a/tests/standins/scripted_server.py
+++ b/tests/standins/scripted_server.py
@@ -131,8 +131,9 @@
             b"HTTP/%s 200 OK" % script.http_version,
             b"Attempt-Id: " + received.headers.text(b"attempt-id").encode(),
             b"Response-Stamp: stamp-" + self.server_id.encode(),
-            b"Content-Type: " + script.content_type,
         ]
+        if script.content_type:
+            lines.append(b"Content-Type: " + script.content_type)
         if script.framing is BodyFraming.CHUNKS:
             lines.append(b"Transfer-Encoding: chunked")
         if script.framing is BodyFraming.LENGTH:
