Test that fails: an engine that restarts under its id between two probes

Cause: a host knows of such a restart by signs only. A lost connection is probed at once and each 0.25 s; a connection that is accepted 0.1 s or more after the loss ends that for 1 s (CrashEvidence.needs_probe), and one that is accepted up to 0.3 s after it takes the loss back as a sign (record_probe). A restart that begins after that and takes less than the second leaves no sign, if the host has no connection open at that moment, which is so in the test: all were cut. Whether the test sees it hangs on how long its 12 streams take to begin.

--- a/tests/process/entry/test_stream_versions.py
+++ b/tests/process/entry/test_stream_versions.py
@@ -16,6 +16,8 @@
 STREAMS = 12
 HEARTBEATS_READ_SECONDS = 2.0
 """Time in which a host reads several heartbeats of each engine."""
+PROBED_TWICE_SECONDS = 0.4
+"""Time after which a host has examined an endpoint that broke streams off twice."""
 RETRIED_STREAMS = 6
 """Streams that one host may go on with by itself, by the users' bound on retries."""
 TWO_OF_EACH = ("v1", "v2", "v1", "v2")
@@ -188,6 +190,19 @@
     assert_one_version_each(streams)
 
 
+@async_test
+async def test_stream_never_goes_on_at_an_engine_that_restarted_between_two_probes():
+    """It accepted a connection after its streams broke off, and then restarted."""
+    async with version_fleet(1, ("v1", "v1", "v3")) as fleet:
+        streams = [await fleet.begin(fleet.hosts[0]) for _ in range(STREAMS)]
+        await anyio.sleep(PROBED_TWICE_SECONDS)
+        for engine in fleet.engines[:2]:
+            await engine.restart("v2")
+        for stream in streams:
+            await fleet.take_up(fleet.hosts[0], stream)
+    assert_one_version_each(streams)
+
+
 @async_test
 async def test_stream_of_an_engine_restarted_under_its_id_goes_on_nowhere_else():
     """The version that began it is not the one that the entry names."""
