Streams: a new connection is asked which start of the endpoint answers there

Cause: which process answers on a connection was guessed from signs (refused and lost connections, their times). The signs miss a restart between two probes, one of less than 0.3 s, and one while the host has no connection to the endpoint.

Change: before a stream that may be resumed is sent on a connection that was opened after the entry was last known to be written, the endpoint is asked there for its report, whose `born` is the start that answers; a connection leads to one process for as long as it lives. Another start: a stream that has begun doesn't go there (retry.restarted, nothing was sent), a new one begins there with an unknown version. Nothing in time: a new stream takes another connection, one that has begun another endpoint. Endpoints that name no start are judged by the signs as before. InstanceHistory (split off from EndpointHistory) holds when each start was known to run. That time counts from when the list was asked for, not from when the reply was read: an entry may be written in between.

Ruled out: probing more often (prices, and no bound on the shortest restart); `epoch` of the cache events (delays the server, no word of the entry); Expect-Instance (the id stays the same).

Before: test_stream_never_goes_on_at_an_engine_that_restarted_between_two_probes 5 of 5 runs failed, ..._that_restarted_at_once and test_stream_begun_after_a_restart_at_once_... failed.

--- a/src/knapweeddrum/core/routing/failover_policy.py
+++ b/src/knapweeddrum/core/routing/failover_policy.py
@@ -10,7 +10,7 @@
 from knapweeddrum.core.routing.retry_window import RetryWindow
 from knapweeddrum.value.refusal import Refusal
 from knapweeddrum.value.refusal_reason import RefusalReason
-from knapweeddrum.value.retry_reason import RetryReason
+from knapweeddrum.value.retry_reason import NOT_SENT_REASONS, RetryReason
 from knapweeddrum.value.run_state import RunState
 
 MAX_CONNECT_FAILURES = 3
@@ -30,10 +30,10 @@
     """Decides after each failed attempt of one service's requests.
 
     A request is sent again only if it is idempotent or known not to have run, at most
-    as often as the route allows, and within the retry budget. Failed connections count
-    towards neither limit; MAX_CONNECT_FAILURES bounds them. A request under which
-    more than MAX_FAILOVER_CRASHES endpoints may have crashed is not sent again. ``now``
-    is in monotonic seconds.
+    as often as the route allows, and within the retry budget. Attempts that were not
+    sent count towards neither limit; MAX_CONNECT_FAILURES bounds them. A request under
+    which more than MAX_FAILOVER_CRASHES endpoints may have crashed is not sent again.
+    ``now`` is in monotonic seconds.
     """
 
     def __init__(self, rng: random.Random, budget: RetryWindow) -> None:
@@ -50,7 +50,7 @@
         """Return whether to send the request to another endpoint, without delay."""
         if now >= failure.deadline:
             return self._give_up(failure, now)
-        if failure.reason is RetryReason.CONNECT_FAILED:
+        if failure.reason in NOT_SENT_REASONS:
             if failure.connect_failures <= MAX_CONNECT_FAILURES:
                 return Retry(failure.reason, 0.0)
             return self._give_up(failure, now)
--- a/src/knapweeddrum/core/streams/endpoint_history.py
+++ b/src/knapweeddrum/core/streams/endpoint_history.py
@@ -33,40 +33,24 @@
     def __init__(self) -> None:
         self._sole: dict[str, _SoleVersion] = {}
         self._drain_noticed_after: dict[str, float] = {}
-        self._written_after: dict[str, float] = {}
         self._read_at = float("-inf")
 
     def observe(
-        self, entries: Iterable[EndpointEntry], written: Iterable[str], now: float
+        self, entries: Iterable[EndpointEntry], asked_at: float, now: float
     ) -> None:
-        """Record the complete list of endpoints as of ``now``.
-
-        ``written`` are the ids of those that wrote their entry since the last call.
-        """
-        self._written_after.update(dict.fromkeys(written, self._read_at))
+        """Record the complete list, asked for at ``asked_at`` and read at ``now``."""
         versions: dict[str, set[str]] = {}
         draining = {}
-        listed_ids = set()
         for entry in entries:
-            listed_ids.add(entry.endpoint_id)
             versions.setdefault(entry.service, set()).add(entry.software_version)
             if entry.draining:
                 known = self._drain_noticed_after.get(entry.endpoint_id, self._read_at)
                 draining[entry.endpoint_id] = known
         self._drain_noticed_after = draining
-        self._written_after = {
-            endpoint_id: at
-            for endpoint_id, at in self._written_after.items()
-            if endpoint_id in listed_ids
-        }
-        self._read_at = now
+        self._read_at = asked_at
         for service, listed in versions.items():
             self._observe_versions(service, listed, now)
 
-    def written_after(self, endpoint_id: str) -> float:
-        """Return a time after which an endpoint wrote its entry last."""
-        return self._written_after.get(endpoint_id, float("-inf"))
-
     def sole_version(self, service: str, now: float) -> str | None:
         """Return the version at which any stream of a service must have begun.
 
--- a/src/knapweeddrum/process/entry/configuration_reader.py
+++ b/src/knapweeddrum/process/entry/configuration_reader.py
@@ -34,7 +34,7 @@
     def on_store_lost(self) -> None:
         """Keep the current version; its age is in the metrics."""
 
-    def on_up_to_date(self, now: float) -> None:
+    def on_up_to_date(self, asked_at: float, now: float) -> None:
         """Record when the configuration was last known to be current."""
         self._ctx.configuration_read_at = now
 
--- a/src/knapweeddrum/process/entry/crash_record_reader.py
+++ b/src/knapweeddrum/process/entry/crash_record_reader.py
@@ -45,7 +45,7 @@
         """Remember that other hosts have to be asked."""
         self.is_store_reachable = False
 
-    def on_up_to_date(self, now: float) -> None:
+    def on_up_to_date(self, asked_at: float, now: float) -> None:
         """Remember that the store has all records of hosts that reach it."""
         self.is_store_reachable = True
 
--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -27,14 +27,20 @@
     request_headers,
 )
 from knapweeddrum.process.entry.attempt_error import AttemptError
+from knapweeddrum.process.entry.endpoint_start import ask_start
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.lost_connection import LossCause, LostConnection
 from knapweeddrum.process.entry.notice_recorder import record_notices
 from knapweeddrum.process.entry.request_job import RequestJob
-from knapweeddrum.process.entry.restart_signs import serving_version
+from knapweeddrum.process.entry.restart_signs import (
+    is_listed_start,
+    may_be_asked,
+    serving_version,
+)
 from knapweeddrum.telemetry.counters import FIRST_ARRIVALS, REPEATED_ARRIVALS
 from knapweeddrum.value.retry_reason import RetryReason
 from knapweeddrum.value.run_state import RunState
+from knapweeddrum.value.start_reply import StartReply
 
 ENDPOINT_CONNECT_TIMEOUT_SECONDS = 0.25
 MAX_DISCARDED_BODY_BYTES = 65_536
@@ -170,6 +176,49 @@
 
 async def _connect(
     ctx: EntryContext, job: RequestJob, state: EndpointState
+) -> ClientConnection:
+    """Return a connection that suits the request; raises AttemptError."""
+    conn = await _open_connection(ctx, job, state)
+    suits = False
+    try:
+        suits = await _suits(ctx, job, state, conn)
+    finally:
+        if not suits:
+            with anyio.CancelScope(shield=True):
+                await ctx.pool.release(connection_key(state.entry), conn)
+    return conn if suits else await _open_connection(ctx, job, state)
+
+
+async def _suits(
+    ctx: EntryContext, job: RequestJob, state: EndpointState, conn: ClientConnection
+) -> bool:
+    """Return whether a connection can carry the request.
+
+    One that carries a stream that may be resumed is asked which start of the endpoint
+    answers on it, unless that is known. Raises AttemptError if a stream that has begun
+    must not go on there.
+    """
+    if not job.route.resumable or is_listed_start(ctx, state, conn):
+        return True
+    if not ctx.instances.hides_start(instance_name(state.entry)):
+        reply = await ask_start(ctx, state, conn)
+        if reply is StartReply.NO_REPLY and job.stream_version is None:
+            return False
+        if reply is StartReply.NO_REPLY:
+            raise AttemptError(
+                RetryReason.CONNECT_FAILED, RunState.NOT_RUN, "start not told in time"
+            )
+    if job.stream_version is not None and not may_be_asked(ctx, state):
+        raise AttemptError(
+            RetryReason.RESTARTED,
+            RunState.NOT_RUN,
+            "the endpoint has restarted, or may have, since it wrote its entry",
+        )
+    return True
+
+
+async def _open_connection(
+    ctx: EntryContext, job: RequestJob, state: EndpointState
 ) -> ClientConnection:
     entry = state.entry
     try:
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -23,6 +23,7 @@
 from knapweeddrum.core.routing.failover_policy import FailoverPolicy
 from knapweeddrum.core.routing.retry_window import RetryWindow
 from knapweeddrum.core.streams.endpoint_history import EndpointHistory
+from knapweeddrum.core.streams.instance_history import InstanceHistory
 from knapweeddrum.http.connection_pool import ConnectionPool
 from knapweeddrum.platform.store_client import StoreClient
 from knapweeddrum.process.entry.lost_connection import LostConnection
@@ -74,6 +75,7 @@
     endpoint_history: EndpointHistory = dataclasses.field(
         default_factory=EndpointHistory
     )
+    instances: InstanceHistory = dataclasses.field(default_factory=InstanceHistory)
     open_attempts: dict[str, EndpointState] = dataclasses.field(default_factory=dict)
     """Endpoints that requests were sent to and that have not answered them whole."""
     in_progress: int = 0
--- a/src/knapweeddrum/process/entry/host_reader.py
+++ b/src/knapweeddrum/process/entry/host_reader.py
@@ -41,7 +41,7 @@
         """Pause the heartbeat timeouts, as heartbeats can't be read."""
         self._ctx.hosts.store_lost()
 
-    def on_up_to_date(self, now: float) -> None:
+    def on_up_to_date(self, asked_at: float, now: float) -> None:
         """Resume the heartbeat timeouts and log a change of the ready hosts."""
         self._ctx.hosts_read_at = now
         self._ctx.hosts.store_answered(now)
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -26,11 +26,11 @@
 from knapweeddrum.process.entry.request_admission import refused
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.process.entry.request_log import RequestLog
-from knapweeddrum.process.entry.restart_signs import may_have_restarted
+from knapweeddrum.process.entry.restart_signs import may_be_asked
 from knapweeddrum.process.entry.stream_origin_sharing import StreamOriginSharing
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
 from knapweeddrum.value.refusal_reason import RefusalReason
-from knapweeddrum.value.retry_reason import RetryReason
+from knapweeddrum.value.retry_reason import NOT_SENT_REASONS, RetryReason
 from knapweeddrum.value.run_state import RunState
 
 REASON_BY_VERDICT = {
@@ -194,7 +194,7 @@
             state
             for state in ctx.endpoint_states.of_version(job.service, job.stream_version)
             if ctx.endpoint_history.takes_streams(state, ctx.settings.drain_delay, now)
-            and not may_have_restarted(ctx, state, now)
+            and may_be_asked(ctx, state)
         ]
 
     def _no_endpoint_error(self) -> RefusedError | AttemptError:
@@ -218,7 +218,7 @@
         job = self._job
         now = time.monotonic()
         self._log.attempt_failed(exc)
-        if exc.reason is RetryReason.CONNECT_FAILED:
+        if exc.reason in NOT_SENT_REASONS:
             job.connect_failures += 1
         elif exc.run_state is RunState.NOT_RUN:
             job.refused_sends += 1
--- a/src/knapweeddrum/process/entry/service_list_reader.py
+++ b/src/knapweeddrum/process/entry/service_list_reader.py
@@ -48,14 +48,15 @@
         """Keep entries that expire while the store can't be reached."""
         self._ctx.service_list.store_lost()
 
-    def on_up_to_date(self, now: float) -> None:
+    def on_up_to_date(self, asked_at: float, now: float) -> None:
         """Remove entries that were not renewed after an outage of the store."""
         self._ctx.service_list_read_at = now
         self._ctx.service_list.store_reached(now)
         for key in self._ctx.service_list.expire(now):
             self._ctx.events.emit(ENDPOINT_UNLISTED, endpoint=key, lapsed=True)
         entries = self._ctx.service_list.all()
-        self._ctx.endpoint_history.observe(entries, self._written, now)
+        self._ctx.endpoint_history.observe(entries, asked_at, now)
+        self._ctx.instances.observe(entries, self._written, asked_at)
         self._written.clear()
 
     def _drop(self, record: KeyedRecord, now: float) -> None:
--- a/src/knapweeddrum/process/entry/stream_follower.py
+++ b/src/knapweeddrum/process/entry/stream_follower.py
@@ -39,8 +39,11 @@
         """Handle a failed call to the store."""
 
     @abc.abstractmethod
-    def on_up_to_date(self, now: float) -> None:
-        """Handle a read after which all records up to ``now`` are known."""
+    def on_up_to_date(self, asked_at: float, now: float) -> None:
+        """Handle a read after which all records up to ``asked_at`` are known.
+
+        The store answered at some time between ``asked_at`` and ``now``.
+        """
 
 
 class StreamFollower:
@@ -95,26 +98,28 @@
         return True
 
     async def _list(self) -> None:
+        asked_at = time.monotonic()
         listing = await self._store.list_newest(self._stream)
         now = time.monotonic()
-        self._record_success(now)
+        self._record_success(asked_at, now)
         self._reader.apply_listing(listing.records, listing.next_offset, now)
         self._next_offset = listing.next_offset
 
     async def _read(self, start: int) -> None:
+        asked_at = time.monotonic()
         page = await self._store.read(self._stream, start, self._wait)
         now = time.monotonic()
         if page.records:
             self._reader.apply_records(page.records, now)
         self._next_offset = page.next_offset
         if page.complete:
-            self._record_success(now)
+            self._record_success(asked_at, now)
 
-    def _record_success(self, now: float) -> None:
+    def _record_success(self, asked_at: float, now: float) -> None:
         if self._is_store_unreachable:
             self._is_store_unreachable = False
             self._events.emit(DEPENDENCY_READY, dependency=self._stream)
-        self._reader.on_up_to_date(now)
+        self._reader.on_up_to_date(asked_at, now)
 
     def _record_failure(self, exc: LogUnavailableError) -> None:
         if not self._is_store_unreachable:
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -11,6 +11,7 @@
 from knapweeddrum.value.endpoint_notice import EndpointNotice
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.retry_reason import RetryReason
+from knapweeddrum.value.start_reply import StartReply
 
 REQUESTS = "requests"
 ANSWERED = "answered"
@@ -101,6 +102,11 @@
     return f"answer_end.{reason.value}"
 
 
+def start_reply_counter(reply: StartReply) -> str:
+    """Return the name of the counter of an endpoint's replies on its start."""
+    return f"endpoint_start.{reply.value}"
+
+
 def notice_counter(notice: EndpointNotice) -> str:
     """Return the name of the counter of what endpoints said of themselves."""
     return f"endpoint_notice.{notice.value}"
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -156,6 +156,9 @@
 ENDPOINT_NOTICE = Event(
     630, "endpoint_notice", "info", ("endpoint", "service", "notice", "seconds")
 )
+ENDPOINT_START_ASKED = Event(
+    631, "endpoint_start_asked", "info", ("endpoint", "reply", "listed_start_ms")
+)
 CRASHES_COUNTED = Event(
     609, "crashes_counted", "warning", ("fingerprint", "crashes", "blamed", "source")
 )
--- a/src/knapweeddrum/value/retry_reason.py
+++ b/src/knapweeddrum/value/retry_reason.py
@@ -21,6 +21,8 @@
     APPEND_REPLY_LOST = "append_reply_lost"
     """An append to the log got no reply, so it may have been carried out."""
     KEEPER_UNREACHABLE = "keeper_unreachable"
+    RESTARTED = "restarted"
+    """The endpoint runs another process than its entry names."""
     MOVED = "moved"
     """Another endpoint now has the address."""
     MALFORMED_ANSWER = "malformed_answer"
@@ -29,3 +31,7 @@
     CONNECTION_LOST = "connection_lost"
     """The connection ended before the answer was complete."""
     DEADLINE = "deadline"
+
+
+NOT_SENT_REASONS = frozenset({RetryReason.CONNECT_FAILED, RetryReason.RESTARTED})
+"""Reasons of attempts that ended before the request was sent."""
--- a/tests/core/streams/test_endpoint_history.py
+++ b/tests/core/streams/test_endpoint_history.py
@@ -24,7 +24,7 @@
     entries = [endpoint(f"e{n}", version) for n, version in enumerate(versions)]
     now = start
     while now <= end:
-        history.observe(entries, (), now)
+        history.observe(entries, now, now)
         now += READ_INTERVAL
 
 
@@ -62,10 +62,10 @@
 def test_endpoint_that_drains_takes_streams_for_its_notice():
     """The notice counts from the read before the one that showed it."""
     history = EndpointHistory()
-    history.observe([endpoint("e0", "v1")], (), 10.0)
+    history.observe([endpoint("e0", "v1")], 10.0, 10.0)
     leaving = endpoint("e0", "v1", draining=True)
-    history.observe([leaving], (), 10.5)
-    history.observe([leaving], (), 11.0)
+    history.observe([leaving], 10.5, 10.5)
+    history.observe([leaving], 11.0, 11.0)
     end = 10.0 + NOTICE - DRAIN_MARGIN_SECONDS
     assert history.takes_streams(EndpointState(leaving), NOTICE, end - 0.01)
     assert not history.takes_streams(EndpointState(leaving), NOTICE, end)
@@ -76,19 +76,5 @@
     """Nobody knows for how long it has been leaving."""
     history = EndpointHistory()
     leaving = endpoint("e0", "v1", draining=True)
-    history.observe([leaving], (), 10.0)
+    history.observe([leaving], 10.0, 10.0)
     assert not history.takes_streams(EndpointState(leaving), NOTICE, 10.0)
-
-
-def test_entry_was_written_after_the_read_before_the_one_that_showed_it():
-    """An earlier time is unknown, a later one not proved."""
-    history = EndpointHistory()
-    entries = [endpoint("e0", "v1"), endpoint("e1", "v1")]
-    history.observe(entries, ("e0", "e1"), 10.0)
-    assert history.written_after("e0") == float("-inf")
-    history.observe(entries, ("e0",), 10.5)
-    history.observe(entries, (), 11.0)
-    assert history.written_after("e0") == 10.0
-    assert history.written_after("e1") == float("-inf")
-    history.observe(entries[1:], (), 11.5)
-    assert history.written_after("e0") == float("-inf")
--- a/tests/process/entry/test_stream_versions.py
+++ b/tests/process/entry/test_stream_versions.py
@@ -203,6 +203,31 @@
     assert_one_version_each(streams)
 
 
+@async_test
+async def test_signs_of_a_restart_decide_where_engines_hide_their_start():
+    """Refused connections show that an engine was down since its entry was written."""
+    async with version_fleet(1, ("v1", "v1", "v3")) as fleet:
+        for engine in fleet.engines:
+            engine.tells_start = False
+        streams = [await fleet.begin(fleet.hosts[0]) for _ in range(STREAMS)]
+        for engine in fleet.engines[:2]:
+            await engine.restart("v2")
+        for stream in streams:
+            await fleet.take_up(fleet.hosts[0], stream)
+    assert_one_version_each(streams)
+
+
+@async_test
+async def test_engines_are_asked_for_their_start_on_new_connections_only():
+    """Neither each request nor one that isn't a stream costs a question."""
+    async with version_fleet(1, ("v1",)) as fleet:
+        (engine,) = fleet.engines
+        for _ in range(STREAMS):
+            await fleet.begin(fleet.hosts[0])
+            fleet.cuts_next.clear()
+        assert engine.reports <= engine.connections
+
+
 @async_test
 async def test_stream_of_an_engine_restarted_under_its_id_goes_on_nowhere_else():
     """The version that began it is not the one that the entry names."""
@@ -268,3 +293,16 @@
         for stream in streams:
             await fleet.take_up(fleet.hosts[0], stream)
     assert_one_version_each(streams)
+
+
+@async_test
+async def test_stream_begun_after_a_restart_at_once_goes_on_nowhere_else():
+    """The version that began it is not the one that the entry names."""
+    async with version_fleet(1, ("v1", "v1")) as fleet:
+        await warm_up(fleet)
+        await fleet.engines[0].restart("v2", down=0.0)
+        streams = [await fleet.begin(fleet.hosts[0]) for _ in range(STREAMS)]
+        for stream in streams:
+            await fleet.take_up(fleet.hosts[0], stream)
+    assert any(b"v2" in stream.versions for stream in streams)
+    assert_one_version_each(streams)
--- a/tests/process/entry/version_fleet.py
+++ b/tests/process/entry/version_fleet.py
@@ -95,6 +95,7 @@
         self._ended.set()
         await self._started_again.wait()
         self.version = version
+        self.born += 1
         self.piece = version.encode()
 
     @contextlib.asynccontextmanager
--- a/tests/standins/stamped_server.py
+++ b/tests/standins/stamped_server.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import enum
+import json
 import socket
 import struct
 import time
@@ -15,6 +16,7 @@
 from knapweeddrum.http.exceptions import MalformedRequestError, PeerDisconnectedError
 from knapweeddrum.http.header_list import HeaderList
 from knapweeddrum.http.server_connection import ReceivedRequest, ServerConnection
+from knapweeddrum.platform.start_report import REPORT_TARGET
 from tests.standins.tcp_serving import serving
 
 IDLE_TIMEOUT_SECONDS = 30.0
@@ -80,6 +82,12 @@
         """Monotonic time of each arrival, of rejected requests too."""
         self.version: object = "v1"
         """Software version in the server's entry."""
+        self.born = 1_700_000_000_000
+        """Unix time of its start in milliseconds."""
+        self.tells_start = True
+        """Whether its reports name the time of its start."""
+        self.reports = 0
+        """Reports that were asked for."""
         self.piece = b"piece"
         """Text before the number of each event."""
         self.plan: list[Behaviour] = []
@@ -109,7 +117,7 @@
             "state": "ready",
             "coldRemainingMs": 0,
             "seq": 1,
-            "born": 1_700_000_000_000,
+            "born": self.born,
             **changes,
         }
 
@@ -139,6 +147,9 @@
         if received is None:
             return False
         body = await conn.read_body(MAX_BODY_BYTES, IDLE_TIMEOUT_SECONDS)
+        if received.target == REPORT_TARGET:
+            await self._report(conn)
+            return conn.finish()
         self.arrivals += 1
         self.arrival_times.append(time.monotonic())
         behaviour = self.plan.pop(0) if self.plan else Behaviour.SERVE
@@ -160,6 +171,13 @@
         self.bodies.append(body)
         return await self._run(conn, stream, received, behaviour)
 
+    async def _report(self, conn: ServerConnection) -> None:
+        self.reports += 1
+        report: dict[str, object] = {"stage": "both", "running": 0, "queued": 0}
+        if self.tells_start:
+            report["born"] = self.born
+        await conn.send_reply(200, [], json.dumps(report).encode())
+
     async def _run(
         self,
         conn: ServerConnection,
--- a/tests/telemetry/test_counters_page.py
+++ b/tests/telemetry/test_counters_page.py
@@ -11,12 +11,14 @@
     notice_counter,
     refusal_counter,
     retry_counter,
+    start_reply_counter,
 )
 from knapweeddrum.value.answer_end_reason import AnswerEndReason
 from knapweeddrum.value.control_refusal_reason import ControlRefusalReason
 from knapweeddrum.value.endpoint_notice import EndpointNotice
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.retry_reason import RetryReason
+from knapweeddrum.value.start_reply import StartReply
 from tests.telemetry.catalogue import table_rows
 
 SOURCES = pathlib.Path(telemetry.__file__).parent.parent
@@ -30,6 +32,7 @@
         *map(retry_counter, RetryReason),
         *map(answer_end_counter, AnswerEndReason),
         *map(notice_counter, EndpointNotice),
+        *map(start_reply_counter, StartReply),
         *map(control_refusal_counter, ControlRefusalReason),
     ]
     rows = table_rows("COUNTERS.md")
