Store: a reader is up to date once it has the listing, not before

Cause: StreamFollower told its reader that it is up to date before it passed the listing on. So after each new listing (start, or deleted history) the list of endpoints of before counted as current for one more read, 0.5 s: a second version that the listing brings was not seen, while the only version known so far counted as certain, and streams begun at the new one could have gone on at the old. The order within the call has no other effect: lapsed entries, heartbeat timeouts and crash records were looked through for it.

test_reader_is_never_up_to_date_before_it_has_the_listing failed before, passes now; the other test of the follower guards the time that InstanceHistory counts from.

--- a/src/knapweeddrum/process/entry/stream_follower.py
+++ b/src/knapweeddrum/process/entry/stream_follower.py
@@ -101,8 +101,8 @@
         asked_at = time.monotonic()
         listing = await self._store.list_newest(self._stream)
         now = time.monotonic()
-        self._record_success(asked_at, now)
         self._reader.apply_listing(listing.records, listing.next_offset, now)
+        self._record_success(asked_at, now)
         self._next_offset = listing.next_offset
 
     async def _read(self, start: int) -> None:
