Streams: signs of a restart decide nothing any more

What callers could still see: streams of two versions at endpoints that don't name their start in their reports.

Change: a stream that has begun goes on only on a connection that certainly leads to the listed start, by its age or by the endpoint's word; else the endpoint counts as restarted. Unknown is refused, as the rule asks.

The test of the signs is replaced by a stricter one of the same play, where the engines restart between two probes (test_stream_never_goes_on_at_a_restarted_engine_that_hides_its_start), and by one that streams go on at such engines on older connections.

--- a/src/knapweeddrum/core/placing/endpoint_state.py
+++ b/src/knapweeddrum/core/placing/endpoint_state.py
@@ -47,13 +47,6 @@
         self._health = HealthTracker(HEALTH_LIMITS)
         self.last_data_at = float("-inf")
         """Time at which data arrived from the endpoint last."""
-        self.cut_at = float("-inf")
-        """Time at which the endpoint last ended a connection within an exchange.
-
-        Minus infinity once it has accepted a connection too soon after for a restart.
-        """
-        self.unreachable_at = float("-inf")
-        """Time at which a connection to the endpoint could last not be opened."""
         self._ended_at = float("-inf")
         self._unanswered: dict[str, float] = {}
         self._report: LoadReport | None = None
--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -211,19 +211,14 @@
         That is, before its idle timeout, if the server neither closed the connection
         nor sent anything. ``now`` is in monotonic seconds.
         """
-        return not self._is_timed_out(now) and not self._poller.poll(0)
-
-    def is_lost(self, now: float) -> bool:
-        """Return whether the server closed an idle connection before its timeout."""
-        return not self._is_timed_out(now) and bool(self._poller.poll(0))
+        if now - self.idle_since > self._idle_timeout:
+            return False
+        return not self._poller.poll(0)
 
     async def close(self) -> None:
         """Close the connection at once."""
         await anyio.aclose_forcefully(self._stream)
 
-    def _is_timed_out(self, now: float) -> bool:
-        return now - self.idle_since > self._idle_timeout
-
     def _encode_request(
         self, method: bytes, target: bytes, headers: list[Header], body: bytes
     ) -> bytes:
--- a/src/knapweeddrum/http/connection_pool.py
+++ b/src/knapweeddrum/http/connection_pool.py
@@ -25,7 +25,6 @@
     def __init__(self, on_connect: Callable[[str], None]) -> None:
         self._idle: dict[str, list[ClientConnection]] = {}
         self._open_counts: dict[str, int] = {}
-        self._lost_at: dict[str, float] = {}
         self._on_connect = on_connect
 
     async def acquire(
@@ -42,7 +41,6 @@
             conn = idle.pop()
             if conn.is_usable(now):
                 return conn
-            self._record_loss(key, conn, now)
             await self._close(key, conn)
         if self._open_counts.get(key, 0) >= limit:
             raise ConnectionLimitError(
@@ -81,22 +79,6 @@
         """Return the keys of the servers with an idle connection."""
         return frozenset(key for key, idle in self._idle.items() if idle)
 
-    def lost_at(self, key: str, now: float) -> float:
-        """Return when an idle connection was last found closed by its server.
-
-        Minus infinity if none was. Times are in monotonic seconds.
-        """
-        for conn in self._idle.get(key, ()):
-            self._record_loss(key, conn, now)
-        return self._lost_at.get(key, float("-inf"))
-
-    def is_open_since(self, key: str, opened_before: float, now: float) -> bool:
-        """Return whether an idle connection has been open since before a time."""
-        return any(
-            conn.opened_at <= opened_before and conn.is_usable(now)
-            for conn in self._idle.get(key, ())
-        )
-
     def open_count(self) -> int:
         """Return the number of open connections to all servers."""
         return sum(self._open_counts.values())
@@ -109,20 +91,14 @@
             unusable = [conn for conn in idle if conn not in usable]
             self._idle[key] = usable
             for conn in unusable:
-                self._record_loss(key, conn, now)
                 await self._close(key, conn)
             if not usable and key not in live:
                 self._idle.pop(key, None)
-        self._lost_at = {key: at for key, at in self._lost_at.items() if key in live}
 
     async def close(self) -> None:
         """Close all idle connections."""
         await self.sweep((), time.monotonic())
 
-    def _record_loss(self, key: str, conn: ClientConnection, now: float) -> None:
-        if conn.is_lost(now):
-            self._lost_at[key] = now
-
     async def _close(self, key: str, conn: ClientConnection) -> None:
         self._count_closed(key)
         await conn.close()
--- a/src/knapweeddrum/process/entry/crash_detector.py
+++ b/src/knapweeddrum/process/entry/crash_detector.py
@@ -19,7 +19,6 @@
 from knapweeddrum.process.entry.endpoint_probe import probe_endpoint
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.lost_connection import LossCause, LostConnection
-from knapweeddrum.process.entry.restart_signs import record_probe
 from knapweeddrum.telemetry.events import ENDPOINT_EXAMINED
 from knapweeddrum.value.identifiers import EndpointName
 
@@ -103,7 +102,6 @@
         probed_at = time.monotonic()
         if evidence.needs_probe(listing, probed_at):
             probe = await probe_endpoint(state.entry.address)
-            record_probe(state, probe, state.cut_at, probed_at)
         if evidence.is_alive(state.last_data_at):
             self._ctx.crash_register.forget_cuts(key)
             return True
--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -27,16 +27,15 @@
     request_headers,
 )
 from knapweeddrum.process.entry.attempt_error import AttemptError
-from knapweeddrum.process.entry.endpoint_start import ask_start
+from knapweeddrum.process.entry.endpoint_start import (
+    ask_start,
+    is_listed_start,
+    serving_version,
+)
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.lost_connection import LossCause, LostConnection
 from knapweeddrum.process.entry.notice_recorder import record_notices
 from knapweeddrum.process.entry.request_job import RequestJob
-from knapweeddrum.process.entry.restart_signs import (
-    is_listed_start,
-    may_be_asked,
-    serving_version,
-)
 from knapweeddrum.telemetry.counters import FIRST_ARRIVALS, REPEATED_ARRIVALS
 from knapweeddrum.value.retry_reason import RetryReason
 from knapweeddrum.value.run_state import RunState
@@ -63,7 +62,7 @@
     state: EndpointState
     conn: ClientConnection
     software_version: str
-    """Version of the endpoint that answers, unknown if it may have restarted."""
+    """Version of the endpoint that answers, unknown if it may be another start."""
     first_chunk_received: bool = False
 
     async def next_data(self) -> bytes | None:
@@ -162,8 +161,6 @@
         # The endpoint may have ended without closing its connections.
         cause = LossCause.NO_ANSWER
     run_end = RunEnd.CANCELLED
-    if is_lost:
-        state.cut_at = now
     if cause is not None:
         run_end = RunEnd.CUT
     elif result is AttemptResult.SUCCESS:
@@ -208,13 +205,13 @@
             raise AttemptError(
                 RetryReason.CONNECT_FAILED, RunState.NOT_RUN, "start not told in time"
             )
-    if job.stream_version is not None and not may_be_asked(ctx, state):
-        raise AttemptError(
-            RetryReason.RESTARTED,
-            RunState.NOT_RUN,
-            "the endpoint has restarted, or may have, since it wrote its entry",
-        )
-    return True
+    if job.stream_version is None or is_listed_start(ctx, state, conn):
+        return True
+    raise AttemptError(
+        RetryReason.RESTARTED,
+        RunState.NOT_RUN,
+        "another start of the endpoint than the listed one may answer",
+    )
 
 
 async def _open_connection(
@@ -233,8 +230,7 @@
             RetryReason.CONNECT_FAILED, RunState.NOT_RUN, str(exc)
         ) from exc
     except NotSentError as exc:
-        state.unreachable_at = time.monotonic()
-        state.eject(state.unreachable_at)
+        state.eject(time.monotonic())
         raise AttemptError(
             RetryReason.CONNECT_FAILED, RunState.NOT_RUN, str(exc)
         ) from exc
--- a/src/knapweeddrum/process/entry/endpoint_start.py
+++ b/src/knapweeddrum/process/entry/endpoint_start.py
@@ -1,4 +1,4 @@
-"""Asks endpoints which of their starts answers on a connection."""
+"""Tells which start of an endpoint answers on a connection."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 
 import anyio
 
+from knapweeddrum.core.catalog.endpoint_entry import UNKNOWN_VERSION
 from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.placing.endpoint_states import instance_name
 from knapweeddrum.http.client_connection import ClientConnection
@@ -23,6 +24,25 @@
 START_TIMEOUT_SECONDS = 0.25
 
 
+def is_listed_start(
+    ctx: EntryContext, state: EndpointState, conn: ClientConnection
+) -> bool:
+    """Return whether the start that wrote the entry certainly answers.
+
+    The connection must be open: it has led to one process ever since it was opened.
+    """
+    return conn.opened_at <= ctx.instances.running_at(instance_name(state.entry))
+
+
+def serving_version(
+    ctx: EntryContext, state: EndpointState, conn: ClientConnection
+) -> str:
+    """Return the software version that answers, UNKNOWN_VERSION unless certain."""
+    if is_listed_start(ctx, state, conn):
+        return state.entry.software_version
+    return UNKNOWN_VERSION
+
+
 async def ask_start(
     ctx: EntryContext, state: EndpointState, conn: ClientConnection
 ) -> StartReply:
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -7,6 +7,7 @@
 import anyio
 
 from knapweeddrum.core.placing.endpoint_state import EndpointState
+from knapweeddrum.core.placing.endpoint_states import instance_name
 from knapweeddrum.core.placing.placer import PlacementRequest
 from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
 from knapweeddrum.core.routing.failed_attempt import FailedAttempt
@@ -26,7 +27,6 @@
 from knapweeddrum.process.entry.request_admission import refused
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.process.entry.request_log import RequestLog
-from knapweeddrum.process.entry.restart_signs import may_be_asked
 from knapweeddrum.process.entry.stream_origin_sharing import StreamOriginSharing
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
 from knapweeddrum.value.refusal_reason import RefusalReason
@@ -194,7 +194,7 @@
             state
             for state in ctx.endpoint_states.of_version(job.service, job.stream_version)
             if ctx.endpoint_history.takes_streams(state, ctx.settings.drain_delay, now)
-            and may_be_asked(ctx, state)
+            and not ctx.instances.has_ended(instance_name(state.entry))
         ]
 
     def _no_endpoint_error(self) -> RefusedError | AttemptError:
--- a/src/knapweeddrum/value/retry_reason.py
+++ b/src/knapweeddrum/value/retry_reason.py
@@ -22,7 +22,7 @@
     """An append to the log got no reply, so it may have been carried out."""
     KEEPER_UNREACHABLE = "keeper_unreachable"
     RESTARTED = "restarted"
-    """The endpoint runs another process than its entry names."""
+    """Another start of the endpoint than the listed one may answer."""
     MOVED = "moved"
     """Another endpoint now has the address."""
     MALFORMED_ANSWER = "malformed_answer"
--- a/tests/process/entry/test_stream_versions.py
+++ b/tests/process/entry/test_stream_versions.py
@@ -5,6 +5,7 @@
 import anyio
 
 from tests.async_test import async_test
+from tests.process.entry.entry_harness import EntryHarness
 from tests.process.entry.version_fleet import (
     OTHER_KEY,
     RESUMED_PATH,
@@ -170,6 +171,15 @@
         assert stream.is_whole == (stream.versions == {b"v1"})
 
 
+async def open_connections(fleet: VersionFleet, host: EntryHarness) -> None:
+    """Have a host open several connections to all engines, which stay open."""
+    for engine in fleet.engines:
+        engine.event_gap = 0.05
+    async with anyio.create_task_group() as tasks:
+        for _ in range(STREAMS):
+            tasks.start_soon(fleet.run_whole, host)
+
+
 async def warm_up(fleet: VersionFleet) -> None:
     """Have the first host open connections to all engines."""
     for _ in range(STREAMS):
@@ -204,12 +214,13 @@
 
 
 @async_test
-async def test_signs_of_a_restart_decide_where_engines_hide_their_start():
-    """Refused connections show that an engine was down since its entry was written."""
+async def test_stream_never_goes_on_at_a_restarted_engine_that_hides_its_start():
+    """Only a connection that is older than the entry shows who answers."""
     async with version_fleet(1, ("v1", "v1", "v3")) as fleet:
         for engine in fleet.engines:
             engine.tells_start = False
         streams = [await fleet.begin(fleet.hosts[0]) for _ in range(STREAMS)]
+        await anyio.sleep(PROBED_TWICE_SECONDS)
         for engine in fleet.engines[:2]:
             await engine.restart("v2")
         for stream in streams:
@@ -217,6 +228,19 @@
     assert_one_version_each(streams)
 
 
+@async_test
+async def test_stream_goes_on_at_engines_that_hide_their_start():
+    """On connections that were open when the engines wrote their entries."""
+    async with version_fleet(1, ("v1", "v1")) as fleet:
+        for engine in fleet.engines:
+            engine.tells_start = False
+        host = fleet.hosts[0]
+        await open_connections(fleet, host)
+        await anyio.sleep(HEARTBEATS_READ_SECONDS)
+        streams = [await fleet.begin(host, RESUMED_PATH) for _ in range(2)]
+    assert went_on(streams) == len(streams)
+
+
 @async_test
 async def test_engines_are_asked_for_their_start_on_new_connections_only():
     """Neither each request nor one that isn't a stream costs a question."""
--- a/tests/process/entry/version_fleet.py
+++ b/tests/process/entry/version_fleet.py
@@ -195,6 +195,11 @@
         for host in self.hosts if others else ():
             await host.wait_until_others_are_ready(others)
 
+    async def run_whole(self, host: EntryHarness) -> None:
+        """Send a prompt whose stream ends as it should."""
+        answer = await self._call(host, ONE_ATTEMPT_PATH, f"a{next(self.attempts):x}")
+        assert answer.is_complete
+
     async def begin(self, host: EntryHarness, path: str = ONE_ATTEMPT_PATH) -> Stream:
         """Send a prompt whose stream breaks off midway."""
         self.cuts_next[:] = [True]
