Streams: hosts that start recall which services had a single version

Cause: that a version was alone was known in the memory of living hosts only.

Change: the first three ready hosts add to their heartbeats, in the same call, which services have had one version, for how long, and up to which offset of the service list (some 80 bytes each 1.5 s, however many hosts there are). A host that starts reads that record and all entries that were written from its offset on, one read more; without a record the entries must reach back to the very first. Any other version among them, or an entry that the store has deleted, and nothing is recalled: unknown is refused as before. The host is ready after the first try. No clock of another host is believed: the record holds a duration, and time since only adds to it.

Ruled out: a stream of its own (a call for each write, who writes it while hosts come and go); the number of heartbeats in the list's history as a clock (heartbeats are only about regular, and the history is as long as a stream may be taken up, so it never suffices); telling the caller (it sends back nothing of ours).

--- a/src/knapweeddrum/core/streams/endpoint_history.py
+++ b/src/knapweeddrum/core/streams/endpoint_history.py
@@ -7,6 +7,7 @@
 
 from knapweeddrum.core.catalog.endpoint_entry import UNKNOWN_VERSION, EndpointEntry
 from knapweeddrum.core.placing.endpoint_state import EndpointState
+from knapweeddrum.core.streams.version_record import SoleVersion, VersionRecord
 
 STREAM_MEMORY_SECONDS = 20.0
 """Time after its beginning for which a stream may be taken up again."""
@@ -19,7 +20,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _SoleVersion:
+class _AloneVersion:
     version: str
     since: float
 
@@ -31,14 +32,26 @@
     """
 
     def __init__(self) -> None:
-        self._sole: dict[str, _SoleVersion] = {}
+        self._sole: dict[str, _AloneVersion] = {}
         self._drain_noticed_after: dict[str, float] = {}
         self._read_at = float("-inf")
+        self._first_read_at = float("inf")
+        self.list_offset = 0
+        """Offset in the service list up to which entries are known."""
 
     def observe(
-        self, entries: Iterable[EndpointEntry], asked_at: float, now: float
+        self,
+        entries: Iterable[EndpointEntry],
+        asked_at: float,
+        now: float,
+        list_offset: int,
     ) -> None:
-        """Record the complete list, asked for at ``asked_at`` and read at ``now``."""
+        """Record the complete list, asked for at ``asked_at`` and read at ``now``.
+
+        ``list_offset`` is that of the first entry that is not in it.
+        """
+        self.list_offset = list_offset
+        self._first_read_at = min(self._first_read_at, now)
         versions: dict[str, set[str]] = {}
         draining = {}
         for entry in entries:
@@ -62,6 +75,29 @@
             return None
         return sole.version if now - sole.since >= STREAM_MEMORY_SECONDS else None
 
+    def version_record(self) -> VersionRecord:
+        """Return what later hosts may need to know."""
+        sole = tuple(
+            SoleVersion(
+                service,
+                alone.version,
+                max(0.0, min(STREAM_MEMORY_SECONDS, self._read_at - alone.since)),
+            )
+            for service, alone in sorted(self._sole.items())
+        )
+        return VersionRecord(self.list_offset, sole)
+
+    def recall(self, sole: SoleVersion, now: float) -> None:
+        """Take over what was known of a service before this host started.
+
+        It holds only if the service has listed no other version since.
+        """
+        known = self._sole.get(sole.service)
+        if known is None or known.since > self._first_read_at:
+            return
+        if known.version == sole.software_version:
+            known.since = min(known.since, now - sole.seconds)
+
     def takes_streams(self, state: EndpointState, notice: float, now: float) -> bool:
         """Return whether a stream may go on at an endpoint.
 
@@ -85,4 +121,4 @@
         (version,) = listed
         known = self._sole.get(service)
         if known is None or known.version != version:
-            self._sole[service] = _SoleVersion(version, now)
+            self._sole[service] = _AloneVersion(version, now)
--- a/src/knapweeddrum/platform/fleet_codec.py
+++ b/src/knapweeddrum/platform/fleet_codec.py
@@ -6,11 +6,14 @@
 
 from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.prepaid.token_claim import TokenClaim
+from knapweeddrum.core.streams.version_record import VersionRecord
 from knapweeddrum.message.call.crash_record import CrashRecord
 from knapweeddrum.platform.exceptions import MalformedRecordError
 from knapweeddrum.platform.keyed_record import KeyedRecord
 
 KEY_SEPARATOR = "|"
+VERSIONS_KEY = "|versions"
+"""Key among the heartbeats under which hosts record the services' versions."""
 
 
 def encode_heartbeat(record: HostRecord) -> KeyedRecord:
@@ -28,6 +31,19 @@
         raise MalformedRecordError(f"heartbeat of {record.key}: {exc}") from exc
 
 
+def encode_version_record(record: VersionRecord) -> KeyedRecord:
+    """Return the record of the services' versions: value is a JSON object."""
+    return KeyedRecord(VERSIONS_KEY, msgspec.json.encode(record))
+
+
+def decode_version_record(record: KeyedRecord) -> VersionRecord:
+    """Decode the record of the services' versions; raises MalformedRecordError."""
+    try:
+        return msgspec.json.decode(record.value or b"", type=VersionRecord)
+    except msgspec.MsgspecError as exc:
+        raise MalformedRecordError(f"versions of services: {exc}") from exc
+
+
 def encode_token_claim(claim: TokenClaim) -> KeyedRecord:
     """Return the record of a claim on prepaid tokens.
 
--- a/src/knapweeddrum/process/entry/configuration_reader.py
+++ b/src/knapweeddrum/process/entry/configuration_reader.py
@@ -10,6 +10,7 @@
 from knapweeddrum.platform.streams import CONFIGURATION_KEY
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.stream_follower import RecordReader
+from knapweeddrum.process.entry.stream_read import StreamRead
 from knapweeddrum.telemetry.events import CONFIG_APPLIED, CONFIG_REJECTED
 
 
@@ -34,9 +35,9 @@
     def on_store_lost(self) -> None:
         """Keep the current version; its age is in the metrics."""
 
-    def on_up_to_date(self, asked_at: float, now: float) -> None:
+    def on_up_to_date(self, read: StreamRead) -> None:
         """Record when the configuration was last known to be current."""
-        self._ctx.configuration_read_at = now
+        self._ctx.configuration_read_at = read.received_at
 
     def _apply(self, record: KeyedRecord, body: bytes) -> None:
         ctx = self._ctx
--- a/src/knapweeddrum/process/entry/crash_record_reader.py
+++ b/src/knapweeddrum/process/entry/crash_record_reader.py
@@ -11,6 +11,7 @@
 from knapweeddrum.process.entry.crash_records import merge
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.stream_follower import RecordReader
+from knapweeddrum.process.entry.stream_read import StreamRead
 from knapweeddrum.telemetry.events import ENTRY_IGNORED
 
 STORE_SOURCE = "store"
@@ -45,7 +46,7 @@
         """Remember that other hosts have to be asked."""
         self.is_store_reachable = False
 
-    def on_up_to_date(self, asked_at: float, now: float) -> None:
+    def on_up_to_date(self, read: StreamRead) -> None:
         """Remember that the store has all records of hosts that reach it."""
         self.is_store_reachable = True
 
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -24,6 +24,7 @@
 from knapweeddrum.core.routing.retry_window import RetryWindow
 from knapweeddrum.core.streams.endpoint_history import EndpointHistory
 from knapweeddrum.core.streams.instance_history import InstanceHistory
+from knapweeddrum.core.streams.version_record import VersionRecord
 from knapweeddrum.http.connection_pool import ConnectionPool
 from knapweeddrum.platform.store_client import StoreClient
 from knapweeddrum.process.entry.lost_connection import LostConnection
@@ -67,6 +68,10 @@
     hosts_read_at: float = float("-inf")
     claims_loaded: bool = False
     crash_records_loaded: bool = False
+    version_record: VersionRecord | None = None
+    """What a host wrote last of the services' versions."""
+    versions_recalled: bool = False
+    """Whether this host has tried to recall them."""
     draining: bool = False
     drain_refuses_from: float = float("inf")
     """Time from which a drain refuses requests that may outlast it."""
@@ -111,10 +116,15 @@
             and self.configuration is not None
             and self.claims_loaded
             and self.crash_records_loaded
-            and self.service_list_read_at > float("-inf")
-            and self.hosts_read_at > float("-inf")
+            and self.versions_recalled
+            and self.has_read_endpoints_and_hosts
         )
 
+    @property
+    def has_read_endpoints_and_hosts(self) -> bool:
+        """Return whether the process has read the service list and the heartbeats."""
+        return min(self.service_list_read_at, self.hosts_read_at) > float("-inf")
+
     def failover_policy(self, service: str, now: float) -> FailoverPolicy:
         """Return the policy for a service's requests, which share a retry budget.
 
--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -47,6 +47,7 @@
 from knapweeddrum.process.entry.token_lender import TokenLender
 from knapweeddrum.process.entry.token_unlocker import UNLOCK_PATH, TokenUnlocker
 from knapweeddrum.process.entry.token_witness import WITNESS_LEAVE_PATH, TokenWitness
+from knapweeddrum.process.entry.version_recall_task import VersionRecallTask
 from knapweeddrum.telemetry.bounded_writer import BoundedWriter
 from knapweeddrum.telemetry.events import PROCESS_STARTED, PROCESS_STOPPED
 
@@ -88,6 +89,7 @@
         self._server = CallerServer(ctx, self._allocator, self._stream_origins)
         self._housekeeping = HousekeepingTask(ctx, writer, settings_path)
         self._heartbeat = HeartbeatTask(ctx)
+        self._version_recall = VersionRecallTask(ctx)
         self._crash_detector = CrashDetector(ctx, losses)
         self._crash_records = CrashRecordReader(ctx)
         self._crash_sharing = CrashSharing(ctx, peers, self._crash_records)
@@ -109,6 +111,7 @@
                 tasks.start_soon(self._crash_detector.run)
                 tasks.start_soon(self._crash_sharing.run)
                 tasks.start_soon(self._stream_origins.run)
+                tasks.start_soon(self._version_recall.run)
                 tasks.start_soon(self._housekeeping.run)
                 await self._wait_for_stop_signal(signals)
                 await self._drain(signals)
--- a/src/knapweeddrum/process/entry/heartbeat_task.py
+++ b/src/knapweeddrum/process/entry/heartbeat_task.py
@@ -6,12 +6,18 @@
 
 from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.platform.exceptions import AppendUnknownError, LogUnavailableError
-from knapweeddrum.platform.fleet_codec import encode_heartbeat
+from knapweeddrum.platform.fleet_codec import (
+    encode_heartbeat,
+    encode_version_record,
+)
 from knapweeddrum.platform.streams import HOSTS_STREAM
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import HEARTBEAT_FAILED
 
 HEARTBEAT_INTERVAL_SECONDS = 1.5
+VERSION_RECORDERS = 3
+"""Hosts, the first ready ones by name, that record the versions of services."""
+
 READINESS_POLL_SECONDS = 0.05
 """Interval between checks for a change of readiness."""
 
@@ -46,10 +52,22 @@
             ready=ready,
             beat=self._beat,
         )
+        records = [encode_heartbeat(record)]
+        if self._records_versions():
+            version_record = ctx.endpoint_history.version_record()
+            records.append(encode_version_record(version_record))
         try:
-            await ctx.store.append(HOSTS_STREAM, [encode_heartbeat(record)])
+            await ctx.store.append(HOSTS_STREAM, records)
         except (LogUnavailableError, AppendUnknownError):
             # The StreamFollower of this stream logs outages of the store.
             ctx.metrics.count(HEARTBEAT_FAILED)
             return
         self._announced_ready = ready
+
+    def _records_versions(self) -> bool:
+        ctx = self._ctx
+        if not ctx.versions_recalled:
+            return False
+        others = [host.name for host in ctx.hosts.ready_hosts()]
+        earlier = [name for name in others if name < ctx.settings.host_name]
+        return len(earlier) < VERSION_RECORDERS
--- a/src/knapweeddrum/process/entry/host_reader.py
+++ b/src/knapweeddrum/process/entry/host_reader.py
@@ -5,10 +5,15 @@
 from collections.abc import Iterable
 
 from knapweeddrum.platform.exceptions import MalformedRecordError
-from knapweeddrum.platform.fleet_codec import decode_heartbeat
+from knapweeddrum.platform.fleet_codec import (
+    VERSIONS_KEY,
+    decode_heartbeat,
+    decode_version_record,
+)
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.stream_follower import RecordReader
+from knapweeddrum.process.entry.stream_read import StreamRead
 from knapweeddrum.telemetry.events import ENTRY_IGNORED, HOSTS_CHANGED
 
 
@@ -29,6 +34,9 @@
         """Apply newer heartbeats."""
         for record in records:
             try:
+                if record.key == VERSIONS_KEY:
+                    self._ctx.version_record = decode_version_record(record)
+                    continue
                 host = decode_heartbeat(record)
             except MalformedRecordError as exc:
                 self._ctx.events.emit(
@@ -41,8 +49,9 @@
         """Pause the heartbeat timeouts, as heartbeats can't be read."""
         self._ctx.hosts.store_lost()
 
-    def on_up_to_date(self, asked_at: float, now: float) -> None:
+    def on_up_to_date(self, read: StreamRead) -> None:
         """Resume the heartbeat timeouts and log a change of the ready hosts."""
+        now = read.received_at
         self._ctx.hosts_read_at = now
         self._ctx.hosts.store_answered(now)
         self._ctx.fleet_size.record(self._ctx.hosts.running_count(), now)
--- a/src/knapweeddrum/process/entry/service_list_reader.py
+++ b/src/knapweeddrum/process/entry/service_list_reader.py
@@ -10,6 +10,7 @@
 from knapweeddrum.platform.service_list_codec import decode_endpoint_entry
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.stream_follower import RecordReader
+from knapweeddrum.process.entry.stream_read import StreamRead
 from knapweeddrum.telemetry.events import (
     ENDPOINT_LISTED,
     ENDPOINT_UNLISTED,
@@ -48,15 +49,18 @@
         """Keep entries that expire while the store can't be reached."""
         self._ctx.service_list.store_lost()
 
-    def on_up_to_date(self, asked_at: float, now: float) -> None:
+    def on_up_to_date(self, read: StreamRead) -> None:
         """Remove entries that were not renewed after an outage of the store."""
+        now = read.received_at
         self._ctx.service_list_read_at = now
         self._ctx.service_list.store_reached(now)
         for key in self._ctx.service_list.expire(now):
             self._ctx.events.emit(ENDPOINT_UNLISTED, endpoint=key, lapsed=True)
         entries = self._ctx.service_list.all()
-        self._ctx.endpoint_history.observe(entries, asked_at, now)
-        self._ctx.instances.observe(entries, self._written, asked_at)
+        self._ctx.endpoint_history.observe(
+            entries, read.asked_at, read.received_at, read.next_offset
+        )
+        self._ctx.instances.observe(entries, self._written, read.asked_at)
         self._written.clear()
 
     def _drop(self, record: KeyedRecord, now: float) -> None:
--- a/src/knapweeddrum/process/entry/stream_follower.py
+++ b/src/knapweeddrum/process/entry/stream_follower.py
@@ -11,6 +11,7 @@
 from knapweeddrum.platform.exceptions import LogUnavailableError, RecordsExpiredError
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.store_client import StoreClient
+from knapweeddrum.process.entry.stream_read import StreamRead
 from knapweeddrum.telemetry.event_log import EventLog
 from knapweeddrum.telemetry.events import DEPENDENCY_READY, WAITING
 
@@ -39,11 +40,8 @@
         """Handle a failed call to the store."""
 
     @abc.abstractmethod
-    def on_up_to_date(self, asked_at: float, now: float) -> None:
-        """Handle a read after which all records up to ``asked_at`` are known.
-
-        The store answered at some time between ``asked_at`` and ``now``.
-        """
+    def on_up_to_date(self, read: StreamRead) -> None:
+        """Handle a read that reached the end of the stream."""
 
 
 class StreamFollower:
@@ -101,9 +99,9 @@
         asked_at = time.monotonic()
         listing = await self._store.list_newest(self._stream)
         now = time.monotonic()
-        self._reader.apply_listing(listing.records, listing.next_offset, now)
-        self._record_success(asked_at, now)
         self._next_offset = listing.next_offset
+        self._reader.apply_listing(listing.records, listing.next_offset, now)
+        self._record_success(StreamRead(asked_at, now, listing.next_offset))
 
     async def _read(self, start: int) -> None:
         asked_at = time.monotonic()
@@ -113,13 +111,13 @@
             self._reader.apply_records(page.records, now)
         self._next_offset = page.next_offset
         if page.complete:
-            self._record_success(asked_at, now)
+            self._record_success(StreamRead(asked_at, now, page.next_offset))
 
-    def _record_success(self, asked_at: float, now: float) -> None:
+    def _record_success(self, read: StreamRead) -> None:
         if self._is_store_unreachable:
             self._is_store_unreachable = False
             self._events.emit(DEPENDENCY_READY, dependency=self._stream)
-        self._reader.on_up_to_date(asked_at, now)
+        self._reader.on_up_to_date(read)
 
     def _record_failure(self, exc: LogUnavailableError) -> None:
         if not self._is_store_unreachable:
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -159,6 +159,12 @@
 ENDPOINT_START_ASKED = Event(
     631, "endpoint_start_asked", "info", ("endpoint", "reply", "listed_start_ms")
 )
+VERSIONS_RECALLED = Event(
+    632,
+    "versions_recalled",
+    "info",
+    ("outcome", "from_offset", "to_offset", "services"),
+)
 CRASHES_COUNTED = Event(
     609, "crashes_counted", "warning", ("fingerprint", "crashes", "blamed", "source")
 )
--- a/tests/core/streams/test_endpoint_history.py
+++ b/tests/core/streams/test_endpoint_history.py
@@ -8,6 +8,7 @@
     STREAM_MEMORY_SECONDS,
     EndpointHistory,
 )
+from knapweeddrum.core.streams.version_record import SoleVersion, VersionRecord
 
 NOTICE = 2.0
 READ_INTERVAL = 0.5
@@ -24,7 +25,7 @@
     entries = [endpoint(f"e{n}", version) for n, version in enumerate(versions)]
     now = start
     while now <= end:
-        history.observe(entries, now, now)
+        history.observe(entries, now, now, 0)
         now += READ_INTERVAL
 
 
@@ -62,10 +63,10 @@
 def test_endpoint_that_drains_takes_streams_for_its_notice():
     """The notice counts from the read before the one that showed it."""
     history = EndpointHistory()
-    history.observe([endpoint("e0", "v1")], 10.0, 10.0)
+    history.observe([endpoint("e0", "v1")], 10.0, 10.0, 0)
     leaving = endpoint("e0", "v1", draining=True)
-    history.observe([leaving], 10.5, 10.5)
-    history.observe([leaving], 11.0, 11.0)
+    history.observe([leaving], 10.5, 10.5, 0)
+    history.observe([leaving], 11.0, 11.0, 0)
     end = 10.0 + NOTICE - DRAIN_MARGIN_SECONDS
     assert history.takes_streams(EndpointState(leaving), NOTICE, end - 0.01)
     assert not history.takes_streams(EndpointState(leaving), NOTICE, end)
@@ -76,5 +77,43 @@
     """Nobody knows for how long it has been leaving."""
     history = EndpointHistory()
     leaving = endpoint("e0", "v1", draining=True)
-    history.observe([leaving], 10.0, 10.0)
+    history.observe([leaving], 10.0, 10.0, 0)
     assert not history.takes_streams(EndpointState(leaving), NOTICE, 10.0)
+
+
+def test_later_host_is_told_for_how_long_a_version_has_been_alone():
+    """No longer than a stream may be taken up."""
+    history = EndpointHistory()
+    history.observe([endpoint("e0", "v1")], 10.0, 10.0, 7)
+    history.observe([endpoint("e0", "v1")], 13.0, 13.1, 9)
+    assert history.version_record() == VersionRecord(
+        9, (SoleVersion("engine", "v1", 3.0),)
+    )
+    history.observe([endpoint("e0", "v1")], 60.0, 60.0, 9)
+    (sole,) = history.version_record().sole
+    assert sole.seconds == STREAM_MEMORY_SECONDS
+    history.observe([endpoint("e0", "v1"), endpoint("e1", "v2")], 61.0, 61.0, 10)
+    assert history.version_record().sole == ()
+
+
+def recalled(*versions: str, seconds: float = STREAM_MEMORY_SECONDS) -> str | None:
+    """Return the certain version after a recall of v1, by the versions listed since."""
+    history = EndpointHistory()
+    for number, version in enumerate(versions):
+        history.observe([endpoint("e0", version)], number, number, 0)
+    now = float(len(versions))
+    history.recall(SoleVersion("engine", "v1", seconds), now)
+    return history.sole_version("engine", now)
+
+
+def test_version_that_was_alone_before_the_start_is_certain_at_once():
+    """Its time alone before the start counts."""
+    assert recalled("v1") == "v1"
+    assert recalled("v1", seconds=STREAM_MEMORY_SECONDS - 2) is None
+
+
+def test_version_that_was_listed_since_the_start_is_not_forgotten_by_a_recall():
+    """A recall that comes late finds another version listed, or gone again."""
+    assert recalled("v2") is None
+    assert recalled("v2", "v1") is None
+    assert recalled("v1", "v2", "v1") is None
--- a/tests/platform/test_entry_codecs.py
+++ b/tests/platform/test_entry_codecs.py
@@ -22,6 +22,7 @@
     decode_crash_record,
     decode_heartbeat,
     decode_token_claim,
+    decode_version_record,
     encode_crash_record,
     encode_crash_record_removal,
     encode_token_claim,
@@ -67,12 +68,13 @@
 
 @given(st.binary(max_size=60))
 def test_arbitrary_documents_are_malformed(body):
-    """Arbitrary bytes as configuration, entry, heartbeat or claim are malformed."""
+    """Arbitrary bytes as any of these are malformed."""
     for decode in (
         decode_configuration,
         lambda value: decode_endpoint_entry("id", value),
         lambda value: decode_heartbeat(KeyedRecord("h", value)),
         lambda value: decode_token_claim(KeyedRecord("o|i", value)),
+        lambda value: decode_version_record(KeyedRecord("k", value)),
     ):
         with CASE.assertRaises(MalformedRecordError):
             decode(body or b"[")
--- a/tests/process/entry/test_stream_follower.py
+++ b/tests/process/entry/test_stream_follower.py
@@ -10,6 +10,7 @@
 from knapweeddrum.platform.store_listing import StoreListing
 from knapweeddrum.platform.store_page import StorePage
 from knapweeddrum.process.entry.stream_follower import RecordReader, StreamFollower
+from knapweeddrum.process.entry.stream_read import StreamRead
 from tests.async_test import async_test
 
 CALL_SECONDS = 0.05
@@ -39,7 +40,7 @@
 
     def __init__(self) -> None:
         self.calls: list[str] = []
-        self.times: list[tuple[float, float]] = []
+        self.reads: list[StreamRead] = []
 
     def apply_listing(
         self, records: Iterable[KeyedRecord], end: int, now: float
@@ -52,9 +53,9 @@
     def on_store_lost(self) -> None:
         self.calls.append("lost")
 
-    def on_up_to_date(self, asked_at: float, now: float) -> None:
+    def on_up_to_date(self, read: StreamRead) -> None:
         self.calls.append("up to date")
-        self.times.append((asked_at, now))
+        self.reads.append(read)
 
 
 async def follow(reader: RecordReader, seconds: float) -> None:
@@ -78,4 +79,6 @@
     """The store may have answered before what was written while the reply came."""
     reader = ReaderLog()
     await follow(reader, 6 * CALL_SECONDS)
-    assert all(now - asked_at >= CALL_SECONDS for asked_at, now in reader.times)
+    assert all(
+        read.received_at - read.asked_at >= CALL_SECONDS for read in reader.reads
+    )
--- a/tests/process/entry/test_stream_versions.py
+++ b/tests/process/entry/test_stream_versions.py
@@ -4,6 +4,8 @@
 
 import anyio
 
+from knapweeddrum.platform.fleet_codec import VERSIONS_KEY
+from knapweeddrum.platform.streams import HOSTS_STREAM, SERVICE_LIST_STREAM
 from tests.async_test import async_test
 from tests.process.entry.entry_harness import EntryHarness
 from tests.process.entry.version_fleet import (
@@ -15,6 +17,8 @@
 )
 
 STREAMS = 12
+RECORDED_SECONDS = 5.0
+"""Time in which hosts have recorded the versions of the services."""
 HEARTBEATS_READ_SECONDS = 2.0
 """Time in which a host reads several heartbeats of each engine."""
 PROBED_TWICE_SECONDS = 0.4
@@ -305,6 +309,68 @@
     assert went_on(streams) >= STREAMS / 2
 
 
+async def kill_all_hosts(fleet: VersionFleet) -> None:
+    """Kill all hosts once they have recorded the versions of the services."""
+    with anyio.fail_after(RECORDED_SECONDS):
+        while VERSIONS_KEY not in fleet.store.stream(HOSTS_STREAM).newest:
+            await anyio.sleep(0.05)
+    while fleet.hosts:
+        fleet.hosts.pop().send_signal(signal.SIGKILL)
+
+
+async def take_up_at_a_new_host(fleet: VersionFleet, streams: list[Stream]) -> None:
+    """Go on with all streams at a host that has just started."""
+    host = await fleet.add_host()
+    for stream in streams:
+        await fleet.take_up(host, stream)
+
+
+@async_test
+async def test_streams_go_on_after_a_kill_of_all_hosts_without_the_first_entries():
+    """What a host recorded replaces the entries that the store has deleted."""
+    async with version_fleet(2, ("v1", "v1")) as fleet:
+        entries = fleet.store.stream(SERVICE_LIST_STREAM)
+        before = entries.end
+        await anyio.sleep(HEARTBEATS_READ_SECONDS)
+        streams = [await fleet.begin(fleet.hosts[n % 2]) for n in range(STREAMS)]
+        await kill_all_hosts(fleet)
+        entries.expire_records(before)
+        await take_up_at_a_new_host(fleet, streams)
+    assert went_on(streams) >= STREAMS / 2
+
+
+@async_test
+async def test_stream_of_before_a_kill_of_all_hosts_never_goes_on_at_a_new_version():
+    """All engines were replaced before the next host started."""
+    async with version_fleet(2, ("v1", "v1")) as fleet:
+        streams = [await fleet.begin(fleet.hosts[n % 2]) for n in range(STREAMS)]
+        await kill_all_hosts(fleet)
+        for engine in fleet.engines:
+            engine.beats = None
+            fleet.store.drop(SERVICE_LIST_STREAM, engine.server_id)
+        for _ in range(2):
+            await fleet.add_engine("v2")
+        await take_up_at_a_new_host(fleet, streams)
+    assert_one_version_each(streams)
+
+
+@async_test
+async def test_host_that_cannot_read_what_was_listed_joins_no_versions():
+    """All engines were replaced, and the store has deleted the entries of before."""
+    async with version_fleet(2, ("v1", "v1")) as fleet:
+        streams = [await fleet.begin(fleet.hosts[n % 2]) for n in range(STREAMS)]
+        await kill_all_hosts(fleet)
+        for engine in fleet.engines:
+            engine.beats = None
+            fleet.store.drop(SERVICE_LIST_STREAM, engine.server_id)
+        for _ in range(2):
+            await fleet.add_engine("v2")
+        fleet.store.stream(SERVICE_LIST_STREAM).expire_records()
+        await take_up_at_a_new_host(fleet, streams)
+    assert_one_version_each(streams)
+    assert went_on(streams) == 0
+
+
 @async_test
 async def test_stream_never_goes_on_at_an_engine_that_restarted_at_once():
     """A restart that takes less time than it takes to notice it."""
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -45,10 +45,11 @@
             self.newest[key] = (self.end, value)
         self.records.append((key, value))
 
-    def expire_records(self) -> None:
-        """Expire all records; the newest values stay."""
-        self.first = self.end
-        self.records = []
+    def expire_records(self, before: int | None = None) -> None:
+        """Expire the records before an offset, or all; the newest values stay."""
+        first = self.end if before is None else before
+        self.records = self.records[first - self.first :]
+        self.first = first
 
 
 class PlatformStore:
