--- a/src/knapweeddrum/console/event_parser.py
+++ b/src/knapweeddrum/console/event_parser.py
@@ -27,8 +27,8 @@
         Raises ConsoleError if the next event exceeds MAX_EVENT_BYTES.
         """
         self._buffer += chunk
-        while EVENT_DELIMITER in self._buffer:
-            block, _, self._buffer = self._buffer.partition(EVENT_DELIMITER)
+        *blocks, self._buffer = self._buffer.split(EVENT_DELIMITER)
+        for block in blocks:
             event = self._parse(block)
             if event.data:
                 yield event
