--- a/src/knapweeddrum/platform/retry_after.py
+++ b/src/knapweeddrum/platform/retry_after.py
@@ -8,9 +8,6 @@
 from knapweeddrum.http.header_list import HeaderList
 from knapweeddrum.platform.header_names import RETRY_AFTER
 
-MAX_BACK_OFF_SECONDS = 300.0
-"""Longest time that is believed; a longer one would outlast most endpoints."""
-
 SECONDS_PATTERN = re.compile(r"\d{1,9}(\.\d{1,9})?")
 
 
@@ -25,5 +22,4 @@
     text = values[0].decode("latin-1").strip()
     if len(values) > 1 or SECONDS_PATTERN.fullmatch(text) is None:
         return BackOff(None)
-    seconds = float(text)
-    return BackOff(seconds if seconds <= MAX_BACK_OFF_SECONDS else None)
+    return BackOff(float(text))
--- a/src/knapweeddrum/process/entry/notice_recorder.py
+++ b/src/knapweeddrum/process/entry/notice_recorder.py
@@ -34,12 +34,13 @@
 def _record_back_off(
     ctx: EntryContext, state: EndpointState, back_off: BackOff, now: float
 ) -> None:
-    if back_off.seconds is None:
+    seconds = back_off.believed_seconds
+    if seconds is None:
         _report(ctx, state, EndpointNotice.IGNORED, None)
         return
     spread = ctx.rng.uniform(0.0, MAX_RETURN_SPREAD_SECONDS)
-    state.notices.record_back_off(now + back_off.seconds + spread)
-    _report(ctx, state, EndpointNotice.BACK_OFF, back_off.seconds)
+    state.notices.record_back_off(now + seconds + spread)
+    _report(ctx, state, EndpointNotice.BACK_OFF, seconds)
 
 
 def _report(
