Caller connections: a caller that is gone before the reply begins has disconnected

What operators saw: task_failed and an internal error for a caller that had reset its connection just before its answer began or ended; the request was not logged as abandoned.

Change: it counts as PeerDisconnectedError, as a failed write does.

test_peer_that_is_gone_before_the_reply_counts_as_disconnected failed before (OSError(9, 'Bad file descriptor')), passes now. Callers got the same before and after: their connection is gone.

--- a/src/knapweeddrum/http/server_connection.py
+++ b/src/knapweeddrum/http/server_connection.py
@@ -169,10 +169,14 @@
     def _reset_when_closed(self, *, is_reset: bool) -> None:
         """Have the kernel reset the connection if it is closed from here on.
 
-        That holds for the end of the process too.
+        That holds for the end of the process too. Raises PeerDisconnectedError if the
+        connection has ended.
         """
         linger = struct.pack("ii", is_reset, 0)
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        try:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        except OSError as exc:
+            raise PeerDisconnectedError(f"connection has ended: {exc!r}") from exc
 
     async def _first_event(self) -> object:
         """Return an event after at most one receive, None if the connection ended."""
--- a/tests/http/test_server_connection.py
+++ b/tests/http/test_server_connection.py
@@ -9,8 +9,11 @@
 from knapweeddrum.http.exceptions import MalformedRequestError, PeerDisconnectedError
 from knapweeddrum.http.server_connection import ServerConnection
 from tests.async_test import async_test
+from tests.standins.stamped_server import reset_when_closed
 
 BODY_LIMIT_BYTES = 1000
+RESET_SEEN_SECONDS = 0.05
+"""Time in which a connection that was reset is known to be."""
 
 
 @contextlib.asynccontextmanager
@@ -147,3 +150,28 @@
                 received += await stream.receive()
     assert b"part" in received
     assert not received.endswith(b"0\r\n\r\n")
+
+
+@async_test
+async def test_peer_that_is_gone_before_the_reply_counts_as_disconnected():
+    """The kernel's socket may be closed by then, which is no other error."""
+    failures: list[BaseException] = []
+    done = anyio.Event()
+
+    async def serve(conn: ServerConnection) -> None:
+        await conn.next_request(0.3, 0.3)
+        await conn.wait_for_disconnect()
+        await anyio.sleep(RESET_SEEN_SECONDS)
+        try:
+            await conn.start_reply(200, [])
+        except Exception as exc:  # noqa: BLE001
+            failures.append(exc)
+        done.set()
+        await conn.abort()
+
+    async with connected_pair(serve) as stream:
+        await stream.send(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        reset_when_closed(stream)
+        await anyio.aclose_forcefully(stream)
+        await done.wait()
+    assert [type(failure) for failure in failures] == [PeerDisconnectedError], failures
