Drain: close a connection only if it is idle at that moment

Cause: 2.5 s after SIGTERM (32.170 s) close_idle took a list of the idle connections, then closed one after the other, giving way to other tasks in between. A connection that read its request meanwhile was closed although its request ran.

Change: each connection is looked at again just before it is closed; from the look to the close nothing else runs.

test_connection_that_gets_a_request_while_others_are_closed_stays_open failed before, passes now; test_lifecycle passes.

--- a/src/knapweeddrum/process/entry/caller_server.py
+++ b/src/knapweeddrum/process/entry/caller_server.py
@@ -46,8 +46,10 @@
 
     async def close_idle(self) -> None:
         """Close the connections on which no request is in progress."""
-        for session in [session for session in self._sessions if session.is_idle]:
-            await session.abort()
+        for session in list(self._sessions):
+            # It may have got a request while another one was closed.
+            if session.is_idle:
+                await session.abort()
 
     async def _serve(self, stream: SocketStream) -> None:
         session = CallerSession(
