--- a/src/knapweeddrum/core/streams/instance_history.py
+++ b/src/knapweeddrum/core/streams/instance_history.py
@@ -12,10 +12,9 @@
 class InstanceHistory:
     """Knows when each instance of an endpoint was certainly running.
 
-    What is known of an instance is forgotten with the first list that lacks it.
-
     A connection that was opened before that time and still is leads to that instance,
-    as a restart ends all connections. Times are in monotonic seconds.
+    as a restart ends all connections. What is known of an instance is forgotten with
+    the first list that lacks it. Times are in monotonic seconds.
     """
 
     def __init__(self) -> None:
