Failover: a request that may have run is never sent again for want of a connection

No caller can have seen it: the reason occurs only on routes that may be resumed.

Change: the policy looks at whether the request may be repeated at all before it goes by the reason. The test left failed connections out; it covers each reason now, which fails on the code before for both. tests.core.routing: 42 passed.

--- a/src/knapweeddrum/core/routing/failover_policy.py
+++ b/src/knapweeddrum/core/routing/failover_policy.py
@@ -50,11 +50,11 @@
         """Return whether to send the request to another endpoint, without delay."""
         if now >= failure.deadline:
             return self._give_up(failure, now)
-        if failure.reason in NOT_SENT_REASONS:
+        may_repeat = failure.idempotent or failure.run_state is RunState.NOT_RUN
+        if failure.reason in NOT_SENT_REASONS and may_repeat:
             if failure.connect_failures <= MAX_CONNECT_FAILURES:
                 return Retry(failure.reason, 0.0)
             return self._give_up(failure, now)
-        may_repeat = failure.idempotent or failure.run_state is RunState.NOT_RUN
         if failure.crashes > MAX_FAILOVER_CRASHES:
             return self._give_up(failure, now)
         if not may_repeat or failure.attempts >= max_attempts:
--- a/tests/core/routing/test_failover_policy.py
+++ b/tests/core/routing/test_failover_policy.py
@@ -43,8 +43,6 @@
     reason, attempts, run_state, max_attempts
 ):
     """The refusal neither says that the request has not run nor has a retry-after."""
-    if reason is RetryReason.CONNECT_FAILED:
-        return
     failed = failure(
         reason=reason, attempts=attempts, run_state=run_state, idempotent=False
     )
