--- /dev/null
+++ b/src/knapweeddrum/core/load/__init__.py
@@ -0,0 +1,3 @@
+"""How busy a process is."""
+
+from __future__ import annotations
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -13,6 +13,7 @@
 from knapweeddrum.core.catalog.service_list import ServiceList
 from knapweeddrum.core.directory.fleet_size import FleetSize
 from knapweeddrum.core.directory.host_directory import HostDirectory
+from knapweeddrum.core.load.loop_lag import LoopLag
 from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.placing.endpoint_states import EndpointStates
 from knapweeddrum.core.placing.placer import Placer
@@ -30,6 +31,7 @@
 from knapweeddrum.process.entry.lost_connection import LostConnection
 from knapweeddrum.settings.entry_settings import EntrySettings
 from knapweeddrum.telemetry.event_log import EventLog
+from knapweeddrum.process.entry.processor_meter import ProcessorMeter
 from knapweeddrum.telemetry.metrics import Metrics
 
 HOST_RETRY_FRACTION = 0.7
@@ -96,6 +98,10 @@
     def store_age(self, now: float) -> float:
         """Return the seconds since the store last answered a read."""
         reads = (
+    loop_lag: LoopLag = dataclasses.field(default_factory=LoopLag)
+    claim_meter: ProcessorMeter = dataclasses.field(default_factory=ProcessorMeter)
+    """Processor time that deciding on claims and applying them takes."""
+
             self.configuration_read_at,
             self.service_list_read_at,
             self.hosts_read_at,
@@ -158,3 +164,6 @@
             "endpoint_connections": self.pool.open_count(),
             "ready": float(self.is_ready),
         }
+            "loop_lag_seconds": self.loop_lag.recent(now),
+            "processor_seconds": time.process_time(),
+            "claims_processor_seconds": self.claim_meter.seconds,
--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -32,6 +32,7 @@
 from knapweeddrum.process.entry.host_reader import HostReader
 from knapweeddrum.process.entry.host_state_page import STATE_PATH, HostStatePage
 from knapweeddrum.process.entry.housekeeping_task import HousekeepingTask
+from knapweeddrum.process.entry.loop_lag_task import LoopLagTask
 from knapweeddrum.process.entry.lost_connection import LostConnection
 from knapweeddrum.process.entry.page_server import PageServer
 from knapweeddrum.process.entry.peer_client import PeerClient
@@ -94,6 +95,7 @@
         self._crash_records = CrashRecordReader(ctx)
         self._crash_sharing = CrashSharing(ctx, peers, self._crash_records)
 
+        self._loop_lag = LoopLagTask(ctx)
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain; a second signal stops at once."""
         ctx = self._ctx
@@ -114,6 +116,7 @@
                 tasks.start_soon(self._version_recall.run)
                 tasks.start_soon(self._housekeeping.run)
                 await self._wait_for_stop_signal(signals)
+                tasks.start_soon(self._loop_lag.run)
                 await self._drain(signals)
                 tasks.cancel_scope.cancel()
         await ctx.pool.close()
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -39,6 +39,9 @@
     TokenVerdict.UNREACHABLE: RefusalReason.BUDGET_UNREACHABLE,
 }
 
+WAIT_HISTOGRAM = "token_wait"
+"""Histogram of how long requests wait for prepaid tokens."""
+
 
 class RequestHandler:
     """Reserves tokens for a request, then attempts it until an answer or a refusal."""
@@ -108,8 +111,10 @@
         return name
 
     async def _reserve(self, organisation: str, tokens: int) -> None:
+        started_at = time.monotonic()
         verdict = await self._allocator.reserve(organisation, tokens)
         if verdict is TokenVerdict.RESERVED:
+        self._ctx.metrics.timing(WAIT_HISTOGRAM, time.monotonic() - started_at)
             return
         retry_after = None
         if verdict is not TokenVerdict.EXHAUSTED:
--- a/src/knapweeddrum/process/entry/token_allocator.py
+++ b/src/knapweeddrum/process/entry/token_allocator.py
@@ -179,10 +179,14 @@
 
     def _plan(self) -> list[TokenClaim]:
         ctx = self._ctx
-        own = ctx.token_accounts.plan_claims(
-            self._waiting(), ctx.hosts.host_count(), time.monotonic(), ctx.witnesses()
-        )
-        return own + release_claims_of_failed_hosts(ctx)
+        with ctx.claim_meter.measure():
+            own = ctx.token_accounts.plan_claims(
+                self._waiting(),
+                ctx.hosts.host_count(),
+                time.monotonic(),
+                ctx.witnesses(),
+            )
+            return own + release_claims_of_failed_hosts(ctx)
 
     def _waiting(self) -> dict[str, list[int]]:
         waiting: dict[str, list[int]] = {}
--- a/src/knapweeddrum/process/entry/token_claim_log.py
+++ b/src/knapweeddrum/process/entry/token_claim_log.py
@@ -20,7 +20,9 @@
 from knapweeddrum.telemetry.counters import (
     CLAIM_CONFLICT,
     CLAIM_NOT_WRITTEN,
+    CLAIM_RECORDS_READ,
     CLAIM_UNKNOWN,
+    CLAIM_WRITTEN,
 )
 from knapweeddrum.telemetry.events import (
     CLAIM_FAILED,
@@ -85,6 +87,7 @@
             )
             ctx.metrics.count(FAILURE_COUNTERS[type(exc)])
             return False
+        ctx.metrics.count(CLAIM_WRITTEN)
         for offset, claim in enumerate(claims, start=expected_end):
             ctx.token_accounts.ledger.apply(offset, claim)
         ctx.token_accounts.ledger.advance(end)
@@ -130,15 +133,20 @@
         return True
 
     def _apply(self, records: tuple[KeyedRecord, ...]) -> None:
-        for record in records:
-            try:
-                self._ctx.token_accounts.ledger.apply(
-                    record.offset, decode_token_claim(record)
-                )
-            except MalformedRecordError as exc:
-                self._ctx.events.emit(
-                    ENTRY_IGNORED, key=record.key, offset=record.offset, error=str(exc)
-                )
+        self._ctx.metrics.count(CLAIM_RECORDS_READ, len(records))
+        with self._ctx.claim_meter.measure():
+            for record in records:
+                self._apply_record(record)
+
+    def _apply_record(self, record: KeyedRecord) -> None:
+        try:
+            claim = decode_token_claim(record)
+        except MalformedRecordError as exc:
+            self._ctx.events.emit(
+                ENTRY_IGNORED, key=record.key, offset=record.offset, error=str(exc)
+            )
+            return
+        self._ctx.token_accounts.ledger.apply(record.offset, claim)
 
     def _log_written(self, claims: list[TokenClaim], offset: int) -> None:
         ctx = self._ctx
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -57,6 +57,12 @@
 FIXED_COUNTERS: tuple[str, ...] = (
     REQUESTS,
     ANSWERED,
+HOST_BEHIND_COUNT = "host.behind"
+"""Measurements at which this process was behind."""
+CLAIM_RECORDS_READ = "claim.records_read"
+"""Records of token claims that this process read from the store."""
+CLAIM_WRITTEN = "claim.written"
+"""Writes of token claims that the store carried out."""
     CANCELLED,
     SETTLED,
     PARTS_DROPPED,
@@ -84,6 +90,9 @@
 
 def refusal_counter(reason: RefusalReason) -> str:
     """Return the name of the counter of a refusal reason."""
+    HOST_BEHIND_COUNT,
+    CLAIM_RECORDS_READ,
+    CLAIM_WRITTEN,
     return f"refusal.{reason.value}"
 
 
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -202,4 +202,11 @@
 LINES_DROPPED = Event(620, "lines_dropped", "warning", ("lines",))
 STOPPED_IN_PROGRESS = Event(
     621, "stopped_in_progress", "error", ("requests", "claims_returned")
+HOST_BEHIND = Event(
+    633,
+    "host_behind",
+    "warning",
+    ("lag_ms", "processor_ms", "claims_ms", "in_progress"),
+)
+HOST_CAUGHT_UP = Event(634, "host_caught_up", "info", ())
 )
