Prepaid tokens: one host claims for an organisation and lends to the others

Cause: every host read every host's claims and wrote its own on condition that none had been written since; N hosts did N x N work, and the busiest lost every race. Change: hosts are ranked for each group of organisations (TokenOwners, rendezvous hash, 16 groups). The first one, the owner, holds the reserve and is the only one that claims as a matter of course. The others borrow from it what their requests lack and 1.5 s of demand ahead, one loan of an organisation at a time, and give back what they don't need. A loan whose reply is lost is taken back by totals that the borrower tells (LoanLedger). Sums over claims are kept up to date. Records, stream and condition stay, so hosts of the version before and hosts that disagree about the owner are as safe as before: ownership says who usually writes, the conditional write keeps the limit.

--- a/src/knapweeddrum/core/prepaid/token_account.py
+++ b/src/knapweeddrum/core/prepaid/token_account.py
@@ -128,6 +128,10 @@
         self.lent_tokens += tokens
         return tokens
 
+    def cancel_loan(self, tokens: int) -> None:
+        """Take back tokens of a loan that the other host can't have received."""
+        self.lent_tokens -= tokens
+
     def credit_loan(self, tokens: int) -> None:
         """Add tokens that another host has lent; call it once for each loan."""
         self.borrowed_tokens += tokens
@@ -139,10 +143,14 @@
 
     def record_demand(self, tokens: int, now: float) -> None:
         """Record the demand of one request."""
+        self.record_lent_demand(tokens, tokens, now)
+
+    def record_lent_demand(self, tokens: int, request_tokens: int, now: float) -> None:
+        """Record the tokens lent for demand at another host, and of one request."""
         self._decay(now)
         self._decayed_demand += tokens
         self.largest_request = max(
-            tokens, self.largest_request - self.largest_request // 64
+            request_tokens, self.largest_request - self.largest_request // 64
         )
 
     def demand_rate(self, now: float) -> float:
--- a/src/knapweeddrum/core/prepaid/token_accounts.py
+++ b/src/knapweeddrum/core/prepaid/token_accounts.py
@@ -11,6 +11,7 @@
     TokenClaimInputs,
     TokenClaimPlanner,
     is_low,
+    reserve_scale,
 )
 from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
 from knapweeddrum.core.prepaid.unresolved_claim_write import UnresolvedClaimWrite
@@ -71,24 +72,39 @@
             if name != self.incarnation
         ]
 
-    def refusal_verdict(self, organisation: str, tokens: int) -> TokenVerdict:
-        """Return why ``tokens`` can't be reserved; the ledger must be up to date."""
+    def active_organisations(self) -> list[str]:
+        """Return the organisations that this host has an account for, by name."""
+        return sorted(self._accounts)
+
+    def plenty(self, organisation: str, now: float) -> float:
+        """Return the factor, 0 to 1, on what hosts hold ahead of demand."""
         prepaid = self._prepaid.get(organisation, 0)
-        if self.ledger.committed(organisation) + tokens > prepaid:
+        return reserve_scale(self.max_reservable(organisation, now) / max(1, prepaid))
+
+    def refusal_verdict(
+        self, organisation: str, tokens: int, outstanding: int = 0
+    ) -> TokenVerdict:
+        """Return why ``tokens`` can't be reserved; the ledger must be up to date.
+
+        ``outstanding`` tokens were lent and may come back.
+        """
+        committed = self._committed_by_all(organisation) - outstanding
+        if committed + tokens > self._prepaid.get(organisation, 0):
             return TokenVerdict.EXHAUSTED
         return TokenVerdict.HELD_ELSEWHERE
 
     def plan_claims(
         self,
         waiting: Mapping[str, Sequence[int]],
-        hosts: int,
+        owned: Collection[str],
         now: float,
         witnesses: Sequence[str] = (),
     ) -> list[TokenClaim]:
         """Return the claims to write; a lowered claim limits this process at once.
 
-        ``waiting`` holds the tokens of each waiting request, in order, and
-        ``witnesses`` the incarnations that may be named as witness, the best first.
+        ``waiting`` holds the tokens of each waiting request, in order, ``owned`` the
+        organisations for which this host holds a reserve, and ``witnesses`` the
+        incarnations that may be named as witness, the best first.
         """
         claims = []
         self._writes_before_plan.clear()
@@ -96,6 +112,8 @@
             (account.largest_request for account in self._accounts.values()), default=0
         )
         for organisation in sorted(self._prepaid):
+            if not self._may_need_claim(organisation, waiting, owned):
+                continue
             account = self.account(organisation, now)
             prepaid = self._prepaid[organisation]
             max_reservable = self.max_reservable(organisation, now)
@@ -105,8 +123,7 @@
                 waiting_tokens=_fitting_tokens(
                     waiting.get(organisation, ()), max_reservable
                 ),
-                hosts=hosts,
-                committed_by_all=self.ledger.committed(organisation),
+                holds_reserve=organisation in owned,
                 host_largest_request=host_largest_request,
             )
             account.intended = self._planner.plan(account, inputs, now)
@@ -199,6 +216,29 @@
             if not account.is_replacing_witness:
                 account.unlocked = max(account.unlocked, account.confirmed)
 
+    def _may_need_claim(
+        self,
+        organisation: str,
+        waiting: Mapping[str, Sequence[int]],
+        owned: Collection[str],
+    ) -> bool:
+        if organisation in owned or organisation in waiting:
+            return True
+        account = self._accounts.get(organisation)
+        return account is not None and account.confirmed > 0
+
+    def _committed_by_all(self, organisation: str) -> int:
+        """Return the tokens that all hosts have spent, reserved or lent.
+
+        What this host has committed since its last claim is counted.
+        """
+        committed = self.ledger.committed(organisation)
+        account = self._accounts.get(organisation)
+        own = self.ledger.claim_of(organisation, self.incarnation)
+        if account is None:
+            return committed
+        return committed - (own.committed if own else 0) + account.committed
+
     def _must_publish_committed(
         self, organisation: str, account: TokenAccount, max_reservable: int
     ) -> bool:
--- a/src/knapweeddrum/core/prepaid/token_claim_ledger.py
+++ b/src/knapweeddrum/core/prepaid/token_claim_ledger.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 from knapweeddrum.core.prepaid.token_claim import TokenClaim
 
 
@@ -16,13 +18,21 @@
         self.end = 0
         """Offset before which all records are applied."""
         self._claims: dict[str, dict[str, tuple[int, TokenClaim]]] = {}
+        self._claimed: collections.Counter[str] = collections.Counter()
+        self._committed: collections.Counter[str] = collections.Counter()
 
     def apply(self, offset: int, claim: TokenClaim) -> None:
         """Apply one claim; a record older than the one known is ignored."""
         claims = self._claims.setdefault(claim.organisation, {})
         known = claims.get(claim.incarnation)
-        if known is None or known[0] < offset:
-            claims[claim.incarnation] = (offset, claim)
+        if known is not None:
+            if known[0] >= offset:
+                return
+            self._claimed[claim.organisation] -= known[1].claimed
+            self._committed[claim.organisation] -= known[1].committed
+        claims[claim.incarnation] = (offset, claim)
+        self._claimed[claim.organisation] += claim.claimed
+        self._committed[claim.organisation] += claim.committed
 
     def advance(self, end: int) -> None:
         """Record that all records before ``end`` are applied."""
@@ -30,11 +40,11 @@
 
     def claimed(self, organisation: str) -> int:
         """Return the tokens that all incarnations have claimed together."""
-        return sum(claim.claimed for claim in self._claims_of(organisation))
+        return self._claimed[organisation]
 
     def committed(self, organisation: str) -> int:
         """Return the tokens that all incarnations reported as spent or reserved."""
-        return sum(claim.committed for claim in self._claims_of(organisation))
+        return self._committed[organisation]
 
     def claim_of(self, organisation: str, incarnation: str) -> TokenClaim | None:
         """Return the claim of one incarnation, None if it has none."""
--- a/src/knapweeddrum/core/prepaid/token_claim_planner.py
+++ b/src/knapweeddrum/core/prepaid/token_claim_planner.py
@@ -10,7 +10,7 @@
 """Duration of demand that a host holds tokens for, to serve through a store outage."""
 
 MAX_RESERVE_FRACTION = 0.6
-"""Largest fraction of the tokens left that all hosts together hold in reserve."""
+"""Largest fraction of the tokens left that is held in reserve."""
 
 MIN_RESERVE_FRACTION = 0.05
 """Largest fraction held in reserve when MIN_RESERVE_BELOW or less is left."""
@@ -27,13 +27,13 @@
 IDLE_RESERVE_FRACTION = 0.7
 """Fraction of the host's largest recent request to hold for an idle organisation."""
 
-PRIOR_SPENDING_FRACTION = 0.3
-"""Initial spending of each host, as a fraction of the largest recent request.
+BURST_REQUESTS = 4
+"""Requests to hold beside the expected demand, as callers come in bursts.
 
-Added to what each host has spent, so that the hosts' shares start out equal.
+One request is held for an organisation that has had none.
 """
 
-REFILL_FACTOR = 0.85
+REFILL_FACTOR = 0.8
 """A reserve is refilled when it falls below this multiple of its target."""
 
 RETURN_FACTOR = 1.5
@@ -42,15 +42,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TokenClaimInputs:
-    """Inputs of a plan for one organisation, in tokens except for ``hosts``."""
+    """Inputs of a plan for one organisation, in tokens."""
 
     prepaid: int
     claimed_by_all: int
     waiting_tokens: int
     """Tokens of the requests that wait for a claim and could be reserved."""
-    hosts: int
-    committed_by_all: int
-    """Tokens that all hosts together are known to have spent or reserved."""
+    holds_reserve: bool
+    """Whether this host claims tokens for the demand at all hosts."""
     host_largest_request: int
     """Largest recent request at this host, from any organisation."""
 
@@ -58,13 +57,13 @@
 class TokenClaimPlanner:
     """Sizes the claim of one host.
 
-    The plan assumes steady demand and a store that may be unreachable for some seconds,
-    so a host reserves tokens for the demand of RESERVE_DEMAND_SECONDS. Towards the end
-    of a budget the reserve decreases, because tokens stranded in the claims of killed
-    hosts weigh more the fewer are left. Below NO_RESERVE_BELOW a host claims only what
-    waiting requests need and returns the rest. All callers of an organisation may use
-    the same host, so hosts divide the remaining tokens in proportion to what each has
-    spent.
+    One host, the organisation's owner, holds a reserve for the demand at all hosts,
+    which borrow from it. The plan assumes steady demand and a store that may be
+    unreachable for some seconds, so the reserve is the demand of
+    RESERVE_DEMAND_SECONDS. Towards the end of a budget it decreases, because tokens
+    stranded in the claim of a killed host weigh more the fewer are left. Below
+    NO_RESERVE_BELOW only what waiting requests need is claimed and the rest returned,
+    as any other host than the owner does at all times.
     """
 
     def plan(self, account: TokenAccount, inputs: TokenClaimInputs, now: float) -> int:
@@ -77,8 +76,10 @@
         own_free = account.confirmed + account.borrowed_tokens - account.used
         unclaimed = max(0, inputs.prepaid - inputs.claimed_by_all)
         needed = max(0, account.used + inputs.waiting_tokens - account.borrowed_tokens)
-        target = self._reserve(account, inputs, unclaimed + max(0, own_free), now)
         spare = own_free - inputs.waiting_tokens
+        if not inputs.holds_reserve and 0 <= spare <= _small_surplus(account):
+            return account.confirmed
+        target = self._reserve(account, inputs, unclaimed + max(0, own_free), now)
         in_range = target * REFILL_FACTOR <= spare <= target * RETURN_FACTOR
         if in_range and inputs.waiting_tokens <= own_free:
             return account.confirmed
@@ -92,30 +93,19 @@
         available: int,
         now: float,
     ) -> int:
-        if is_low(available, inputs.prepaid):
+        if not inputs.holds_reserve or is_low(available, inputs.prepaid):
             return 0
         scale = reserve_scale(available / max(1, inputs.prepaid))
         fraction = (
             MIN_RESERVE_FRACTION + (MAX_RESERVE_FRACTION - MIN_RESERVE_FRACTION) * scale
         )
-        share = int(available * fraction * self._demand_share(account, inputs))
+        most = int(available * fraction)
         demand = account.demand_rate(now) * RESERVE_DEMAND_SECONDS
-        # The next request of an organisation may come to a host without its demand.
-        one_request = max(
+        requests = BURST_REQUESTS if account.largest_request else 1
+        burst = requests * max(
             account.largest_request, inputs.host_largest_request * IDLE_RESERVE_FRACTION
         )
-        return min(share, int(demand + one_request * scale))
-
-    def _demand_share(self, account: TokenAccount, inputs: TokenClaimInputs) -> float:
-        """Return this host's share of the demand; shares are equal at the start."""
-        prior = max(
-            1.0,
-            PRIOR_SPENDING_FRACTION
-            * max(account.largest_request, inputs.host_largest_request),
-        )
-        own = account.committed + prior
-        others = max(0, inputs.committed_by_all - account.committed)
-        return own / (own + others + prior * max(0, inputs.hosts - 1))
+        return min(most, int(demand + burst * scale))
 
 
 def is_low(available: int, prepaid: int) -> bool:
@@ -129,3 +119,8 @@
         FULL_RESERVE_ABOVE - MIN_RESERVE_BELOW
     )
     return min(1.0, max(0.0, ratio))
+
+
+def _small_surplus(account: TokenAccount) -> int:
+    """Return the free tokens that are not worth a write to the store to return."""
+    return int(account.largest_request * RETURN_FACTOR)
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -13,12 +13,15 @@
 from knapweeddrum.core.catalog.service_list import ServiceList
 from knapweeddrum.core.directory.fleet_size import FleetSize
 from knapweeddrum.core.directory.host_directory import HostDirectory
+from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.load.loop_lag import LoopLag
 from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.placing.endpoint_states import EndpointStates
 from knapweeddrum.core.placing.placer import Placer
 from knapweeddrum.core.prepaid.claim_witness import ClaimWitness
+from knapweeddrum.core.prepaid.loan_ledger import LoanLedger
 from knapweeddrum.core.prepaid.token_accounts import TokenAccounts
+from knapweeddrum.core.prepaid.token_owners import TokenOwners
 from knapweeddrum.core.prepaid.witness_ranking import rank_witnesses
 from knapweeddrum.core.routing.answer_durations import AnswerDurations
 from knapweeddrum.core.routing.failover_policy import FailoverPolicy
@@ -29,9 +32,9 @@
 from knapweeddrum.http.connection_pool import ConnectionPool
 from knapweeddrum.platform.store_client import StoreClient
 from knapweeddrum.process.entry.lost_connection import LostConnection
+from knapweeddrum.process.entry.processor_meter import ProcessorMeter
 from knapweeddrum.settings.entry_settings import EntrySettings
 from knapweeddrum.telemetry.event_log import EventLog
-from knapweeddrum.process.entry.processor_meter import ProcessorMeter
 from knapweeddrum.telemetry.metrics import Metrics
 
 HOST_RETRY_FRACTION = 0.7
@@ -56,6 +59,7 @@
     endpoint_states: EndpointStates
     hosts: HostDirectory
     token_accounts: TokenAccounts
+    token_owners: TokenOwners
     crash_register: CrashRegister
     losses: MemoryObjectSendStream[LostConnection]
     """Reports of connections that endpoints ended within an exchange."""
@@ -95,19 +99,40 @@
         default_factory=AnswerDurations
     )
 
-    def store_age(self, now: float) -> float:
-        """Return the seconds since the store last answered a read."""
-        reads = (
+    loans: LoanLedger = dataclasses.field(default_factory=LoanLedger)
     loop_lag: LoopLag = dataclasses.field(default_factory=LoopLag)
     claim_meter: ProcessorMeter = dataclasses.field(default_factory=ProcessorMeter)
     """Processor time that deciding on claims and applying them takes."""
 
+    def store_age(self, now: float) -> float:
+        """Return the seconds since the store last answered a read."""
+        reads = (
             self.configuration_read_at,
             self.service_list_read_at,
             self.hosts_read_at,
         )
         return now - max(reads)
 
+    def token_owners_before(self, organisation: str) -> tuple[HostRecord, ...]:
+        """Return the hosts to borrow from before this one claims, the owner first.
+
+        There are none if this host is the owner. A host that leaves is no owner any
+        more once the others know.
+        """
+        if time.monotonic() >= self.drain_refuses_from:
+            return self.token_owners.others(organisation)
+        return self.token_owners.before_self(organisation)
+
+    def token_holders(self, organisation: str) -> list[str]:
+        """Return the peer addresses of other hosts that may have free tokens."""
+        now = time.monotonic()
+        names = [
+            *self.loans.holders(organisation, now),
+            *self.token_accounts.other_holders(organisation),
+        ]
+        records = [self.hosts.find(name) for name in dict.fromkeys(names)]
+        return [record.peer_address for record in records if record is not None]
+
     def witnesses(self) -> list[str]:
         """Return the incarnations whose consent may unlock tokens, best first."""
         return rank_witnesses(
@@ -163,7 +188,7 @@
             "crash_suspects": len(self.crash_register.fingerprints(time.time())),
             "endpoint_connections": self.pool.open_count(),
             "ready": float(self.is_ready),
-        }
             "loop_lag_seconds": self.loop_lag.recent(now),
             "processor_seconds": time.process_time(),
             "claims_processor_seconds": self.claim_meter.seconds,
+        }
--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -44,7 +44,11 @@
     StreamOriginSharing,
 )
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
-from knapweeddrum.process.entry.token_borrower import LOAN_PATH, TokenBorrower
+from knapweeddrum.process.entry.token_borrower import (
+    LOAN_PATH,
+    RETURN_PATH,
+    TokenBorrower,
+)
 from knapweeddrum.process.entry.token_lender import TokenLender
 from knapweeddrum.process.entry.token_unlocker import UNLOCK_PATH, TokenUnlocker
 from knapweeddrum.process.entry.token_witness import WITNESS_LEAVE_PATH, TokenWitness
@@ -84,18 +88,19 @@
         peers = PeerClient(ctx)
         self._unlocker = TokenUnlocker(ctx, peers)
         self._witness = TokenWitness(ctx, peers)
-        self._allocator = TokenAllocator(ctx, self._unlocker, TokenBorrower(ctx, peers))
+        self._borrower = TokenBorrower(ctx, peers)
+        self._allocator = TokenAllocator(ctx, self._unlocker, self._borrower)
         self._lender = TokenLender(ctx, self._allocator)
         self._stream_origins = StreamOriginSharing(ctx, peers)
         self._server = CallerServer(ctx, self._allocator, self._stream_origins)
         self._housekeeping = HousekeepingTask(ctx, writer, settings_path)
         self._heartbeat = HeartbeatTask(ctx)
+        self._loop_lag = LoopLagTask(ctx)
         self._version_recall = VersionRecallTask(ctx)
         self._crash_detector = CrashDetector(ctx, losses)
         self._crash_records = CrashRecordReader(ctx)
         self._crash_sharing = CrashSharing(ctx, peers, self._crash_records)
 
-        self._loop_lag = LoopLagTask(ctx)
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain; a second signal stops at once."""
         ctx = self._ctx
@@ -108,15 +113,16 @@
                 for follower in self._followers():
                     tasks.start_soon(follower.run)
                 tasks.start_soon(self._allocator.run)
+                tasks.start_soon(self._borrower.run)
                 tasks.start_soon(self._unlocker.run)
                 tasks.start_soon(self._heartbeat.run)
+                tasks.start_soon(self._loop_lag.run)
                 tasks.start_soon(self._crash_detector.run)
                 tasks.start_soon(self._crash_sharing.run)
                 tasks.start_soon(self._stream_origins.run)
                 tasks.start_soon(self._version_recall.run)
                 tasks.start_soon(self._housekeeping.run)
                 await self._wait_for_stop_signal(signals)
-                tasks.start_soon(self._loop_lag.run)
                 await self._drain(signals)
                 tasks.cancel_scope.cancel()
         await ctx.pool.close()
@@ -131,6 +137,7 @@
                 settings.peer_address,
                 {
                     LOAN_PATH: self._lender.lend,
+                    RETURN_PATH: self._lender.take_back,
                     UNLOCK_PATH: self._witness.unlock,
                     WITNESS_LEAVE_PATH: self._witness.record_leave,
                     CRASH_EXCHANGE_PATH: self._crash_sharing.exchange,
--- a/src/knapweeddrum/process/entry/host_reader.py
+++ b/src/knapweeddrum/process/entry/host_reader.py
@@ -55,7 +55,9 @@
         self._ctx.hosts_read_at = now
         self._ctx.hosts.store_answered(now)
         self._ctx.fleet_size.record(self._ctx.hosts.running_count(), now)
-        ready = [record.name for record in self._ctx.hosts.ready_hosts()]
+        ready_hosts = self._ctx.hosts.ready_hosts()
+        self._ctx.token_owners.set_hosts(ready_hosts)
+        ready = [record.name for record in ready_hosts]
         if ready != self._ready_names:
             self._ready_names = ready
             self._ctx.events.emit(HOSTS_CHANGED, ready=ready)
--- a/src/knapweeddrum/process/entry/peer_client.py
+++ b/src/knapweeddrum/process/entry/peer_client.py
@@ -14,7 +14,7 @@
 from knapweeddrum.telemetry.events import HOST_UNANSWERED
 
 PEER_REQUEST_TIMEOUT_SECONDS = 0.15
-"""Limit of one request to another host, from connect to reply."""
+"""Default time limit of a request to another host, from connect to reply."""
 PEER_CONNECT_TIMEOUT_SECONDS = 0.1
 MAX_PEER_CONNECTIONS = 8
 MAX_REPLY_BYTES = 65_536
@@ -41,8 +41,12 @@
         path: bytes,
         message: msgspec.Struct,
         reply_type: type[ReplyT],
+        timeout: float = PEER_REQUEST_TIMEOUT_SECONDS,
     ) -> ReplyT | None:
-        """POST a message as JSON and return the decoded reply, None if that fails."""
+        """POST a message as JSON and return the decoded reply, None if that fails.
+
+        ``timeout`` is in seconds.
+        """
         body = msgspec.json.encode(message)
         headers = [
             (b"Host", address.encode()),
@@ -52,7 +56,7 @@
             address, address, MAX_PEER_CONNECTIONS, PEER_CONNECT_TIMEOUT_SECONDS
         )
         try:
-            with anyio.fail_after(PEER_REQUEST_TIMEOUT_SECONDS):
+            with anyio.fail_after(timeout):
                 async with (
                     lease as conn,
                     conn.exchange(b"POST", path, headers, body),
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -113,8 +113,8 @@
     async def _reserve(self, organisation: str, tokens: int) -> None:
         started_at = time.monotonic()
         verdict = await self._allocator.reserve(organisation, tokens)
-        if verdict is TokenVerdict.RESERVED:
         self._ctx.metrics.timing(WAIT_HISTOGRAM, time.monotonic() - started_at)
+        if verdict is TokenVerdict.RESERVED:
             return
         retry_after = None
         if verdict is not TokenVerdict.EXHAUSTED:
--- a/src/knapweeddrum/process/entry/token_allocator.py
+++ b/src/knapweeddrum/process/entry/token_allocator.py
@@ -19,13 +19,17 @@
 from knapweeddrum.telemetry.counters import CLAIM_GIVEN_UP
 
 MAX_CLAIMS_AGE_SECONDS = 2.0
-"""Age at which the known claims are read again."""
+"""Age at which the known claims are read again by a host that claims."""
+IDLE_CLAIMS_AGE_SECONDS = 5.0
+"""The same for a host that only witnesses other hosts' claims."""
 CLAIM_INTERVAL_SECONDS = 1.0
 """Mean interval at which claims are planned while no request waits."""
 BORROW_DELAY_SECONDS = 0.08
 """Time for which a request waits for a claim before other hosts are asked for loans."""
 RESERVE_TIMEOUT_SECONDS = 0.3
 """Time after which a request that waits for a claim is refused with a retry-after."""
+MIN_CLAIM_WAIT_SECONDS = 0.15
+"""Least time for a claim of this host, after other hosts were asked in vain."""
 STORE_RETRY_SECONDS = 0.1
 MAX_CLAIM_ATTEMPTS = 6
 """Attempts to write claims; each may fail because another host wrote first."""
@@ -47,6 +51,7 @@
         self._waiters: list[TokenWaiter] = []
         self._wake = anyio.Event()
         self._log = TokenClaimLog(ctx)
+        self._owned: frozenset[str] = frozenset()
         self._claim_lock = anyio.Lock()
         """Held from planning claims until the outcome of their write."""
         self._is_closed = False
@@ -74,9 +79,26 @@
         account = token_accounts.account(organisation, now)
         account.record_demand(tokens, now)
         if account.reserve(tokens):
+            self._borrower.refill_soon(organisation)
             return TokenVerdict.RESERVED
         if await self.unlock(organisation, tokens) and account.reserve(tokens):
             return TokenVerdict.RESERVED
+        if not self._ctx.token_owners_before(organisation):
+            return await self._claim_or_borrow(organisation, tokens)
+        verdict = await self._borrower.borrow(organisation, tokens)
+        if verdict is TokenVerdict.RESERVED and account.reserve(tokens):
+            return TokenVerdict.RESERVED
+        if verdict in (TokenVerdict.EXHAUSTED, TokenVerdict.HELD_ELSEWHERE):
+            return verdict
+        # The owner can't be reached.
+        waited = time.monotonic() - now
+        timeout = max(MIN_CLAIM_WAIT_SECONDS, RESERVE_TIMEOUT_SECONDS - waited)
+        return await self.claim(organisation, tokens, timeout)
+
+    async def _claim_or_borrow(self, organisation: str, tokens: int) -> TokenVerdict:
+        """Reserve tokens as their owner; other hosts hold what can't be claimed."""
+        now = time.monotonic()
+        account = self._ctx.token_accounts.account(organisation, now)
         with self._waiting_for(organisation, tokens) as waiter:
             await waiter.wait(BORROW_DELAY_SECONDS)
             if waiter.verdict in (TokenVerdict.RESERVED, TokenVerdict.EXHAUSTED):
@@ -127,6 +149,15 @@
         account = self._ctx.token_accounts.account(organisation, time.monotonic())
         account.settle(reserved, spent)
 
+    def refusal_verdict(self, organisation: str, tokens: int) -> TokenVerdict:
+        """Return why tokens can't be reserved here, by what is known of the claims."""
+        if self._log.is_store_unreachable or self._log.age > MAX_CLAIMS_AGE_SECONDS:
+            return TokenVerdict.UNREACHABLE
+        outstanding = self._ctx.loans.outstanding(organisation, time.monotonic())
+        return self._ctx.token_accounts.refusal_verdict(
+            organisation, tokens, outstanding
+        )
+
     def describe(self, organisation: str) -> str:
         """Return the data behind a refusal for lack of tokens."""
         token_accounts = self._ctx.token_accounts
@@ -141,7 +172,8 @@
         )
 
     async def return_unused(self) -> bool:
-        """Return unused tokens to the store; return whether it accepted them."""
+        """Give unused tokens back; return whether the store accepted this host's."""
+        await self._borrower.return_all()
         async with self._claim_lock:
             self._is_closed = True
             for _ in range(MAX_CLAIM_ATTEMPTS):
@@ -154,9 +186,8 @@
 
     async def _serve_and_claim(self) -> None:
         """Serve the waiters, claiming the tokens that they lack."""
-        is_old = (
-            self._log.is_store_unreachable or self._log.age > MAX_CLAIMS_AGE_SECONDS
-        )
+        self._owned = self._owned_organisations()
+        is_old = self._log.is_store_unreachable or self._log.age > self._max_age()
         if self._is_closed or (is_old and not await self._log.read()):
             await self._fail_waiters()
             return
@@ -182,12 +213,25 @@
         with ctx.claim_meter.measure():
             own = ctx.token_accounts.plan_claims(
                 self._waiting(),
-                ctx.hosts.host_count(),
+                self._owned,
                 time.monotonic(),
                 ctx.witnesses(),
             )
             return own + release_claims_of_failed_hosts(ctx)
 
+    def _owned_organisations(self) -> frozenset[str]:
+        """Return the organisations whose tokens this host claims for all hosts."""
+        return frozenset(
+            organisation
+            for organisation in self._ctx.token_accounts.prepaid_organisations()
+            if not self._ctx.token_owners_before(organisation)
+        )
+
+    def _max_age(self) -> float:
+        if self._owned or self._waiters:
+            return MAX_CLAIMS_AGE_SECONDS
+        return IDLE_CLAIMS_AGE_SECONDS
+
     def _waiting(self) -> dict[str, list[int]]:
         waiting: dict[str, list[int]] = {}
         for waiter in self._waiters:
@@ -209,9 +253,7 @@
         for waiter in list(self._waiters):
             token_accounts = self._ctx.token_accounts
             if token_accounts.max_reservable(waiter.organisation, now) < waiter.tokens:
-                verdict = token_accounts.refusal_verdict(
-                    waiter.organisation, waiter.tokens
-                )
+                verdict = self.refusal_verdict(waiter.organisation, waiter.tokens)
                 self._finish(waiter, verdict)
 
     async def _fail_waiters(self) -> None:
--- a/src/knapweeddrum/process/entry/token_borrower.py
+++ b/src/knapweeddrum/process/entry/token_borrower.py
@@ -2,104 +2,334 @@
 
 from __future__ import annotations
 
+import collections
+import contextlib
+import dataclasses
 import time
+from collections.abc import Iterable, Iterator
 
-from knapweeddrum.message.call.token_loan import TokenLoanReply, TokenLoanRequest
+import anyio
+from anyio.abc import TaskGroup
+
+from knapweeddrum.core.directory.host_record import HostRecord
+from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
+from knapweeddrum.message.call.token_loan import (
+    TokenLoanReply,
+    TokenLoanRequest,
+    TokenReturn,
+    TokenReturnReply,
+)
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.peer_client import PeerClient
 from knapweeddrum.telemetry import counters
-from knapweeddrum.telemetry.events import TOKENS_BORROWED
+from knapweeddrum.telemetry.events import TOKENS_BORROWED, TOKENS_RETURNED
 
 LOAN_PATH = b"/tokens"
-MAX_LENDERS = 8
-"""Hosts that are asked for a loan for one request."""
-MAX_CLAIMERS = 2
-"""Hosts that are asked to claim tokens for one request."""
+RETURN_PATH = b"/tokens/return"
+LOAN_TIMEOUT_SECONDS = 0.3
+"""Time limit of a loan by a host that may have to claim the tokens first."""
+JOIN_TIMEOUT_SECONDS = 0.3
+"""Time for which a request waits for loans that others have asked for."""
+MAX_OWNERS_ASKED = 2
+"""Hosts that are asked to claim tokens for a request."""
+MAX_HOLDERS_ASKED = 4
+"""Hosts that are asked for what they hold, if no claim can be had."""
 MAX_CLAIMER_STORE_AGE_SECONDS = 2.0
-"""Time without an answer of the store after which a host is not asked to claim."""
-EXTRA_DEMAND_SECONDS = 1.0
-"""Time whose expected demand is borrowed in addition to the request's tokens."""
+"""Time without an answer of the store after which a host is not expected to claim."""
+AHEAD_SECONDS = 1.5
+"""Duration of demand for which tokens are borrowed before requests need them."""
+KEEP_SECONDS = 4.0
+"""Duration of demand beyond which free tokens are given back."""
+RETURN_INTERVAL_SECONDS = 0.5
+RETURN_ALL_TIMEOUT_SECONDS = 0.5
+"""Time limit for giving back all free tokens before the process ends."""
+
+
+@dataclasses.dataclass(slots=True)
+class _LoanTally:
+    """What this host exchanged with one lender, for one organisation."""
+
+    number: int = 0
+    received: int = 0
+    returned: int = 0
 
 
 class TokenBorrower:
-    """Borrows tokens from other hosts directly, also while the store is unreachable.
+    """Borrows tokens of an organisation from its owner, the host that claims them.
 
     The lender debits its account before it replies; the loan is credited once, when the
-    reply arrives in time. If the reply is lost, neither host can spend the loan. Loans
-    are not paid back.
+    reply arrives in time. One loan of an organisation is in progress at a time, for all
+    requests that wait. Free tokens that are not needed are given back.
     """
 
     def __init__(self, ctx: EntryContext, peers: PeerClient) -> None:
         self._ctx = ctx
         self._peers = peers
+        self._in_progress: dict[str, anyio.Event] = {}
+        self._waiting_tokens: collections.Counter[str] = collections.Counter()
+        self._plenty: dict[str, float] = {}
+        self._tallies: dict[tuple[str, str], _LoanTally] = {}
+        self._return_takers: set[str] = set()
+        """Incarnations that take tokens back."""
+        self._returning: set[str] = set()
+        """Organisations whose tokens are being given back, one message at a time."""
+        self._to_refill: set[str] = set()
+        self._wake = anyio.Event()
 
-    async def borrow(self, organisation: str, tokens: int) -> bool:
-        """Borrow the tokens that a request lacks; return whether enough are free now.
+    async def run(self) -> None:
+        """Borrow ahead of demand and give back what is not needed, until cancelled."""
+        return_at = time.monotonic() + RETURN_INTERVAL_SECONDS
+        async with anyio.create_task_group() as tasks:
+            while True:
+                with anyio.move_on_after(max(0.0, return_at - time.monotonic())):
+                    await self._wake.wait()
+                self._wake = anyio.Event()
+                self._start_refills(tasks)
+                if time.monotonic() >= return_at:
+                    return_at = time.monotonic() + RETURN_INTERVAL_SECONDS
+                    tasks.start_soon(self._return_surplus)
 
-        Hosts first lend what they hold, as that needs no store. Those that the store
-        answered most recently are then asked to claim the rest.
+    async def borrow(self, organisation: str, tokens: int) -> TokenVerdict:
+        """Borrow what a request lacks of ``tokens``; RESERVED if they are free now.
+
+        EXHAUSTED and HELD_ELSEWHERE are verdicts of the owner; UNREACHABLE means that
+        no host could decide.
         """
-        store_ages: dict[str, float] = {}
-        for address in self._lenders(organisation):
-            if self._shortfall(organisation, tokens) <= 0:
-                return True
-            reply = await self._request_loan(
-                address, organisation, tokens, may_claim=False
-            )
-            if reply is not None:
-                store_ages[address] = reply.store_age
-        for address in _rank_claimers(store_ages):
+        give_up_at = time.monotonic() + JOIN_TIMEOUT_SECONDS
+        with self._waiting(organisation, tokens):
+            while self._shortfall(organisation, tokens) > 0:
+                in_progress = self._in_progress.get(organisation)
+                if in_progress is None:
+                    verdict = await self._borrow_alone(organisation, tokens)
+                    has_enough = self._shortfall(organisation, tokens) <= 0
+                    return TokenVerdict.RESERVED if has_enough else verdict
+                if time.monotonic() > give_up_at:
+                    return TokenVerdict.UNREACHABLE
+                await in_progress.wait()
+        return TokenVerdict.RESERVED
+
+    def refill_soon(self, organisation: str) -> None:
+        """Borrow ahead of demand if less than half of what is held ahead is left."""
+        if not self._ctx.token_owners_before(organisation):
+            return
+        account = self._ctx.token_accounts.account(organisation, time.monotonic())
+        if account.free < self._ahead(organisation) / 2:
+            self._to_refill.add(organisation)
+            self._wake.set()
+
+    async def return_all(self) -> None:
+        """Give back all free tokens, as this process is about to end."""
+        with anyio.move_on_after(RETURN_ALL_TIMEOUT_SECONDS):
+            async with anyio.create_task_group() as tasks:
+                for organisation in self._ctx.token_accounts.active_organisations():
+                    tasks.start_soon(self._return, organisation, 0)
+
+    async def _borrow_alone(self, organisation: str, tokens: int) -> TokenVerdict:
+        done = self._in_progress[organisation] = anyio.Event()
+        try:
+            return await self._ask_in_turn(organisation, tokens)
+        finally:
+            del self._in_progress[organisation]
+            done.set()
+
+    async def _ask_in_turn(self, organisation: str, tokens: int) -> TokenVerdict:
+        """Ask hosts that claim, then those that hold tokens, until enough are free."""
+        owners = self._responsive(self._ctx.token_owners_before(organisation))
+        holders: dict[str, None] = {}
+        for owner in owners[:MAX_OWNERS_ASKED]:
+            reply = await self._ask_owner(owner, organisation, tokens, may_claim=True)
             if self._shortfall(organisation, tokens) <= 0:
-                return True
-            await self._request_loan(address, organisation, tokens, may_claim=True)
-        return self._shortfall(organisation, tokens) <= 0
+                return TokenVerdict.RESERVED
+            if reply is None:
+                continue
+            if reply.is_exhausted:
+                return TokenVerdict.EXHAUSTED
+            holders.update(dict.fromkeys(reply.holders))
+            if reply.store_age <= MAX_CLAIMER_STORE_AGE_SECONDS:
+                await self._ask_holders(holders, organisation, tokens)
+                await self._ask_for_rest(owner, organisation, tokens)
+                return TokenVerdict.HELD_ELSEWHERE
+        if not owners:
+            holders.update(dict.fromkeys(self._ctx.token_holders(organisation)))
+        await self._ask_holders(holders, organisation, tokens)
+        for owner in owners[:1]:
+            await self._ask_for_rest(owner, organisation, tokens)
+        if not owners and self._shortfall(organisation, tokens) > 0:
+            await self._ask_other_claimers(organisation, tokens)
+        return TokenVerdict.UNREACHABLE
 
-    def _shortfall(self, organisation: str, tokens: int) -> int:
+    async def _ask_holders(
+        self, addresses: Iterable[str], organisation: str, tokens: int
+    ) -> None:
+        responsive = [a for a in addresses if not self._peers.is_unresponsive(a)]
+        for address in responsive[:MAX_HOLDERS_ASKED]:
+            shortfall = self._shortfall(organisation, tokens)
+            if shortfall <= 0:
+                return
+            req = TokenLoanRequest(organisation, shortfall, shortfall)
+            reply = await self._peers.post(address, LOAN_PATH, req, TokenLoanReply)
+            self._credit(organisation, address, reply)
+
+    async def _ask_for_rest(
+        self, owner: HostRecord, organisation: str, tokens: int
+    ) -> None:
+        """Ask the owner for what other hosts' loans have left to borrow."""
         account = self._ctx.token_accounts.account(organisation, time.monotonic())
-        return tokens - account.free
+        if 0 < account.free < tokens:
+            await self._ask_owner(owner, organisation, tokens, may_claim=False)
+
+    async def _ask_other_claimers(self, organisation: str, tokens: int) -> None:
+        """Ask the hosts that rank next to this owner, which can't claim itself."""
+        others = self._responsive(self._ctx.token_owners.others(organisation))
+        for host in others[:MAX_OWNERS_ASKED]:
+            await self._ask_owner(host, organisation, tokens, may_claim=True)
+            if self._shortfall(organisation, tokens) <= 0:
+                return
 
-    async def _request_loan(
-        self, address: str, organisation: str, tokens: int, may_claim: bool
+    async def _ask_owner(
+        self, owner: HostRecord, organisation: str, tokens: int, *, may_claim: bool
     ) -> TokenLoanReply | None:
-        """Ask one host for a loan and credit it; return None if there is no reply."""
-        now = time.monotonic()
-        account = self._ctx.token_accounts.account(organisation, now)
-        shortfall = self._shortfall(organisation, tokens)
-        extra = int(account.demand_rate(now) * EXTRA_DEMAND_SECONDS)
-        req = TokenLoanRequest(organisation, shortfall, shortfall + extra, may_claim)
-        reply = await self._peers.post(address, LOAN_PATH, req, TokenLoanReply)
+        """Ask for what all waiting requests lack, and for some demand ahead."""
+        account = self._ctx.token_accounts.account(organisation, time.monotonic())
+        waiting = max(tokens, self._waiting_tokens[organisation])
+        wanted = waiting + self._ahead(organisation) - account.free
+        tally = self._tally(organisation, owner)
+        tally.number += 1
+        req = TokenLoanRequest(
+            organisation,
+            max(0, tokens - account.free),
+            wanted,
+            may_claim,
+            borrower=self._ctx.incarnation,
+            lender=owner.incarnation,
+            number=tally.number,
+            received=tally.received,
+            free=max(0, account.free),
+        )
+        reply = await self._peers.post(
+            owner.peer_address, LOAN_PATH, req, TokenLoanReply, LOAN_TIMEOUT_SECONDS
+        )
+        if reply is not None:
+            self._plenty[organisation] = reply.plenty
+            if reply.takes_returns:
+                self._return_takers.add(owner.incarnation)
+            tally.received += max(0, reply.tokens)
+        self._credit(organisation, owner.peer_address, reply)
+        return reply
+
+    def _credit(
+        self, organisation: str, lender: str, reply: TokenLoanReply | None
+    ) -> None:
         if reply is None or reply.tokens <= 0:
-            return reply
+            return
+        account = self._ctx.token_accounts.account(organisation, time.monotonic())
         account.credit_loan(reply.tokens)
         self._ctx.metrics.count(counters.LOAN_TAKEN)
         self._ctx.events.emit(
             TOKENS_BORROWED,
             organisation=organisation,
-            lender=address,
+            lender=lender,
             tokens=reply.tokens,
             free=account.free,
         )
-        return reply
 
-    def _lenders(self, organisation: str) -> list[str]:
-        """Return the addresses to ask: known holders first, unresponsive hosts last."""
-        ctx = self._ctx
-        holders = [
-            ctx.hosts.find(name)
-            for name in ctx.token_accounts.other_holders(organisation)
-        ]
-        first = [record.peer_address for record in holders if record is not None]
-        others = [record.peer_address for record in ctx.hosts.ready_hosts()]
-        ctx.rng.shuffle(others)
-        addresses = dict.fromkeys([*first, *others])
-        unresponsive = [a for a in addresses if self._peers.is_unresponsive(a)]
-        return [*(a for a in addresses if a not in unresponsive), *unresponsive][
-            :MAX_LENDERS
-        ]
+    def _start_refills(self, tasks: TaskGroup) -> None:
+        for organisation in sorted(self._to_refill):
+            if organisation not in self._in_progress:
+                tasks.start_soon(self._refill, organisation)
+        self._to_refill.clear()
+
+    async def _refill(self, organisation: str) -> None:
+        owners = self._responsive(self._ctx.token_owners_before(organisation))
+        account = self._ctx.token_accounts.account(organisation, time.monotonic())
+        is_filled = account.free >= self._ahead(organisation)
+        if not owners or is_filled or organisation in self._in_progress:
+            return
+        done = self._in_progress[organisation] = anyio.Event()
+        try:
+            await self._ask_owner(owners[0], organisation, 0, may_claim=False)
+        finally:
+            del self._in_progress[organisation]
+            done.set()
+
+    async def _return_surplus(self) -> None:
+        now = time.monotonic()
+        for organisation in self._ctx.token_accounts.active_organisations():
+            account = self._ctx.token_accounts.account(organisation, now)
+            keep = account.demand_rate(now) * KEEP_SECONDS * self._scale(organisation)
+            if account.free > keep and not self._waiting_tokens[organisation]:
+                await self._return(organisation, self._ahead(organisation))
+
+    async def _return(self, organisation: str, kept: int) -> None:
+        """Give the free tokens beyond ``kept`` to the owner."""
+        owners = self._responsive(self._ctx.token_owners_before(organisation))
+        if not owners or owners[0].incarnation not in self._return_takers:
+            return
+        account = self._ctx.token_accounts.account(organisation, time.monotonic())
+        surplus = account.free - kept
+        if surplus <= 0 or organisation in self._returning:
+            return
+        self._returning.add(organisation)
+        try:
+            await self._give(organisation, owners[0], surplus)
+        finally:
+            self._returning.discard(organisation)
 
+    async def _give(self, organisation: str, owner: HostRecord, surplus: int) -> None:
+        account = self._ctx.token_accounts.account(organisation, time.monotonic())
+        tokens = account.lend(surplus, surplus)
+        tally = self._tally(organisation, owner)
+        tally.returned += tokens
+        message = TokenReturn(
+            organisation,
+            tally.returned,
+            self._ctx.incarnation,
+            owner.incarnation,
+        )
+        reply = await self._peers.post(
+            owner.peer_address, RETURN_PATH, message, TokenReturnReply
+        )
+        if reply is not None and not reply.is_accepted:
+            tally.returned -= tokens
+            account.cancel_loan(tokens)
+            return
+        # Without a reply they stay debited; the next message has them in its total.
+        self._ctx.metrics.count(counters.LOAN_RETURNED)
+        self._ctx.events.emit(
+            TOKENS_RETURNED,
+            organisation=organisation,
+            owner=owner.peer_address,
+            tokens=tokens,
+            is_known=reply is not None,
+        )
 
-def _rank_claimers(store_ages: dict[str, float]) -> list[str]:
-    """Return the hosts to ask for a claim, by how recently the store answered them."""
-    ranked = sorted(store_ages, key=lambda address: store_ages[address])
-    recent = [a for a in ranked if store_ages[a] <= MAX_CLAIMER_STORE_AGE_SECONDS]
-    return recent[:MAX_CLAIMERS]
+    def _tally(self, organisation: str, lender: HostRecord) -> _LoanTally:
+        return self._tallies.setdefault(
+            (organisation, lender.incarnation), _LoanTally()
+        )
+
+    @contextlib.contextmanager
+    def _waiting(self, organisation: str, tokens: int) -> Iterator[None]:
+        self._waiting_tokens[organisation] += tokens
+        try:
+            yield
+        finally:
+            self._waiting_tokens[organisation] -= tokens
+
+    def _shortfall(self, organisation: str, tokens: int) -> int:
+        account = self._ctx.token_accounts.account(organisation, time.monotonic())
+        return tokens - account.free
+
+    def _ahead(self, organisation: str) -> int:
+        """Return the tokens to hold ahead of demand."""
+        now = time.monotonic()
+        account = self._ctx.token_accounts.account(organisation, now)
+        return int(account.demand_rate(now) * AHEAD_SECONDS * self._scale(organisation))
+
+    def _scale(self, organisation: str) -> float:
+        return self._plenty.get(organisation, 1.0)
+
+    def _responsive(self, hosts: Iterable[HostRecord]) -> list[HostRecord]:
+        return [
+            host for host in hosts if not self._peers.is_unresponsive(host.peer_address)
+        ]
--- a/src/knapweeddrum/process/entry/token_lender.py
+++ b/src/knapweeddrum/process/entry/token_lender.py
@@ -6,8 +6,14 @@
 
 import msgspec
 
+from knapweeddrum.core.prepaid.token_account import TokenAccount
 from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
-from knapweeddrum.message.call.token_loan import TokenLoanReply, TokenLoanRequest
+from knapweeddrum.message.call.token_loan import (
+    TokenLoanReply,
+    TokenLoanRequest,
+    TokenReturn,
+    TokenReturnReply,
+)
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.page_server import PageAnswer
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
@@ -16,6 +22,9 @@
 
 LOAN_CLAIM_TIMEOUT_SECONDS = 0.1
 """Timeout of a claim for another host, shorter than that host's wait for a reply."""
+MAX_STORE_AGE_SECONDS = 1e6
+"""Age that is told of a store that never answered; JSON has no infinity."""
+MAX_NAMED_HOLDERS = 4
 
 
 class TokenLender:
@@ -36,14 +45,14 @@
         except msgspec.MsgspecError:
             return PageAnswer(400)
         account = self._ctx.token_accounts.account(req.organisation, time.monotonic())
+        if self._is_recoverable(req) and not self._recover_lost_loans(req, account):
+            return PageAnswer(409)
         shortfall = max(1, req.shortfall)
         wanted = max(shortfall, req.wanted)
         await self._allocator.unlock(req.organisation, wanted)
-        if req.may_claim and shortfall > account.free:
-            await self._claim(req.organisation, shortfall)
-        tokens = account.lend(shortfall, wanted)
-        if tokens:
-            account.record_demand(tokens, time.monotonic())
+        if req.may_claim and wanted > account.free:
+            await self._claim(req.organisation, shortfall, wanted)
+        tokens = self._debit(req, account, shortfall, wanted)
         self._ctx.metrics.count(counters.LOAN_GIVEN if tokens else counters.LOAN_DENIED)
         self._ctx.events.emit(
             TOKENS_LENT,
@@ -52,15 +61,91 @@
             tokens=tokens,
             free=account.free,
         )
-        reply = TokenLoanReply(tokens, self._ctx.store_age(time.monotonic()))
-        return PageAnswer(200, msgspec.json.encode(reply))
+        return PageAnswer(200, msgspec.json.encode(self._reply(req, tokens)))
+
+    async def take_back(self, body: bytes) -> PageAnswer:
+        """Credit the tokens of a TokenReturn, unless this process is about to end."""
+        try:
+            message = msgspec.json.decode(body, type=TokenReturn)
+        except msgspec.MsgspecError:
+            return PageAnswer(400)
+        ctx = self._ctx
+        is_accepted = not ctx.draining and message.lender == ctx.incarnation
+        if is_accepted:
+            tokens = ctx.loans.accept_return(
+                message.organisation, message.sender, message.total
+            )
+            account = ctx.token_accounts.account(message.organisation, time.monotonic())
+            account.credit_loan(tokens)
+        return PageAnswer(200, msgspec.json.encode(TokenReturnReply(is_accepted)))
+
+    def _is_recoverable(self, req: TokenLoanRequest) -> bool:
+        """Return whether the request tells what became of this process's loans."""
+        return bool(req.borrower) and req.lender == self._ctx.incarnation
+
+    def _recover_lost_loans(self, req: TokenLoanRequest, account: TokenAccount) -> bool:
+        """Take back loans that got lost; return False if the request is out of date."""
+        lost = self._ctx.loans.begin(
+            req.organisation,
+            req.borrower,
+            req.number,
+            req.received,
+            req.free,
+            time.monotonic(),
+        )
+        if lost is None:
+            return False
+        if lost:
+            account.cancel_loan(lost)
+            self._ctx.metrics.count(counters.LOAN_RECOVERED)
+        return True
 
-    async def _claim(self, organisation: str, tokens: int) -> None:
+    def _debit(
+        self, req: TokenLoanRequest, account: TokenAccount, shortfall: int, wanted: int
+    ) -> int:
+        """Debit the loan; a borrower that asks its owner gets all it lacks or none."""
+        if req.borrower and account.free < shortfall:
+            return 0
+        tokens = account.lend(shortfall, wanted)
+        if not tokens:
+            return 0
+        account.record_lent_demand(tokens, req.shortfall + req.free, time.monotonic())
+        if self._is_recoverable(req):
+            self._ctx.loans.record_loan(req.organisation, req.borrower, tokens)
+        return tokens
+
+    def _reply(self, req: TokenLoanRequest, tokens: int) -> TokenLoanReply:
+        ctx = self._ctx
+        now = time.monotonic()
+        is_short = not tokens and bool(req.borrower)
+        return TokenLoanReply(
+            tokens,
+            min(ctx.store_age(now), MAX_STORE_AGE_SECONDS),
+            is_exhausted=is_short and self._is_exhausted(req),
+            plenty=ctx.token_accounts.plenty(req.organisation, now),
+            holders=tuple(self._holders(req)) if is_short else (),
+            takes_returns=not ctx.draining,
+        )
+
+    def _is_exhausted(self, req: TokenLoanRequest) -> bool:
+        tokens = req.shortfall + req.free
+        verdict = self._allocator.refusal_verdict(req.organisation, tokens)
+        return verdict is TokenVerdict.EXHAUSTED
+
+    def _holders(self, req: TokenLoanRequest) -> list[str]:
+        """Return the addresses of hosts other than the borrower that may lend."""
+        borrower = self._ctx.hosts.find(req.borrower)
+        own = borrower.peer_address if borrower is not None else ""
+        others = [a for a in self._ctx.token_holders(req.organisation) if a != own]
+        return others[:MAX_NAMED_HOLDERS]
+
+    async def _claim(self, organisation: str, shortfall: int, wanted: int) -> None:
         """Claim tokens that no host has claimed, and leave them free at this host."""
-        if (
-            self._ctx.token_accounts.max_reservable(organisation, time.monotonic())
-            < tokens
-        ):
+        available = self._ctx.token_accounts.max_reservable(
+            organisation, time.monotonic()
+        )
+        tokens = min(wanted, available)
+        if tokens < shortfall:
             return
         verdict = await self._allocator.claim(
             organisation, tokens, LOAN_CLAIM_TIMEOUT_SECONDS
--- a/src/knapweeddrum/process/entry_composition.py
+++ b/src/knapweeddrum/process/entry_composition.py
@@ -22,6 +22,7 @@
 from knapweeddrum.core.placing.placer import Placer
 from knapweeddrum.core.prepaid.claim_witness import ClaimWitness
 from knapweeddrum.core.prepaid.token_accounts import TokenAccounts
+from knapweeddrum.core.prepaid.token_owners import TokenOwners
 from knapweeddrum.http.connection_pool import ConnectionPool
 from knapweeddrum.platform.store_client import StoreClient
 from knapweeddrum.process.entry.entry_context import EntryContext
@@ -76,6 +77,7 @@
         endpoint_states=EndpointStates(service_list),
         hosts=HostDirectory(settings.host_name),
         token_accounts=TokenAccounts(incarnation),
+        token_owners=TokenOwners(settings.host_name),
         crash_register=CrashRegister(CRASH_POLICY),
         losses=losses,
         claim_witness=ClaimWitness(incarnation),
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -51,18 +51,22 @@
 """Requests of another host for a loan to which no tokens were lent."""
 LOAN_TAKEN = "loan.taken"
 """Loans of tokens from another host."""
+LOAN_RECOVERED = "loan.recovered"
+"""Loans of this host that got lost on their way and were taken back."""
+LOAN_RETURNED = "loan.returned"
+"""Times that this host gave back tokens that it did not need."""
 HOST_UNANSWERED = "host.unanswered"
 """Requests to another host that got no usable reply in time."""
-
-FIXED_COUNTERS: tuple[str, ...] = (
-    REQUESTS,
-    ANSWERED,
 HOST_BEHIND_COUNT = "host.behind"
 """Measurements at which this process was behind."""
 CLAIM_RECORDS_READ = "claim.records_read"
 """Records of token claims that this process read from the store."""
 CLAIM_WRITTEN = "claim.written"
 """Writes of token claims that the store carried out."""
+
+FIXED_COUNTERS: tuple[str, ...] = (
+    REQUESTS,
+    ANSWERED,
     CANCELLED,
     SETTLED,
     PARTS_DROPPED,
@@ -83,16 +87,18 @@
     LOAN_GIVEN,
     LOAN_DENIED,
     LOAN_TAKEN,
+    LOAN_RECOVERED,
+    LOAN_RETURNED,
     HOST_UNANSWERED,
+    HOST_BEHIND_COUNT,
+    CLAIM_RECORDS_READ,
+    CLAIM_WRITTEN,
 )
 """Counters whose names contain no reason, route kind, status or outcome."""
 
 
 def refusal_counter(reason: RefusalReason) -> str:
     """Return the name of the counter of a refusal reason."""
-    HOST_BEHIND_COUNT,
-    CLAIM_RECORDS_READ,
-    CLAIM_WRITTEN,
     return f"refusal.{reason.value}"
 
 
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -196,12 +196,12 @@
 TOKENS_BORROWED = Event(
     623, "tokens_borrowed", "info", ("organisation", "lender", "tokens", "free")
 )
+TOKENS_RETURNED = Event(
+    635, "tokens_returned", "info", ("organisation", "owner", "tokens", "is_known")
+)
 HOST_UNANSWERED = Event(624, "host_unanswered", "info", ("host", "question", "error"))
 OPENING_REFUSED = Event(625, "opening_refused", "info", ("organisation", "witness"))
 TOKENS_FREED = Event(626, "tokens_freed", "info", ("organisation", "holder", "kept"))
-LINES_DROPPED = Event(620, "lines_dropped", "warning", ("lines",))
-STOPPED_IN_PROGRESS = Event(
-    621, "stopped_in_progress", "error", ("requests", "claims_returned")
 HOST_BEHIND = Event(
     633,
     "host_behind",
@@ -209,4 +209,7 @@
     ("lag_ms", "processor_ms", "claims_ms", "in_progress"),
 )
 HOST_CAUGHT_UP = Event(634, "host_caught_up", "info", ())
+LINES_DROPPED = Event(620, "lines_dropped", "warning", ("lines",))
+STOPPED_IN_PROGRESS = Event(
+    621, "stopped_in_progress", "error", ("requests", "claims_returned")
 )
