Witnesses: the leave of a witness reaches holders of whose claims it hasn't read

Cause: the witness told those of whose claims it had read; a witness that is behind, or reads seldom, had not read the claim that names it. Change: a holder asks its witness once as soon as it has named it, and the witness tells all that have asked, at the same time.

--- a/src/knapweeddrum/core/prepaid/claim_witness.py
+++ b/src/knapweeddrum/core/prepaid/claim_witness.py
@@ -22,9 +22,16 @@
         self._grant_witness = GrantWitness(incarnation)
         self._released: dict[str, set[str]] = {}
         self._stopped_releasing = False
+        self._holders: set[str] = set()
+
+    @property
+    def holders(self) -> frozenset[str]:
+        """Return the holders that have asked this witness for its consent."""
+        return frozenset(self._holders)
 
     def unlock(self, holder: str, organisation: str, limit: int) -> bool:
         """Let a holder spend up to a limit in tokens, unless its claim was released."""
+        self._holders.add(holder)
         grant_id = self._register(holder, organisation)
         return (
             self._grant_witness.unlock(grant_id, holder, limit) is UnlockVerdict.ALLOWED
--- a/src/knapweeddrum/core/prepaid/token_account.py
+++ b/src/knapweeddrum/core/prepaid/token_account.py
@@ -38,6 +38,8 @@
         """Incarnation whose consent unlocks more, empty if no consent is needed."""
         self.refusing_witnesses: set[str] = set()
         """Incarnations that have refused to unlock more of this account."""
+        self.introduced_witness = ""
+        """Witness that has answered this holder, so that it knows of the claim."""
         self.unresolved_write: UnresolvedClaimWrite | None = None
         self.spent = 0
         self.reserved = 0
@@ -101,7 +103,13 @@
         return usable[0] if usable else ""
 
     def needs_unlocking(self, now: float) -> bool:
-        """Return whether less than half of the demand to unlock in advance is free."""
+        """Return whether to ask the witness ahead of demand.
+
+        That is, if less than half of the demand to unlock in advance is free, or if
+        the witness may not know that it was named.
+        """
+        if self.locked > 0 and self.witness != self.introduced_witness:
+            return True
         return (
             self.locked > 0
             and self.free < self.demand_rate(now) * UNLOCK_AHEAD_SECONDS / 2
--- a/src/knapweeddrum/core/prepaid/token_accounts.py
+++ b/src/knapweeddrum/core/prepaid/token_accounts.py
@@ -197,6 +197,7 @@
     ) -> None:
         """Record a witness's consent; that of a replaced witness is ignored."""
         account = self.account(organisation, now)
+        account.introduced_witness = witness
         if account.witness == witness and self.may_unlock(organisation, now):
             account.unlocked = max(account.unlocked, limit)
 
--- a/src/knapweeddrum/process/entry/token_witness.py
+++ b/src/knapweeddrum/process/entry/token_witness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import anyio
 import msgspec
 
 from knapweeddrum.core.prepaid.token_claim import TokenClaim
@@ -59,22 +60,24 @@
         """Stop releasing claims as a witness, and tell the holders."""
         ctx = self._ctx
         ctx.claim_witness.stop_releasing()
-        holders = {
+        # This host may not have read the claims for some seconds.
+        holders = ctx.claim_witness.holders | {
             c.incarnation
             for c in ctx.token_accounts.ledger.locked_claims_of(ctx.incarnation)
         }
-        for holder in sorted(holders):
-            record = ctx.hosts.find(holder)
-            if record is not None:
-                await self._peers.post(
-                    record.peer_address,
-                    WITNESS_LEAVE_PATH,
-                    WitnessDeparture(
-                        ctx.incarnation,
-                        ctx.claim_witness.released_organisations(holder),
-                    ),
-                    TokenUnlockReply,
-                )
+        async with anyio.create_task_group() as tasks:
+            for holder in sorted(holders):
+                tasks.start_soon(self._tell_of_leave, holder)
+
+    async def _tell_of_leave(self, holder: str) -> None:
+        record = self._ctx.hosts.find(holder)
+        if record is None:
+            return
+        released = self._ctx.claim_witness.released_organisations(holder)
+        leave = WitnessDeparture(self._ctx.incarnation, released)
+        await self._peers.post(
+            record.peer_address, WITNESS_LEAVE_PATH, leave, TokenUnlockReply
+        )
 
 
 def release_claims_of_failed_hosts(ctx: EntryContext) -> list[TokenClaim]:
