Questions to other hosts: a host that is behind blames no other

Cause: a time limit of 0.1 s that ran out for want of time at the asking host took the asked one for unresponsive for 2 s, and the next ranks claimed in its place. Change: a failure counts against the other host only if the own event loop was quick.

--- a/src/knapweeddrum/process/entry/peer_client.py
+++ b/src/knapweeddrum/process/entry/peer_client.py
@@ -21,6 +21,9 @@
 PEER_UNRESPONSIVE_SECONDS = 2.0
 """Time for which a host counts as unresponsive after a failed request."""
 
+MAX_LAG_FRACTION = 0.3
+"""Lag, as a fraction of a request's time limit, that may explain its failure."""
+
 ReplyT = TypeVar("ReplyT", bound=msgspec.Struct)
 
 
@@ -64,11 +67,15 @@
                     answer = await conn.read_body(MAX_REPLY_BYTES)
             return msgspec.json.decode(answer, type=reply_type)
         except (ExchangeError, TimeoutError, msgspec.MsgspecError) as exc:
-            self._unresponsive_until[address] = (
-                time.monotonic() + PEER_UNRESPONSIVE_SECONDS
-            )
+            self._record_failure(address, timeout)
             self._ctx.metrics.count(counters.HOST_UNANSWERED)
             self._ctx.events.emit(
                 HOST_UNANSWERED, host=address, question=path.decode(), error=repr(exc)
             )
             return None
+
+    def _record_failure(self, address: str, timeout: float) -> None:
+        """Avoid the host, unless it is this one that is behind."""
+        now = time.monotonic()
+        if self._ctx.loop_lag.current(now) < timeout * MAX_LAG_FRACTION:
+            self._unresponsive_until[address] = now + PEER_UNRESPONSIVE_SECONDS
