Loans: the owner gives what is wanted, and is asked again while it claims

Cause: the owner kept half of its free tokens at each loan, so that a busy host got halves of halves, and a claim that lost its race for 0.1 s was told as held elsewhere. Change: an owner gives all that is wanted, says when only its claim was late, and is asked again; loans ahead of demand are at least 0.2 s apart.

--- a/src/knapweeddrum/message/call/token_loan.py
+++ b/src/knapweeddrum/message/call/token_loan.py
@@ -36,6 +36,8 @@
     """Seconds since the store last answered the lender."""
     is_exhausted: bool = False
     """Whether the shortfall exceeds what is left of the prepaid tokens anywhere."""
+    may_ask_again: bool = False
+    """Whether the shortfall is unclaimed, and only its claim was not in time."""
     plenty: float = 1.0
     """Factor, from 0 to 1, on what hosts hold ahead of demand."""
     holders: tuple[str, ...] = ()
--- a/src/knapweeddrum/process/entry/token_borrower.py
+++ b/src/knapweeddrum/process/entry/token_borrower.py
@@ -28,6 +28,8 @@
 RETURN_PATH = b"/tokens/return"
 LOAN_TIMEOUT_SECONDS = 0.3
 """Time limit of a loan by a host that may have to claim the tokens first."""
+CLAIM_TIMEOUT_SECONDS = 0.15
+"""Time for which an owner is asked again while other hosts' claims delay its own."""
 JOIN_TIMEOUT_SECONDS = 0.3
 """Time for which a request waits for loans that others have asked for."""
 MAX_OWNERS_ASKED = 2
@@ -40,6 +42,8 @@
 """Duration of demand for which tokens are borrowed before requests need them."""
 KEEP_SECONDS = 4.0
 """Duration of demand beyond which free tokens are given back."""
+REFILL_INTERVAL_SECONDS = 0.2
+"""Least time between two loans ahead of demand for one organisation."""
 RETURN_INTERVAL_SECONDS = 0.5
 RETURN_ALL_TIMEOUT_SECONDS = 0.5
 """Time limit for giving back all free tokens before the process ends."""
@@ -74,6 +78,7 @@
         self._returning: set[str] = set()
         """Organisations whose tokens are being given back, one message at a time."""
         self._to_refill: set[str] = set()
+        self._refill_after: dict[str, float] = {}
         self._wake = anyio.Event()
 
     async def run(self) -> None:
@@ -112,8 +117,12 @@
         """Borrow ahead of demand if less than half of what is held ahead is left."""
         if not self._ctx.token_owners_before(organisation):
             return
-        account = self._ctx.token_accounts.account(organisation, time.monotonic())
+        now = time.monotonic()
+        account = self._ctx.token_accounts.account(organisation, now)
+        if now < self._refill_after.get(organisation, 0.0):
+            return
         if account.free < self._ahead(organisation) / 2:
+            self._refill_after[organisation] = now + REFILL_INTERVAL_SECONDS
             self._to_refill.add(organisation)
             self._wake.set()
 
@@ -137,7 +146,7 @@
         owners = self._responsive(self._ctx.token_owners_before(organisation))
         holders: dict[str, None] = {}
         for owner in owners[:MAX_OWNERS_ASKED]:
-            reply = await self._ask_owner(owner, organisation, tokens, may_claim=True)
+            reply = await self._ask_owner_repeatedly(owner, organisation, tokens)
             if self._shortfall(organisation, tokens) <= 0:
                 return TokenVerdict.RESERVED
             if reply is None:
@@ -148,7 +157,7 @@
             if reply.store_age <= MAX_CLAIMER_STORE_AGE_SECONDS:
                 await self._ask_holders(holders, organisation, tokens)
                 await self._ask_for_rest(owner, organisation, tokens)
-                return TokenVerdict.HELD_ELSEWHERE
+                return _verdict(reply)
         if not owners:
             holders.update(dict.fromkeys(self._ctx.token_holders(organisation)))
         await self._ask_holders(holders, organisation, tokens)
@@ -158,6 +167,18 @@
             await self._ask_other_claimers(organisation, tokens)
         return TokenVerdict.UNREACHABLE
 
+    async def _ask_owner_repeatedly(
+        self, owner: HostRecord, organisation: str, tokens: int
+    ) -> TokenLoanReply | None:
+        """Ask an owner until it has claimed the tokens, as long as it could."""
+        give_up_at = time.monotonic() + CLAIM_TIMEOUT_SECONDS
+        while True:
+            reply = await self._ask_owner(owner, organisation, tokens, may_claim=True)
+            if reply is None or reply.tokens or not reply.may_ask_again:
+                return reply
+            if time.monotonic() > give_up_at:
+                return reply
+
     async def _ask_holders(
         self, addresses: Iterable[str], organisation: str, tokens: int
     ) -> None:
@@ -333,3 +354,10 @@
         return [
             host for host in hosts if not self._peers.is_unresponsive(host.peer_address)
         ]
+
+
+def _verdict(reply: TokenLoanReply) -> TokenVerdict:
+    """Return why an owner that the store answers can't lend."""
+    if reply.may_ask_again:
+        return TokenVerdict.UNREACHABLE
+    return TokenVerdict.HELD_ELSEWHERE
--- a/src/knapweeddrum/process/entry/token_lender.py
+++ b/src/knapweeddrum/process/entry/token_lender.py
@@ -103,10 +103,15 @@
     def _debit(
         self, req: TokenLoanRequest, account: TokenAccount, shortfall: int, wanted: int
     ) -> int:
-        """Debit the loan; a borrower that asks its owner gets all it lacks or none."""
+        """Debit the loan; a borrower that asks its owner gets all it lacks or none.
+
+        The owner gives all that is wanted, as it claims more when it needs some.
+        """
         if req.borrower and account.free < shortfall:
             return 0
-        tokens = account.lend(shortfall, wanted)
+        is_owner = not self._ctx.token_owners_before(req.organisation)
+        gives_all = bool(req.borrower) and (is_owner or req.shortfall > 0)
+        tokens = account.lend(wanted if gives_all else shortfall, wanted)
         if not tokens:
             return 0
         account.record_lent_demand(tokens, req.shortfall + req.free, time.monotonic())
@@ -122,6 +127,7 @@
             tokens,
             min(ctx.store_age(now), MAX_STORE_AGE_SECONDS),
             is_exhausted=is_short and self._is_exhausted(req),
+            may_ask_again=is_short and self._is_claimable(req),
             plenty=ctx.token_accounts.plenty(req.organisation, now),
             holders=tuple(self._holders(req)) if is_short else (),
             takes_returns=not ctx.draining,
@@ -132,6 +138,12 @@
         verdict = self._allocator.refusal_verdict(req.organisation, tokens)
         return verdict is TokenVerdict.EXHAUSTED
 
+    def _is_claimable(self, req: TokenLoanRequest) -> bool:
+        available = self._ctx.token_accounts.max_reservable(
+            req.organisation, time.monotonic()
+        )
+        return req.may_claim and 0 < req.shortfall <= available
+
     def _holders(self, req: TokenLoanRequest) -> list[str]:
         """Return the addresses of hosts other than the borrower that may lend."""
         borrower = self._ctx.hosts.find(req.borrower)
