Caller connections: only their reader ends them, and answers say so in a drain

Cause: whether a connection is idle was decided in another task than the one that reads from it, and the transport reads on its own; a session also ended after its answer without having said so, some turns of the event loop later, and dropped what it had read meanwhile. Class: look and act in two steps, right on a quick host only. Change: the end of reading is ordered by the kernel (SHUT_RD): what was received before is served, the end comes after it. The drain, the idle timeout and the end of a kept connection all go that way; abort of idle connections is gone. From the time at which callers have refreshed the directory, answers carry Connection: close; before it, connections are kept. The times of a drain count from when the signal was due, by the lag of the event loop.

--- a/src/knapweeddrum/core/load/loop_lag.py
+++ b/src/knapweeddrum/core/load/loop_lag.py
@@ -22,8 +22,13 @@
     def __init__(self) -> None:
         self._largest = 0.0
         self._measured_at = float("-inf")
+        self._due_at = float("inf")
         self.is_behind = False
 
+    def expect(self, due_at: float) -> None:
+        """Record when the event loop is due to be measured next."""
+        self._due_at = due_at
+
     def record(self, lag: float, now: float) -> None:
         """Record how many seconds late the event loop was."""
         if lag >= self._largest or now - self._measured_at > MEMORY_SECONDS:
@@ -37,3 +42,7 @@
     def recent(self, now: float) -> float:
         """Return the largest lag in seconds that was measured a short time ago."""
         return self._largest if now - self._measured_at <= MEMORY_SECONDS else 0.0
+
+    def current(self, now: float) -> float:
+        """Return the lag in seconds, also if it has not been measured yet."""
+        return max(self.recent(now), now - self._due_at)
--- a/src/knapweeddrum/http/server_connection.py
+++ b/src/knapweeddrum/http/server_connection.py
@@ -7,12 +7,15 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import select
 import socket
 import struct
+from collections.abc import Callable
 
 import anyio
+import anyio.lowlevel
 import h11
 from anyio.abc import SocketAttribute, SocketStream
 
@@ -25,6 +28,10 @@
 LINGERING_CLOSE_TIMEOUT_SECONDS = 0.5
 """Time for which bytes are still received and discarded before a connection closes."""
 
+NOTICE_TURNS = 5
+"""Turns of the event loop after which pending input has been received."""
+CLOSE_HEADER = (b"Connection", b"close")
+
 DISCONNECT_ERRORS = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
 
 
@@ -40,8 +47,15 @@
 class ServerConnection:
     """Reads requests and writes replies."""
 
-    def __init__(self, stream: SocketStream, max_head_bytes: int) -> None:
+    def __init__(
+        self,
+        stream: SocketStream,
+        max_head_bytes: int,
+        is_closing: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Serve one connection; replies end it from when ``is_closing`` is true."""
         self._stream = stream
+        self._is_closing = is_closing
         self._conn = h11.Connection(h11.SERVER, max_head_bytes)
         self._max_head_bytes = max_head_bytes
         self._poller = select.poll()
@@ -49,6 +63,9 @@
         self._poller.register(self._socket.fileno(), select.POLLIN)
         self._read_ahead = bytearray()
         self._eof = False
+        self._reading_stopped = False
+        self.is_waiting = False
+        """Whether no byte of the next request has been received."""
 
     async def next_request(
         self, idle_timeout: float, head_timeout: float
@@ -61,7 +78,11 @@
         self._feed_read_ahead()
         with anyio.move_on_after(idle_timeout) as scope:
             event = await self._first_event()
-        if scope.cancelled_caught or event is None:
+        if scope.cancelled_caught:
+            # A request may have been received at that moment.
+            self.stop_reading()
+            event = await self._first_event()
+        if event is None:
             return None
         if event is h11.NEED_DATA:
             event = await self._complete_head(head_timeout)
@@ -91,6 +112,28 @@
                     )
         raise MalformedRequestError(408, "request body not received in time")
 
+    def stop_reading(self) -> None:
+        """End the connection unless a request was received before.
+
+        The kernel reports the end of the input after all that it has received, so that
+        next_request returns such a request, and None otherwise.
+        """
+        if self._reading_stopped:
+            return
+        self._reading_stopped = True
+        with contextlib.suppress(OSError):
+            self._socket.shutdown(socket.SHUT_RD)
+
+    async def notice_disconnect(self) -> None:
+        """Let wait_for_disconnect see first what the peer has sent since.
+
+        A process that is behind may get to a request after its caller has left.
+        """
+        for _ in range(NOTICE_TURNS):
+            if self._reading_stopped or not self.has_pending_input():
+                return
+            await anyio.lowlevel.checkpoint()
+
     def has_pending_input(self) -> bool:
         """Return whether the peer has disconnected, or sent data after its request."""
         return self._eof or bool(self._poller.poll(0))
@@ -99,19 +142,20 @@
         """Return when the peer closes the connection; run while a request is served.
 
         What the peer sends meanwhile is buffered for the next request. Once that
-        exceeds MAX_READ_AHEAD_BYTES, reading stops and this method never returns.
+        exceeds MAX_READ_AHEAD_BYTES, reading stops and this method never returns. Nor
+        does it if this side has stopped reading.
         """
         while not self._eof:
             if len(self._read_ahead) > MAX_READ_AHEAD_BYTES:
                 await anyio.sleep_forever()
             self._read_ahead += await self._receive()
+        if self._reading_stopped:
+            await anyio.sleep_forever()
 
     async def send_reply(self, status: int, headers: list[Header], body: bytes) -> None:
         """Write a complete reply; raises PeerDisconnectedError."""
-        headers_with_length = [*headers, (b"Content-Length", str(len(body)).encode())]
-        events: list[h11.Event] = [
-            h11.Response(status_code=status, headers=headers_with_length)
-        ]
+        length = (b"Content-Length", str(len(body)).encode())
+        events: list[h11.Event] = [self._reply_head(status, [*headers, length])]
         if body:
             events.append(h11.Data(data=body))
         await self._send(*events, h11.EndOfMessage())
@@ -122,7 +166,7 @@
         To a client of HTTP/1.0 the end of the connection ends the body instead.
         """
         self._reset_when_closed(is_reset=self._is_ended_by_connection(headers))
-        await self._send(h11.Response(status_code=status, headers=headers))
+        await self._send(self._reply_head(status, headers))
 
     async def send_data(self, data: bytes) -> None:
         """Write a chunk of the body."""
@@ -162,6 +206,11 @@
         """Close at once, so that an unfinished reply does not look complete."""
         await anyio.aclose_forcefully(self._stream)
 
+    def _reply_head(self, status: int, headers: list[Header]) -> h11.Response:
+        if self._reading_stopped or self._is_closing():
+            headers = [*headers, CLOSE_HEADER]
+        return h11.Response(status_code=status, headers=headers)
+
     def _is_ended_by_connection(self, headers: list[Header]) -> bool:
         has_length = any(name.lower() == b"content-length" for name, _ in headers)
         return self._conn.their_http_version == b"1.0" and not has_length
@@ -185,7 +234,11 @@
             return event
         if self._conn.trailing_data[0]:
             return h11.NEED_DATA
-        data = b"" if self._eof else await self._receive()
+        self.is_waiting = True
+        try:
+            data = b"" if self._eof else await self._receive()
+        finally:
+            self.is_waiting = False
         if not data:
             return None
         self._conn.receive_data(data)
--- a/src/knapweeddrum/process/entry/caller_server.py
+++ b/src/knapweeddrum/process/entry/caller_server.py
@@ -44,12 +44,10 @@
         """Stop accepting connections."""
         self._accepting.cancel()
 
-    async def close_idle(self) -> None:
-        """Close the connections on which no request is in progress."""
-        for session in list(self._sessions):
-            # It may have got a request while another one was closed.
-            if session.is_idle:
-                await session.abort()
+    def end_idle(self) -> None:
+        """End the connections on which no request has been received."""
+        for session in self._sessions:
+            session.end_if_idle()
 
     async def _serve(self, stream: SocketStream) -> None:
         session = CallerSession(
--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -51,9 +51,10 @@
         self._allocator = allocator
         self._stream_origins = stream_origins
         self._limits = _limits(ctx)
-        self._conn = ServerConnection(stream, self._limits.max_header_bytes)
+        self._conn = ServerConnection(
+            stream, self._limits.max_header_bytes, self._is_closing
+        )
         self._admission = RequestAdmission(ctx)
-        self.is_idle = True
         self._request_id = ""
 
     async def run(self) -> None:
@@ -70,13 +71,13 @@
             return
         await self._conn.close()
 
-    async def abort(self) -> None:
-        """Close the connection at once."""
-        await self._conn.abort()
+    def end_if_idle(self) -> None:
+        """End the connection unless a request has been received on it."""
+        if self._conn.is_waiting:
+            self._conn.stop_reading()
 
     async def _serve_next(self) -> bool:
         """Serve one request; return whether another may follow."""
-        self.is_idle = True
         limits = _limits(self._ctx)
         try:
             received = await self._conn.next_request(
@@ -87,7 +88,6 @@
             return False
         if received is None:
             return False
-        self.is_idle = False
         self._ctx.in_progress += 1
         self._ctx.last_request_at = time.monotonic()
         try:
@@ -95,7 +95,11 @@
                 return False
         finally:
             self._ctx.in_progress -= 1
-        return self._conn.finish() and not self._ctx.draining
+        return self._conn.finish()
+
+    def _is_closing(self) -> bool:
+        """Return whether answers tell callers to leave this connection."""
+        return time.monotonic() >= self._ctx.drain_refuses_from
 
     async def _serve(self, received: ReceivedRequest) -> bool:
         """Answer a request; return whether the connection can be reused."""
--- a/src/knapweeddrum/process/entry/drain_sequence.py
+++ b/src/knapweeddrum/process/entry/drain_sequence.py
@@ -54,16 +54,16 @@
         ctx = self._ctx
         ctx.draining = True
         ctx.events.emit(DRAIN_STARTED, in_progress=ctx.in_progress)
-        started_at = time.monotonic()
+        # A process that is behind gets the signal late.
+        started_at = time.monotonic() - ctx.loop_lag.current(time.monotonic())
         ctx.drain_refuses_from = started_at + DIRECTORY_REFRESH_SECONDS
         ctx.drain_ends_at = started_at + ctx.settings.grace_period - EXIT_MARGIN_SECONDS
         await self._witness.announce_leave()
-        with anyio.move_on_after(
-            ctx.settings.grace_period - TOKEN_RETURN_MARGIN_SECONDS
-        ):
-            await anyio.sleep(DIRECTORY_REFRESH_SECONDS)
+        return_at = started_at + ctx.settings.grace_period - TOKEN_RETURN_MARGIN_SECONDS
+        with anyio.move_on_after(return_at - time.monotonic()):
+            await anyio.sleep(ctx.drain_refuses_from - time.monotonic())
             while self._expects_requests(started_at):
-                await self._server.close_idle()
+                self._server.end_idle()
                 await anyio.sleep(SESSION_POLL_SECONDS)
             self._server.stop_accepting()
             await self._finish_sessions()
@@ -80,7 +80,7 @@
 
     async def _finish_sessions(self) -> None:
         while self._server.has_sessions:
-            await self._server.close_idle()
+            self._server.end_idle()
             await anyio.sleep(SESSION_POLL_SECONDS)
 
     def _expects_requests(self, started_at: float) -> bool:
--- a/src/knapweeddrum/process/entry/loop_lag_task.py
+++ b/src/knapweeddrum/process/entry/loop_lag_task.py
@@ -30,6 +30,7 @@
         """Measure until cancelled."""
         while True:
             due_at = time.monotonic() + MEASURE_INTERVAL_SECONDS
+            self._ctx.loop_lag.expect(due_at)
             await anyio.sleep(MEASURE_INTERVAL_SECONDS)
             now = time.monotonic()
             lag = max(0.0, now - due_at)
