Requests: a caller that has left is noticed before its request is sent

Cause: a host that is behind reads a request and the end of its connection at one time; the watcher of the connection first ran after the request was sent. Change: before each attempt, pending input is received first, so that the watcher cancels a request whose caller is gone.

--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -60,6 +60,7 @@
         self._job = job
         self._policy = ctx.failover_policy(job.service, time.monotonic())
         self._log = RequestLog(ctx, job)
+        self._caller = caller
         self._relay = AnswerRelay(caller, job, self._log, stream_origins)
         self._last_failure: AttemptError | None = None
         self.spent = 0
@@ -127,6 +128,7 @@
     async def _attempt_until_answered(self) -> None:
         with anyio.CancelScope(deadline=self._job.deadline) as scope:
             while True:
+                await self._caller.notice_disconnect()
                 state = self._choose_endpoint()
                 try:
                     await self._attempt(state)
