Requests: an internal error before an answer is answered with 502

Cause: an unexpected exception was handled as if the caller had left. Change: refusal internal_error, run state unknown, if no byte of an answer was sent; after that the connection still ends. task_failed is logged as before.

--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from typing import NoReturn
 
 import anyio
 from anyio.abc import SocketStream
@@ -28,6 +29,7 @@
 )
 from knapweeddrum.value.refusal import Refusal
 from knapweeddrum.value.refusal_reason import RefusalReason
+from knapweeddrum.value.run_state import RunState
 
 REASON_BY_STATUS = {
     408: RefusalReason.BODY_LATE,
@@ -153,13 +155,22 @@
         if isinstance(failure, AttemptError):
             log.cut(failure, handler.spent)
         elif not isinstance(failure, RefusedError):
-            self._ctx.events.emit(
-                TASK_FAILED, task=f"request {self._request_id}", error=repr(failure)
-            )
-            # Ends the connection as if the caller had disconnected.
-            raise PeerDisconnectedError("internal error while the request was served")
+            self._raise_internal_error(failure, handler)
         raise failure
 
+    def _raise_internal_error(
+        self, failure: Exception, handler: RequestHandler
+    ) -> NoReturn:
+        """Refuse the request if no answer was begun, else end the connection."""
+        self._ctx.events.emit(
+            TASK_FAILED, task=f"request {self._request_id}", error=repr(failure)
+        )
+        if handler.has_begun_answer:
+            raise PeerDisconnectedError("internal error within an answer") from failure
+        raise RefusedError(
+            Refusal(RefusalReason.INTERNAL_ERROR, RunState.UNKNOWN)
+        ) from failure
+
     async def _refuse_malformed(
         self, exc: MalformedRequestError, arrived_at: float
     ) -> None:
--- a/src/knapweeddrum/process/router/refusal_details.py
+++ b/src/knapweeddrum/process/router/refusal_details.py
@@ -33,4 +33,5 @@
     RefusalReason.BODY_LATE: "the body did not arrive in time",
     RefusalReason.HEAD_TOO_LARGE: "the request headers are too large",
     RefusalReason.TOKENS_HELD_ELSEWHERE: "the last tokens are held by other hosts",
+    RefusalReason.INTERNAL_ERROR: "an error in the fleet ended the request",
 }
--- a/src/knapweeddrum/value/refusal_reason.py
+++ b/src/knapweeddrum/value/refusal_reason.py
@@ -50,3 +50,5 @@
     HEAD_TOO_LARGE = "head_too_large"
     TOKENS_HELD_ELSEWHERE = "tokens_held_elsewhere"
     """Other hosts hold the last tokens, some of which may become free."""
+    INTERNAL_ERROR = "internal_error"
+    """An error in the fleet's own code ended the request."""
