Prepaid tokens: only the owner says that an organisation's are exhausted

What callers saw: 402 though half of the prepaid tokens were unused, when the owner was slow once and a request asked the host that ranks next. Cause: that host counts all that the owner has lent as committed, since only the owner knows which loans are unused; the same holds for any host but the owner that claims for itself. They now say held_elsewhere (503, to be tried again). Evidence: test_only_the_owner_says_that_tokens_ are_exhausted fails before (exhausted), passes now.

--- a/src/knapweeddrum/process/entry/token_allocator.py
+++ b/src/knapweeddrum/process/entry/token_allocator.py
@@ -153,6 +153,9 @@
         """Return why tokens can't be reserved here, by what is known of the claims."""
         if self._log.is_store_unreachable or self._log.age > MAX_CLAIMS_AGE_SECONDS:
             return TokenVerdict.UNREACHABLE
+        if self._ctx.token_owners_before(organisation):
+            # Only the owner knows what of its loans is unused.
+            return TokenVerdict.HELD_ELSEWHERE
         outstanding = self._ctx.loans.outstanding(organisation, time.monotonic())
         return self._ctx.token_accounts.refusal_verdict(
             organisation, tokens, outstanding
--- a/tests/process/entry/claim_race.py
+++ b/tests/process/entry/claim_race.py
@@ -233,7 +233,7 @@
         run_virtual(self._play)
 
     async def _play(self) -> None:
-        with _virtual_clock():
+        with virtual_clock():
             self.stream = SharedStream()
             self.network.lose_replies = self.plan.lose_replies
             for number in range(self.plan.hosts):
@@ -294,7 +294,7 @@
 
 
 @contextlib.contextmanager
-def _virtual_clock() -> Iterator[None]:
+def virtual_clock() -> Iterator[None]:
     with mock.patch("time.monotonic", anyio.current_time):
         yield
 
--- /dev/null
+++ b/tests/process/entry/test_token_owners.py
@@ -0,0 +1,33 @@
+from __future__ import annotations
+
+import anyio
+
+from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
+from tests.process.entry.claim_race import LARGE, PREPAID_TOKENS, peer_address
+from tests.process.entry.loan_hosts import LoanHosts, play
+
+MOST = PREPAID_TOKENS * 95 // 100
+PUBLISHED_SECONDS = 3.0
+"""Time until a claim tells what its host has lent."""
+
+
+async def _reserve(hosts: LoanHosts, number: int, tokens: int) -> TokenVerdict:
+    return await hosts.allocators[number].reserve(LARGE, tokens)
+
+
+def test_only_the_owner_says_that_tokens_are_exhausted():
+    """Another host doesn't know which of the lent tokens are unused.
+
+    The owner is slow once, so a request asks the host that ranks next.
+    """
+
+    async def test(hosts: LoanHosts) -> None:
+        owner, _, third, last = hosts.ranking
+        assert await _reserve(hosts, last, MOST) is TokenVerdict.RESERVED
+        await anyio.sleep(PUBLISHED_SECONDS)
+        hosts.network.seconds[peer_address(owner)] = 1.0
+        hosts.allocators[last].settle(LARGE, MOST, MOST // 10)
+        verdict = await _reserve(hosts, third, PREPAID_TOKENS // 2)
+        assert verdict is not TokenVerdict.EXHAUSTED, verdict
+
+    play(test)
