Prepaid tokens: a host gives tokens back to an owner that it hasn't asked for any

What callers saw: 402 though nine tenths of the prepaid tokens were unused, after the owner had changed. Cause: a host returned tokens only to owners whose reply to a loan had told that they take them; a new owner that it had no reason to ask got nothing, and knew of nothing. It asks now before the first return, which also tells the owner what is free there. Evidence: test_host_returns_tokens_to_an_owner_that_it_never_asked fails before (exhausted), passes now.

--- a/src/knapweeddrum/process/entry/token_borrower.py
+++ b/src/knapweeddrum/process/entry/token_borrower.py
@@ -73,8 +73,8 @@
         self._waiting_tokens: collections.Counter[str] = collections.Counter()
         self._plenty: dict[str, float] = {}
         self._tallies: dict[tuple[str, str], _LoanTally] = {}
-        self._return_takers: set[str] = set()
-        """Incarnations that take tokens back."""
+        self._takes_returns: dict[str, bool] = {}
+        """Whether the incarnations that were asked for loans take tokens back."""
         self._returning: set[str] = set()
         """Organisations whose tokens are being given back, one message at a time."""
         self._to_refill: set[str] = set()
@@ -232,8 +232,7 @@
         )
         if reply is not None:
             self._plenty[organisation] = reply.plenty
-            if reply.takes_returns:
-                self._return_takers.add(owner.incarnation)
+            self._takes_returns[owner.incarnation] = reply.takes_returns
             tally.received += max(0, reply.tokens)
         self._credit(organisation, owner.peer_address, reply)
         return reply
@@ -263,12 +262,17 @@
     async def _refill(self, organisation: str) -> None:
         owners = self._responsive(self._ctx.token_owners_before(organisation))
         account = self._ctx.token_accounts.account(organisation, time.monotonic())
-        is_filled = account.free >= self._ahead(organisation)
-        if not owners or is_filled or organisation in self._in_progress:
+        if not owners or account.free >= self._ahead(organisation):
+            return
+        await self._introduce(organisation, owners[0])
+
+    async def _introduce(self, organisation: str, owner: HostRecord) -> None:
+        """Ask the owner for what it can spare, and tell it what is free here."""
+        if organisation in self._in_progress:
             return
         done = self._in_progress[organisation] = anyio.Event()
         try:
-            await self._ask_owner(owners[0], organisation, 0, may_claim=False)
+            await self._ask_owner(owner, organisation, 0, may_claim=False)
         finally:
             del self._in_progress[organisation]
             done.set()
@@ -284,7 +288,11 @@
     async def _return(self, organisation: str, kept: int) -> None:
         """Give the free tokens beyond ``kept`` to the owner."""
         owners = self._responsive(self._ctx.token_owners_before(organisation))
-        if not owners or owners[0].incarnation not in self._return_takers:
+        if not owners:
+            return
+        if owners[0].incarnation not in self._takes_returns:
+            await self._introduce(organisation, owners[0])
+        if not self._takes_returns.get(owners[0].incarnation, False):
             return
         account = self._ctx.token_accounts.account(organisation, time.monotonic())
         surplus = account.free - kept
--- a/tests/process/entry/test_token_owners.py
+++ b/tests/process/entry/test_token_owners.py
@@ -31,3 +31,18 @@
         assert verdict is not TokenVerdict.EXHAUSTED, verdict
 
     play(test)
+
+
+def test_host_returns_tokens_to_an_owner_that_it_never_asked():
+    """What requests have left unused is lent to others though the owner changed."""
+
+    async def test(hosts: LoanHosts) -> None:
+        owner, second, _, last = hosts.ranking
+        assert await _reserve(hosts, last, MOST) is TokenVerdict.RESERVED
+        hosts.remove(owner)
+        hosts.allocators[last].settle(LARGE, MOST, MOST // 10)
+        await anyio.sleep(1.5)
+        verdict = await _reserve(hosts, second, PREPAID_TOKENS // 2)
+        assert verdict is TokenVerdict.RESERVED, verdict
+
+    play(test)
