Headers: a superscript digit is no number, and one connection ends no others

What callers saw: all streams of a host cut at once, as its process had ended (LOST). Cause: str.isdigit is true for characters that int refuses; the error of one connection went up to the task group of the whole process. Change: isdecimal; an unexpected error ends its own connection, with task_failed.

--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -292,7 +292,7 @@
     def _update_idle_timeout(self, headers: HeaderList) -> None:
         for part in headers.text(b"keep-alive").split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdigit():
+            if name.lower() == "timeout" and value.isdecimal():
                 self._idle_timeout = max(0.0, int(value) - IDLE_TIMEOUT_MARGIN_SECONDS)
 
 
--- a/src/knapweeddrum/platform/caller_protocol.py
+++ b/src/knapweeddrum/platform/caller_protocol.py
@@ -60,7 +60,7 @@
     if usage is None:
         return None
     first, _, second = usage.decode("latin-1").partition(",")
-    if not (first.strip().isdigit() and second.strip().isdigit()):
+    if not (first.strip().isdecimal() and second.strip().isdecimal()):
         raise MalformedRequestError(400, "Token-Usage header is not two integers")
     return PromptMetadata(int(first), int(second), _session(headers))
 
--- a/src/knapweeddrum/platform/endpoint_protocol.py
+++ b/src/knapweeddrum/platform/endpoint_protocol.py
@@ -115,7 +115,7 @@
 
 def _decode_load(value: str) -> LoadReport | None:
     figures = value.split(",")
-    if len(figures) != 3 or not all(part.strip().isdigit() for part in figures):
+    if len(figures) != 3 or not all(part.strip().isdecimal() for part in figures):
         return None
     running, waiting, slots = (int(part) for part in figures)
     return LoadReport(running, waiting, slots)
--- a/src/knapweeddrum/process/entry/caller_server.py
+++ b/src/knapweeddrum/process/entry/caller_server.py
@@ -10,6 +10,7 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.stream_origin_sharing import StreamOriginSharing
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
+from knapweeddrum.telemetry.events import TASK_FAILED
 
 
 class CallerServer:
@@ -56,5 +57,11 @@
         self._sessions.add(session)
         try:
             await session.run()
+        except Exception as exc:  # noqa: BLE001
+            # One connection must not end those of other callers.
+            self._ctx.events.emit(
+                TASK_FAILED, task="connection of a caller", error=repr(exc)
+            )
+            await session.abort()
         finally:
             self._sessions.discard(session)
