Attempts: two requests of one identifier at a time have names of their own

What callers saw: a connection that ended without an answer (LOST), KeyError in task_failed. Cause: open attempts were named by the caller's identifier. Change: a number of this process names them.

--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -92,7 +92,8 @@
     conn = await _connect(ctx, job, state)
     key = connection_key(state.entry)
     now = time.monotonic()
-    attempt = f"{job.req.attempt_id}/{job.sends}"
+    # Callers may use one identifier for several requests at a time.
+    attempt = f"{job.req.attempt_id}/{next(ctx.attempt_numbers)}"
     ctx.metrics.count(REPEATED_ARRIVALS if job.sends else FIRST_ARRIVALS)
     job.sends += 1
     state.start_attempt(attempt, job.input_tokens, now)
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 import random
 import time
+from collections.abc import Iterator
 
 from anyio.streams.memory import MemoryObjectSendStream
 
@@ -15,6 +17,7 @@
 from knapweeddrum.core.directory.host_directory import HostDirectory
 from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.load.loop_lag import LoopLag
+from knapweeddrum.core.load.reply_delay import ReplyDelay
 from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.placing.endpoint_states import EndpointStates
 from knapweeddrum.core.placing.placer import Placer
@@ -89,6 +92,7 @@
     instances: InstanceHistory = dataclasses.field(default_factory=InstanceHistory)
     open_attempts: dict[str, EndpointState] = dataclasses.field(default_factory=dict)
     """Endpoints that requests were sent to and that have not answered them whole."""
+    attempt_numbers: Iterator[int] = dataclasses.field(default_factory=itertools.count)
     in_progress: int = 0
     last_request_at: float = 0.0
     failover_policies: dict[str, FailoverPolicy] = dataclasses.field(
@@ -101,6 +105,7 @@
 
     loans: LoanLedger = dataclasses.field(default_factory=LoanLedger)
     loop_lag: LoopLag = dataclasses.field(default_factory=LoopLag)
+    reply_delay: ReplyDelay = dataclasses.field(default_factory=ReplyDelay)
     claim_meter: ProcessorMeter = dataclasses.field(default_factory=ProcessorMeter)
     """Processor time that deciding on claims and applying them takes."""
 
@@ -189,6 +194,7 @@
             "endpoint_connections": self.pool.open_count(),
             "ready": float(self.is_ready),
             "loop_lag_seconds": self.loop_lag.recent(now),
+            "store_delay_seconds": self.reply_delay.recent(now),
             "processor_seconds": time.process_time(),
             "claims_processor_seconds": self.claim_meter.seconds,
         }
