Requests: whether a reply has begun is known by the connection

A head that can't be encoded, and an error before the request is admitted, are answered with 502 too; a connection that was aborted passes on nothing that was read before.

--- a/src/knapweeddrum/http/server_connection.py
+++ b/src/knapweeddrum/http/server_connection.py
@@ -64,6 +64,7 @@
         self._read_ahead = bytearray()
         self._eof = False
         self._reading_stopped = False
+        self._aborted = False
         self.is_waiting = False
         """Whether no byte of the next request has been received."""
 
@@ -134,6 +135,11 @@
                 return
             await anyio.lowlevel.checkpoint()
 
+    @property
+    def has_begun_reply(self) -> bool:
+        """Return whether part of a reply may have been sent."""
+        return self._conn.our_state is not h11.SEND_RESPONSE
+
     def has_pending_input(self) -> bool:
         """Return whether the peer has disconnected, or sent data after its request."""
         return self._eof or bool(self._poller.poll(0))
@@ -204,6 +210,7 @@
 
     async def abort(self) -> None:
         """Close at once, so that an unfinished reply does not look complete."""
+        self._aborted = True
         await anyio.aclose_forcefully(self._stream)
 
     def _reply_head(self, status: int, headers: list[Header]) -> h11.Response:
@@ -239,7 +246,7 @@
             data = b"" if self._eof else await self._receive()
         finally:
             self.is_waiting = False
-        if not data:
+        if not data or self._aborted:
             return None
         self._conn.receive_data(data)
         return self._parse_event()
--- a/src/knapweeddrum/process/entry/answer_relay.py
+++ b/src/knapweeddrum/process/entry/answer_relay.py
@@ -106,7 +106,6 @@
         self._record_first_chunk(answer)
         self._has_uncountable_output = answer.head.status < 300
         headers = _without_length(answer.head.headers)
-        self.started = True
         await self._caller.send_reply(answer.head.status, headers, body)
         self._log.answered(answer.head.status, self.tokens_to_charge())
 
--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -12,6 +12,7 @@
 from knapweeddrum.http.exceptions import MalformedRequestError, PeerDisconnectedError
 from knapweeddrum.http.server_connection import ReceivedRequest, ServerConnection
 from knapweeddrum.platform.caller_protocol import decode_request
+from knapweeddrum.platform.caller_request import CallerRequest
 from knapweeddrum.platform.endpoint_protocol import refusal_headers
 from knapweeddrum.process.entry.attempt_error import AttemptError
 from knapweeddrum.process.entry.entry_context import EntryContext
@@ -73,6 +74,10 @@
             return
         await self._conn.close()
 
+    async def abort(self) -> None:
+        """Close the connection at once."""
+        await self._conn.abort()
+
     def end_if_idle(self) -> None:
         """End the connection unless a request has been received on it."""
         if self._conn.is_waiting:
@@ -115,7 +120,7 @@
             body = await self._conn.read_body(
                 limits.max_body_bytes, limits.idle_timeout
             )
-            job = self._admission.admit(req, body, arrived_at)
+            job = self._admit(req, body, arrived_at)
             await self._run_until_disconnect(job)
         except MalformedRequestError as exc:
             await self._refuse_malformed(exc, arrived_at)
@@ -124,6 +129,15 @@
             await self._refuse(exc.refusal, job, arrived_at)
         return True
 
+    def _admit(self, req: CallerRequest, body: bytes, arrived_at: float) -> RequestJob:
+        try:
+            return self._admission.admit(req, body, arrived_at)
+        except RefusedError:
+            raise
+        except Exception as exc:  # noqa: BLE001
+            # It must not end the requests of other callers.
+            self._raise_internal_error(exc)
+
     async def _run_until_disconnect(self, job: RequestJob) -> None:
         """Serve a request; raises PeerDisconnectedError if the caller leaves."""
         handler = RequestHandler(
@@ -155,17 +169,15 @@
         if isinstance(failure, AttemptError):
             log.cut(failure, handler.spent)
         elif not isinstance(failure, RefusedError):
-            self._raise_internal_error(failure, handler)
+            self._raise_internal_error(failure)
         raise failure
 
-    def _raise_internal_error(
-        self, failure: Exception, handler: RequestHandler
-    ) -> NoReturn:
+    def _raise_internal_error(self, failure: Exception) -> NoReturn:
         """Refuse the request if no answer was begun, else end the connection."""
         self._ctx.events.emit(
             TASK_FAILED, task=f"request {self._request_id}", error=repr(failure)
         )
-        if handler.has_begun_answer:
+        if self._conn.has_begun_reply:
             raise PeerDisconnectedError("internal error within an answer") from failure
         raise RefusedError(
             Refusal(RefusalReason.INTERNAL_ERROR, RunState.UNKNOWN)
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -66,11 +66,6 @@
         self.spent = 0
         """Prepaid tokens charged for the request, set when it ends."""
 
-    @property
-    def has_begun_answer(self) -> bool:
-        """Return whether the caller may have got part of an answer."""
-        return self._relay.started
-
     async def handle(self) -> None:
         """Answer the caller; raises RefusedError if no answer was started.
 
--- a/tests/process/entry/embedded_caller_server.py
+++ b/tests/process/entry/embedded_caller_server.py
@@ -65,7 +65,7 @@
 
     async def wait_until_idle(self) -> None:
         """Wait until every connection waits for a request."""
-        while not all(session.is_idle for session in self.server._sessions):
+        while not all(session._conn.is_waiting for session in self.server._sessions):
             await anyio.sleep(0.01)
         await anyio.sleep(0.05)
 
--- a/tests/process/entry/test_lost_requests.py
+++ b/tests/process/entry/test_lost_requests.py
@@ -118,7 +118,7 @@
         conn = await embedded.connect()
         conn.send_now(request("late"))
         fall_behind()
-        await embedded.server.close_idle()
+        embedded.server.end_idle()
         assert await conn.answer() is not None
 
 
@@ -130,7 +130,7 @@
         conn.send_now(request("late"))
         await embedded.wait_until_read()
         fall_behind()
-        await embedded.server.close_idle()
+        embedded.server.end_idle()
         assert await conn.answer() is not None
 
 
@@ -143,7 +143,7 @@
         await embedded.wait_until_read()
         (session,) = embedded.server._sessions
         with mock.patch.object(RequestHandler, "handle") as handle:
-            await session.abort()
+            await session._conn.abort()
             await anyio.sleep(0.1)
         assert handle.call_count == 0
 
@@ -156,7 +156,7 @@
         for conn in conns:
             conn.send_now(request("late"))
         fall_behind()
-        await embedded.server.close_idle()
+        embedded.server.end_idle()
         assert (await answers_of(conns)).count(None) == 0
 
 
@@ -170,7 +170,7 @@
         await embedded.wait_until_idle()
         conn.send_now(whole[20:])
         fall_behind()
-        await embedded.server.close_idle()
+        embedded.server.end_idle()
         assert await conn.answer() is not None
 
 
