--- a/src/knapweeddrum/process/entry/heartbeat_task.py
+++ b/src/knapweeddrum/process/entry/heartbeat_task.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import anyio
 
 from knapweeddrum.core.directory.host_record import HostRecord
@@ -51,6 +53,7 @@
             data_centre=ctx.settings.data_centre,
             ready=ready,
             beat=self._beat,
+            delay_ms=int(ctx.reply_delay.recent(time.monotonic()) * 1000),
         )
         records = [encode_heartbeat(record)]
         if self._records_versions():
