Prepaid tokens: an owner whose writes the store refuses says that it can't claim

What callers saw: 503 tokens_held_elsewhere at all hosts but one, with all tokens unclaimed, while the store refused the owner's writes and answered its reads. Cause: the owner told the age of its last read, so hosts took its refusal as final and asked nobody else. It now tells that the store is away after a write that was refused or not answered, until one is taken; then the host that ranks next claims. Evidence: test_another_host_claims_while_the_store_refuses_the_owners_writes: 10 of 10 refused before, at most 1 now.

--- a/src/knapweeddrum/process/entry/token_allocator.py
+++ b/src/knapweeddrum/process/entry/token_allocator.py
@@ -149,6 +149,11 @@
         account = self._ctx.token_accounts.account(organisation, time.monotonic())
         account.settle(reserved, spent)
 
+    @property
+    def can_claim(self) -> bool:
+        """Return whether the store took this host's last calls about claims."""
+        return self._log.is_writable and not self._log.is_store_unreachable
+
     def refusal_verdict(self, organisation: str, tokens: int) -> TokenVerdict:
         """Return why tokens can't be reserved here, by what is known of the claims."""
         if self._log.is_store_unreachable or self._log.age > MAX_CLAIMS_AGE_SECONDS:
--- a/src/knapweeddrum/process/entry/token_claim_log.py
+++ b/src/knapweeddrum/process/entry/token_claim_log.py
@@ -51,6 +51,8 @@
         self._read_at = float("-inf")
         self.is_store_unreachable = False
         """Whether a call to the store failed and none has succeeded since."""
+        self.is_writable = True
+        """Whether the store carried out, or rejected as too late, the last write."""
         self.lost_in_row = 0
         """Writes since the last success before which another host had written."""
 
@@ -73,7 +75,8 @@
                 expected_end,
             )
         except (ConditionFailedError, LogUnavailableError, AppendUnknownError) as exc:
-            if isinstance(exc, ConditionFailedError):
+            self.is_writable = isinstance(exc, ConditionFailedError)
+            if self.is_writable:
                 self.lost_in_row += 1
             else:
                 self._record_failure(exc)
@@ -87,6 +90,7 @@
             )
             ctx.metrics.count(FAILURE_COUNTERS[type(exc)])
             return False
+        self.is_writable = True
         ctx.metrics.count(CLAIM_WRITTEN)
         for offset, claim in enumerate(claims, start=expected_end):
             ctx.token_accounts.ledger.apply(offset, claim)
--- a/src/knapweeddrum/process/entry/token_lender.py
+++ b/src/knapweeddrum/process/entry/token_lender.py
@@ -23,7 +23,7 @@
 LOAN_CLAIM_TIMEOUT_SECONDS = 0.1
 """Timeout of a claim for another host, shorter than that host's wait for a reply."""
 MAX_STORE_AGE_SECONDS = 1e6
-"""Age that is told of a store that never answered; JSON has no infinity."""
+"""Age that is told of a store that takes no claims; JSON has no infinity."""
 MAX_NAMED_HOLDERS = 4
 
 
@@ -125,7 +125,7 @@
         is_short = not tokens and bool(req.borrower)
         return TokenLoanReply(
             tokens,
-            min(ctx.store_age(now), MAX_STORE_AGE_SECONDS),
+            self._store_age(now),
             is_exhausted=is_short and self._is_exhausted(req),
             may_ask_again=is_short and self._is_claimable(req),
             plenty=ctx.token_accounts.plenty(req.organisation, now),
@@ -133,6 +133,12 @@
             takes_returns=not ctx.draining,
         )
 
+    def _store_age(self, now: float) -> float:
+        """Return the time since the store answered; long if it takes no claims."""
+        if not self._allocator.can_claim:
+            return MAX_STORE_AGE_SECONDS
+        return min(self._ctx.store_age(now), MAX_STORE_AGE_SECONDS)
+
     def _is_exhausted(self, req: TokenLoanRequest) -> bool:
         tokens = req.shortfall + req.free
         verdict = self._allocator.refusal_verdict(req.organisation, tokens)
--- a/tests/process/entry/claim_race.py
+++ b/tests/process/entry/claim_race.py
@@ -25,7 +25,10 @@
 from knapweeddrum.core.prepaid.token_owners import TokenOwners
 from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
 from knapweeddrum.http.connection_pool import ConnectionPool
-from knapweeddrum.platform.exceptions import ConditionFailedError
+from knapweeddrum.platform.exceptions import (
+    ConditionFailedError,
+    LogUnavailableError,
+)
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.store_client import StoreClient
 from knapweeddrum.platform.store_listing import StoreListing
@@ -118,11 +121,14 @@
     def __init__(self, stream: SharedStream, seconds: float) -> None:
         self._stream = stream
         self._seconds = seconds
+        self.refuses_writes = False
 
     async def append(
         self, _name: str, records: Sequence[KeyedRecord], expected_end: int
     ) -> int:
         await anyio.sleep(self._seconds)
+        if self.refuses_writes:
+            raise LogUnavailableError("append refused with status 503")
         try:
             return await self._stream.append(records, expected_end)
         finally:
--- a/tests/process/entry/loan_hosts.py
+++ b/tests/process/entry/loan_hosts.py
@@ -4,6 +4,7 @@
 
 import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from typing import cast
 
 import anyio
 
@@ -13,13 +14,16 @@
     LARGE,
     ClaimRace,
     ClaimRacePlan,
+    DistantStore,
     SharedStream,
     peer_address,
     virtual_clock,
 )
 from tools.budget_model.virtual_loop import run_virtual
 
-PLAN = ClaimRacePlan(hosts=4, store_seconds=0.005, busy_store_seconds=0.005)
+PLAN = ClaimRacePlan(
+    hosts=4, store_seconds=0.005, busy_store_seconds=0.005, seconds=60.0
+)
 
 
 class LoanHosts(ClaimRace):
@@ -32,6 +36,11 @@
     def account(self, number: int) -> TokenAccount:
         return self.accounts[number].account(LARGE, anyio.current_time())
 
+    def refuse_writes(self, number: int) -> None:
+        """Let the store refuse the writes of one host from now on."""
+        store = cast("DistantStore", self.contexts[number].store)
+        store.refuses_writes = True
+
     def remove(self, number: int) -> None:
         """Let all other hosts know that a host is gone."""
         for other, ctx in enumerate(self.contexts):
--- a/tests/process/entry/test_token_owners.py
+++ b/tests/process/entry/test_token_owners.py
@@ -46,3 +46,19 @@
         assert verdict is TokenVerdict.RESERVED, verdict
 
     play(test)
+
+
+def test_another_host_claims_while_the_store_refuses_the_owners_writes():
+    """The store may reject one host's writes, answer its reads and serve the others."""
+
+    async def test(hosts: LoanHosts) -> None:
+        owner, _, third, _ = hosts.ranking
+        hosts.refuse_writes(owner)
+        verdicts = []
+        for _ in range(10):
+            verdicts.append(await _reserve(hosts, third, PREPAID_TOKENS // 100))
+            await anyio.sleep(0.5)
+        refused = [v for v in verdicts if v is not TokenVerdict.RESERVED]
+        assert len(refused) <= 1, verdicts
+
+    play(test)
