Prepaid tokens: a request that joins a loan waits no longer than its limit

Callers waited 0.9 s for a verdict at a host whose owners were silent, as a request that joined a loan under way waited for its end. Now it gives up after JOIN_TIMEOUT_SECONDS and claims.

--- a/src/knapweeddrum/process/entry/token_borrower.py
+++ b/src/knapweeddrum/process/entry/token_borrower.py
@@ -108,9 +108,11 @@
                     verdict = await self._borrow_alone(organisation, tokens)
                     has_enough = self._shortfall(organisation, tokens) <= 0
                     return TokenVerdict.RESERVED if has_enough else verdict
-                if time.monotonic() > give_up_at:
+                left = give_up_at - time.monotonic()
+                if left <= 0:
                     return TokenVerdict.UNREACHABLE
-                await in_progress.wait()
+                with anyio.move_on_after(left):
+                    await in_progress.wait()
         return TokenVerdict.RESERVED
 
     def refill_soon(self, organisation: str) -> None:
--- a/tests/process/entry/test_token_owners.py
+++ b/tests/process/entry/test_token_owners.py
@@ -3,6 +3,7 @@
 import anyio
 
 from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
+from knapweeddrum.process.entry.token_borrower import JOIN_TIMEOUT_SECONDS
 from tests.process.entry.claim_race import LARGE, PREPAID_TOKENS, peer_address
 from tests.process.entry.loan_hosts import LoanHosts, play
 
@@ -62,3 +63,21 @@
         assert len(refused) <= 1, verdicts
 
     play(test)
+
+
+def test_request_that_joins_a_loan_waits_no_longer_than_its_limit():
+    """A loan that takes long, as host after host is silent, holds up no other one."""
+
+    async def test(hosts: LoanHosts) -> None:
+        *silent, last = hosts.ranking
+        for number in silent:
+            hosts.network.seconds[peer_address(number)] = 10.0
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_reserve, hosts, last, PREPAID_TOKENS // 10)
+            await anyio.sleep(0.01)
+            started_at = anyio.current_time()
+            await hosts.borrowers[last].borrow(LARGE, PREPAID_TOKENS // 10)
+            waited = anyio.current_time() - started_at
+        assert waited <= JOIN_TIMEOUT_SECONDS + 0.01, waited
+
+    play(test)
