Claim race: flat cost at 7, 62 and 370 hosts, budgets that run out, hosts that vanish

The race proved the redesign at one size, with budgets that never ran out and hosts that all stayed. It now plays 7, 62 and 370 hosts, small budgets, lost replies and a tenth of the hosts vanishing with the owner of the largest organisation.

--- a/tests/process/entry/test_claim_race.py
+++ b/tests/process/entry/test_claim_race.py
@@ -1,12 +1,39 @@
 from __future__ import annotations
 
-from tests.process.entry.claim_race import ClaimRace, ClaimRacePlan
+import functools
+
+from tests.process.entry.claim_race import LARGE, ClaimRace, ClaimRacePlan
 
 SEEDS = range(2)
 SETTLED_SECONDS = 2.5
 """Time from the first request until each host has its first claims."""
 MAX_REFUSED = 0.05
 MAX_CALLS_PER_HOST_SECOND = 10.0
+MAX_BYTES_PER_HOST_SECOND = 8 * 1024
+MAX_MESSAGES_GROWTH = 1.5
+"""Messages that a host sends among 370 hosts, as a multiple of those among 62."""
+FLEET_SIZES = (7, 62, 370)
+FLEET_SECONDS = 2.0
+"""Duration of the plays of all sizes; the largest takes most of the tests' time."""
+SMALL_PREPAID_TOKENS = 600_000
+"""Prepaid tokens that the callers of the largest organisation use up in 2 s."""
+MIN_USED_UP = 0.9
+"""Fraction of its tokens that an organisation has spent once they have run out."""
+LOST_REPLIES = 0.05
+VANISHING_HOSTS = 6
+VANISHING_SECONDS = 8.0
+"""Duration of a play in which hosts vanish, beyond the time at which that is known."""
+
+
+@functools.cache
+def _play_fleet(hosts: int) -> ClaimRace:
+    return _play_plan(ClaimRacePlan(hosts=hosts, seconds=FLEET_SECONDS), 0)
+
+
+def _play_plan(plan: ClaimRacePlan, seed: int) -> ClaimRace:
+    race = ClaimRace(plan, seed)
+    race.play()
+    return race
 
 
 def _play(seed: int) -> ClaimRace:
@@ -32,3 +59,62 @@
     calls = race.stream.appends + race.stream.reads
     per_host_second = calls / race.plan.hosts / race.plan.seconds
     assert per_host_second <= MAX_CALLS_PER_HOST_SECOND, per_host_second
+
+
+def test_host_makes_as_many_calls_however_many_hosts_there_are():
+    """Store calls and bytes between hosts stay within their bounds at all sizes."""
+    for hosts in FLEET_SIZES:
+        race = _play_fleet(hosts)
+        calls = race.store_calls_per_host_second
+        assert calls <= MAX_CALLS_PER_HOST_SECOND, (hosts, calls)
+        sent = race.bytes_per_host_second
+        assert sent <= MAX_BYTES_PER_HOST_SECOND, (hosts, sent)
+
+
+def test_host_sends_as_many_messages_among_370_hosts_as_among_62():
+    """The messages that a host sends don't grow with the number of hosts."""
+    middle = _play_fleet(62).messages_per_host_second
+    large = _play_fleet(370).messages_per_host_second
+    assert large <= MAX_MESSAGES_GROWTH * middle, (middle, large)
+
+
+def test_no_organisation_reserves_more_than_its_prepaid_tokens():
+    """Budgets that run out hold at all hosts, whichever replies are lost."""
+    for seed in SEEDS:
+        for lost in (0.0, LOST_REPLIES):
+            plan = ClaimRacePlan(prepaid=SMALL_PREPAID_TOKENS, lose_replies=lost)
+            race = _play_plan(plan, seed)
+            assert not race.overspent(), (seed, lost, race.overspent())
+            used = race.spent[LARGE] / plan.prepaid
+            assert used >= MIN_USED_UP, (seed, lost, used)
+
+
+def test_no_organisation_reserves_more_than_its_prepaid_tokens_as_hosts_vanish():
+    """Tokens of hosts that vanish are not spent a second time."""
+    for seed in SEEDS:
+        plan = ClaimRacePlan(
+            prepaid=SMALL_PREPAID_TOKENS,
+            lose_replies=LOST_REPLIES,
+            vanishing=VANISHING_HOSTS,
+            vanish_after=1.0,
+            seconds=VANISHING_SECONDS,
+        )
+        race = _play_plan(plan, seed)
+        assert not race.overspent(), (seed, race.overspent())
+
+
+def test_hosts_stay_served_when_a_tenth_of_the_hosts_vanishes():
+    """Callers of the other hosts get their tokens, also those of the lost owner's."""
+    for seed in SEEDS:
+        for lost in (0.0, LOST_REPLIES):
+            plan = ClaimRacePlan(
+                lose_replies=lost,
+                vanishing=VANISHING_HOSTS,
+                seconds=VANISHING_SECONDS,
+            )
+            race = _play_plan(plan, seed)
+            refused = race.refused_fraction(plan.vanish_after)
+            assert refused <= MAX_REFUSED, (seed, lost, refused)
+            busy = race.tallies[0].refused_fraction(plan.vanish_after)
+            assert busy <= MAX_REFUSED, (seed, lost, busy)
+            assert not race.overspent(), (seed, lost, race.overspent())
