Token owners: ranks are kept when hosts change, owners are looked at as needed

What was seen: a host that hears of a replaced host hashes all hosts anew, twice for each of 16 groups, and each loan looked at the state of all hosts although it asks two.

A name's rank depends on the name and the group alone, so it stays valid; those of hosts that left are dropped.

--- a/src/knapweeddrum/core/prepaid/token_owners.py
+++ b/src/knapweeddrum/core/prepaid/token_owners.py
@@ -29,6 +29,8 @@
         self._others: tuple[HostRecord, ...] = ()
         self._rankings: dict[int, tuple[HostRecord, ...]] = {}
         self._before_self: dict[int, tuple[HostRecord, ...]] = {}
+        self._ranks: dict[int, dict[str, bytes]] = {}
+        """Kept when hosts change, as most of them stay and hashes are dear."""
 
     def set_hosts(self, others: Iterable[HostRecord]) -> None:
         """Set the other hosts that are ready."""
@@ -39,17 +41,18 @@
             self._others = updated
             self._rankings.clear()
             self._before_self.clear()
+            self._forget_ranks()
 
     def before_self(self, organisation: str) -> tuple[HostRecord, ...]:
         """Return the other hosts that rank before this one, the owner first."""
         group = _group(organisation)
         before = self._before_self.get(group)
         if before is None:
-            own_rank = _rank(group, self._own_name)
+            own_rank = self._rank(group, self._own_name)
             before = tuple(
                 host
                 for host in self._ranking(group)
-                if _rank(group, host.name) < own_rank
+                if self._rank(group, host.name) < own_rank
             )
             self._before_self[group] = before
         return before
@@ -62,11 +65,25 @@
         ranking = self._rankings.get(group)
         if ranking is None:
             ranking = tuple(
-                sorted(self._others, key=lambda host: _rank(group, host.name))
+                sorted(self._others, key=lambda host: self._rank(group, host.name))
             )
             self._rankings[group] = ranking
         return ranking
 
+    def _rank(self, group: int, name: str) -> bytes:
+        ranks = self._ranks.setdefault(group, {})
+        rank = ranks.get(name)
+        if rank is None:
+            rank = ranks[name] = _rank(group, name)
+        return rank
+
+    def _forget_ranks(self) -> None:
+        """Forget the ranks of hosts that are no longer there."""
+        names = {self._own_name, *(host.name for host in self._others)}
+        for ranks in self._ranks.values():
+            for name in ranks.keys() - names:
+                del ranks[name]
+
 
 def _identity(host: HostRecord) -> str:
     return f"{host.incarnation} {host.peer_address}"
--- a/src/knapweeddrum/process/entry/token_borrower.py
+++ b/src/knapweeddrum/process/entry/token_borrower.py
@@ -5,6 +5,7 @@
 import collections
 import contextlib
 import dataclasses
+import itertools
 import time
 from collections.abc import Iterable, Iterator
 
@@ -147,7 +148,7 @@
         """Ask hosts that claim, then those that hold tokens, until enough are free."""
         owners = self._responsive(self._ctx.token_owners_before(organisation))
         holders: dict[str, None] = {}
-        for owner in owners[:MAX_OWNERS_ASKED]:
+        for owner in owners:
             reply = await self._ask_owner_repeatedly(owner, organisation, tokens)
             if self._shortfall(organisation, tokens) <= 0:
                 return TokenVerdict.RESERVED
@@ -204,7 +205,7 @@
     async def _ask_other_claimers(self, organisation: str, tokens: int) -> None:
         """Ask the hosts that rank next to this owner, which can't claim itself."""
         others = self._responsive(self._ctx.token_owners.others(organisation))
-        for host in others[:MAX_OWNERS_ASKED]:
+        for host in others:
             await self._ask_owner(host, organisation, tokens, may_claim=True)
             if self._shortfall(organisation, tokens) <= 0:
                 return
@@ -361,9 +362,11 @@
         return self._plenty.get(organisation, 1.0)
 
     def _responsive(self, hosts: Iterable[HostRecord]) -> list[HostRecord]:
-        return [
+        """Return the first of the hosts, those left out that did not answer lately."""
+        responsive = (
             host for host in hosts if not self._peers.is_unresponsive(host.peer_address)
-        ]
+        )
+        return list(itertools.islice(responsive, MAX_OWNERS_ASKED))
 
 
 def _verdict(reply: TokenLoanReply) -> TokenVerdict:
