--- a/src/knapweeddrum/process/entry/peer_client.py
+++ b/src/knapweeddrum/process/entry/peer_client.py
@@ -21,6 +21,7 @@
 PEER_UNRESPONSIVE_SECONDS = 2.0
 """Time for which a host counts as unresponsive after a failed request."""
 
+OK = 200
 MAX_LAG_FRACTION = 0.3
 """Lag, as a fraction of a request's time limit, that may explain its failure."""
 
@@ -62,9 +63,12 @@
             with anyio.fail_after(timeout):
                 async with (
                     lease as conn,
-                    conn.exchange(b"POST", path, headers, body),
+                    conn.exchange(b"POST", path, headers, body) as head,
                 ):
                     answer = await conn.read_body(MAX_REPLY_BYTES)
+            if head.status != OK:
+                # Another start of the host, or one of the version before.
+                return None
             return msgspec.json.decode(answer, type=reply_type)
         except (ExchangeError, TimeoutError, msgspec.MsgspecError) as exc:
             self._record_failure(address, timeout)
--- a/src/knapweeddrum/process/entry/token_allocator.py
+++ b/src/knapweeddrum/process/entry/token_allocator.py
@@ -31,6 +31,9 @@
 MIN_CLAIM_WAIT_SECONDS = 0.15
 """Least time for a claim of this host, after other hosts were asked in vain."""
 STORE_RETRY_SECONDS = 0.1
+BACK_OFF_SECONDS = 0.005
+"""Half of the longest pause after a first write that lost its race."""
+MAX_BACK_OFF_SECONDS = 0.16
 MAX_CLAIM_ATTEMPTS = 6
 """Attempts to write claims; each may fail because another host wrote first."""
 
@@ -207,6 +210,7 @@
                 claims = []
             if not claims and not self._waiters:
                 return
+            await self._back_off()
             if not await self._log.read():
                 await self._fail_waiters()
                 return
@@ -216,6 +220,16 @@
                 return
         self._ctx.metrics.count(CLAIM_GIVEN_UP)
 
+    async def _back_off(self) -> None:
+        """Wait for a random time after writes that lost their race, longer for more.
+
+        Requests that come meanwhile are served by the same write.
+        """
+        lost = self._log.lost_in_row
+        if lost:
+            longest = min(MAX_BACK_OFF_SECONDS, BACK_OFF_SECONDS * 2.0**lost)
+            await anyio.sleep(self._ctx.rng.uniform(0.0, longest))
+
     def _plan(self) -> list[TokenClaim]:
         ctx = self._ctx
         with ctx.claim_meter.measure():
--- a/src/knapweeddrum/process/entry/token_borrower.py
+++ b/src/knapweeddrum/process/entry/token_borrower.py
@@ -160,7 +160,7 @@
             if reply.store_age <= MAX_CLAIMER_STORE_AGE_SECONDS:
                 await self._ask_holders(holders, organisation, tokens)
                 await self._ask_for_rest(owner, organisation, tokens)
-                return _verdict(reply)
+                return TokenVerdict.HELD_ELSEWHERE
         if not owners:
             holders.update(dict.fromkeys(self._ctx.token_holders(organisation)))
         await self._ask_holders(holders, organisation, tokens)
@@ -367,10 +367,3 @@
             host for host in hosts if not self._peers.is_unresponsive(host.peer_address)
         )
         return list(itertools.islice(responsive, MAX_OWNERS_ASKED))
-
-
-def _verdict(reply: TokenLoanReply) -> TokenVerdict:
-    """Return why an owner that the store answers can't lend."""
-    if reply.may_ask_again:
-        return TokenVerdict.UNREACHABLE
-    return TokenVerdict.HELD_ELSEWHERE
--- a/src/knapweeddrum/process/entry/token_lender.py
+++ b/src/knapweeddrum/process/entry/token_lender.py
@@ -53,6 +53,9 @@
         if req.may_claim and wanted > account.free:
             await self._claim(req.organisation, shortfall, wanted)
         tokens = self._debit(req, account, shortfall, wanted)
+        account.record_lent_demand(
+            tokens or req.shortfall, req.shortfall + req.free, time.monotonic()
+        )
         self._ctx.metrics.count(counters.LOAN_GIVEN if tokens else counters.LOAN_DENIED)
         self._ctx.events.emit(
             TOKENS_LENT,
@@ -114,7 +117,6 @@
         tokens = account.lend(wanted if gives_all else shortfall, wanted)
         if not tokens:
             return 0
-        account.record_lent_demand(tokens, req.shortfall + req.free, time.monotonic())
         if self._is_recoverable(req):
             self._ctx.loans.record_loan(req.organisation, req.borrower, tokens)
         return tokens
