Directory: each host of a large fleet names others of its own

Change: the others are ranked by a hash of both names, always the same for one host. Test: test_callers_are_spread_over_all_hosts_of_a_large_fleet.

--- a/src/knapweeddrum/core/directory/host_directory.py
+++ b/src/knapweeddrum/core/directory/host_directory.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import hashlib
+
 from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.directory.overloaded_hosts import overloaded_hosts
 
@@ -93,10 +95,22 @@
         """
         ready = self.ready_hosts()
         overloaded = self.overloaded()
-        others = [record.address for record in ready if record.name not in overloaded]
+        usable = [record for record in ready if record.name not in overloaded]
+        others = [record.address for record in self._choose(usable)]
         mine = [own] if own is not None and self._own_name not in overloaded else []
         return (mine + others)[:MAX_ADDRESSES]
 
+    def _choose(self, hosts: list[HostRecord]) -> list[HostRecord]:
+        """Return as many hosts as fit into an answer.
+
+        Each host chooses others, always the same ones, so that callers are spread over
+        a large fleet and keep their connections.
+        """
+        if len(hosts) < MAX_ADDRESSES:
+            return hosts
+        ranked = sorted(hosts, key=lambda host: _rank(self._own_name, host.name))
+        return ranked[: MAX_ADDRESSES - 1]
+
     def overloaded(self) -> frozenset[str]:
         """Return the names of the ready hosts that callers should leave."""
         hosts = self.ready_hosts()
@@ -123,3 +137,7 @@
             for name, record in sorted(self._records.items())
             if name != self._own_name and self._heartbeat_at[name] >= oldest
         ]
+
+
+def _rank(own_name: str, name: str) -> bytes:
+    return hashlib.blake2b(f"{own_name}|{name}".encode(), digest_size=8).digest()
--- a/tests/core/directory/test_host_directory.py
+++ b/tests/core/directory/test_host_directory.py
@@ -1,7 +1,10 @@
 from __future__ import annotations
 
+import collections
+
 from knapweeddrum.core.directory.host_directory import (
     HEARTBEAT_TIMEOUT_SECONDS,
+    MAX_ADDRESSES,
     HostDirectory,
 )
 from knapweeddrum.core.directory.host_record import HostRecord
@@ -46,3 +49,22 @@
     directory.apply_heartbeat("b", 10, heartbeat("b", 3, ready=False))
     directory.apply_heartbeat("b", 1, heartbeat("b"))
     assert directory.addresses(None) == []
+
+
+def test_callers_are_spread_over_all_hosts_of_a_large_fleet():
+    """No host of 300 gets more than three times the mean, nor less than a tenth."""
+    names = [f"h{number:03}" for number in range(300)]
+    counts: collections.Counter[str] = collections.Counter()
+    for own in names:
+        directory = HostDirectory(own)
+        directory.store_answered(0.0)
+        for offset, name in enumerate(names):
+            directory.apply_heartbeat(name, offset, heartbeat(name))
+        answer = directory.addresses(f"{own}:80")
+        assert len(answer) == MAX_ADDRESSES
+        assert answer == directory.addresses(f"{own}:80")
+        counts.update(answer)
+    mean = sum(counts.values()) / len(names)
+    assert len(counts) == len(names)
+    assert max(counts.values()) <= 3 * mean
+    assert min(counts.values()) >= mean / 10
