Client connections: what arrived together is passed on together

An endpoint's events that arrive in one piece, as on a host that is behind, cost a write and several turns of the event loop each. next_data now returns all data that was received; an end or an error that follows is kept for the next call.

--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -72,6 +72,8 @@
         self._request_method = b""
         self._idle_timeout = DEFAULT_IDLE_TIMEOUT_SECONDS
         self._connection_lost = False
+        self._parsed: h11.Event | h11.RemoteProtocolError | None = None
+        """What followed the data that was returned last, if that was received."""
         self.used = False
         """Whether an exchange was completed on this connection."""
         self.opened_at = time.monotonic()
@@ -144,10 +146,14 @@
         raise EndlessReplyError(f"more than {MAX_INTERIM_HEADS} interim heads")
 
     async def next_data(self) -> bytes | None:
-        """Return the next bytes of the body, None at its end; raises NoReplyError."""
+        """Return the next bytes of the body, None at its end; raises NoReplyError.
+
+        These are all bytes that have been received, as each return costs its caller a
+        write and a turn of the event loop.
+        """
         event = await self._next_event()
         if isinstance(event, h11.Data):
-            return bytes(event.data)
+            return bytes(event.data) + self._received_data()
         if isinstance(event, h11.EndOfMessage):
             self._reply_ended = True
             return None
@@ -257,10 +263,28 @@
             return await self._next_event()
         raise EndlessReplyError(f"head not received within {MAX_HEAD_SECONDS} s")
 
+    def _received_data(self) -> bytes:
+        """Return the further bytes of the body that have been received."""
+        parts: list[bytes] = []
+        try:
+            while isinstance(event := self._conn.next_event(), h11.Data):
+                parts.append(event.data)
+        except h11.RemoteProtocolError as exc:
+            self._parsed = exc
+        else:
+            self._parsed = event if isinstance(event, h11.Event) else None
+        return b"".join(parts)
+
+    def _parse_event(self) -> object:
+        parsed, self._parsed = self._parsed, None
+        if isinstance(parsed, h11.RemoteProtocolError):
+            raise parsed
+        return parsed or self._conn.next_event()
+
     async def _next_event(self) -> h11.Event:
         while True:
             try:
-                event = self._conn.next_event()
+                event = self._parse_event()
             except h11.RemoteProtocolError as exc:
                 if exc.error_status_hint == HEAD_TOO_LARGE_STATUS:
                     raise EndlessReplyError(str(exc)) from exc
--- a/tests/http/test_client_connection.py
+++ b/tests/http/test_client_connection.py
@@ -11,6 +11,7 @@
 from knapweeddrum.http.event_splitter import EventSplitter
 from knapweeddrum.http.exceptions import (
     ConnectionLimitError,
+    EndlessReplyError,
     MalformedReplyError,
     NoReplyError,
     NotSentError,
@@ -67,6 +68,31 @@
             await conn.close()
 
 
+@async_test
+async def test_data_received_together_comes_before_what_follows_it():
+    """Chunks received at once are returned at once, then the end or the error."""
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    chunks = b"2\r\nok\r\n3\r\nyes\r\n"
+    cases = (
+        (b"0\r\n\r\n", None),
+        (b"no size\r\n", MalformedReplyError),
+        (b"1" * 100_000, EndlessReplyError),
+    )
+    for rest, error in cases:
+        async with RawServer([head + chunks + rest]).serve() as url:
+            conn = await ClientConnection.connect(address(url), 1.0)
+            async with conn.exchange(b"GET", b"/", HEADERS, b""):
+                assert await conn.next_data() == b"okyes"
+                if error is None:
+                    assert not conn.finish()
+                    assert await conn.next_data() is None
+                else:
+                    with CASE.assertRaises(error):
+                        await conn.next_data()
+            assert conn.finish() is (error is None)
+            await conn.close()
+
+
 @async_test
 async def test_connection_with_bytes_after_a_reply_is_not_reused():
     """A connection that received bytes after a reply is not reused."""
