Placement: no names of endpoints and connections that nothing depends on

Each choice of an endpoint built the names of all endpoints of the service to leave out those where suspects run, though there almost never are any, and, for requests with a session too, the set of all endpoints with an idle connection, which only the choice without a session uses.

Measured alone, by timeit on the machine beside other work: names of 70 endpoints 31 us, set of 140 keys 46 us, of some 4,900 us a request in the trial.

--- a/src/knapweeddrum/core/placing/placer.py
+++ b/src/knapweeddrum/core/placing/placer.py
@@ -32,7 +32,10 @@
     data_centre: str = ""
     exclude: frozenset[str] = frozenset()
     connected: frozenset[str] = frozenset()
-    """Ids of the endpoints that this host has an idle connection to."""
+    """Ids of the endpoints that this host has an idle connection to.
+
+    They matter only to a request without a session.
+    """
     may_probe: bool = True
     """Whether the request may test if an ejected endpoint has recovered."""
 
--- a/src/knapweeddrum/process/entry/crash_records.py
+++ b/src/knapweeddrum/process/entry/crash_records.py
@@ -48,6 +48,8 @@
     """
     now = time.monotonic()
     avoided = ctx.crash_register.avoided_endpoints(time.time())
+    if not avoided:
+        return ctx.placer.choose(states, req, now)
     apart = [state for state in states if instance_name(state.entry) not in avoided]
     state = ctx.placer.choose(apart, req, now)
     if state is not None or constraints.suspect:
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -176,13 +176,13 @@
         prompt = job.req.prompt
         constraints = crash_constraints(self._ctx, job)
         has_affinity = job.route.session_affinity and not constraints.suspect
+        session = prompt.session if prompt is not None and has_affinity else ""
         states = self._eligible_states()
-        idle = self._ctx.pool.idle_keys()
         placement = PlacementRequest(
-            session=prompt.session if prompt is not None and has_affinity else "",
+            session=session,
             data_centre=self._ctx.settings.data_centre,
             exclude=frozenset(job.tried),
-            connected=frozenset(key.partition("/")[0] for key in idle),
+            connected=frozenset() if session else self._connected_endpoints(),
             may_probe=job.route.idempotent,
         )
         state = choose_apart_from_suspects(self._ctx, states, placement, constraints)
@@ -190,6 +190,10 @@
             raise self._no_endpoint_error()
         return state
 
+    def _connected_endpoints(self) -> frozenset[str]:
+        keys = self._ctx.pool.idle_keys()
+        return frozenset(key.partition("/")[0] for key in keys)
+
     def _eligible_states(self) -> list[EndpointState]:
         """Return the endpoints that may run the request, healthy or not."""
         ctx = self._ctx
