Directory: overloaded hosts stay in the answers again

Tried: a host whose replies from the store are four times above the median leaves the directory for some seconds.

--- a/src/knapweeddrum/core/directory/host_directory.py
+++ b/src/knapweeddrum/core/directory/host_directory.py
@@ -5,7 +5,6 @@
 import hashlib
 
 from knapweeddrum.core.directory.host_record import HostRecord
-from knapweeddrum.core.directory.overloaded_hosts import overloaded_hosts
 
 HEARTBEAT_TIMEOUT_SECONDS = 5.0
 """Time without a heartbeat, while the store answers, after which a host is left out."""
@@ -89,15 +88,9 @@
         )
 
     def addresses(self, own: str | None) -> list[str]:
-        """Return the addresses for callers; ``own`` is None while not ready.
-
-        Hosts that are far behind the others are left out.
-        """
-        ready = self.ready_hosts()
-        overloaded = self.overloaded()
-        usable = [record for record in ready if record.name not in overloaded]
-        others = [record.address for record in self._choose(usable)]
-        mine = [own] if own is not None and self._own_name not in overloaded else []
+        """Return the addresses for callers; ``own`` is None while not ready."""
+        others = [record.address for record in self._choose(self.ready_hosts())]
+        mine = [own] if own is not None else []
         return (mine + others)[:MAX_ADDRESSES]
 
     def _choose(self, hosts: list[HostRecord]) -> list[HostRecord]:
@@ -111,14 +104,6 @@
         ranked = sorted(hosts, key=lambda host: _rank(self._own_name, host.name))
         return ranked[: MAX_ADDRESSES - 1]
 
-    def overloaded(self) -> frozenset[str]:
-        """Return the names of the ready hosts that callers should leave."""
-        hosts = self.ready_hosts()
-        own = self._records.get(self._own_name)
-        if own is not None:
-            hosts.append(own)
-        return overloaded_hosts(hosts)
-
     def host_count(self) -> int:
         """Return the number of hosts that serve, counting this one."""
         return 1 + len(self.ready_hosts())
--- a/src/knapweeddrum/core/directory/host_record.py
+++ b/src/knapweeddrum/core/directory/host_record.py
@@ -20,5 +20,3 @@
     ready: bool
     beat: int
     """Number of the heartbeat within the incarnation."""
-    delay_ms: int = 0
-    """How late the store's replies are at the host, in milliseconds."""
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -17,7 +17,6 @@
 from knapweeddrum.core.directory.host_directory import HostDirectory
 from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.load.loop_lag import LoopLag
-from knapweeddrum.core.load.reply_delay import ReplyDelay
 from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.placing.endpoint_states import EndpointStates
 from knapweeddrum.core.placing.placer import Placer
@@ -105,7 +104,6 @@
 
     loans: LoanLedger = dataclasses.field(default_factory=LoanLedger)
     loop_lag: LoopLag = dataclasses.field(default_factory=LoopLag)
-    reply_delay: ReplyDelay = dataclasses.field(default_factory=ReplyDelay)
     claim_meter: ProcessorMeter = dataclasses.field(default_factory=ProcessorMeter)
     """Processor time that deciding on claims and applying them takes."""
 
@@ -194,7 +192,6 @@
             "endpoint_connections": self.pool.open_count(),
             "ready": float(self.is_ready),
             "loop_lag_seconds": self.loop_lag.recent(now),
-            "store_delay_seconds": self.reply_delay.recent(now),
             "processor_seconds": time.process_time(),
             "claims_processor_seconds": self.claim_meter.seconds,
         }
--- a/src/knapweeddrum/process/entry/heartbeat_task.py
+++ b/src/knapweeddrum/process/entry/heartbeat_task.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import time
-
 import anyio
 
 from knapweeddrum.core.directory.host_record import HostRecord
@@ -58,7 +56,6 @@
             data_centre=ctx.settings.data_centre,
             ready=ready,
             beat=self._beat,
-            delay_ms=int(ctx.reply_delay.recent(time.monotonic()) * 1000),
         )
         records = [encode_heartbeat(record)]
         if self._records_versions():
--- a/src/knapweeddrum/process/entry/host_reader.py
+++ b/src/knapweeddrum/process/entry/host_reader.py
@@ -14,11 +14,7 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.stream_follower import RecordReader
 from knapweeddrum.process.entry.stream_read import StreamRead
-from knapweeddrum.telemetry.events import (
-    ENTRY_IGNORED,
-    HOSTS_CHANGED,
-    HOSTS_OVERLOADED,
-)
+from knapweeddrum.telemetry.events import ENTRY_IGNORED, HOSTS_CHANGED
 
 
 class HostReader(RecordReader):
@@ -27,7 +23,6 @@
     def __init__(self, ctx: EntryContext) -> None:
         self._ctx = ctx
         self._ready_names: list[str] = []
-        self._overloaded: frozenset[str] = frozenset()
 
     def apply_listing(
         self, records: Iterable[KeyedRecord], end: int, now: float
@@ -66,10 +61,3 @@
         if ready != self._ready_names:
             self._ready_names = ready
             self._ctx.events.emit(HOSTS_CHANGED, ready=ready)
-        self._log_overloaded()
-
-    def _log_overloaded(self) -> None:
-        overloaded = self._ctx.hosts.overloaded()
-        if overloaded != self._overloaded:
-            self._overloaded = overloaded
-            self._ctx.events.emit(HOSTS_OVERLOADED, hosts=sorted(overloaded))
--- a/src/knapweeddrum/process/entry/service_list_reader.py
+++ b/src/knapweeddrum/process/entry/service_list_reader.py
@@ -53,7 +53,6 @@
         """Remove entries that were not renewed after an outage of the store."""
         now = read.received_at
         self._ctx.service_list_read_at = now
-        self._ctx.reply_delay.record(now - read.asked_at, now)
         self._ctx.service_list.store_reached(now)
         for key in self._ctx.service_list.expire(now):
             self._ctx.events.emit(ENDPOINT_UNLISTED, endpoint=key, lapsed=True)
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -182,7 +182,6 @@
 ENDPOINT_UNLISTED = Event(613, "endpoint_unlisted", "info", ("endpoint", "lapsed"))
 ENTRY_IGNORED = Event(614, "entry_ignored", "warning", ("key", "offset", "error"))
 HOSTS_CHANGED = Event(615, "hosts_changed", "info", ("ready",))
-HOSTS_OVERLOADED = Event(636, "hosts_overloaded", "info", ("hosts",))
 TOKENS_CLAIMED = Event(
     616, "tokens_claimed", "info", ("offset", "claims", "lost_before")
 )
