Loans: what is known of processes that have ended is forgotten

Change: entries of incarnations that were replaced on their host go each minute; those of others must stay, as a total would be credited once more (test). And a test that answers late in a drain say close.

--- a/src/knapweeddrum/core/directory/host_directory.py
+++ b/src/knapweeddrum/core/directory/host_directory.py
@@ -71,6 +71,10 @@
                 return record
         return None
 
+    def is_replaced(self, incarnation: str) -> bool:
+        """Return whether a later incarnation of the same host has started."""
+        return incarnation in self._replaced
+
     def is_gone(self, incarnation: str) -> bool:
         """Return whether an incarnation was replaced or its heartbeats stopped.
 
--- a/src/knapweeddrum/core/prepaid/loan_ledger.py
+++ b/src/knapweeddrum/core/prepaid/loan_ledger.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Callable
 
 from knapweeddrum.core.prepaid.token_account import DEMAND_DECAY_SECONDS
 
@@ -71,6 +72,16 @@
         known.free_tokens = max(0, known.free_tokens - tokens)
         return tokens
 
+    def forget(self, is_ended: Callable[[str], bool]) -> None:
+        """Drop the borrowers that have ended for good.
+
+        What one that is alive has received and given back must not be forgotten, as a
+        total that it tells would count once more.
+        """
+        for borrowers in self._borrowers.values():
+            for name in [name for name in borrowers if is_ended(name)]:
+                del borrowers[name]
+
     def outstanding(self, organisation: str, now: float) -> int:
         """Return the free tokens that borrowers may still have."""
         return sum(known.free_tokens for known in self._recent(organisation, now))
--- a/src/knapweeddrum/process/entry/token_borrower.py
+++ b/src/knapweeddrum/process/entry/token_borrower.py
@@ -46,6 +46,8 @@
 REFILL_INTERVAL_SECONDS = 0.2
 """Least time between two loans ahead of demand for one organisation."""
 RETURN_INTERVAL_SECONDS = 0.5
+FORGET_INTERVAL_SECONDS = 60.0
+"""Interval at which loans to and from processes that have ended are forgotten."""
 RETURN_ALL_TIMEOUT_SECONDS = 0.5
 """Time limit for giving back all free tokens before the process ends."""
 
@@ -84,6 +86,7 @@
 
     async def run(self) -> None:
         """Borrow ahead of demand and give back what is not needed, until cancelled."""
+        forget_at = time.monotonic() + FORGET_INTERVAL_SECONDS
         return_at = time.monotonic() + RETURN_INTERVAL_SECONDS
         async with anyio.create_task_group() as tasks:
             while True:
@@ -94,6 +97,9 @@
                 if time.monotonic() >= return_at:
                     return_at = time.monotonic() + RETURN_INTERVAL_SECONDS
                     tasks.start_soon(self._return_surplus)
+                if time.monotonic() >= forget_at:
+                    forget_at = time.monotonic() + FORGET_INTERVAL_SECONDS
+                    self._forget_replaced_hosts()
 
     async def borrow(self, organisation: str, tokens: int) -> TokenVerdict:
         """Borrow what a request lacks of ``tokens``; RESERVED if they are free now.
@@ -280,6 +286,15 @@
             del self._in_progress[organisation]
             done.set()
 
+    def _forget_replaced_hosts(self) -> None:
+        """Drop what is known of loans to and from processes that have ended."""
+        is_replaced = self._ctx.hosts.is_replaced
+        self._ctx.loans.forget(is_replaced)
+        for key in [key for key in self._tallies if is_replaced(key[1])]:
+            del self._tallies[key]
+        for lender in [name for name in self._takes_returns if is_replaced(name)]:
+            del self._takes_returns[lender]
+
     async def _return_surplus(self) -> None:
         now = time.monotonic()
         for organisation in self._ctx.token_accounts.active_organisations():
--- a/tests/core/prepaid/test_loan_ledger.py
+++ b/tests/core/prepaid/test_loan_ledger.py
@@ -155,3 +155,15 @@
     assert ledger.outstanding("mill", later) == 700
     assert ledger.holders("mill", later) == ["c"]
     assert ledger.holders("dairy", 1.0) == []
+
+
+def test_only_borrowers_that_have_ended_are_forgotten():
+    """The total of one that is alive would be credited once more."""
+    loans = LoanLedger()
+    for name in ("ended", "alive"):
+        loans.begin("mill", name, 1, 0, 0, 0.0)
+        loans.record_loan("mill", name, 500)
+        assert loans.accept_return("mill", name, 300) == 300
+    loans.forget(lambda name: name == "ended")
+    assert loans.holders("mill", 1.0) == ["alive"]
+    assert loans.accept_return("mill", "alive", 300) == 0
--- a/tests/process/entry/test_lost_requests.py
+++ b/tests/process/entry/test_lost_requests.py
@@ -11,6 +11,7 @@
 
 from knapweeddrum.http.exceptions import NoReplyError, NotSentError
 from knapweeddrum.http.server_connection import ReceivedRequest, ServerConnection
+from knapweeddrum.process.entry.drain_sequence import DIRECTORY_REFRESH_SECONDS
 from knapweeddrum.process.entry.request_handler import RequestHandler
 from tests.async_test import async_test
 from tests.process.entry.embedded_caller_server import (
@@ -257,6 +258,24 @@
                 assert await exchange(conn, "/book/1", "after") is not None
 
 
+@async_test
+async def test_answer_late_in_a_drain_says_close():
+    """Callers have refreshed the directory and are to leave the connection."""
+    late: list[KeptAnswer | None] = []
+    async with entry_harness(services=(stock(),)) as harness:
+        harness.send_signal(signal.SIGTERM)
+        await harness.wait_for_event("drain_started")
+        refreshed_at = anyio.current_time() + DIRECTORY_REFRESH_SECONDS
+        while anyio.current_time() < refreshed_at + 0.5:
+            conn = await KeptConnection.connect(harness.caller_address)
+            is_late = anyio.current_time() > refreshed_at
+            answer = await exchange(conn, "/book/1", "drain")
+            late += [answer] if is_late else []
+            await anyio.sleep(0.1)
+    assert late
+    assert all(answer is not None and answer.says_close for answer in late)
+
+
 @async_test
 async def test_refusal_during_a_drain_says_close_or_the_next_request_is_answered():
     """Refusals end a connection as answers do."""
