Heartbeats: one that the store refuses is repeated after a pause

A host whose readiness had changed, as it started or began to drain, repeated a heartbeat that failed at once, again and again: while the store refused calls, all of the host's processor time could go there, which callers with requests in progress then lacked, and the store got the calls. Seen by reading HeartbeatTask.run: the wait for the next heartbeat is left as long as the last written one says something else.

--- a/src/knapweeddrum/process/entry/heartbeat_task.py
+++ b/src/knapweeddrum/process/entry/heartbeat_task.py
@@ -15,6 +15,9 @@
 from knapweeddrum.telemetry.counters import HEARTBEAT_FAILED
 
 HEARTBEAT_INTERVAL_SECONDS = 1.5
+RETRY_SECONDS = 0.25
+"""Pause after a heartbeat that the store did not take."""
+
 VERSION_RECORDERS = 3
 """Hosts, the first ready ones by name, that record the versions of services."""
 
@@ -34,7 +37,8 @@
     async def run(self) -> None:
         """Write heartbeats until cancelled."""
         while True:
-            await self.write_heartbeat()
+            if not await self.write_heartbeat():
+                await anyio.sleep(RETRY_SECONDS)
             with anyio.move_on_after(HEARTBEAT_INTERVAL_SECONDS):
                 while self._ctx.is_ready == self._announced_ready:
                     await self._wait_for_change()
@@ -43,8 +47,11 @@
         """Write a heartbeat at once, as this host has begun to drain."""
         self._drain_begun.set()
 
-    async def write_heartbeat(self) -> None:
-        """Write one heartbeat; a failed write is counted and not retried."""
+    async def write_heartbeat(self) -> bool:
+        """Write one heartbeat; a failed write is counted and not retried.
+
+        Returns whether it was written.
+        """
         ctx = self._ctx
         ready = ctx.is_ready
         self._beat += 1
@@ -66,8 +73,9 @@
         except (LogUnavailableError, AppendUnknownError):
             # The StreamFollower of this stream logs outages of the store.
             ctx.metrics.count(HEARTBEAT_FAILED)
-            return
+            return False
         self._announced_ready = ready
+        return True
 
     async def _wait_for_change(self) -> None:
         """Wait until readiness may have changed; a ready host only begins to drain."""
--- a/tests/process/entry/test_lifecycle.py
+++ b/tests/process/entry/test_lifecycle.py
@@ -7,6 +7,7 @@
 import anyio
 
 from knapweeddrum.http.exceptions import NoReplyError, NotSentError
+from knapweeddrum.process.entry.heartbeat_task import HEARTBEAT_INTERVAL_SECONDS
 from tests.async_test import async_test
 from tests.process.entry.entry_harness import (
     Answer,
@@ -17,11 +18,20 @@
 from tests.standins.platform_store import PlatformStore
 from tests.standins.stamped_server import StampedServer
 
+MAX_CALLS_PER_SECOND = 40
+"""Calls to a store that refuses them; 4 streams are read and heartbeats written."""
+
 
 def service() -> StampedServer:
     return StampedServer("stock-1", body=b"booked")
 
 
+def _says_ready(store: PlatformStore) -> bool:
+    """Return what the last heartbeat of the host says."""
+    _, heartbeat = store.stream("keyed.hosts").newest["host-1"]
+    return json.loads(heartbeat)["ready"]
+
+
 @async_test
 async def test_process_is_not_ready_before_the_first_configuration():
     """Readiness is 503 without a configuration and 200 once there is one."""
@@ -66,6 +76,35 @@
                 answer = await first.get(first.directory_address, path)
 
 
+@async_test
+async def test_other_hosts_are_told_at_once_of_a_drain():
+    """The heartbeat that says so does not wait for the next regular one."""
+    store = PlatformStore()
+    async with entry_harness(store=store) as harness:
+        with anyio.fail_after(5):
+            while not _says_ready(store):
+                await anyio.sleep(0.02)
+        harness.send_signal(signal.SIGTERM)
+        with anyio.fail_after(HEARTBEAT_INTERVAL_SECONDS / 2):
+            while _says_ready(store):
+                await anyio.sleep(0.02)
+
+
+@async_test
+async def test_refused_heartbeat_of_a_drain_is_not_repeated_without_a_pause():
+    """A store that refuses all calls gets few of them from a host that drains."""
+    store = PlatformStore()
+    async with entry_harness(store=store) as harness:
+        await anyio.sleep(HEARTBEAT_INTERVAL_SECONDS)
+        store.busy = True
+        harness.send_signal(signal.SIGTERM)
+        await anyio.sleep(0.5)
+        calls_before = store.calls
+        await anyio.sleep(1.0)
+        calls = store.calls - calls_before
+        assert calls <= MAX_CALLS_PER_SECOND, calls
+
+
 @async_test
 async def test_drain_completes_open_streams_and_returns_tokens():
     """After SIGTERM the host is not ready, open streams complete, tokens return."""
