Tests: ports of processes are drawn where no outgoing connection takes them

Cause: ports were taken from the kernel's range for outgoing connections and closed until a process used them. Change: tools/free_ports draws from 15,000 to 32,000, for launcher, entry harness and control binary, which had a copy each.

--- a/tests/process/control/test_control_binary.py
+++ b/tests/process/control/test_control_binary.py
@@ -3,7 +3,6 @@
 import contextlib
 import json
 import pathlib
-import socket
 import subprocess
 import sys
 import tempfile
@@ -19,20 +18,12 @@
 from tests.standins.fake_keeper import FakeKeeper
 from tests.standins.fake_keeper_service import FakeKeeperService
 from tests.standins.recording_event_log import RecordingEventLog
+from tools.free_ports import free_ports
 
 BINARY = str(pathlib.Path(sys.executable).parent / "knapweed-control")
 STATUS_POLL_INTERVAL_SECONDS = 0.02
 
 
-def free_ports(count: int) -> list[int]:
-    """Return free ports; another process may take one before it is used."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
-
-
 def write_settings(path: pathlib.Path, keeper_port: int, control_port: int) -> None:
     document = control_settings().model_dump(mode="json")
     document["host"] |= {"keeper_port": keeper_port, "control_port": control_port}
--- a/tests/process/entry/entry_harness.py
+++ b/tests/process/entry/entry_harness.py
@@ -8,7 +8,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import tempfile
 from collections.abc import AsyncIterator
@@ -20,6 +19,7 @@
 from knapweeddrum.http.header_list import Header, HeaderList
 from tests.standins.platform_store import PlatformStore
 from tests.standins.stamped_server import StampedServer
+from tools.free_ports import free_ports
 
 ROOT = pathlib.Path(__file__).parent.parent.parent.parent
 START_TIMEOUT_SECONDS = 15.0
@@ -233,7 +233,7 @@
     store: PlatformStore, store_address: str, name: str
 ) -> AsyncIterator[EntryHarness]:
     """Run one entry process on free ports."""
-    ports = _free_ports(5)
+    ports = free_ports(5)
     addresses = [f"127.0.0.1:{port}" for port in ports]
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / "host.toml"
@@ -293,11 +293,3 @@
     async for data in process.stdout:
         *whole, rest = (rest + data).split(b"\n")
         lines += [json.loads(line) for line in whole]
-
-
-def _free_ports(count: int) -> list[int]:
-    with contextlib.ExitStack() as stack:
-        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in socks:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in socks]
--- a/tools/launcher.py
+++ b/tools/launcher.py
@@ -15,6 +15,8 @@
 
 import httpcore
 
+from tools.free_ports import free_ports
+
 START_TIMEOUT_SECONDS = 30.0
 STOP_TIMEOUT_SECONDS = 30.0
 POLL_INTERVAL_SECONDS = 0.05
@@ -22,15 +24,6 @@
 BIN_DIRECTORY = pathlib.Path(sys.executable).parent
 
 
-def free_ports(count: int) -> list[int]:
-    """Return TCP ports that are free now."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in sockets]
-
-
 @dataclasses.dataclass(slots=True)
 class LaunchedProcess:
     """A started process, its address and its log file."""
--- a/tools/slopes/rpc_cost_slope.py
+++ b/tools/slopes/rpc_cost_slope.py
@@ -16,7 +16,8 @@
 from knapweeddrum.rpc.rpc_server import rpc_server
 from knapweeddrum.rpc.rpc_service import RpcService
 from knapweeddrum.telemetry.event_log import EventLog
-from tools.launcher import FLEET_KEY, free_ports
+from tools.free_ports import free_ports
+from tools.launcher import FLEET_KEY
 from tools.slopes.byte_relay import LOOPBACK, ByteRelay
 from tools.slopes.cpu_timer import CpuTimer
 from tools.slopes.figure import Figure
