Broken answers: a test where each endpoint ends inside an event

Played: the caller gets the events once and an answer that is seen to be incomplete; two endpoints ran it. Nothing to change.

--- a/tests/process/entry/test_broken_answers.py
+++ b/tests/process/entry/test_broken_answers.py
@@ -79,6 +79,20 @@
             assert len(harness.events("stream_resumed")) == 1
 
 
+@async_test
+async def test_stream_that_ends_inside_an_event_everywhere_never_looks_complete():
+    """Where each endpoint breaks off, the caller gets no event twice and no end."""
+    for body, framing in itertools.product(BROKEN_BODIES, BodyFraming):
+        # The further ones go on after the second event.
+        resumed = [Script(body[2:], framing) for _ in range(8)]
+        fleet = servers(Script(body, framing), *resumed)
+        async with entry_harness(engines=fleet) as harness:
+            answer = await call(harness, RESUMABLE)
+            assert not answer.is_complete, (body, framing)
+            assert answer.body == event(1) + event(2)
+            assert 1 < runs(fleet) <= 2
+
+
 @async_test
 async def test_stream_without_length_or_chunks_is_passed_on_whole():
     """The end of the connection after the last event is the end of the stream."""
