--- a/src/knapweeddrum/process/entry/token_borrower.py
+++ b/src/knapweeddrum/process/entry/token_borrower.py
@@ -162,7 +162,9 @@
                 continue
             if reply.is_exhausted:
                 return TokenVerdict.EXHAUSTED
-            holders.update(dict.fromkeys(reply.holders))
+            # An owner of the version before names none.
+            named = reply.holders or self._ctx.token_holders(organisation)
+            holders.update(dict.fromkeys(named))
             if reply.store_age <= MAX_CLAIMER_STORE_AGE_SECONDS:
                 await self._ask_holders(holders, organisation, tokens)
                 await self._ask_for_rest(owner, organisation, tokens)
