Loans: the exchange with lenders apart from the decisions when to borrow

TokenBorrower had grown to 386 lines; LoanExchange holds the messages and what is known of each lender.

--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -32,6 +32,7 @@
 from knapweeddrum.process.entry.host_reader import HostReader
 from knapweeddrum.process.entry.host_state_page import STATE_PATH, HostStatePage
 from knapweeddrum.process.entry.housekeeping_task import HousekeepingTask
+from knapweeddrum.process.entry.loan_exchange import LOAN_PATH, RETURN_PATH
 from knapweeddrum.process.entry.loop_lag_task import LoopLagTask
 from knapweeddrum.process.entry.lost_connection import LostConnection
 from knapweeddrum.process.entry.page_server import PageServer
@@ -44,11 +45,7 @@
     StreamOriginSharing,
 )
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
-from knapweeddrum.process.entry.token_borrower import (
-    LOAN_PATH,
-    RETURN_PATH,
-    TokenBorrower,
-)
+from knapweeddrum.process.entry.token_borrower import TokenBorrower
 from knapweeddrum.process.entry.token_lender import TokenLender
 from knapweeddrum.process.entry.token_unlocker import UNLOCK_PATH, TokenUnlocker
 from knapweeddrum.process.entry.token_witness import WITNESS_LEAVE_PATH, TokenWitness
--- a/src/knapweeddrum/process/entry/token_borrower.py
+++ b/src/knapweeddrum/process/entry/token_borrower.py
@@ -4,7 +4,6 @@
 
 import collections
 import contextlib
-import dataclasses
 import itertools
 import time
 from collections.abc import Iterable, Iterator
@@ -14,21 +13,11 @@
 
 from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
-from knapweeddrum.message.call.token_loan import (
-    TokenLoanReply,
-    TokenLoanRequest,
-    TokenReturn,
-    TokenReturnReply,
-)
+from knapweeddrum.message.call.token_loan import TokenLoanReply
 from knapweeddrum.process.entry.entry_context import EntryContext
+from knapweeddrum.process.entry.loan_exchange import LoanExchange
 from knapweeddrum.process.entry.peer_client import PeerClient
-from knapweeddrum.telemetry import counters
-from knapweeddrum.telemetry.events import TOKENS_BORROWED, TOKENS_RETURNED
 
-LOAN_PATH = b"/tokens"
-RETURN_PATH = b"/tokens/return"
-LOAN_TIMEOUT_SECONDS = 0.3
-"""Time limit of a loan by a host that may have to claim the tokens first."""
 CLAIM_TIMEOUT_SECONDS = 0.15
 """Time for which an owner is asked again while other hosts' claims delay its own."""
 JOIN_TIMEOUT_SECONDS = 0.3
@@ -52,15 +41,6 @@
 """Time limit for giving back all free tokens before the process ends."""
 
 
-@dataclasses.dataclass(slots=True)
-class _LoanTally:
-    """What this host exchanged with one lender, for one organisation."""
-
-    number: int = 0
-    received: int = 0
-    returned: int = 0
-
-
 class TokenBorrower:
     """Borrows tokens of an organisation from its owner, the host that claims them.
 
@@ -72,12 +52,10 @@
     def __init__(self, ctx: EntryContext, peers: PeerClient) -> None:
         self._ctx = ctx
         self._peers = peers
+        self._exchange = LoanExchange(ctx, peers)
         self._in_progress: dict[str, anyio.Event] = {}
+        """Organisations of which a loan is asked for, and when that has ended."""
         self._waiting_tokens: collections.Counter[str] = collections.Counter()
-        self._plenty: dict[str, float] = {}
-        self._tallies: dict[tuple[str, str], _LoanTally] = {}
-        self._takes_returns: dict[str, bool] = {}
-        """Whether the incarnations that were asked for loans take tokens back."""
         self._returning: set[str] = set()
         """Organisations whose tokens are being given back, one message at a time."""
         self._to_refill: set[str] = set()
@@ -99,7 +77,8 @@
                     tasks.start_soon(self._return_surplus)
                 if time.monotonic() >= forget_at:
                     forget_at = time.monotonic() + FORGET_INTERVAL_SECONDS
-                    self._forget_replaced_hosts()
+                    self._ctx.loans.forget(self._ctx.hosts.is_replaced)
+                    self._exchange.forget_replaced_hosts()
 
     async def borrow(self, organisation: str, tokens: int) -> TokenVerdict:
         """Borrow what a request lacks of ``tokens``; RESERVED if they are free now.
@@ -198,9 +177,7 @@
             shortfall = self._shortfall(organisation, tokens)
             if shortfall <= 0:
                 return
-            req = TokenLoanRequest(organisation, shortfall, shortfall)
-            reply = await self._peers.post(address, LOAN_PATH, req, TokenLoanReply)
-            self._credit(organisation, address, reply)
+            await self._exchange.ask_holder(address, organisation, shortfall)
 
     async def _ask_for_rest(
         self, owner: HostRecord, organisation: str, tokens: int
@@ -225,43 +202,9 @@
         account = self._ctx.token_accounts.account(organisation, time.monotonic())
         waiting = max(tokens, self._waiting_tokens[organisation])
         wanted = waiting + self._ahead(organisation) - account.free
-        tally = self._tally(organisation, owner)
-        tally.number += 1
-        req = TokenLoanRequest(
-            organisation,
-            max(0, tokens - account.free),
-            wanted,
-            may_claim,
-            borrower=self._ctx.incarnation,
-            lender=owner.incarnation,
-            number=tally.number,
-            received=tally.received,
-            free=max(0, account.free),
-        )
-        reply = await self._peers.post(
-            owner.peer_address, LOAN_PATH, req, TokenLoanReply, LOAN_TIMEOUT_SECONDS
-        )
-        if reply is not None:
-            self._plenty[organisation] = reply.plenty
-            self._takes_returns[owner.incarnation] = reply.takes_returns
-            tally.received += max(0, reply.tokens)
-        self._credit(organisation, owner.peer_address, reply)
-        return reply
-
-    def _credit(
-        self, organisation: str, lender: str, reply: TokenLoanReply | None
-    ) -> None:
-        if reply is None or reply.tokens <= 0:
-            return
-        account = self._ctx.token_accounts.account(organisation, time.monotonic())
-        account.credit_loan(reply.tokens)
-        self._ctx.metrics.count(counters.LOAN_TAKEN)
-        self._ctx.events.emit(
-            TOKENS_BORROWED,
-            organisation=organisation,
-            lender=lender,
-            tokens=reply.tokens,
-            free=account.free,
+        shortfall = max(0, tokens - account.free)
+        return await self._exchange.ask(
+            owner, organisation, shortfall, wanted, may_claim=may_claim
         )
 
     def _start_refills(self, tasks: TaskGroup) -> None:
@@ -288,20 +231,15 @@
             del self._in_progress[organisation]
             done.set()
 
-    def _forget_replaced_hosts(self) -> None:
-        """Drop what is known of loans to and from processes that have ended."""
-        is_replaced = self._ctx.hosts.is_replaced
-        self._ctx.loans.forget(is_replaced)
-        for key in [key for key in self._tallies if is_replaced(key[1])]:
-            del self._tallies[key]
-        for lender in [name for name in self._takes_returns if is_replaced(name)]:
-            del self._takes_returns[lender]
-
     async def _return_surplus(self) -> None:
         now = time.monotonic()
         for organisation in self._ctx.token_accounts.active_organisations():
             account = self._ctx.token_accounts.account(organisation, now)
-            keep = account.demand_rate(now) * KEEP_SECONDS * self._scale(organisation)
+            keep = (
+                account.demand_rate(now)
+                * KEEP_SECONDS
+                * self._exchange.plenty(organisation)
+            )
             if account.free > keep and not self._waiting_tokens[organisation]:
                 await self._return(organisation, self._ahead(organisation))
 
@@ -310,9 +248,9 @@
         owners = self._responsive(self._ctx.token_owners_before(organisation))
         if not owners:
             return
-        if owners[0].incarnation not in self._takes_returns:
+        if not self._exchange.has_asked(owners[0]):
             await self._introduce(organisation, owners[0])
-        if not self._takes_returns.get(owners[0].incarnation, False):
+        if not self._exchange.takes_returns(owners[0]):
             return
         account = self._ctx.token_accounts.account(organisation, time.monotonic())
         surplus = account.free - kept
@@ -320,43 +258,10 @@
             return
         self._returning.add(organisation)
         try:
-            await self._give(organisation, owners[0], surplus)
+            await self._exchange.give(organisation, owners[0], surplus)
         finally:
             self._returning.discard(organisation)
 
-    async def _give(self, organisation: str, owner: HostRecord, surplus: int) -> None:
-        account = self._ctx.token_accounts.account(organisation, time.monotonic())
-        tokens = account.lend(surplus, surplus)
-        tally = self._tally(organisation, owner)
-        tally.returned += tokens
-        message = TokenReturn(
-            organisation,
-            tally.returned,
-            self._ctx.incarnation,
-            owner.incarnation,
-        )
-        reply = await self._peers.post(
-            owner.peer_address, RETURN_PATH, message, TokenReturnReply
-        )
-        if reply is not None and not reply.is_accepted:
-            tally.returned -= tokens
-            account.cancel_loan(tokens)
-            return
-        # Without a reply they stay debited; the next message has them in its total.
-        self._ctx.metrics.count(counters.LOAN_RETURNED)
-        self._ctx.events.emit(
-            TOKENS_RETURNED,
-            organisation=organisation,
-            owner=owner.peer_address,
-            tokens=tokens,
-            is_known=reply is not None,
-        )
-
-    def _tally(self, organisation: str, lender: HostRecord) -> _LoanTally:
-        return self._tallies.setdefault(
-            (organisation, lender.incarnation), _LoanTally()
-        )
-
     @contextlib.contextmanager
     def _waiting(self, organisation: str, tokens: int) -> Iterator[None]:
         self._waiting_tokens[organisation] += tokens
@@ -373,10 +278,11 @@
         """Return the tokens to hold ahead of demand."""
         now = time.monotonic()
         account = self._ctx.token_accounts.account(organisation, now)
-        return int(account.demand_rate(now) * AHEAD_SECONDS * self._scale(organisation))
-
-    def _scale(self, organisation: str) -> float:
-        return self._plenty.get(organisation, 1.0)
+        return int(
+            account.demand_rate(now)
+            * AHEAD_SECONDS
+            * self._exchange.plenty(organisation)
+        )
 
     def _responsive(self, hosts: Iterable[HostRecord]) -> list[HostRecord]:
         """Return the first of the hosts, those left out that did not answer lately."""
--- a/tests/process/entry/claim_race.py
+++ b/tests/process/entry/claim_race.py
@@ -37,6 +37,7 @@
 from knapweeddrum.platform.store_listing import StoreListing
 from knapweeddrum.platform.store_page import StorePage
 from knapweeddrum.process.entry.entry_context import EntryContext
+from knapweeddrum.process.entry.loan_exchange import LOAN_PATH
 from knapweeddrum.process.entry.lost_connection import LostConnection
 from knapweeddrum.process.entry.peer_client import (
     PEER_REQUEST_TIMEOUT_SECONDS,
@@ -44,10 +45,7 @@
     PeerClient,
 )
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
-from knapweeddrum.process.entry.token_borrower import (
-    LOAN_PATH,
-    TokenBorrower,
-)
+from knapweeddrum.process.entry.token_borrower import TokenBorrower
 from knapweeddrum.process.entry.token_lender import TokenLender
 from knapweeddrum.process.entry.token_unlocker import TokenUnlocker
 from knapweeddrum.settings.entry_settings import EntrySettings
