--- a/src/knapweeddrum/core/catalog/service_list.py
+++ b/src/knapweeddrum/core/catalog/service_list.py
@@ -2,32 +2,54 @@
 
 from __future__ import annotations
 
+import collections
+
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 
 LAPSED_ENTRY_GRACE_SECONDS = 2.5
 """Time after a store outage in which lapsed entries may be renewed."""
 
+MIN_WRITES_OF_SERVED_ENDPOINT = 3
+"""Entries of one endpoint since the store was lost that prove that it was served.
+
+They span two intervals of its reports, longer than lapsed entries take to come back.
+"""
+
 
 class ServiceList:
     """Applies entries by offset and keeps those that lapse in a store outage.
 
-    An entry that disappears during a store outage, or within LAPSED_ENTRY_GRACE_SECONDS
+    An entry that disappears during a store outage, or within ``lapse_grace`` seconds
     after it, counts as lapsed: it is kept until that time has passed, so that it can be
-    renewed. At any other time it is removed at once. Times are in monotonic seconds.
+    renewed. At any other time it is removed at once. So it is when the store was out
+    of reach for this host alone, which shows in what endpoints wrote meanwhile. Times
+    are in monotonic seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, lapse_grace: float = LAPSED_ENTRY_GRACE_SECONDS) -> None:
+        self._lapse_grace = lapse_grace
         self._entries: dict[str, EndpointEntry] = {}
         self._offsets: dict[str, int] = {}
         self._lapsed: set[str] = set()
         self._is_store_lost = False
         self._store_back_at = float("-inf")
+        self._writes_since_loss: collections.Counter[str] = collections.Counter()
         self.version = 0
         """Number that grows with each change of the list."""
 
+    @property
+    def lapses_at(self) -> float | None:
+        """Return when lapsed entries are to be removed, None if none are."""
+        if not self._lapsed or self._is_store_lost:
+            return None
+        return self._store_back_at + self._lapse_grace
+
     def store_lost(self) -> None:
         """Record that the store can't be reached."""
+        if self._is_store_lost:
+            return
         self._is_store_lost = True
+        self._writes_since_loss.clear()
 
     def store_reached(self, now: float) -> None:
         """Record that the store answers."""
@@ -45,6 +67,7 @@
         self._lapsed.discard(key)
         if entry is None:
             return self._remove(key)
+        self._writes_since_loss[key] += 1
         if self._entries.get(key) == entry:
             return False
         self._entries[key] = entry
@@ -92,10 +115,16 @@
         return [entry for _, entry in sorted(self._entries.items())]
 
     def _is_in_grace_period(self, now: float) -> bool:
-        return (
-            self._is_store_lost
-            or now - self._store_back_at < LAPSED_ENTRY_GRACE_SECONDS
-        )
+        if self._is_store_lost:
+            return True
+        if now - self._store_back_at >= self._lapse_grace:
+            return False
+        return not self._has_served_endpoints()
+
+    def _has_served_endpoints(self) -> bool:
+        """Return whether endpoints could renew entries since the store was lost."""
+        writes = max(self._writes_since_loss.values(), default=0)
+        return writes >= MIN_WRITES_OF_SERVED_ENDPOINT
 
     def _is_newer(self, key: str, offset: int) -> bool:
         if offset <= self._offsets.get(key, -1):
--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -32,6 +32,7 @@
 from knapweeddrum.process.entry.host_reader import HostReader
 from knapweeddrum.process.entry.host_state_page import STATE_PATH, HostStatePage
 from knapweeddrum.process.entry.housekeeping_task import HousekeepingTask
+from knapweeddrum.process.entry.lapsed_entry_task import LapsedEntryTask
 from knapweeddrum.process.entry.loan_exchange import LOAN_PATH, RETURN_PATH
 from knapweeddrum.process.entry.loop_lag_task import LoopLagTask
 from knapweeddrum.process.entry.lost_connection import LostConnection
@@ -93,6 +94,8 @@
         self._housekeeping = HousekeepingTask(ctx, writer, settings_path)
         self._heartbeat = HeartbeatTask(ctx)
         self._loop_lag = LoopLagTask(ctx)
+        self._service_list = ServiceListReader(ctx)
+        self._lapsed_entries = LapsedEntryTask(ctx, self._service_list)
         self._version_recall = VersionRecallTask(ctx)
         self._crash_detector = CrashDetector(ctx, losses)
         self._crash_records = CrashRecordReader(ctx)
@@ -112,6 +115,7 @@
                 tasks.start_soon(self._allocator.run)
                 tasks.start_soon(self._borrower.run)
                 tasks.start_soon(self._unlocker.run)
+                tasks.start_soon(self._lapsed_entries.run)
                 tasks.start_soon(self._heartbeat.run)
                 tasks.start_soon(self._loop_lag.run)
                 tasks.start_soon(self._crash_detector.run)
@@ -173,7 +177,7 @@
             ),
             self._follower(
                 SERVICE_LIST_STREAM,
-                ServiceListReader(ctx),
+                self._service_list,
                 0.0,
                 SERVICE_LIST_READ_INTERVAL_SECONDS,
             ),
--- a/src/knapweeddrum/process/entry/service_list_reader.py
+++ b/src/knapweeddrum/process/entry/service_list_reader.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Iterable
 
+import anyio
+
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.platform.exceptions import MalformedRecordError
 from knapweeddrum.platform.keyed_record import KeyedRecord
@@ -25,6 +27,7 @@
         self._ctx = ctx
         self._written: set[str] = set()
         """Endpoints whose entries were read since the list was up to date."""
+        self._lapse = anyio.Event()
 
     def apply_listing(
         self, records: Iterable[KeyedRecord], end: int, now: float
@@ -54,8 +57,9 @@
         now = read.received_at
         self._ctx.service_list_read_at = now
         self._ctx.service_list.store_reached(now)
-        for key in self._ctx.service_list.expire(now):
-            self._ctx.events.emit(ENDPOINT_UNLISTED, endpoint=key, lapsed=True)
+        self.remove_lapsed(now)
+        if self._ctx.service_list.lapses_at is not None:
+            self._lapse.set()
         entries = self._ctx.service_list.all()
         self._ctx.endpoint_history.observe(
             entries, read.asked_at, read.received_at, read.next_offset
@@ -63,6 +67,16 @@
         self._ctx.instances.observe(entries, self._written, read.asked_at)
         self._written.clear()
 
+    async def wait_for_lapse(self) -> None:
+        """Wait until entries are listed that have lapsed."""
+        await self._lapse.wait()
+        self._lapse = anyio.Event()
+
+    def remove_lapsed(self, now: float) -> None:
+        """Remove the lapsed entries whose grace has passed."""
+        for key in self._ctx.service_list.expire(now):
+            self._ctx.events.emit(ENDPOINT_UNLISTED, endpoint=key, lapsed=True)
+
     def _drop(self, record: KeyedRecord, now: float) -> None:
         if self._ctx.service_list.apply_removal(record.key, record.offset, now):
             self._ctx.events.emit(ENDPOINT_UNLISTED, endpoint=record.key, lapsed=False)
--- a/tests/core/catalog/test_service_list.py
+++ b/tests/core/catalog/test_service_list.py
@@ -3,6 +3,7 @@
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.core.catalog.service_list import (
     LAPSED_ENTRY_GRACE_SECONDS,
+    MIN_WRITES_OF_SERVED_ENDPOINT,
     ServiceList,
 )
 
@@ -57,6 +58,61 @@
     assert usable(listed) == ["e2"]
 
 
+def test_removal_that_a_cut_host_reads_late_counts_at_once():
+    """Endpoints wrote while this host was cut off, so the store served them."""
+    listed = ServiceList()
+    listed.apply_entry("e1", 0, entry("e1"))
+    listed.apply_entry("e2", 1, entry("e2"))
+    listed.store_lost()
+    listed.apply_removal("e1", 2, now=107.5)
+    for offset in range(3, 3 + MIN_WRITES_OF_SERVED_ENDPOINT):
+        listed.apply_entry("e2", offset, entry("e2"))
+    listed.store_reached(107.5)
+    assert listed.expire(107.5) == ("e1",)
+    assert not listed.apply_removal("e1", 9, now=107.6)
+    assert listed.apply_removal("e2", 10, now=107.6)
+
+
+def test_entries_that_were_renewed_once_since_an_outage_prove_nothing():
+    """After an outage of the store the first endpoints back don't end the grace."""
+    listed = ServiceList()
+    listed.apply_entry("e1", 0, entry("e1"))
+    listed.apply_entry("e2", 1, entry("e2"))
+    listed.store_lost()
+    listed.apply_removal("e1", 2, now=107.5)
+    listed.apply_removal("e2", 3, now=107.5)
+    listed.apply_entry("e2", 4, entry("e2"))
+    listed.store_reached(107.5)
+    assert listed.expire(107.5) == ()
+    assert usable(listed) == ["e1", "e2"]
+
+
+def test_writes_before_an_outage_are_no_evidence_in_the_next():
+    """Only what endpoints wrote since this host lost the store counts."""
+    listed = ServiceList()
+    listed.apply_entry("e1", 0, entry("e1"))
+    listed.apply_entry("e2", 1, entry("e2"))
+    for offset in range(2, 2 + MIN_WRITES_OF_SERVED_ENDPOINT):
+        listed.apply_entry("e2", offset, entry("e2"))
+    listed.store_lost()
+    listed.apply_removal("e1", 9, now=107.5)
+    listed.store_reached(107.5)
+    assert listed.expire(107.5) == ()
+
+
+def test_lapsed_entry_is_kept_for_less_than_the_drain_delay():
+    """The entry may be of an endpoint that leaves; its deadline is told in advance."""
+    listed = ServiceList(lapse_grace=1.0)
+    listed.apply_entry("e1", 0, entry("e1"))
+    listed.store_lost()
+    listed.store_reached(100.0)
+    assert listed.lapses_at is None
+    listed.apply_removal("e1", 2, now=100.1)
+    assert listed.lapses_at == 101.0
+    assert listed.expire(101.0) == ("e1",)
+    assert listed.lapses_at is None
+
+
 def test_complete_listing_removes_missing_entries():
     """Endpoints that a complete listing leaves out are removed."""
     listed = ServiceList()
--- a/tests/process/entry/test_lifecycle.py
+++ b/tests/process/entry/test_lifecycle.py
@@ -1,16 +1,21 @@
 from __future__ import annotations
 
 import contextlib
+import datetime
 import json
 import signal
+import time
 
 import anyio
 
+from knapweeddrum.core.catalog.service_list import MIN_WRITES_OF_SERVED_ENDPOINT
 from knapweeddrum.http.exceptions import NoReplyError, NotSentError
+from knapweeddrum.platform.streams import SERVICE_LIST_STREAM
 from knapweeddrum.process.entry.heartbeat_task import HEARTBEAT_INTERVAL_SECONDS
 from tests.async_test import async_test
 from tests.process.entry.entry_harness import (
     Answer,
+    EntryHarness,
     configuration,
     entry_harness,
     entry_process,
@@ -22,10 +27,29 @@
 """Calls to a store that refuses them; 4 streams are read and heartbeats written."""
 
 
+DRAIN_DELAY_SECONDS = 2.0
+"""Time for which a leaving endpoint still takes requests, by default."""
+
+
 def service() -> StampedServer:
     return StampedServer("stock-1", body=b"booked")
 
 
+async def _wait_for_service_list(
+    harness: EntryHarness, event: str
+) -> dict[str, object]:
+    """Return the line that says that the service list is out of reach, or back."""
+    while True:
+        for line in harness.events(event):
+            if line["dependency"] == SERVICE_LIST_STREAM:
+                return line
+        await anyio.sleep(0.02)
+
+
+def _logged_at(line: dict[str, object]) -> datetime.datetime:
+    return datetime.datetime.fromisoformat(str(line["timestamp"]))
+
+
 def _says_ready(store: PlatformStore) -> bool:
     """Return what the last heartbeat of the host says."""
     _, heartbeat = store.stream("keyed.hosts").newest["host-1"]
@@ -206,6 +230,48 @@
         assert (await harness.call("/book/1")).status == 503
 
 
+@async_test
+async def test_leaving_that_a_cut_host_learns_late_counts_at_once():
+    """The other endpoint wrote meanwhile, so the store was only out of reach here."""
+    leaving, staying = service(), StampedServer("stock-2", body=b"booked")
+    async with entry_harness(services=(leaving, staying)) as harness:
+        harness.store.busy = True
+        await _wait_for_service_list(harness, "waiting")
+        harness.store.drop("keyed.servers", "stock-1")
+        for _ in range(MIN_WRITES_OF_SERVED_ENDPOINT):
+            harness.store.put("keyed.servers", "stock-2", staying.entry("stock"))
+        harness.store.busy = False
+        await harness.wait_for_event("endpoint_unlisted")
+        ready = await _wait_for_service_list(harness, "dependency_ready")
+        unlisted_at = _logged_at(harness.events("endpoint_unlisted")[0])
+        assert unlisted_at - _logged_at(ready) < datetime.timedelta(seconds=0.2)
+        for number in range(4):
+            answer = await harness.call("/book/1", attempt=f"b{number}")
+            assert answer.status == 200
+        assert leaving.arrivals == 0
+
+
+@async_test
+async def test_entry_that_lapsed_gets_no_requests_after_the_drain_delay():
+    """An entry that is gone after an outage may be of an endpoint that leaves."""
+    leaving = service()
+    async with entry_harness(services=(leaving,)) as harness:
+        harness.store.busy = True
+        await _wait_for_service_list(harness, "waiting")
+        harness.store.drop("keyed.servers", "stock-1")
+        harness.store.busy = False
+        await _wait_for_service_list(harness, "dependency_ready")
+        read_at = time.monotonic()
+        assert (await harness.call("/book/1")).status == 200
+        last_arrival_at = read_at
+        for number in range(60):
+            asked_at = time.monotonic()
+            if (await harness.call("/book/1", attempt=f"b{number}")).status == 200:
+                last_arrival_at = asked_at
+            await anyio.sleep(0.05)
+        assert last_arrival_at - read_at < DRAIN_DELAY_SECONDS
+
+
 @async_test
 async def test_compacted_streams_are_listed_again():
     """After a compaction the service list and the configuration are listed again."""
