--- a/tests/process/entry/test_stream_versions.py
+++ b/tests/process/entry/test_stream_versions.py
@@ -309,6 +309,9 @@
     assert went_on(streams) >= STREAMS / 2
 
 
+VERSIONS = {b"v1", b"v2"}
+
+
 async def kill_all_hosts(fleet: VersionFleet) -> None:
     """Kill all hosts once they have recorded the versions of the services."""
     with anyio.fail_after(RECORDED_SECONDS):
@@ -354,6 +357,22 @@
     assert_one_version_each(streams)
 
 
+@async_test
+async def test_streams_of_two_versions_are_not_joined_after_a_kill_of_all_hosts():
+    """While the old engines serve, and when they have just left, at two hosts."""
+    async with version_fleet(2, ("v1", "v2", "v1", "v2")) as fleet:
+        streams = [await fleet.begin(fleet.hosts[n % 2]) for n in range(STREAMS)]
+        await kill_all_hosts(fleet)
+        await take_up_at_a_new_host(fleet, streams[::2])
+        for engine in fleet.engines[::2]:
+            engine.beats = None
+            fleet.store.drop(SERVICE_LIST_STREAM, engine.server_id)
+        await kill_all_hosts(fleet)
+        await take_up_at_a_new_host(fleet, streams[1::2])
+    assert {version for stream in streams for version in stream.versions} == VERSIONS
+    assert_one_version_each(streams)
+
+
 @async_test
 async def test_host_that_cannot_read_what_was_listed_joins_no_versions():
     """All engines were replaced, and the store has deleted the entries of before."""
