--- a/src/knapweeddrum/console/commands/host_state_command.py
+++ b/src/knapweeddrum/console/commands/host_state_command.py
@@ -93,6 +93,11 @@
         ("hosts read", _age_text(state.hosts_age)),
         ("claims known up to offset", str(state.claims_end)),
         ("ready hosts", ", ".join(state.ready_hosts) or "none"),
+        ("working set", ", ".join(state.working_set) or "none"),
+        (
+            "requests per second",
+            f"{state.request_rate:.1f}, carries {state.capacity:.0f}",
+        ),
     )
 
 
--- a/src/knapweeddrum/core/directory/fleet_size.py
+++ b/src/knapweeddrum/core/directory/fleet_size.py
@@ -7,6 +7,9 @@
 YOUNG_HOST_FRACTION = 0.2
 """Part of its share that a host has while it is young."""
 
+ALONE_SECONDS = 3.0
+"""Time after its start for which a host that sees no other may have missed some."""
+
 COUNT_LIFETIME_SECONDS = 10.0
 """Time for which hosts that vanish are counted."""
 
--- /dev/null
+++ b/src/knapweeddrum/core/directory/host_capacity.py
@@ -0,0 +1,18 @@
+"""How many requests a host can carry."""
+
+from __future__ import annotations
+
+REQUEST_CORE_SECONDS = 0.02
+"""Processor time that a request takes, with all events of its answer."""
+
+REQUEST_BYTES = 25_000
+"""Bytes that a request moves over the host's link, in one direction."""
+
+BYTES_PER_MEGABIT = 125_000
+
+
+def host_capacity(processor_cores: float, link_mbps: float) -> float:
+    """Return the requests per second that processor and link carry, both used up."""
+    by_processor = processor_cores / REQUEST_CORE_SECONDS
+    by_link = link_mbps * BYTES_PER_MEGABIT / REQUEST_BYTES
+    return min(by_processor, by_link)
--- a/src/knapweeddrum/core/directory/host_directory.py
+++ b/src/knapweeddrum/core/directory/host_directory.py
@@ -5,6 +5,7 @@
 import hashlib
 
 from knapweeddrum.core.directory.host_record import HostRecord
+from knapweeddrum.core.directory.working_set import WorkingSet
 
 HEARTBEAT_TIMEOUT_SECONDS = 5.0
 """Time without a heartbeat, while the store answers, after which a host is left out."""
@@ -31,6 +32,9 @@
         self._replaced: set[str] = set()
         self._store_available_seconds = 0.0
         self._read_at: float | None = None
+        self.working_set = WorkingSet()
+        self.possible_members = 1
+        """Members of the working set, and hosts that start and may become some."""
 
     def store_lost(self) -> None:
         """Record that the heartbeats can't be read."""
@@ -91,11 +95,35 @@
             > HOST_FAILURE_TIMEOUT_SECONDS
         )
 
-    def addresses(self, own: str | None) -> list[str]:
-        """Return the addresses for callers; ``own`` is None while not ready."""
-        others = [record.address for record in self._choose(self.ready_hosts())]
+    def update_working_set(self, own: HostRecord | None, now: float) -> None:
+        """Choose the hosts that callers are sent to, by the heartbeats read so far.
+
+        ``own`` is this host, None once it leaves. One that starts counts already.
+        """
         mine = [own] if own is not None else []
-        return (mine + others)[:MAX_ADDRESSES]
+        ready = self.ready_hosts()
+        self.working_set.update([*mine, *ready], now)
+        starting = len(self._running_hosts()) - len(ready)
+        self.possible_members = max(1, len(self.working_set.names) + starting)
+
+    def addresses(self, own: str | None) -> list[str]:
+        """Return the addresses for callers; ``own`` is None while not ready.
+
+        They are those of the working set, or of all ready hosts if it has none left.
+        """
+        ready = self.ready_hosts()
+        members = self.working_set.names
+        chosen = [record for record in ready if record.name in members]
+        if own is not None and (self._own_name in members or not chosen):
+            return [own, *self._addresses_of(chosen or ready)][:MAX_ADDRESSES]
+        return self._addresses_of(chosen or ready)[:MAX_ADDRESSES]
+
+    def request_rate(self) -> float:
+        """Return the requests per second at all other ready hosts, as they said."""
+        return sum(record.request_rate for record in self.ready_hosts())
+
+    def _addresses_of(self, hosts: list[HostRecord]) -> list[str]:
+        return [record.address for record in self._choose(hosts)]
 
     def _choose(self, hosts: list[HostRecord]) -> list[HostRecord]:
         """Return as many hosts as fit into an answer.
--- a/src/knapweeddrum/core/directory/host_record.py
+++ b/src/knapweeddrum/core/directory/host_record.py
@@ -4,6 +4,9 @@
 
 import dataclasses
 
+UNKNOWN_CAPACITY = 25.0
+"""Requests per second that a host which names no capacity is taken to carry."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostRecord:
@@ -20,3 +23,7 @@
     ready: bool
     beat: int
     """Number of the heartbeat within the incarnation."""
+    capacity: float = UNKNOWN_CAPACITY
+    """Requests per second that it can carry."""
+    request_rate: float = 0.0
+    """Requests per second that it received lately."""
--- /dev/null
+++ b/src/knapweeddrum/core/directory/working_set.py
@@ -0,0 +1,70 @@
+"""The hosts that callers are sent to, out of those that are ready."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Sequence
+
+from knapweeddrum.core.directory.host_record import HostRecord
+
+SMALL_FLEET_HOSTS = 16
+"""Size of a fleet up to which all hosts carry callers' requests."""
+
+MIN_HOSTS = 5
+"""Least number of hosts in a larger fleet, so that the loss of one is a fifth."""
+
+MIN_CAPACITY_FRACTION = 0.15
+"""Part of the fleet's capacity that the set has at least, before demand is known."""
+
+CAPACITY_PER_DEMAND = 3.0
+"""Capacity of the set as a multiple of the demand, to be ahead of a burst."""
+
+LINGER_SECONDS = 20.0
+"""Time for which a host stays in the set after it is no longer needed."""
+
+
+class WorkingSet:
+    """Chooses as many hosts as the traffic needs, the strongest first.
+
+    With few hosts, each uses the connections that it has to endpoints again, knows
+    their load from its own requests, and needs few loans of tokens. All hosts choose
+    the same set, as they read the same heartbeats. The others stand by: they serve who
+    comes and replace members that leave. Callers pick an address at random, so each
+    member gets the same part, and the weakest bounds what the set can carry. ``now`` is
+    in monotonic seconds.
+    """
+
+    def __init__(self) -> None:
+        self._needed_at: dict[str, float] = {}
+        self.names: frozenset[str] = frozenset()
+        """Names of the members; empty before the first update."""
+
+    def update(self, hosts: Sequence[HostRecord], now: float) -> None:
+        """Choose among the hosts that are ready, this one included."""
+        for host in _needed(hosts):
+            self._needed_at[host.name] = now
+        self._needed_at = {
+            name: needed_at
+            for name, needed_at in self._needed_at.items()
+            if now - needed_at < LINGER_SECONDS
+        }
+        ready = {host.name for host in hosts}
+        self.names = frozenset(self._needed_at.keys() & ready)
+
+
+def _needed(hosts: Sequence[HostRecord]) -> Sequence[HostRecord]:
+    """Return the fewest hosts that carry the demand with room for more."""
+    if len(hosts) <= SMALL_FLEET_HOSTS:
+        return hosts
+    capacity = sum(host.capacity for host in hosts)
+    demand = sum(host.request_rate for host in hosts)
+    needed = max(MIN_CAPACITY_FRACTION * capacity, CAPACITY_PER_DEMAND * demand)
+    ranked = sorted(hosts, key=lambda host: (-host.capacity, _rank(host.name)))
+    for count in range(MIN_HOSTS, len(ranked)):
+        if count * ranked[count - 1].capacity >= needed:
+            return ranked[:count]
+    return ranked
+
+
+def _rank(name: str) -> bytes:
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- a/src/knapweeddrum/message/call/host_state.py
+++ b/src/knapweeddrum/message/call/host_state.py
@@ -70,3 +70,9 @@
     endpoints: list[EndpointRow]
     budgets: list[BudgetRow]
     crashes: list[CrashRow] = []
+    working_set: list[str] = []
+    """Names of the hosts that callers are sent to."""
+    capacity: float = 0.0
+    """Requests per second that this host can carry."""
+    request_rate: float = 0.0
+    """Requests per second that it received lately."""
--- a/src/knapweeddrum/platform/settings_file.py
+++ b/src/knapweeddrum/platform/settings_file.py
@@ -37,6 +37,16 @@
     drain_ms: PositiveFloat = msgspec.field(name="drainMs", default=2000.0)
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    """Section ``limits``: what this host may use."""
+
+    cpu_share: PositiveFloat = msgspec.field(name="cpuShare", default=1.0)
+    """Part of the time in which the processor runs."""
+    speed: PositiveFloat = msgspec.field(name="cores", default=1.0)
+    """Speed of the processor, in cores."""
+    link_mbps: PositiveFloat = msgspec.field(name="linkMbps", default=1000.0)
+
+
 class _Store(msgspec.Struct, frozen=True):
     """Section ``platform``: ``IP:port`` of the platform's store."""
 
@@ -53,6 +63,7 @@
     """First and last port of the range for traffic between hosts."""
     platform: _Store
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
 
 
 def read_settings_file(path: pathlib.Path) -> EntrySettings:
@@ -74,6 +85,8 @@
         ready_address=document.listen.ready,
         directory_address=document.listen.directory,
         peer_address=f"{own_ip}:{document.internal_ports[0]}",
+        processor_cores=document.limits.cpu_share * document.limits.speed,
+        link_mbps=document.limits.link_mbps,
         grace_period=bounds.grace,
         retry_ratio=bounds.retry_share,
         retry_slack=bounds.retry_slack,
--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -97,6 +97,7 @@
             return False
         self._ctx.in_progress += 1
         self._ctx.last_request_at = time.monotonic()
+        self._ctx.request_rate.count(self._ctx.last_request_at)
         try:
             if not await self._serve(received):
                 return False
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -14,9 +14,11 @@
 from knapweeddrum.core.catalog.configuration import Configuration
 from knapweeddrum.core.catalog.service_list import ServiceList
 from knapweeddrum.core.directory.fleet_size import FleetSize
+from knapweeddrum.core.directory.host_capacity import host_capacity
 from knapweeddrum.core.directory.host_directory import HostDirectory
 from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.load.loop_lag import LoopLag
+from knapweeddrum.core.load.request_rate import RequestRate
 from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.placing.endpoint_states import EndpointStates
 from knapweeddrum.core.placing.placer import Placer
@@ -94,6 +96,7 @@
     attempt_numbers: Iterator[int] = dataclasses.field(default_factory=itertools.count)
     in_progress: int = 0
     last_request_at: float = 0.0
+    request_rate: RequestRate = dataclasses.field(default_factory=RequestRate)
     failover_policies: dict[str, FailoverPolicy] = dataclasses.field(
         default_factory=dict
     )
@@ -136,6 +139,21 @@
         records = [self.hosts.find(name) for name in dict.fromkeys(names)]
         return [record.peer_address for record in records if record is not None]
 
+    def own_record(self, beat: int, now: float) -> HostRecord:
+        """Return this host as its heartbeat with number ``beat`` describes it."""
+        settings = self.settings
+        return HostRecord(
+            name=settings.host_name,
+            incarnation=self.incarnation,
+            address=settings.caller_address,
+            peer_address=settings.peer_address,
+            data_centre=settings.data_centre,
+            ready=self.is_ready,
+            beat=beat,
+            capacity=host_capacity(settings.processor_cores, settings.link_mbps),
+            request_rate=round(self.request_rate.per_second(now), 2),
+        )
+
     def witnesses(self) -> list[str]:
         """Return the incarnations whose consent may unlock tokens, best first."""
         return rank_witnesses(
@@ -186,6 +204,8 @@
             "service_list_age_seconds": now - self.service_list_read_at,
             "hosts_age_seconds": now - self.hosts_read_at,
             "hosts_ready": self.hosts.host_count(),
+            "hosts_in_working_set": len(self.hosts.working_set.names),
+            "requests_per_second": self.request_rate.per_second(now),
             "endpoints_listed": len(self.service_list.all()),
             "requests_in_progress": self.in_progress,
             "crash_suspects": len(self.crash_register.fingerprints(time.time())),
--- a/src/knapweeddrum/process/entry/heartbeat_task.py
+++ b/src/knapweeddrum/process/entry/heartbeat_task.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import time
+
 import anyio
 
-from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.platform.exceptions import AppendUnknownError, LogUnavailableError
 from knapweeddrum.platform.fleet_codec import (
     encode_heartbeat,
@@ -53,17 +54,8 @@
         Returns whether it was written.
         """
         ctx = self._ctx
-        ready = ctx.is_ready
         self._beat += 1
-        record = HostRecord(
-            name=ctx.settings.host_name,
-            incarnation=ctx.incarnation,
-            address=ctx.settings.caller_address,
-            peer_address=ctx.settings.peer_address,
-            data_centre=ctx.settings.data_centre,
-            ready=ready,
-            beat=self._beat,
-        )
+        record = ctx.own_record(self._beat, time.monotonic())
         records = [encode_heartbeat(record)]
         if self._records_versions():
             version_record = ctx.endpoint_history.version_record()
@@ -74,7 +66,7 @@
             # The StreamFollower of this stream logs outages of the store.
             ctx.metrics.count(HEARTBEAT_FAILED)
             return False
-        self._announced_ready = ready
+        self._announced_ready = record.ready
         return True
 
     async def _wait_for_change(self) -> None:
--- a/src/knapweeddrum/process/entry/host_reader.py
+++ b/src/knapweeddrum/process/entry/host_reader.py
@@ -14,7 +14,12 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.stream_follower import RecordReader
 from knapweeddrum.process.entry.stream_read import StreamRead
-from knapweeddrum.telemetry.events import ENTRY_IGNORED, HOSTS_CHANGED
+from knapweeddrum.telemetry.counters import WORKING_SET_CHANGES
+from knapweeddrum.telemetry.events import (
+    ENTRY_IGNORED,
+    HOSTS_CHANGED,
+    WORKING_SET_CHANGED,
+)
 
 
 class HostReader(RecordReader):
@@ -23,6 +28,7 @@
     def __init__(self, ctx: EntryContext) -> None:
         self._ctx = ctx
         self._ready_names: list[str] = []
+        self._members: frozenset[str] = frozenset()
 
     def apply_listing(
         self, records: Iterable[KeyedRecord], end: int, now: float
@@ -61,3 +67,21 @@
         if ready != self._ready_names:
             self._ready_names = ready
             self._ctx.events.emit(HOSTS_CHANGED, ready=ready)
+        self._update_working_set(now)
+
+    def _update_working_set(self, now: float) -> None:
+        ctx = self._ctx
+        own = None if ctx.draining else ctx.own_record(0, now)
+        ctx.hosts.update_working_set(own, now)
+        members = ctx.hosts.working_set.names
+        if members == self._members:
+            return
+        ctx.metrics.count(WORKING_SET_CHANGES)
+        ctx.events.emit(
+            WORKING_SET_CHANGED,
+            size=len(members),
+            joined=sorted(members - self._members),
+            left=sorted(self._members - members),
+            requests_per_second=round(ctx.hosts.request_rate(), 1),
+        )
+        self._members = members
--- a/src/knapweeddrum/process/entry/host_state_page.py
+++ b/src/knapweeddrum/process/entry/host_state_page.py
@@ -32,6 +32,7 @@
     def _state(self, now: float) -> HostState:
         ctx = self._ctx
         configuration = ctx.configuration
+        own = ctx.own_record(0, now)
         return HostState(
             host=ctx.settings.host_name,
             incarnation=ctx.incarnation,
@@ -47,6 +48,9 @@
             endpoints=self._endpoints(now),
             budgets=self._budgets(now),
             crashes=self._crashes(time.time()),
+            working_set=sorted(ctx.hosts.working_set.names),
+            capacity=own.capacity,
+            request_rate=own.request_rate,
         )
 
     def _endpoints(self, now: float) -> list[EndpointRow]:
--- a/src/knapweeddrum/process/entry/request_admission.py
+++ b/src/knapweeddrum/process/entry/request_admission.py
@@ -7,6 +7,11 @@
 from knapweeddrum.core.catalog.organisation import Organisation
 from knapweeddrum.core.catalog.route import Route
 from knapweeddrum.core.catalog.service import Service
+from knapweeddrum.core.directory.connection_limit import (
+    MIN_CONNECTIONS,
+    connection_limit,
+)
+from knapweeddrum.core.directory.fleet_size import ALONE_SECONDS
 from knapweeddrum.platform.caller_request import CallerRequest
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.refused_error import RefusedError
@@ -15,14 +20,6 @@
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.run_state import RunState
 
-CONNECTION_FRACTION = 0.8
-"""Fraction of an endpoint's connections that is split evenly between the hosts."""
-
-MIN_ENDPOINT_CONNECTIONS = 2
-
-ALONE_SECONDS = 3.0
-"""Time after its start for which a host that sees no other may have missed some."""
-
 NOT_READY_RETRY_AFTER_SECONDS = 0.3
 """Retry-after while the process has no configuration yet."""
 
@@ -53,10 +50,10 @@
         if req.time_left is not None:
             time_left = min(time_left, req.time_left)
         self._check_drain(route, time_left, arrived_at)
-        connection_limit = MIN_ENDPOINT_CONNECTIONS
+        max_connections = MIN_CONNECTIONS
         tokens_per_event = 1
         if service is not None:
-            connection_limit = self._connection_limit(service, arrived_at)
+            max_connections = self._connection_limit(service, arrived_at)
             if service.engine is not None:
                 tokens_per_event = service.engine.tokens_per_event
         return RequestJob(
@@ -68,7 +65,7 @@
             config_version=configuration.version,
             arrived_at=arrived_at,
             deadline=arrived_at + time_left,
-            max_connections=connection_limit,
+            max_connections=max_connections,
             tokens_per_event=tokens_per_event,
             fingerprint=_fingerprint(req, body, organisation),
         )
@@ -77,9 +74,13 @@
         """Return this host's part of the connections that an endpoint accepts."""
         fleet_size = self._ctx.fleet_size
         young_seconds = ALONE_SECONDS if fleet_size.count(now) <= 1 else 0.0
-        usable = service.max_connections * CONNECTION_FRACTION
-        own = int(usable * fleet_size.share(young_seconds, now))
-        return max(MIN_ENDPOINT_CONNECTIONS, own)
+        share = fleet_size.share(young_seconds, now)
+        hosts = self._ctx.hosts
+        members_share = 0.0
+        if self._ctx.settings.host_name in hosts.working_set.names:
+            members = hosts.possible_members
+            members_share = share * max(1.0, fleet_size.count(now) / members)
+        return connection_limit(service.max_connections, share, members_share)
 
     def _check_drain(self, route: Route, time_left: float, arrived_at: float) -> None:
         """Refuse a request that may outlast the drain; another host can complete it."""
--- a/src/knapweeddrum/settings/entry_settings.py
+++ b/src/knapweeddrum/settings/entry_settings.py
@@ -28,5 +28,9 @@
     """Longest time for which callers may cache an answer of the directory."""
     stable_window: float = 3.0
     """Time within which all hosts must know that a request crashes endpoints."""
+    processor_cores: float = 1.0
+    """Processor time that this host has, in cores."""
+    link_mbps: float = 1000.0
+    """Bandwidth of this host's link, in megabits per second."""
     drain_delay: float = 2.0
     """Time for which a leaving endpoint still takes requests after its notice."""
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -59,6 +59,8 @@
 """Requests to another host that got no usable reply in time."""
 HOST_BEHIND_COUNT = "host.behind"
 """Measurements at which this process was behind."""
+WORKING_SET_CHANGES = "working_set.changed"
+"""Times that the hosts changed that callers are sent to."""
 CLAIM_RECORDS_READ = "claim.records_read"
 """Records of token claims that this process read from the store."""
 CLAIM_WRITTEN = "claim.written"
@@ -91,6 +93,7 @@
     LOAN_RETURNED,
     HOST_UNANSWERED,
     HOST_BEHIND_COUNT,
+    WORKING_SET_CHANGES,
     CLAIM_RECORDS_READ,
     CLAIM_WRITTEN,
 )
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -182,6 +182,12 @@
 ENDPOINT_UNLISTED = Event(613, "endpoint_unlisted", "info", ("endpoint", "lapsed"))
 ENTRY_IGNORED = Event(614, "entry_ignored", "warning", ("key", "offset", "error"))
 HOSTS_CHANGED = Event(615, "hosts_changed", "info", ("ready",))
+WORKING_SET_CHANGED = Event(
+    636,
+    "working_set_changed",
+    "info",
+    ("size", "joined", "left", "requests_per_second"),
+)
 TOKENS_CLAIMED = Event(
     616, "tokens_claimed", "info", ("offset", "claims", "lost_before")
 )
--- /dev/null
+++ b/tests/core/directory/test_working_set.py
@@ -0,0 +1,163 @@
+from __future__ import annotations
+
+import random
+
+from nose2.tools import params
+
+from knapweeddrum.core.directory.host_capacity import host_capacity
+from knapweeddrum.core.directory.host_directory import MAX_ADDRESSES, HostDirectory
+from knapweeddrum.core.directory.host_record import HostRecord
+from knapweeddrum.core.directory.working_set import (
+    LINGER_SECONDS,
+    MIN_HOSTS,
+    SMALL_FLEET_HOSTS,
+    WorkingSet,
+)
+
+WEAK = host_capacity(processor_cores=0.516, link_mbps=20.0)
+STRONG = host_capacity(processor_cores=2.15, link_mbps=200.0)
+ENDPOINTS = 45
+ANSWER_SECONDS = 1.0
+DAY_SECONDS = 20.0
+
+
+def host(number: int, capacity: float = WEAK, rate: float = 0.0) -> HostRecord:
+    name = f"host-{number:03}"
+    return HostRecord(
+        name, f"{name}/1", f"{name}:80", f"{name}:90", "a", True, 1, capacity, rate
+    )
+
+
+def fleet(count: int, strong: int = 0, rate: float = 0.0) -> list[HostRecord]:
+    """Return hosts, the first of them strong; ``rate`` is the demand at all of them."""
+    return [
+        host(number, STRONG if number < strong else WEAK, rate / count)
+        for number in range(count)
+    ]
+
+
+def members(hosts: list[HostRecord]) -> list[HostRecord]:
+    working_set = WorkingSet()
+    working_set.update(hosts, 0.0)
+    return [record for record in hosts if record.name in working_set.names]
+
+
+def directory_at(own: HostRecord, hosts: list[HostRecord]) -> HostDirectory:
+    directory = HostDirectory(own.name)
+    directory.store_answered(0.0)
+    for offset, record in enumerate(hosts):
+        directory.apply_heartbeat(record.name, offset, record)
+    directory.update_working_set(own, 0.0)
+    return directory
+
+
+def connections_opened(hosts: list[HostRecord], per_second: float) -> int:
+    """Play requests at random hosts and endpoints; return the connections opened."""
+    rng = random.Random(0)
+    idle_at: dict[tuple[str, int], list[float]] = {}
+    opened = 0
+    for number in range(int(per_second * DAY_SECONDS)):
+        now = number / per_second
+        key = (rng.choice(hosts).name, rng.randrange(ENDPOINTS))
+        conns = idle_at.setdefault(key, [])
+        free = [at for at in conns if at <= now]
+        if free:
+            conns.remove(free[0])
+        else:
+            opened += 1
+        conns.append(now + ANSWER_SECONDS)
+    return opened
+
+
+@params((7, 0), (SMALL_FLEET_HOSTS, 0))
+def test_all_hosts_of_a_small_fleet_carry_requests(count, strong):
+    """Each of few hosts is needed."""
+    assert len(members(fleet(count, strong))) == count
+
+
+@params((62, 8), (80, 6), (195, 18), (370, 18), (370, 0))
+def test_set_is_small_strong_and_has_room(count, strong):
+    """It carries three times the demand, and no strong host is left out for a weak."""
+    demand = 1.4 * count
+    chosen = members(fleet(count, strong, demand))
+    weakest = min(record.capacity for record in chosen)
+    assert MIN_HOSTS <= len(chosen) < count / 2
+    assert len(chosen) * weakest >= 3 * demand
+    if weakest == WEAK:
+        assert sum(record.capacity == STRONG for record in chosen) == strong
+
+
+@params((195, 18), (370, 18))
+def test_all_hosts_send_callers_to_the_same_hosts(count, strong):
+    """Whichever host is asked, the answer names the same addresses."""
+    hosts = fleet(count, strong, rate=300.0)
+    answers = {
+        tuple(sorted(directory_at(own, hosts).addresses(own.address))) for own in hosts
+    }
+    assert len(answers) == 1
+
+
+def test_set_grows_with_demand_before_it_is_used_up():
+    """At a burst more hosts carry requests, in the end all of them."""
+    sizes = [len(members(fleet(195, 18, rate))) for rate in (100, 900, 1500, 9000)]
+    assert sizes == sorted(sizes)
+    assert sizes[1] > sizes[0]
+    assert sizes[-1] == 195
+
+
+@params(1, 2, 4)
+def test_set_without_the_members_that_vanish_still_carries_the_demand(parts):
+    """After the loss of all members, a half or a quarter, others take their place."""
+    hosts = fleet(195, 18, rate=270.0)
+    working_set = WorkingSet()
+    working_set.update(hosts, 0.0)
+    lost = sorted(working_set.names)[::parts]
+    left = [record for record in hosts if record.name not in lost]
+    working_set.update(left, 1.5)
+    assert not working_set.names & set(lost)
+    chosen = [record for record in left if record.name in working_set.names]
+    needed = 3 * sum(record.request_rate for record in left)
+    assert len(chosen) * min(record.capacity for record in chosen) >= needed
+
+
+def test_member_that_is_no_longer_needed_stays_for_a_while():
+    """Callers leave connections to hosts that an answer doesn't name."""
+    working_set = WorkingSet()
+    working_set.update(fleet(195, 18, rate=1500.0), 0.0)
+    grown = working_set.names
+    working_set.update(fleet(195, 18, rate=100.0), LINGER_SECONDS - 0.1)
+    assert working_set.names == grown
+    working_set.update(fleet(195, 18, rate=100.0), LINGER_SECONDS)
+    assert len(working_set.names) < len(grown)
+
+
+def test_hosts_of_the_version_before_belong_to_the_fleet():
+    """They name no capacity, and the answer is never empty."""
+    old = [
+        HostRecord(f"old-{n}", f"old-{n}/1", f"old-{n}:80", "", "a", True, 1)
+        for n in range(40)
+    ]
+    assert MIN_HOSTS <= len(members(old)) < 40
+    assert len(members([*old, *fleet(40, 6)])) >= MIN_HOSTS
+
+
+def test_host_outside_the_set_names_itself_only_if_nobody_else_is_left():
+    """A host that stands by is there if all others are gone."""
+    hosts = fleet(195, 18)
+    own = hosts[-1]
+    directory = directory_at(own, hosts)
+    answer = directory.addresses(own.address)
+    assert own.address not in answer
+    assert len(answer) <= MAX_ADDRESSES
+    directory.store_answered(60.0)
+    directory.update_working_set(own, 60.0)
+    assert directory.addresses(own.address) == [own.address]
+
+
+@params((195, 18), (370, 18))
+def test_connections_to_endpoints_are_used_again(count, strong):
+    """A third of what all hosts of the fleet would open, at 1.4 requests each."""
+    hosts = fleet(count, strong, rate=1.4 * count)
+    before = connections_opened(hosts, 1.4 * count)
+    after = connections_opened(members(hosts), 1.4 * count)
+    assert after <= before / 3
