--- a/src/knapweeddrum/core/prepaid/token_accounts.py
+++ b/src/knapweeddrum/core/prepaid/token_accounts.py
@@ -99,12 +99,14 @@
         owned: Collection[str],
         now: float,
         witnesses: Sequence[str] = (),
+        holds_start_reserve: bool = False,
     ) -> list[TokenClaim]:
         """Return the claims to write; a lowered claim limits this process at once.
 
         ``waiting`` holds the tokens of each waiting request, in order, ``owned`` the
         organisations for which this host holds a reserve, and ``witnesses`` the
-        incarnations that may be named as witness, the best first.
+        incarnations that may be named as witness, the best first. With
+        ``holds_start_reserve`` it also holds some for those without a request so far.
         """
         claims = []
         self._writes_before_plan.clear()
@@ -124,6 +126,7 @@
                     waiting.get(organisation, ()), max_reservable
                 ),
                 holds_reserve=organisation in owned,
+                holds_start_reserve=holds_start_reserve,
                 host_largest_request=host_largest_request,
             )
             account.intended = self._planner.plan(account, inputs, now)
--- a/src/knapweeddrum/core/prepaid/token_claim_planner.py
+++ b/src/knapweeddrum/core/prepaid/token_claim_planner.py
@@ -27,6 +27,12 @@
 IDLE_RESERVE_FRACTION = 0.7
 """Fraction of the host's largest recent request to hold for an idle organisation."""
 
+START_RESERVE_FRACTION = 0.03
+"""Fraction of the tokens left that is held before an organisation's first request.
+
+A claim takes longer than its first requests may wait.
+"""
+
 BURST_REQUESTS = 4
 """Requests to hold beside the expected demand, as callers come in bursts.
 
@@ -50,6 +56,8 @@
     """Tokens of the requests that wait for a claim and could be reserved."""
     holds_reserve: bool
     """Whether this host claims tokens for the demand at all hosts."""
+    holds_start_reserve: bool
+    """Whether it does so for an organisation that has had no request yet, too."""
     host_largest_request: int
     """Largest recent request at this host, from any organisation."""
 
@@ -105,7 +113,10 @@
         burst = requests * max(
             account.largest_request, inputs.host_largest_request * IDLE_RESERVE_FRACTION
         )
-        return min(most, int(demand + burst * scale))
+        reserve = demand + burst * scale
+        if inputs.holds_start_reserve and not account.largest_request:
+            reserve = max(reserve, available * START_RESERVE_FRACTION)
+        return min(most, int(reserve))
 
 
 def is_low(available: int, prepaid: int) -> bool:
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -76,6 +76,8 @@
     configuration_read_at: float = float("-inf")
     service_list_read_at: float = float("-inf")
     hosts_read_at: float = float("-inf")
+    fleet_known_from: float = float("inf")
+    """Time from which this host has read of all hosts that are ready."""
     claims_loaded: bool = False
     crash_records_loaded: bool = False
     version_record: VersionRecord | None = None
@@ -172,6 +174,12 @@
             and self.has_read_endpoints_and_hosts
         )
 
+    @property
+    def knows_fleet(self) -> bool:
+        """Return whether configuration and hosts tell which tokens this host owns."""
+        is_known = time.monotonic() >= self.fleet_known_from
+        return is_known and self.configuration is not None
+
     @property
     def has_read_endpoints_and_hosts(self) -> bool:
         """Return whether the process has read the service list and the heartbeats."""
--- a/src/knapweeddrum/process/entry/host_reader.py
+++ b/src/knapweeddrum/process/entry/host_reader.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable
 
+from knapweeddrum.core.directory.fleet_size import ALONE_SECONDS
 from knapweeddrum.platform.exceptions import MalformedRecordError
 from knapweeddrum.platform.fleet_codec import (
     VERSIONS_KEY,
@@ -63,6 +64,9 @@
         self._ctx.fleet_size.record(self._ctx.hosts.running_count(), now)
         ready_hosts = self._ctx.hosts.ready_hosts()
         self._ctx.token_owners.set_hosts(ready_hosts)
+        if self._ctx.fleet_known_from == float("inf"):
+            alone = 0.0 if ready_hosts else ALONE_SECONDS
+            self._ctx.fleet_known_from = now + alone
         ready = [record.name for record in ready_hosts]
         if ready != self._ready_names:
             self._ready_names = ready
--- a/src/knapweeddrum/process/entry/token_allocator.py
+++ b/src/knapweeddrum/process/entry/token_allocator.py
@@ -24,6 +24,8 @@
 """The same for a host that only witnesses other hosts' claims."""
 CLAIM_INTERVAL_SECONDS = 1.0
 """Mean interval at which claims are planned while no request waits."""
+START_POLL_SECONDS = 0.1
+"""Interval of plans while this host does not know yet which tokens it owns."""
 BORROW_DELAY_SECONDS = 0.08
 """Time for which a request waits for a claim before other hosts are asked for loans."""
 RESERVE_TIMEOUT_SECONDS = 0.3
@@ -67,9 +69,7 @@
                 await anyio.sleep(STORE_RETRY_SECONDS)
         while True:
             if not self._waiters:
-                with anyio.move_on_after(
-                    CLAIM_INTERVAL_SECONDS * self._ctx.rng.uniform(0.7, 1.3)
-                ):
+                with anyio.move_on_after(self._interval()):
                     await self._wake.wait()
             self._wake = anyio.Event()
             async with self._claim_lock:
@@ -238,9 +238,16 @@
                 self._owned,
                 time.monotonic(),
                 ctx.witnesses(),
+                holds_start_reserve=ctx.knows_fleet,
             )
             return own + release_claims_of_failed_hosts(ctx)
 
+    def _interval(self) -> float:
+        """Return the time until claims are planned if no request comes."""
+        if not self._ctx.knows_fleet:
+            return START_POLL_SECONDS
+        return CLAIM_INTERVAL_SECONDS * self._ctx.rng.uniform(0.7, 1.3)
+
     def _owned_organisations(self) -> frozenset[str]:
         """Return the organisations whose tokens this host claims for all hosts."""
         return frozenset(
--- a/tests/process/entry/claim_race.py
+++ b/tests/process/entry/claim_race.py
@@ -15,6 +15,8 @@
 import msgspec
 
 from knapweeddrum.core.admission.crash_register import CrashRegister
+from knapweeddrum.core.catalog.caller_limits import CallerLimits
+from knapweeddrum.core.catalog.configuration import Configuration
 from knapweeddrum.core.catalog.service_list import ServiceList
 from knapweeddrum.core.directory.host_directory import (
     HEARTBEAT_TIMEOUT_SECONDS,
@@ -385,6 +387,8 @@
         plan = self.plan
         seconds = plan.busy_store_seconds if number == 0 else plan.store_seconds
         ctx = _context(number, plan, DistantStore(self.stream, seconds))
+        ctx.fleet_known_from = 0.0
+        ctx.configuration = Configuration.build(1, (), (), (), CallerLimits())
         # Other streams than the claims are not simulated; the store answers them.
         ctx.hosts_read_at = plan.seconds
         unlocker = cast("TokenUnlocker", _ConsentingUnlocker(ctx.token_accounts))
--- a/tests/process/entry/test_claim_race.py
+++ b/tests/process/entry/test_claim_race.py
@@ -7,6 +7,7 @@
 SEEDS = range(2)
 SETTLED_SECONDS = 2.5
 """Time from the first request until each host has its first claims."""
+FIRST_SECONDS = 1.0
 MAX_REFUSED = 0.05
 MAX_CALLS_PER_HOST_SECOND = 10.0
 MAX_BYTES_PER_HOST_SECOND = 8 * 1024
@@ -63,6 +64,14 @@
         )
 
 
+def test_no_request_of_the_first_second_is_refused_while_tokens_are_free():
+    """Owners hold some tokens before an organisation's first request."""
+    for hosts in FLEET_SIZES[:2]:
+        race = _play_fleet(hosts)
+        early = [r for r in race.refusals() if r.fits and r.at < FIRST_SECONDS]
+        assert not early, (hosts, len(early), early[0])
+
+
 def test_claims_of_many_hosts_leave_the_store_alone():
     """Hosts that lose races for the claims' stream don't flood it with calls."""
     race = _play(0)
