--- a/src/knapweeddrum/core/directory/connection_limit.py
+++ b/src/knapweeddrum/core/directory/connection_limit.py
@@ -2,22 +2,28 @@
 
 from __future__ import annotations
 
-STANDBY_FRACTION = 0.2
-"""Fraction of an endpoint's connections that is split between all hosts."""
+EVEN_FRACTION = 0.3
+"""Fraction of an endpoint's connections that is split evenly between all hosts."""
 
-MEMBER_FRACTION = 0.6
-"""Fraction that is split between the members of the working set, besides."""
+DEMAND_FRACTION = 0.5
+"""Fraction that is split by the requests that the hosts get, besides."""
+
+MAX_DEMAND_SHARE = 0.5
+"""Largest part for demand, as the other hosts may not have read of it yet."""
 
 MIN_CONNECTIONS = 2
-"""Least number of a member; a host that stands by has one."""
 
 
-def connection_limit(accepted: int, share: float, members_share: float) -> int:
+def connection_limit(
+    accepted: int, even_share: float, demand_share: float | None
+) -> int:
     """Return this host's part of the connections that an endpoint accepts.
 
-    ``share`` is its part of what all hosts may use, ``members_share`` that of what the
-    members of the working set may use, 0 for a host that is none; both from 0 to 1.
+    ``even_share`` is one part in as many as there are hosts, ``demand_share`` the part
+    of the fleet's requests that come to this host, None if unknown; from 0 to 1.
     """
-    least = MIN_CONNECTIONS if members_share else 1
-    fraction = STANDBY_FRACTION * share + MEMBER_FRACTION * members_share
-    return max(least, int(accepted * fraction))
+    if demand_share is None:
+        demand_share = even_share
+    demand_share = min(demand_share, max(MAX_DEMAND_SHARE, even_share))
+    fraction = EVEN_FRACTION * even_share + DEMAND_FRACTION * demand_share
+    return max(MIN_CONNECTIONS, int(accepted * fraction))
--- a/src/knapweeddrum/core/directory/host_directory.py
+++ b/src/knapweeddrum/core/directory/host_directory.py
@@ -33,8 +33,6 @@
         self._store_available_seconds = 0.0
         self._read_at: float | None = None
         self.working_set = WorkingSet()
-        self.possible_members = 1
-        """Members of the working set, and hosts that start and may become some."""
 
     def store_lost(self) -> None:
         """Record that the heartbeats can't be read."""
@@ -101,10 +99,7 @@
         ``own`` is this host, None once it leaves. One that starts counts already.
         """
         mine = [own] if own is not None else []
-        ready = self.ready_hosts()
-        self.working_set.update([*mine, *ready], now)
-        starting = len(self._running_hosts()) - len(ready)
-        self.possible_members = max(1, len(self.working_set.names) + starting)
+        self.working_set.update([*mine, *self.ready_hosts()], now)
 
     def addresses(self, own: str | None) -> list[str]:
         """Return the addresses for callers; ``own`` is None while not ready.
@@ -122,6 +117,17 @@
         """Return the requests per second at all other ready hosts, as they said."""
         return sum(record.request_rate for record in self.ready_hosts())
 
+    def demand_share(self) -> float | None:
+        """Return this host's part of the fleet's requests, from 0 to 1.
+
+        It is what all hosts read in the heartbeats, this one's own included; None if
+        none says that it gets requests.
+        """
+        own = self._records.get(self._own_name)
+        own_rate = own.request_rate if own is not None else 0.0
+        total = own_rate + sum(host.request_rate for host in self._running_hosts())
+        return own_rate / total if total > 0 else None
+
     def _addresses_of(self, hosts: list[HostRecord]) -> list[str]:
         return [record.address for record in self._choose(hosts)]
 
--- a/src/knapweeddrum/process/entry/request_admission.py
+++ b/src/knapweeddrum/process/entry/request_admission.py
@@ -75,12 +75,9 @@
         fleet_size = self._ctx.fleet_size
         young_seconds = ALONE_SECONDS if fleet_size.count(now) <= 1 else 0.0
         share = fleet_size.share(young_seconds, now)
-        hosts = self._ctx.hosts
-        members_share = 0.0
-        if self._ctx.settings.host_name in hosts.working_set.names:
-            members = hosts.possible_members
-            members_share = share * max(1.0, fleet_size.count(now) / members)
-        return connection_limit(service.max_connections, share, members_share)
+        return connection_limit(
+            service.max_connections, share, self._ctx.hosts.demand_share()
+        )
 
     def _check_drain(self, route: Route, time_left: float, arrived_at: float) -> None:
         """Refuse a request that may outlast the drain; another host can complete it."""
