--- a/src/knapweeddrum/process/entry/caller_server.py
+++ b/src/knapweeddrum/process/entry/caller_server.py
@@ -35,11 +35,10 @@
 
     async def run(self) -> None:
         """Accept connections until stopped; serve them until cancelled."""
-        listener = await listen(self._ctx.settings.caller_address)
-        async with anyio.create_task_group() as tasks:
+        address = self._ctx.settings.caller_address
+        async with anyio.create_task_group() as tasks, listen(address) as listener:
             with self._accepting:
-                async with listener:
-                    await listener.serve(self._serve, tasks)
+                await listener.serve(self._serve, tasks)
 
     def stop_accepting(self) -> None:
         """Stop accepting connections."""
--- a/src/knapweeddrum/process/entry/page_server.py
+++ b/src/knapweeddrum/process/entry/page_server.py
@@ -40,8 +40,7 @@
 
     async def run(self) -> None:
         """Accept connections until cancelled."""
-        listener = await listen(self._address)
-        async with listener:
+        async with listen(self._address) as listener:
             await listener.serve(self._serve)
 
     async def _serve(self, stream: SocketStream) -> None:
