--- a/tests/core/directory/test_connection_limit.py
+++ b/tests/core/directory/test_connection_limit.py
@@ -30,6 +30,18 @@
     assert sum(limits(rates, accepted)[:members]) >= 0.4 * accepted
 
 
+def test_hosts_of_the_design_size_stay_within_what_an_endpoint_accepts():
+    """370 hosts of which 16 get most of the requests."""
+    assert sum(limits(members_and_others(370, 16), 1400)) <= 1400
+
+
+@params((62, 5, 540), (195, 10, 1200), (370, 16, 1400))
+def test_members_may_use_half_of_an_endpoint(hosts, members, accepted):
+    """The members of the working set together may use half of what it accepts."""
+    rates = members_and_others(hosts, members)
+    assert sum(limits(rates, accepted)[:members]) >= accepted / 2
+
+
 @params((62, 5, 540), (195, 10, 1200))
 def test_host_outside_the_set_that_callers_cling_to_has_connections(
     hosts, members, accepted
