--- a/src/knapweeddrum/core/catalog/service_list.py
+++ b/src/knapweeddrum/core/catalog/service_list.py
@@ -9,6 +9,12 @@
 LAPSED_ENTRY_GRACE_SECONDS = 2.5
 """Time after a store outage in which lapsed entries may be renewed."""
 
+DRAIN_DELAY_FRACTION = 0.85
+"""Part of the drain delay for which a lapsed entry may still be used at most.
+
+The rest is for requests that were placed before.
+"""
+
 MIN_WRITES_OF_SERVED_ENDPOINT = 3
 """Entries of one endpoint since the store was lost that prove that it was served.
 
@@ -21,9 +27,9 @@
 
     An entry that disappears during a store outage, or within ``lapse_grace`` seconds
     after it, counts as lapsed: it is kept until that time has passed, so that it can be
-    renewed. At any other time it is removed at once. So it is when the store was out
-    of reach for this host alone, which shows in what endpoints wrote meanwhile. Times
-    are in monotonic seconds.
+    renewed. At any other time it is removed at once, also after a cut of this host
+    alone: what endpoints wrote meanwhile tells a cut from an outage. Times are in
+    monotonic seconds.
     """
 
     def __init__(self, lapse_grace: float = LAPSED_ENTRY_GRACE_SECONDS) -> None:
@@ -137,3 +143,8 @@
             return False
         self.version += 1
         return True
+
+
+def lapse_grace(drain_delay: float) -> float:
+    """Return how long lapsed entries are kept, as they may be of leaving endpoints."""
+    return min(LAPSED_ENTRY_GRACE_SECONDS, DRAIN_DELAY_FRACTION * drain_delay)
--- a/src/knapweeddrum/core/directory/host_capacity.py
+++ b/src/knapweeddrum/core/directory/host_capacity.py
@@ -12,7 +12,7 @@
 
 
 def host_capacity(processor_cores: float, link_mbps: float) -> float:
-    """Return the requests per second that processor and link carry, both used up."""
+    """Return the requests per second that use up the processor or the link."""
     by_processor = processor_cores / REQUEST_CORE_SECONDS
     by_link = link_mbps * BYTES_PER_MEGABIT / REQUEST_BYTES
     return min(by_processor, by_link)
--- a/src/knapweeddrum/core/directory/host_directory.py
+++ b/src/knapweeddrum/core/directory/host_directory.py
@@ -108,12 +108,14 @@
         """
         ready = self.ready_hosts()
         members = self.working_set.names
-        chosen = [record for record in ready if record.name in members]
-        if own is not None and (self._own_name in members or not chosen):
-            return [own, *self._addresses_of(chosen or ready)][:MAX_ADDRESSES]
-        return self._addresses_of(chosen or ready)[:MAX_ADDRESSES]
-
-    def request_rate(self) -> float:
+        ready_members = [record for record in ready if record.name in members]
+        others = self._choose(ready_members or ready)
+        addresses = [record.address for record in others]
+        if own is not None and (self._own_name in members or not ready_members):
+            addresses.insert(0, own)
+        return addresses[:MAX_ADDRESSES]
+
+    def others_request_rate(self) -> float:
         """Return the requests per second at all other ready hosts, as they said."""
         return sum(record.request_rate for record in self.ready_hosts())
 
@@ -128,9 +130,6 @@
         total = own_rate + sum(host.request_rate for host in self._running_hosts())
         return own_rate / total if total > 0 else None
 
-    def _addresses_of(self, hosts: list[HostRecord]) -> list[str]:
-        return [record.address for record in self._choose(hosts)]
-
     def _choose(self, hosts: list[HostRecord]) -> list[HostRecord]:
         """Return as many hosts as fit into an answer.
 
--- a/src/knapweeddrum/http/listener.py
+++ b/src/knapweeddrum/http/listener.py
@@ -24,9 +24,8 @@
 class Listener:
     """Accepts all connections that wait, in each pass of the event loop.
 
-    anyio's own listener accepts one connection in several passes. Where a pass takes
-    milliseconds, callers would wait for seconds to be accepted, while the loop seems
-    to be on time.
+    One connection in several passes, as anyio's listener accepts them, makes callers
+    wait for seconds where a pass takes milliseconds.
     """
 
     def __init__(self, sock: socket.socket) -> None:
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -76,8 +76,8 @@
     configuration_read_at: float = float("-inf")
     service_list_read_at: float = float("-inf")
     hosts_read_at: float = float("-inf")
-    fleet_known_from: float = float("inf")
-    """Time from which this host has read of all hosts that are ready."""
+    fleet_known_from: float | None = None
+    """Time from which this host knows which others are ready, None before a read."""
     claims_loaded: bool = False
     crash_records_loaded: bool = False
     version_record: VersionRecord | None = None
@@ -141,8 +141,8 @@
         records = [self.hosts.find(name) for name in dict.fromkeys(names)]
         return [record.peer_address for record in records if record is not None]
 
-    def own_record(self, beat: int, now: float) -> HostRecord:
-        """Return this host as its heartbeat with number ``beat`` describes it."""
+    def own_record(self, now: float, beat: int = 0) -> HostRecord:
+        """Return this host as its heartbeat with number ``beat`` would describe it."""
         settings = self.settings
         return HostRecord(
             name=settings.host_name,
@@ -177,8 +177,9 @@
     @property
     def knows_fleet(self) -> bool:
         """Return whether configuration and hosts tell which tokens this host owns."""
-        is_known = time.monotonic() >= self.fleet_known_from
-        return is_known and self.configuration is not None
+        if self.fleet_known_from is None or self.configuration is None:
+            return False
+        return time.monotonic() >= self.fleet_known_from
 
     @property
     def has_read_endpoints_and_hosts(self) -> bool:
--- a/src/knapweeddrum/process/entry/heartbeat_task.py
+++ b/src/knapweeddrum/process/entry/heartbeat_task.py
@@ -55,7 +55,7 @@
         """
         ctx = self._ctx
         self._beat += 1
-        record = ctx.own_record(self._beat, time.monotonic())
+        record = ctx.own_record(time.monotonic(), self._beat)
         records = [encode_heartbeat(record)]
         if self._records_versions():
             version_record = ctx.endpoint_history.version_record()
--- a/src/knapweeddrum/process/entry/host_reader.py
+++ b/src/knapweeddrum/process/entry/host_reader.py
@@ -64,9 +64,10 @@
         self._ctx.fleet_size.record(self._ctx.hosts.running_count(), now)
         ready_hosts = self._ctx.hosts.ready_hosts()
         self._ctx.token_owners.set_hosts(ready_hosts)
-        if self._ctx.fleet_known_from == float("inf"):
-            alone = 0.0 if ready_hosts else ALONE_SECONDS
-            self._ctx.fleet_known_from = now + alone
+        if self._ctx.fleet_known_from is None:
+            # With no other ready, all may be starting together.
+            wait = 0.0 if ready_hosts else ALONE_SECONDS
+            self._ctx.fleet_known_from = now + wait
         ready = [record.name for record in ready_hosts]
         if ready != self._ready_names:
             self._ready_names = ready
@@ -75,7 +76,7 @@
 
     def _update_working_set(self, now: float) -> None:
         ctx = self._ctx
-        own = None if ctx.draining else ctx.own_record(0, now)
+        own = None if ctx.draining else ctx.own_record(now)
         ctx.hosts.update_working_set(own, now)
         members = ctx.hosts.working_set.names
         if members == self._members:
@@ -86,6 +87,6 @@
             size=len(members),
             joined=sorted(members - self._members),
             left=sorted(self._members - members),
-            requests_per_second=round(ctx.hosts.request_rate(), 1),
+            requests_per_second=round(ctx.hosts.others_request_rate(), 1),
         )
         self._members = members
--- a/src/knapweeddrum/process/entry/host_state_page.py
+++ b/src/knapweeddrum/process/entry/host_state_page.py
@@ -32,7 +32,7 @@
     def _state(self, now: float) -> HostState:
         ctx = self._ctx
         configuration = ctx.configuration
-        own = ctx.own_record(0, now)
+        own = ctx.own_record(now)
         return HostState(
             host=ctx.settings.host_name,
             incarnation=ctx.incarnation,
--- a/src/knapweeddrum/process/entry/lapsed_entry_task.py
+++ b/src/knapweeddrum/process/entry/lapsed_entry_task.py
@@ -9,12 +9,6 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.service_list_reader import ServiceListReader
 
-DRAIN_DELAY_FRACTION = 0.85
-"""Part of the drain delay for which a lapsed entry may still be used at most.
-
-The rest is for requests that were placed before.
-"""
-
 
 class LapsedEntryTask:
     """Waits for entries that lapse, and removes them when their grace has passed.
--- a/src/knapweeddrum/process/entry_composition.py
+++ b/src/knapweeddrum/process/entry_composition.py
@@ -15,10 +15,7 @@
 from knapweeddrum.core.admission.crash_evidence import EVIDENCE_LIFETIME_SECONDS
 from knapweeddrum.core.admission.crash_policy import MAX_CRASHES, CrashPolicy
 from knapweeddrum.core.admission.crash_register import CrashRegister
-from knapweeddrum.core.catalog.service_list import (
-    LAPSED_ENTRY_GRACE_SECONDS,
-    ServiceList,
-)
+from knapweeddrum.core.catalog.service_list import ServiceList, lapse_grace
 from knapweeddrum.core.directory.host_directory import HostDirectory
 from knapweeddrum.core.membership.new_incarnation import new_incarnation
 from knapweeddrum.core.placing.endpoint_states import EndpointStates
@@ -30,7 +27,6 @@
 from knapweeddrum.platform.store_client import StoreClient
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.entry_process import EntryProcess
-from knapweeddrum.process.entry.lapsed_entry_task import DRAIN_DELAY_FRACTION
 from knapweeddrum.process.entry.lost_connection import (
     MAX_WAITING_REPORTS,
     LostConnection,
@@ -64,9 +60,7 @@
     writer = BoundedWriter(sys.stdout.fileno())
     metrics = Metrics()
     pool = ConnectionPool(lambda _: metrics.count(CONNECTIONS_OPENED))
-    service_list = ServiceList(
-        min(LAPSED_ENTRY_GRACE_SECONDS, DRAIN_DELAY_FRACTION * settings.drain_delay)
-    )
+    service_list = ServiceList(lapse_grace(settings.drain_delay))
     losses, reported_losses = anyio.create_memory_object_stream[LostConnection](
         MAX_WAITING_REPORTS
     )
--- a/tests/core/catalog/test_service_list.py
+++ b/tests/core/catalog/test_service_list.py
@@ -5,6 +5,7 @@
     LAPSED_ENTRY_GRACE_SECONDS,
     MIN_WRITES_OF_SERVED_ENDPOINT,
     ServiceList,
+    lapse_grace,
 )
 
 
@@ -19,6 +20,15 @@
     return EndpointEntry(**{**values, **changes})
 
 
+def lost_list() -> ServiceList:
+    """Return a list of two endpoints at a host that can't reach the store."""
+    listed = ServiceList()
+    listed.apply_entry("e1", 0, entry("e1"))
+    listed.apply_entry("e2", 1, entry("e2"))
+    listed.store_lost()
+    return listed
+
+
 def usable(listed: ServiceList) -> list[str]:
     return [found.endpoint_id for found in listed.usable("engine")]
 
@@ -60,10 +70,7 @@
 
 def test_removal_that_a_cut_host_reads_late_counts_at_once():
     """Endpoints wrote while this host was cut off, so the store served them."""
-    listed = ServiceList()
-    listed.apply_entry("e1", 0, entry("e1"))
-    listed.apply_entry("e2", 1, entry("e2"))
-    listed.store_lost()
+    listed = lost_list()
     listed.apply_removal("e1", 2, now=107.5)
     for offset in range(3, 3 + MIN_WRITES_OF_SERVED_ENDPOINT):
         listed.apply_entry("e2", offset, entry("e2"))
@@ -75,10 +82,7 @@
 
 def test_entries_that_were_renewed_once_since_an_outage_prove_nothing():
     """After an outage of the store the first endpoints back don't end the grace."""
-    listed = ServiceList()
-    listed.apply_entry("e1", 0, entry("e1"))
-    listed.apply_entry("e2", 1, entry("e2"))
-    listed.store_lost()
+    listed = lost_list()
     listed.apply_removal("e1", 2, now=107.5)
     listed.apply_removal("e2", 3, now=107.5)
     listed.apply_entry("e2", 4, entry("e2"))
@@ -113,6 +117,12 @@
     assert listed.lapses_at is None
 
 
+def test_grace_of_lapsed_entries_ends_before_the_drain_delay():
+    """It is never longer than endpoints take to renew their entries."""
+    assert lapse_grace(2.0) < 2.0
+    assert lapse_grace(60.0) == LAPSED_ENTRY_GRACE_SECONDS
+
+
 def test_complete_listing_removes_missing_entries():
     """Endpoints that a complete listing leaves out are removed."""
     listed = ServiceList()
--- a/tests/core/directory/test_host_directory.py
+++ b/tests/core/directory/test_host_directory.py
@@ -52,7 +52,7 @@
 
 
 def test_callers_are_spread_over_all_hosts_of_a_large_fleet():
-    """No host of 300 gets more than three times the mean, nor less than a tenth."""
+    """Before a working set is known, no host gets thrice the mean nor under a tenth."""
     names = [f"h{number:03}" for number in range(300)]
     counts: collections.Counter[str] = collections.Counter()
     for own in names:
