--- a/src/knapweeddrum/http/listener.py
+++ b/src/knapweeddrum/http/listener.py
@@ -19,17 +19,21 @@
 """Pause after a connection could not be accepted, as descriptors are used up."""
 
 ConnectionHandler = Callable[[SocketStream], Awaitable[None]]
+FailureReporter = Callable[[OSError], None]
 
 
 class Listener:
     """Accepts all connections that wait, in each pass of the event loop.
 
     One connection in several passes, as anyio's listener accepts them, makes callers
-    wait for seconds where a pass takes milliseconds.
+    wait for seconds where a pass takes milliseconds. A failure to accept, as for want
+    of descriptors, is passed to ``on_failure``, one report for several in a row.
     """
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, on_failure: FailureReporter) -> None:
         self._sock = sock
+        self._on_failure = on_failure
+        self._is_failing = False
 
     async def serve(
         self, handler: ConnectionHandler, tasks: TaskGroup | None = None
@@ -47,7 +51,8 @@
                 try:
                     for conn in self._accept_waiting():
                         group.start_soon(_handle, conn, handler)
-                except OSError:
+                except OSError as exc:
+                    self._report(exc)
                     await anyio.sleep(ACCEPT_RETRY_SECONDS)
 
     def _accept_waiting(self) -> Iterator[socket.socket]:
@@ -56,13 +61,19 @@
                 conn, _ = self._sock.accept()
             except (BlockingIOError, ConnectionAbortedError):
                 return
+            self._is_failing = False
             conn.setblocking(False)
             conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             yield conn
 
+    def _report(self, exc: OSError) -> None:
+        if not self._is_failing:
+            self._is_failing = True
+            self._on_failure(exc)
+
 
 @contextlib.asynccontextmanager
-async def listen(address: str) -> AsyncIterator[Listener]:
+async def listen(address: str, on_failure: FailureReporter) -> AsyncIterator[Listener]:
     """Listen at ``IP:port`` until the context is left; raises OSError."""
     host, _, port = address.rpartition(":")
     with contextlib.closing(socket.socket()) as sock:
@@ -70,7 +81,7 @@
         sock.setblocking(False)
         sock.bind((host, int(port)))
         sock.listen(BACKLOG)
-        yield Listener(sock)
+        yield Listener(sock, on_failure)
 
 
 async def _handle(conn: socket.socket, handler: ConnectionHandler) -> None:
--- a/src/knapweeddrum/process/entry/caller_server.py
+++ b/src/knapweeddrum/process/entry/caller_server.py
@@ -36,7 +36,10 @@
     async def run(self) -> None:
         """Accept connections until stopped; serve them until cancelled."""
         address = self._ctx.settings.caller_address
-        async with anyio.create_task_group() as tasks, listen(address) as listener:
+        async with (
+            anyio.create_task_group() as tasks,
+            listen(address, self._ctx.record_accept_failure) as listener,
+        ):
             with self._accepting:
                 await listener.serve(self._serve, tasks)
 
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -38,7 +38,9 @@
 from knapweeddrum.process.entry.lost_connection import LostConnection
 from knapweeddrum.process.entry.processor_meter import ProcessorMeter
 from knapweeddrum.settings.entry_settings import EntrySettings
+from knapweeddrum.telemetry.counters import ACCEPT_FAILED_COUNT
 from knapweeddrum.telemetry.event_log import EventLog
+from knapweeddrum.telemetry.events import ACCEPT_FAILED
 from knapweeddrum.telemetry.metrics import Metrics
 
 HOST_RETRY_FRACTION = 0.7
@@ -141,6 +143,11 @@
         records = [self.hosts.find(name) for name in dict.fromkeys(names)]
         return [record.peer_address for record in records if record is not None]
 
+    def record_accept_failure(self, exc: OSError) -> None:
+        """Record that connections can't be accepted; they wait meanwhile."""
+        self.metrics.count(ACCEPT_FAILED_COUNT)
+        self.events.emit(ACCEPT_FAILED, error=str(exc))
+
     def own_record(self, now: float, beat: int = 0) -> HostRecord:
         """Return this host as its heartbeat with number ``beat`` would describe it."""
         settings = self.settings
--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -4,7 +4,7 @@
 
 import pathlib
 import signal
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 
 import anyio
 from anyio.streams.memory import MemoryObjectReceiveStream
@@ -36,7 +36,7 @@
 from knapweeddrum.process.entry.loan_exchange import LOAN_PATH, RETURN_PATH
 from knapweeddrum.process.entry.loop_lag_task import LoopLagTask
 from knapweeddrum.process.entry.lost_connection import LostConnection
-from knapweeddrum.process.entry.page_server import PageServer
+from knapweeddrum.process.entry.page_server import PageHandler, PageServer
 from knapweeddrum.process.entry.peer_client import PeerClient
 from knapweeddrum.process.entry.service_list_reader import ServiceListReader
 from knapweeddrum.process.entry.stream_follower import RecordReader, StreamFollower
@@ -133,8 +133,8 @@
         pages = EntryPages(self._ctx)
         settings = self._ctx.settings
         servers = [
-            PageServer(settings.ready_address, {READY_PATH: pages.ready}),
-            PageServer(
+            self._page_server(settings.ready_address, {READY_PATH: pages.ready}),
+            self._page_server(
                 settings.peer_address,
                 {
                     LOAN_PATH: self._lender.lend,
@@ -149,13 +149,13 @@
         ]
         if settings.directory_address is not None:
             served = {DIRECTORY_PATH: pages.directory}
-            servers.append(PageServer(settings.directory_address, served))
+            servers.append(self._page_server(settings.directory_address, served))
         if self._metrics_port:
             host = settings.caller_address.rpartition(":")[0]
             address = f"{host}:{self._metrics_port}"
             state = HostStatePage(self._ctx)
             servers.append(
-                PageServer(
+                self._page_server(
                     address,
                     {
                         METRICS_PATH: pages.metrics,
@@ -166,6 +166,11 @@
             )
         return servers
 
+    def _page_server(
+        self, address: str, pages: Mapping[bytes, PageHandler]
+    ) -> PageServer:
+        return PageServer(address, pages, self._ctx.record_accept_failure)
+
     def _followers(self) -> list[StreamFollower]:
         ctx = self._ctx
         return [
--- a/src/knapweeddrum/process/entry/page_server.py
+++ b/src/knapweeddrum/process/entry/page_server.py
@@ -9,7 +9,7 @@
 
 from knapweeddrum.http.exceptions import MalformedRequestError, PeerDisconnectedError
 from knapweeddrum.http.header_list import Header
-from knapweeddrum.http.listener import listen
+from knapweeddrum.http.listener import FailureReporter, listen
 from knapweeddrum.http.server_connection import ServerConnection
 
 MAX_HEAD_BYTES = 8192
@@ -34,13 +34,19 @@
 class PageServer:
     """Serves pages by path at one address; query strings are ignored."""
 
-    def __init__(self, address: str, pages: Mapping[bytes, PageHandler]) -> None:
+    def __init__(
+        self,
+        address: str,
+        pages: Mapping[bytes, PageHandler],
+        on_failure: FailureReporter,
+    ) -> None:
         self._address = address
         self._pages = pages
+        self._on_failure = on_failure
 
     async def run(self) -> None:
         """Accept connections until cancelled."""
-        async with listen(self._address) as listener:
+        async with listen(self._address, self._on_failure) as listener:
             await listener.serve(self._serve)
 
     async def _serve(self, stream: SocketStream) -> None:
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -59,6 +59,8 @@
 """Requests to another host that got no usable reply in time."""
 HOST_BEHIND_COUNT = "host.behind"
 """Measurements at which this process was behind."""
+ACCEPT_FAILED_COUNT = "accept_failed"
+"""Times that connections could not be accepted, several in a row as one."""
 WORKING_SET_CHANGES = "working_set.changed"
 """Times that the hosts changed that callers are sent to."""
 CLAIM_RECORDS_READ = "claim.records_read"
@@ -93,6 +95,7 @@
     LOAN_RETURNED,
     HOST_UNANSWERED,
     HOST_BEHIND_COUNT,
+    ACCEPT_FAILED_COUNT,
     WORKING_SET_CHANGES,
     CLAIM_RECORDS_READ,
     CLAIM_WRITTEN,
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -182,6 +182,7 @@
 ENDPOINT_UNLISTED = Event(613, "endpoint_unlisted", "info", ("endpoint", "lapsed"))
 ENTRY_IGNORED = Event(614, "entry_ignored", "warning", ("key", "offset", "error"))
 HOSTS_CHANGED = Event(615, "hosts_changed", "info", ("ready",))
+ACCEPT_FAILED = Event(637, "accept_failed", "error", ("error",))
 WORKING_SET_CHANGED = Event(
     636,
     "working_set_changed",
--- a/tests/http/test_listener.py
+++ b/tests/http/test_listener.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import socket
 import struct
 import time
@@ -9,7 +10,7 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
-from knapweeddrum.http.listener import listen
+from knapweeddrum.http.listener import Listener, listen
 from tests.assertions import raises
 from tests.async_test import async_test
 from tools.free_ports import free_ports
@@ -21,6 +22,23 @@
 """Time within which callers that connect at one moment are served."""
 
 
+def fail_test(exc: OSError) -> None:
+    """Handle a failure to accept in a test in which there is none."""
+    raise AssertionError from exc
+
+
+class ExhaustedSocket(socket.socket):
+    """A listening socket that can't accept for want of descriptors, several times."""
+
+    failures_left = 3
+
+    def accept(self) -> tuple[socket.socket, object]:
+        if self.failures_left:
+            self.failures_left -= 1
+            raise OSError(errno.EMFILE, "too many open files")
+        return super().accept()
+
+
 async def keep_loop_busy() -> None:
     while True:
         time.sleep(PASS_SECONDS)
@@ -47,7 +65,7 @@
         served.append(time.monotonic())
         await stream.aclose()
 
-    async with listen(f"127.0.0.1:{port}") as listener:
+    async with listen(f"127.0.0.1:{port}", fail_test) as listener:
         with connected_callers(port, CALLERS):
             started_at = time.monotonic()
             async with anyio.create_task_group() as tasks:
@@ -75,7 +93,7 @@
         done.set()
 
     async with (
-        listen(f"127.0.0.1:{port}") as listener,
+        listen(f"127.0.0.1:{port}", fail_test) as listener,
         anyio.create_task_group() as tasks,
     ):
         tasks.start_soon(listener.serve, serve)
@@ -89,7 +107,7 @@
 async def test_listener_that_is_closed_refuses_connections():
     """Closing it ends its socket at once."""
     (port,) = free_ports(1)
-    async with listen(f"127.0.0.1:{port}"):
+    async with listen(f"127.0.0.1:{port}", fail_test):
         pass
     with raises(ConnectionRefusedError):
         socket.create_connection(("127.0.0.1", port))
@@ -106,7 +124,7 @@
         served.set()
 
     async with (
-        listen(f"127.0.0.1:{port}") as listener,
+        listen(f"127.0.0.1:{port}", fail_test) as listener,
         anyio.create_task_group() as tasks,
     ):
         with connected_callers(port, 3) as gone:
@@ -118,3 +136,26 @@
             with anyio.fail_after(2):
                 await served.wait()
         tasks.cancel_scope.cancel()
+
+
+@async_test
+async def test_want_of_descriptors_is_reported_once_and_callers_wait():
+    """A row of failures is one report; the caller is served when it has ended."""
+    reported: list[OSError] = []
+    served = anyio.Event()
+
+    async def serve(stream: SocketStream) -> None:
+        await stream.aclose()
+        served.set()
+
+    with contextlib.closing(ExhaustedSocket()) as sock:
+        sock.setblocking(False)
+        sock.bind(("127.0.0.1", 0))
+        sock.listen()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(Listener(sock, reported.append).serve, serve)
+            with connected_callers(sock.getsockname()[1], 1), anyio.fail_after(2):
+                await served.wait()
+            tasks.cancel_scope.cancel()
+    (exc,) = reported
+    assert exc.errno == errno.EMFILE
