--- a/tests/process/entry/entry_harness.py
+++ b/tests/process/entry/entry_harness.py
@@ -230,14 +230,15 @@
 
 @contextlib.asynccontextmanager
 async def entry_process(
-    store: PlatformStore, store_address: str, name: str
+    store: PlatformStore, store_address: str, name: str, *, first_start: bool = False
 ) -> AsyncIterator[EntryHarness]:
     """Run one entry process on free ports."""
     ports = free_ports(5)
     addresses = [f"127.0.0.1:{port}" for port in ports]
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / "host.toml"
-        path.write_text(settings_text(name, store_address, addresses))
+        text = settings_text(name, store_address, addresses)
+        path.write_text(f"bootstrap = {str(first_start).lower()}\n{text}")
         command = [
             sys.executable,
             str(ROOT / "src" / "run_entry.py"),
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -4,8 +4,10 @@
 
 import base64
 import contextlib
+import dataclasses
 import json
 import struct
+import time
 import urllib.parse
 from collections.abc import AsyncIterator
 
@@ -21,6 +23,18 @@
 IDLE_TIMEOUT_SECONDS = 30.0
 MAX_BODY_BYTES = 4 * 1024 * 1024
 READ_POLL_INTERVAL_SECONDS = 0.01
+ERA_HEADER = b"Store-Era"
+REWRITTEN_STREAMS = frozenset({"keyed.op", "keyed.servers"})
+"""Streams whose writers write again what a return of the store lost."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WrittenRecord:
+    """A record as it was appended, with its time in monotonic seconds."""
+
+    at: float
+    key: str
+    value: bytes | None
 
 
 class StoredStream:
@@ -33,6 +47,8 @@
         self.first = 0
         self.records: list[tuple[str, bytes | None]] = []
         self.newest: dict[str, tuple[int, bytes]] = {}
+        self._written: list[WrittenRecord] = []
+        """All records since offset 0, expired ones too."""
 
     @property
     def end(self) -> int:
@@ -44,6 +60,20 @@
         else:
             self.newest[key] = (self.end, value)
         self.records.append((key, value))
+        self._written.append(WrittenRecord(time.monotonic(), key, value))
+
+    def rewind(self, to: float) -> list[WrittenRecord]:
+        """Drop and return the records that were written after a time."""
+        kept = [record for record in self._written if record.at <= to]
+        lost = self._written[len(kept) :]
+        self.first = min(self.first, len(kept))
+        self.records, self.newest, self._written = [], {}, []
+        first, self.first = self.first, 0
+        for record in kept:
+            self.append(record.key, record.value)
+        self._written = kept
+        self.expire_records(first)
+        return lost
 
     def expire_records(self, before: int | None = None) -> None:
         """Expire the records before an offset, or all; the newest values stay."""
@@ -64,6 +94,21 @@
         self.lose_replies = 0
         """Number of next appends that are carried out without a reply."""
         self.calls = 0
+        self.era: int | None = None
+        """Sent with all answers, None for a store that tells none."""
+        self._away = False
+
+    async def return_from_copy(self, age: float, away: float) -> None:
+        """Be away for some seconds and come back from a copy ``age`` seconds old."""
+        copied_at = time.monotonic() - age
+        self._away = True
+        await anyio.sleep(away)
+        for name, stream in self.streams.items():
+            lost = stream.rewind(copied_at)
+            for record in lost if name in REWRITTEN_STREAMS else ():
+                stream.append(record.key, record.value)
+        self.era = (self.era or 0) + 1
+        self._away = False
 
     def stream(self, name: str) -> StoredStream:
         return self.streams.setdefault(name, StoredStream())
@@ -96,15 +141,18 @@
         self.calls += 1
         if self.unresponsive:
             await anyio.sleep_forever()
+        if self._away:
+            return False
         target = urllib.parse.urlsplit(received.target.decode())
         query = dict(urllib.parse.parse_qsl(target.query))
         if self.busy:
-            await conn.send_reply(503, [], b"")
+            await self._reply(conn, 503, b"")
         elif target.path == "/-/log-append":
             if not await self._append(conn, query, body):
                 return False
         elif target.path == "/-/log-read":
-            await self._read(conn, query)
+            if not await self._read(conn, query):
+                return False
         else:
             await self._newest(conn, query)
         return conn.finish()
@@ -114,7 +162,7 @@
     ) -> bool:
         stream = self.stream(query["topic"])
         if "at" in query and int(query["at"]) != stream.end:
-            await conn.send_reply(412, [], json.dumps({"end": stream.end}).encode())
+            await self._reply(conn, 412, json.dumps({"end": stream.end}).encode())
             return True
         offset = stream.end
         for key, value in _decode_records(body):
@@ -123,22 +171,27 @@
             self.lose_replies -= 1
             return False
         reply = {"offset": offset, "end": stream.end}
-        await conn.send_reply(200, [], json.dumps(reply).encode())
+        await self._reply(conn, 200, json.dumps(reply).encode())
         return True
 
-    async def _read(self, conn: ServerConnection, query: dict[str, str]) -> None:
+    async def _read(self, conn: ServerConnection, query: dict[str, str]) -> bool:
+        """Answer a read; return False if the store went away meanwhile."""
         stream = self.stream(query["topic"])
         start = int(query["from"])
+        era = self.era
         with anyio.move_on_after(int(query.get("waitMs", "0")) / 1000):
-            while stream.end <= start:
+            while stream.end == start and not self._away:
                 await anyio.sleep(READ_POLL_INTERVAL_SECONDS)
-        if start < stream.first:
-            await conn.send_reply(410, [], json.dumps({"first": stream.first}).encode())
-            return
+        if self._away or era != self.era:
+            return False
+        if not stream.first <= start <= stream.end:
+            await self._reply(conn, 410, json.dumps({"first": stream.first}).encode())
+            return True
         records = stream.records[start - stream.first :]
         head = struct.pack(">QQ", stream.end, stream.first)
         body = encode_records(KeyedRecord(key, value) for key, value in records)
-        await conn.send_reply(200, [], head + body)
+        await self._reply(conn, 200, head + body)
+        return True
 
     async def _newest(self, conn: ServerConnection, query: dict[str, str]) -> None:
         stream = self.stream(query["topic"])
@@ -147,7 +200,11 @@
             for key, (offset, value) in sorted(stream.newest.items())
         ]
         reply = {"items": items, "hasMore": False, "end": stream.end}
-        await conn.send_reply(200, [], json.dumps(reply).encode())
+        await self._reply(conn, 200, json.dumps(reply).encode())
+
+    async def _reply(self, conn: ServerConnection, status: int, body: bytes) -> None:
+        headers = [] if self.era is None else [(ERA_HEADER, str(self.era).encode())]
+        await conn.send_reply(status, headers, body)
 
 
 def _decode_records(body: bytes) -> list[tuple[str, bytes | None]]:
