--- a/src/knapweeddrum/console/commands/host_state_command.py
+++ b/src/knapweeddrum/console/commands/host_state_command.py
@@ -92,6 +92,8 @@
         ("service list read", _age_text(state.service_list_age)),
         ("hosts read", _age_text(state.hosts_age)),
         ("claims known up to offset", str(state.claims_end)),
+        ("store era", str(state.store_era) if state.store_era else "not told"),
+        ("claims", _claims_text(state)),
         ("ready hosts", ", ".join(state.ready_hosts) or "none"),
         ("working set", ", ".join(state.working_set) or "none"),
         (
@@ -107,6 +109,12 @@
     return f"version {state.config_version}, read {_age_text(state.config_age)}"
 
 
+def _claims_text(state: HostState) -> str:
+    if state.claims_open:
+        return "open"
+    return f"suspended, missing: {', '.join(state.missing_hosts) or 'none'}"
+
+
 def _age_text(age: float | None) -> str:
     return "never" if age is None else f"{age:.1f} s ago"
 
--- a/src/knapweeddrum/core/budget/grant_witness.py
+++ b/src/knapweeddrum/core/budget/grant_witness.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 from knapweeddrum.core.budget.unlock_verdict import UnlockVerdict
 from knapweeddrum.core.budget.witnessed_grant import WitnessedGrant
 from knapweeddrum.message.fact.grant_release import GrantRelease
@@ -65,6 +67,10 @@
             opened=grant.unlocked_limit,
         )
 
+    def unlocked_limits(self) -> Iterator[WitnessedGrant]:
+        """Return all registered grants with their unlocked limits."""
+        return iter(self._grants.values())
+
     def grants_of(self, holder: str) -> tuple[str, ...]:
         """Return the grants of a holder that are not closed, sorted."""
         return tuple(
--- a/src/knapweeddrum/core/catalog/service_list.py
+++ b/src/knapweeddrum/core/catalog/service_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 
@@ -21,6 +22,9 @@
 They span two intervals of its reports, longer than lapsed entries take to come back.
 """
 
+MAX_REMOVED = 2048
+"""Endpoints that were removed and are remembered; the oldest is forgotten."""
+
 
 class ServiceList:
     """Applies entries by offset and keeps those that lapse in a store outage.
@@ -37,6 +41,8 @@
         self._entries: dict[str, EndpointEntry] = {}
         self._offsets: dict[str, int] = {}
         self._lapsed: set[str] = set()
+        self._removed: dict[str, EndpointEntry] = {}
+        """Last entries of endpoints that were removed."""
         self._is_store_lost = False
         self._store_back_at = float("-inf")
         self._writes_since_loss: collections.Counter[str] = collections.Counter()
@@ -74,12 +80,30 @@
         if entry is None:
             return self._remove(key)
         self._writes_since_loss[key] += 1
+        self._removed.pop(key, None)
+        if self._is_draining(entry):
+            # An older copy of the store may have the entry from before the drain.
+            entry = dataclasses.replace(entry, draining=True)
         if self._entries.get(key) == entry:
             return False
         self._entries[key] = entry
         self.version += 1
         return True
 
+    def apply_listed_entry(
+        self, key: str, offset: int, entry: EndpointEntry | None
+    ) -> bool:
+        """Apply an entry of a listing; return whether the list changed.
+
+        One of a start that was removed is of an older copy of the store; the endpoint
+        writes a newer one if it runs.
+        """
+        removed = self._removed.get(key)
+        if entry is not None and removed is not None and _is_same_start(removed, entry):
+            self._is_newer(key, offset)
+            return False
+        return self.apply_entry(key, offset, entry)
+
     def apply_removal(self, key: str, offset: int, now: float) -> bool:
         """Apply the removal of an entry; return whether the list dropped it at once."""
         if not self._is_newer(key, offset):
@@ -138,13 +162,25 @@
         self._offsets[key] = offset
         return True
 
+    def _is_draining(self, entry: EndpointEntry) -> bool:
+        known = self._entries.get(entry.endpoint_id)
+        return known is not None and known.draining and _is_same_start(known, entry)
+
     def _remove(self, key: str) -> bool:
-        if self._entries.pop(key, None) is None:
+        entry = self._entries.pop(key, None)
+        if entry is None:
             return False
+        self._removed[key] = entry
+        if len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
         self.version += 1
         return True
 
 
+def _is_same_start(first: EndpointEntry, second: EndpointEntry) -> bool:
+    return first.started_at_ms == second.started_at_ms != 0
+
+
 def lapse_grace(drain_delay: float) -> float:
     """Return how long lapsed entries are kept, as they may be of leaving endpoints."""
     return min(LAPSED_ENTRY_GRACE_SECONDS, DRAIN_DELAY_FRACTION * drain_delay)
--- a/src/knapweeddrum/core/directory/host_directory.py
+++ b/src/knapweeddrum/core/directory/host_directory.py
@@ -57,11 +57,24 @@
             self._records.pop(key, None)
             return
         known = self._records.get(key)
+        if self._is_outdated(record, known):
+            return
         if known is not None and known.incarnation != record.incarnation:
             self._replaced.add(known.incarnation)
         self._records[key] = record
         self._heartbeat_at[key] = self._store_available_seconds
 
+    def _is_outdated(self, record: HostRecord, known: HostRecord | None) -> bool:
+        """Return whether a heartbeat is older than what was read before.
+
+        The store has such ones after it came back from an older copy.
+        """
+        if record.incarnation in self._replaced:
+            return True
+        if known is None or known.incarnation != record.incarnation:
+            return False
+        return record.beat <= known.beat
+
     def ready_hosts(self) -> list[HostRecord]:
         """Return the other hosts that are ready and send heartbeats, by name."""
         return [record for record in self._running_hosts() if record.ready]
@@ -141,6 +154,18 @@
         ranked = sorted(hosts, key=lambda host: _rank(self._own_name, host.name))
         return ranked[: MAX_ADDRESSES - 1]
 
+    def recent_incarnations(self) -> frozenset[str]:
+        """Return the other incarnations that may still run, by their heartbeats."""
+        return frozenset(
+            record.incarnation
+            for name, record in self._records.items()
+            if name != self._own_name and not self.is_gone(record.incarnation)
+        )
+
+    def running_hosts(self) -> list[HostRecord]:
+        """Return the other hosts that send heartbeats, ready or not, by name."""
+        return self._running_hosts()
+
     def host_count(self) -> int:
         """Return the number of hosts that serve, counting this one."""
         return 1 + len(self.ready_hosts())
--- /dev/null
+++ b/src/knapweeddrum/core/prepaid/claim_check_in.py
@@ -0,0 +1,74 @@
+"""What a host tells of the claims after the store came back from an older copy."""
+
+from __future__ import annotations
+
+import msgspec
+
+from knapweeddrum.core.prepaid.token_claim import TokenClaim
+
+
+class KnownClaim(msgspec.Struct, frozen=True):
+    """A claim as a host read it at a position of the stream."""
+
+    position: int
+    organisation: str
+    incarnation: str
+    claimed: int
+    committed: int
+    unlocked: int
+    witness: str
+
+    @classmethod
+    def of(cls, position: int, claim: TokenClaim) -> KnownClaim:
+        """Return a claim with the position at which it was read."""
+        return cls(
+            position,
+            claim.organisation,
+            claim.incarnation,
+            claim.claimed,
+            claim.committed,
+            claim.unlocked,
+            claim.witness,
+        )
+
+    def to_claim(self) -> TokenClaim:
+        """Return the claim without its position."""
+        return TokenClaim(
+            self.organisation,
+            self.incarnation,
+            self.claimed,
+            self.committed,
+            self.unlocked,
+            self.witness,
+        )
+
+
+class KnownConsent(msgspec.Struct, frozen=True):
+    """A witness lets ``holder`` spend up to ``limit`` tokens of an organisation."""
+
+    organisation: str
+    holder: str
+    limit: int
+
+
+class ClaimCheckIn(msgspec.Struct, frozen=True):
+    """A host's knowledge, written once for each era of the store that it lived to see.
+
+    ``complete_era`` is the newest era in which it knew all claims.
+    """
+
+    incarnation: str
+    era: int
+    complete_era: int
+    stream_end: int
+    """Position before which it had read the claims when the store returned."""
+    is_fresh: bool
+    """Whether it had read the others' heartbeats shortly before."""
+    running: tuple[str, ...] = ()
+    """Other incarnations that ran then and that no earlier check-in names."""
+    claims: tuple[KnownClaim, ...] = ()
+    """Its own claims, and those of others that the stream lacks."""
+    consents: tuple[KnownConsent, ...] = ()
+    """What it has unlocked, as their witness, beyond the claims in the stream."""
+    has_left: bool = False
+    """Whether it only says that it writes no further claims."""
--- /dev/null
+++ b/src/knapweeddrum/core/prepaid/claim_opening.py
@@ -0,0 +1,11 @@
+"""Opening of an era of the store for claims."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class ClaimOpening(msgspec.Struct, frozen=True):
+    """From this record on the stream has all claims, and more may be written."""
+
+    era: int
--- a/src/knapweeddrum/core/prepaid/claim_witness.py
+++ b/src/knapweeddrum/core/prepaid/claim_witness.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Iterator
 
 from knapweeddrum.core.budget.grant_witness import GrantWitness
 from knapweeddrum.core.budget.unlock_verdict import UnlockVerdict
+from knapweeddrum.core.prepaid.claim_check_in import KnownConsent
 from knapweeddrum.core.prepaid.token_claim import TokenClaim
 
 
@@ -37,6 +39,12 @@
             self._grant_witness.unlock(grant_id, holder, limit) is UnlockVerdict.ALLOWED
         )
 
+    def consents(self) -> Iterator[KnownConsent]:
+        """Return the limits up to which holders may spend."""
+        for grant in self._grant_witness.unlocked_limits():
+            if grant.unlocked_limit:
+                yield KnownConsent(grant.budget, grant.holder, grant.unlocked_limit)
+
     def stop_releasing(self) -> None:
         """Release nothing from now on."""
         self._stopped_releasing = True
--- a/src/knapweeddrum/core/prepaid/token_account.py
+++ b/src/knapweeddrum/core/prepaid/token_account.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from knapweeddrum.core.prepaid.unresolved_claim_write import UnresolvedClaimWrite
 
@@ -73,6 +73,11 @@
         """Return the claimed tokens that the witness may still unlock."""
         return max(0, self.claimed - self.unlocked)
 
+    @property
+    def needs_introduction(self) -> bool:
+        """Return whether the witness may not know what this host may spend."""
+        return self.confirmed > 0 and self.witness != self.introduced_witness
+
     @property
     def is_replacing_witness(self) -> bool:
         """Return whether an unresolved write names another witness."""
@@ -95,12 +100,18 @@
         ahead = int(self.demand_rate(now) * UNLOCK_AHEAD_SECONDS)
         return max(self.unlocked, self.used - self.borrowed_tokens + tokens + ahead)
 
-    def choose_witness(self, candidates: Sequence[str]) -> str:
-        """Return the present witness if it is usable, else the best; empty for none."""
+    def choose_witness(
+        self, candidates: Sequence[str], silent: Collection[str] = ()
+    ) -> str:
+        """Return the present witness if it is usable, else the best; empty for none.
+
+        One of the ``silent``, which did not answer lately, is the last choice.
+        """
         usable = [name for name in candidates if name not in self.refusing_witnesses]
-        if self.witness in usable:
+        answering = [name for name in usable if name not in silent] or usable
+        if self.witness in answering:
             return self.witness
-        return usable[0] if usable else ""
+        return answering[0] if answering else ""
 
     def needs_unlocking(self, now: float) -> bool:
         """Return whether to ask the witness ahead of demand.
@@ -108,7 +119,7 @@
         That is, if less than half of the demand to unlock in advance is free, or if
         the witness may not know that it was named.
         """
-        if self.locked > 0 and self.witness != self.introduced_witness:
+        if self.needs_introduction:
             return True
         return (
             self.locked > 0
--- a/src/knapweeddrum/core/prepaid/token_accounts.py
+++ b/src/knapweeddrum/core/prepaid/token_accounts.py
@@ -100,12 +100,14 @@
         now: float,
         witnesses: Sequence[str] = (),
         holds_start_reserve: bool = False,
+        silent_witnesses: Collection[str] = (),
     ) -> list[TokenClaim]:
         """Return the claims to write; a lowered claim limits this process at once.
 
         ``waiting`` holds the tokens of each waiting request, in order, ``owned`` the
         organisations for which this host holds a reserve, and ``witnesses`` the
-        incarnations that may be named as witness, the best first. With
+        incarnations that may be named as witness, the best first, of which
+        ``silent_witnesses`` did not answer lately. With
         ``holds_start_reserve`` it also holds some for those without a request so far.
         """
         claims = []
@@ -130,11 +132,13 @@
                 host_largest_request=host_largest_request,
             )
             account.intended = self._planner.plan(account, inputs, now)
-            witness = account.choose_witness(witnesses)
+            is_short = inputs.waiting_tokens > account.free
+            silent = silent_witnesses if is_short else ()
+            witness = account.choose_witness(witnesses, silent)
             if (
                 account.intended != account.confirmed
-                or inputs.waiting_tokens > account.free
-                or (account.locked and account.witness != witness)
+                or is_short
+                or (account.confirmed and account.witness != witness)
                 or self._must_publish_committed(organisation, account, max_reservable)
             ):
                 limit = account.next_unlocked_limit(inputs.waiting_tokens, now)
@@ -158,7 +162,11 @@
         return claims
 
     def apply_ledger(self) -> None:
-        """Update the accounts from this incarnation's claims in the ledger."""
+        """Update the accounts from this incarnation's claims in the ledger.
+
+        A claim that names a witness unlocks nothing before the witness consents: the
+        claim could get lost with this host if the store came back from an older copy.
+        """
         for organisation, account in self._accounts.items():
             if (
                 account.unresolved_write
@@ -166,11 +174,15 @@
             ):
                 account.unresolved_write = None
             own = self.ledger.claim_of(organisation, self.incarnation)
-            if own is None:
-                continue
-            account.confirmed = own.claimed
-            account.unlocked = max(account.unlocked, own.unlocked)
-            account.witness = own.witness
+            account.confirmed = own.claimed if own is not None else 0
+            account.witness = own.witness if own is not None else ""
+            if own is not None and not own.witness:
+                account.unlocked = max(account.unlocked, own.unlocked)
+
+    def adopt(self, ledger: TokenClaimLedger) -> None:
+        """Replace what is known of all claims."""
+        self.ledger = ledger
+        self.apply_ledger()
 
     def record_not_written(self) -> None:
         """Record that the claims planned last were not and won't be written."""
@@ -183,7 +195,7 @@
         account = self.account(organisation, now)
         return (
             bool(account.witness)
-            and account.locked > 0
+            and (account.locked > 0 or account.needs_introduction)
             and not account.is_replacing_witness
         )
 
--- a/src/knapweeddrum/core/prepaid/token_claim_ledger.py
+++ b/src/knapweeddrum/core/prepaid/token_claim_ledger.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Iterator
 
 from knapweeddrum.core.prepaid.token_claim import TokenClaim
+from knapweeddrum.value.store_position import offset_of
 
 
 class TokenClaimLedger:
@@ -51,6 +53,21 @@
         known = self._claims.get(organisation, {}).get(incarnation)
         return known[1] if known is not None else None
 
+    def claimed_by(self, organisation: str, incarnation: str) -> int:
+        """Return the tokens that one incarnation has claimed."""
+        claim = self.claim_of(organisation, incarnation)
+        return claim.claimed if claim is not None else 0
+
+    def offset(self, organisation: str, incarnation: str) -> int:
+        """Return the offset of an incarnation's claim, -1 if it has none."""
+        known = self._claims.get(organisation, {}).get(incarnation)
+        return offset_of(known[0]) if known is not None else -1
+
+    def all_claims(self) -> Iterator[tuple[int, TokenClaim]]:
+        """Return all claims with their positions."""
+        for claims in self._claims.values():
+            yield from claims.values()
+
     def holders_by_free_tokens(self, organisation: str) -> list[str]:
         """Return the incarnations that had free tokens when they wrote, most first."""
         claims = [
--- a/src/knapweeddrum/message/call/host_state.py
+++ b/src/knapweeddrum/message/call/host_state.py
@@ -76,3 +76,9 @@
     """Requests per second that this host can carry."""
     request_rate: float = 0.0
     """Requests per second that it received lately."""
+    store_era: int = 0
+    """Era of the store, counted from 1; 0 if the store tells none."""
+    claims_open: bool = True
+    """Whether tokens may be claimed in that era."""
+    missing_hosts: list[str] = []
+    """Incarnations that claims wait for after a return of the store."""
--- a/src/knapweeddrum/message/call/token_opening.py
+++ b/src/knapweeddrum/message/call/token_opening.py
@@ -24,6 +24,8 @@
     witness: str
     """Incarnation that is asked; a later one at the same address can't consent."""
     marks: list[UnlockedLimit]
+    era: int = 0
+    """Newest era of the store in which the holder knew all claims."""
 
 
 class TokenUnlockReply(msgspec.Struct, frozen=True):
--- a/src/knapweeddrum/platform/exceptions.py
+++ b/src/knapweeddrum/platform/exceptions.py
@@ -23,6 +23,18 @@
         self.first = first
 
 
+class StoreReturnedError(RecordsExpiredError):
+    """The store has come back from an older copy since the given position was read."""
+
+    def __init__(self, era: int) -> None:
+        super().__init__(0)
+        self.era = era
+
+
+class EraDoubtError(PlatformError):
+    """An answer of the store tells no era, a malformed one or an earlier one."""
+
+
 class ConditionFailedError(PlatformError):
     """The stream did not end at the offset that a conditional append expected.
 
--- a/src/knapweeddrum/platform/keyed_record.py
+++ b/src/knapweeddrum/platform/keyed_record.py
@@ -12,3 +12,4 @@
     key: str
     value: bytes | None
     offset: int = -1
+    """Position of the record, as ``store_position`` returns it."""
--- a/src/knapweeddrum/platform/record_codec.py
+++ b/src/knapweeddrum/platform/record_codec.py
@@ -13,6 +13,7 @@
 from knapweeddrum.platform.exceptions import MalformedRecordError
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.store_page import StorePage
+from knapweeddrum.value.store_position import era_of, offset_of, store_position
 
 LENGTH_PREFIX = struct.Struct(">I")
 PAGE_HEADER = struct.Struct(">QQ")
@@ -29,7 +30,7 @@
 
 
 def decode_page(body: bytes, start: int) -> StorePage:
-    """Decode the reply to a read from offset ``start``.
+    """Decode the reply to a read from position ``start``.
 
     Records with an invalid key are left out. Raises MalformedRecordError if the page
     is truncated.
@@ -38,7 +39,8 @@
         raise MalformedRecordError("page is shorter than its header")
     end, first = PAGE_HEADER.unpack_from(body)
     records = []
-    offset = max(start, first)
+    era = era_of(start)
+    offset = max(offset_of(start), first)
     position = PAGE_HEADER.size
     while position < len(body):
         if position + LENGTH_PREFIX.size > len(body):
@@ -49,14 +51,15 @@
         if len(content) != length:
             raise MalformedRecordError("page ends within a record")
         position += length
-        record = _decode_record(content, offset)
+        record = _decode_record(content, store_position(era, offset))
         if record is not None:
             records.append(record)
         offset += 1
-    return StorePage(tuple(records), offset, complete=offset >= end)
+    next_position = store_position(era, offset)
+    return StorePage(tuple(records), next_position, complete=offset >= end)
 
 
-def _decode_record(content: bytes, offset: int) -> KeyedRecord | None:
+def _decode_record(content: bytes, position: int) -> KeyedRecord | None:
     if not content or len(content) < 1 + content[0]:
         return None
     size = 1 + content[0]
@@ -64,4 +67,4 @@
         key = content[1:size].decode()
     except UnicodeDecodeError:
         return None
-    return KeyedRecord(key, content[size:] or None, offset)
+    return KeyedRecord(key, content[size:] or None, position)
--- a/src/knapweeddrum/platform/settings_file.py
+++ b/src/knapweeddrum/platform/settings_file.py
@@ -62,6 +62,7 @@
     )
     """First and last port of the range for traffic between hosts."""
     platform: _Store
+    is_first_start: bool = msgspec.field(name="bootstrap", default=False)
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
 
@@ -89,6 +90,7 @@
         link_mbps=document.limits.link_mbps,
         grace_period=bounds.grace,
         retry_ratio=bounds.retry_share,
+        is_first_start=document.is_first_start,
         retry_slack=bounds.retry_slack,
         retry_window=bounds.retry_window,
         directory_lifetime=bounds.directory_lifetime,
--- a/src/knapweeddrum/platform/store_client.py
+++ b/src/knapweeddrum/platform/store_client.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import dataclasses
 import urllib.parse
 from collections.abc import Callable, Sequence
 
@@ -17,14 +18,18 @@
 from knapweeddrum.platform.exceptions import (
     AppendUnknownError,
     ConditionFailedError,
+    EraDoubtError,
     LogUnavailableError,
     MalformedRecordError,
     RecordsExpiredError,
+    StoreReturnedError,
 )
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.record_codec import decode_page, encode_records
+from knapweeddrum.platform.store_era import StoreEra
 from knapweeddrum.platform.store_listing import StoreListing
 from knapweeddrum.platform.store_page import StorePage
+from knapweeddrum.value.store_position import era_of, offset_of, store_position
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 CALL_TIMEOUT_SECONDS = 0.9
@@ -55,6 +60,12 @@
     more: bool = msgspec.field(name="hasMore", default=False)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ListingPage:
+    listing: _Listing
+    era: int
+
+
 class _Appended(msgspec.Struct, frozen=True):
     offset: int
     end: int
@@ -64,17 +75,29 @@
     first: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reply:
+    status: int
+    body: bytes
+    era: int
+
+
 class StoreClient:
     """Appends to and reads from keyed streams; it never retries a call.
 
+    Offsets are given and returned as positions, which tell the era of the store too.
     ``on_call`` is called after each call with its kind (``append``, ``read`` or
-    ``newest``) and outcome: the reply's status, ``not_sent`` or ``no_reply``.
+    ``newest``) and outcome: the reply's status, ``not_sent``, ``no_reply`` or
+    ``era_doubt``.
     """
 
     def __init__(
         self, address: str, pool: ConnectionPool, on_call: Callable[[str, str], None]
     ) -> None:
         self.address = address
+        self.era = StoreEra()
+        self.on_era_doubt: Callable[[str], None] = _ignore_doubt
+        """Called with the reason when an answer is not believed."""
         self._pool = pool
         self._on_call = on_call
 
@@ -84,56 +107,66 @@
         records: Sequence[KeyedRecord],
         expected_end: int | None = None,
     ) -> int:
-        """Append all records or none, and return the offset that follows them.
+        """Append all records or none, and return the position that follows them.
 
         If ``expected_end`` is given and the stream ends elsewhere, raises
         ConditionFailedError. Raises LogUnavailableError if nothing was written, and
-        AppendUnknownError if the records may have been written or may still be.
+        AppendUnknownError if the records may have been written or may still be, or
+        were in another era than that of ``expected_end``. Raises StoreReturnedError
+        if that era is known to be over.
         """
         query: dict[str, object] = {"topic": stream, "part": PARTITION}
         if expected_end is not None:
-            query["at"] = expected_end
+            self._check_era(expected_end)
+            query["at"] = offset_of(expected_end)
         target = _target("/-/log-append", query)
         try:
-            status, body = await self._call(
+            reply = await self._call(
                 "append", b"POST", target, encode_records(records), 0.0
             )
         except NotSentError as exc:
             raise LogUnavailableError(str(exc)) from exc
-        except NoReplyError as exc:
+        except (NoReplyError, EraDoubtError) as exc:
             raise AppendUnknownError(str(exc)) from exc
-        if status == CONDITION_FAILED:
+        if reply.status in NOT_EXECUTED_STATUSES:
+            raise LogUnavailableError(f"append refused with status {reply.status}")
+        if reply.status == CONDITION_FAILED:
             raise ConditionFailedError(stream)
-        if status in NOT_EXECUTED_STATUSES:
-            raise LogUnavailableError(f"append refused with status {status}")
-        if status != OK:
-            raise AppendUnknownError(f"append answered with status {status}")
+        if reply.status != OK:
+            raise AppendUnknownError(f"append answered with status {reply.status}")
+        if expected_end is not None and not _is_of_era(expected_end, reply.era):
+            raise AppendUnknownError(f"append carried out in era {reply.era}")
         try:
-            return msgspec.json.decode(body, type=_Appended).end
+            end = msgspec.json.decode(reply.body, type=_Appended).end
         except msgspec.MsgspecError as exc:
             raise AppendUnknownError(f"malformed reply to an append: {exc}") from exc
+        return store_position(reply.era, end)
 
     async def read(self, stream: str, start: int, wait: float = 0.0) -> StorePage:
-        """Return records from offset ``start`` on.
+        """Return records from position ``start`` on.
 
         A read at the end of the stream waits up to ``wait`` seconds for a record.
-        Raises RecordsExpiredError and LogUnavailableError.
+        Raises RecordsExpiredError, StoreReturnedError and LogUnavailableError.
         """
+        self._check_era(start)
         query = {
             "topic": stream,
             "part": PARTITION,
-            "from": start,
+            "from": offset_of(start),
             "maxKb": REQUESTED_PAGE_KB,
             "waitMs": int(wait * 1000),
         }
-        status, body = await self._read_call("read", "/-/log-read", query, wait)
+        reply = await self._read_call("read", "/-/log-read", query, wait)
+        if not _is_of_era(start, reply.era):
+            raise StoreReturnedError(reply.era)
         try:
-            if status == GONE:
-                first = msgspec.json.decode(body, type=_Expired).first
+            if reply.status == GONE:
+                first = msgspec.json.decode(reply.body, type=_Expired).first
                 raise RecordsExpiredError(first)
-            if status != OK:
-                raise LogUnavailableError(f"read answered with status {status}")
-            return decode_page(body, start)
+            if reply.status != OK:
+                raise LogUnavailableError(f"read answered with status {reply.status}")
+            position = store_position(reply.era, offset_of(start))
+            return decode_page(reply.body, position)
         except (msgspec.MsgspecError, MalformedRecordError) as exc:
             raise LogUnavailableError(f"malformed page: {exc}") from exc
 
@@ -144,41 +177,48 @@
         were appended after that may be missing from the listing.
         Raises LogUnavailableError.
         """
-        records: list[KeyedRecord] = []
-        listing_end: int | None = None
-        after = ""
-        while True:
-            listing = await self._read_listing(stream, after)
-            records += [_decode_item(item) for item in listing.items]
-            listing_end = listing.end if listing_end is None else listing_end
-            if not listing.more or not listing.items:
-                return StoreListing(tuple(records), listing_end)
-            after = listing.items[-1].key
-
-    async def _read_listing(self, stream: str, after: str) -> _Listing:
+        first = await self._read_listing(stream, "")
+        pages = [first]
+        while pages[-1].listing.more and pages[-1].listing.items:
+            after = pages[-1].listing.items[-1].key
+            pages.append(await self._read_listing(stream, after))
+            if pages[-1].era != first.era:
+                raise LogUnavailableError("the store returned during a listing")
+        items = [item for page in pages for item in page.listing.items]
+        records = [_decode_item(item, first.era) for item in items]
+        end = store_position(first.era, first.listing.end)
+        return StoreListing(tuple(records), end)
+
+    def _check_era(self, position: int) -> None:
+        """Raise StoreReturnedError for a position of an earlier era."""
+        if not _is_of_era(position, self.era.current):
+            raise StoreReturnedError(self.era.current)
+
+    async def _read_listing(self, stream: str, after: str) -> _ListingPage:
         query: dict[str, object] = {"topic": stream, "part": PARTITION}
         if after:
             query["after"] = after
-        status, body = await self._read_call("newest", "/-/log-newest", query, 0.0)
-        if status != OK:
-            raise LogUnavailableError(f"listing answered with status {status}")
+        reply = await self._read_call("newest", "/-/log-newest", query, 0.0)
+        if reply.status != OK:
+            raise LogUnavailableError(f"listing answered with status {reply.status}")
         try:
-            return msgspec.json.decode(body, type=_Listing)
+            listing = msgspec.json.decode(reply.body, type=_Listing)
         except msgspec.MsgspecError as exc:
             raise LogUnavailableError(f"malformed listing: {exc}") from exc
+        return _ListingPage(listing, reply.era)
 
     async def _read_call(
         self, kind: str, path: str, query: dict[str, object], wait: float
-    ) -> tuple[int, bytes]:
+    ) -> _Reply:
         try:
             return await self._call(kind, b"GET", _target(path, query), b"", wait)
-        except ExchangeError as exc:
+        except (ExchangeError, EraDoubtError) as exc:
             raise LogUnavailableError(str(exc)) from exc
 
     async def _call(
         self, kind: str, method: bytes, target: bytes, body: bytes, wait: float
-    ) -> tuple[int, bytes]:
-        """Make one call; raises NotSentError and NoReplyError."""
+    ) -> _Reply:
+        """Make one call; raises NotSentError, NoReplyError and EraDoubtError."""
         outcome = "no_reply"
         lease = self._pool.lease(
             self.address, self.address, MAX_CONNECTIONS, CONNECT_TIMEOUT_SECONDS
@@ -186,9 +226,13 @@
         try:
             with anyio.fail_after(CALL_TIMEOUT_SECONDS + wait):
                 async with lease as conn:
-                    status, reply = await self._exchange(conn, method, target, body)
-                    outcome = str(status)
-                    return status, reply
+                    reply = await self._exchange(conn, method, target, body)
+                    outcome = str(reply.status)
+                    return reply
+        except EraDoubtError as exc:
+            outcome = "era_doubt"
+            self.on_era_doubt(str(exc))
+            raise
         except NotSentError:
             outcome = "not_sent"
             raise
@@ -199,22 +243,32 @@
 
     async def _exchange(
         self, conn: ClientConnection, method: bytes, target: bytes, body: bytes
-    ) -> tuple[int, bytes]:
+    ) -> _Reply:
         headers: list[Header] = [(b"Host", self.address.encode())]
         if method == b"POST":
             headers.append((b"Content-Length", str(len(body)).encode()))
         async with conn.exchange(method, target, headers, body) as head:
-            return head.status, await conn.read_body(MAX_PAGE_BYTES)
+            reply = await conn.read_body(MAX_PAGE_BYTES)
+            return _Reply(head.status, reply, self.era.accept(head.headers))
 
 
 def _target(path: str, query: dict[str, object]) -> bytes:
     return f"{path}?{urllib.parse.urlencode(query)}".encode()
 
 
-def _decode_item(item: _ListedItem) -> KeyedRecord:
+def _is_of_era(position: int, era: int) -> bool:
+    """Return whether a position is valid; that of the beginning is in all eras."""
+    return not position or era_of(position) == era
+
+
+def _ignore_doubt(_reason: str) -> None:
+    return None
+
+
+def _decode_item(item: _ListedItem, era: int) -> KeyedRecord:
     try:
         value = base64.b64decode(item.value, validate=True)
     except binascii.Error:
         # Keeps the key in the listing, with a value that every codec rejects.
         value = b"\x00"
-    return KeyedRecord(item.key, value, item.offset)
+    return KeyedRecord(item.key, value, store_position(era, item.offset))
--- a/src/knapweeddrum/process/entry/configuration_reader.py
+++ b/src/knapweeddrum/process/entry/configuration_reader.py
@@ -12,6 +12,7 @@
 from knapweeddrum.process.entry.stream_follower import RecordReader
 from knapweeddrum.process.entry.stream_read import StreamRead
 from knapweeddrum.telemetry.events import CONFIG_APPLIED, CONFIG_REJECTED
+from knapweeddrum.value.store_position import offset_of
 
 
 class ConfigurationReader(RecordReader):
@@ -44,7 +45,9 @@
         try:
             configuration = decode_configuration(body)
         except MalformedRecordError as exc:
-            ctx.events.emit(CONFIG_REJECTED, offset=record.offset, error=str(exc))
+            ctx.events.emit(
+                CONFIG_REJECTED, offset=offset_of(record.offset), error=str(exc)
+            )
             return
         previous = ctx.configuration.version if ctx.configuration else None
         if previous is not None and configuration.version <= previous:
@@ -61,6 +64,6 @@
             CONFIG_APPLIED,
             version=configuration.version,
             previous=previous,
-            offset=record.offset,
+            offset=offset_of(record.offset),
             routes=configuration.route_count,
         )
--- a/src/knapweeddrum/process/entry/crash_record_reader.py
+++ b/src/knapweeddrum/process/entry/crash_record_reader.py
@@ -12,7 +12,6 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.stream_follower import RecordReader
 from knapweeddrum.process.entry.stream_read import StreamRead
-from knapweeddrum.telemetry.events import ENTRY_IGNORED
 
 STORE_SOURCE = "store"
 
@@ -58,9 +57,7 @@
         try:
             crash_record = decode_crash_record(record)
         except MalformedRecordError as exc:
-            self._ctx.events.emit(
-                ENTRY_IGNORED, key=record.key, offset=record.offset, error=str(exc)
-            )
+            self._ctx.record_ignored(record.key, record.offset, str(exc))
             return
         self.stored[record.key] = crash_record
         merge(self._ctx, [crash_record], STORE_SOURCE)
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -15,13 +15,17 @@
 from knapweeddrum.core.catalog.service_list import ServiceList
 from knapweeddrum.core.directory.fleet_size import FleetSize
 from knapweeddrum.core.directory.host_capacity import host_capacity
-from knapweeddrum.core.directory.host_directory import HostDirectory
+from knapweeddrum.core.directory.host_directory import (
+    HEARTBEAT_TIMEOUT_SECONDS,
+    HostDirectory,
+)
 from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.load.loop_lag import LoopLag
 from knapweeddrum.core.load.request_rate import RequestRate
 from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.placing.endpoint_states import EndpointStates
 from knapweeddrum.core.placing.placer import Placer
+from knapweeddrum.core.prepaid.claim_recovery import ClaimRecovery
 from knapweeddrum.core.prepaid.claim_witness import ClaimWitness
 from knapweeddrum.core.prepaid.loan_ledger import LoanLedger
 from knapweeddrum.core.prepaid.token_accounts import TokenAccounts
@@ -38,10 +42,24 @@
 from knapweeddrum.process.entry.lost_connection import LostConnection
 from knapweeddrum.process.entry.processor_meter import ProcessorMeter
 from knapweeddrum.settings.entry_settings import EntrySettings
-from knapweeddrum.telemetry.counters import ACCEPT_FAILED_COUNT
+from knapweeddrum.telemetry.counters import (
+    ACCEPT_FAILED_COUNT,
+    STORE_ERA_DOUBTED_COUNT,
+    STORE_RETURNED_COUNT,
+)
 from knapweeddrum.telemetry.event_log import EventLog
-from knapweeddrum.telemetry.events import ACCEPT_FAILED
+from knapweeddrum.telemetry.events import (
+    ACCEPT_FAILED,
+    ENTRY_IGNORED,
+    STORE_ERA_DOUBTED,
+    STORE_RETURNED,
+)
 from knapweeddrum.telemetry.metrics import Metrics
+from knapweeddrum.value.store_position import offset_of
+
+FRESH_SECONDS = HEARTBEAT_TIMEOUT_SECONDS
+"""Age of the known heartbeats up to which this host can't have been left out by others,
+so that it knows of all that may have claimed."""
 
 HOST_RETRY_FRACTION = 0.7
 """Fraction of the configured retries per request that each host allows itself."""
@@ -70,6 +88,7 @@
     losses: MemoryObjectSendStream[LostConnection]
     """Reports of connections that endpoints ended within an exchange."""
     claim_witness: ClaimWitness
+    claim_recovery: ClaimRecovery
     placer: Placer
     events: EventLog
     metrics: Metrics
@@ -148,6 +167,12 @@
         self.metrics.count(ACCEPT_FAILED_COUNT)
         self.events.emit(ACCEPT_FAILED, error=str(exc))
 
+    def record_ignored(self, key: str, position: int, error: str) -> None:
+        """Record that a record of the store can't be read."""
+        self.events.emit(
+            ENTRY_IGNORED, key=key, offset=offset_of(position), error=error
+        )
+
     def own_record(self, now: float, beat: int = 0) -> HostRecord:
         """Return this host as its heartbeat with number ``beat`` would describe it."""
         settings = self.settings
@@ -165,10 +190,34 @@
 
     def witnesses(self) -> list[str]:
         """Return the incarnations whose consent may unlock tokens, best first."""
-        return rank_witnesses(
-            self.incarnation, self.settings.data_centre, self.hosts.ready_hosts()
+        cfg = self.settings
+        ready = self.hosts.ready_hosts()
+        others = [host for host in self.hosts.running_hosts() if not host.ready]
+        return [
+            *rank_witnesses(self.incarnation, cfg.data_centre, ready),
+            *rank_witnesses(self.incarnation, cfg.data_centre, others),
+        ]
+
+    def record_store_return(self, before: int, era: int) -> None:
+        """Record that the store has come back from an older copy."""
+        is_fresh = time.monotonic() - self.hosts_read_at <= FRESH_SECONDS
+        running = self.hosts.recent_incarnations()
+        self.claim_recovery.begin_era(era, running, is_fresh=is_fresh)
+        self.metrics.count(STORE_RETURNED_COUNT)
+        self.events.emit(
+            STORE_RETURNED,
+            before=before,
+            era=era,
+            running=len(running),
+            is_fresh=is_fresh,
+            claims_end=offset_of(self.token_accounts.ledger.end),
         )
 
+    def record_era_doubt(self, reason: str) -> None:
+        """Record that an answer of the store is not believed."""
+        self.metrics.count(STORE_ERA_DOUBTED_COUNT)
+        self.events.emit(STORE_ERA_DOUBTED, reason=reason)
+
     @property
     def is_ready(self) -> bool:
         """Return whether the process can serve requests."""
--- a/src/knapweeddrum/process/entry/host_reader.py
+++ b/src/knapweeddrum/process/entry/host_reader.py
@@ -17,7 +17,6 @@
 from knapweeddrum.process.entry.stream_read import StreamRead
 from knapweeddrum.telemetry.counters import WORKING_SET_CHANGES
 from knapweeddrum.telemetry.events import (
-    ENTRY_IGNORED,
     HOSTS_CHANGED,
     WORKING_SET_CHANGED,
 )
@@ -46,9 +45,7 @@
                     continue
                 host = decode_heartbeat(record)
             except MalformedRecordError as exc:
-                self._ctx.events.emit(
-                    ENTRY_IGNORED, key=record.key, offset=record.offset, error=str(exc)
-                )
+                self._ctx.record_ignored(record.key, record.offset, str(exc))
                 continue
             self._ctx.hosts.apply_heartbeat(record.key, record.offset, host)
 
--- a/src/knapweeddrum/process/entry/host_state_page.py
+++ b/src/knapweeddrum/process/entry/host_state_page.py
@@ -15,6 +15,7 @@
 )
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.page_server import PageAnswer
+from knapweeddrum.value.store_position import offset_of
 
 STATE_PATH = b"/state"
 
@@ -43,7 +44,10 @@
             config_age=_age(ctx.configuration_read_at, now),
             service_list_age=_age(ctx.service_list_read_at, now),
             hosts_age=_age(ctx.hosts_read_at, now),
-            claims_end=ctx.token_accounts.ledger.end,
+            claims_end=offset_of(ctx.token_accounts.ledger.end),
+            store_era=ctx.claim_recovery.era,
+            claims_open=ctx.claim_recovery.is_open,
+            missing_hosts=ctx.claim_recovery.missing(),
             ready_hosts=[record.name for record in ctx.hosts.ready_hosts()],
             endpoints=self._endpoints(now),
             budgets=self._budgets(now),
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -36,6 +36,7 @@
 REASON_BY_VERDICT = {
     TokenVerdict.EXHAUSTED: RefusalReason.BUDGET_EXHAUSTED,
     TokenVerdict.HELD_ELSEWHERE: RefusalReason.TOKENS_HELD_ELSEWHERE,
+    TokenVerdict.UNKNOWN: RefusalReason.TOKENS_UNKNOWN,
     TokenVerdict.UNREACHABLE: RefusalReason.BUDGET_UNREACHABLE,
 }
 
--- a/src/knapweeddrum/process/entry/service_list_reader.py
+++ b/src/knapweeddrum/process/entry/service_list_reader.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import anyio
 
@@ -16,7 +16,6 @@
 from knapweeddrum.telemetry.events import (
     ENDPOINT_LISTED,
     ENDPOINT_UNLISTED,
-    ENTRY_IGNORED,
 )
 
 
@@ -34,7 +33,8 @@
     ) -> None:
         """Apply all entries and drop endpoints that are missing from the listing."""
         known = list(records)
-        self.apply_records(known, now)
+        for record in known:
+            self._apply(record, self._ctx.service_list.apply_listed_entry)
         self._ctx.service_list.apply_listing({record.key for record in known}, end, now)
 
     def apply_records(self, records: Iterable[KeyedRecord], now: float) -> None:
@@ -43,10 +43,7 @@
             if record.value is None:
                 self._drop(record, now)
                 continue
-            entry = self._decode(record, record.value)
-            self._written.add(record.key)
-            if self._ctx.service_list.apply_entry(record.key, record.offset, entry):
-                self._log_change(record.key, entry)
+            self._apply(record, self._ctx.service_list.apply_entry)
 
     def on_store_lost(self) -> None:
         """Keep entries that expire while the store can't be reached."""
@@ -77,6 +74,16 @@
         for key in self._ctx.service_list.expire(now):
             self._ctx.events.emit(ENDPOINT_UNLISTED, endpoint=key, lapsed=True)
 
+    def _apply(
+        self,
+        record: KeyedRecord,
+        apply: Callable[[str, int, EndpointEntry | None], bool],
+    ) -> None:
+        entry = self._decode(record, record.value or b"")
+        self._written.add(record.key)
+        if apply(record.key, record.offset, entry):
+            self._log_change(record.key, entry)
+
     def _drop(self, record: KeyedRecord, now: float) -> None:
         if self._ctx.service_list.apply_removal(record.key, record.offset, now):
             self._ctx.events.emit(ENDPOINT_UNLISTED, endpoint=record.key, lapsed=False)
@@ -85,9 +92,7 @@
         try:
             return decode_endpoint_entry(record.key, body)
         except MalformedRecordError as exc:
-            self._ctx.events.emit(
-                ENTRY_IGNORED, key=record.key, offset=record.offset, error=str(exc)
-            )
+            self._ctx.record_ignored(record.key, record.offset, str(exc))
             return None
 
     def _log_change(self, key: str, entry: EndpointEntry | None) -> None:
--- a/src/knapweeddrum/process/entry/stream_follower.py
+++ b/src/knapweeddrum/process/entry/stream_follower.py
@@ -8,7 +8,11 @@
 
 import anyio
 
-from knapweeddrum.platform.exceptions import LogUnavailableError, RecordsExpiredError
+from knapweeddrum.platform.exceptions import (
+    LogUnavailableError,
+    RecordsExpiredError,
+    StoreReturnedError,
+)
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.store_client import StoreClient
 from knapweeddrum.process.entry.stream_read import StreamRead
@@ -47,7 +51,8 @@
 class StreamFollower:
     """Lists a stream, then reads the records that follow the listing.
 
-    The stream is listed again when the store has deleted records that were not read.
+    The stream is listed again when the store has deleted records that were not read, or
+    has come back from an older copy, which counts as an outage.
     ``wait`` is how long a read waits for a record, ``interval`` the minimum time from
     one read to the next, both in seconds.
     """
@@ -87,6 +92,10 @@
                 await self._list()
             else:
                 await self._read(self._next_offset)
+        except StoreReturnedError:
+            self._reader.on_store_lost()
+            self._next_offset = None
+            return await self._step()
         except RecordsExpiredError:
             self._next_offset = None
             return await self._step()
--- a/src/knapweeddrum/process/entry/token_allocator.py
+++ b/src/knapweeddrum/process/entry/token_allocator.py
@@ -10,6 +10,7 @@
 
 from knapweeddrum.core.prepaid.token_claim import TokenClaim
 from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
+from knapweeddrum.process.entry.claim_recovery_task import ClaimRecoveryTask
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.token_borrower import TokenBorrower
 from knapweeddrum.process.entry.token_claim_log import TokenClaimLog
@@ -17,6 +18,7 @@
 from knapweeddrum.process.entry.token_waiter import TokenWaiter
 from knapweeddrum.process.entry.token_witness import release_claims_of_failed_hosts
 from knapweeddrum.telemetry.counters import CLAIM_GIVEN_UP
+from knapweeddrum.value.store_position import offset_of
 
 MAX_CLAIMS_AGE_SECONDS = 2.0
 """Age at which the known claims are read again by a host that claims."""
@@ -59,6 +61,7 @@
         self._owned: frozenset[str] = frozenset()
         self._claim_lock = anyio.Lock()
         """Held from planning claims until the outcome of their write."""
+        self._recovery = ClaimRecoveryTask(ctx, self._log)
         self._is_closed = False
 
     async def run(self) -> None:
@@ -67,6 +70,11 @@
             self._ctx.claims_loaded = await self._log.load()
             if not self._ctx.claims_loaded:
                 await anyio.sleep(STORE_RETRY_SECONDS)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._recovery.run)
+            await self._claim_until_cancelled()
+
+    async def _claim_until_cancelled(self) -> None:
         while True:
             if not self._waiters:
                 with anyio.move_on_after(self._interval()):
@@ -155,10 +163,14 @@
     @property
     def can_claim(self) -> bool:
         """Return whether the store took this host's last calls about claims."""
+        if not self._ctx.claim_recovery.is_open:
+            return False
         return self._log.is_writable and not self._log.is_store_unreachable
 
     def refusal_verdict(self, organisation: str, tokens: int) -> TokenVerdict:
         """Return why tokens can't be reserved here, by what is known of the claims."""
+        if not self._ctx.claim_recovery.is_open:
+            return TokenVerdict.UNKNOWN
         if self._log.is_store_unreachable or self._log.age > MAX_CLAIMS_AGE_SECONDS:
             return TokenVerdict.UNREACHABLE
         if self._ctx.token_owners_before(organisation):
@@ -177,7 +189,7 @@
             f"free here {account.free}, claimed by all "
             f"{token_accounts.ledger.claimed(organisation)} of "
             f"{token_accounts.prepaid(organisation)}, "
-            f"claims up to offset {token_accounts.ledger.end} "
+            f"claims up to offset {offset_of(token_accounts.ledger.end)} "
             f"read {self._log.age:.1f} s ago, "
             f"{self._log.lost_in_row} claims lost in a row"
         )
@@ -188,8 +200,11 @@
         async with self._claim_lock:
             self._is_closed = True
             for _ in range(MAX_CLAIM_ATTEMPTS):
+                if not self._ctx.claim_recovery.is_open:
+                    return False
                 claims = self._ctx.token_accounts.plan_return(time.monotonic())
                 if not claims or await self._log.write(claims):
+                    await self._recovery.leave()
                     return True
                 if not await self._log.read():
                     return False
@@ -198,6 +213,10 @@
     async def _serve_and_claim(self) -> None:
         """Serve the waiters, claiming the tokens that they lack."""
         self._owned = self._owned_organisations()
+        if not self._ctx.claim_recovery.is_open:
+            self._reserve_for_waiters()
+            await self._fail_waiters(TokenVerdict.UNKNOWN)
+            return
         is_old = self._log.is_store_unreachable or self._log.age > self._max_age()
         if self._is_closed or (is_old and not await self._log.read()):
             await self._fail_waiters()
@@ -206,6 +225,7 @@
             self._reserve_for_waiters()
             claims = self._plan()
             if claims and await self._log.write(claims):
+                await self._unlock(claims)
                 self._reserve_for_waiters()
                 claims = []
             if not claims and not self._waiters:
@@ -220,6 +240,16 @@
                 return
         self._ctx.metrics.count(CLAIM_GIVEN_UP)
 
+    async def _unlock(self, claims: list[TokenClaim]) -> None:
+        """Ask for the consent to spend what was claimed, by need."""
+        waiting = self._waiting()
+        wanted = {
+            claim.organisation: sum(waiting.get(claim.organisation, ()))
+            for claim in claims
+            if claim.incarnation == self._ctx.incarnation
+        }
+        await self._unlocker.unlock_all(wanted)
+
     async def _back_off(self) -> None:
         """Wait for a random time after writes that lost their race, longer for more.
 
@@ -239,6 +269,7 @@
                 time.monotonic(),
                 ctx.witnesses(),
                 holds_start_reserve=ctx.knows_fleet,
+                silent_witnesses=self._unlocker.silent_witnesses(),
             )
             return own + release_claims_of_failed_hosts(ctx)
 
@@ -285,9 +316,11 @@
                 verdict = self.refusal_verdict(waiter.organisation, waiter.tokens)
                 self._finish(waiter, verdict)
 
-    async def _fail_waiters(self) -> None:
+    async def _fail_waiters(
+        self, verdict: TokenVerdict = TokenVerdict.UNREACHABLE
+    ) -> None:
         for waiter in list(self._waiters):
-            self._finish(waiter, TokenVerdict.UNREACHABLE)
+            self._finish(waiter, verdict)
         await anyio.sleep(STORE_RETRY_SECONDS)
 
     def _finish(self, waiter: TokenWaiter, verdict: TokenVerdict) -> None:
--- a/src/knapweeddrum/process/entry/token_claim_log.py
+++ b/src/knapweeddrum/process/entry/token_claim_log.py
@@ -4,7 +4,11 @@
 
 import time
 
+from knapweeddrum.core.prepaid.claim_check_in import ClaimCheckIn
+from knapweeddrum.core.prepaid.claim_opening import ClaimOpening
 from knapweeddrum.core.prepaid.token_claim import TokenClaim
+from knapweeddrum.core.prepaid.token_claim_ledger import TokenClaimLedger
+from knapweeddrum.platform.claim_codec import decode_claim_record
 from knapweeddrum.platform.exceptions import (
     AppendUnknownError,
     ConditionFailedError,
@@ -12,8 +16,9 @@
     MalformedRecordError,
     PlatformError,
     RecordsExpiredError,
+    StoreReturnedError,
 )
-from knapweeddrum.platform.fleet_codec import decode_token_claim, encode_token_claim
+from knapweeddrum.platform.fleet_codec import encode_token_claim
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.streams import CLAIMS_STREAM
 from knapweeddrum.process.entry.entry_context import EntryContext
@@ -27,11 +32,11 @@
 from knapweeddrum.telemetry.events import (
     CLAIM_FAILED,
     DEPENDENCY_READY,
-    ENTRY_IGNORED,
     TOKENS_CLAIMED,
     TOKENS_FREED,
     WAITING,
 )
+from knapweeddrum.value.store_position import era_of, offset_of
 
 FAILURE_COUNTERS: dict[type[PlatformError], str] = {
     ConditionFailedError: CLAIM_CONFLICT,
@@ -74,6 +79,9 @@
                 [encode_token_claim(claim) for claim in claims],
                 expected_end,
             )
+        except StoreReturnedError:
+            ctx.token_accounts.record_not_written()
+            return False
         except (ConditionFailedError, LogUnavailableError, AppendUnknownError) as exc:
             self.is_writable = isinstance(exc, ConditionFailedError)
             if self.is_writable:
@@ -84,12 +92,15 @@
                 ctx.token_accounts.record_not_written()
             ctx.events.emit(
                 CLAIM_FAILED,
-                ledger_end=expected_end,
+                ledger_end=offset_of(expected_end),
                 error=repr(exc),
                 lost_in_row=self.lost_in_row,
             )
             ctx.metrics.count(FAILURE_COUNTERS[type(exc)])
             return False
+        if era_of(end) != ctx.claim_recovery.era:
+            # The store has returned since its answer arrived.
+            return False
         self.is_writable = True
         ctx.metrics.count(CLAIM_WRITTEN)
         for offset, claim in enumerate(claims, start=expected_end):
@@ -102,55 +113,99 @@
         return True
 
     async def load(self) -> bool:
-        """Read all claims for the first time; return whether the store answered."""
-        return await self._read_listing() and await self.read()
+        """Read all claims for the first time; return whether the store answered.
+
+        The claims of an older copy are not applied, as they are incomplete.
+        """
+        view = await self.list_claims()
+        if view is None:
+            return False
+        if self._ctx.claim_recovery.is_open:
+            self.adopt(view)
+            return await self.read()
+        return True
 
     async def read(self) -> bool:
-        """Apply the claims not yet read; return whether the store answered."""
-        ledger = self._ctx.token_accounts.ledger
+        """Apply the claims not yet read; return whether the store answered.
+
+        False also if the store has come back from an older copy.
+        """
+        ctx = self._ctx
         try:
-            while True:
-                page = await self._ctx.store.read(CLAIMS_STREAM, ledger.end)
-                self._apply(page.records)
-                ledger.advance(page.next_offset)
-                if page.complete:
-                    break
+            is_read = await self.read_into(ctx.token_accounts.ledger)
+        except StoreReturnedError:
+            return False
         except RecordsExpiredError:
-            if not await self._read_listing():
-                return False
+            view = await self.list_claims()
+            is_read = view is not None and ctx.claim_recovery.is_open
+            if view is not None and is_read:
+                self.adopt(view)
+        if is_read:
+            ctx.token_accounts.apply_ledger()
+        return is_read
+
+    async def list_claims(self) -> TokenClaimLedger | None:
+        """Return each incarnation's newest claim, None without an answer.
+
+        What else the stream holds is told to the recovery.
+        """
+        try:
+            listing = await self._ctx.store.list_newest(CLAIMS_STREAM)
         except LogUnavailableError as exc:
             self._record_failure(exc)
-            return False
+            return None
+        self._ctx.claim_recovery.enter_era(era_of(listing.next_offset))
+        view = TokenClaimLedger()
+        self._apply(view, listing.records)
+        view.advance(listing.next_offset)
         self._record_success()
-        self._ctx.token_accounts.apply_ledger()
-        return True
+        return view
 
-    async def _read_listing(self) -> bool:
-        """List each incarnation's newest claim; return whether the store answered."""
+    async def read_into(self, view: TokenClaimLedger, wait: float = 0.0) -> bool:
+        """Apply what a ledger lacks; return whether the store answered.
+
+        The first read waits up to ``wait`` seconds for a record. Raises
+        RecordsExpiredError and StoreReturnedError.
+        """
         try:
-            listing = await self._ctx.store.list_newest(CLAIMS_STREAM)
+            while True:
+                page = await self._ctx.store.read(CLAIMS_STREAM, view.end, wait)
+                self._apply(view, page.records)
+                view.advance(page.next_offset)
+                if page.complete:
+                    break
+                wait = 0.0
         except LogUnavailableError as exc:
             self._record_failure(exc)
             return False
-        self._apply(listing.records)
-        self._ctx.token_accounts.ledger.advance(listing.next_offset)
+        self._record_success()
         return True
 
-    def _apply(self, records: tuple[KeyedRecord, ...]) -> None:
+    def adopt(self, view: TokenClaimLedger) -> None:
+        """Replace what is known of the claims by all claims of the present era."""
+        self._ctx.token_accounts.adopt(view)
+        self._ctx.claim_recovery.record_complete()
+
+    def _apply(
+        self, ledger: TokenClaimLedger, records: tuple[KeyedRecord, ...]
+    ) -> None:
         self._ctx.metrics.count(CLAIM_RECORDS_READ, len(records))
         with self._ctx.claim_meter.measure():
             for record in records:
-                self._apply_record(record)
+                self._apply_record(ledger, record)
 
-    def _apply_record(self, record: KeyedRecord) -> None:
+    def _apply_record(self, ledger: TokenClaimLedger, record: KeyedRecord) -> None:
         try:
-            claim = decode_token_claim(record)
+            decoded = decode_claim_record(record)
         except MalformedRecordError as exc:
-            self._ctx.events.emit(
-                ENTRY_IGNORED, key=record.key, offset=record.offset, error=str(exc)
-            )
+            self._ctx.record_ignored(record.key, record.offset, str(exc))
             return
-        self._ctx.token_accounts.ledger.apply(record.offset, claim)
+        if isinstance(decoded, TokenClaim):
+            ledger.apply(record.offset, decoded)
+        elif isinstance(decoded, ClaimCheckIn):
+            self._ctx.claim_recovery.apply_check_in(decoded)
+        elif isinstance(decoded, ClaimOpening):
+            self._ctx.claim_recovery.apply_opening(decoded.era)
 
     def _log_written(self, claims: list[TokenClaim], offset: int) -> None:
         ctx = self._ctx
@@ -158,7 +213,7 @@
         if own:
             ctx.events.emit(
                 TOKENS_CLAIMED,
-                offset=offset,
+                offset=offset_of(offset),
                 claims={claim.organisation: claim.claimed for claim in own},
                 lost_before=self.lost_in_row,
             )
--- a/src/knapweeddrum/process/entry/token_unlocker.py
+++ b/src/knapweeddrum/process/entry/token_unlocker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Mapping
 
 import anyio
 
@@ -12,7 +13,10 @@
     UnlockedLimit,
 )
 from knapweeddrum.process.entry.entry_context import EntryContext
-from knapweeddrum.process.entry.peer_client import PeerClient
+from knapweeddrum.process.entry.peer_client import (
+    PEER_UNRESPONSIVE_SECONDS,
+    PeerClient,
+)
 from knapweeddrum.telemetry.events import OPENING_REFUSED
 
 UNLOCK_PATH = b"/openings"
@@ -30,6 +34,8 @@
     def __init__(self, ctx: EntryContext, peers: PeerClient) -> None:
         self._ctx = ctx
         self._peers = peers
+        self._silent_until: dict[str, float] = {}
+        """Until when witnesses that did not answer count as silent."""
 
     async def run(self) -> None:
         """Unlock tokens ahead of demand until cancelled."""
@@ -39,22 +45,34 @@
 
     async def unlock(self, organisation: str, tokens: int) -> None:
         """Unlock until ``tokens`` are free, as far as claimed tokens suffice."""
-        now = time.monotonic()
-        if self._ctx.token_accounts.may_unlock(organisation, now):
-            witness = self._ctx.token_accounts.account(organisation, now).witness
-            await self._ask(witness, [self._next_limit(organisation, tokens)])
+        await self.unlock_all({organisation: tokens})
 
-    async def _unlock_ahead(self) -> None:
+    async def unlock_all(self, wanted: Mapping[str, int]) -> None:
+        """Unlock until so many tokens of each organisation are free."""
         now = time.monotonic()
         limits_by_witness: dict[str, list[UnlockedLimit]] = {}
-        for organisation in self._ctx.token_accounts.organisations_to_unlock(now):
+        for organisation, tokens in wanted.items():
+            if not self._ctx.token_accounts.may_unlock(organisation, now):
+                continue
             witness = self._ctx.token_accounts.account(organisation, now).witness
             limits_by_witness.setdefault(witness, []).append(
-                self._next_limit(organisation, 0)
+                self._next_limit(organisation, tokens)
             )
         for witness, limits in limits_by_witness.items():
             await self._ask(witness, limits)
 
+    def silent_witnesses(self) -> frozenset[str]:
+        """Return the incarnations that did not answer a short time ago."""
+        now = time.monotonic()
+        return frozenset(
+            name for name, until in self._silent_until.items() if until > now
+        )
+
+    async def _unlock_ahead(self) -> None:
+        now = time.monotonic()
+        organisations = self._ctx.token_accounts.organisations_to_unlock(now)
+        await self.unlock_all(dict.fromkeys(organisations, 0))
+
     def _next_limit(self, organisation: str, tokens: int) -> UnlockedLimit:
         now = time.monotonic()
         account = self._ctx.token_accounts.account(organisation, now)
@@ -64,12 +82,15 @@
     async def _ask(self, witness: str, limits: list[UnlockedLimit]) -> None:
         record = self._ctx.hosts.find(witness)
         if record is None or self._peers.is_unresponsive(record.peer_address):
+            self._record_silence(witness)
             return
-        req = TokenUnlockRequest(self._ctx.incarnation, witness, limits)
+        complete_era = self._ctx.claim_recovery.complete_era or 0
+        req = TokenUnlockRequest(self._ctx.incarnation, witness, limits, complete_era)
         reply = await self._peers.post(
             record.peer_address, UNLOCK_PATH, req, TokenUnlockReply
         )
         if reply is None:
+            self._record_silence(witness)
             return
         now = time.monotonic()
         for wanted in limits:
@@ -82,3 +103,11 @@
             self._ctx.events.emit(
                 OPENING_REFUSED, organisation=wanted.organisation, witness=witness
             )
+
+    def _record_silence(self, witness: str) -> None:
+        self._silent_until = {
+            name: until
+            for name, until in self._silent_until.items()
+            if until > time.monotonic()
+        }
+        self._silent_until[witness] = time.monotonic() + PEER_UNRESPONSIVE_SECONDS
--- a/src/knapweeddrum/process/entry/token_witness.py
+++ b/src/knapweeddrum/process/entry/token_witness.py
@@ -16,7 +16,8 @@
 from knapweeddrum.process.entry.peer_client import PeerClient
 
 WITNESS_LEAVE_PATH = b"/witness-leaves"
-NOT_THIS_INCARNATION = PageAnswer(409)
+NO_CONSENT = PageAnswer(409)
+"""Answer of another incarnation, or of one that can't consent for the moment."""
 
 
 class TokenWitness:
@@ -37,7 +38,11 @@
         except msgspec.MsgspecError:
             return PageAnswer(400)
         if req.witness != self._ctx.incarnation:
-            return NOT_THIS_INCARNATION
+            return NO_CONSENT
+        if self._ctx.draining:
+            return NO_CONSENT
+        if not self._ctx.claim_recovery.may_consent(req.holder, req.era):
+            return NO_CONSENT
         refused = [
             wanted.organisation
             for wanted in req.marks
--- a/src/knapweeddrum/process/entry/version_recall_task.py
+++ b/src/knapweeddrum/process/entry/version_recall_task.py
@@ -19,6 +19,7 @@
 from knapweeddrum.process.entry.stream_follower import RETRY_SECONDS
 from knapweeddrum.telemetry.events import VERSIONS_RECALLED
 from knapweeddrum.value.recall_outcome import RecallOutcome
+from knapweeddrum.value.store_position import offset_of
 
 START_POLL_SECONDS = 0.02
 
@@ -56,8 +57,8 @@
         ctx.events.emit(
             VERSIONS_RECALLED,
             outcome=outcome,
-            from_offset=recall.first_offset,
-            to_offset=list_end,
+            from_offset=offset_of(recall.first_offset),
+            to_offset=offset_of(list_end),
             services=[sole.service for sole in known],
         )
 
--- a/src/knapweeddrum/process/entry_composition.py
+++ b/src/knapweeddrum/process/entry_composition.py
@@ -20,6 +20,7 @@
 from knapweeddrum.core.membership.new_incarnation import new_incarnation
 from knapweeddrum.core.placing.endpoint_states import EndpointStates
 from knapweeddrum.core.placing.placer import Placer
+from knapweeddrum.core.prepaid.claim_recovery import ClaimRecovery
 from knapweeddrum.core.prepaid.claim_witness import ClaimWitness
 from knapweeddrum.core.prepaid.token_accounts import TokenAccounts
 from knapweeddrum.core.prepaid.token_owners import TokenOwners
@@ -81,9 +82,12 @@
         crash_register=CrashRegister(CRASH_POLICY),
         losses=losses,
         claim_witness=ClaimWitness(incarnation),
+        claim_recovery=ClaimRecovery(incarnation),
         placer=Placer(),
         events=EventLog(level, LineLogger(writer), incarnation=incarnation),
         metrics=metrics,
         rng=random.Random(rng.getrandbits(64)),
     )
+    ctx.store.era.on_return = ctx.record_store_return
+    ctx.store.on_era_doubt = ctx.record_era_doubt
     await EntryProcess(ctx, reported_losses, writer, settings_path, metrics_port).run()
--- a/src/knapweeddrum/settings/entry_settings.py
+++ b/src/knapweeddrum/settings/entry_settings.py
@@ -32,5 +32,7 @@
     """Processor time that this host has, in cores."""
     link_mbps: float = 1000.0
     """Bandwidth of this host's link, in megabits per second."""
+    is_first_start: bool = False
+    """Whether no process of the fleet has run before."""
     drain_delay: float = 2.0
     """Time for which a leaving endpoint still takes requests after its notice."""
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -31,6 +31,12 @@
 """Times that an entry process sent a request to a further endpoint."""
 CONNECTIONS_OPENED = "connections_opened"
 HEARTBEAT_FAILED = "heartbeat_failed"
+STORE_RETURNED_COUNT = "store_era.returned"
+"""Times that the store was found to have come back from an older copy."""
+STORE_ERA_DOUBTED_COUNT = "store_era.doubted"
+"""Answers of the store that were not believed, for the era that they tell."""
+CLAIM_REWRITTEN = "claim.rewritten"
+"""Claims that this host wrote again, as an older copy of the store lacked them."""
 CLAIM_CONFLICT = "claim.conflict"
 """Writes of token claims that failed because another host had written first."""
 CLAIM_NOT_WRITTEN = "claim.not_written"
@@ -81,6 +87,9 @@
     REPEATED_ARRIVALS,
     CONNECTIONS_OPENED,
     HEARTBEAT_FAILED,
+    STORE_RETURNED_COUNT,
+    STORE_ERA_DOUBTED_COUNT,
+    CLAIM_REWRITTEN,
     CLAIM_CONFLICT,
     CLAIM_NOT_WRITTEN,
     CLAIM_UNKNOWN,
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -195,6 +195,24 @@
 CLAIM_FAILED = Event(
     617, "claim_failed", "info", ("ledger_end", "error", "lost_in_row")
 )
+STORE_RETURNED = Event(
+    638,
+    "store_returned",
+    "error",
+    ("before", "era", "running", "is_fresh", "claims_end"),
+)
+STORE_ERA_DOUBTED = Event(639, "store_era_doubted", "warning", ("reason",))
+CLAIMS_CHECKED_IN = Event(
+    640, "claims_checked_in", "info", ("era", "claims", "consents", "running")
+)
+CLAIMS_OPENED = Event(
+    641,
+    "claims_opened",
+    "warning",
+    ("era", "rewritten", "missing", "skipped", "after_ms"),
+)
+CLAIMS_ADOPTED = Event(642, "claims_adopted", "info", ("era", "end", "after_ms"))
+CLAIMS_SUSPENDED = Event(643, "claims_suspended", "error", ("era", "missing", "for_ms"))
 SETTINGS_RELOADED = Event(618, "settings_reloaded", "info", ("changed",))
 SETTINGS_REJECTED = Event(619, "settings_rejected", "error", ("error",))
 TOKENS_LENT = Event(
--- a/src/knapweeddrum/value/refusal_reason.py
+++ b/src/knapweeddrum/value/refusal_reason.py
@@ -50,5 +50,7 @@
     HEAD_TOO_LARGE = "head_too_large"
     TOKENS_HELD_ELSEWHERE = "tokens_held_elsewhere"
     """Other hosts hold the last tokens, some of which may become free."""
+    TOKENS_UNKNOWN = "tokens_unknown"
+    """The store came back from an older copy; what was claimed is not known yet."""
     INTERNAL_ERROR = "internal_error"
     """An error in the fleet's own code ended the request."""
--- a/tests/core/catalog/test_service_list.py
+++ b/tests/core/catalog/test_service_list.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import dataclasses
+
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.core.catalog.service_list import (
     LAPSED_ENTRY_GRACE_SECONDS,
@@ -132,6 +134,20 @@
     assert usable(listed) == ["e2"]
 
 
+def test_draining_endpoint_is_not_made_ready_by_an_older_copy():
+    """Nor is one that was removed; its next own entry counts."""
+    listed = ServiceList()
+    started = dataclasses.replace(entry("e1"), started_at_ms=7)
+    listed.apply_entry("e1", 0, dataclasses.replace(started, draining=True))
+    listed.apply_listed_entry("e1", 1, started)
+    assert usable(listed) == []
+    listed.apply_removal("e1", 2, now=50.0)
+    assert not listed.apply_listed_entry("e1", 3, started)
+    assert usable(listed) == []
+    assert listed.apply_entry("e1", 4, dataclasses.replace(started, started_at_ms=8))
+    assert usable(listed) == ["e1"]
+
+
 def test_unreadable_entry_removes_the_endpoint():
     """An entry that can't be read replaces the one that was there."""
     listed = ServiceList()
--- a/tests/core/directory/test_host_directory.py
+++ b/tests/core/directory/test_host_directory.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import collections
+import dataclasses
 
 from knapweeddrum.core.directory.host_directory import (
     HEARTBEAT_TIMEOUT_SECONDS,
@@ -51,6 +52,19 @@
     assert directory.addresses(None) == []
 
 
+def test_heartbeats_of_an_older_copy_bring_nobody_back():
+    """Neither a host that has ended nor the incarnation before the present one."""
+    directory = directory_with(("own", "b"))
+    later = dataclasses.replace(heartbeat("b"), incarnation="b/2")
+    directory.apply_heartbeat("b", 10, later)
+    directory.apply_heartbeat("b", 1_000, heartbeat("b", 9))
+    assert not directory.is_replaced("b/2")
+    assert directory.find("b/2") == later
+    directory.store_answered(HEARTBEAT_TIMEOUT_SECONDS + 0.1)
+    directory.apply_heartbeat("b", 1_001, later)
+    assert directory.addresses("own:80") == ["own:80"]
+
+
 def test_callers_are_spread_over_all_hosts_of_a_large_fleet():
     """Before a working set is known, no host gets thrice the mean nor under a tenth."""
     names = [f"h{number:03}" for number in range(300)]
--- a/tests/core/prepaid/fleet_simulation.py
+++ b/tests/core/prepaid/fleet_simulation.py
@@ -202,6 +202,8 @@
                 claims += [rest] if rest else []
         if claims and self.log.append(claims, self.token_accounts.ledger.end):
             self.read()
+            for name, tokens in waiting.items():
+                self.unlock(name, sum(tokens), now, fleet)
 
     def owner(self, name: str, fleet: Sequence[Host]) -> Host:
         """Return the host that claims an organisation's tokens for all."""
--- a/tests/core/prepaid/test_token_accounts.py
+++ b/tests/core/prepaid/test_token_accounts.py
@@ -206,6 +206,8 @@
     witness.read()
     account = holder.token_accounts.account("mill", 1.0)
     assert account.witness == "host-2"
+    assert account.free == 0
+    holder.request_consent([witness], 900, 1.0)()
     assert account.locked > account.free > 0
     return holder, witness
 
@@ -240,6 +242,7 @@
     assert [claim.witness for claim in claims] == ["host-3"]
     log.append(claims, len(log.records))
     holder.read()
+    holder.request_consent([Host("host-3", log)], 2_000, 1.0)()
     assert holder.reserve(2_000, 1.0)
 
 
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -12,6 +12,7 @@
     ConditionFailedError,
     LogUnavailableError,
     RecordsExpiredError,
+    StoreReturnedError,
 )
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.store_client import StoreClient
@@ -95,3 +96,52 @@
     client = StoreClient("127.0.0.1:1", pool, lambda *_: None)
     with CASE.assertRaises(LogUnavailableError):
         await client.append("keyed.x", RECORDS)
+
+
+@async_test
+async def test_positions_of_an_earlier_era_are_refused():
+    """After a return neither a read nor a condition of before means anything."""
+    store = PlatformStore()
+    store.era = 1
+    async with connected(store) as client:
+        seen: list[tuple[int, int]] = []
+        client.era.on_return = lambda before, era: seen.append((before, era))
+        end = await client.append("keyed.x", RECORDS)
+        await store.return_from_copy(0.0, 0.0)
+        with CASE.assertRaises(StoreReturnedError):
+            await client.read("keyed.x", end)
+        with CASE.assertRaises(StoreReturnedError):
+            await client.append("keyed.x", RECORDS, expected_end=end)
+        listing = await client.list_newest("keyed.x")
+        assert listing.next_offset > end
+        assert seen == [(2, 3)]
+
+
+@async_test
+async def test_condition_that_a_later_era_met_by_chance_is_no_success():
+    """The writer knew other records at that offset."""
+    store = PlatformStore()
+    store.era = 1
+    async with connected(store) as client:
+        end = await client.append("keyed.x", RECORDS)
+        await store.return_from_copy(0.0, 0.0)
+        with CASE.assertRaises(AppendUnknownError):
+            await client.append("keyed.x", RECORDS, expected_end=end)
+
+
+@async_test
+async def test_answers_without_a_credible_era_are_not_believed():
+    """An era that is missing, falls or is no number is doubted, and said so."""
+    store = PlatformStore()
+    store.era = 5
+    async with connected(store) as client:
+        doubts: list[str] = []
+        client.on_era_doubt = doubts.append
+        await client.append("keyed.x", RECORDS)
+        for era in (None, 4, "x", "-1", "1" * 9):
+            store.era = era  # type: ignore[assignment]
+            with CASE.assertRaises(LogUnavailableError):
+                await client.list_newest("keyed.x")
+            with CASE.assertRaises(AppendUnknownError):
+                await client.append("keyed.x", RECORDS)
+        assert len(doubts) == 10
--- a/tests/process/entry/claim_race.py
+++ b/tests/process/entry/claim_race.py
@@ -7,7 +7,7 @@
 import dataclasses
 import random
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from typing import TypeVar, cast
 from unittest import mock
 
@@ -25,6 +25,7 @@
 from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.placing.endpoint_states import EndpointStates
 from knapweeddrum.core.placing.placer import Placer
+from knapweeddrum.core.prepaid.claim_recovery import ClaimRecovery
 from knapweeddrum.core.prepaid.claim_witness import ClaimWitness
 from knapweeddrum.core.prepaid.token_accounts import TokenAccounts
 from knapweeddrum.core.prepaid.token_owners import TokenOwners
@@ -162,7 +163,7 @@
         finally:
             await anyio.sleep(self._seconds)
 
-    async def read(self, _name: str, start: int) -> StorePage:
+    async def read(self, _name: str, start: int, _wait: float = 0.0) -> StorePage:
         await anyio.sleep(self._seconds)
         self._stream.reads += 1
         records = self._stream.records
@@ -184,6 +185,16 @@
         account = self._accounts.account(organisation, time.monotonic())
         account.unlocked = max(account.unlocked, account.confirmed)
 
+    async def unlock_all(self, wanted: Mapping[str, int]) -> None:
+        now = time.monotonic()
+        for organisation, tokens in wanted.items():
+            account = self._accounts.account(organisation, now)
+            limit = account.next_unlocked_limit(tokens, now)
+            account.unlocked = max(account.unlocked, min(account.claimed, limit))
+
+    def silent_witnesses(self) -> frozenset[str]:
+        return frozenset()
+
 
 class PeerNetwork:
     """Carries loans and returns between the hosts, and counts them.
@@ -479,6 +490,7 @@
         crash_register=CrashRegister(),
         losses=losses,
         claim_witness=ClaimWitness(f"{name}/1"),
+        claim_recovery=ClaimRecovery(f"{name}/1"),
         placer=Placer(),
         events=RecordingEventLog(),
         metrics=Metrics(),
--- a/tests/process/entry/embedded_caller_server.py
+++ b/tests/process/entry/embedded_caller_server.py
@@ -20,6 +20,7 @@
 from knapweeddrum.core.directory.host_directory import HostDirectory
 from knapweeddrum.core.placing.endpoint_states import EndpointStates
 from knapweeddrum.core.placing.placer import Placer
+from knapweeddrum.core.prepaid.claim_recovery import ClaimRecovery
 from knapweeddrum.core.prepaid.claim_witness import ClaimWitness
 from knapweeddrum.core.prepaid.token_accounts import TokenAccounts
 from knapweeddrum.core.prepaid.token_owners import TokenOwners
@@ -136,6 +137,7 @@
         crash_register=CrashRegister(),
         losses=losses,
         claim_witness=ClaimWitness(INCARNATION),
+        claim_recovery=ClaimRecovery(INCARNATION),
         placer=Placer(),
         events=RecordingEventLog(),
         metrics=Metrics(),
