Limits of endpoints: one owner gives a permit for each request (LIMIT)

Cause: Server-Limit was read nowhere, and nothing held requests back for all hosts together. Change: the header is decoded once, from each answer; heartbeats tell all hosts; one host, the owner, gives permits at the rate of the limit from a bucket that begins empty. Endpoints that wait for a permit are no candidates; if all wait, a short wait or a refusal of its own (endpoints_limited) with a spread Retry-After. The parts that all requests share are passed as one (RequestParts).

--- a/src/knapweeddrum/console/commands/host_state_command.py
+++ b/src/knapweeddrum/console/commands/host_state_command.py
@@ -25,6 +25,7 @@
     "CONDITION",
     "IN FLIGHT",
     "LOAD",
+    "LIMIT",
 )
 BUDGETS_HEADING = (
     "ORGANISATION",
@@ -132,6 +133,7 @@
         row.condition,
         str(row.in_flight),
         f"{row.load:g}",
+        "none" if row.limit is None else f"{row.limit:g}/s",
     )
 
 
--- a/src/knapweeddrum/core/directory/host_record.py
+++ b/src/knapweeddrum/core/directory/host_record.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from knapweeddrum.core.placing.told_limit import ToldLimit
+
 UNKNOWN_CAPACITY = 25.0
 """Requests per second that a host which names no capacity is taken to carry."""
 
@@ -27,3 +29,5 @@
     """Requests per second that it can carry."""
     request_rate: float = 0.0
     """Requests per second that it received lately."""
+    limits: tuple[ToldLimit, ...] = ()
+    """Limits of endpoints that it knows of."""
--- a/src/knapweeddrum/message/call/host_state.py
+++ b/src/knapweeddrum/message/call/host_state.py
@@ -17,6 +17,8 @@
     """Requests from this host that have no complete answer yet."""
     load: float
     """Requests that run or wait there, as far as this host knows."""
+    limit: float | None = None
+    """Requests a second that it takes from all hosts, None if it names no limit."""
 
 
 class BudgetRow(msgspec.Struct, frozen=True):
--- a/src/knapweeddrum/platform/endpoint_protocol.py
+++ b/src/knapweeddrum/platform/endpoint_protocol.py
@@ -7,11 +7,13 @@
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.core.placing.back_off import BackOff
 from knapweeddrum.core.placing.load_report import LoadReport
+from knapweeddrum.core.placing.named_limit import NamedLimit
 from knapweeddrum.http.client_connection import RawReplyHead
 from knapweeddrum.http.header_list import Header
 from knapweeddrum.platform import header_names as names
 from knapweeddrum.platform.caller_request import CallerRequest
 from knapweeddrum.platform.retry_after import decode_back_off
+from knapweeddrum.platform.server_limit import decode_server_limit
 from knapweeddrum.value.answer_format import AnswerFormat
 from knapweeddrum.value.body_framing import BodyFraming
 
@@ -37,6 +39,7 @@
     moved: bool
     """Whether another endpoint than the expected one serves the address."""
     load: LoadReport | None
+    limit: NamedLimit
     leaving: bool
     """Whether the endpoint says that it leaves."""
     back_off: BackOff | None
@@ -89,6 +92,7 @@
         moved=head.status == MOVED_STATUS,
         leaving=headers.text(names.SERVER_LEAVING).strip() == "1",
         back_off=decode_back_off(headers) if head.status == REFUSED_STATUS else None,
+        limit=decode_server_limit(headers),
         load=_decode_load(headers.text(names.SERVER_LOAD)),
         framing=head.framing,
         format=_decode_format(headers.text(names.CONTENT_TYPE)),
--- a/src/knapweeddrum/platform/header_names.py
+++ b/src/knapweeddrum/platform/header_names.py
@@ -17,6 +17,7 @@
 SERVER_LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
 SERVER_LOAD = b"server-load"
+SERVER_LIMIT = b"server-limit"
 STORE_ERA = b"store-era"
 CONTENT_TYPE = b"content-type"
 CONTENT_ENCODING = b"content-encoding"
@@ -45,5 +46,7 @@
 The fleet sends its own deadline, endpoint, organisation, priority and last event.
 """
 
-STRIPPED_REPLY_HEADERS = frozenset({SERVER_LOAD, NOT_EXECUTED, b"instance-id"})
+STRIPPED_REPLY_HEADERS = frozenset(
+    {SERVER_LOAD, SERVER_LIMIT, NOT_EXECUTED, b"instance-id"}
+)
 """Headers of an endpoint's reply that callers don't get."""
--- a/src/knapweeddrum/process/entry/caller_server.py
+++ b/src/knapweeddrum/process/entry/caller_server.py
@@ -8,23 +8,16 @@
 from knapweeddrum.http.listener import listen
 from knapweeddrum.process.entry.caller_session import CallerSession
 from knapweeddrum.process.entry.entry_context import EntryContext
-from knapweeddrum.process.entry.stream_origin_sharing import StreamOriginSharing
-from knapweeddrum.process.entry.token_allocator import TokenAllocator
+from knapweeddrum.process.entry.request_parts import RequestParts
 from knapweeddrum.telemetry.events import TASK_FAILED
 
 
 class CallerServer:
     """Accepts callers' connections and runs a session for each."""
 
-    def __init__(
-        self,
-        ctx: EntryContext,
-        allocator: TokenAllocator,
-        stream_origins: StreamOriginSharing,
-    ) -> None:
+    def __init__(self, ctx: EntryContext, parts: RequestParts) -> None:
         self._ctx = ctx
-        self._allocator = allocator
-        self._stream_origins = stream_origins
+        self._parts = parts
         self._sessions: set[CallerSession] = set()
         self._accepting = anyio.CancelScope()
 
@@ -53,9 +46,7 @@
             session.end_if_idle()
 
     async def _serve(self, stream: SocketStream) -> None:
-        session = CallerSession(
-            self._ctx, self._allocator, self._stream_origins, stream
-        )
+        session = CallerSession(self._ctx, self._parts, stream)
         self._sessions.add(session)
         try:
             await session.run()
--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -21,8 +21,7 @@
 from knapweeddrum.process.entry.request_handler import RequestHandler
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.process.entry.request_log import RequestLog, milliseconds
-from knapweeddrum.process.entry.stream_origin_sharing import StreamOriginSharing
-from knapweeddrum.process.entry.token_allocator import TokenAllocator
+from knapweeddrum.process.entry.request_parts import RequestParts
 from knapweeddrum.process.router.problem import STATUS_BY_REASON, Problem
 from knapweeddrum.telemetry.events import (
     REQUEST_REFUSED,
@@ -46,13 +45,11 @@
     def __init__(
         self,
         ctx: EntryContext,
-        allocator: TokenAllocator,
-        stream_origins: StreamOriginSharing,
+        parts: RequestParts,
         stream: SocketStream,
     ) -> None:
         self._ctx = ctx
-        self._allocator = allocator
-        self._stream_origins = stream_origins
+        self._parts = parts
         self._limits = _limits(ctx)
         self._conn = ServerConnection(
             stream, self._limits.max_header_bytes, self._is_closing
@@ -141,9 +138,7 @@
 
     async def _run_until_disconnect(self, job: RequestJob) -> None:
         """Serve a request; raises PeerDisconnectedError if the caller leaves."""
-        handler = RequestHandler(
-            self._ctx, self._allocator, self._stream_origins, self._conn, job
-        )
+        handler = RequestHandler(self._ctx, self._parts, self._conn, job)
         log = RequestLog(self._ctx, job)
         failure: Exception | None = None
         disconnected = False
--- /dev/null
+++ b/src/knapweeddrum/process/entry/endpoint_permits.py
@@ -0,0 +1,64 @@
+"""Asks for permits to send requests to endpoints that have named a limit."""
+
+from __future__ import annotations
+
+import time
+
+from knapweeddrum.core.placing.endpoint_state import EndpointState
+from knapweeddrum.core.placing.endpoint_states import instance_name
+from knapweeddrum.core.placing.told_limit import ToldLimit
+from knapweeddrum.message.call.endpoint_permit import PermitReply, PermitRequest
+from knapweeddrum.process.entry.entry_context import EntryContext
+from knapweeddrum.process.entry.peer_client import PeerClient
+from knapweeddrum.process.entry.permit_desk import PERMIT_PATH, PermitDesk
+from knapweeddrum.value.identifiers import EndpointName
+
+PERMIT_TIMEOUT_SECONDS = 0.1
+OWNER_SILENT_WAIT_SECONDS = 0.5
+"""Time after which an owner that did not answer is asked again."""
+
+
+class EndpointPermits:
+    """Gets a permit for each request to an endpoint under a limit."""
+
+    def __init__(self, ctx: EntryContext, peers: PeerClient, desk: PermitDesk) -> None:
+        self._ctx = ctx
+        self._peers = peers
+        self._desk = desk
+
+    async def acquire(self, state: EndpointState) -> bool:
+        """Return whether a request may be sent to an endpoint now."""
+        limits = self._ctx.endpoint_limits
+        instance = instance_name(state.entry)
+        per_second = limits.limit(instance)
+        if per_second is None:
+            return True
+        now = time.monotonic()
+        if limits.wait(instance, now) > 0:
+            return False
+        age = limits.age(instance, now)
+        req = PermitRequest(instance, per_second, age, self._ctx.incarnation)
+        reply = await self._ask(req)
+        if reply is None:
+            limits.close(instance, time.monotonic() + OWNER_SILENT_WAIT_SECONDS)
+            return False
+        self._apply(instance, reply)
+        return reply.is_given
+
+    async def _ask(self, req: PermitRequest) -> PermitReply | None:
+        owners = self._ctx.token_owners_before(req.instance)
+        if not owners:
+            return self._desk.give(req)
+        address = owners[0].peer_address
+        if self._peers.is_unresponsive(address):
+            return None
+        return await self._peers.post(
+            address, PERMIT_PATH, req, PermitReply, PERMIT_TIMEOUT_SECONDS
+        )
+
+    def _apply(self, instance: EndpointName, reply: PermitReply) -> None:
+        now = time.monotonic()
+        limits = self._ctx.endpoint_limits
+        limits.merge([ToldLimit(instance, reply.per_second, reply.age)], now)
+        if not reply.is_given:
+            limits.close(instance, now + reply.wait)
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -22,8 +22,9 @@
 from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.load.loop_lag import LoopLag
 from knapweeddrum.core.load.request_rate import RequestRate
+from knapweeddrum.core.placing.endpoint_limits import EndpointLimits
 from knapweeddrum.core.placing.endpoint_state import EndpointState
-from knapweeddrum.core.placing.endpoint_states import EndpointStates
+from knapweeddrum.core.placing.endpoint_states import EndpointStates, instance_name
 from knapweeddrum.core.placing.placer import Placer
 from knapweeddrum.core.prepaid.claim_recovery import ClaimRecovery
 from knapweeddrum.core.prepaid.claim_witness import ClaimWitness
@@ -55,6 +56,7 @@
     STORE_RETURNED,
 )
 from knapweeddrum.telemetry.metrics import Metrics
+from knapweeddrum.value.identifiers import EndpointName
 from knapweeddrum.value.store_position import offset_of
 
 FRESH_SECONDS = HEARTBEAT_TIMEOUT_SECONDS
@@ -128,6 +130,7 @@
         default_factory=AnswerDurations
     )
 
+    endpoint_limits: EndpointLimits = dataclasses.field(default_factory=EndpointLimits)
     loans: LoanLedger = dataclasses.field(default_factory=LoanLedger)
     loop_lag: LoopLag = dataclasses.field(default_factory=LoopLag)
     claim_meter: ProcessorMeter = dataclasses.field(default_factory=ProcessorMeter)
@@ -152,6 +155,10 @@
             return self.token_owners.others(organisation)
         return self.token_owners.before_self(organisation)
 
+    def listed_instances(self) -> frozenset[EndpointName]:
+        """Return the starts of all listed endpoints."""
+        return frozenset(instance_name(entry) for entry in self.service_list.all())
+
     def token_holders(self, organisation: str) -> list[str]:
         """Return the peer addresses of other hosts that may have free tokens."""
         now = time.monotonic()
@@ -186,6 +193,7 @@
             beat=beat,
             capacity=host_capacity(settings.processor_cores, settings.link_mbps),
             request_rate=round(self.request_rate.per_second(now), 2),
+            limits=self.endpoint_limits.told(now),
         )
 
     def witnesses(self) -> list[str]:
--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -26,6 +26,7 @@
     CrashSharing,
 )
 from knapweeddrum.process.entry.drain_sequence import DrainSequence
+from knapweeddrum.process.entry.endpoint_permits import EndpointPermits
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.entry_pages import EntryPages
 from knapweeddrum.process.entry.heartbeat_task import HeartbeatTask
@@ -38,6 +39,8 @@
 from knapweeddrum.process.entry.lost_connection import LostConnection
 from knapweeddrum.process.entry.page_server import PageHandler, PageServer
 from knapweeddrum.process.entry.peer_client import PeerClient
+from knapweeddrum.process.entry.permit_desk import PERMIT_PATH, PermitDesk
+from knapweeddrum.process.entry.request_parts import RequestParts
 from knapweeddrum.process.entry.service_list_reader import ServiceListReader
 from knapweeddrum.process.entry.stream_follower import RecordReader, StreamFollower
 from knapweeddrum.process.entry.stream_origin_sharing import (
@@ -90,7 +93,10 @@
         self._allocator = TokenAllocator(ctx, self._unlocker, self._borrower)
         self._lender = TokenLender(ctx, self._allocator)
         self._stream_origins = StreamOriginSharing(ctx, peers)
-        self._server = CallerServer(ctx, self._allocator, self._stream_origins)
+        self._permit_desk = PermitDesk(ctx)
+        permits = EndpointPermits(ctx, peers, self._permit_desk)
+        parts = RequestParts(self._allocator, self._stream_origins, permits)
+        self._server = CallerServer(ctx, parts)
         self._housekeeping = HousekeepingTask(ctx, writer, settings_path)
         self._heartbeat = HeartbeatTask(ctx)
         self._loop_lag = LoopLagTask(ctx)
@@ -141,6 +147,7 @@
                     RETURN_PATH: self._lender.take_back,
                     UNLOCK_PATH: self._witness.unlock,
                     WITNESS_LEAVE_PATH: self._witness.record_leave,
+                    PERMIT_PATH: self._permit_desk.answer,
                     CRASH_EXCHANGE_PATH: self._crash_sharing.exchange,
                     NOTICE_PATH: self._stream_origins.receive_notice,
                     QUESTION_PATH: self._stream_origins.answer_question,
--- a/src/knapweeddrum/process/entry/heartbeat_task.py
+++ b/src/knapweeddrum/process/entry/heartbeat_task.py
@@ -22,6 +22,9 @@
 VERSION_RECORDERS = 3
 """Hosts, the first ready ones by name, that record the versions of services."""
 
+CHANGE_DELAY_SECONDS = 0.2
+"""Time for which changes that are to be told at once are collected."""
+
 READINESS_POLL_SECONDS = 0.05
 """Interval between checks whether a host that starts is ready."""
 
@@ -33,7 +36,8 @@
         self._ctx = ctx
         self._beat = 0
         self._announced_ready: bool | None = None
-        self._drain_begun = anyio.Event()
+        self._changed = anyio.Event()
+        ctx.endpoint_limits.on_change = self._announce
 
     async def run(self) -> None:
         """Write heartbeats until cancelled."""
@@ -42,11 +46,15 @@
                 await anyio.sleep(RETRY_SECONDS)
             with anyio.move_on_after(HEARTBEAT_INTERVAL_SECONDS):
                 while self._ctx.is_ready == self._announced_ready:
-                    await self._wait_for_change()
+                    if await self._wait_for_change():
+                        break
 
     async def announce_drain(self) -> None:
         """Write a heartbeat at once, as this host has begun to drain."""
-        self._drain_begun.set()
+        self._announce()
+
+    def _announce(self) -> None:
+        self._changed.set()
 
     async def write_heartbeat(self) -> bool:
         """Write one heartbeat; a failed write is counted and not retried.
@@ -69,12 +77,19 @@
         self._announced_ready = record.ready
         return True
 
-    async def _wait_for_change(self) -> None:
-        """Wait until readiness may have changed; a ready host only begins to drain."""
-        if self._ctx.is_ready:
-            await self._drain_begun.wait()
-        else:
+    async def _wait_for_change(self) -> bool:
+        """Wait until readiness may have changed; a ready host only begins to drain.
+
+        Return whether there is something else to tell at once.
+        """
+        if not self._ctx.is_ready:
             await anyio.sleep(READINESS_POLL_SECONDS)
+            return False
+        await self._changed.wait()
+        if self._ctx.is_ready:
+            await anyio.sleep(CHANGE_DELAY_SECONDS)
+        self._changed = anyio.Event()
+        return True
 
     def _records_versions(self) -> bool:
         ctx = self._ctx
--- a/src/knapweeddrum/process/entry/host_reader.py
+++ b/src/knapweeddrum/process/entry/host_reader.py
@@ -48,6 +48,8 @@
                 self._ctx.record_ignored(record.key, record.offset, str(exc))
                 continue
             self._ctx.hosts.apply_heartbeat(record.key, record.offset, host)
+            if host is not None and host.name != self._ctx.settings.host_name:
+                self._ctx.endpoint_limits.merge(host.limits, now)
 
     def on_store_lost(self) -> None:
         """Pause the heartbeat timeouts, as heartbeats can't be read."""
--- a/src/knapweeddrum/process/entry/host_state_page.py
+++ b/src/knapweeddrum/process/entry/host_state_page.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from knapweeddrum.core.placing.endpoint_states import instance_name
 from knapweeddrum.message.call.host_state import (
     BudgetRow,
     CrashRow,
@@ -67,6 +68,7 @@
                 condition=state.condition(now),
                 in_flight=state.in_flight,
                 load=state.load(now),
+                limit=self._ctx.endpoint_limits.limit(instance_name(state.entry)),
             )
             for state in self._ctx.endpoint_states.all()
         ]
--- a/src/knapweeddrum/process/entry/notice_recorder.py
+++ b/src/knapweeddrum/process/entry/notice_recorder.py
@@ -6,10 +6,11 @@
 
 from knapweeddrum.core.placing.back_off import BackOff
 from knapweeddrum.core.placing.endpoint_state import EndpointState
+from knapweeddrum.core.placing.endpoint_states import instance_name
 from knapweeddrum.platform.endpoint_protocol import REFUSED_STATUS, EndpointReplyHead
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import notice_counter
-from knapweeddrum.telemetry.events import ENDPOINT_NOTICE
+from knapweeddrum.telemetry.events import ENDPOINT_LIMIT, ENDPOINT_NOTICE
 from knapweeddrum.value.endpoint_notice import EndpointNotice
 
 MAX_RETURN_SPREAD_SECONDS = 0.25
@@ -21,6 +22,7 @@
 ) -> None:
     """Record what the head of an endpoint's own answer says."""
     now = time.monotonic()
+    _record_limit(ctx, state, head, now)
     if head.leaving and state.notices.record_leaving(now):
         _report(ctx, state, EndpointNotice.LEAVING, None)
     if not head.not_run and head.status != REFUSED_STATUS:
@@ -31,6 +33,27 @@
         _record_back_off(ctx, state, head.back_off, now)
 
 
+def _record_limit(
+    ctx: EntryContext, state: EndpointState, head: EndpointReplyHead, now: float
+) -> None:
+    if head.limit.is_malformed:
+        _report(ctx, state, EndpointNotice.IGNORED, None)
+        return
+    per_second = head.limit.per_second
+    if not ctx.endpoint_limits.observe(instance_name(state.entry), per_second, now):
+        return
+    notice = (
+        EndpointNotice.LIMIT if per_second is not None else EndpointNotice.LIMIT_END
+    )
+    ctx.metrics.count(notice_counter(notice))
+    ctx.events.emit(
+        ENDPOINT_LIMIT,
+        endpoint=state.entry.endpoint_id,
+        service=state.entry.service,
+        per_second=per_second,
+    )
+
+
 def _record_back_off(
     ctx: EntryContext, state: EndpointState, back_off: BackOff, now: float
 ) -> None:
--- /dev/null
+++ b/src/knapweeddrum/process/entry/permit_desk.py
@@ -0,0 +1,108 @@
+"""Gives permits for endpoints that have named a limit."""
+
+from __future__ import annotations
+
+import time
+
+import msgspec
+
+from knapweeddrum.core.placing.permit_bucket import PermitBucket
+from knapweeddrum.core.placing.told_limit import ToldLimit
+from knapweeddrum.message.call.endpoint_permit import PermitReply, PermitRequest
+from knapweeddrum.process.entry.entry_context import EntryContext
+from knapweeddrum.process.entry.page_server import PageAnswer
+from knapweeddrum.telemetry.counters import PERMIT_DENIED, PERMIT_GIVEN
+from knapweeddrum.value.identifiers import EndpointName
+
+PERMIT_PATH = b"/permits"
+
+ASKER_MEMORY_SECONDS = 3.0
+"""Time for which a host that was denied a permit counts as one that waits."""
+
+ASKS_PER_PERMIT = 2.0
+"""Questions a second, as a multiple of the limit, that the waiting hosts share."""
+
+MIN_WAIT_SECONDS = 0.02
+
+NOT_OWNER_WAIT_SECONDS = 0.5
+"""Time after which a host asks again that took another one for the owner."""
+
+
+class PermitDesk:
+    """Holds the permits of the endpoints that this host owns.
+
+    One host, the owner, gives the permits of an endpoint to all hosts, so that they
+    keep to one limit together. It is chosen like the owner of an organisation's tokens.
+    """
+
+    def __init__(self, ctx: EntryContext) -> None:
+        self._ctx = ctx
+        self._buckets: dict[EndpointName, PermitBucket] = {}
+        self._denied_at: dict[EndpointName, dict[str, float]] = {}
+
+    async def answer(self, body: bytes) -> PageAnswer:
+        """Answer a PermitRequest of another host."""
+        try:
+            req = msgspec.json.decode(body, type=PermitRequest)
+        except msgspec.MsgspecError:
+            return PageAnswer(400)
+        return PageAnswer(200, msgspec.json.encode(self.give(req)))
+
+    def give(self, req: PermitRequest) -> PermitReply:
+        """Give a permit, or say when to ask again."""
+        ctx = self._ctx
+        now = time.monotonic()
+        instance = EndpointName(req.instance)
+        if ctx.token_owners_before(req.instance):
+            return self._deny(NOT_OWNER_WAIT_SECONDS, req.per_second, req.age)
+        told = ToldLimit(req.instance, req.per_second, req.age)
+        ctx.endpoint_limits.merge([told], now)
+        per_second = ctx.endpoint_limits.limit(instance)
+        if per_second is None:
+            return PermitReply(is_given=True, per_second=None)
+        age = ctx.endpoint_limits.age(instance, now)
+        bucket = self._bucket(instance, per_second, now)
+        if bucket.take(now):
+            self._denied_at.get(instance, {}).pop(req.sender, None)
+            ctx.metrics.count(PERMIT_GIVEN)
+            return PermitReply(is_given=True, per_second=per_second, age=age)
+        wait = self._wait(instance, bucket, req.sender, now)
+        return self._deny(wait, per_second, age)
+
+    def _deny(self, wait: float, per_second: float, age: float) -> PermitReply:
+        self._ctx.metrics.count(PERMIT_DENIED)
+        return PermitReply(False, wait, per_second, age)
+
+    def _bucket(
+        self, instance: EndpointName, per_second: float, now: float
+    ) -> PermitBucket:
+        bucket = self._buckets.get(instance)
+        if bucket is None:
+            self._forget_unlisted(now)
+            bucket = self._buckets[instance] = PermitBucket(per_second, now)
+        bucket.set_rate(per_second, now)
+        return bucket
+
+    def _wait(
+        self, instance: EndpointName, bucket: PermitBucket, sender: str, now: float
+    ) -> float:
+        """Return a time that spreads the questions of the hosts that wait."""
+        denied_at = self._denied_at.setdefault(instance, {})
+        denied_at[sender] = now
+        waiting = {
+            name: at
+            for name, at in denied_at.items()
+            if now - at < ASKER_MEMORY_SECONDS
+        }
+        self._denied_at[instance] = waiting
+        limit = self._ctx.endpoint_limits.limit(instance) or 1.0
+        turn = len(waiting) / (ASKS_PER_PERMIT * limit)
+        turn *= self._ctx.rng.uniform(0.5, 1.5)
+        return max(MIN_WAIT_SECONDS, bucket.wait(now), turn)
+
+    def _forget_unlisted(self, now: float) -> None:
+        listed = self._ctx.listed_instances()
+        self._ctx.endpoint_limits.retain(listed, now)
+        for instance in self._buckets.keys() - listed:
+            del self._buckets[instance]
+            self._denied_at.pop(instance, None)
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -27,8 +27,7 @@
 from knapweeddrum.process.entry.request_admission import refused
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.process.entry.request_log import RequestLog
-from knapweeddrum.process.entry.stream_origin_sharing import StreamOriginSharing
-from knapweeddrum.process.entry.token_allocator import TokenAllocator
+from knapweeddrum.process.entry.request_parts import RequestParts
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.retry_reason import NOT_SENT_REASONS, RetryReason
 from knapweeddrum.value.run_state import RunState
@@ -40,6 +39,12 @@
     TokenVerdict.UNREACHABLE: RefusalReason.BUDGET_UNREACHABLE,
 }
 
+MAX_PERMIT_WAITS = 3
+MAX_PERMIT_WAIT_SECONDS = 0.2
+"""Longest time for which a request waits for a permit at once."""
+PERMIT_WAIT_FRACTION = 0.1
+"""The same, as a fraction of the time to the request's deadline."""
+
 WAIT_HISTOGRAM = "token_wait"
 """Histogram of how long requests wait for prepaid tokens."""
 
@@ -50,19 +55,19 @@
     def __init__(
         self,
         ctx: EntryContext,
-        allocator: TokenAllocator,
-        stream_origins: StreamOriginSharing,
+        parts: RequestParts,
         caller: ServerConnection,
         job: RequestJob,
     ) -> None:
         self._ctx = ctx
-        self._allocator = allocator
-        self._stream_origins = stream_origins
+        self._allocator = parts.allocator
+        self._stream_origins = parts.stream_origins
+        self._permits = parts.permits
         self._job = job
         self._policy = ctx.failover_policy(job.service, time.monotonic())
         self._log = RequestLog(ctx, job)
         self._caller = caller
-        self._relay = AnswerRelay(caller, job, self._log, stream_origins)
+        self._relay = AnswerRelay(caller, job, self._log, parts.stream_origins)
         self._last_failure: AttemptError | None = None
         self.spent = 0
         """Prepaid tokens charged for the request, set when it ends."""
@@ -130,7 +135,7 @@
         with anyio.CancelScope(deadline=self._job.deadline) as scope:
             while True:
                 await self._caller.notice_disconnect()
-                state = self._choose_endpoint()
+                state = await self._choose_permitted_endpoint()
                 try:
                     await self._attempt(state)
                     return
@@ -172,13 +177,58 @@
         route = self._job.route
         return route.idempotent and self._job.sends < route.max_attempts
 
+    async def _choose_permitted_endpoint(self) -> EndpointState:
+        """Return an endpoint that may be sent to, under its limit if it has one.
+
+        Waits a short time for one that will have a permit soon.
+        """
+        for _ in range(MAX_PERMIT_WAITS):
+            wait = self._soonest_permit()
+            if wait > self._longest_permit_wait():
+                break
+            await anyio.sleep(wait)
+            state = await self._choose_with_permit()
+            if state is not None:
+                return state
+        return self._choose_endpoint()
+
+    async def _choose_with_permit(self) -> EndpointState | None:
+        """Return an endpoint with a permit, None if all that are left wait for one."""
+        while self._soonest_permit() <= 0:
+            state = self._choose_endpoint()
+            if await self._permits.acquire(state):
+                return state
+        return None
+
+    def _soonest_permit(self) -> float:
+        """Return the seconds until any endpoint may have a permit, 0 for now."""
+        now = time.monotonic()
+        waits = [
+            self._permit_wait(state, now)
+            for state in self._eligible_states()
+            if state.entry.endpoint_id not in self._job.tried
+        ]
+        return min(waits, default=0.0)
+
+    def _permit_wait(self, state: EndpointState, now: float) -> float:
+        return self._ctx.endpoint_limits.wait(instance_name(state.entry), now)
+
+    def _longest_permit_wait(self) -> float:
+        time_left = self._job.deadline - time.monotonic()
+        return min(MAX_PERMIT_WAIT_SECONDS, time_left * PERMIT_WAIT_FRACTION)
+
     def _choose_endpoint(self) -> EndpointState:
         job = self._job
         prompt = job.req.prompt
         constraints = crash_constraints(self._ctx, job)
         has_affinity = job.route.session_affinity and not constraints.suspect
         session = prompt.session if prompt is not None and has_affinity else ""
-        states = self._eligible_states()
+        now = time.monotonic()
+        states = [
+            state
+            for state in self._eligible_states()
+            if self._permit_wait(state, now) <= 0
+        ]
         placement = PlacementRequest(
             session=session,
             data_centre=self._ctx.settings.data_centre,
@@ -223,6 +273,12 @@
                 RefusalReason.ENDPOINTS_BACK_OFF, retry_after=max(0.01, retry_after)
             )
         retry_after = self._policy.retry_after(job.deadline, now)
+        permit_wait = self._soonest_permit()
+        if permit_wait > 0:
+            spread = permit_wait * self._ctx.rng.uniform(1.0, 2.0)
+            most = (job.deadline - now) * RETRY_AFTER_FRACTION
+            retry_after = max(retry_after, min(spread, most))
+            return refused(RefusalReason.ENDPOINTS_LIMITED, retry_after=retry_after)
         return refused(RefusalReason.NO_ENDPOINT, retry_after=retry_after)
 
     def _retry_or_raise(self, exc: AttemptError) -> None:
--- a/src/knapweeddrum/process/router/problem.py
+++ b/src/knapweeddrum/process/router/problem.py
@@ -43,6 +43,7 @@
     RefusalReason.HEAD_TOO_LARGE: 431,
     RefusalReason.TOKENS_HELD_ELSEWHERE: 503,
     RefusalReason.TOKENS_UNKNOWN: 503,
+    RefusalReason.ENDPOINTS_LIMITED: 503,
     RefusalReason.INTERNAL_ERROR: 502,
 }
 """The HTTP status for each reason."""
--- a/src/knapweeddrum/process/router/refusal_details.py
+++ b/src/knapweeddrum/process/router/refusal_details.py
@@ -33,6 +33,7 @@
     RefusalReason.BODY_LATE: "the body did not arrive in time",
     RefusalReason.HEAD_TOO_LARGE: "the request headers are too large",
     RefusalReason.TOKENS_HELD_ELSEWHERE: "the last tokens are held by other hosts",
+    RefusalReason.ENDPOINTS_LIMITED: "the endpoints take no more requests now",
     RefusalReason.TOKENS_UNKNOWN: "the hosts agree anew on what was spent",
     RefusalReason.INTERNAL_ERROR: "an error in the fleet ended the request",
 }
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -37,6 +37,10 @@
 """Answers of the store that were not believed, for the era that they tell."""
 CLAIM_REWRITTEN = "claim.rewritten"
 """Claims that this host wrote again, as an older copy of the store lacked them."""
+PERMIT_GIVEN = "permit.given"
+"""Permits that this host gave for endpoints under a limit, as their owner."""
+PERMIT_DENIED = "permit.denied"
+"""Questions for a permit that it denied."""
 CLAIM_CONFLICT = "claim.conflict"
 """Writes of token claims that failed because another host had written first."""
 CLAIM_NOT_WRITTEN = "claim.not_written"
@@ -90,6 +94,8 @@
     STORE_RETURNED_COUNT,
     STORE_ERA_DOUBTED_COUNT,
     CLAIM_REWRITTEN,
+    PERMIT_GIVEN,
+    PERMIT_DENIED,
     CLAIM_CONFLICT,
     CLAIM_NOT_WRITTEN,
     CLAIM_UNKNOWN,
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -159,6 +159,9 @@
 ENDPOINT_START_ASKED = Event(
     631, "endpoint_start_asked", "info", ("endpoint", "reply", "listed_start_ms")
 )
+ENDPOINT_LIMIT = Event(
+    644, "endpoint_limit", "warning", ("endpoint", "service", "per_second")
+)
 VERSIONS_RECALLED = Event(
     632,
     "versions_recalled",
--- a/src/knapweeddrum/value/endpoint_notice.py
+++ b/src/knapweeddrum/value/endpoint_notice.py
@@ -11,5 +11,8 @@
     LEAVING = "leaving"
     BACK_OFF = "back_off"
     """It wants nothing from this host for a while."""
+    LIMIT = "limit"
+    """It takes no more requests a second than it says, from all hosts together."""
+    LIMIT_END = "limit_end"
     IGNORED = "ignored"
     """What it said is meaningless."""
--- a/src/knapweeddrum/value/refusal_reason.py
+++ b/src/knapweeddrum/value/refusal_reason.py
@@ -37,6 +37,8 @@
     """Endpoints crashed each time the request ran; it is not run again."""
     ENDPOINTS_BACK_OFF = "endpoints_back_off"
     """Each endpoint of the service wants no requests from this host for a while."""
+    ENDPOINTS_LIMITED = "endpoints_limited"
+    """The endpoints of the service have named limits, and those are used up."""
     STREAM_VERSION_UNKNOWN = "stream_version_unknown"
     """It isn't known which software version began the stream to be taken up."""
     STREAM_VERSION_GONE = "stream_version_gone"
--- /dev/null
+++ b/tests/core/placing/test_endpoint_limits.py
@@ -0,0 +1,70 @@
+from __future__ import annotations
+
+from knapweeddrum.core.placing.endpoint_limits import (
+    ENDED_MEMORY_SECONDS,
+    EndpointLimits,
+)
+from knapweeddrum.core.placing.permit_bucket import MIN_PER_SECOND, PermitBucket
+from knapweeddrum.core.placing.told_limit import ToldLimit
+from knapweeddrum.value.identifiers import EndpointName
+
+E1 = EndpointName("e1")
+
+
+def test_what_was_named_last_counts():
+    """Whether this host heard it or another one told."""
+    limits = EndpointLimits()
+    assert limits.observe(E1, 2.0, 10.0)
+    limits.merge([ToldLimit(E1, None, age=5.0)], 12.0)
+    assert limits.limit(E1) == 2.0
+    limits.merge([ToldLimit(E1, None, age=0.5)], 12.0)
+    assert limits.limit(E1) is None
+
+
+def test_only_news_are_told_at_once():
+    """A limit that is named again is told with the next heartbeat."""
+    limits = EndpointLimits()
+    told: list[int] = []
+    limits.on_change = lambda: told.append(1)
+    assert not limits.observe(E1, None, 1.0)
+    assert limits.observe(E1, 2.0, 2.0)
+    assert not limits.observe(E1, 2.0, 3.0)
+    assert limits.observe(E1, 3.0, 4.0)
+    assert limits.observe(E1, None, 5.0)
+    assert len(told) == 3
+
+
+def test_end_of_a_limit_is_told_for_a_while():
+    """Else a host that heard of it before would spread it again."""
+    limits = EndpointLimits()
+    limits.observe(E1, 2.0, 1.0)
+    limits.observe(E1, None, 2.0)
+    assert limits.told(3.0) == (ToldLimit(E1, None, 1.0),)
+    assert limits.told(2.0 + ENDED_MEMORY_SECONDS) == ()
+
+
+def test_nothing_is_sent_before_a_permit_may_be_asked_for():
+    """The end of the limit ends the wait too."""
+    limits = EndpointLimits()
+    limits.observe(E1, 2.0, 1.0)
+    limits.close(E1, 5.0)
+    assert limits.wait(E1, 4.0) == 1.0
+    assert limits.wait(E1, 5.0) == 0.0
+    limits.observe(E1, None, 4.0)
+    assert limits.wait(E1, 4.0) == 0.0
+
+
+def test_new_owner_of_permits_has_none_in_hand():
+    """Those that the owner before gave count in the same window."""
+    bucket = PermitBucket(2.0, 10.0)
+    assert not bucket.take(10.0)
+    assert bucket.wait(10.0) == 0.5
+    assert bucket.take(10.5)
+    given = sum(bucket.take(100.0) for _ in range(10))
+    assert given == 2
+
+
+def test_endpoint_that_takes_nothing_is_asked_now_and_then():
+    """Else the end of its limit would never be heard."""
+    bucket = PermitBucket(0.0, 0.0)
+    assert bucket.wait(0.0) == 1.0 / MIN_PER_SECOND
--- a/tests/process/entry/claim_race.py
+++ b/tests/process/entry/claim_race.py
@@ -397,7 +397,7 @@
     def _add_host(self, number: int) -> None:
         plan = self.plan
         seconds = plan.busy_store_seconds if number == 0 else plan.store_seconds
-        ctx = _context(number, plan, DistantStore(self.stream, seconds))
+        ctx = make_context(number, plan, DistantStore(self.stream, seconds))
         ctx.fleet_known_from = 0.0
         ctx.configuration = Configuration.build(1, (), (), (), CallerLimits())
         # Other streams than the claims are not simulated; the store answers them.
@@ -456,7 +456,8 @@
     return f"10.0.0.{number}:2"
 
 
-def _context(number: int, plan: ClaimRacePlan, store: DistantStore) -> EntryContext:
+def make_context(number: int, plan: ClaimRacePlan, store: DistantStore) -> EntryContext:
+    """Return the state of a host that knows all others."""
     name = f"host-{number}"
     directory = HostDirectory(name)
     for other in range(plan.hosts):
--- a/tests/process/entry/embedded_caller_server.py
+++ b/tests/process/entry/embedded_caller_server.py
@@ -30,8 +30,7 @@
 from knapweeddrum.process.entry.caller_server import CallerServer
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.lost_connection import LostConnection
-from knapweeddrum.process.entry.stream_origin_sharing import StreamOriginSharing
-from knapweeddrum.process.entry.token_allocator import TokenAllocator
+from knapweeddrum.process.entry.request_parts import RequestParts
 from knapweeddrum.settings.entry_settings import EntrySettings
 from knapweeddrum.telemetry.metrics import Metrics
 from tests.process.entry.entry_harness import HOST_NAME, KEY, configuration
@@ -98,10 +97,10 @@
 async def embedded_caller_server() -> AsyncIterator[EmbeddedCallerServer]:
     """Serve callers' connections in this event loop."""
     ctx = _context()
+    parts = SimpleNamespace(allocator=None, stream_origins=None, permits=None)
     server = CallerServer(
         ctx,
-        cast("TokenAllocator", SimpleNamespace()),
-        cast("StreamOriginSharing", SimpleNamespace()),
+        cast("RequestParts", parts),
     )
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(server.run)
