A part that crashes endpoints: tests with real processes, red

The stand-in endpoints crash under a part that is not the last: before the head, after one whole event of an answer without length or chunks that ends in good order, or inside an event.

--- a/tests/process/entry/crash_fleet.py
+++ b/tests/process/entry/crash_fleet.py
@@ -6,7 +6,7 @@
 import dataclasses
 import itertools
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 
 import anyio
 
@@ -17,11 +17,16 @@
     configuration,
     entry_process,
 )
-from tests.standins.crashing_service import CrashingEndpoint, CrashingService
+from tests.standins.crashing_service import (
+    CrashingEndpoint,
+    CrashingService,
+    FatalPart,
+)
 from tests.standins.platform_store import PlatformStore
 
 ANSWER_TIMEOUT_SECONDS = 5.0
 POLL_INTERVAL_SECONDS = 0.005
+ENGINE_DOWN_SECONDS = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,6 +59,42 @@
             return SentRequest(sent_at, 0, None)
         return SentRequest(sent_at, answer.status, answer)
 
+    async def send_prompt(self, host: EntryHarness, prefix: str) -> SentRequest:
+        """Send a stream whose prompt has the given parts, and one of its own."""
+        sent_at = time.monotonic()
+        number = next(self.attempts)
+        try:
+            with anyio.fail_after(ANSWER_TIMEOUT_SECONDS):
+                answer = await host.call(
+                    "/query/1",
+                    body=b"question %d" % number,
+                    attempt=f"attempt-{number}",
+                    tokens="30,9",
+                    prefix=f"{prefix}:10,{number:x}:5",
+                )
+        except (ExchangeError, TimeoutError):
+            return SentRequest(sent_at, 0, None)
+        status = answer.status if answer.is_complete else 0
+        return SentRequest(sent_at, status, answer)
+
+    async def send_prompts(
+        self,
+        prefixes: Sequence[str],
+        interval_seconds: float,
+        sent: list[SentRequest],
+    ) -> None:
+        """Send such streams to the hosts in turn, prefix by prefix, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            for number in itertools.count():
+                host = self.hosts[number % len(self.hosts)]
+                prefix = prefixes[number % len(prefixes)]
+
+                async def send_one(host: EntryHarness, prefix: str) -> None:
+                    sent.append(await self.send_prompt(host, prefix))
+
+                tasks.start_soon(send_one, host, prefix)
+                await anyio.sleep(interval_seconds)
+
     async def send_in_turn(
         self, path: str, body: bytes, count: int, interval_seconds: float
     ) -> list[SentRequest]:
@@ -101,11 +142,28 @@
 
 @contextlib.asynccontextmanager
 async def crash_fleet(
-    host_count: int, endpoint_count: int, *, silent: bool = False
+    host_count: int,
+    endpoint_count: int,
+    *,
+    silent: bool = False,
+    fatal_part: FatalPart | None = None,
 ) -> AsyncIterator[CrashFleet]:
-    """Run hosts that are ready and know each other."""
+    """Run hosts that are ready and know each other.
+
+    With ``fatal_part`` the endpoints are model engines, else plain services.
+    """
     store = PlatformStore()
-    service = CrashingService(store, "stock", endpoint_count, silent=silent)
+    if fatal_part is None:
+        service = CrashingService(store, "stock", endpoint_count, silent=silent)
+    else:
+        service = CrashingService(
+            store,
+            "engine",
+            endpoint_count,
+            down_seconds=ENGINE_DOWN_SECONDS,
+            fatal_part=fatal_part,
+            events=3,
+        )
     async with contextlib.AsyncExitStack() as stack:
         store_address = await stack.enter_async_context(store.serve())
         await stack.enter_async_context(service.serve())
--- a/tests/standins/crashing_service.py
+++ b/tests/standins/crashing_service.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
+import enum
+import socket
 import time
 from collections.abc import AsyncIterator
 
 import anyio
 import anyio.abc
 
+from knapweeddrum.http.header_list import HeaderList
 from knapweeddrum.http.server_connection import ReceivedRequest, ServerConnection
 from tests.standins.platform_store import PlatformStore
 from tests.standins.stamped_server import (
@@ -18,13 +22,34 @@
 )
 from tests.standins.tcp_serving import serving
 
+PORT_POLL_SECONDS = 0.02
 SERVICE_LIST = "keyed.servers"
 FIRST_BORN = 1_700_000_000_000
 
 
+class CrashTime(enum.Enum):
+    """When an endpoint crashes that runs a fatal request."""
+
+    BEFORE_HEAD = "before_head"
+    AFTER_EVENT = "after_event"
+    """After the head, without a length or chunks, and one whole event."""
+    INSIDE_EVENT = "inside_event"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FatalPart:
+    """A part of prompts that crashes endpoints."""
+
+    identifier: bytes
+    crash_time: CrashTime = CrashTime.BEFORE_HEAD
+
+
 class CrashingEndpoint(StampedServer):
     """Crashes, with a reset of all its connections, when it runs ``fatal_body``.
 
+    It does so too when a request has ``fatal_part`` in its prompt, and then may have
+    begun its answer and end its connections in good order.
+
     With ``silent`` its connections stay open and nothing is sent on them, as when its
     host loses power.
     """
@@ -38,6 +63,7 @@
         crash_times: list[float],
         *,
         silent: bool,
+        fatal_part: FatalPart | None = None,
     ) -> None:
         super().__init__(server_id, body=b"whole")
         self._crash_times = crash_times
@@ -49,6 +75,7 @@
         self.running: list[bytes] = []
         """Bodies of the requests that run now."""
         self._fatal_body = fatal_body
+        self._fatal_part = fatal_part
         self._run_seconds = run_seconds
         self._streams: set[anyio.abc.SocketStream] = set()
 
@@ -85,9 +112,33 @@
                 self._crash_times.append(time.monotonic())
             self.crash()
             await anyio.sleep_forever()
+        part = self._fatal_part
+        if part is not None and _has_part(received.headers, part.identifier):
+            await self._crash_under_part(stream, received, part.crash_time)
         await self._take_time(self.bodies[-1])
         return await super()._run(conn, stream, received, behaviour)
 
+    async def _crash_under_part(
+        self,
+        stream: anyio.abc.SocketStream,
+        received: ReceivedRequest,
+        crash_time: CrashTime,
+    ) -> None:
+        if not self.crashed.is_set():
+            self._crash_times.append(time.monotonic())
+        if crash_time is CrashTime.BEFORE_HEAD:
+            self.crash()
+            await anyio.sleep_forever()
+        attempt = received.headers.get(b"attempt-id") or b""
+        head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        head += b"Response-Stamp: stamp\r\nAttempt-Id: " + attempt + b"\r\n\r\n"
+        event = b"id: 1\ndata: piece 1\n\n"
+        rest = b"id: 2\nda" if crash_time is CrashTime.INSIDE_EVENT else b""
+        await stream.send(head + event + rest)
+        await stream.send_eof()
+        self.crashed.set()
+        await anyio.sleep_forever()
+
     async def _take_time(self, body: bytes) -> None:
         self.running.append(body)
         try:
@@ -98,6 +149,22 @@
             await anyio.sleep_forever()
 
 
+async def _wait_until_free(port: int) -> None:
+    """Wait until no connection of another process uses the port of an endpoint."""
+    while port:
+        with contextlib.suppress(OSError), socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(("127.0.0.1", port))
+            return
+        await anyio.sleep(PORT_POLL_SECONDS)
+
+
+def _has_part(headers: HeaderList, identifier: bytes) -> bool:
+    """Return whether a part, but for the last, is in a request's prompt."""
+    parts = (headers.get(b"prompt-prefix") or b"").split(b",")[:-1]
+    return any(part.partition(b":")[0] == identifier for part in parts)
+
+
 class CrashingService:
     """Endpoints that crash when they run ``fatal_body`` and come back with a new id.
 
@@ -116,8 +183,12 @@
         down_seconds: float = 1.0,
         lapse_seconds: float = 3.6,
         silent: bool = False,
+        fatal_part: FatalPart | None = None,
+        events: int = 0,
     ) -> None:
         self.fatal_body = fatal_body
+        self._fatal_part = fatal_part
+        self._events = events
         self.crash_times: list[float] = []
         """Monotonic time of each crash that a request caused."""
         self.endpoints: list[CrashingEndpoint] = []
@@ -143,24 +214,27 @@
             yield
             tasks.cancel_scope.cancel()
 
-    def late_crashes(self, window_seconds: float) -> int:
-        """Return the crashes later than ``window_seconds`` after the third."""
-        if len(self.crash_times) < 3:
+    def late_crashes(self, window_seconds: float, counted: int = 3) -> int:
+        """Return the crashes later than a time after the third, or another one."""
+        if len(self.crash_times) < counted:
             return 0
-        latest = self.crash_times[2] + window_seconds
+        latest = self.crash_times[counted - 1] + window_seconds
         return sum(1 for crashed_at in self.crash_times if crashed_at > latest)
 
     def _new_endpoint(self) -> CrashingEndpoint:
         self._started += 1
         name = f"{self._service}-{self._started}"
-        return CrashingEndpoint(
+        endpoint = CrashingEndpoint(
             name,
             FIRST_BORN + self._started,
             self.fatal_body,
             self._run_seconds,
             self.crash_times,
             silent=self._silent,
+            fatal_part=self._fatal_part,
         )
+        endpoint.events = self._events
+        return endpoint
 
     async def _keep_running(
         self, position: int, *, task_status: anyio.abc.TaskStatus[None]
@@ -168,6 +242,7 @@
         port = 0
         while True:
             endpoint = self.endpoints[position]
+            await _wait_until_free(port)
             async with serving(endpoint._connection, port) as address:
                 endpoint.address = address
                 port = int(address.rpartition(":")[2])
