Witnesses: a process that has ended is none, and is no reason to wait

What callers saw: after all other hosts were killed, the last one refused for 5 s whatever it had not held (503 budget_unreachable), and wrote its claim anew a dozen times in 25 ms. Found by a test of crashing parts. Cause: since only a witness's consent unlocks tokens, and killed hosts count as running until their heartbeats lapse. Change: a host whose address refuses connections has no process, so it is no candidate; with no other left a claim is unlocked at once, as for a host alone. One that is only silent stays a candidate. A claim isn't written again if nothing of it changes. A host counts as fresh in a return only if it has known all claims for 5 s, so that no other can have claimed without a witness because it had not heard of this one.

--- a/src/knapweeddrum/core/prepaid/token_accounts.py
+++ b/src/knapweeddrum/core/prepaid/token_accounts.py
@@ -137,7 +137,6 @@
             witness = account.choose_witness(witnesses, silent)
             if (
                 account.intended != account.confirmed
-                or is_short
                 or (account.confirmed and account.witness != witness)
                 or self._must_publish_committed(organisation, account, max_reservable)
             ):
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -61,7 +61,7 @@
 
 FRESH_SECONDS = HEARTBEAT_TIMEOUT_SECONDS
 """Age of the known heartbeats up to which this host can't have been left out by others,
-so that it knows of all that may have claimed."""
+and time after which they know of it: no other has claimed without a witness."""
 
 HOST_RETRY_FRACTION = 0.7
 """Fraction of the configured retries per request that each host allows itself."""
@@ -102,6 +102,8 @@
     fleet_known_from: float | None = None
     """Time from which this host knows which others are ready, None before a read."""
     claims_loaded: bool = False
+    claims_known_from: float = float("inf")
+    """Time from which this host knows all claims; others learn of it soon after."""
     crash_records_loaded: bool = False
     version_record: VersionRecord | None = None
     """What a host wrote last of the services' versions."""
@@ -208,7 +210,11 @@
 
     def record_store_return(self, before: int, era: int) -> None:
         """Record that the store has come back from an older copy."""
-        is_fresh = time.monotonic() - self.hosts_read_at <= FRESH_SECONDS
+        now = time.monotonic()
+        is_fresh = (
+            now - self.hosts_read_at <= FRESH_SECONDS
+            and now - self.claims_known_from >= FRESH_SECONDS
+        )
         running = self.hosts.recent_incarnations()
         self.claim_recovery.begin_era(era, running, is_fresh=is_fresh)
         self.metrics.count(STORE_RETURNED_COUNT)
--- a/src/knapweeddrum/process/entry/peer_client.py
+++ b/src/knapweeddrum/process/entry/peer_client.py
@@ -8,7 +8,7 @@
 import anyio
 import msgspec
 
-from knapweeddrum.http.exceptions import ExchangeError
+from knapweeddrum.http.exceptions import ExchangeError, PeerRefusedError
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry import counters
 from knapweeddrum.telemetry.events import HOST_UNANSWERED
@@ -34,11 +34,16 @@
     def __init__(self, ctx: EntryContext) -> None:
         self._ctx = ctx
         self._unresponsive_until: dict[str, float] = {}
+        self._ended_until: dict[str, float] = {}
 
     def is_unresponsive(self, address: str) -> bool:
         """Return whether a request to a host failed a short time ago."""
         return self._unresponsive_until.get(address, 0.0) > time.monotonic()
 
+    def has_ended(self, address: str) -> bool:
+        """Return whether no process listened at an address a short time ago."""
+        return self._ended_until.get(address, 0.0) > time.monotonic()
+
     async def post(
         self,
         address: str,
@@ -72,6 +77,9 @@
             return msgspec.json.decode(answer, type=reply_type)
         except (ExchangeError, TimeoutError, msgspec.MsgspecError) as exc:
             self._record_failure(address, timeout)
+            if isinstance(exc, PeerRefusedError):
+                now = time.monotonic()
+                self._ended_until[address] = now + PEER_UNRESPONSIVE_SECONDS
             self._ctx.metrics.count(counters.HOST_UNANSWERED)
             self._ctx.events.emit(
                 HOST_UNANSWERED, host=address, question=path.decode(), error=repr(exc)
--- a/src/knapweeddrum/process/entry/token_allocator.py
+++ b/src/knapweeddrum/process/entry/token_allocator.py
@@ -235,6 +235,7 @@
                 await self._fail_waiters()
                 return
             if not claims:
+                await self._unlocker.unlock_all(self._waiting_tokens())
                 self._reserve_for_waiters()
                 self._refuse_unservable()
                 return
@@ -242,9 +243,9 @@
 
     async def _unlock(self, claims: list[TokenClaim]) -> None:
         """Ask for the consent to spend what was claimed, by need."""
-        waiting = self._waiting()
+        waiting = self._waiting_tokens()
         wanted = {
-            claim.organisation: sum(waiting.get(claim.organisation, ()))
+            claim.organisation: waiting.get(claim.organisation, 0)
             for claim in claims
             if claim.incarnation == self._ctx.incarnation
         }
@@ -267,7 +268,7 @@
                 self._waiting(),
                 self._owned,
                 time.monotonic(),
-                ctx.witnesses(),
+                self._unlocker.witnesses(),
                 holds_start_reserve=ctx.knows_fleet,
                 silent_witnesses=self._unlocker.silent_witnesses(),
             )
@@ -292,6 +293,9 @@
             return MAX_CLAIMS_AGE_SECONDS
         return IDLE_CLAIMS_AGE_SECONDS
 
+    def _waiting_tokens(self) -> dict[str, int]:
+        return {name: sum(tokens) for name, tokens in self._waiting().items()}
+
     def _waiting(self) -> dict[str, list[int]]:
         waiting: dict[str, list[int]] = {}
         for waiter in self._waiters:
--- a/src/knapweeddrum/process/entry/token_claim_log.py
+++ b/src/knapweeddrum/process/entry/token_claim_log.py
@@ -183,8 +183,10 @@
 
     def adopt(self, view: TokenClaimLedger) -> None:
         """Replace what is known of the claims by all claims of the present era."""
-        self._ctx.token_accounts.adopt(view)
-        self._ctx.claim_recovery.record_complete()
+        ctx = self._ctx
+        ctx.token_accounts.adopt(view)
+        ctx.claim_recovery.record_complete()
+        ctx.claims_known_from = min(ctx.claims_known_from, time.monotonic())
 
     def _apply(
         self, ledger: TokenClaimLedger, records: tuple[KeyedRecord, ...]
--- a/src/knapweeddrum/process/entry/token_unlocker.py
+++ b/src/knapweeddrum/process/entry/token_unlocker.py
@@ -61,6 +61,18 @@
         for witness, limits in limits_by_witness.items():
             await self._ask(witness, limits)
 
+    def witnesses(self) -> list[str]:
+        """Return the incarnations that may be witnesses, the best first.
+
+        A process that has ended is none. One that is only silent may live, and without
+        its consent nothing is spent that it doesn't know of.
+        """
+        return [name for name in self._ctx.witnesses() if not self._has_ended(name)]
+
+    def _has_ended(self, incarnation: str) -> bool:
+        record = self._ctx.hosts.find(incarnation)
+        return record is not None and self._peers.has_ended(record.peer_address)
+
     def silent_witnesses(self) -> frozenset[str]:
         """Return the incarnations that did not answer a short time ago."""
         now = time.monotonic()
--- a/tests/process/entry/claim_race.py
+++ b/tests/process/entry/claim_race.py
@@ -178,8 +178,9 @@
 class _ConsentingUnlocker:
     """Stands in for witnesses that consent at once."""
 
-    def __init__(self, accounts: TokenAccounts) -> None:
-        self._accounts = accounts
+    def __init__(self, ctx: EntryContext) -> None:
+        self._accounts = ctx.token_accounts
+        self._witnesses = ctx.witnesses
 
     async def unlock(self, organisation: str, tokens: int) -> None:
         account = self._accounts.account(organisation, time.monotonic())
@@ -195,6 +196,9 @@
     def silent_witnesses(self) -> frozenset[str]:
         return frozenset()
 
+    def witnesses(self) -> list[str]:
+        return self._witnesses()
+
 
 class PeerNetwork:
     """Carries loans and returns between the hosts, and counts them.
@@ -402,7 +406,7 @@
         ctx.configuration = Configuration.build(1, (), (), (), CallerLimits())
         # Other streams than the claims are not simulated; the store answers them.
         ctx.hosts_read_at = plan.seconds
-        unlocker = cast("TokenUnlocker", _ConsentingUnlocker(ctx.token_accounts))
+        unlocker = cast("TokenUnlocker", _ConsentingUnlocker(ctx))
         peers = cast("PeerClient", _NetworkedPeers(self.network, seconds))
         borrower = TokenBorrower(ctx, peers)
         allocator = TokenAllocator(ctx, unlocker, borrower)
--- a/tests/process/entry/return_day.py
+++ b/tests/process/entry/return_day.py
@@ -289,6 +289,13 @@
     def is_unresponsive(self, address: str) -> bool:
         return self._unresponsive_until.get(address, 0.0) > anyio.current_time()
 
+    def has_ended(self, address: str) -> bool:
+        """Return whether a process of this host has ended, as a refusal shows."""
+        day = self._host.day
+        if self._host.is_frozen_out:
+            return False
+        return all(h.address != address or not h.is_alive for h in day.hosts)
+
     async def post(
         self,
         address: str,
--- a/tests/process/entry/test_store_return.py
+++ b/tests/process/entry/test_store_return.py
@@ -45,6 +45,17 @@
         assert 200 in await fleet.send(1.0) or 402 in fleet.statuses
 
 
+@async_test
+async def test_last_host_claims_at_once_after_all_others_were_killed():
+    """A process that has ended can be no witness, and lose nothing either."""
+    async with return_fleet(2) as fleet:
+        await fleet.send(1.0)
+        await fleet.kill((0,))
+        fleet.remove(0)
+        statuses = await fleet.send(4.0)
+        assert statuses.count(200) >= len(statuses) - 2, statuses
+
+
 @async_test
 async def test_fleet_replaced_after_the_store_returned_lets_nobody_overspend():
     """What the hosts knew is in the store again before they are replaced."""
