Newcomer's reading: histories, waiting requests and the choice under a permit stand by themselves

CrashHistories keeps and versions the records, TokenWaiters the requests that wait, EndpointPermits.choose the choice under limits. One behaviour changes: after its waits a request could be sent to an endpoint under a limit without a permit; now it asks. MAX_FINGERPRINTS is MAX_SUSPECTS.

--- a/src/knapweeddrum/core/admission/crash_register.py
+++ b/src/knapweeddrum/core/admission/crash_register.py
@@ -6,7 +6,7 @@
 
 from knapweeddrum.core.admission.answer_memory import AnswerMemory
 from knapweeddrum.core.admission.crash_batch import CrashBatch
-from knapweeddrum.core.admission.crash_history import CrashHistory
+from knapweeddrum.core.admission.crash_histories import CrashHistories
 from knapweeddrum.core.admission.crash_policy import MAX_CRASHES, CrashPolicy
 from knapweeddrum.core.admission.crash_runs import CrashRun, CrashRuns
 from knapweeddrum.core.admission.crash_suspect import is_part
@@ -44,13 +44,6 @@
 MAX_REMEMBERED_ANSWERS = 1024
 """Requests whose complete answer is remembered; the oldest is forgotten."""
 
-MAX_FINGERPRINTS = 1024
-"""Requests with a record; the one with the fewest and then the oldest marks is dropped,
-so that many requests beside one crash don't displace the cause of several."""
-
-RECORDS_PER_MESSAGE = 64
-"""Most records in one message between processes."""
-
 RUNNING_SUSPECT_RETRY_AFTER_SECONDS = 2.0
 """Retry-after for a suspect that is already running."""
 
@@ -77,9 +70,7 @@
 
     def __init__(self, policy: CrashPolicy | None = None) -> None:
         self._policy = policy or CrashPolicy()
-        self.on_change: Callable[[], None] | None = None
-        """Called after each change of a record."""
-        self._histories: dict[str, CrashHistory] = {}
+        self._histories = CrashHistories()
         self._runs = CrashRuns(self._policy.cut_memory_seconds)
         self._answered_requests = AnswerMemory(
             ANSWER_MEMORY_SECONDS, MAX_REMEMBERED_ANSWERS
@@ -87,14 +78,21 @@
         self._answered_parts = AnswerMemory(
             PART_ANSWER_MEMORY_SECONDS, MAX_REMEMBERED_PARTS
         )
-        self._versions: dict[str, int] = {}
-        self._version = 0
         self._told_blamed: set[str] = set()
 
     @property
     def version(self) -> int:
         """Return the local version, which increases with each change of a record."""
-        return self._version
+        return self._histories.version
+
+    @property
+    def on_change(self) -> Callable[[], None] | None:
+        """Return what is called after each change of a record."""
+        return self._histories.on_change
+
+    @on_change.setter
+    def on_change(self, callback: Callable[[], None] | None) -> None:
+        self._histories.on_change = callback
 
     def decide(self, fingerprint: str, now: float) -> Placement | Refusal:
         """Return where a request may run, or its refusal.
@@ -175,8 +173,7 @@
 
     def newest_records(self) -> tuple[CrashRecord, ...]:
         """Return the records that changed last, for one message."""
-        newest = sorted(self._versions, key=self._versions.__getitem__, reverse=True)
-        return tuple(self._record(name) for name in newest[:RECORDS_PER_MESSAGE])
+        return self._histories.newest()
 
     def avoided_endpoints(self, now: float) -> frozenset[EndpointName]:
         """Return the endpoints at which this process runs suspects."""
@@ -187,7 +184,7 @@
         history = self._histories.get(fingerprint)
         if history is None or not history.marks:
             return False
-        self._store(fingerprint, history.without_marks())
+        self._histories.store(fingerprint, history.without_marks())
         return True
 
     def fingerprints(self, now: float) -> list[str]:
@@ -215,22 +212,12 @@
         ]
         for suspect in marked:
             marks = (CrashMark(endpoint, now),)
-            self._join(CrashRecord(suspect, marks, 0.0, ranks[suspect]))
+            self._histories.join(CrashRecord(suspect, marks, 0.0, ranks[suspect]))
         return tuple(marked)
 
     def changes(self, after: int = 0) -> CrashBatch:
-        """Return the records that changed after version ``after``, for one message.
-
-        The version is local to this register. Records beyond RECORDS_PER_MESSAGE are
-        left for the next call.
-        """
-        changed = sorted(
-            (version, fingerprint)
-            for fingerprint, version in self._versions.items()
-            if version > after
-        )[:RECORDS_PER_MESSAGE]
-        records = tuple(self._record(fingerprint) for _, fingerprint in changed)
-        return CrashBatch(records, changed[-1][0] if changed else after)
+        """Return the records that changed after a local version, for one message."""
+        return self._histories.changes(after)
 
     def merge(self, records: Iterable[CrashRecord], now: float | None = None) -> None:
         """Join with the records of another process.
@@ -239,7 +226,7 @@
         cleared; the other processes learn that from the changed records.
         """
         for record in records:
-            self._join(record)
+            self._histories.join(record)
             if now is not None and self._is_known_harmless(record.fingerprint, now):
                 self.clear(record.fingerprint)
 
@@ -248,14 +235,13 @@
         expired = tuple(
             sorted(
                 name
-                for name, history in self._histories.items()
+                for name, history in self._histories.by_suspect.items()
                 if now - history.last_at >= SUSPECT_LIFETIME_SECONDS
                 and self.crash_count(name, now) == 0
             )
         )
         for name in expired:
-            del self._histories[name]
-            del self._versions[name]
+            self._histories.drop(name)
         return expired
 
     def is_blamed(self, fingerprint: str, now: float) -> bool:
@@ -263,7 +249,7 @@
         crashes = self.crash_count(fingerprint, now)
         if is_part(fingerprint):
             return crashes > 0 and is_part_to_blame(
-                fingerprint, self._histories, self._policy.same_crash_seconds
+                fingerprint, self._histories.by_suspect, self._policy.same_crash_seconds
             )
         if crashes >= MAX_CRASHES:
             return True
@@ -279,7 +265,7 @@
         }
         new = sorted(blamed - self._told_blamed)
         self._told_blamed = blamed
-        return [self._record(name) for name in new]
+        return [self._histories.record(name) for name in new]
 
     def _is_known_harmless(self, fingerprint: str, now: float) -> bool:
         if is_part(fingerprint):
@@ -288,15 +274,15 @@
 
     def _is_sole(self, fingerprint: str) -> bool:
         """Return whether no other request took part in all crashes of this one."""
-        history = self._histories[fingerprint]
+        history = self._histories.by_suspect[fingerprint]
         return not any(
             other.covers(history)
-            for name, other in self._histories.items()
+            for name, other in self._histories.by_suspect.items()
             if name != fingerprint and not is_part(name)
         )
 
     def _refuse(self, fingerprint: str, now: float) -> Refusal:
-        history = self._histories[fingerprint]
+        history = self._histories.by_suspect[fingerprint]
         crashes = self.crash_count(fingerprint, now)
         marks_arrived = now - history.last_at >= MARK_ARRIVAL_SECONDS
         if crashes < MAX_CRASHES and not marks_arrived:
@@ -307,41 +293,11 @@
             )
         return Refusal(RefusalReason.POISONOUS, detail="crashed endpoints")
 
-    def _record(self, fingerprint: str) -> CrashRecord:
-        history = self._histories[fingerprint]
-        return CrashRecord(fingerprint, history.marks, history.cleared_at, history.rank)
-
-    def _join(self, record: CrashRecord) -> None:
-        history = self._histories.get(record.fingerprint, CrashHistory())
-        joined = history.joined(record.marks, record.cleared_at, record.rank)
-        self._store(record.fingerprint, joined)
-
-    def _store(self, fingerprint: str, history: CrashHistory) -> None:
-        if self._histories.get(fingerprint) == history:
-            return
-        self._histories[fingerprint] = history
-        self._version += 1
-        self._versions[fingerprint] = self._version
-        if self.on_change is not None:
-            self.on_change()
-        if len(self._histories) > MAX_FINGERPRINTS:
-            self._drop_least()
-
-    def _drop_least(self) -> None:
-        dropped = min(self._histories, key=self._rank)
-        del self._histories[dropped]
-        del self._versions[dropped]
-
-    def _rank(self, fingerprint: str) -> tuple[int, float, str]:
-        """Return a key by which what counts least sorts first."""
-        history = self._histories[fingerprint]
-        return (len(history.marks), history.last_at, fingerprint)
-
     def _clear_oldest(self, fingerprint: str, now: float) -> None:
         crashes = self.crash_count(fingerprint, now)
         if crashes > 0 and not self.is_blamed(fingerprint, now):
-            history = self._histories[fingerprint]
-            self._store(fingerprint, history.without_oldest())
+            history = self._histories.by_suspect[fingerprint]
+            self._histories.store(fingerprint, history.without_oldest())
 
     def _suspect_endpoints(self, now: float) -> frozenset[EndpointName]:
         return frozenset(
--- a/src/knapweeddrum/process/entry/endpoint_permits.py
+++ b/src/knapweeddrum/process/entry/endpoint_permits.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
+
+import anyio
 
 from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.placing.endpoint_states import instance_name
@@ -14,6 +17,11 @@
 from knapweeddrum.value.identifiers import EndpointName
 
 PERMIT_TIMEOUT_SECONDS = 0.1
+MAX_WAITS = 3
+MAX_WAIT_SECONDS = 0.2
+"""Longest time for which a request waits for a permit at once."""
+MAX_WAIT_FRACTION = 0.1
+"""The same, as a fraction of the time to the request's deadline."""
 OWNER_SILENT_WAIT_SECONDS = 0.5
 """Time after which an owner that did not answer is asked again."""
 
@@ -26,6 +34,41 @@
         self._peers = peers
         self._desk = desk
 
+    async def choose(
+        self,
+        choose: Callable[[], EndpointState],
+        candidates: Callable[[], list[EndpointState]],
+        deadline: float,
+    ) -> EndpointState:
+        """Return the endpoint that ``choose`` returns, once it has a permit.
+
+        ``choose`` leaves out endpoints that may not be asked for one yet, and raises if
+        none is left. If that is so for all candidates, waits a short time for the one
+        that is free first; ``deadline`` is that of the request.
+        """
+        for _ in range(MAX_WAITS):
+            wait = self.soonest(candidates())
+            time_left = deadline - time.monotonic()
+            if wait > min(MAX_WAIT_SECONDS, time_left * MAX_WAIT_FRACTION):
+                break
+            await anyio.sleep(wait)
+            while self.soonest(candidates()) <= 0:
+                state = choose()
+                if await self.acquire(state):
+                    return state
+        while True:
+            state = choose()
+            if await self.acquire(state):
+                return state
+
+    def soonest(self, states: list[EndpointState]) -> float:
+        """Return the seconds until any endpoint may have a permit, 0 for now."""
+        return min((self._wait(state) for state in states), default=0.0)
+
+    def may_ask(self, state: EndpointState) -> bool:
+        """Return whether an endpoint has no limit, or may be asked for a permit."""
+        return self._wait(state) <= 0
+
     async def acquire(self, state: EndpointState) -> bool:
         """Return whether a request may be sent to an endpoint now."""
         limits = self._ctx.endpoint_limits
@@ -45,6 +88,10 @@
         self._apply(instance, reply)
         return reply.is_given
 
+    def _wait(self, state: EndpointState) -> float:
+        limits = self._ctx.endpoint_limits
+        return limits.wait(instance_name(state.entry), time.monotonic())
+
     async def _ask(self, req: PermitRequest) -> PermitReply | None:
         owners = self._ctx.token_owners_before(req.instance)
         if not owners:
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -39,12 +39,6 @@
     TokenVerdict.UNREACHABLE: RefusalReason.BUDGET_UNREACHABLE,
 }
 
-MAX_PERMIT_WAITS = 3
-MAX_PERMIT_WAIT_SECONDS = 0.2
-"""Longest time for which a request waits for a permit at once."""
-PERMIT_WAIT_FRACTION = 0.1
-"""The same, as a fraction of the time to the request's deadline."""
-
 WAIT_HISTOGRAM = "token_wait"
 """Histogram of how long requests wait for prepaid tokens."""
 
@@ -136,7 +130,9 @@
         with anyio.CancelScope(deadline=self._job.deadline) as scope:
             while True:
                 await self._caller.notice_disconnect()
-                state = await self._choose_permitted_endpoint()
+                state = await self._permits.choose(
+                    self._choose_endpoint, self._candidates, self._job.deadline
+                )
                 try:
                     await self._attempt(state)
                     return
@@ -178,58 +174,13 @@
         route = self._job.route
         return route.idempotent and self._job.sends < route.max_attempts
 
-    async def _choose_permitted_endpoint(self) -> EndpointState:
-        """Return an endpoint that may be sent to, under its limit if it has one.
-
-        Waits a short time for one that will have a permit soon.
-        """
-        for _ in range(MAX_PERMIT_WAITS):
-            wait = self._soonest_permit()
-            if wait > self._longest_permit_wait():
-                break
-            await anyio.sleep(wait)
-            state = await self._choose_with_permit()
-            if state is not None:
-                return state
-        return self._choose_endpoint()
-
-    async def _choose_with_permit(self) -> EndpointState | None:
-        """Return an endpoint with a permit, None if all that are left wait for one."""
-        while self._soonest_permit() <= 0:
-            state = self._choose_endpoint()
-            if await self._permits.acquire(state):
-                return state
-        return None
-
-    def _soonest_permit(self) -> float:
-        """Return the seconds until any endpoint may have a permit, 0 for now."""
-        now = time.monotonic()
-        waits = [
-            self._permit_wait(state, now)
-            for state in self._eligible_states()
-            if state.entry.endpoint_id not in self._job.tried
-        ]
-        return min(waits, default=0.0)
-
-    def _permit_wait(self, state: EndpointState, now: float) -> float:
-        return self._ctx.endpoint_limits.wait(instance_name(state.entry), now)
-
-    def _longest_permit_wait(self) -> float:
-        time_left = self._job.deadline - time.monotonic()
-        return min(MAX_PERMIT_WAIT_SECONDS, time_left * PERMIT_WAIT_FRACTION)
-
     def _choose_endpoint(self) -> EndpointState:
         job = self._job
         prompt = job.req.prompt
         constraints = crash_constraints(self._ctx, job)
         has_affinity = job.route.session_affinity and not constraints.suspect
         session = prompt.session if prompt is not None and has_affinity else ""
-        now = time.monotonic()
-        states = [
-            state
-            for state in self._eligible_states()
-            if self._permit_wait(state, now) <= 0
-        ]
+        states = [s for s in self._eligible_states() if self._permits.may_ask(s)]
         placement = PlacementRequest(
             session=session,
             data_centre=self._ctx.settings.data_centre,
@@ -260,6 +211,11 @@
             and not ctx.instances.has_ended(instance_name(state.entry))
         ]
 
+    def _candidates(self) -> list[EndpointState]:
+        """Return the endpoints that the request was not sent to."""
+        tried = self._job.tried
+        return [s for s in self._eligible_states() if s.entry.endpoint_id not in tried]
+
     def _no_endpoint_error(self) -> RefusedError | AttemptError:
         job = self._job
         if self._relay.started and self._last_failure is not None:
@@ -274,7 +230,7 @@
                 RefusalReason.ENDPOINTS_BACK_OFF, retry_after=max(0.01, retry_after)
             )
         retry_after = self._policy.retry_after(job.deadline, now)
-        permit_wait = self._soonest_permit()
+        permit_wait = self._permits.soonest(self._candidates())
         if permit_wait > 0:
             spread = permit_wait * self._ctx.rng.uniform(1.0, 2.0)
             most = (job.deadline - now) * RETRY_AFTER_FRACTION
--- a/src/knapweeddrum/process/entry/token_allocator.py
+++ b/src/knapweeddrum/process/entry/token_allocator.py
@@ -16,6 +16,7 @@
 from knapweeddrum.process.entry.token_claim_log import TokenClaimLog
 from knapweeddrum.process.entry.token_unlocker import TokenUnlocker
 from knapweeddrum.process.entry.token_waiter import TokenWaiter
+from knapweeddrum.process.entry.token_waiters import TokenWaiters
 from knapweeddrum.process.entry.token_witness import release_claims_of_failed_hosts
 from knapweeddrum.telemetry.counters import CLAIM_GIVEN_UP
 from knapweeddrum.value.store_position import offset_of
@@ -55,7 +56,7 @@
         self._ctx = ctx
         self._unlocker = unlocker
         self._borrower = borrower
-        self._waiters: list[TokenWaiter] = []
+        self._waiters = TokenWaiters()
         self._wake = anyio.Event()
         self._log = TokenClaimLog(ctx)
         self._owned: frozenset[str] = frozenset()
@@ -143,7 +144,7 @@
         if self._log.is_store_unreachable:
             waiter.finish(TokenVerdict.UNREACHABLE)
         else:
-            self._waiters.append(waiter)
+            self._waiters.add(waiter)
             self._wake.set()
         try:
             yield waiter
@@ -152,8 +153,7 @@
                 self.settle(organisation, tokens, 0)
             raise
         finally:
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
+            self._waiters.discard(waiter)
 
     def settle(self, organisation: str, reserved: int, spent: int) -> None:
         """Free what a request has not spent of its reservation."""
@@ -235,7 +235,7 @@
                 await self._fail_waiters()
                 return
             if not claims:
-                await self._unlocker.unlock_all(self._waiting_tokens())
+                await self._unlocker.unlock_all(self._waiters.totals())
                 self._reserve_for_waiters()
                 self._refuse_unservable()
                 return
@@ -243,7 +243,7 @@
 
     async def _unlock(self, claims: list[TokenClaim]) -> None:
         """Ask for the consent to spend what was claimed, by need."""
-        waiting = self._waiting_tokens()
+        waiting = self._waiters.totals()
         wanted = {
             claim.organisation: waiting.get(claim.organisation, 0)
             for claim in claims
@@ -265,7 +265,7 @@
         ctx = self._ctx
         with ctx.claim_meter.measure():
             own = ctx.token_accounts.plan_claims(
-                self._waiting(),
+                self._waiters.by_organisation(),
                 self._owned,
                 time.monotonic(),
                 self._unlocker.witnesses(),
@@ -293,40 +293,27 @@
             return MAX_CLAIMS_AGE_SECONDS
         return IDLE_CLAIMS_AGE_SECONDS
 
-    def _waiting_tokens(self) -> dict[str, int]:
-        return {name: sum(tokens) for name, tokens in self._waiting().items()}
-
-    def _waiting(self) -> dict[str, list[int]]:
-        waiting: dict[str, list[int]] = {}
-        for waiter in self._waiters:
-            waiting.setdefault(waiter.organisation, []).append(waiter.tokens)
-        return waiting
-
     def _reserve_for_waiters(self) -> None:
         """Reserve tokens for each waiter for which enough are free."""
         self._ctx.token_accounts.apply_ledger()
         now = time.monotonic()
-        for waiter in list(self._waiters):
+        for waiter in self._waiters:
             account = self._ctx.token_accounts.account(waiter.organisation, now)
             if account.reserve(waiter.tokens):
-                self._finish(waiter, TokenVerdict.RESERVED)
+                self._waiters.finish(waiter, TokenVerdict.RESERVED)
 
     def _refuse_unservable(self) -> None:
         """Refuse the waiters that need more tokens than this host could claim."""
         now = time.monotonic()
-        for waiter in list(self._waiters):
+        for waiter in self._waiters:
             token_accounts = self._ctx.token_accounts
             if token_accounts.max_reservable(waiter.organisation, now) < waiter.tokens:
                 verdict = self.refusal_verdict(waiter.organisation, waiter.tokens)
-                self._finish(waiter, verdict)
+                self._waiters.finish(waiter, verdict)
 
     async def _fail_waiters(
         self, verdict: TokenVerdict = TokenVerdict.UNREACHABLE
     ) -> None:
-        for waiter in list(self._waiters):
-            self._finish(waiter, verdict)
+        for waiter in self._waiters:
+            self._waiters.finish(waiter, verdict)
         await anyio.sleep(STORE_RETRY_SECONDS)
-
-    def _finish(self, waiter: TokenWaiter, verdict: TokenVerdict) -> None:
-        self._waiters.remove(waiter)
-        waiter.finish(verdict)
--- a/tests/core/admission/test_crash_acquittal.py
+++ b/tests/core/admission/test_crash_acquittal.py
@@ -1,9 +1,9 @@
 from __future__ import annotations
 
+from knapweeddrum.core.admission.crash_histories import MAX_SUSPECTS
 from knapweeddrum.core.admission.crash_policy import MAX_CRASHES, CrashPolicy
 from knapweeddrum.core.admission.crash_register import (
     ANSWER_MEMORY_SECONDS,
-    MAX_FINGERPRINTS,
     MAX_REMEMBERED_ANSWERS,
     REPEATED_CRASH_LIFETIME_SECONDS,
     SUSPECT_LIFETIME_SECONDS,
@@ -157,6 +157,6 @@
     register = _register()
     for number in range(MAX_CRASHES):
         _crash(register, ("poison",), f"desk-{number}/1", 100.0 + number)
-    beside = tuple(f"r{number}" for number in range(MAX_FINGERPRINTS + 5))
+    beside = tuple(f"r{number}" for number in range(MAX_SUSPECTS + 5))
     _crash(register, beside, "desk-9/1", 200.0)
     assert _is_refused_for_good(register, "poison", 201.0)
--- a/tests/core/admission/test_crash_register.py
+++ b/tests/core/admission/test_crash_register.py
@@ -5,12 +5,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from knapweeddrum.core.admission.crash_histories import (
+    MAX_SUSPECTS,
+    RECORDS_PER_MESSAGE,
+)
 from knapweeddrum.core.admission.crash_history import SAME_CRASH_SECONDS
 from knapweeddrum.core.admission.crash_register import (
     MARK_ARRIVAL_SECONDS,
     MAX_CRASHES,
-    MAX_FINGERPRINTS,
-    RECORDS_PER_MESSAGE,
     SUSPECT_LIFETIME_SECONDS,
     CrashRegister,
 )
@@ -127,7 +129,7 @@
 def test_register_is_bounded():
     """The number of records kept and the records per message are bounded."""
     register = CrashRegister()
-    for number in range(MAX_FINGERPRINTS + 5):
+    for number in range(MAX_SUSPECTS + 5):
         _crash(register, (f"r{number}",), f"desk-{number}", float(number + 1))
     assert register.crash_count("r0", 1.0) == 0
     batch = register.changes()
