Claims: a first start opens them, also if another process has checked in before

A process that started again within the first moments of a fleet checks in with nothing; the stream wasn't empty then, so that no host of the first start would have opened it, and prepaid organisations had been refused for good. Found by reading the change once more; the test of the decision failed before (no such method; the old rule asked for an empty stream).

--- a/src/knapweeddrum/core/prepaid/claim_recovery.py
+++ b/src/knapweeddrum/core/prepaid/claim_recovery.py
@@ -124,6 +124,19 @@
         newest = max(check_in.complete_era for check_in in self._check_ins.values())
         return not missing_hosts and newest >= max(NO_ERA, self.opened_era)
 
+    def may_open_first(self, *, has_claims: bool, is_first_start: bool) -> bool:
+        """Return whether no claim can be missing, as nobody has claimed in any era.
+
+        A stream without an opening that ``has_claims`` has those of hosts of the
+        version before. ``is_first_start`` tells whether no process ran before this
+        one; others that start now may have checked in already.
+        """
+        if self.opened_era != NEVER or self.complete_era is not None:
+            return False
+        if any(known.complete_era != NEVER for known in self._check_ins.values()):
+            return False
+        return has_claims or is_first_start
+
     def may_consent(self, holder: str, holder_era: int) -> bool:
         """Return whether this host may unlock more for a holder, as its witness.
 
--- a/src/knapweeddrum/process/entry/claim_recovery_task.py
+++ b/src/knapweeddrum/process/entry/claim_recovery_task.py
@@ -142,16 +142,9 @@
         return not recovery.missing() or self._elapsed_ms() >= LAST_HOST_SECONDS * 1000
 
     def _is_first_start(self, view: TokenClaimLedger) -> bool:
-        """Return whether nothing can be missing: no process of the fleet ran before.
-
-        Without an opening, claims are those of hosts of the version before.
-        """
-        recovery = self._ctx.claim_recovery
-        if recovery.opened_era >= 0 or recovery.complete_era is not None:
-            return False
-        has_claims = any(True for _ in view.all_claims())
-        return has_claims or (
-            self._ctx.settings.is_first_start and not offset_of(view.end)
+        return self._ctx.claim_recovery.may_open_first(
+            has_claims=any(True for _ in view.all_claims()),
+            is_first_start=self._ctx.settings.is_first_start,
         )
 
     async def _open(self, view: TokenClaimLedger) -> None:
--- a/tests/core/prepaid/test_claim_recovery.py
+++ b/tests/core/prepaid/test_claim_recovery.py
@@ -81,6 +81,18 @@
     assert not first.may_open
 
 
+def test_first_start_opens_though_another_process_has_checked_in():
+    """One that started again in the first moments says so, and knows nothing."""
+    first, again = ClaimRecovery("a"), ClaimRecovery("b")
+    for recovery in (first, again):
+        recovery.enter_era(2)
+    first.apply_check_in(check_in(again))
+    assert first.may_open_first(has_claims=False, is_first_start=True)
+    assert not first.may_open_first(has_claims=False, is_first_start=False)
+    first.apply_check_in(check_in(lived("c")))
+    assert not first.may_open_first(has_claims=False, is_first_start=True)
+
+
 def test_host_that_left_is_not_waited_for():
     """A planned stop before the return closes nothing for long."""
     recovery = lived("a")
