--- a/tests/process/entry/embedded_caller_server.py
+++ b/tests/process/entry/embedded_caller_server.py
@@ -28,8 +28,11 @@
 from knapweeddrum.platform.configuration_codec import decode_configuration
 from knapweeddrum.platform.store_client import StoreClient
 from knapweeddrum.process.entry.caller_server import CallerServer
+from knapweeddrum.process.entry.endpoint_permits import EndpointPermits
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.lost_connection import LostConnection
+from knapweeddrum.process.entry.peer_client import PeerClient
+from knapweeddrum.process.entry.permit_desk import PermitDesk
 from knapweeddrum.process.entry.request_parts import RequestParts
 from knapweeddrum.settings.entry_settings import EntrySettings
 from knapweeddrum.telemetry.metrics import Metrics
@@ -97,7 +100,10 @@
 async def embedded_caller_server() -> AsyncIterator[EmbeddedCallerServer]:
     """Serve callers' connections in this event loop."""
     ctx = _context()
-    parts = SimpleNamespace(allocator=None, stream_origins=None, permits=None)
+    permits = EndpointPermits(
+        ctx, cast("PeerClient", SimpleNamespace()), PermitDesk(ctx)
+    )
+    parts = SimpleNamespace(allocator=None, stream_origins=None, permits=permits)
     server = CallerServer(
         ctx,
         cast("RequestParts", parts),
