Crash records: what a returned store lacks is written again

Found by the test of it, which failed before. Now each listing of the stream makes the host compare all it knows.

--- a/src/knapweeddrum/process/entry/crash_record_reader.py
+++ b/src/knapweeddrum/process/entry/crash_record_reader.py
@@ -26,6 +26,8 @@
         self.is_store_reachable = False
         self.on_lost: Callable[[], None] | None = None
         """Called when the store can't be reached."""
+        self.on_listed: Callable[[], None] | None = None
+        """Called when the stored records are those of a new listing."""
 
     def apply_listing(
         self, records: Iterable[KeyedRecord], end: int, now: float
@@ -34,6 +36,8 @@
         self.stored.clear()
         self.apply_records(records, now)
         self._ctx.crash_records_loaded = True
+        if self.on_listed is not None:
+            self.on_listed()
 
     def apply_records(self, records: Iterable[KeyedRecord], now: float) -> None:
         """Apply newer records."""
--- a/src/knapweeddrum/process/entry/crash_sharing.py
+++ b/src/knapweeddrum/process/entry/crash_sharing.py
@@ -72,6 +72,7 @@
         self._work = anyio.Event()
         ctx.crash_register.on_change = self._expect_work
         reader.on_lost = self._expect_work
+        reader.on_listed = self._compare_all
 
     async def run(self) -> None:
         """Share records until cancelled."""
@@ -116,6 +117,11 @@
             self._ctx.events.emit(CRASHES_CLEARED, fingerprint=order.fingerprint)
         return PageAnswer(200, msgspec.json.encode(CrashClearanceReply(cleared)))
 
+    def _compare_all(self) -> None:
+        """Write again what a listing lacks, as after a return of the store."""
+        self._stored_version = 0
+        self._expect_work()
+
     def _expect_work(self) -> None:
         self._work.set()
 
--- a/tests/process/entry/test_crashing_parts.py
+++ b/tests/process/entry/test_crashing_parts.py
@@ -20,6 +20,8 @@
 CRASHES_SECONDS = 10.0
 INTERVAL_SECONDS = 0.4
 ENDPOINTS = 8
+COPY_AGE_SECONDS = 30.0
+AWAY_SECONDS = 0.5
 BAD = "bad"
 FIRST = "f1:10"
 """First part, which the sound requests share."""
@@ -105,3 +107,15 @@
             assert json.loads(refused.answer.body)["reason"] == "part_quarantined"
             assert sound.status == 200
             assert len(fleet.service.crash_times) == before
+
+
+@async_test
+async def test_part_that_crashes_endpoints_is_stored_again_after_the_store_returned():
+    """The hosts that know of it write what the older copy lacks."""
+    part = FatalPart(BAD.encode())
+    async with crash_fleet(2, ENDPOINTS, fatal_part=part) as fleet:
+        await send(fleet, BAD_SECOND, CRASHES_SECONDS)
+        await fleet.store.return_from_copy(COPY_AGE_SECONDS, AWAY_SECONDS)
+        await anyio.sleep(WINDOW_SECONDS)
+        stored = fleet.store.stream("keyed.crashes").newest
+        assert f"part:{BAD}" in stored
