Harness: no port is given to two hosts that start together

Cause: free_ports looks whether a port is free now; a host that was started a moment before has not bound its own yet. With eight workers a slice has 2,125 ports.

--- a/tests/process/entry/test_broken_answers.py
+++ b/tests/process/entry/test_broken_answers.py
@@ -60,7 +60,8 @@
         fleet = servers(Script(body, framing, content_type=content_type))
         async with entry_harness(engines=fleet) as harness:
             answer = await call(harness, NOT_RESUMABLE)
-            assert (answer.status, answer.is_complete) == (200, False), body
+            seen = (answer.status, answer.is_complete)
+            assert seen == (200, False), (body, framing, seen, answer.body)
             assert answer.body == event(1) + event(2)
             (cut,) = await harness.wait_for_event("answer_cut")
             assert cut["tokens_spent"] == 35 + 4 * 3
--- a/tools/free_ports.py
+++ b/tools/free_ports.py
@@ -16,6 +16,8 @@
 """Environment variable that names the part of the ports that a process may draw."""
 
 _rng = random.SystemRandom()
+_given: set[int] = set()
+"""Ports that this process has given out; who got one may not listen on it yet."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,25 +36,35 @@
         number, _, count = text.partition("/")
         return cls(int(number), int(count))
 
+    @property
+    def size(self) -> int:
+        """Return the number of ports of the slice."""
+        return (LAST_PORT - FIRST_PORT) // self.count
+
     def draw(self) -> int:
         """Return a random port of the slice."""
-        size = (LAST_PORT - FIRST_PORT) // self.count
-        return FIRST_PORT + self.number * size + _rng.randrange(size)
+        return FIRST_PORT + self.number * self.size + _rng.randrange(self.size)
 
 
 def free_ports(count: int) -> list[int]:
     """Return TCP ports of the loopback address that are free now.
 
     They are drawn at random where no outgoing connection takes them until they are
-    used. Test workers beside one another draw from different slices.
+    used, and none is given twice while others are left. Test workers beside one another
+    draw from different slices.
     """
     ports_of_process = PortSlice.parse(os.environ.get(PORT_SLICE_VARIABLE, "0/1"))
     with contextlib.ExitStack() as stack:
         ports: list[int] = []
         while len(ports) < count:
             port = ports_of_process.draw()
+            if len(_given) > ports_of_process.size // 2:
+                _given.clear()
+            if port in _given:
+                continue
             sock = stack.enter_context(socket.socket())
             with contextlib.suppress(OSError):
                 sock.bind(("127.0.0.1", port))
                 ports.append(port)
+                _given.add(port)
         return ports
