--- a/tests/async_test.py
+++ b/tests/async_test.py
@@ -14,12 +14,18 @@
 def async_test(func: Callable[[], Awaitable[None]]) -> Callable[[], None]:
     """Return a test function that runs ``func`` in its own event loop."""
 
-    async def limited() -> None:
-        with anyio.fail_after(HANG_LIMIT_SECONDS):
-            await func()
-
     @functools.wraps(func)
     def run() -> None:
-        anyio.run(limited)
+        run_async(func)
 
     return run
+
+
+def run_async(func: Callable[..., Awaitable[None]], *args: object) -> None:
+    """Run an async function in an event loop of its own, as a part of a test."""
+
+    async def limited() -> None:
+        with anyio.fail_after(HANG_LIMIT_SECONDS):
+            await func(*args)
+
+    anyio.run(limited)
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -91,6 +91,8 @@
         """Refuses every request with 503."""
         self.unresponsive = False
         """Accepts requests, but neither carries them out nor replies."""
+        self.refuses_writes = False
+        """Refuses appends with 503 and answers reads."""
         self.lose_replies = 0
         """Number of next appends that are carried out without a reply."""
         self.calls = 0
@@ -160,6 +162,9 @@
     async def _append(
         self, conn: ServerConnection, query: dict[str, str], body: bytes
     ) -> bool:
+        if self.refuses_writes:
+            await self._reply(conn, 503, b"")
+            return True
         stream = self.stream(query["topic"])
         if "at" in query and int(query["at"]) != stream.end:
             await self._reply(conn, 412, json.dumps({"end": stream.end}).encode())
--- a/tests/standins/stamped_server.py
+++ b/tests/standins/stamped_server.py
@@ -76,6 +76,8 @@
         """Whether answers say that the server leaves."""
         self.refuses = False
         """Whether each request is refused, not run."""
+        self.refuses_each = 0
+        """Each so manieth request is refused, not run; 0 for none."""
         self.retry_after: tuple[bytes, ...] = ()
         """Values of the header Retry-After of refusals."""
         self.arrival_times: list[float] = []
@@ -156,7 +158,9 @@
         expected = received.headers.text(b"expect-instance")
         if self.checks_instance and expected != self.server_id:
             behaviour = Behaviour.MOVED
-        if self.refuses:
+        if self.refuses or (
+            self.refuses_each and self.arrivals % self.refuses_each == 0
+        ):
             behaviour = Behaviour.REFUSE
         if behaviour is Behaviour.REFUSE or not self.admits(received):
             refusal = [(b"Not-Executed", b"1"), *self._notices()]
