Log refused heartbeats, owners of permits, and the answer that ends a limit

New events permits_owned, heartbeats_lost, heartbeats_written; three fields of endpoint_limit. No logic is changed.

--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -121,7 +121,7 @@
             answer = EndpointAnswer(head, state, conn, version)
             answer.record_data()
             if not head.moved:
-                record_notices(ctx, state, head)
+                record_notices(ctx, state, head, now)
             if head.load is not None and not head.moved:
                 state.record_load(head.load, time.monotonic())
             await _check_head(answer)
--- a/src/knapweeddrum/process/entry/heartbeat_task.py
+++ b/src/knapweeddrum/process/entry/heartbeat_task.py
@@ -14,6 +14,7 @@
 from knapweeddrum.platform.streams import HOSTS_STREAM
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import HEARTBEAT_FAILED
+from knapweeddrum.telemetry.events import HEARTBEATS_LOST, HEARTBEATS_WRITTEN
 
 HEARTBEAT_INTERVAL_SECONDS = 1.5
 RETRY_SECONDS = 0.25
@@ -36,6 +37,8 @@
         self._ctx = ctx
         self._beat = 0
         self._announced_ready: bool | None = None
+        self._written_at = time.monotonic()
+        self._is_lost = False
         self._changed = anyio.Event()
         ctx.endpoint_limits.on_change = self._announce
 
@@ -70,13 +73,34 @@
             records.append(encode_version_record(version_record))
         try:
             await ctx.store.append(HOSTS_STREAM, records)
-        except (LogUnavailableError, AppendUnknownError):
-            # The StreamFollower of this stream logs outages of the store.
+        except (LogUnavailableError, AppendUnknownError) as exc:
             ctx.metrics.count(HEARTBEAT_FAILED)
+            self._record_failure(str(exc))
             return False
         self._announced_ready = record.ready
+        self._record_success()
         return True
 
+    def _record_failure(self, error: str) -> None:
+        if self._is_lost:
+            return
+        self._is_lost = True
+        self._ctx.events.emit(
+            HEARTBEATS_LOST, error=error, written_before=self._written_before()
+        )
+
+    def _record_success(self) -> None:
+        if self._is_lost:
+            self._is_lost = False
+            self._ctx.events.emit(
+                HEARTBEATS_WRITTEN, written_before=self._written_before()
+            )
+        self._written_at = time.monotonic()
+
+    def _written_before(self) -> float:
+        """Return the seconds since a heartbeat was written, or since the start."""
+        return round(time.monotonic() - self._written_at, 2)
+
     async def _wait_for_change(self) -> bool:
         """Wait until readiness may have changed; a ready host only begins to drain.
 
--- a/src/knapweeddrum/process/entry/notice_recorder.py
+++ b/src/knapweeddrum/process/entry/notice_recorder.py
@@ -18,11 +18,14 @@
 
 
 def record_notices(
-    ctx: EntryContext, state: EndpointState, head: EndpointReplyHead
+    ctx: EntryContext, state: EndpointState, head: EndpointReplyHead, sent_at: float
 ) -> None:
-    """Record what the head of an endpoint's own answer says."""
+    """Record what the head of an endpoint's own answer says.
+
+    ``sent_at`` is the monotonic time at which the request was sent.
+    """
     now = time.monotonic()
-    _record_limit(ctx, state, head, now)
+    _record_limit(ctx, state, head, sent_at, now)
     if head.leaving and state.notices.record_leaving(now):
         _report(ctx, state, EndpointNotice.LEAVING, None)
     if not head.not_run and head.status != REFUSED_STATUS:
@@ -34,7 +37,11 @@
 
 
 def _record_limit(
-    ctx: EntryContext, state: EndpointState, head: EndpointReplyHead, now: float
+    ctx: EntryContext,
+    state: EndpointState,
+    head: EndpointReplyHead,
+    sent_at: float,
+    now: float,
 ) -> None:
     if head.limit.is_malformed:
         _report(ctx, state, EndpointNotice.IGNORED, None)
@@ -51,6 +58,9 @@
         endpoint=state.entry.endpoint_id,
         service=state.entry.service,
         per_second=per_second,
+        status=head.status,
+        not_run=head.not_run,
+        sent_before=round(now - sent_at, 3),
     )
 
 
--- a/src/knapweeddrum/process/entry/permit_desk.py
+++ b/src/knapweeddrum/process/entry/permit_desk.py
@@ -6,12 +6,14 @@
 
 import msgspec
 
+from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.placing.permit_bucket import PermitBucket
 from knapweeddrum.core.placing.told_limit import ToldLimit
 from knapweeddrum.message.call.endpoint_permit import PermitReply, PermitRequest
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.page_server import PageAnswer
 from knapweeddrum.telemetry.counters import PERMIT_DENIED, PERMIT_GIVEN
+from knapweeddrum.telemetry.events import PERMITS_OWNED
 from knapweeddrum.value.identifiers import EndpointName
 
 PERMIT_PATH = b"/permits"
@@ -39,6 +41,7 @@
         self._ctx = ctx
         self._buckets: dict[EndpointName, PermitBucket] = {}
         self._denied_at: dict[EndpointName, dict[str, float]] = {}
+        self._owned: set[EndpointName] = set()
 
     async def answer(self, body: bytes) -> PageAnswer:
         """Answer a PermitRequest of another host."""
@@ -53,7 +56,9 @@
         ctx = self._ctx
         now = time.monotonic()
         instance = EndpointName(req.instance)
-        if ctx.token_owners_before(req.instance):
+        owners = ctx.token_owners_before(req.instance)
+        self._report_owner(instance, owners)
+        if owners:
             return self._deny(NOT_OWNER_WAIT_SECONDS, req.per_second, req.age)
         told = ToldLimit(req.instance, req.per_second, req.age)
         ctx.endpoint_limits.merge([told], now)
@@ -69,6 +74,23 @@
         wait = self._wait(instance, bucket, req.sender, now)
         return self._deny(wait, per_second, age)
 
+    def _report_owner(
+        self, instance: EndpointName, owners: tuple[HostRecord, ...]
+    ) -> None:
+        """Log that this host begins or ceases to give an endpoint's permits."""
+        is_owned = not owners
+        if is_owned == (instance in self._owned):
+            return
+        self._owned ^= {instance}
+        ctx = self._ctx
+        ctx.events.emit(
+            PERMITS_OWNED,
+            instance=instance,
+            owned=is_owned,
+            owner=ctx.settings.host_name if is_owned else owners[0].name,
+            ready=ctx.hosts.host_count(),
+        )
+
     def _deny(self, wait: float, per_second: float, age: float) -> PermitReply:
         self._ctx.metrics.count(PERMIT_DENIED)
         return PermitReply(False, wait, per_second, age)
@@ -103,6 +125,7 @@
     def _forget_unlisted(self, now: float) -> None:
         listed = self._ctx.listed_instances()
         self._ctx.endpoint_limits.retain(listed, now)
+        self._owned &= listed
         for instance in self._buckets.keys() - listed:
             del self._buckets[instance]
             self._denied_at.pop(instance, None)
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -160,7 +160,13 @@
     631, "endpoint_start_asked", "info", ("endpoint", "reply", "listed_start_ms")
 )
 ENDPOINT_LIMIT = Event(
-    644, "endpoint_limit", "warning", ("endpoint", "service", "per_second")
+    644,
+    "endpoint_limit",
+    "warning",
+    ("endpoint", "service", "per_second", "status", "not_run", "sent_before"),
+)
+PERMITS_OWNED = Event(
+    646, "permits_owned", "info", ("instance", "owned", "owner", "ready")
 )
 VERSIONS_RECALLED = Event(
     632,
@@ -185,6 +191,8 @@
 )
 ENDPOINT_UNLISTED = Event(613, "endpoint_unlisted", "info", ("endpoint", "lapsed"))
 ENTRY_IGNORED = Event(614, "entry_ignored", "warning", ("key", "offset", "error"))
+HEARTBEATS_LOST = Event(647, "heartbeats_lost", "warning", ("error", "written_before"))
+HEARTBEATS_WRITTEN = Event(648, "heartbeats_written", "info", ("written_before",))
 HOSTS_CHANGED = Event(615, "hosts_changed", "info", ("ready",))
 ACCEPT_FAILED = Event(637, "accept_failed", "error", ("error",))
 WORKING_SET_CHANGED = Event(
