End an endpoint's limit by served answers in a row, step by step

Callers saw an endpoint get more than the limit that it had named. Cause: any answer without Server-Limit ended the limit for all hosts, also a refusal, an error, or an answer to a request sent before the limit was named. Class: the absence of a word taken for its opposite, believed from one witness by all.

Now only a served answer (stamped, begun, below 400) whose request was sent after the limit was named last tells of an end. Each such answer doubles the limit, the fifth in a row ends it; an answer that names it again restores it at once. The owner of the permits hears of each step directly (LimitNewsTask), so that an end is still followed within two seconds, by 62 hosts too. A higher limit counts only if its request was sent after the lower one was named.

Ruled out: eight answers (an end took a second longer, the excess was the same).

--- a/src/knapweeddrum/core/directory/host_record.py
+++ b/src/knapweeddrum/core/directory/host_record.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 
-from knapweeddrum.core.placing.told_limit import ToldLimit
+from knapweeddrum.value.told_limit import ToldLimit
 
 UNKNOWN_CAPACITY = 25.0
 """Requests per second that a host which names no capacity is taken to carry."""
--- a/src/knapweeddrum/message/call/endpoint_permit.py
+++ b/src/knapweeddrum/message/call/endpoint_permit.py
@@ -4,18 +4,27 @@
 
 import msgspec
 
+from knapweeddrum.value.told_limit import ToldLimit
+
 
 class PermitRequest(msgspec.Struct, frozen=True):
     """Asks the owner of an endpoint's permits for one."""
 
     instance: str
     """Start of the endpoint."""
-    per_second: float
-    """Limit as the asking host knows it."""
+    per_second: float | None
+    """Limit as the asking host knows it, None if it has ended."""
     age: float
     """Seconds since an answer named it."""
     sender: str
     """Incarnation that asks."""
+    unnamed_answers: int = 0
+    """Served answers in a row since then that did not name it."""
+
+    @property
+    def limit(self) -> ToldLimit:
+        """Return what the asking host knows."""
+        return ToldLimit(self.instance, self.per_second, self.age, self.unnamed_answers)
 
 
 class PermitReply(msgspec.Struct, frozen=True):
@@ -26,3 +35,18 @@
     per_second: float | None = None
     """Limit as the owner knows it, None if it has ended."""
     age: float = 0.0
+    unnamed_answers: int = 0
+
+    def limit(self, instance: str) -> ToldLimit:
+        """Return what the owner knows of an endpoint."""
+        return ToldLimit(instance, self.per_second, self.age, self.unnamed_answers)
+
+
+class LimitNews(msgspec.Struct, frozen=True):
+    """Tells the owner of an endpoint's permits what an answer said of its limit."""
+
+    limit: ToldLimit
+
+
+class LimitNewsReply(msgspec.Struct, frozen=True):
+    """The owner has taken it in."""
--- a/src/knapweeddrum/process/entry/endpoint_permits.py
+++ b/src/knapweeddrum/process/entry/endpoint_permits.py
@@ -9,7 +9,6 @@
 
 from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.placing.endpoint_states import instance_name
-from knapweeddrum.core.placing.told_limit import ToldLimit
 from knapweeddrum.message.call.endpoint_permit import PermitReply, PermitRequest
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.peer_client import PeerClient
@@ -73,14 +72,19 @@
         """Return whether a request may be sent to an endpoint now."""
         limits = self._ctx.endpoint_limits
         instance = instance_name(state.entry)
-        per_second = limits.limit(instance)
-        if per_second is None:
+        if limits.limit(instance) is None:
             return True
         now = time.monotonic()
         if limits.wait(instance, now) > 0:
             return False
-        age = limits.age(instance, now)
-        req = PermitRequest(instance, per_second, age, self._ctx.incarnation)
+        told = limits.tell(instance, now)
+        req = PermitRequest(
+            instance,
+            told.per_second,
+            told.age,
+            self._ctx.incarnation,
+            told.unnamed_answers,
+        )
         reply = await self._ask(req)
         if reply is None:
             limits.close(instance, time.monotonic() + OWNER_SILENT_WAIT_SECONDS)
@@ -106,6 +110,6 @@
     def _apply(self, instance: EndpointName, reply: PermitReply) -> None:
         now = time.monotonic()
         limits = self._ctx.endpoint_limits
-        limits.merge([ToldLimit(instance, reply.per_second, reply.age)], now)
+        limits.merge([reply.limit(instance)], now)
         if not reply.is_given:
             limits.close(instance, now + reply.wait)
--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -34,12 +34,17 @@
 from knapweeddrum.process.entry.host_state_page import STATE_PATH, HostStatePage
 from knapweeddrum.process.entry.housekeeping_task import HousekeepingTask
 from knapweeddrum.process.entry.lapsed_entry_task import LapsedEntryTask
+from knapweeddrum.process.entry.limit_news_task import LimitNewsTask
 from knapweeddrum.process.entry.loan_exchange import LOAN_PATH, RETURN_PATH
 from knapweeddrum.process.entry.loop_lag_task import LoopLagTask
 from knapweeddrum.process.entry.lost_connection import LostConnection
 from knapweeddrum.process.entry.page_server import PageHandler, PageServer
 from knapweeddrum.process.entry.peer_client import PeerClient
-from knapweeddrum.process.entry.permit_desk import PERMIT_PATH, PermitDesk
+from knapweeddrum.process.entry.permit_desk import (
+    LIMIT_NEWS_PATH,
+    PERMIT_PATH,
+    PermitDesk,
+)
 from knapweeddrum.process.entry.request_parts import RequestParts
 from knapweeddrum.process.entry.service_list_reader import ServiceListReader
 from knapweeddrum.process.entry.stream_follower import RecordReader, StreamFollower
@@ -94,6 +99,7 @@
         self._lender = TokenLender(ctx, self._allocator)
         self._stream_origins = StreamOriginSharing(ctx, peers)
         self._permit_desk = PermitDesk(ctx)
+        self._limit_news = LimitNewsTask(ctx, peers)
         permits = EndpointPermits(ctx, peers, self._permit_desk)
         parts = RequestParts(self._allocator, self._stream_origins, permits)
         self._server = CallerServer(ctx, parts)
@@ -123,6 +129,7 @@
                 tasks.start_soon(self._unlocker.run)
                 tasks.start_soon(self._lapsed_entries.run)
                 tasks.start_soon(self._heartbeat.run)
+                tasks.start_soon(self._limit_news.run)
                 tasks.start_soon(self._loop_lag.run)
                 tasks.start_soon(self._crash_detector.run)
                 tasks.start_soon(self._crash_sharing.run)
@@ -148,6 +155,7 @@
                     UNLOCK_PATH: self._witness.unlock,
                     WITNESS_LEAVE_PATH: self._witness.record_leave,
                     PERMIT_PATH: self._permit_desk.answer,
+                    LIMIT_NEWS_PATH: self._permit_desk.take_news,
                     CRASH_EXCHANGE_PATH: self._crash_sharing.exchange,
                     NOTICE_PATH: self._stream_origins.receive_notice,
                     QUESTION_PATH: self._stream_origins.answer_question,
--- a/src/knapweeddrum/process/entry/notice_recorder.py
+++ b/src/knapweeddrum/process/entry/notice_recorder.py
@@ -13,6 +13,8 @@
 from knapweeddrum.telemetry.events import ENDPOINT_LIMIT, ENDPOINT_NOTICE
 from knapweeddrum.value.endpoint_notice import EndpointNotice
 
+FIRST_ERROR_STATUS = 400
+
 MAX_RETURN_SPREAD_SECONDS = 0.25
 """Time over which the hosts return to an endpoint after its back-off."""
 
@@ -46,8 +48,16 @@
     if head.limit.is_malformed:
         _report(ctx, state, EndpointNotice.IGNORED, None)
         return
+    limits = ctx.endpoint_limits
+    instance = instance_name(state.entry)
     per_second = head.limit.per_second
-    if not ctx.endpoint_limits.observe(instance_name(state.entry), per_second, now):
+    if per_second is not None:
+        is_change = limits.observe_named(instance, per_second, sent_at, now)
+    elif _is_served(head):
+        is_change = limits.observe_unnamed(instance, sent_at)
+    else:
+        return
+    if not is_change:
         return
     notice = (
         EndpointNotice.LIMIT if per_second is not None else EndpointNotice.LIMIT_END
@@ -64,6 +74,11 @@
     )
 
 
+def _is_served(head: EndpointReplyHead) -> bool:
+    """Return whether the endpoint began the work, so that it would name its limit."""
+    return head.stamped and not head.not_run and head.status < FIRST_ERROR_STATUS
+
+
 def _record_back_off(
     ctx: EntryContext, state: EndpointState, back_off: BackOff, now: float
 ) -> None:
--- a/src/knapweeddrum/process/entry/permit_desk.py
+++ b/src/knapweeddrum/process/entry/permit_desk.py
@@ -8,15 +8,21 @@
 
 from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.placing.permit_bucket import PermitBucket
-from knapweeddrum.core.placing.told_limit import ToldLimit
-from knapweeddrum.message.call.endpoint_permit import PermitReply, PermitRequest
+from knapweeddrum.message.call.endpoint_permit import (
+    LimitNews,
+    LimitNewsReply,
+    PermitReply,
+    PermitRequest,
+)
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.page_server import PageAnswer
 from knapweeddrum.telemetry.counters import PERMIT_DENIED, PERMIT_GIVEN
 from knapweeddrum.telemetry.events import PERMITS_OWNED
 from knapweeddrum.value.identifiers import EndpointName
+from knapweeddrum.value.told_limit import ToldLimit
 
 PERMIT_PATH = b"/permits"
+LIMIT_NEWS_PATH = b"/permits/limit"
 
 ASKER_MEMORY_SECONDS = 3.0
 """Time for which a host that was denied a permit counts as one that waits."""
@@ -51,6 +57,15 @@
             return PageAnswer(400)
         return PageAnswer(200, msgspec.json.encode(self.give(req)))
 
+    async def take_news(self, body: bytes) -> PageAnswer:
+        """Take in LimitNews of another host."""
+        try:
+            news = msgspec.json.decode(body, type=LimitNews)
+        except msgspec.MsgspecError:
+            return PageAnswer(400)
+        self._ctx.endpoint_limits.merge([news.limit], time.monotonic())
+        return PageAnswer(200, msgspec.json.encode(LimitNewsReply()))
+
     def give(self, req: PermitRequest) -> PermitReply:
         """Give a permit, or say when to ask again."""
         ctx = self._ctx
@@ -59,20 +74,19 @@
         owners = ctx.token_owners_before(req.instance)
         self._report_owner(instance, owners)
         if owners:
-            return self._deny(NOT_OWNER_WAIT_SECONDS, req.per_second, req.age)
-        told = ToldLimit(req.instance, req.per_second, req.age)
-        ctx.endpoint_limits.merge([told], now)
+            return self._deny(NOT_OWNER_WAIT_SECONDS, req.limit)
+        ctx.endpoint_limits.merge([req.limit], now)
+        told = ctx.endpoint_limits.tell(instance, now)
         per_second = ctx.endpoint_limits.limit(instance)
         if per_second is None:
-            return PermitReply(is_given=True, per_second=None)
-        age = ctx.endpoint_limits.age(instance, now)
+            return _reply(told, is_given=True)
         bucket = self._bucket(instance, per_second, now)
         if bucket.take(now):
             self._denied_at.get(instance, {}).pop(req.sender, None)
             ctx.metrics.count(PERMIT_GIVEN)
-            return PermitReply(is_given=True, per_second=per_second, age=age)
+            return _reply(told, is_given=True)
         wait = self._wait(instance, bucket, req.sender, now)
-        return self._deny(wait, per_second, age)
+        return self._deny(wait, told)
 
     def _report_owner(
         self, instance: EndpointName, owners: tuple[HostRecord, ...]
@@ -91,9 +105,9 @@
             ready=ctx.hosts.host_count(),
         )
 
-    def _deny(self, wait: float, per_second: float, age: float) -> PermitReply:
+    def _deny(self, wait: float, told: ToldLimit) -> PermitReply:
         self._ctx.metrics.count(PERMIT_DENIED)
-        return PermitReply(False, wait, per_second, age)
+        return _reply(told, is_given=False, wait=wait)
 
     def _bucket(
         self, instance: EndpointName, per_second: float, now: float
@@ -129,3 +143,7 @@
         for instance in self._buckets.keys() - listed:
             del self._buckets[instance]
             self._denied_at.pop(instance, None)
+
+
+def _reply(told: ToldLimit, *, is_given: bool, wait: float = 0.0) -> PermitReply:
+    return PermitReply(is_given, wait, told.per_second, told.age, told.unnamed_answers)
--- a/src/knapweeddrum/core/placing/told_limit.py
+++ b/src/knapweeddrum/value/told_limit.py
@@ -13,3 +13,5 @@
     per_second: float | None
     age: float
     """Seconds since an answer named it, or named none."""
+    unnamed_answers: int = 0
+    """Served answers in a row since then that did not name it."""
--- a/tests/process/entry/limit_day.py
+++ b/tests/process/entry/limit_day.py
@@ -35,6 +35,7 @@
     HeartbeatTask,
 )
 from knapweeddrum.process.entry.host_reader import HostReader
+from knapweeddrum.process.entry.limit_news_task import LimitNewsTask
 from knapweeddrum.process.entry.notice_recorder import record_notices
 from knapweeddrum.process.entry.page_server import PageHandler
 from knapweeddrum.process.entry.peer_client import (
@@ -42,7 +43,11 @@
     PEER_UNRESPONSIVE_SECONDS,
     PeerClient,
 )
-from knapweeddrum.process.entry.permit_desk import PERMIT_PATH, PermitDesk
+from knapweeddrum.process.entry.permit_desk import (
+    LIMIT_NEWS_PATH,
+    PERMIT_PATH,
+    PermitDesk,
+)
 from knapweeddrum.process.entry.stream_follower import StreamFollower
 from knapweeddrum.value.body_framing import BodyFraming
 from tests.process.entry.claim_race import (
@@ -172,11 +177,15 @@
         peers = cast("PeerClient", _Peers(day, number))
         self.desk = PermitDesk(self.ctx)
         self.permits = EndpointPermits(self.ctx, peers, self.desk)
-        self.pages: Mapping[bytes, PageHandler] = {PERMIT_PATH: self.desk.answer}
+        self._limit_news = LimitNewsTask(self.ctx, peers)
+        self.pages: Mapping[bytes, PageHandler] = {
+            PERMIT_PATH: self.desk.answer,
+            LIMIT_NEWS_PATH: self.desk.take_news,
+        }
 
     async def run(self) -> None:
         if not self._reads_heartbeats:
-            return
+            await self._limit_news.run()
         ctx = self.ctx
         follower = StreamFollower(
             ctx.store,
@@ -190,6 +199,7 @@
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(follower.run)
                 tasks.start_soon(HeartbeatTask(ctx).run)
+                tasks.start_soon(self._limit_news.run)
 
     def kill(self) -> None:
         self.is_running = False
