Count the time that a heartbeat took towards the age of limits in it

Callers saw an endpoint get more than the limit that it had named. Class: an age that is not counted on while it travels.

The reader counts a heartbeat as 3 s old.

--- a/src/knapweeddrum/process/entry/host_reader.py
+++ b/src/knapweeddrum/process/entry/host_reader.py
@@ -21,6 +21,9 @@
     WORKING_SET_CHANGED,
 )
 
+MAX_HEARTBEAT_AGE_SECONDS = 3.0
+"""Age that a heartbeat may have when it is read: its write may have been delayed."""
+
 
 class HostReader(RecordReader):
     """Applies heartbeats to the host directory and logs which hosts are ready."""
@@ -38,6 +41,7 @@
 
     def apply_records(self, records: Iterable[KeyedRecord], now: float) -> None:
         """Apply newer heartbeats."""
+        written_at = now - MAX_HEARTBEAT_AGE_SECONDS
         for record in records:
             try:
                 if record.key == VERSIONS_KEY:
@@ -49,7 +53,7 @@
                 continue
             self._ctx.hosts.apply_heartbeat(record.key, record.offset, host)
             if host is not None and host.name != self._ctx.settings.host_name:
-                self._ctx.endpoint_limits.merge(host.limits, now)
+                self._ctx.endpoint_limits.merge(host.limits, written_at)
 
     def on_store_lost(self) -> None:
         """Pause the heartbeat timeouts, as heartbeats can't be read."""
