--- a/src/knapweeddrum/core/directory/host_directory.py
+++ b/src/knapweeddrum/core/directory/host_directory.py
@@ -4,8 +4,8 @@
 
 import hashlib
 
-from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.directory.working_set import WorkingSet
+from knapweeddrum.value.host_record import HostRecord
 
 HEARTBEAT_TIMEOUT_SECONDS = 5.0
 """Time without a heartbeat, while the store answers, after which a host is left out."""
--- a/src/knapweeddrum/core/directory/working_set.py
+++ b/src/knapweeddrum/core/directory/working_set.py
@@ -5,7 +5,7 @@
 import hashlib
 from collections.abc import Sequence
 
-from knapweeddrum.core.directory.host_record import HostRecord
+from knapweeddrum.value.host_record import HostRecord
 
 SMALL_FLEET_HOSTS = 16
 """Size of a fleet up to which all hosts carry callers' requests."""
--- a/src/knapweeddrum/core/prepaid/token_owners.py
+++ b/src/knapweeddrum/core/prepaid/token_owners.py
@@ -6,7 +6,7 @@
 import zlib
 from collections.abc import Iterable
 
-from knapweeddrum.core.directory.host_record import HostRecord
+from knapweeddrum.value.host_record import HostRecord
 
 OWNER_GROUPS = 8
 """Groups of organisations with one owner each.
--- a/src/knapweeddrum/core/prepaid/witness_ranking.py
+++ b/src/knapweeddrum/core/prepaid/witness_ranking.py
@@ -5,7 +5,7 @@
 import hashlib
 from collections.abc import Iterable
 
-from knapweeddrum.core.directory.host_record import HostRecord
+from knapweeddrum.value.host_record import HostRecord
 
 
 def rank_witnesses(
--- a/src/knapweeddrum/core/streams/origin_holders.py
+++ b/src/knapweeddrum/core/streams/origin_holders.py
@@ -5,7 +5,7 @@
 import hashlib
 from collections.abc import Iterable
 
-from knapweeddrum.core.directory.host_record import HostRecord
+from knapweeddrum.value.host_record import HostRecord
 
 TOLD_HOSTS = 2
 """Other hosts that are told what began a stream."""
--- a/src/knapweeddrum/platform/fleet_codec.py
+++ b/src/knapweeddrum/platform/fleet_codec.py
@@ -4,12 +4,12 @@
 
 import msgspec
 
-from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.prepaid.token_claim import TokenClaim
 from knapweeddrum.core.streams.version_record import VersionRecord
 from knapweeddrum.message.call.crash_record import CrashRecord
 from knapweeddrum.platform.exceptions import MalformedRecordError
 from knapweeddrum.platform.keyed_record import KeyedRecord
+from knapweeddrum.value.host_record import HostRecord
 
 KEY_SEPARATOR = "|"
 VERSIONS_KEY = "|versions"
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -19,7 +19,6 @@
     HEARTBEAT_TIMEOUT_SECONDS,
     HostDirectory,
 )
-from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.load.loop_lag import LoopLag
 from knapweeddrum.core.load.request_rate import RequestRate
 from knapweeddrum.core.placing.endpoint_limits import EndpointLimits
@@ -56,6 +55,7 @@
     STORE_RETURNED,
 )
 from knapweeddrum.telemetry.metrics import Metrics
+from knapweeddrum.value.host_record import HostRecord
 from knapweeddrum.value.identifiers import EndpointName
 from knapweeddrum.value.store_position import offset_of
 
--- a/src/knapweeddrum/process/entry/loan_exchange.py
+++ b/src/knapweeddrum/process/entry/loan_exchange.py
@@ -5,7 +5,6 @@
 import dataclasses
 import time
 
-from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.message.call.token_loan import (
     TokenLoanReply,
     TokenLoanRequest,
@@ -16,6 +15,7 @@
 from knapweeddrum.process.entry.peer_client import PeerClient
 from knapweeddrum.telemetry import counters
 from knapweeddrum.telemetry.events import TOKENS_BORROWED, TOKENS_RETURNED
+from knapweeddrum.value.host_record import HostRecord
 
 LOAN_PATH = b"/tokens"
 RETURN_PATH = b"/tokens/return"
--- a/src/knapweeddrum/process/entry/permit_desk.py
+++ b/src/knapweeddrum/process/entry/permit_desk.py
@@ -6,7 +6,6 @@
 
 import msgspec
 
-from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.placing.permit_bucket import PermitBucket
 from knapweeddrum.message.call.endpoint_permit import (
     LimitNews,
@@ -18,6 +17,7 @@
 from knapweeddrum.process.entry.page_server import PageAnswer
 from knapweeddrum.telemetry.counters import PERMIT_DENIED, PERMIT_GIVEN
 from knapweeddrum.telemetry.events import PERMITS_OWNED
+from knapweeddrum.value.host_record import HostRecord
 from knapweeddrum.value.identifiers import EndpointName
 from knapweeddrum.value.told_limit import ToldLimit
 
--- a/src/knapweeddrum/process/entry/stream_origin_sharing.py
+++ b/src/knapweeddrum/process/entry/stream_origin_sharing.py
@@ -9,7 +9,6 @@
 import anyio
 import msgspec
 
-from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.streams.origin_holders import (
     ASKED_HOSTS,
     TOLD_HOSTS,
@@ -31,6 +30,7 @@
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.process.entry.request_log import MAX_LOGGED_ID_CHARS
 from knapweeddrum.telemetry.events import STREAM_ORIGIN_SOUGHT
+from knapweeddrum.value.host_record import HostRecord
 from knapweeddrum.value.origin_source import OriginSource
 
 NOTICE_PATH = b"/stream-origins/notice"
--- a/src/knapweeddrum/process/entry/token_borrower.py
+++ b/src/knapweeddrum/process/entry/token_borrower.py
@@ -11,12 +11,12 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
 from knapweeddrum.message.call.token_loan import TokenLoanReply
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.loan_exchange import LoanExchange
 from knapweeddrum.process.entry.peer_client import PeerClient
+from knapweeddrum.value.host_record import HostRecord
 
 CLAIM_TIMEOUT_SECONDS = 0.15
 """Time for which an owner is asked again while other hosts' claims delay its own."""
--- a/tests/core/directory/test_host_directory.py
+++ b/tests/core/directory/test_host_directory.py
@@ -8,7 +8,7 @@
     MAX_ADDRESSES,
     HostDirectory,
 )
-from knapweeddrum.core.directory.host_record import HostRecord
+from knapweeddrum.value.host_record import HostRecord
 
 
 def heartbeat(name: str, beat: int = 1, *, ready: bool = True) -> HostRecord:
--- a/tests/core/directory/test_working_set.py
+++ b/tests/core/directory/test_working_set.py
@@ -6,13 +6,13 @@
 
 from knapweeddrum.core.directory.host_capacity import host_capacity
 from knapweeddrum.core.directory.host_directory import MAX_ADDRESSES, HostDirectory
-from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.directory.working_set import (
     LINGER_SECONDS,
     MIN_HOSTS,
     SMALL_FLEET_HOSTS,
     WorkingSet,
 )
+from knapweeddrum.value.host_record import HostRecord
 
 WEAK = host_capacity(processor_cores=0.516, link_mbps=20.0)
 STRONG = host_capacity(processor_cores=2.15, link_mbps=200.0)
--- a/tests/core/prepaid/fleet_simulation.py
+++ b/tests/core/prepaid/fleet_simulation.py
@@ -13,11 +13,11 @@
 import zlib
 from collections.abc import Callable, Sequence
 
-from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.prepaid.claim_witness import ClaimWitness
 from knapweeddrum.core.prepaid.token_accounts import TokenAccounts
 from knapweeddrum.core.prepaid.token_owners import TokenOwners
 from knapweeddrum.process.entry.token_borrower import AHEAD_SECONDS, KEEP_SECONDS
+from knapweeddrum.value.host_record import HostRecord
 from tests.core.prepaid.claim_stream import ClaimStream
 
 SYNC_SECONDS = 1.0
--- a/tests/core/prepaid/test_token_owners.py
+++ b/tests/core/prepaid/test_token_owners.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
-from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.prepaid.token_owners import OWNER_GROUPS, TokenOwners
+from knapweeddrum.value.host_record import HostRecord
 
 ORGANISATIONS = tuple(f"organisation-{number}" for number in range(400))
 
--- a/tests/core/streams/origin_day.py
+++ b/tests/core/streams/origin_day.py
@@ -5,7 +5,6 @@
 import dataclasses
 import random
 
-from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.streams.origin_holders import (
     ASKED_HOSTS,
     TOLD_HOSTS,
@@ -13,6 +12,7 @@
 )
 from knapweeddrum.core.streams.stream_origin import StreamOrigin, stream_key
 from knapweeddrum.core.streams.stream_origins import StreamOrigins
+from knapweeddrum.value.host_record import HostRecord
 
 ORGANISATION = "mill"
 STEP_SECONDS = 0.1
--- a/tests/process/entry/claim_race.py
+++ b/tests/process/entry/claim_race.py
@@ -22,7 +22,6 @@
     HEARTBEAT_TIMEOUT_SECONDS,
     HostDirectory,
 )
-from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.placing.endpoint_states import EndpointStates
 from knapweeddrum.core.placing.placer import Placer
 from knapweeddrum.core.prepaid.claim_recovery import ClaimRecovery
@@ -53,6 +52,7 @@
 from knapweeddrum.process.entry.token_unlocker import TokenUnlocker
 from knapweeddrum.settings.entry_settings import EntrySettings
 from knapweeddrum.telemetry.metrics import Metrics
+from knapweeddrum.value.host_record import HostRecord
 from tests.standins.recording_event_log import RecordingEventLog
 from tools.budget_model.virtual_loop import run_virtual
 
--- a/tests/process/entry/loan_hosts.py
+++ b/tests/process/entry/loan_hosts.py
@@ -8,8 +8,8 @@
 
 import anyio
 
-from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.prepaid.token_account import TokenAccount
+from knapweeddrum.value.host_record import HostRecord
 from tests.process.entry.claim_race import (
     LARGE,
     ClaimRace,
--- a/tests/process/entry/return_day.py
+++ b/tests/process/entry/return_day.py
@@ -22,7 +22,6 @@
 from knapweeddrum.core.catalog.configuration import Configuration
 from knapweeddrum.core.catalog.service_list import ServiceList
 from knapweeddrum.core.directory.host_directory import HostDirectory
-from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.placing.endpoint_states import EndpointStates
 from knapweeddrum.core.placing.placer import Placer
 from knapweeddrum.core.prepaid.claim_recovery import ClaimRecovery
@@ -60,6 +59,7 @@
 from knapweeddrum.process.entry.token_witness import TokenWitness
 from knapweeddrum.settings.entry_settings import EntrySettings
 from knapweeddrum.telemetry.metrics import Metrics
+from knapweeddrum.value.host_record import HostRecord
 from knapweeddrum.value.store_position import era_of, offset_of, store_position
 from tests.process.entry.claim_race import virtual_clock
 from tests.standins.recording_event_log import RecordingEventLog
--- a/tests/process/entry/test_fleet_retries.py
+++ b/tests/process/entry/test_fleet_retries.py
@@ -7,11 +7,11 @@
 from typing import cast
 
 from knapweeddrum.core.directory.host_directory import HostDirectory
-from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.core.routing.failed_attempt import FailedAttempt
 from knapweeddrum.core.routing.retry import Retry
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.settings.entry_settings import EntrySettings
+from knapweeddrum.value.host_record import HostRecord
 from knapweeddrum.value.retry_reason import RetryReason
 from knapweeddrum.value.run_state import RunState
 
--- a/tests/process/entry/test_host_reader.py
+++ b/tests/process/entry/test_host_reader.py
@@ -3,9 +3,9 @@
 import dataclasses
 from typing import cast
 
-from knapweeddrum.core.directory.host_record import HostRecord
 from knapweeddrum.platform.fleet_codec import encode_heartbeat
 from knapweeddrum.process.entry.host_reader import HostReader
+from knapweeddrum.value.host_record import HostRecord
 from knapweeddrum.value.identifiers import EndpointName
 from knapweeddrum.value.told_limit import ToldLimit
 from tests.async_test import async_test
