Ignore late heartbeats of an ended incarnation

Cause: of two incarnations of a host, the one read later counted as the newer; a write carried out seconds late made a host that had not read the earlier one put the living one among the replaced, so that its lender forgot what it had given back and credited it again. Class: records of the store that take effect out of order.

Incarnations of a host sort by their starts; a heartbeat of an earlier one is outdated. A host that started while its clock was set back sorts before its predecessor: it is asked directly two to four seconds later, and its own word replaces that one. Readers of late records elsewhere: claims are keyed by incarnation and written under a condition; crash records merge by marks; stream origins are told by message, not through the store; configuration has versions that never go back.

Left of the class: LoanLedger.forget still credits twice if a living borrower is taken for replaced by any other way; none is known.

--- a/src/knapweeddrum/core/directory/host_directory.py
+++ b/src/knapweeddrum/core/directory/host_directory.py
@@ -137,13 +137,17 @@
     def _is_outdated(self, record: HostRecord, known: HostRecord | None) -> bool:
         """Return whether a heartbeat is older than what was read before.
 
-        The store has such ones after it came back from an older copy.
+        The store has such ones after it came back from an older copy, and when a write
+        was late. Incarnations of a host sort by their starts, unless its clock was set
+        back; such a host is known by its own word.
         """
         if record.incarnation in self._replaced:
             return True
-        if known is None or known.incarnation != record.incarnation:
+        if known is None:
             return False
-        return record.beat <= known.beat
+        if known.incarnation == record.incarnation:
+            return record.beat <= known.beat
+        return record.incarnation < known.incarnation
 
     def ready_hosts(self) -> list[HostRecord]:
         """Return the other hosts that are ready and send heartbeats, by name."""
--- a/tests/core/directory/test_host_directory.py
+++ b/tests/core/directory/test_host_directory.py
@@ -116,3 +116,25 @@
     assert not directory.apply_direct(heartbeat("b", 9), 2.0)
     assert directory.is_replaced("b/1")
     assert [host.incarnation for host in directory.running_hosts()] == ["b/2"]
+
+
+def test_late_heartbeat_of_an_ended_process_does_not_replace_the_living_one():
+    """A write may be carried out seconds after its host has ended and started again."""
+    directory = directory_with(("own",))
+    later = dataclasses.replace(heartbeat("b"), incarnation="b/2")
+    directory.apply_heartbeat("b", 10, later)
+    directory.apply_heartbeat("b", 11, heartbeat("b", 40))
+    assert [host.incarnation for host in directory.ready_hosts()] == ["b/2"]
+    assert not directory.is_gone("b/2")
+
+
+def test_host_that_started_while_its_clock_was_back_is_known_by_its_own_word():
+    """Its incarnation sorts before the one that has ended."""
+    directory = directory_with(("own",))
+    ended = dataclasses.replace(heartbeat("b", 7), incarnation="b/2")
+    directory.apply_heartbeat("b", 10, ended)
+    directory.apply_heartbeat("b", 11, heartbeat("b"))
+    directory.apply_direct(heartbeat("b"), 3.0)
+    directory.apply_heartbeat("b", 12, heartbeat("b", 2))
+    assert [host.incarnation for host in directory.ready_hosts()] == ["b/1"]
+    assert directory.is_replaced("b/2")
