Ask nobody who lives while heartbeats are written

Class: partial knowledge that looks complete. The store's listing names all hosts at once; questions are for when it fails.

A host asks all others while the store does not take its heartbeats, and one that sent none for two reads, not as it starts.

--- a/src/knapweeddrum/core/directory/host_directory.py
+++ b/src/knapweeddrum/core/directory/host_directory.py
@@ -18,8 +18,11 @@
 WRITING_SECONDS = 3.5
 """Time without a heartbeat after which its host may have failed to write one."""
 
-SUSPECT_SECONDS = 2.0
-"""Time without a heartbeat, while the store answers, after which a host is asked."""
+SUSPECT_SECONDS = 3.3
+"""Time without a heartbeat, while the store answers, after which a host is asked.
+
+A heartbeat counts from the read before it, and the next one comes with the next read.
+"""
 
 MAX_ADDRESSES = 64
 """Largest number of addresses in one answer."""
--- a/src/knapweeddrum/core/directory/host_standing.py
+++ b/src/knapweeddrum/core/directory/host_standing.py
@@ -34,10 +34,11 @@
 
     def holds_lease(self, now: float) -> bool:
         """Return whether all hosts must know by the store that this one lives."""
-        return (
-            now - self._written_at <= LEASE_SECONDS
-            and now - self._written_since >= SETTLE_SECONDS
-        )
+        return self.writes(now) and now - self._written_since >= SETTLE_SECONDS
+
+    def writes(self, now: float) -> bool:
+        """Return whether the store takes this host's heartbeats."""
+        return now - self._written_at <= LEASE_SECONDS
 
     def share(
         self,
--- a/src/knapweeddrum/process/entry/sighting_task.py
+++ b/src/knapweeddrum/process/entry/sighting_task.py
@@ -29,7 +29,8 @@
     """Keeps up who lives while heartbeats don't get through.
 
     Asks as long as a host sends no heartbeats, or the store does not take those of this
-    host, and no longer: on calm days the store tells all.
+    host, and no longer: on calm days the store tells all, and hosts that start learn of
+    all others at once, not of some before the rest.
     """
 
     def __init__(
@@ -66,7 +67,7 @@
         now = time.monotonic()
         others = ctx.hosts.known_hosts()
         doubted = ctx.hosts.suspects(now)
-        if not ctx.standing.holds_lease(now):
+        if not ctx.standing.writes(now):
             doubted = others
         if not doubted or len(others) <= MAX_OTHERS_ASKED:
             return doubted
--- a/tests/process/entry/test_fleet_view.py
+++ b/tests/process/entry/test_fleet_view.py
@@ -2,10 +2,12 @@
 
 from nose2.tools import params
 
+from knapweeddrum.telemetry.counters import SIGHTING_ASKED
 from tests.process.entry.limit_day import LimitDay, LimitPlan, Trouble, TroubleKind
 
 TROUBLE_AT = 6.0
 DAY_SECONDS = 26.0
+START_SECONDS = 8.0
 ORGANISATION = "mill"
 
 
@@ -47,3 +49,13 @@
         if host.is_running:
             assert host.ctx.hosts.running_count() == 6
             assert host.ctx.hosts.is_gone("host-2/1")
+
+
+def test_hosts_that_start_on_a_calm_day_do_not_ask_each_other():
+    """One that knew of some before the rest would take too large a share.
+
+    A host whose heartbeat just missed a read may be asked once.
+    """
+    day = LimitDay(LimitPlan(7, 1.0, 9.0, seconds=START_SECONDS), 0).play()
+    asked = sum(host.ctx.metrics.counts[SIGHTING_ASKED] for host in day.hosts)
+    assert asked <= len(day.hosts), asked
