Leave out documents that are nested too deep, instead of ending

Cause: msgspec reports what it dislikes as MsgspecError, but nesting beyond the interpreter's stack as RecursionError, which nothing caught. It left the task of the stream's reader, so the task group and the process ended. The recall of versions reads the same record again at each start.

Change: value/documents.py is the one place that decodes bytes from outside, with one error. Readers of all five streams leave the record out, with a line and a counter; what was known stays. Pages for other hosts answer 400 (message_rejected).

Ruled out: an error after decoding, as the traceback ends in the decoder.

--- a/src/knapweeddrum/console/api_reply.py
+++ b/src/knapweeddrum/console/api_reply.py
@@ -5,10 +5,9 @@
 import dataclasses
 from typing import TypeVar
 
-import msgspec
-
 from knapweeddrum.console.exceptions import ConsoleError
 from knapweeddrum.console.exit_code import ExitCode
+from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 
 DocumentT = TypeVar("DocumentT")
 
@@ -23,8 +22,8 @@
     def decode(self, document_type: type[DocumentT]) -> DocumentT:
         """Return the decoded body; raises ConsoleError if it is malformed."""
         try:
-            return msgspec.json.decode(self.body, type=document_type)
-        except msgspec.MsgspecError as exc:
+            return decode_json(self.body, document_type)
+        except MalformedDocumentError as exc:
             raise ConsoleError(
                 f"the server's response is malformed: {exc}", ExitCode.FAILED
             ) from exc
--- a/src/knapweeddrum/console/control_client.py
+++ b/src/knapweeddrum/console/control_client.py
@@ -7,12 +7,12 @@
 from collections.abc import Iterator, Sequence
 
 import httpcore
-import msgspec
 
 from knapweeddrum.console.api_reply import ApiReply
 from knapweeddrum.console.exceptions import ConsoleError, ServerUnreachableError
 from knapweeddrum.console.exit_code import ExitCode
 from knapweeddrum.console.problem_reply import EXIT_CODE_BY_STATUS, ProblemReply
+from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 
 MAX_ROUNDS = 3
 """Attempts at each server for one request."""
@@ -165,8 +165,8 @@
     """Return the error for a response that reports a problem."""
     exit_code = EXIT_CODE_BY_STATUS.get(reply.status, ExitCode.FAILED)
     try:
-        problem = msgspec.json.decode(reply.body, type=ProblemReply)
-    except msgspec.MsgspecError:
+        problem = decode_json(reply.body, ProblemReply)
+    except MalformedDocumentError:
         return ConsoleError(
             f"the server answered with status {reply.status}", exit_code
         )
--- a/src/knapweeddrum/console/log_line.py
+++ b/src/knapweeddrum/console/log_line.py
@@ -31,7 +31,7 @@
             return None
         try:
             fields = json.loads(text[start:])
-        except json.JSONDecodeError:
+        except (ValueError, RecursionError):
             return None
         if not isinstance(fields, dict) or "event" not in fields:
             return None
--- a/src/knapweeddrum/console/resource_file.py
+++ b/src/knapweeddrum/console/resource_file.py
@@ -21,11 +21,11 @@
         document = json5.loads(path.read_text(encoding="utf-8"))
     except OSError as exc:
         raise ConsoleError(f"{path}: {exc.strerror}", ExitCode.USAGE) from exc
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         message = f"{path}: not JSON with comments: {exc}"
         raise ConsoleError(message, ExitCode.USAGE) from exc
     listed = document if isinstance(document, list) else [document]
     try:
         return msgspec.convert(listed, type=tuple[DeclaredResource, ...])
-    except msgspec.ValidationError as exc:
+    except (msgspec.ValidationError, RecursionError) as exc:
         raise ConsoleError(f"{path}: {exc}", ExitCode.USAGE) from exc
--- a/src/knapweeddrum/core/replay/state_codec.py
+++ b/src/knapweeddrum/core/replay/state_codec.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from knapweeddrum.core.exceptions import StateError
+from knapweeddrum.value.documents import MalformedDocumentError, decode_message_pack
 
 StateT = TypeVar("StateT")
 
@@ -24,6 +25,6 @@
     Raises StateError if the bytes don't encode such a state.
     """
     try:
-        return msgspec.msgpack.decode(state, type=kind)
-    except msgspec.MsgspecError as exc:
+        return decode_message_pack(state, kind)
+    except MalformedDocumentError as exc:
         raise StateError(f"can't decode {kind.__name__}: {exc}") from exc
--- a/src/knapweeddrum/endpoint/http_model_engine.py
+++ b/src/knapweeddrum/endpoint/http_model_engine.py
@@ -30,6 +30,7 @@
 from knapweeddrum.http.exceptions import NoReplyError, NotSentError
 from knapweeddrum.http.exchange_client import ExchangeClient
 from knapweeddrum.http.request import Request
+from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 
 STREAM_IDLE_TIMEOUT_SECONDS = 30.0
 """Longest wait for the next bytes of a stream; an idle engine sends comments."""
@@ -117,8 +118,8 @@
         # The body is embedded as it is. Decoding it first rejects text that is not one
         # JSON value and so could change the fields around it.
         try:
-            body = msgspec.json.decode(req.body, type=msgspec.Raw)
-        except msgspec.MsgspecError as exc:
+            body = decode_json(req.body, msgspec.Raw)
+        except MalformedDocumentError as exc:
             raise InvalidRequestError(f"body is not JSON: {exc}") from exc
         return RunBody(
             run_id=req.run_id,
--- a/src/knapweeddrum/endpoint/json_exchange.py
+++ b/src/knapweeddrum/endpoint/json_exchange.py
@@ -17,6 +17,7 @@
 from knapweeddrum.http.exchange_client import ExchangeClient
 from knapweeddrum.http.reply_head import ReplyHead
 from knapweeddrum.http.request import Request
+from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 
 ReplyT = TypeVar("ReplyT", bound=msgspec.Struct)
 
@@ -57,8 +58,8 @@
             raise EndpointError(str(exc)) from exc
         check_status(reply.head)
         try:
-            return msgspec.json.decode(reply.body, type=reply_type)
-        except msgspec.MsgspecError as exc:
+            return decode_json(reply.body, reply_type)
+        except MalformedDocumentError as exc:
             raise EndpointError(f"malformed reply: {exc}") from exc
 
 
--- a/src/knapweeddrum/endpoint/part_stream.py
+++ b/src/knapweeddrum/endpoint/part_stream.py
@@ -5,8 +5,6 @@
 import contextlib
 from collections.abc import AsyncGenerator
 
-import msgspec
-
 from knapweeddrum.endpoint.answer_part import AnswerPart
 from knapweeddrum.endpoint.event_decoder import EventDecoder
 from knapweeddrum.endpoint.exceptions import EndpointError, StreamCutError
@@ -14,6 +12,7 @@
 from knapweeddrum.endpoint.part_sequence import PartSequence
 from knapweeddrum.http.exceptions import NoReplyError
 from knapweeddrum.http.streamed_reply import StreamedReply
+from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 
 
 async def answer_parts(
@@ -42,6 +41,6 @@
 
 def _decode(event: bytes) -> AnswerPart:
     try:
-        return msgspec.json.decode(event, type=PartMessage).part()
-    except msgspec.MsgspecError as exc:
+        return decode_json(event, PartMessage).part()
+    except MalformedDocumentError as exc:
         raise EndpointError(f"malformed part: {exc}") from exc
--- a/src/knapweeddrum/message/fact/fact_codec.py
+++ b/src/knapweeddrum/message/fact/fact_codec.py
@@ -7,6 +7,7 @@
 from knapweeddrum.message.exceptions import MessageError
 from knapweeddrum.message.fact.any_fact import AnyFact
 from knapweeddrum.message.fact.batch import Batch
+from knapweeddrum.value.documents import MalformedDocumentError, decode_with
 
 _ENCODER = msgspec.msgpack.Encoder()
 _BATCH_DECODER = msgspec.msgpack.Decoder(Batch)
@@ -35,14 +36,14 @@
     Raises MessageError for a payload that is no batch.
     """
     try:
-        return _BATCH_DECODER.decode(payload)
-    except msgspec.MsgspecError as exc:
+        return decode_with(_BATCH_DECODER.decode, payload)
+    except MalformedDocumentError as exc:
         raise MessageError(f"record holds no batch: {exc}") from exc
 
 
 def decode_fact(raw: msgspec.Raw) -> AnyFact | None:
     """Return the fact, or None for a kind that this version does not know."""
     try:
-        return _FACT_DECODER.decode(raw)
-    except msgspec.ValidationError:
+        return decode_with(_FACT_DECODER.decode, raw)
+    except MalformedDocumentError:
         return None
--- a/src/knapweeddrum/platform/claim_codec.py
+++ b/src/knapweeddrum/platform/claim_codec.py
@@ -14,6 +14,7 @@
 from knapweeddrum.platform.exceptions import MalformedRecordError
 from knapweeddrum.platform.fleet_codec import decode_token_claim
 from knapweeddrum.platform.keyed_record import KeyedRecord
+from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 
 CHECK_IN_PREFIX = "|check-in|"
 OPENING_KEY = "|opening"
@@ -50,10 +51,10 @@
         return None
     try:
         if record.key == OPENING_KEY:
-            return msgspec.json.decode(record.value or b"", type=ClaimOpening)
+            return decode_json(record.value or b"", ClaimOpening)
         if record.key.startswith(CHECK_IN_PREFIX):
             return _decode_check_in(record)
-    except msgspec.MsgspecError as exc:
+    except MalformedDocumentError as exc:
         raise MalformedRecordError(f"record {record.key}: {exc}") from exc
     return decode_token_claim(record)
 
@@ -61,7 +62,7 @@
 def _decode_check_in(record: KeyedRecord) -> ClaimCheckIn | None:
     if record.value is None:
         return None
-    check_in = msgspec.json.decode(record.value, type=ClaimCheckIn)
+    check_in = decode_json(record.value, ClaimCheckIn)
     if record.key != f"{CHECK_IN_PREFIX}{check_in.incarnation}":
         raise MalformedRecordError(f"check-in {record.key}: key and value differ")
     return check_in
--- a/src/knapweeddrum/platform/configuration_codec.py
+++ b/src/knapweeddrum/platform/configuration_codec.py
@@ -11,6 +11,7 @@
 from knapweeddrum.core.catalog.route_kind import RouteKind
 from knapweeddrum.core.catalog.service import EngineLimits, Service
 from knapweeddrum.platform.exceptions import MalformedRecordError
+from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 
 DEFAULT_REQUEST_TIMEOUT_MS = 30_000.0
 DEFAULT_TARGET_LATENCY_MS = 1_000.0
@@ -77,8 +78,8 @@
 def decode_document(body: bytes) -> ConfigurationDocument:
     """Parse the JSON document; the MalformedRecordError raised names the field."""
     try:
-        return msgspec.json.decode(body, type=ConfigurationDocument)
-    except msgspec.MsgspecError as exc:
+        return decode_json(body, ConfigurationDocument)
+    except MalformedDocumentError as exc:
         raise MalformedRecordError(f"configuration: {exc}") from exc
 
 
--- a/src/knapweeddrum/platform/fleet_codec.py
+++ b/src/knapweeddrum/platform/fleet_codec.py
@@ -9,6 +9,7 @@
 from knapweeddrum.message.call.crash_record import CrashRecord
 from knapweeddrum.platform.exceptions import MalformedRecordError
 from knapweeddrum.platform.keyed_record import KeyedRecord
+from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 from knapweeddrum.value.host_record import HostRecord
 
 KEY_SEPARATOR = "|"
@@ -26,8 +27,8 @@
     if record.value is None:
         return None
     try:
-        return msgspec.json.decode(record.value, type=HostRecord)
-    except msgspec.MsgspecError as exc:
+        return decode_json(record.value, HostRecord)
+    except MalformedDocumentError as exc:
         raise MalformedRecordError(f"heartbeat of {record.key}: {exc}") from exc
 
 
@@ -39,8 +40,8 @@
 def decode_version_record(record: KeyedRecord) -> VersionRecord:
     """Decode the record of the services' versions; raises MalformedRecordError."""
     try:
-        return msgspec.json.decode(record.value or b"", type=VersionRecord)
-    except msgspec.MsgspecError as exc:
+        return decode_json(record.value or b"", VersionRecord)
+    except MalformedDocumentError as exc:
         raise MalformedRecordError(f"versions of services: {exc}") from exc
 
 
@@ -59,10 +60,10 @@
     """Decode a claim on prepaid tokens; raises MalformedRecordError."""
     organisation, separator, incarnation = record.key.rpartition(KEY_SEPARATOR)
     try:
-        claimed, committed, unlocked, witness = msgspec.json.decode(
-            record.value or b"", type=tuple[int, int, int, str]
+        claimed, committed, unlocked, witness = decode_json(
+            record.value or b"", tuple[int, int, int, str]
         )
-    except msgspec.MsgspecError as exc:
+    except MalformedDocumentError as exc:
         raise MalformedRecordError(f"claim {record.key}: {exc}") from exc
     if not separator:
         raise MalformedRecordError(f"claim {record.key}: the key has no incarnation")
@@ -82,8 +83,8 @@
 def decode_crash_record(record: KeyedRecord) -> CrashRecord:
     """Decode a request's crashes; raises MalformedRecordError."""
     try:
-        decoded = msgspec.json.decode(record.value or b"", type=CrashRecord)
-    except msgspec.MsgspecError as exc:
+        decoded = decode_json(record.value or b"", CrashRecord)
+    except MalformedDocumentError as exc:
         raise MalformedRecordError(f"crash record {record.key}: {exc}") from exc
     if decoded.fingerprint != record.key:
         raise MalformedRecordError(f"crash record {record.key}: key and value differ")
--- a/src/knapweeddrum/platform/http_append_log.py
+++ b/src/knapweeddrum/platform/http_append_log.py
@@ -6,8 +6,6 @@
 import urllib.parse
 from collections.abc import AsyncIterator
 
-import msgspec
-
 from knapweeddrum.http.exceptions import ExchangeError, NoReplyError, NotSentError
 from knapweeddrum.http.exchange_client import ExchangeClient
 from knapweeddrum.http.reply import Reply
@@ -22,6 +20,7 @@
 from knapweeddrum.platform.expired_reply import ExpiredReply
 from knapweeddrum.platform.log_page import LogPage
 from knapweeddrum.platform.page_reply import PageReply
+from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 
 APPEND_TIMEOUT_SECONDS = 5.0
 READ_TIMEOUT_SECONDS = 5.0
@@ -78,7 +77,7 @@
             raise LogUnavailableError(str(exc)) from exc
         try:
             return self._decode_page(reply, start)
-        except msgspec.MsgspecError as exc:
+        except MalformedDocumentError as exc:
             raise LogUnavailableError(f"malformed page: {exc}") from exc
 
     def _records_path(self, stream: str) -> str:
@@ -90,14 +89,14 @@
         if reply.status != OK:
             raise AppendUnknownError(f"append answered with status {reply.status}")
         try:
-            return msgspec.json.decode(reply.body, type=AppendReply).offset
-        except msgspec.MsgspecError as exc:
+            return decode_json(reply.body, AppendReply).offset
+        except MalformedDocumentError as exc:
             raise AppendUnknownError(f"malformed reply to an append: {exc}") from exc
 
     def _decode_page(self, reply: Reply, start: int) -> LogPage:
         if reply.status == GONE:
-            expired = msgspec.json.decode(reply.body, type=ExpiredReply)
+            expired = decode_json(reply.body, ExpiredReply)
             raise RecordsExpiredError(expired.first)
         if reply.status != OK:
             raise LogUnavailableError(f"read answered with status {reply.status}")
-        return msgspec.json.decode(reply.body, type=PageReply).page(start)
+        return decode_json(reply.body, PageReply).page(start)
--- a/src/knapweeddrum/platform/http_host_list.py
+++ b/src/knapweeddrum/platform/http_host_list.py
@@ -5,8 +5,6 @@
 import contextlib
 from collections.abc import AsyncIterator
 
-import msgspec
-
 from knapweeddrum.http.exceptions import ExchangeError
 from knapweeddrum.http.exchange_client import ExchangeClient
 from knapweeddrum.http.request import Request
@@ -14,6 +12,7 @@
 from knapweeddrum.platform.host_list import HostList
 from knapweeddrum.platform.hosts_reply import HostsReply
 from knapweeddrum.platform.listed_host import ListedHost
+from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 
 HOSTS_TIMEOUT_SECONDS = 5.0
 HOSTS_LIMIT_BYTES = 1024 * 1024
@@ -46,6 +45,6 @@
         if reply.status != OK:
             raise PlatformError(f"host list answered with status {reply.status}")
         try:
-            return msgspec.json.decode(reply.body, type=HostsReply).listed_hosts()
-        except msgspec.MsgspecError as exc:
+            return decode_json(reply.body, HostsReply).listed_hosts()
+        except MalformedDocumentError as exc:
             raise PlatformError(f"malformed host list: {exc}") from exc
--- a/src/knapweeddrum/platform/service_list_codec.py
+++ b/src/knapweeddrum/platform/service_list_codec.py
@@ -8,6 +8,7 @@
 
 from knapweeddrum.core.catalog.endpoint_entry import UNKNOWN_VERSION, EndpointEntry
 from knapweeddrum.platform.exceptions import MalformedRecordError
+from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 
 MAX_VERSION_CHARS = 128
 ENDPOINT_STATES = frozenset({"ready", "draining"})
@@ -30,8 +31,8 @@
 def decode_endpoint_entry(endpoint_id: str, body: bytes) -> EndpointEntry:
     """Decode an entry; raises MalformedRecordError if its format is invalid."""
     try:
-        entry = msgspec.json.decode(body, type=_Entry)
-    except msgspec.MsgspecError as exc:
+        entry = decode_json(body, _Entry)
+    except MalformedDocumentError as exc:
         raise MalformedRecordError(f"entry {endpoint_id}: {exc}") from exc
     if entry.state not in ENDPOINT_STATES:
         raise MalformedRecordError(
--- a/src/knapweeddrum/platform/settings_file.py
+++ b/src/knapweeddrum/platform/settings_file.py
@@ -74,7 +74,7 @@
             document = msgspec.convert(tomllib.load(file), _SettingsDocument)
     except OSError as exc:
         raise SettingsFileError(f"{path}: {exc.strerror}") from exc
-    except (tomllib.TOMLDecodeError, msgspec.ValidationError, ValueError) as exc:
+    except (msgspec.ValidationError, ValueError, RecursionError) as exc:
         raise SettingsFileError(f"{path}: {exc}") from exc
     bounds = document.bounds
     own_ip = document.listen.front.rpartition(":")[0]
--- a/src/knapweeddrum/platform/start_report.py
+++ b/src/knapweeddrum/platform/start_report.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from knapweeddrum.value.documents import MalformedDocumentError, decode_json
+
 REPORT_TARGET = b"/-/report"
 MAX_REPORT_BYTES = 65_536
 OK_STATUS = 200
@@ -19,6 +21,6 @@
     if status != OK_STATUS:
         return None
     try:
-        return msgspec.json.decode(body, type=_Report).born
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return decode_json(body, _Report).born
+    except MalformedDocumentError:
         return None
--- a/src/knapweeddrum/platform/store_client.py
+++ b/src/knapweeddrum/platform/store_client.py
@@ -29,6 +29,7 @@
 from knapweeddrum.platform.store_era import StoreEra
 from knapweeddrum.platform.store_listing import StoreListing
 from knapweeddrum.platform.store_page import StorePage
+from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 from knapweeddrum.value.store_position import era_of, offset_of, store_position
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -137,8 +138,8 @@
         if expected_end is not None and not _is_of_era(expected_end, reply.era):
             raise AppendUnknownError(f"append carried out in era {reply.era}")
         try:
-            end = msgspec.json.decode(reply.body, type=_Appended).end
-        except msgspec.MsgspecError as exc:
+            end = decode_json(reply.body, _Appended).end
+        except MalformedDocumentError as exc:
             raise AppendUnknownError(f"malformed reply to an append: {exc}") from exc
         return store_position(reply.era, end)
 
@@ -161,13 +162,13 @@
             raise StoreReturnedError(reply.era)
         try:
             if reply.status == GONE:
-                first = msgspec.json.decode(reply.body, type=_Expired).first
+                first = decode_json(reply.body, _Expired).first
                 raise RecordsExpiredError(first)
             if reply.status != OK:
                 raise LogUnavailableError(f"read answered with status {reply.status}")
             position = store_position(reply.era, offset_of(start))
             return decode_page(reply.body, position)
-        except (msgspec.MsgspecError, MalformedRecordError) as exc:
+        except (MalformedDocumentError, MalformedRecordError) as exc:
             raise LogUnavailableError(f"malformed page: {exc}") from exc
 
     async def list_newest(self, stream: str) -> StoreListing:
@@ -202,8 +203,8 @@
         if reply.status != OK:
             raise LogUnavailableError(f"listing answered with status {reply.status}")
         try:
-            listing = msgspec.json.decode(reply.body, type=_Listing)
-        except msgspec.MsgspecError as exc:
+            listing = decode_json(reply.body, _Listing)
+        except MalformedDocumentError as exc:
             raise LogUnavailableError(f"malformed listing: {exc}") from exc
         return _ListingPage(listing, reply.era)
 
--- a/src/knapweeddrum/process/entry/configuration_reader.py
+++ b/src/knapweeddrum/process/entry/configuration_reader.py
@@ -8,9 +8,13 @@
 from knapweeddrum.platform.exceptions import MalformedRecordError
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.streams import CONFIGURATION_KEY
-from knapweeddrum.process.entry.entry_context import EntryContext
+from knapweeddrum.process.entry.entry_context import (
+    MAX_LOGGED_ERROR_CHARS,
+    EntryContext,
+)
 from knapweeddrum.process.entry.stream_follower import RecordReader
 from knapweeddrum.process.entry.stream_read import StreamRead
+from knapweeddrum.telemetry.counters import CONFIG_REJECTED_COUNT
 from knapweeddrum.telemetry.events import CONFIG_APPLIED, CONFIG_REJECTED
 from knapweeddrum.value.store_position import offset_of
 
@@ -45,8 +49,11 @@
         try:
             configuration = decode_configuration(body)
         except MalformedRecordError as exc:
+            ctx.metrics.count(CONFIG_REJECTED_COUNT)
             ctx.events.emit(
-                CONFIG_REJECTED, offset=offset_of(record.offset), error=str(exc)
+                CONFIG_REJECTED,
+                offset=offset_of(record.offset),
+                error=str(exc)[:MAX_LOGGED_ERROR_CHARS],
             )
             return
         previous = ctx.configuration.version if ctx.configuration else None
--- a/src/knapweeddrum/process/entry/crash_sharing.py
+++ b/src/knapweeddrum/process/entry/crash_sharing.py
@@ -26,6 +26,7 @@
 from knapweeddrum.process.entry.peer_client import PeerClient
 from knapweeddrum.telemetry.counters import CRASH_RECORD_NOT_WRITTEN
 from knapweeddrum.telemetry.events import CRASHES_CLEARED
+from knapweeddrum.value.documents import decode_json
 
 CRASH_EXCHANGE_PATH = b"/crash-records"
 CLEAR_PATH = b"/crash-records/clear"
@@ -98,20 +99,14 @@
 
     async def exchange(self, body: bytes) -> PageAnswer:
         """Merge the records of another host and reply with those of this one."""
-        try:
-            message = msgspec.json.decode(body, type=CrashExchange)
-        except msgspec.MsgspecError:
-            return PageAnswer(400)
+        message = decode_json(body, CrashExchange)
         merge(self._ctx, message.records, PEER_SOURCE)
         records = self._ctx.crash_register.newest_records()
         return PageAnswer(200, msgspec.json.encode(CrashExchange(records)))
 
     async def clear(self, body: bytes) -> PageAnswer:
         """Clear the crashes of a request, as an operator orders."""
-        try:
-            order = msgspec.json.decode(body, type=CrashClearance)
-        except msgspec.MsgspecError:
-            return PageAnswer(400)
+        order = decode_json(body, CrashClearance)
         cleared = self._ctx.crash_register.clear(order.fingerprint)
         if cleared:
             self._ctx.events.emit(CRASHES_CLEARED, fingerprint=order.fingerprint)
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -46,6 +46,7 @@
 from knapweeddrum.settings.entry_settings import EntrySettings
 from knapweeddrum.telemetry.counters import (
     ACCEPT_FAILED_COUNT,
+    ENTRY_IGNORED_COUNT,
     STORE_ERA_DOUBTED_COUNT,
     STORE_RETURNED_COUNT,
 )
@@ -61,6 +62,9 @@
 from knapweeddrum.value.identifiers import EndpointName
 from knapweeddrum.value.store_position import offset_of
 
+MAX_LOGGED_ERROR_CHARS = 300
+"""Length up to which an error that quotes a record is logged."""
+
 FRESH_SECONDS = HEARTBEAT_TIMEOUT_SECONDS
 """Age of the known heartbeats up to which this host can't have been left out by others,
 and time after which they know of it: no other has claimed without a witness."""
@@ -184,8 +188,12 @@
 
     def record_ignored(self, key: str, position: int, error: str) -> None:
         """Record that a record of the store can't be read."""
+        self.metrics.count(ENTRY_IGNORED_COUNT)
         self.events.emit(
-            ENTRY_IGNORED, key=key, offset=offset_of(position), error=error
+            ENTRY_IGNORED,
+            key=key,
+            offset=offset_of(position),
+            error=error[:MAX_LOGGED_ERROR_CHARS],
         )
 
     def permit_share(self, now: float) -> float:
--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -190,7 +190,7 @@
     def _page_server(
         self, address: str, pages: Mapping[bytes, PageHandler]
     ) -> PageServer:
-        return PageServer(address, pages, self._ctx.record_accept_failure)
+        return PageServer(self._ctx, address, pages)
 
     def _followers(self) -> list[StreamFollower]:
         ctx = self._ctx
--- a/src/knapweeddrum/process/entry/page_server.py
+++ b/src/knapweeddrum/process/entry/page_server.py
@@ -9,8 +9,12 @@
 
 from knapweeddrum.http.exceptions import MalformedRequestError, PeerDisconnectedError
 from knapweeddrum.http.header_list import Header
-from knapweeddrum.http.listener import FailureReporter, listen
+from knapweeddrum.http.listener import listen
 from knapweeddrum.http.server_connection import ServerConnection
+from knapweeddrum.process.entry.entry_context import EntryContext
+from knapweeddrum.telemetry.counters import MESSAGE_REJECTED_COUNT
+from knapweeddrum.telemetry.events import MESSAGE_REJECTED
+from knapweeddrum.value.documents import MalformedDocumentError
 
 MAX_HEAD_BYTES = 8192
 IDLE_TIMEOUT_SECONDS = 15.0
@@ -19,7 +23,10 @@
 MAX_BODY_BYTES = 65_536
 
 PageHandler = Callable[[bytes], Awaitable["PageAnswer"]]
-"""Handler of one path; takes the body of the request."""
+"""Handler of one path; takes the body of the request.
+
+It raises MalformedDocumentError for a body that it can't read.
+"""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,18 +42,15 @@
     """Serves pages by path at one address; query strings are ignored."""
 
     def __init__(
-        self,
-        address: str,
-        pages: Mapping[bytes, PageHandler],
-        on_failure: FailureReporter,
+        self, ctx: EntryContext, address: str, pages: Mapping[bytes, PageHandler]
     ) -> None:
+        self._ctx = ctx
         self._address = address
         self._pages = pages
-        self._on_failure = on_failure
 
     async def run(self) -> None:
         """Accept connections until cancelled."""
-        async with listen(self._address, self._on_failure) as listener:
+        async with listen(self._address, self._ctx.record_accept_failure) as listener:
             await listener.serve(self._serve)
 
     async def _serve(self, stream: SocketStream) -> None:
@@ -67,8 +71,18 @@
         if conn.has_pending_input():
             # The client disconnected, perhaps while this process was suspended.
             return False
-        page = self._pages.get(received.target.partition(b"?")[0])
-        answer = await page(body) if page is not None else PageAnswer(404)
+        answer = await self._answer(received.target.partition(b"?")[0], body)
         headers: list[Header] = [(b"Content-Type", answer.content_type.encode())]
         await conn.send_reply(answer.status, headers, answer.body)
         return conn.finish()
+
+    async def _answer(self, path: bytes, body: bytes) -> PageAnswer:
+        page = self._pages.get(path)
+        if page is None:
+            return PageAnswer(404)
+        try:
+            return await page(body)
+        except MalformedDocumentError as exc:
+            self._ctx.metrics.count(MESSAGE_REJECTED_COUNT)
+            self._ctx.events.emit(MESSAGE_REJECTED, path=path.decode(), error=str(exc))
+            return PageAnswer(400)
--- a/src/knapweeddrum/process/entry/peer_client.py
+++ b/src/knapweeddrum/process/entry/peer_client.py
@@ -12,6 +12,7 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry import counters
 from knapweeddrum.telemetry.events import HOST_UNANSWERED
+from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 
 PEER_REQUEST_TIMEOUT_SECONDS = 0.15
 """Default time limit of a request to another host, from connect to reply."""
@@ -74,8 +75,8 @@
             if head.status != OK:
                 # Another start of the host, or one of the version before.
                 return None
-            return msgspec.json.decode(answer, type=reply_type)
-        except (ExchangeError, TimeoutError, msgspec.MsgspecError) as exc:
+            return decode_json(answer, reply_type)
+        except (ExchangeError, TimeoutError, MalformedDocumentError) as exc:
             self._record_failure(address, timeout)
             if isinstance(exc, PeerRefusedError):
                 now = time.monotonic()
--- a/src/knapweeddrum/process/entry/permit_desk.py
+++ b/src/knapweeddrum/process/entry/permit_desk.py
@@ -21,6 +21,7 @@
     PERMIT_WITHHELD,
 )
 from knapweeddrum.telemetry.events import PERMITS_OWNED
+from knapweeddrum.value.documents import decode_json
 from knapweeddrum.value.host_record import HostRecord
 from knapweeddrum.value.identifiers import EndpointName
 from knapweeddrum.value.told_limit import ToldLimit
@@ -58,18 +59,12 @@
 
     async def answer(self, body: bytes) -> PageAnswer:
         """Answer a PermitRequest of another host."""
-        try:
-            req = msgspec.json.decode(body, type=PermitRequest)
-        except msgspec.MsgspecError:
-            return PageAnswer(400)
+        req = decode_json(body, PermitRequest)
         return PageAnswer(200, msgspec.json.encode(self.give(req)))
 
     async def take_news(self, body: bytes) -> PageAnswer:
         """Take in LimitNews of another host."""
-        try:
-            news = msgspec.json.decode(body, type=LimitNews)
-        except msgspec.MsgspecError:
-            return PageAnswer(400)
+        news = decode_json(body, LimitNews)
         self._ctx.endpoint_limits.merge([news.limit], time.monotonic())
         return PageAnswer(200, msgspec.json.encode(LimitNewsReply()))
 
--- a/src/knapweeddrum/process/entry/sighting_task.py
+++ b/src/knapweeddrum/process/entry/sighting_task.py
@@ -13,6 +13,7 @@
 from knapweeddrum.process.entry.page_server import PageAnswer
 from knapweeddrum.process.entry.peer_client import PeerClient
 from knapweeddrum.telemetry.counters import SIGHTING_ASKED
+from knapweeddrum.value.documents import decode_json
 from knapweeddrum.value.host_record import HostRecord
 
 SIGHTING_PATH = b"/sightings"
@@ -53,10 +54,7 @@
 
     async def exchange(self, body: bytes) -> PageAnswer:
         """Take in what another host tells and tell it the same."""
-        try:
-            told = msgspec.json.decode(body, type=SightingExchange)
-        except msgspec.MsgspecError:
-            return PageAnswer(400)
+        told = decode_json(body, SightingExchange)
         now = time.monotonic()
         if self._apply(told, now):
             self._fleet_view.refresh(now)
--- a/src/knapweeddrum/process/entry/stream_origin_sharing.py
+++ b/src/knapweeddrum/process/entry/stream_origin_sharing.py
@@ -30,6 +30,7 @@
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.process.entry.request_log import MAX_LOGGED_ID_CHARS
 from knapweeddrum.telemetry.events import STREAM_ORIGIN_SOUGHT
+from knapweeddrum.value.documents import decode_json
 from knapweeddrum.value.host_record import HostRecord
 from knapweeddrum.value.origin_source import OriginSource
 
@@ -117,10 +118,7 @@
 
     async def receive_notice(self, body: bytes) -> PageAnswer:
         """Remember the origins that another host tells."""
-        try:
-            notice = msgspec.json.decode(body, type=StreamOriginNotice)
-        except msgspec.MsgspecError:
-            return PageAnswer(400)
+        notice = decode_json(body, StreamOriginNotice)
         now = time.monotonic()
         new = sum(
             self._origins.record(record.key, _origin(record), now)
@@ -130,10 +128,7 @@
 
     async def answer_question(self, body: bytes) -> PageAnswer:
         """Tell another host what is known here of a stream."""
-        try:
-            question = msgspec.json.decode(body, type=StreamOriginQuestion)
-        except msgspec.MsgspecError:
-            return PageAnswer(400)
+        question = decode_json(body, StreamOriginQuestion)
         origin = self._origins.find(question.key, time.monotonic())
         record = _record(question.key, origin) if origin is not None else None
         sole = self._sole_origin(question.services)
--- a/src/knapweeddrum/process/entry/token_lender.py
+++ b/src/knapweeddrum/process/entry/token_lender.py
@@ -19,6 +19,7 @@
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
 from knapweeddrum.telemetry import counters
 from knapweeddrum.telemetry.events import TOKENS_LENT
+from knapweeddrum.value.documents import decode_json
 
 LOAN_CLAIM_TIMEOUT_SECONDS = 0.1
 """Timeout of a claim for another host, shorter than that host's wait for a reply."""
@@ -40,10 +41,7 @@
 
     async def lend(self, body: bytes) -> PageAnswer:
         """Answer a TokenLoanRequest of another host."""
-        try:
-            req = msgspec.json.decode(body, type=TokenLoanRequest)
-        except msgspec.MsgspecError:
-            return PageAnswer(400)
+        req = decode_json(body, TokenLoanRequest)
         account = self._ctx.token_accounts.account(req.organisation, time.monotonic())
         if self._is_recoverable(req) and not self._recover_lost_loans(req, account):
             return PageAnswer(409)
@@ -68,10 +66,7 @@
 
     async def take_back(self, body: bytes) -> PageAnswer:
         """Credit the tokens of a TokenReturn, unless this process is about to end."""
-        try:
-            message = msgspec.json.decode(body, type=TokenReturn)
-        except msgspec.MsgspecError:
-            return PageAnswer(400)
+        message = decode_json(body, TokenReturn)
         ctx = self._ctx
         is_accepted = not ctx.draining and message.lender == ctx.incarnation
         if is_accepted:
--- a/src/knapweeddrum/process/entry/token_witness.py
+++ b/src/knapweeddrum/process/entry/token_witness.py
@@ -14,6 +14,7 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.page_server import PageAnswer
 from knapweeddrum.process.entry.peer_client import PeerClient
+from knapweeddrum.value.documents import decode_json
 
 WITNESS_LEAVE_PATH = b"/witness-leaves"
 NO_CONSENT = PageAnswer(409)
@@ -33,10 +34,7 @@
 
     async def unlock(self, body: bytes) -> PageAnswer:
         """Answer a TokenUnlockRequest of a holder."""
-        try:
-            req = msgspec.json.decode(body, type=TokenUnlockRequest)
-        except msgspec.MsgspecError:
-            return PageAnswer(400)
+        req = decode_json(body, TokenUnlockRequest)
         if req.witness != self._ctx.incarnation:
             return NO_CONSENT
         if self._ctx.draining:
@@ -54,10 +52,7 @@
 
     async def record_leave(self, body: bytes) -> PageAnswer:
         """Record that a witness of this host's claims has stopped releasing them."""
-        try:
-            leave = msgspec.json.decode(body, type=WitnessDeparture)
-        except msgspec.MsgspecError:
-            return PageAnswer(400)
+        leave = decode_json(body, WitnessDeparture)
         self._ctx.token_accounts.record_witness_leave(leave.witness, leave.freed)
         return PageAnswer(200, msgspec.json.encode(TokenUnlockReply([])))
 
--- a/src/knapweeddrum/process/router/model_run.py
+++ b/src/knapweeddrum/process/router/model_run.py
@@ -18,6 +18,7 @@
 from knapweeddrum.process.router.run_ending import RunEnding
 from knapweeddrum.process.router.run_services import RunServices
 from knapweeddrum.process.router.run_states import combined_run_state
+from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 from knapweeddrum.value.refusal import Refusal
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.run_state import RunState
@@ -136,8 +137,8 @@
     def _publish_recorded(self, recorded: ClaimReply) -> RunEnding:
         """Publish a recorded answer."""
         try:
-            answer = msgspec.json.decode(recorded.body, type=RecordedAnswer)
-        except msgspec.MsgspecError as exc:
+            answer = decode_json(recorded.body, RecordedAnswer)
+        except MalformedDocumentError as exc:
             raise refused(
                 RefusalReason.KEY_EXPIRED,
                 "the request ran, but its recorded answer cannot be decoded",
--- a/src/knapweeddrum/process/router/resource_table.py
+++ b/src/knapweeddrum/process/router/resource_table.py
@@ -13,6 +13,7 @@
 from knapweeddrum.message.resource.organisation import Organisation
 from knapweeddrum.message.resource.route import Route
 from knapweeddrum.message.resource.rule import Rule
+from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 from knapweeddrum.value.resource_kind import ResourceKind
 
 ResourceT = TypeVar("ResourceT", bound=msgspec.Struct)
@@ -79,6 +80,6 @@
     if record.deleted:
         return
     try:
-        table[record.name] = msgspec.json.decode(record.body, type=spec)
-    except msgspec.MsgspecError:
+        table[record.name] = decode_json(record.body, spec)
+    except MalformedDocumentError:
         return
--- a/src/knapweeddrum/rpc/message_codec.py
+++ b/src/knapweeddrum/rpc/message_codec.py
@@ -7,6 +7,8 @@
 import msgspec
 from grpclib.encoding.base import CodecBase
 
+from knapweeddrum.value.documents import decode_message_pack
+
 
 class MessageCodec(CodecBase):
     """Encode and decode messages by their declared type."""
@@ -20,5 +22,5 @@
         return msgspec.msgpack.encode(message)
 
     def decode(self, data: bytes, message_type: Any) -> Any:
-        """Return the message; raises msgspec.MsgspecError for a malformed one."""
-        return msgspec.msgpack.decode(data, type=message_type)
+        """Return the message; raises MalformedDocumentError for a malformed one."""
+        return decode_message_pack(data, message_type)
--- a/src/knapweeddrum/rpc/rpc_client.py
+++ b/src/knapweeddrum/rpc/rpc_client.py
@@ -19,12 +19,18 @@
 from knapweeddrum.rpc.message_codec import MessageCodec
 from knapweeddrum.rpc.method import Method
 from knapweeddrum.rpc.rpc_caller import RpcCaller
+from knapweeddrum.value.documents import MalformedDocumentError
 
 RequestT = TypeVar("RequestT", bound=msgspec.Struct)
 ReplyT = TypeVar("ReplyT", bound=msgspec.Struct)
 
 
-_NO_REPLY_ERRORS = (OSError, StreamTerminatedError, TimeoutError, msgspec.MsgspecError)
+_NO_REPLY_ERRORS = (
+    OSError,
+    StreamTerminatedError,
+    TimeoutError,
+    MalformedDocumentError,
+)
 """Errors after which the call may have been carried out."""
 
 
--- a/src/knapweeddrum/settings/settings_reader.py
+++ b/src/knapweeddrum/settings/settings_reader.py
@@ -31,7 +31,7 @@
         document = json5.loads(path.read_text(encoding="utf-8"))
     except OSError as exc:
         raise SettingsError(f"{path}: {exc.strerror}") from exc
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise SettingsError(f"{path}: not JSON with comments: {exc}") from exc
     try:
         return Settings.model_validate(document)
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -79,6 +79,12 @@
 """Times that connections could not be accepted, several in a row as one."""
 WORKING_SET_CHANGES = "working_set.changed"
 """Times that the hosts changed that callers are sent to."""
+ENTRY_IGNORED_COUNT = "entry.ignored"
+"""Records of the store that can't be read and were left out."""
+CONFIG_REJECTED_COUNT = "config.rejected"
+"""Versions of the configuration that can't be read; the one before stays in force."""
+MESSAGE_REJECTED_COUNT = "message.rejected"
+"""Messages of other hosts, or of operators, that can't be read."""
 CLAIM_RECORDS_READ = "claim.records_read"
 """Records of token claims that this process read from the store."""
 CLAIM_WRITTEN = "claim.written"
@@ -121,6 +127,9 @@
     HOST_BEHIND_COUNT,
     ACCEPT_FAILED_COUNT,
     WORKING_SET_CHANGES,
+    ENTRY_IGNORED_COUNT,
+    CONFIG_REJECTED_COUNT,
+    MESSAGE_REJECTED_COUNT,
     CLAIM_RECORDS_READ,
     CLAIM_WRITTEN,
 )
