--- a/tests/http/test_client_connection.py
+++ b/tests/http/test_client_connection.py
@@ -190,3 +190,21 @@
     assert splitter.feed(b"id: 2\ndata: b\n") == b""
     assert splitter.feed(b"\n") == b"id: 2\ndata: b\n\n"
     assert (splitter.last_id, splitter.event_count) == ("2", 2)
+
+
+@async_test
+async def test_address_with_a_port_beyond_the_last_is_not_connected_to():
+    """It is an error of the address like any other, not one that ends a task."""
+    with CASE.assertRaises(NotSentError):
+        await ClientConnection.connect("127.0.0.1:70000", 1.0)
+
+
+@async_test
+async def test_idle_timeout_of_thousands_of_digits_is_ignored():
+    """Python refuses to read such a number."""
+    timeout = b"\r\nKeep-Alive: timeout=" + b"9" * 5_000
+    reply = OK_REPLY.replace(b"\r\n\r\n", timeout + b"\r\n\r\n")
+    async with RawServer([reply]).serve() as url:
+        conn = await ClientConnection.connect(address(url), 1.0)
+        assert await body_of(conn) == b"ok"
+        await conn.close()
--- a/tests/platform/test_entry_codecs.py
+++ b/tests/platform/test_entry_codecs.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import dataclasses
 import json
 import pathlib
 import tempfile
@@ -10,6 +11,7 @@
 
 from knapweeddrum.core.catalog.route_kind import RouteKind
 from knapweeddrum.core.prepaid.token_claim import TokenClaim
+from knapweeddrum.http.client_connection import RawReplyHead
 from knapweeddrum.http.exceptions import MalformedRequestError
 from knapweeddrum.http.header_list import HeaderList
 from knapweeddrum.http.server_connection import ReceivedRequest
@@ -17,6 +19,7 @@
 from knapweeddrum.message.call.crash_record import CrashRecord
 from knapweeddrum.platform.caller_protocol import decode_request
 from knapweeddrum.platform.configuration_codec import decode_configuration
+from knapweeddrum.platform.endpoint_protocol import decode_reply_head
 from knapweeddrum.platform.exceptions import MalformedRecordError, SettingsFileError
 from knapweeddrum.platform.fleet_codec import (
     decode_crash_record,
@@ -25,15 +28,26 @@
     decode_version_record,
     encode_crash_record,
     encode_crash_record_removal,
+    encode_heartbeat,
     encode_token_claim,
 )
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.record_codec import decode_page, encode_records
 from knapweeddrum.platform.service_list_codec import decode_endpoint_entry
 from knapweeddrum.platform.settings_file import read_settings_file
+from knapweeddrum.value.body_framing import BodyFraming
+from knapweeddrum.value.host_record import HostRecord
 from tests.process.entry.entry_harness import configuration, settings_text
 
 CASE = unittest.TestCase()
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "a",
+    "slots": 4,
+    "state": "ready",
+    "seq": 3,
+}
 
 
 def page(records: list[KeyedRecord], end: int, first: int = 0) -> bytes:
@@ -107,14 +121,7 @@
 
 def test_entries_need_a_valid_state_and_address():
     """An entry with an unknown state, a bad address or a wrong type is malformed."""
-    good = {
-        "service": "s",
-        "address": "10.0.0.1:80",
-        "zone": "a",
-        "slots": 4,
-        "state": "ready",
-        "seq": 3,
-    }
+    good = ENTRY
     assert decode_endpoint_entry("e", json.dumps(good).encode()).slots == 4
     for change in (
         {"state": "odd"},
@@ -204,3 +211,35 @@
                 read_settings_file(path)
         with CASE.assertRaisesRegex(SettingsFileError, "No such file"):
             read_settings_file(path.with_name("missing.toml"))
+
+
+def test_heartbeat_under_the_key_of_another_host_is_malformed():
+    """Hosts look up by name what they keep by key, so that both must agree."""
+    record = HostRecord("a", "a/1", "a:1", "a:2", "zone-a", ready=True, beat=1)
+    odd = dataclasses.replace(encode_heartbeat(record), key="b")
+    with CASE.assertRaises(MalformedRecordError):
+        decode_heartbeat(odd)
+
+
+def test_entry_with_an_address_that_no_socket_takes_is_malformed():
+    """Connecting there fails in another way than connecting to a host that is gone."""
+    for address in ("10.0.0.1:70000", "10.0.0.1:0", "10.0.0.999:80", "\u0661.0.0.1:8"):
+        entry = {**ENTRY, "address": address}
+        with CASE.assertRaises(MalformedRecordError):
+            decode_endpoint_entry("e", json.dumps(entry).encode())
+
+
+def test_token_usage_of_thousands_of_digits_is_malformed():
+    """Python refuses to read such a number, and no budget has so many tokens."""
+    for digits in (20, 5_000):
+        usage = (b"Token-Usage", b"1," + b"9" * digits)
+        with CASE.assertRaises(MalformedRequestError):
+            decode_request(received(usage))
+
+
+def test_load_report_of_thousands_of_digits_is_ignored():
+    """The answer that names it is passed on all the same."""
+    for digits in (20, 5_000):
+        headers = HeaderList([(b"Server-Load", b"1,0," + b"9" * digits)])
+        head = RawReplyHead(200, headers, BodyFraming.LENGTH)
+        assert decode_reply_head(head).load is None
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -1,12 +1,16 @@
 from __future__ import annotations
 
 import contextlib
+import json
+import struct
 import unittest
 from collections.abc import AsyncIterator
 
 import anyio
+import anyio.abc
 
 from knapweeddrum.http.connection_pool import ConnectionPool
+from knapweeddrum.http.server_connection import ServerConnection
 from knapweeddrum.platform.exceptions import (
     AppendUnknownError,
     ConditionFailedError,
@@ -18,6 +22,7 @@
 from knapweeddrum.platform.store_client import StoreClient
 from tests.async_test import async_test
 from tests.standins.platform_store import PlatformStore
+from tests.standins.tcp_serving import serving
 
 CASE = unittest.TestCase()
 RECORDS = [KeyedRecord("k", b"v")]
@@ -145,3 +150,55 @@
             with CASE.assertRaises(AppendUnknownError):
                 await client.append("keyed.x", RECORDS)
         assert len(doubts) == 10
+
+
+@async_test
+async def test_listed_value_that_is_not_ascii_is_kept_for_its_codec_to_reject():
+    """One value of another writer must not hide the others of the listing."""
+    listing = {
+        "items": [
+            {"key": "a", "value": "\u00e9", "offset": 0},
+            {"key": "b", "value": "MQ==", "offset": 1},
+        ],
+        "end": 2,
+    }
+    async with answering_store(json.dumps(listing).encode()) as client:
+        records = (await client.list_newest("keyed.x")).records
+    assert [record.key for record in records] == ["a", "b"]
+    assert records[1].value == b"1"
+
+
+@async_test
+async def test_listing_with_offsets_that_no_stream_has_is_a_failed_call():
+    """They would be taken for positions of another era."""
+    for offset, end in ((2**50, 2), (-1, 2), (0, -1), (0, 2**50)):
+        listing = {"items": [{"key": "a", "value": "", "offset": offset}], "end": end}
+        async with answering_store(json.dumps(listing).encode()) as client:
+            with CASE.assertRaises(LogUnavailableError):
+                await client.list_newest("keyed.x")
+
+
+@async_test
+async def test_page_with_offsets_that_no_stream_has_is_a_failed_call():
+    """The next read would begin in another era."""
+    for end, first in ((2**50, 0), (3, 2**50)):
+        page = struct.pack(">QQ", end, first)
+        async with answering_store(page) as client:
+            with CASE.assertRaises(LogUnavailableError):
+                await client.read("keyed.x", 0)
+
+
+@contextlib.asynccontextmanager
+async def answering_store(body: bytes) -> AsyncIterator[StoreClient]:
+    """Yield the client of a store that gives the same answer to each call."""
+
+    async def answer(stream: anyio.abc.SocketStream) -> None:
+        conn = ServerConnection(stream, 16_384)
+        await conn.next_request(5.0, 5.0)
+        await conn.send_reply(200, [], body)
+        await conn.close()
+
+    async with serving(answer) as address:
+        pool = ConnectionPool(lambda _: None)
+        yield StoreClient(address, pool, lambda *_: None)
+        await pool.close()
