Leave out a heartbeat under the key of another host

Such a record of another writer was kept by its key and looked up by its name: HostDirectory.suspects raised KeyError at the next look, which ended the task of sightings and with it the process (by reading; the codec's test failed before: no error was raised). The codec now rejects it like a crash record whose key and value differ; the reader logs and counts it.

--- a/src/knapweeddrum/platform/fleet_codec.py
+++ b/src/knapweeddrum/platform/fleet_codec.py
@@ -27,9 +27,12 @@
     if record.value is None:
         return None
     try:
-        return decode_json(record.value, HostRecord)
+        host = decode_json(record.value, HostRecord)
     except MalformedDocumentError as exc:
         raise MalformedRecordError(f"heartbeat of {record.key}: {exc}") from exc
+    if host.name != record.key:
+        raise MalformedRecordError(f"heartbeat of {record.key}: key and name differ")
+    return host
 
 
 def encode_version_record(record: VersionRecord) -> KeyedRecord:
