Reject addresses that no socket takes

An entry with the address 127.0.0.1:70000 was believed. Connecting there raises OverflowError, which is none of the errors of a failed connect: a request met an internal error, and the crash detector's probe of such an endpoint would have ended the process (by reading). Both tests failed before: "OverflowError: connect(): port must be 0-65535". The codec checks address and port; connecting reports the error like any other, as addresses of hosts come from heartbeats.

--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -95,7 +95,7 @@
         try:
             with anyio.fail_after(timeout):
                 stream = await anyio.connect_tcp(host, int(port))
-        except (OSError, TimeoutError, ValueError) as exc:
+        except (OSError, TimeoutError, ValueError, OverflowError) as exc:
             if isinstance(exc.__cause__ or exc, ConnectionRefusedError):
                 raise PeerRefusedError(f"{address}: {exc!r}") from exc
             raise NotSentError(f"{address}: {exc!r}") from exc
--- a/src/knapweeddrum/platform/service_list_codec.py
+++ b/src/knapweeddrum/platform/service_list_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import re
 
 import msgspec
@@ -12,7 +13,8 @@
 
 MAX_VERSION_CHARS = 128
 ENDPOINT_STATES = frozenset({"ready", "draining"})
-ADDRESS_PATTERN = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
+ADDRESS_PATTERN = re.compile(r"([0-9.]{7,15}):([0-9]{1,5})")
+MAX_PORT = 65_535
 
 
 class _Entry(msgspec.Struct, frozen=True, rename="camel"):
@@ -38,7 +40,7 @@
         raise MalformedRecordError(
             f"entry {endpoint_id}: unknown state {entry.state!r}"
         )
-    if ADDRESS_PATTERN.fullmatch(entry.address) is None:
+    if not _is_address(entry.address):
         raise MalformedRecordError(
             f"entry {endpoint_id}: invalid address {entry.address!r}"
         )
@@ -54,6 +56,18 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address and a port that a socket takes."""
+    found = ADDRESS_PATTERN.fullmatch(text)
+    if found is None or not 0 < int(found.group(2)) <= MAX_PORT:
+        return False
+    try:
+        ipaddress.IPv4Address(found.group(1))
+    except ValueError:
+        return False
+    return True
+
+
 def _decode_version(value: object) -> str:
     """Return the version, UNKNOWN_VERSION unless it is a text of usual length."""
     if isinstance(value, str) and len(value) <= MAX_VERSION_CHARS:
