Keep a listing in which one value is not ASCII

base64 raises binascii.Error for a value that is badly encoded and plain ValueError for one with other characters than ASCII; the second was not caught and ended the reader of the stream, so the process. The test failed before: "ValueError: string argument should contain only ASCII characters".

--- a/src/knapweeddrum/platform/store_client.py
+++ b/src/knapweeddrum/platform/store_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import dataclasses
 import urllib.parse
 from collections.abc import Callable, Sequence
@@ -269,7 +268,7 @@
 def _decode_item(item: _ListedItem, era: int) -> KeyedRecord:
     try:
         value = base64.b64decode(item.value, validate=True)
-    except binascii.Error:
+    except ValueError:
         # Keeps the key in the listing, with a value that every codec rejects.
         value = b"\x00"
     return KeyedRecord(item.key, value, store_position(era, item.offset))
