Read numbers in headers by one rule, with a bound on their digits

int() refuses texts of more than 4,300 digits with ValueError. In the header Keep-Alive of an answer of the store that ended the process, in Server-Load and Token-Usage it was an internal error of the request; numbers of some hundred digits made float arithmetic fail later. One function reads them all, up to 15 digits.

--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -26,6 +26,7 @@
 )
 from knapweeddrum.http.header_list import Header, HeaderList
 from knapweeddrum.value.body_framing import BodyFraming
+from knapweeddrum.value.whole_number import parse_whole_number
 
 MAX_RECEIVE_BYTES = 65_536
 MAX_INLINE_REQUEST_BYTES = 61_440
@@ -316,8 +317,9 @@
     def _update_idle_timeout(self, headers: HeaderList) -> None:
         for part in headers.text(b"keep-alive").split(","):
             name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.isdecimal():
-                self._idle_timeout = max(0.0, int(value) - IDLE_TIMEOUT_MARGIN_SECONDS)
+            seconds = parse_whole_number(value)
+            if name.lower() == "timeout" and seconds is not None:
+                self._idle_timeout = max(0.0, seconds - IDLE_TIMEOUT_MARGIN_SECONDS)
 
 
 _PLACEHOLDER_HEADERS = [(b"Host", b"-")]
--- a/src/knapweeddrum/platform/caller_protocol.py
+++ b/src/knapweeddrum/platform/caller_protocol.py
@@ -9,6 +9,7 @@
 from knapweeddrum.http.server_connection import ReceivedRequest
 from knapweeddrum.platform import header_names as names
 from knapweeddrum.platform.caller_request import CallerRequest, PromptMetadata
+from knapweeddrum.value.whole_number import parse_whole_number
 
 BEARER_PREFIX = "bearer "
 
@@ -66,12 +67,14 @@
     if usage is None:
         return None
     first, _, second = usage.decode("latin-1").partition(",")
-    if not (first.strip().isdecimal() and second.strip().isdecimal()):
+    input_tokens = parse_whole_number(first)
+    output_limit = parse_whole_number(second)
+    if input_tokens is None or output_limit is None:
         raise MalformedRequestError(400, "Token-Usage header is not two integers")
     parts = _part_identifiers(headers)
     shared = parts[:-1]
     session = shared[-1] if shared else parts[0]
-    return PromptMetadata(int(first), int(second), session, shared[:MAX_PARTS])
+    return PromptMetadata(input_tokens, output_limit, session, shared[:MAX_PARTS])
 
 
 def _part_identifiers(headers: HeaderList) -> tuple[str, ...]:
--- a/src/knapweeddrum/platform/endpoint_protocol.py
+++ b/src/knapweeddrum/platform/endpoint_protocol.py
@@ -16,6 +16,7 @@
 from knapweeddrum.platform.server_limit import decode_server_limit
 from knapweeddrum.value.answer_format import AnswerFormat
 from knapweeddrum.value.body_framing import BodyFraming
+from knapweeddrum.value.whole_number import parse_whole_number
 
 LOWEST_PRIORITY = 9
 MOVED_STATUS = 421
@@ -118,8 +119,9 @@
 
 
 def _decode_load(value: str) -> LoadReport | None:
-    figures = value.split(",")
-    if len(figures) != 3 or not all(part.strip().isdecimal() for part in figures):
+    figures = [parse_whole_number(part) for part in value.split(",")]
+    known = [figure for figure in figures if figure is not None]
+    if len(figures) != 3 or len(known) != 3:
         return None
-    running, waiting, slots = (int(part) for part in figures)
+    running, waiting, slots = known
     return LoadReport(running, waiting, slots)
