Answer 500 when a page for other hosts fails, instead of ending

The pages that a host serves to others ran in a task group whose first error ended the process: every connection of callers was cut by one message that a handler could not deal with.

--- a/src/knapweeddrum/process/entry/page_server.py
+++ b/src/knapweeddrum/process/entry/page_server.py
@@ -13,7 +13,7 @@
 from knapweeddrum.http.server_connection import ServerConnection
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import MESSAGE_REJECTED_COUNT
-from knapweeddrum.telemetry.events import MESSAGE_REJECTED
+from knapweeddrum.telemetry.events import MESSAGE_REJECTED, TASK_FAILED
 from knapweeddrum.value.documents import MalformedDocumentError
 
 MAX_HEAD_BYTES = 8192
@@ -86,3 +86,9 @@
             self._ctx.metrics.count(MESSAGE_REJECTED_COUNT)
             self._ctx.events.emit(MESSAGE_REJECTED, path=path.decode(), error=str(exc))
             return PageAnswer(400)
+        except Exception as exc:  # noqa: BLE001
+            # One page must not end the process, and with it the requests of callers.
+            self._ctx.events.emit(
+                TASK_FAILED, task=f"page {path.decode()}", error=repr(exc)
+            )
+            return PageAnswer(500)
