--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -40,6 +40,9 @@
 MAX_SKIPPED_REPLY_SECONDS = 1.0
 HEAD_TOO_LARGE_STATUS = 431
 """Status by which h11 marks a line or head that is too long."""
+MAX_PORT = 65_535
+MAX_SHOWN_CHARS = 64
+"""Characters of an invalid address that an error message shows at most."""
 BODILESS_STATUSES = frozenset({204, 304})
 DEFAULT_IDLE_TIMEOUT_SECONDS = 12.0
 """Idle time after which a connection is not reused, if the server announces none."""
@@ -92,11 +95,14 @@
 
         Raises PeerRefusedError if nothing listens there, or another NotSentError.
         """
-        host, _, port = address.rpartition(":")
+        host, _, port_text = address.rpartition(":")
+        port = parse_whole_number(port_text)
+        if port is None or port > MAX_PORT:
+            raise NotSentError(f"{address[:MAX_SHOWN_CHARS]!r} has no valid port")
         try:
             with anyio.fail_after(timeout):
-                stream = await anyio.connect_tcp(host, int(port))
-        except (OSError, TimeoutError, ValueError, OverflowError) as exc:
+                stream = await anyio.connect_tcp(host, port)
+        except (OSError, TimeoutError, ValueError) as exc:
             if isinstance(exc.__cause__ or exc, ConnectionRefusedError):
                 raise PeerRefusedError(f"{address}: {exc!r}") from exc
             raise NotSentError(f"{address}: {exc!r}") from exc
