State the range of each number in wire types

The fuzz found a count of 10**400 in the configuration (OverflowError in connection_limit at each request) and a limit with a negative age that was told on; reading found negative claims, which made a budget look larger, answers in a row that overflow a power of two, and offsets beyond those of a stream, taken for positions of another era. Wire types now use Count, Measure, Position and Offset, so that the decoders reject such values and what was known stays.

--- a/src/knapweeddrum/core/placing/endpoint_limits.py
+++ b/src/knapweeddrum/core/placing/endpoint_limits.py
@@ -102,7 +102,10 @@
         if known is None:
             return ToldLimit(instance, None, 0.0)
         return ToldLimit(
-            instance, known.per_second, now - known.known_at, known.unnamed_answers
+            instance,
+            known.per_second,
+            max(0.0, now - known.known_at),
+            known.unnamed_answers,
         )
 
     def close(self, instance: EndpointName, until: float) -> None:
--- a/src/knapweeddrum/core/prepaid/claim_check_in.py
+++ b/src/knapweeddrum/core/prepaid/claim_check_in.py
@@ -5,17 +5,18 @@
 import msgspec
 
 from knapweeddrum.core.prepaid.token_claim import TokenClaim
+from knapweeddrum.value.documents import Count, Position, SignedCount
 
 
 class KnownClaim(msgspec.Struct, frozen=True):
     """A claim as a host read it at a position of the stream."""
 
-    position: int
+    position: Position
     organisation: str
     incarnation: str
-    claimed: int
-    committed: int
-    unlocked: int
+    claimed: Count
+    committed: Count
+    unlocked: Count
     witness: str
 
     @classmethod
@@ -48,7 +49,7 @@
 
     organisation: str
     holder: str
-    limit: int
+    limit: Count
 
 
 class ClaimCheckIn(msgspec.Struct, frozen=True):
@@ -58,9 +59,9 @@
     """
 
     incarnation: str
-    era: int
-    complete_era: int
-    stream_end: int
+    era: Count
+    complete_era: SignedCount
+    stream_end: Position
     """Position before which it had read the claims when the store returned."""
     is_fresh: bool
     """Whether it had read the others' heartbeats shortly before."""
--- a/src/knapweeddrum/core/prepaid/claim_opening.py
+++ b/src/knapweeddrum/core/prepaid/claim_opening.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
+from knapweeddrum.value.documents import Count
+
 
 class ClaimOpening(msgspec.Struct, frozen=True):
     """From this record on the stream has all claims, and more may be written."""
 
-    era: int
+    era: Count
--- a/src/knapweeddrum/core/streams/version_record.py
+++ b/src/knapweeddrum/core/streams/version_record.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from knapweeddrum.value.documents import Measure, Position
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SoleVersion:
@@ -11,12 +13,12 @@
 
     service: str
     software_version: str
-    seconds: float
+    seconds: Measure
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class VersionRecord:
     """The services with a single version, by the service list before an offset."""
 
-    list_offset: int
+    list_offset: Position
     sole: tuple[SoleVersion, ...]
--- a/src/knapweeddrum/message/call/crash_record.py
+++ b/src/knapweeddrum/message/call/crash_record.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from knapweeddrum.message.call.crash_mark import CrashMark
+from knapweeddrum.value.documents import Count, Measure
 
 
 class CrashRecord(msgspec.Struct, frozen=True):
@@ -17,6 +18,6 @@
 
     fingerprint: str
     marks: tuple[CrashMark, ...]
-    cleared_at: float
-    rank: int = 0
+    cleared_at: Measure
+    rank: Count = 0
     """Place of a part in its prompts, counted from the first; 0 for a request."""
--- a/src/knapweeddrum/message/call/endpoint_permit.py
+++ b/src/knapweeddrum/message/call/endpoint_permit.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from knapweeddrum.value.told_limit import ToldLimit
+from knapweeddrum.value.documents import Measure
+from knapweeddrum.value.told_limit import AnswerCount, ToldLimit
 
 
 class PermitRequest(msgspec.Struct, frozen=True):
@@ -12,13 +13,13 @@
 
     instance: str
     """Start of the endpoint."""
-    per_second: float | None
+    per_second: Measure | None
     """Limit as the asking host knows it, None if it has ended."""
-    age: float
+    age: Measure
     """Seconds since an answer named it."""
     sender: str
     """Incarnation that asks."""
-    unnamed_answers: int = 0
+    unnamed_answers: AnswerCount = 0
     """Served answers in a row since then that did not name it."""
 
     @property
@@ -31,11 +32,11 @@
     """Whether a permit was given; without one, ``wait`` seconds until the next try."""
 
     is_given: bool
-    wait: float = 0.0
-    per_second: float | None = None
+    wait: Measure = 0.0
+    per_second: Measure | None = None
     """Limit as the owner knows it, None if it has ended."""
-    age: float = 0.0
-    unnamed_answers: int = 0
+    age: Measure = 0.0
+    unnamed_answers: AnswerCount = 0
 
     def limit(self, instance: str) -> ToldLimit:
         """Return what the owner knows of an endpoint."""
--- a/src/knapweeddrum/message/call/sighting.py
+++ b/src/knapweeddrum/message/call/sighting.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from knapweeddrum.value.documents import Measure
 from knapweeddrum.value.host_record import HostRecord
 
 
@@ -12,7 +13,7 @@
 
     name: str
     incarnation: str
-    age: float
+    age: Measure
     """Seconds since then."""
 
 
--- a/src/knapweeddrum/message/call/token_loan.py
+++ b/src/knapweeddrum/message/call/token_loan.py
@@ -7,38 +7,40 @@
 
 import msgspec
 
+from knapweeddrum.value.documents import Count, Measure, SignedCount
+
 
 class TokenLoanRequest(msgspec.Struct, frozen=True):
     """Asks for the ``shortfall`` tokens that a request lacks, better for ``wanted``."""
 
     organisation: str
-    shortfall: int
-    wanted: int
+    shortfall: Count
+    wanted: SignedCount
     may_claim: bool = False
     """Whether the lender may claim tokens from the store that it does not hold."""
     borrower: str = ""
     """Incarnation that asks; empty if the loan is not recovered when it gets lost."""
     lender: str = ""
     """Incarnation that is asked; ``number`` and ``received`` are about loans by it."""
-    number: int = 0
+    number: Count = 0
     """Number of the request, higher than that of each request that was given up."""
-    received: int = 0
+    received: Count = 0
     """Tokens of the organisation that the borrower has received from the lender."""
-    free: int = 0
+    free: SignedCount = 0
     """Free tokens of the borrower."""
 
 
 class TokenLoanReply(msgspec.Struct, frozen=True):
     """Tokens that the lender has debited from its own account; 0 for none."""
 
-    tokens: int
-    store_age: float
+    tokens: Count
+    store_age: Measure
     """Seconds since the store last answered the lender."""
     is_exhausted: bool = False
     """Whether the shortfall exceeds what is left of the prepaid tokens anywhere."""
     may_ask_again: bool = False
     """Whether the shortfall is unclaimed, and only its claim was not in time."""
-    plenty: float = 1.0
+    plenty: Measure = 1.0
     """Factor, from 0 to 1, on what hosts hold ahead of demand."""
     holders: tuple[str, ...] = ()
     """Peer addresses of hosts that may lend tokens instead."""
@@ -54,7 +56,7 @@
     """
 
     organisation: str
-    total: int
+    total: Count
     sender: str
     """Incarnation that gives them."""
     lender: str
--- a/src/knapweeddrum/message/call/token_opening.py
+++ b/src/knapweeddrum/message/call/token_opening.py
@@ -8,12 +8,14 @@
 
 import msgspec
 
+from knapweeddrum.value.documents import Count
+
 
 class UnlockedLimit(msgspec.Struct, frozen=True):
     """``mark`` is the total up to which the holder may spend tokens."""
 
     organisation: str
-    mark: int
+    mark: Count
 
 
 class TokenUnlockRequest(msgspec.Struct, frozen=True):
@@ -24,7 +26,7 @@
     witness: str
     """Incarnation that is asked; a later one at the same address can't consent."""
     marks: list[UnlockedLimit]
-    era: int = 0
+    era: Count = 0
     """Newest era of the store in which the holder knew all claims."""
 
 
--- a/src/knapweeddrum/platform/configuration_codec.py
+++ b/src/knapweeddrum/platform/configuration_codec.py
@@ -11,7 +11,13 @@
 from knapweeddrum.core.catalog.route_kind import RouteKind
 from knapweeddrum.core.catalog.service import EngineLimits, Service
 from knapweeddrum.platform.exceptions import MalformedRecordError
-from knapweeddrum.value.documents import MalformedDocumentError, decode_json
+from knapweeddrum.value.documents import (
+    Count,
+    MalformedDocumentError,
+    Measure,
+    SignedCount,
+    decode_json,
+)
 
 DEFAULT_REQUEST_TIMEOUT_MS = 30_000.0
 DEFAULT_TARGET_LATENCY_MS = 1_000.0
@@ -19,7 +25,7 @@
 
 class _Cluster(msgspec.Struct, frozen=True):
     service: str
-    weight: float
+    weight: Measure
 
 
 class _Route(msgspec.Struct, frozen=True, rename="camel"):
@@ -29,46 +35,46 @@
     kind: str
     service: str | None = None
     weighted_clusters: tuple[_Cluster, ...] = ()
-    timeout_ms: float = DEFAULT_REQUEST_TIMEOUT_MS
-    target_latency_ms: float = DEFAULT_TARGET_LATENCY_MS
-    priority: int = 0
-    max_attempts: int = 1
+    timeout_ms: Measure = DEFAULT_REQUEST_TIMEOUT_MS
+    target_latency_ms: Measure = DEFAULT_TARGET_LATENCY_MS
+    priority: SignedCount = 0
+    max_attempts: Count = 1
     allow_anonymous: bool = False
     session_affinity: bool = False
     resumable: bool = False
 
 
 class _Engine(msgspec.Struct, frozen=True, rename="camel"):
-    slots: int
-    kv_tokens: int
-    stride: int = 1
+    slots: Count
+    kv_tokens: Count
+    stride: Count = 1
     """Output tokens per event of a stream."""
 
 
 class _Service(msgspec.Struct, frozen=True, rename="camel"):
     name: str
-    max_connections: int
+    max_connections: Count
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="camel"):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: Count
+    max_body_bytes: Count
+    header_timeout_ms: Measure
+    idle_timeout_ms: Measure
 
 
 class _Tenant(msgspec.Struct, frozen=True, rename="camel"):
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
-    prepaid: int | None = None
+    priority: SignedCount | None = None
+    prepaid: Count | None = None
 
 
 class ConfigurationDocument(msgspec.Struct, frozen=True):
     """The JSON document that operators write; its field names are in camel case."""
 
-    version: int
+    version: Count
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits
--- a/src/knapweeddrum/platform/fleet_codec.py
+++ b/src/knapweeddrum/platform/fleet_codec.py
@@ -9,7 +9,7 @@
 from knapweeddrum.message.call.crash_record import CrashRecord
 from knapweeddrum.platform.exceptions import MalformedRecordError
 from knapweeddrum.platform.keyed_record import KeyedRecord
-from knapweeddrum.value.documents import MalformedDocumentError, decode_json
+from knapweeddrum.value.documents import Count, MalformedDocumentError, decode_json
 from knapweeddrum.value.host_record import HostRecord
 
 KEY_SEPARATOR = "|"
@@ -64,7 +64,7 @@
     organisation, separator, incarnation = record.key.rpartition(KEY_SEPARATOR)
     try:
         claimed, committed, unlocked, witness = decode_json(
-            record.value or b"", tuple[int, int, int, str]
+            record.value or b"", tuple[Count, Count, Count, str]
         )
     except MalformedDocumentError as exc:
         raise MalformedRecordError(f"claim {record.key}: {exc}") from exc
--- a/src/knapweeddrum/platform/record_codec.py
+++ b/src/knapweeddrum/platform/record_codec.py
@@ -13,7 +13,12 @@
 from knapweeddrum.platform.exceptions import MalformedRecordError
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.store_page import StorePage
-from knapweeddrum.value.store_position import era_of, offset_of, store_position
+from knapweeddrum.value.store_position import (
+    OFFSET_MASK,
+    era_of,
+    offset_of,
+    store_position,
+)
 
 LENGTH_PREFIX = struct.Struct(">I")
 PAGE_HEADER = struct.Struct(">QQ")
@@ -38,6 +43,8 @@
     if len(body) < PAGE_HEADER.size:
         raise MalformedRecordError("page is shorter than its header")
     end, first = PAGE_HEADER.unpack_from(body)
+    if max(end, first) > OFFSET_MASK:
+        raise MalformedRecordError("page has offsets that no stream has")
     records = []
     era = era_of(start)
     offset = max(offset_of(start), first)
--- a/src/knapweeddrum/platform/service_list_codec.py
+++ b/src/knapweeddrum/platform/service_list_codec.py
@@ -9,7 +9,7 @@
 
 from knapweeddrum.core.catalog.endpoint_entry import UNKNOWN_VERSION, EndpointEntry
 from knapweeddrum.platform.exceptions import MalformedRecordError
-from knapweeddrum.value.documents import MalformedDocumentError, decode_json
+from knapweeddrum.value.documents import Count, MalformedDocumentError, decode_json
 
 MAX_VERSION_CHARS = 128
 ENDPOINT_STATES = frozenset({"ready", "draining"})
@@ -21,12 +21,12 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Count
     state: str
     seq: int
     version: object = None
     """Version of the endpoint's software."""
-    born: int = 0
+    born: Count = 0
     """Unix time of the endpoint's start in milliseconds."""
 
 
--- a/src/knapweeddrum/platform/start_report.py
+++ b/src/knapweeddrum/platform/start_report.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from knapweeddrum.value.documents import MalformedDocumentError, decode_json
+from knapweeddrum.value.documents import Count, MalformedDocumentError, decode_json
 
 REPORT_TARGET = b"/-/report"
 MAX_REPORT_BYTES = 65_536
@@ -12,7 +12,7 @@
 
 
 class _Report(msgspec.Struct, frozen=True):
-    born: int
+    born: Count
     """Unix time of the endpoint's start in milliseconds."""
 
 
--- a/src/knapweeddrum/platform/store_client.py
+++ b/src/knapweeddrum/platform/store_client.py
@@ -29,7 +29,7 @@
 from knapweeddrum.platform.store_listing import StoreListing
 from knapweeddrum.platform.store_page import StorePage
 from knapweeddrum.value.documents import MalformedDocumentError, decode_json
-from knapweeddrum.value.store_position import era_of, offset_of, store_position
+from knapweeddrum.value.store_position import Offset, era_of, offset_of, store_position
 
 CONNECT_TIMEOUT_SECONDS = 0.5
 CALL_TIMEOUT_SECONDS = 0.9
@@ -51,12 +51,12 @@
 class _ListedItem(msgspec.Struct, frozen=True):
     key: str
     value: str
-    offset: int
+    offset: Offset
 
 
 class _Listing(msgspec.Struct, frozen=True):
     items: tuple[_ListedItem, ...]
-    end: int
+    end: Offset
     more: bool = msgspec.field(name="hasMore", default=False)
 
 
@@ -67,12 +67,12 @@
 
 
 class _Appended(msgspec.Struct, frozen=True):
-    offset: int
-    end: int
+    offset: Offset
+    end: Offset
 
 
 class _Expired(msgspec.Struct, frozen=True):
-    first: int
+    first: Offset
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/knapweeddrum/value/documents.py
+++ b/src/knapweeddrum/value/documents.py
@@ -12,12 +12,21 @@
 MAX_COUNT = 2**53
 """Largest whole number that every JSON library reads exactly."""
 
+MAX_POSITION = 2**62
+"""Highest position in a stream of the store, in any era."""
+
 MAX_MEASURE = 1e15
 """Largest measure, of seconds or rates, that arithmetic on measures bears."""
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 """Whole number that is not negative."""
 
+SignedCount = Annotated[int, msgspec.Meta(ge=-MAX_COUNT, le=MAX_COUNT)]
+"""Whole number that may be negative."""
+
+Position = Annotated[int, msgspec.Meta(ge=0, le=MAX_POSITION)]
+"""Position in a stream of the store, see ``store_position``."""
+
 Measure = Annotated[float, msgspec.Meta(ge=0, le=MAX_MEASURE)]
 """Number that is not negative."""
 
--- a/src/knapweeddrum/value/host_record.py
+++ b/src/knapweeddrum/value/host_record.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 
+from knapweeddrum.value.documents import Count, Measure
 from knapweeddrum.value.told_limit import ToldLimit
 
 UNKNOWN_CAPACITY = 25.0
@@ -23,11 +24,11 @@
     peer_address: str
     data_centre: str
     ready: bool
-    beat: int
+    beat: Count
     """Number of the heartbeat within the incarnation."""
-    capacity: float = UNKNOWN_CAPACITY
+    capacity: Measure = UNKNOWN_CAPACITY
     """Requests per second that it can carry."""
-    request_rate: float = 0.0
+    request_rate: Measure = 0.0
     """Requests per second that it received lately."""
     limits: tuple[ToldLimit, ...] = ()
     """Limits of endpoints that it knows of."""
--- a/src/knapweeddrum/value/store_position.py
+++ b/src/knapweeddrum/value/store_position.py
@@ -7,9 +7,16 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
+import msgspec
+
 OFFSET_BITS = 48
 OFFSET_MASK = (1 << OFFSET_BITS) - 1
 
+Offset = Annotated[int, msgspec.Meta(ge=0, le=OFFSET_MASK)]
+"""Offset as the store gives it out."""
+
 
 def store_position(era: int, offset: int) -> int:
     """Return the position of an offset in an era of the store."""
