Refuse by its time limit what may outlast a drain

Cause: RequestAdmission._check_drain took the longest recent answer of the route for how long a request may take. An answer longer than those was begun and cut. What a request may last is its deadline.

AnswerDurations had no other use and no test.

--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -33,7 +33,6 @@
 from knapweeddrum.core.prepaid.token_accounts import TokenAccounts
 from knapweeddrum.core.prepaid.token_owners import TokenOwners
 from knapweeddrum.core.prepaid.witness_ranking import rank_witnesses
-from knapweeddrum.core.routing.answer_durations import AnswerDurations
 from knapweeddrum.core.routing.failover_policy import FailoverPolicy
 from knapweeddrum.core.routing.retry_window import RetryWindow
 from knapweeddrum.core.streams.endpoint_history import EndpointHistory
@@ -138,10 +137,6 @@
     standing: HostStanding = dataclasses.field(default_factory=HostStanding)
     heartbeat_number: int = 0
     """Number of the last heartbeat that was tried to write."""
-    answer_durations: AnswerDurations = dataclasses.field(
-        default_factory=AnswerDurations
-    )
-
     endpoint_limits: EndpointLimits = dataclasses.field(default_factory=EndpointLimits)
     loans: LoanLedger = dataclasses.field(default_factory=LoanLedger)
     loop_lag: LoopLag = dataclasses.field(default_factory=LoopLag)
--- a/src/knapweeddrum/process/entry/request_admission.py
+++ b/src/knapweeddrum/process/entry/request_admission.py
@@ -49,7 +49,8 @@
         time_left = route.timeout
         if req.time_left is not None:
             time_left = min(time_left, req.time_left)
-        self._check_drain(route, time_left, arrived_at)
+        deadline = arrived_at + time_left
+        self._check_drain(deadline, arrived_at)
         max_connections = MIN_CONNECTIONS
         tokens_per_event = 1
         if service is not None:
@@ -64,7 +65,7 @@
             organisation=organisation,
             config_version=configuration.version,
             arrived_at=arrived_at,
-            deadline=arrived_at + time_left,
+            deadline=deadline,
             max_connections=max_connections,
             tokens_per_event=tokens_per_event,
             fingerprint=_fingerprint(req, body, organisation),
@@ -79,20 +80,18 @@
             service.max_connections, share, self._ctx.hosts.demand_share()
         )
 
-    def _check_drain(self, route: Route, time_left: float, arrived_at: float) -> None:
+    def _check_drain(self, deadline: float, arrived_at: float) -> None:
         """Refuse a request that may outlast the drain; another host can complete it."""
         ctx = self._ctx
-        if arrived_at < ctx.drain_refuses_from:
+        if arrived_at < ctx.drain_refuses_from or deadline <= ctx.drain_ends_at:
             return
-        duration = min(time_left, ctx.answer_durations.longest(route.name, time_left))
-        if arrived_at + duration > ctx.drain_ends_at:
-            left = ctx.drain_ends_at - arrived_at
-            detail = f"may take {duration:.1f} s, this process ends in {left:.1f} s"
-            raise refused(
-                RefusalReason.DRAINING,
-                retry_after=DRAINING_RETRY_AFTER_SECONDS,
-                detail=detail,
-            )
+        duration = deadline - arrived_at
+        left = ctx.drain_ends_at - arrived_at
+        raise refused(
+            RefusalReason.DRAINING,
+            retry_after=DRAINING_RETRY_AFTER_SECONDS,
+            detail=f"may take {duration:.1f} s, this process ends in {left:.1f} s",
+        )
 
     def _organisation(
         self, configuration: Configuration, route: Route, req: CallerRequest
--- a/src/knapweeddrum/process/entry/request_log.py
+++ b/src/knapweeddrum/process/entry/request_log.py
@@ -109,7 +109,6 @@
         job = self._job
         now = time.monotonic()
         first_chunk_latency = (job.first_chunk_at or now) - job.arrived_at
-        self._ctx.answer_durations.record(job.route.name, now - job.arrived_at)
         metrics = self._ctx.metrics
         metrics.count(counters.answer_counter(job.route.kind, status))
         metrics.timing(f"first_piece.{job.route.kind}", first_chunk_latency)
--- a/tests/process/entry/test_lost_requests.py
+++ b/tests/process/entry/test_lost_requests.py
@@ -23,6 +23,7 @@
 from tests.process.entry.entry_harness import (
     HOST_NAME,
     KEY,
+    Answer,
     EntryHarness,
     entry_harness,
 )
@@ -400,3 +401,36 @@
         assert (await harness.call("/draft/1", attempt="last")).status == 200
     begun = [headers.text(b"attempt-id") for headers in engine.runs]
     assert [attempt for attempt in begun if attempt.startswith("gone")] == []
+
+
+@async_test
+async def test_drain_begins_no_answer_that_its_end_may_cut_however_short_others_were():
+    """What a request may last is its time limit, not what answers took lately."""
+    engine = streaming_engine(2, 0.05)
+    late: list[Answer] = []
+    async with entry_harness(engines=(engine,)) as harness:
+        for number in range(5):
+            usual = await harness.call("/draft/1", attempt=f"usual-{number}")
+            assert usual.is_complete
+        harness.send_signal(signal.SIGTERM)
+        stopped_at = anyio.current_time()
+        while anyio.current_time() < stopped_at + 3.0:
+            # Without a request the host would end.
+            assert (await harness.call("/draft/1")).is_complete
+            await anyio.sleep(0.1)
+        engine.events = 28
+        engine.event_gap = 0.1
+
+        async def call(attempt: str) -> None:
+            with contextlib.suppress(NotSentError, NoReplyError):
+                late.append(await harness.call("/draft/1", attempt=attempt))
+
+        async with anyio.create_task_group() as tasks:
+            for number in range(4):
+                await anyio.sleep_until(stopped_at + 3.05 + 0.2 * number)
+                tasks.start_soon(call, f"late-{number}")
+    assert late
+    assert [answer.is_complete for answer in late] == [True] * len(late)
+    refused = [answer for answer in late if answer.status == 503]
+    assert all(float(a.headers.text(b"retry-after")) < 0.1 for a in refused)
+    assert all(a.headers.text(b"connection").lower() == "close" for a in refused)
