--- a/src/knapweeddrum/process/entry/token_lender.py
+++ b/src/knapweeddrum/process/entry/token_lender.py
@@ -134,7 +134,7 @@
         """Return the time since the store answered; long if it takes no claims."""
         if not self._allocator.can_claim:
             return MAX_STORE_AGE_SECONDS
-        return min(self._ctx.store_age(now), MAX_STORE_AGE_SECONDS)
+        return min(max(0.0, self._ctx.store_age(now)), MAX_STORE_AGE_SECONDS)
 
     def _is_exhausted(self, req: TokenLoanRequest) -> bool:
         tokens = req.shortfall + req.free
