Give back what a killed fleet can't have spent

Cause: what a witness has consented to is known to it and the holder only. Killed together, the whole reserve counts as spent.

Change: each host that holds claims writes every 0.5 s how much it spends at most, and by how much that grows a second, and keeps to it.

Before: test_tokens_of_a_killed_fleet_come_back fails on (503 tokens_held_elsewhere at 122,091 of 200,000 claimed). Tried and left: a reserve of 0.02 of the budget, at which tests of outages fail.

--- a/src/knapweeddrum/core/prepaid/token_account.py
+++ b/src/knapweeddrum/core/prepaid/token_account.py
@@ -5,6 +5,7 @@
 import math
 from collections.abc import Collection, Sequence
 
+from knapweeddrum.core.prepaid.spending_limits import NO_LIMIT
 from knapweeddrum.core.prepaid.unresolved_claim_write import UnresolvedClaimWrite
 
 DEMAND_DECAY_SECONDS = 10.0
@@ -19,6 +20,18 @@
 A killed host loses its unlocked tokens, as its witness releases only locked ones.
 """
 
+SPENDING_BURST_REQUESTS = 4
+"""Largest recent requests that the spending limit is ahead of what is committed."""
+
+SPENDING_BURST_SECONDS = 0.25
+"""Duration of demand by which it is ahead besides."""
+
+SPENDING_RATE_FACTOR = 1.5
+"""Growth of the spending limit, as a multiple of the recent demand.
+
+It serves demand that rises while the store is away; the rest is stranded by a kill.
+"""
+
 
 class TokenAccount:
     """What this incarnation may spend, has spent and has reserved, in tokens.
@@ -34,6 +47,11 @@
         self.confirmed = 0
         self.intended = 0
         self.unlocked = 0
+        self.spending_limit = NO_LIMIT
+        """Most that may be spent, reserved or lent, less what is borrowed.
+
+        The next incarnation of this host relies on it.
+        """
         self.witness = ""
         """Incarnation whose consent unlocks more, empty if no consent is needed."""
         self.refusing_witnesses: set[str] = set()
@@ -66,12 +84,19 @@
     @property
     def free(self) -> int:
         """Return the tokens that may be reserved or lent."""
-        return min(self.claimed, self.unlocked) + self.borrowed_tokens - self.used
+        most = min(self.claimed, self.unlocked, self.spending_limit)
+        return most + self.borrowed_tokens - self.used
+
+    def is_limited(self, tokens: int) -> bool:
+        """Return whether a higher limit would let some of ``tokens`` be unlocked."""
+        if self.spending_limit >= self.claimed:
+            return False
+        return self.spending_limit + self.borrowed_tokens - self.used < tokens
 
     @property
     def locked(self) -> int:
-        """Return the claimed tokens that the witness may still unlock."""
-        return max(0, self.claimed - self.unlocked)
+        """Return the claimed tokens that the witness may unlock up to the limit."""
+        return max(0, min(self.claimed, self.spending_limit) - self.unlocked)
 
     @property
     def needs_introduction(self) -> bool:
@@ -100,6 +125,16 @@
         ahead = int(self.demand_rate(now) * UNLOCK_AHEAD_SECONDS)
         return max(self.unlocked, self.used - self.borrowed_tokens + tokens + ahead)
 
+    def next_spending_limit(self, tokens: int, now: float) -> int:
+        """Return the spending limit that frees ``tokens`` and a burst beyond them."""
+        requests = SPENDING_BURST_REQUESTS * self.largest_request
+        burst = requests + int(self.demand_rate(now) * SPENDING_BURST_SECONDS)
+        return self.committed + tokens + burst
+
+    def spending_rate(self, now: float) -> float:
+        """Return by how many tokens a second the spending limit grows."""
+        return float(int(self.demand_rate(now) * SPENDING_RATE_FACTOR))
+
     def choose_witness(
         self, candidates: Sequence[str], silent: Collection[str] = ()
     ) -> str:
--- a/src/knapweeddrum/core/prepaid/token_accounts.py
+++ b/src/knapweeddrum/core/prepaid/token_accounts.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Collection, Mapping, Sequence
 
+from knapweeddrum.core.prepaid.spending_limits import SpendingLimits
 from knapweeddrum.core.prepaid.token_account import TokenAccount
 from knapweeddrum.core.prepaid.token_claim import TokenClaim
 from knapweeddrum.core.prepaid.token_claim_ledger import TokenClaimLedger
@@ -15,6 +16,7 @@
 )
 from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
 from knapweeddrum.core.prepaid.unresolved_claim_write import UnresolvedClaimWrite
+from knapweeddrum.message.call.spending_record import SpendingLimit, SpendingRecord
 
 
 class TokenAccounts:
@@ -29,6 +31,7 @@
         self.ledger = TokenClaimLedger()
         self._planner = TokenClaimPlanner()
         self._accounts: dict[str, TokenAccount] = {}
+        self._spending = SpendingLimits()
         self._prepaid: dict[str, int] = {}
         self._writes_before_plan: dict[str, UnresolvedClaimWrite | None] = {}
         """Unresolved writes before the last plan, restored if it is not written."""
@@ -54,6 +57,7 @@
         account = self._accounts.get(organisation)
         if account is None:
             account = self._accounts[organisation] = TokenAccount(now)
+        account.spending_limit = self._spending.limit(organisation, now)
         return account
 
     def max_reservable(self, organisation: str, now: float) -> int:
@@ -231,6 +235,39 @@
             if not account.is_replacing_witness:
                 account.unlocked = max(account.unlocked, account.confirmed)
 
+    def next_spending_limits(
+        self, wanted: Mapping[str, int], now: float
+    ) -> tuple[SpendingLimit, ...]:
+        """Return the limits to write, with ``wanted`` tokens beside the usual."""
+        return tuple(
+            SpendingLimit(
+                organisation,
+                account.next_spending_limit(wanted.get(organisation, 0), now),
+                account.spending_rate(now),
+            )
+            for organisation, account in sorted(self._accounts.items())
+            if account.confirmed
+        )
+
+    def begin_spending_record(self, record: SpendingRecord, now: float) -> None:
+        """Keep to a record that is about to be sent."""
+        self._spending.begin(record, now)
+        self._apply_spending_limits(now)
+
+    def confirm_spending_record(self, number: int, now: float) -> None:
+        """Record that a record is written; those before bind no more."""
+        self._spending.confirm(number)
+        self._apply_spending_limits(now)
+
+    def discard_spending_record(self, number: int, now: float) -> None:
+        """Record that a record was not written and never will be."""
+        self._spending.discard(number)
+        self._apply_spending_limits(now)
+
+    def _apply_spending_limits(self, now: float) -> None:
+        for organisation, account in self._accounts.items():
+            account.spending_limit = self._spending.limit(organisation, now)
+
     def _may_need_claim(
         self,
         organisation: str,
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -30,6 +30,7 @@
 from knapweeddrum.core.prepaid.claim_recovery import ClaimRecovery
 from knapweeddrum.core.prepaid.claim_witness import ClaimWitness
 from knapweeddrum.core.prepaid.loan_ledger import LoanLedger
+from knapweeddrum.core.prepaid.predecessor_claims import PredecessorClaims
 from knapweeddrum.core.prepaid.token_accounts import TokenAccounts
 from knapweeddrum.core.prepaid.token_owners import TokenOwners
 from knapweeddrum.core.prepaid.witness_ranking import rank_witnesses
@@ -96,6 +97,7 @@
     """Reports of connections that endpoints ended within an exchange."""
     claim_witness: ClaimWitness
     claim_recovery: ClaimRecovery
+    predecessor_claims: PredecessorClaims
     placer: Placer
     events: EventLog
     metrics: Metrics
--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -49,6 +49,7 @@
 from knapweeddrum.process.entry.request_parts import RequestParts
 from knapweeddrum.process.entry.service_list_reader import ServiceListReader
 from knapweeddrum.process.entry.sighting_task import SIGHTING_PATH, SightingTask
+from knapweeddrum.process.entry.spending_task import SpendingTask
 from knapweeddrum.process.entry.stream_follower import RecordReader, StreamFollower
 from knapweeddrum.process.entry.stream_origin_sharing import (
     NOTICE_PATH,
@@ -97,7 +98,10 @@
         self._unlocker = TokenUnlocker(ctx, peers)
         self._witness = TokenWitness(ctx, peers)
         self._borrower = TokenBorrower(ctx, peers)
-        self._allocator = TokenAllocator(ctx, self._unlocker, self._borrower)
+        self._spending = SpendingTask(ctx)
+        self._allocator = TokenAllocator(
+            ctx, self._unlocker, self._borrower, self._spending
+        )
         self._lender = TokenLender(ctx, self._allocator)
         self._stream_origins = StreamOriginSharing(ctx, peers)
         self._permit_desk = PermitDesk(ctx)
@@ -128,6 +132,7 @@
                 tasks.start_soon(self._server.run)
                 for follower in self._followers():
                     tasks.start_soon(follower.run)
+                tasks.start_soon(self._spending.run)
                 tasks.start_soon(self._allocator.run)
                 tasks.start_soon(self._borrower.run)
                 tasks.start_soon(self._unlocker.run)
--- a/src/knapweeddrum/process/entry/token_allocator.py
+++ b/src/knapweeddrum/process/entry/token_allocator.py
@@ -9,9 +9,11 @@
 import anyio
 
 from knapweeddrum.core.prepaid.token_claim import TokenClaim
+from knapweeddrum.core.prepaid.token_claim_ledger import TokenClaimLedger
 from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
 from knapweeddrum.process.entry.claim_recovery_task import ClaimRecoveryTask
 from knapweeddrum.process.entry.entry_context import EntryContext
+from knapweeddrum.process.entry.spending_task import SpendingTask
 from knapweeddrum.process.entry.token_borrower import TokenBorrower
 from knapweeddrum.process.entry.token_claim_log import TokenClaimLog
 from knapweeddrum.process.entry.token_unlocker import TokenUnlocker
@@ -51,9 +53,14 @@
     """
 
     def __init__(
-        self, ctx: EntryContext, unlocker: TokenUnlocker, borrower: TokenBorrower
+        self,
+        ctx: EntryContext,
+        unlocker: TokenUnlocker,
+        borrower: TokenBorrower,
+        spending: SpendingTask,
     ) -> None:
         self._ctx = ctx
+        self._spending = spending
         self._unlocker = unlocker
         self._borrower = borrower
         self._waiters = TokenWaiters()
@@ -123,6 +130,7 @@
 
     async def unlock(self, organisation: str, tokens: int) -> bool:
         """Unlock claimed tokens; return whether ``tokens`` are free now."""
+        await self._spending.renew({organisation: tokens})
         account = self._ctx.token_accounts.account(organisation, time.monotonic())
         unlockable = min(tokens, account.free + account.locked)
         if unlockable > account.free:
@@ -225,6 +233,7 @@
             self._reserve_for_waiters()
             claims = self._plan()
             if claims and await self._log.write(claims):
+                await self._spending.renew(self._waiters.totals())
                 await self._unlock(claims)
                 self._reserve_for_waiters()
                 claims = []
@@ -235,6 +244,7 @@
                 await self._fail_waiters()
                 return
             if not claims:
+                await self._spending.renew(self._waiters.totals())
                 await self._unlocker.unlock_all(self._waiters.totals())
                 self._reserve_for_waiters()
                 self._refuse_unservable()
@@ -272,7 +282,22 @@
                 holds_start_reserve=ctx.knows_fleet,
                 silent_witnesses=self._unlocker.silent_witnesses(),
             )
-            return own + release_claims_of_failed_hosts(ctx)
+            failed = release_claims_of_failed_hosts(ctx)
+            return own + failed + self._claims_of_predecessors()
+
+    def _claims_of_predecessors(self) -> list[TokenClaim]:
+        """Return what remains of earlier incarnations' claims.
+
+        A witness that lives knows better what was spent, and releases more.
+        """
+        ctx = self._ctx
+        running = {host.incarnation for host in ctx.hosts.running_hosts()}
+        ledger = ctx.token_accounts.ledger
+        return [
+            claim
+            for claim in ctx.predecessor_claims.releases(ledger)
+            if _witness(ledger, claim) not in running
+        ]
 
     def _interval(self) -> float:
         """Return the time until claims are planned if no request comes."""
@@ -317,3 +342,9 @@
         for waiter in self._waiters:
             self._waiters.finish(waiter, verdict)
         await anyio.sleep(STORE_RETRY_SECONDS)
+
+
+def _witness(ledger: TokenClaimLedger, claim: TokenClaim) -> str:
+    """Return the witness of the stored claim that ``claim`` reduces."""
+    stored = ledger.claim_of(claim.organisation, claim.incarnation)
+    return stored.witness if stored is not None else ""
--- a/src/knapweeddrum/process/entry_composition.py
+++ b/src/knapweeddrum/process/entry_composition.py
@@ -22,6 +22,7 @@
 from knapweeddrum.core.placing.placer import Placer
 from knapweeddrum.core.prepaid.claim_recovery import ClaimRecovery
 from knapweeddrum.core.prepaid.claim_witness import ClaimWitness
+from knapweeddrum.core.prepaid.predecessor_claims import PredecessorClaims
 from knapweeddrum.core.prepaid.token_accounts import TokenAccounts
 from knapweeddrum.core.prepaid.token_owners import TokenOwners
 from knapweeddrum.http.connection_pool import ConnectionPool
@@ -32,6 +33,7 @@
     MAX_WAITING_REPORTS,
     LostConnection,
 )
+from knapweeddrum.process.entry.machine_clock import machine_time
 from knapweeddrum.settings.entry_settings import EntrySettings
 from knapweeddrum.telemetry.bounded_writer import BoundedWriter
 from knapweeddrum.telemetry.counters import CONNECTIONS_OPENED, store_counter
@@ -54,6 +56,7 @@
     settings: EntrySettings, settings_path: pathlib.Path, level: str, metrics_port: int
 ) -> None:
     """Run an entry process until it is told to stop."""
+    started_at = machine_time()
     rng = random.SystemRandom()
     incarnation = new_incarnation(
         HostName(settings.host_name), "entry", time.time_ns() // 1_000_000, rng
@@ -83,6 +86,9 @@
         losses=losses,
         claim_witness=ClaimWitness(incarnation),
         claim_recovery=ClaimRecovery(incarnation),
+        predecessor_claims=PredecessorClaims(
+            settings.host_name, incarnation, started_at
+        ),
         placer=Placer(),
         events=EventLog(level, LineLogger(writer), incarnation=incarnation),
         metrics=metrics,
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -79,6 +79,10 @@
 """Times that connections could not be accepted, several in a row as one."""
 WORKING_SET_CHANGES = "working_set.changed"
 """Times that the hosts changed that callers are sent to."""
+SPENDING_WRITTEN = "spending.written"
+"""Records of what this host may spend that the store carried out."""
+SPENDING_NOT_WRITTEN = "spending.not_written"
+"""Such records that the store did not take, or that got no answer."""
 ENTRY_IGNORED_COUNT = "entry.ignored"
 """Records of the store that can't be read and were left out."""
 CONFIG_REJECTED_COUNT = "config.rejected"
@@ -127,6 +131,8 @@
     HOST_BEHIND_COUNT,
     ACCEPT_FAILED_COUNT,
     WORKING_SET_CHANGES,
+    SPENDING_WRITTEN,
+    SPENDING_NOT_WRITTEN,
     ENTRY_IGNORED_COUNT,
     CONFIG_REJECTED_COUNT,
     MESSAGE_REJECTED_COUNT,
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -191,6 +191,12 @@
 )
 ENDPOINT_UNLISTED = Event(613, "endpoint_unlisted", "info", ("endpoint", "lapsed"))
 ENTRY_IGNORED = Event(614, "entry_ignored", "warning", ("key", "offset", "error"))
+PREDECESSOR_READ = Event(
+    650,
+    "predecessor_read",
+    "info",
+    ("holder", "seconds", "same_era", "organisations"),
+)
 MESSAGE_REJECTED = Event(649, "message_rejected", "warning", ("path", "error"))
 HEARTBEATS_LOST = Event(647, "heartbeats_lost", "warning", ("error", "written_before"))
 HEARTBEATS_WRITTEN = Event(648, "heartbeats_written", "info", ("written_before",))
--- a/tests/process/entry/claim_race.py
+++ b/tests/process/entry/claim_race.py
@@ -26,6 +26,7 @@
 from knapweeddrum.core.placing.placer import Placer
 from knapweeddrum.core.prepaid.claim_recovery import ClaimRecovery
 from knapweeddrum.core.prepaid.claim_witness import ClaimWitness
+from knapweeddrum.core.prepaid.predecessor_claims import PredecessorClaims
 from knapweeddrum.core.prepaid.token_accounts import TokenAccounts
 from knapweeddrum.core.prepaid.token_owners import TokenOwners
 from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
@@ -41,11 +42,13 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.loan_exchange import LOAN_PATH
 from knapweeddrum.process.entry.lost_connection import LostConnection
+from knapweeddrum.process.entry.machine_clock import machine_time
 from knapweeddrum.process.entry.peer_client import (
     PEER_REQUEST_TIMEOUT_SECONDS,
     PEER_UNRESPONSIVE_SECONDS,
     PeerClient,
 )
+from knapweeddrum.process.entry.spending_task import SpendingTask
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
 from knapweeddrum.process.entry.token_borrower import TokenBorrower
 from knapweeddrum.process.entry.token_lender import TokenLender
@@ -409,7 +412,7 @@
         unlocker = cast("TokenUnlocker", _ConsentingUnlocker(ctx))
         peers = cast("PeerClient", _NetworkedPeers(self.network, seconds))
         borrower = TokenBorrower(ctx, peers)
-        allocator = TokenAllocator(ctx, unlocker, borrower)
+        allocator = TokenAllocator(ctx, unlocker, borrower, SpendingTask(ctx))
         address = peer_address(number)
         self.network.lenders[address] = TokenLender(ctx, allocator)
         self.network.seconds[address] = seconds
@@ -496,6 +499,7 @@
         losses=losses,
         claim_witness=ClaimWitness(f"{name}/1"),
         claim_recovery=ClaimRecovery(f"{name}/1"),
+        predecessor_claims=PredecessorClaims(name, f"{name}/1", machine_time()),
         placer=Placer(),
         events=RecordingEventLog(),
         metrics=Metrics(),
--- a/tests/process/entry/embedded_caller_server.py
+++ b/tests/process/entry/embedded_caller_server.py
@@ -22,6 +22,7 @@
 from knapweeddrum.core.placing.placer import Placer
 from knapweeddrum.core.prepaid.claim_recovery import ClaimRecovery
 from knapweeddrum.core.prepaid.claim_witness import ClaimWitness
+from knapweeddrum.core.prepaid.predecessor_claims import PredecessorClaims
 from knapweeddrum.core.prepaid.token_accounts import TokenAccounts
 from knapweeddrum.core.prepaid.token_owners import TokenOwners
 from knapweeddrum.http.connection_pool import ConnectionPool
@@ -31,6 +32,7 @@
 from knapweeddrum.process.entry.endpoint_permits import EndpointPermits
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.lost_connection import LostConnection
+from knapweeddrum.process.entry.machine_clock import machine_time
 from knapweeddrum.process.entry.peer_client import PeerClient
 from knapweeddrum.process.entry.permit_desk import PermitDesk
 from knapweeddrum.process.entry.request_parts import RequestParts
@@ -143,6 +145,7 @@
         losses=losses,
         claim_witness=ClaimWitness(INCARNATION),
         claim_recovery=ClaimRecovery(INCARNATION),
+        predecessor_claims=PredecessorClaims("host-1", INCARNATION, machine_time()),
         placer=Placer(),
         events=RecordingEventLog(),
         metrics=Metrics(),
--- a/tests/process/entry/fuzzed_host.py
+++ b/tests/process/entry/fuzzed_host.py
@@ -26,6 +26,7 @@
 from knapweeddrum.process.entry.request_admission import RequestAdmission
 from knapweeddrum.process.entry.service_list_reader import ServiceListReader
 from knapweeddrum.process.entry.sighting_task import SightingTask
+from knapweeddrum.process.entry.spending_task import SpendingTask
 from knapweeddrum.process.entry.stream_origin_sharing import StreamOriginSharing
 from knapweeddrum.process.entry.stream_read import StreamRead
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
@@ -64,7 +65,10 @@
         self._claims = TokenClaimLog(self.ctx)
         self._position = 100
         allocator = TokenAllocator(
-            self.ctx, TokenUnlocker(self.ctx, peers), TokenBorrower(self.ctx, peers)
+            self.ctx,
+            TokenUnlocker(self.ctx, peers),
+            TokenBorrower(self.ctx, peers),
+            SpendingTask(self.ctx),
         )
         lender = TokenLender(self.ctx, allocator)
         witness = TokenWitness(self.ctx, peers)
--- a/tests/process/entry/return_day.py
+++ b/tests/process/entry/return_day.py
@@ -26,6 +26,7 @@
 from knapweeddrum.core.placing.placer import Placer
 from knapweeddrum.core.prepaid.claim_recovery import ClaimRecovery
 from knapweeddrum.core.prepaid.claim_witness import ClaimWitness
+from knapweeddrum.core.prepaid.predecessor_claims import PredecessorClaims
 from knapweeddrum.core.prepaid.token_accounts import TokenAccounts
 from knapweeddrum.core.prepaid.token_owners import TokenOwners
 from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
@@ -46,12 +47,14 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.loan_exchange import LOAN_PATH, RETURN_PATH
 from knapweeddrum.process.entry.lost_connection import LostConnection
+from knapweeddrum.process.entry.machine_clock import machine_time
 from knapweeddrum.process.entry.page_server import PageAnswer
 from knapweeddrum.process.entry.peer_client import (
     PEER_REQUEST_TIMEOUT_SECONDS,
     PEER_UNRESPONSIVE_SECONDS,
     PeerClient,
 )
+from knapweeddrum.process.entry.spending_task import SpendingTask
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
 from knapweeddrum.process.entry.token_borrower import TokenBorrower
 from knapweeddrum.process.entry.token_lender import TokenLender
@@ -233,7 +236,9 @@
         self.unlocker = TokenUnlocker(self.ctx, peers)
         self.witness = TokenWitness(self.ctx, peers)
         self.borrower = TokenBorrower(self.ctx, peers)
-        self.allocator = TokenAllocator(self.ctx, self.unlocker, self.borrower)
+        self.allocator = TokenAllocator(
+            self.ctx, self.unlocker, self.borrower, SpendingTask(self.ctx)
+        )
         self.lender = TokenLender(self.ctx, self.allocator)
 
     async def run(self) -> None:
@@ -555,6 +560,9 @@
         losses=losses,
         claim_witness=ClaimWitness(host.incarnation),
         claim_recovery=ClaimRecovery(host.incarnation),
+        predecessor_claims=PredecessorClaims(
+            host.name, host.incarnation, machine_time()
+        ),
         placer=Placer(),
         events=RecordingEventLog(),
         metrics=Metrics(),
--- a/tests/process/entry/test_prepaid.py
+++ b/tests/process/entry/test_prepaid.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import contextlib
 import json
 import signal
 import time
@@ -20,6 +21,8 @@
 OWNER_NAME = "host-2"
 """Host that claims the organisation's tokens, if it runs."""
 OTHER_NAMES = ("host-1", "host-3")
+RECOVERY_SECONDS = 6.0
+"""Time after a start in which hosts that failed are found out; half of the bound."""
 
 
 def prepaid_configuration(tokens: int, version: int = 1) -> dict[str, object]:
@@ -361,3 +364,63 @@
             await suspended.call("/draft/1", tokens="200,30", attempt=f"f{number}")
         assert 5 <= len(draft.runs) <= 2_000 // 230
         assert claimed_tokens(store) <= 2_000
+
+
+@async_test
+async def test_tokens_of_a_killed_fleet_come_back():
+    """Holder and witness die together; what neither can have spent is served again."""
+    draft = StampedServer("engine-1", events=1)
+    store = PlatformStore()
+    prepaid = 200_000
+    async with contextlib.AsyncExitStack() as stack:
+        first = await stack.enter_async_context(
+            entry_harness(
+                engines=(draft,), store=store, document=prepaid_configuration(prepaid)
+            )
+        )
+        second = await stack.enter_async_context(
+            entry_process(store, first.store_address, OWNER_NAME)
+        )
+        await second.wait_until_ready()
+        await first.wait_until_others_are_ready(1)
+        spent = await _spend_steadily((first, second), requests=40, gap=0.1)
+        held = claimed_tokens(store) - spent
+        for harness in (first, second):
+            harness.process.kill()
+            await harness.process.wait()
+        left = prepaid - spent
+        assert held > left / 4
+        third = await stack.enter_async_context(
+            entry_process(store, first.store_address, "host-1")
+        )
+        await stack.enter_async_context(
+            entry_process(store, first.store_address, OWNER_NAME)
+        )
+        await third.wait_until_ready()
+        await anyio.sleep(RECOVERY_SECONDS)
+        served = await _spend_all(third)
+        assert spent + served <= prepaid
+        assert served > left - held / 2
+
+
+async def _spend_steadily(
+    hosts: tuple[EntryHarness, ...], requests: int, gap: float
+) -> int:
+    """Send requests to the hosts in turn; return the tokens spent."""
+    for number in range(requests):
+        answer = await hosts[number % len(hosts)].call(
+            "/draft/1", tokens="1000,3", attempt=f"steady-{number}"
+        )
+        assert answer.status == 200
+        await anyio.sleep(gap)
+    return requests * 1_003
+
+
+async def _spend_all(host: EntryHarness) -> int:
+    """Send requests until the budget is exhausted; return the tokens spent."""
+    for number in range(300):
+        answer = await host.call("/draft/1", tokens="1000,3", attempt=f"all-{number}")
+        if answer.status == 402:
+            return number * 1_003
+        assert answer.status == 200, answer
+    raise AssertionError("the budget has no end")
