Credit nothing that a forgotten borrower gives back

A forgotten borrower's return is not accepted any more; the borrower is told and keeps its tokens, as with a lender that leaves.

--- a/src/knapweeddrum/core/prepaid/loan_ledger.py
+++ b/src/knapweeddrum/core/prepaid/loan_ledger.py
@@ -37,6 +37,8 @@
 
     def __init__(self) -> None:
         self._borrowers: dict[str, dict[str, _Borrower]] = {}
+        self._forgotten: set[str] = set()
+        """Borrowers whose totals would count once more."""
 
     def begin(
         self,
@@ -64,8 +66,13 @@
         known.lent_tokens += tokens
         known.free_tokens += tokens
 
-    def accept_return(self, organisation: str, borrower: str, total: int) -> int:
-        """Return the tokens that are new in what a borrower gave back in ``total``."""
+    def accept_return(self, organisation: str, borrower: str, total: int) -> int | None:
+        """Return the tokens that are new in what a borrower gave back in ``total``.
+
+        None if the borrower was forgotten, so that nobody knows what is new.
+        """
+        if borrower in self._forgotten:
+            return None
         known = self._borrower(organisation, borrower)
         tokens = max(0, total - known.returned_tokens)
         known.returned_tokens += tokens
@@ -75,12 +82,12 @@
     def forget(self, is_ended: Callable[[str], bool]) -> None:
         """Drop the borrowers that have ended for good.
 
-        What one that is alive has received and given back must not be forgotten, as a
-        total that it tells would count once more.
+        One that is alive after all keeps what it gives back from then on.
         """
         for borrowers in self._borrowers.values():
             for name in [name for name in borrowers if is_ended(name)]:
                 del borrowers[name]
+                self._forgotten.add(name)
 
     def outstanding(self, organisation: str, now: float) -> int:
         """Return the free tokens that borrowers may still have."""
--- a/src/knapweeddrum/process/entry/token_lender.py
+++ b/src/knapweeddrum/process/entry/token_lender.py
@@ -68,14 +68,16 @@
         """Credit the tokens of a TokenReturn, unless this process is about to end."""
         message = decode_json(body, TokenReturn)
         ctx = self._ctx
-        is_accepted = not ctx.draining and message.lender == ctx.incarnation
-        if is_accepted:
+        tokens = None
+        if not ctx.draining and message.lender == ctx.incarnation:
             tokens = ctx.loans.accept_return(
                 message.organisation, message.sender, message.total
             )
+        if tokens is not None:
             account = ctx.token_accounts.account(message.organisation, time.monotonic())
             account.credit_loan(tokens)
-        return PageAnswer(200, msgspec.json.encode(TokenReturnReply(is_accepted)))
+        reply = TokenReturnReply(is_accepted=tokens is not None)
+        return PageAnswer(200, msgspec.json.encode(reply))
 
     def _is_recoverable(self, req: TokenLoanRequest) -> bool:
         """Return whether the request tells what became of this process's loans."""
--- a/tests/core/prepaid/test_loan_ledger.py
+++ b/tests/core/prepaid/test_loan_ledger.py
@@ -167,3 +167,15 @@
     loans.forget(lambda name: name == "ended")
     assert loans.holders("mill", 1.0) == ["alive"]
     assert loans.accept_return("mill", "alive", 300) == 0
+
+
+def test_return_of_a_borrower_that_was_forgotten_is_not_credited_again():
+    """It may live, however it came to be taken for replaced."""
+    loans = LoanLedger()
+    assert loans.begin("mill", "host-2/1", 1, 0, 0, 0.0) == 0
+    loans.record_loan("mill", "host-2/1", 500)
+    assert loans.accept_return("mill", "host-2/1", 300) == 300
+    loans.forget(lambda _name: True)
+    assert loans.accept_return("mill", "host-2/1", 400) is None
+    assert loans.begin("mill", "host-2/1", 2, 500, 0, 1.0) == 0
+    assert loans.accept_return("mill", "host-2/1", 400) is None
