Ignore SIGHUP from the first line of a process on

A SIGHUP in the first 0.3 s, before the process handles signals, ended it with all that it had just begun to serve. The settings are read later, so that nothing is missed.

--- a/src/run_entry.py
+++ b/src/run_entry.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
-from knapweeddrum.console.entry_process_command import main
+# The settings are read after the imports, so that nothing is missed by ignoring it.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from knapweeddrum.console.entry_process_command import main  # noqa: E402
 
 sys.exit(main())
