End a drain in time also if the store is silent; name what it cuts

return_unused waits for the store and could outlast the drain, so that the process was killed instead of ending by itself (plan 4 of test_planned_stop, with the signals in series). It and the last answers now share the time until the drain's end. The line stopped_in_progress names up to 16 requests, which the users' record lacked.

--- a/src/knapweeddrum/process/entry/caller_server.py
+++ b/src/knapweeddrum/process/entry/caller_server.py
@@ -26,6 +26,12 @@
         """Return whether any connection is open."""
         return bool(self._sessions)
 
+    def requests_in_progress(self) -> list[str]:
+        """Return the identifiers of the requests that have no whole answer yet."""
+        return sorted(
+            session.request_id for session in self._sessions if session.request_id
+        )
+
     async def run(self) -> None:
         """Accept connections until stopped; serve them until cancelled."""
         address = self._ctx.settings.caller_address
--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -55,7 +55,8 @@
             stream, self._limits.max_header_bytes, self._is_closing
         )
         self._admission = RequestAdmission(ctx)
-        self._request_id = ""
+        self.request_id = ""
+        """Identifier of the request that is being served, empty for none."""
 
     async def run(self) -> None:
         """Serve until the connection ends."""
@@ -100,6 +101,7 @@
                 return False
         finally:
             self._ctx.in_progress -= 1
+            self.request_id = ""
         return self._conn.finish()
 
     def _is_closing(self) -> bool:
@@ -109,12 +111,12 @@
     async def _serve(self, received: ReceivedRequest) -> bool:
         """Answer a request; return whether the connection can be reused."""
         arrived_at = time.monotonic()
-        self._request_id = ""
+        self.request_id = ""
         job: RequestJob | None = None
         try:
             limits = _limits(self._ctx)
             req = decode_request(received)
-            self._request_id = req.attempt_id
+            self.request_id = req.attempt_id
             body = await self._conn.read_body(
                 limits.max_body_bytes, limits.idle_timeout
             )
@@ -171,7 +173,7 @@
     def _raise_internal_error(self, failure: Exception) -> NoReturn:
         """Refuse the request if no answer was begun, else end the connection."""
         self._ctx.events.emit(
-            TASK_FAILED, task=f"request {self._request_id}", error=repr(failure)
+            TASK_FAILED, task=f"request {self.request_id}", error=repr(failure)
         )
         if self._conn.has_begun_reply:
             raise PeerDisconnectedError("internal error within an answer") from failure
@@ -193,7 +195,7 @@
         ctx.metrics.count_refusal(refusal.reason)
         ctx.events.emit(
             REQUEST_REFUSED,
-            request=self._request_id,
+            request=self.request_id,
             reason=refusal.reason,
             status=status,
             run_state=refusal.run_state,
@@ -204,7 +206,7 @@
             config_version=ctx.configuration.version if ctx.configuration else None,
             after_ms=milliseconds(time.monotonic() - arrived_at),
         )
-        headers = refusal_headers(self._request_id, refusal.retry_after)
+        headers = refusal_headers(self.request_id, refusal.retry_after)
         body = Problem.from_refusal(refusal).encode()
         await self._conn.send_reply(status, headers, body)
 
--- a/src/knapweeddrum/process/entry/drain_sequence.py
+++ b/src/knapweeddrum/process/entry/drain_sequence.py
@@ -33,6 +33,8 @@
 
 SESSION_POLL_SECONDS = 0.05
 
+MAX_LOGGED_REQUESTS = 16
+
 
 class DrainSequence:
     """Leaves the directory, completes open requests and returns unused tokens."""
@@ -67,13 +69,16 @@
                 await anyio.sleep(SESSION_POLL_SECONDS)
             self._server.stop_accepting()
             await self._finish_sessions()
-        returned = await self._allocator.return_unused()
+        returned = False
         with anyio.move_on_after(ctx.drain_ends_at - time.monotonic()):
+            # A store that is silent must not keep the process from ending.
+            returned = await self._allocator.return_unused()
             await self._finish_sessions()
         if ctx.in_progress or not returned:
             ctx.events.emit(
                 STOPPED_IN_PROGRESS,
                 requests=ctx.in_progress,
+                ids=self._server.requests_in_progress()[:MAX_LOGGED_REQUESTS],
                 claims_returned=returned,
             )
         ctx.events.emit(DRAIN_FINISHED)
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -255,5 +255,8 @@
 HOST_CAUGHT_UP = Event(634, "host_caught_up", "info", ())
 LINES_DROPPED = Event(620, "lines_dropped", "warning", ("lines",))
 STOPPED_IN_PROGRESS = Event(
-    621, "stopped_in_progress", "error", ("requests", "claims_returned")
+    621, "stopped_in_progress", "error", ("requests", "ids", "claims_returned")
+)
+SIGNAL_RECEIVED = Event(
+    651, "signal_received", "info", ("signal", "draining", "in_progress")
 )
