Go on with a drain when SIGTERM comes again

One way to it: a second SIGTERM ended the process at once. Tools and supervisors send several; who wants the end at once has SIGKILL, and SIGINT at a terminal. Each signal has a line now.

--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -4,7 +4,7 @@
 
 import pathlib
 import signal
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 
 import anyio
 from anyio.streams.memory import MemoryObjectReceiveStream
@@ -63,7 +63,11 @@
 from knapweeddrum.process.entry.token_witness import WITNESS_LEAVE_PATH, TokenWitness
 from knapweeddrum.process.entry.version_recall_task import VersionRecallTask
 from knapweeddrum.telemetry.bounded_writer import BoundedWriter
-from knapweeddrum.telemetry.events import PROCESS_STARTED, PROCESS_STOPPED
+from knapweeddrum.telemetry.events import (
+    PROCESS_STARTED,
+    PROCESS_STOPPED,
+    SIGNAL_RECEIVED,
+)
 
 BINARY = "knapweed-entry"
 METRICS_PATH = b"/metrics"
@@ -122,7 +126,10 @@
         self._crash_sharing = CrashSharing(ctx, peers, self._crash_records)
 
     async def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then drain; a second signal stops at once."""
+        """Serve until SIGTERM or SIGINT, then drain; SIGINT during that stops at once.
+
+        Further SIGTERMs change nothing, as tools may send several for one stop.
+        """
         ctx = self._ctx
         ctx.events.emit(PROCESS_STARTED, binary=BINARY, host=ctx.settings.host_name)
         with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
@@ -130,28 +137,35 @@
                 for server in self._page_servers():
                     tasks.start_soon(server.run)
                 tasks.start_soon(self._server.run)
-                for follower in self._followers():
-                    tasks.start_soon(follower.run)
-                tasks.start_soon(self._spending.run)
-                tasks.start_soon(self._allocator.run)
-                tasks.start_soon(self._borrower.run)
-                tasks.start_soon(self._unlocker.run)
-                tasks.start_soon(self._lapsed_entries.run)
-                tasks.start_soon(self._heartbeat.run)
-                tasks.start_soon(self._sightings.run)
-                tasks.start_soon(self._limit_news.run)
-                tasks.start_soon(self._loop_lag.run)
-                tasks.start_soon(self._crash_detector.run)
-                tasks.start_soon(self._crash_sharing.run)
-                tasks.start_soon(self._stream_origins.run)
-                tasks.start_soon(self._version_recall.run)
-                tasks.start_soon(self._housekeeping.run)
+                for name, task in self._background_tasks():
+                    tasks.start_soon(task, name=name)
                 await self._wait_for_stop_signal(signals)
                 await self._drain(signals)
                 tasks.cancel_scope.cancel()
         await ctx.pool.close()
         ctx.events.emit(PROCESS_STOPPED, binary=BINARY)
 
+    def _background_tasks(self) -> list[tuple[str, Callable[[], Awaitable[None]]]]:
+        """Return the tasks that run beside the servers, with their names."""
+        followers = [(f.stream, f.run) for f in self._followers()]
+        return [
+            *followers,
+            ("spending", self._spending.run),
+            ("allocator", self._allocator.run),
+            ("borrower", self._borrower.run),
+            ("unlocker", self._unlocker.run),
+            ("lapsed entries", self._lapsed_entries.run),
+            ("heartbeat", self._heartbeat.run),
+            ("sightings", self._sightings.run),
+            ("limit news", self._limit_news.run),
+            ("loop lag", self._loop_lag.run),
+            ("crash detector", self._crash_detector.run),
+            ("crash sharing", self._crash_sharing.run),
+            ("stream origins", self._stream_origins.run),
+            ("version recall", self._version_recall.run),
+            ("housekeeping", self._housekeeping.run),
+        ]
+
     def _page_servers(self) -> list[PageServer]:
         pages = EntryPages(self._ctx)
         settings = self._ctx.settings
@@ -236,19 +250,38 @@
         self, signals: AsyncIterator[signal.Signals]
     ) -> None:
         async for received in signals:
+            self._log_signal(received)
             if received is not signal.SIGHUP:
                 return
             self._housekeeping.reload()
 
+    async def _wait_for_interrupt(self, signals: AsyncIterator[signal.Signals]) -> None:
+        """Return at SIGINT; settings are reloaded also during a drain."""
+        async for received in signals:
+            self._log_signal(received)
+            if received is signal.SIGINT:
+                return
+            if received is signal.SIGHUP:
+                self._housekeeping.reload()
+
+    def _log_signal(self, received: signal.Signals) -> None:
+        ctx = self._ctx
+        ctx.events.emit(
+            SIGNAL_RECEIVED,
+            signal=received.name,
+            draining=ctx.draining,
+            in_progress=ctx.in_progress,
+        )
+
     async def _drain(self, signals: AsyncIterator[signal.Signals]) -> None:
         drain = DrainSequence(self._ctx, self._server, self._allocator, self._witness)
         async with anyio.create_task_group() as tasks:
 
-            async def stop_at_signal() -> None:
-                await self._wait_for_stop_signal(signals)
+            async def stop_at_interrupt() -> None:
+                await self._wait_for_interrupt(signals)
                 tasks.cancel_scope.cancel()
 
-            tasks.start_soon(stop_at_signal)
+            tasks.start_soon(stop_at_interrupt)
             # Runs when the drain has begun and waits for the first time.
             tasks.start_soon(self._heartbeat.announce_drain)
             await drain.run()
--- a/src/knapweeddrum/process/entry/stream_follower.py
+++ b/src/knapweeddrum/process/entry/stream_follower.py
@@ -67,7 +67,7 @@
         interval: float,
     ) -> None:
         self._store = store
-        self._stream = stream
+        self.stream = stream
         self._reader = reader
         self._events = events
         self._wait = wait
@@ -106,7 +106,7 @@
 
     async def _list(self) -> None:
         asked_at = time.monotonic()
-        listing = await self._store.list_newest(self._stream)
+        listing = await self._store.list_newest(self.stream)
         now = time.monotonic()
         self._next_offset = listing.next_offset
         self._reader.apply_listing(listing.records, listing.next_offset, now)
@@ -114,7 +114,7 @@
 
     async def _read(self, start: int) -> None:
         asked_at = time.monotonic()
-        page = await self._store.read(self._stream, start, self._wait)
+        page = await self._store.read(self.stream, start, self._wait)
         now = time.monotonic()
         if page.records:
             self._reader.apply_records(page.records, now)
@@ -125,11 +125,11 @@
     def _record_success(self, read: StreamRead) -> None:
         if self._is_store_unreachable:
             self._is_store_unreachable = False
-            self._events.emit(DEPENDENCY_READY, dependency=self._stream)
+            self._events.emit(DEPENDENCY_READY, dependency=self.stream)
         self._reader.on_up_to_date(read)
 
     def _record_failure(self, exc: LogUnavailableError) -> None:
         if not self._is_store_unreachable:
             self._is_store_unreachable = True
-            self._events.emit(WAITING, dependency=self._stream, error=str(exc))
+            self._events.emit(WAITING, dependency=self.stream, error=str(exc))
         self._reader.on_store_lost()
