Run a background task again after an error, instead of ending

Servers that can't listen still end the process. The crash detector no longer closes its stream of losses when it ends, as it may run again.

--- a/src/knapweeddrum/process/entry/crash_detector.py
+++ b/src/knapweeddrum/process/entry/crash_detector.py
@@ -42,7 +42,7 @@
 
     async def run(self) -> None:
         """Examine losses until cancelled."""
-        async with self._losses, anyio.create_task_group() as tasks:
+        async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_silent, tasks)
             async for loss in self._losses:
                 if not self._is_leaving(loss.state.entry):
--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -34,6 +34,7 @@
 from knapweeddrum.process.entry.host_reader import HostReader
 from knapweeddrum.process.entry.host_state_page import STATE_PATH, HostStatePage
 from knapweeddrum.process.entry.housekeeping_task import HousekeepingTask
+from knapweeddrum.process.entry.keep_running import keep_running
 from knapweeddrum.process.entry.lapsed_entry_task import LapsedEntryTask
 from knapweeddrum.process.entry.limit_news_task import LimitNewsTask
 from knapweeddrum.process.entry.loan_exchange import LOAN_PATH, RETURN_PATH
@@ -138,7 +139,7 @@
                     tasks.start_soon(server.run)
                 tasks.start_soon(self._server.run)
                 for name, task in self._background_tasks():
-                    tasks.start_soon(task, name=name)
+                    tasks.start_soon(keep_running, ctx, name, task)
                 await self._wait_for_stop_signal(signals)
                 await self._drain(signals)
                 tasks.cancel_scope.cancel()
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -79,6 +79,8 @@
 """Times that connections could not be accepted, several in a row as one."""
 WORKING_SET_CHANGES = "working_set.changed"
 """Times that the hosts changed that callers are sent to."""
+TASK_RESTARTED_COUNT = "task.restarted"
+"""Times that a task of the process ran again after an error."""
 SPENDING_WRITTEN = "spending.written"
 """Records of what this host may spend that the store carried out."""
 SPENDING_NOT_WRITTEN = "spending.not_written"
@@ -131,6 +133,7 @@
     HOST_BEHIND_COUNT,
     ACCEPT_FAILED_COUNT,
     WORKING_SET_CHANGES,
+    TASK_RESTARTED_COUNT,
     SPENDING_WRITTEN,
     SPENDING_NOT_WRITTEN,
     ENTRY_IGNORED_COUNT,
