Write spending records on, though other hosts of the stream wrote before

Hosts share streams, and each write of another moved the end that a host knew: its next write failed, was listed anew and waited for the next interval, so that records were a second old where they should be half. The answer to an append that came too late tells the end (PROTOCOL); the record is written again at once. 64 streams instead of 16.

--- a/src/knapweeddrum/platform/exceptions.py
+++ b/src/knapweeddrum/platform/exceptions.py
@@ -36,11 +36,15 @@
 
 
 class ConditionFailedError(PlatformError):
-    """The stream did not end at the offset that a conditional append expected.
+    """The stream did not end at the position that a conditional append expected.
 
-    Nothing was written.
+    Nothing was written. ``end`` is where it ended, None if the store did not tell.
     """
 
+    def __init__(self, stream: str, end: int | None = None) -> None:
+        super().__init__(stream)
+        self.end = end
+
 
 class SettingsFileError(PlatformError):
     """The platform's settings file is missing or invalid."""
--- a/src/knapweeddrum/platform/spending_codec.py
+++ b/src/knapweeddrum/platform/spending_codec.py
@@ -12,7 +12,7 @@
 from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 
 SPENDING_STREAM_PREFIX = "keyed.spending."
-SPENDING_STREAMS = 16
+SPENDING_STREAMS = 64
 """Streams among which hosts are spread, as those of one wait for each other."""
 
 
--- a/src/knapweeddrum/platform/store_client.py
+++ b/src/knapweeddrum/platform/store_client.py
@@ -71,6 +71,10 @@
     end: Offset
 
 
+class _ConditionFailed(msgspec.Struct, frozen=True):
+    end: Offset
+
+
 class _Expired(msgspec.Struct, frozen=True):
     first: Offset
 
@@ -131,7 +135,7 @@
         if reply.status in NOT_EXECUTED_STATUSES:
             raise LogUnavailableError(f"append refused with status {reply.status}")
         if reply.status == CONDITION_FAILED:
-            raise ConditionFailedError(stream)
+            raise ConditionFailedError(stream, _end_of_stream(reply))
         if reply.status != OK:
             raise AppendUnknownError(f"append answered with status {reply.status}")
         if expected_end is not None and not _is_of_era(expected_end, reply.era):
@@ -261,6 +265,15 @@
     return not position or era_of(position) == era
 
 
+def _end_of_stream(reply: _Reply) -> int | None:
+    """Return where a stream ends by the answer to an append that came too late."""
+    try:
+        end = decode_json(reply.body, _ConditionFailed).end
+    except MalformedDocumentError:
+        return None
+    return store_position(reply.era, end)
+
+
 def _ignore_doubt(_reason: str) -> None:
     return None
 
--- a/src/knapweeddrum/process/entry/spending_task.py
+++ b/src/knapweeddrum/process/entry/spending_task.py
@@ -7,11 +7,7 @@
 
 import anyio
 
-from knapweeddrum.message.call.spending_record import (
-    MachineTime,
-    SpendingLimit,
-    SpendingRecord,
-)
+from knapweeddrum.message.call.spending_record import SpendingLimit, SpendingRecord
 from knapweeddrum.platform.exceptions import (
     AppendUnknownError,
     ConditionFailedError,
@@ -38,6 +34,9 @@
 SECONDS_PER_HOST = 1 / 60
 """Interval for each host of a large fleet, so that all together write at most 60."""
 
+MAX_WRITE_ATTEMPTS = 3
+"""Writes of one record; each may fail as another host of the stream wrote before."""
+
 RETRY_SECONDS = 0.1
 RENEW_TIMEOUT_SECONDS = 0.1
 """Time for which a request waits for a record that lets it have its tokens."""
@@ -80,14 +79,13 @@
         Returns after RENEW_TIMEOUT_SECONDS at the latest.
         """
         with anyio.move_on_after(RENEW_TIMEOUT_SECONDS):
-            while not self._is_failing and self._end is not None:
-                limited = self._limited(wanted)
-                if not limited:
-                    return
+            while limited := self._limited(wanted):
                 for organisation, tokens in limited.items():
                     known = self._wanted.get(organisation, 0)
                     self._wanted[organisation] = max(known, tokens)
                 self._due.set()
+                if self._is_failing or self._end is None:
+                    return
                 await self._tried.wait()
 
     def _limited(self, wanted: Mapping[str, int]) -> dict[str, int]:
@@ -130,29 +128,26 @@
                 )
 
     async def _write_if_changed(self) -> None:
-        ctx = self._ctx
         wanted, self._wanted = self._wanted, {}
+        for _ in range(MAX_WRITE_ATTEMPTS):
+            if await self._write(wanted):
+                break
+        self._tried.set()
+        self._tried = anyio.Event()
+
+    async def _write(self, wanted: Mapping[str, int]) -> bool:
+        """Write a record if there is news; False if another host wrote before.
+
+        The record is kept to from now on unless it is certainly not written.
+        """
+        ctx = self._ctx
         # The next incarnation counts from a time that is not later than this one's.
         at = machine_time()
         now = time.monotonic()
         limits = ctx.token_accounts.next_spending_limits(wanted, now)
         settled = self._settled_predecessors()
-        if limits != self._written or settled:
-            await self._write(limits, settled, at, now)
-        self._tried.set()
-        self._tried = anyio.Event()
-
-    async def _write(
-        self,
-        limits: tuple[SpendingLimit, ...],
-        settled: list[str],
-        at: MachineTime,
-        now: float,
-    ) -> None:
-        """Write a record; keep to it from now on unless it is certainly not written."""
-        ctx = self._ctx
-        if self._end is None:
-            return
+        if self._end is None or (limits == self._written and not settled):
+            return True
         self._number += 1
         record = SpendingRecord(
             ctx.incarnation, self._number, era_of(self._end), at, limits
@@ -165,7 +160,11 @@
             )
         except AppendUnknownError:
             self._record_failure()
-        except (ConditionFailedError, StoreReturnedError):
+        except ConditionFailedError as exc:
+            ctx.token_accounts.discard_spending_record(record.number, now)
+            self._end = exc.end
+            return False
+        except StoreReturnedError:
             ctx.token_accounts.discard_spending_record(record.number, now)
             self._end = None
         except LogUnavailableError:
@@ -177,6 +176,7 @@
             ctx.predecessor_claims.forget(settled)
             ctx.metrics.count(SPENDING_WRITTEN)
             ctx.token_accounts.confirm_spending_record(record.number, time.monotonic())
+        return True
 
     def _settled_predecessors(self) -> list[str]:
         """Return the incarnations whose claims need no record any more."""
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -202,3 +202,14 @@
         pool = ConnectionPool(lambda _: None)
         yield StoreClient(address, pool, lambda *_: None)
         await pool.close()
+
+
+@async_test
+async def test_append_that_came_too_late_tells_where_the_stream_ends():
+    """The writer can try again without another read."""
+    store = PlatformStore()
+    async with connected(store) as client:
+        await client.append("keyed.x", RECORDS, expected_end=0)
+        with CASE.assertRaises(ConditionFailedError) as caught:
+            await client.append("keyed.x", RECORDS, expected_end=0)
+        assert caught.exception.end == 1
--- a/tests/process/entry/fuzzed_host.py
+++ b/tests/process/entry/fuzzed_host.py
@@ -70,6 +70,7 @@
             TokenBorrower(self.ctx, peers),
             SpendingTask(self.ctx),
         )
+        self._spending = SpendingTask(self.ctx)
         lender = TokenLender(self.ctx, allocator)
         witness = TokenWitness(self.ctx, peers)
         permits = PermitDesk(self.ctx)
@@ -98,6 +99,9 @@
         if stream == "claims":
             self._claims._apply_record(self.ctx.token_accounts.ledger, record)
             return
+        if stream == "spending":
+            self._spending._apply((record,), 0)
+            return
         reader = {
             "configuration": self._configuration,
             "hosts": self._hosts,
@@ -145,6 +149,8 @@
         accounts.plan_claims({}, accounts.prepaid_organisations(), now, ["host-1/1"])
         accounts.record_not_written()
         release_claims_of_failed_hosts(ctx)
+        for claim in ctx.predecessor_claims.releases(accounts.ledger):
+            assert 0 <= claim.committed <= claim.claimed
 
     def _look_at_crashes(self) -> None:
         register, now = self.ctx.crash_register, time.time()
--- a/tests/process/entry/test_odd_documents.py
+++ b/tests/process/entry/test_odd_documents.py
@@ -23,6 +23,7 @@
     UnlockedLimit,
     WitnessDeparture,
 )
+from knapweeddrum.process.entry.machine_clock import machine_time
 from knapweeddrum.value.documents import MalformedDocumentError
 from knapweeddrum.value.host_record import HostRecord
 from knapweeddrum.value.told_limit import ToldLimit
@@ -80,6 +81,13 @@
     "list_offset": 3,
     "sole": [{"service": "s", "software_version": "v1", "seconds": 20.0}],
 }
+SPENDING = {
+    "incarnation": "host-0/0",
+    "number": 1,
+    "era": 0,
+    "at": msgspec.to_builtins(machine_time()),
+    "limits": [[ORGANISATION, 300, 10.0]],
+}
 RECORDS: tuple[tuple[str, str, object], ...] = (
     ("configuration", "config", configuration(2)),
     ("services", "engine-1", ENTRY),
@@ -89,6 +97,8 @@
     ("claims", f"{ORGANISATION}|host-1/1", CLAIM),
     ("claims", "|check-in|host-1/1", CHECK_IN),
     ("claims", "|opening", {"era": 0}),
+    ("claims", f"{ORGANISATION}|host-0/0", CLAIM),
+    ("spending", "host-0/0", SPENDING),
 )
 """Stream, key and sound document of each kind of record."""
 
