Count what an earlier incarnation may have spent until it certainly has ended

The growth of its limit was counted until this process began. A supervisor that starts the next process before the last one is gone (none that we know does) would have had that one spend past what was counted. Now it is counted until the record is read, when this process listens at the host's addresses and no earlier one can.

--- a/src/knapweeddrum/core/prepaid/predecessor_claims.py
+++ b/src/knapweeddrum/core/prepaid/predecessor_claims.py
@@ -14,39 +14,37 @@
     """Gives back what earlier incarnations of this host can't have spent.
 
     An incarnation keeps to the limits that it has written. They grow with time, so that
-    the machine's clocks tell how much it can have spent at most by the start of this
-    one, whoever else was killed with it. A record without a common clock, or of another
-    era of the store, proves nothing.
+    the machine's clocks tell how much it can have spent at most by a time at which it
+    has ended, whoever else was killed with it. A record without a common clock, or of
+    another era of the store, proves nothing.
     """
 
-    def __init__(
-        self, host_name: str, incarnation: str, started_at: MachineTime
-    ) -> None:
+    def __init__(self, host_name: str, incarnation: str) -> None:
         self._host_name = host_name
         self._incarnation = incarnation
-        self._started_at = started_at
         self._limits: dict[tuple[str, str], int] = {}
         """Most that was spent, by organisation and incarnation."""
         self.incarnations: frozenset[str] = frozenset()
         """Earlier incarnations of this host that have a record."""
 
-    def apply(self, records: Iterable[SpendingRecord], era: int) -> None:
-        """Take in the newest record of each incarnation, read in an era."""
+    def apply(
+        self, records: Iterable[SpendingRecord], era: int, now: MachineTime
+    ) -> None:
+        """Take in the newest record of each incarnation, read in an era.
+
+        By ``now`` the earlier incarnations have ended.
+        """
         own = [record for record in records if self._is_predecessor(record.incarnation)]
         self.incarnations = frozenset(record.incarnation for record in own)
         self._limits.clear()
         for record in own:
-            seconds = self.seconds_since(record)
+            seconds = now.seconds_since(record.at)
             if seconds is None or record.era != era:
                 continue
             for limit in record.limits:
                 key = (limit.organisation, record.incarnation)
                 self._limits[key] = limit.after(seconds) + 1
 
-    def seconds_since(self, record: SpendingRecord) -> float | None:
-        """Return the most that passed from a record to the start of this process."""
-        return self._started_at.seconds_since(record.at)
-
     def releases(self, ledger: TokenClaimLedger) -> list[TokenClaim]:
         """Return what remains of each claim that is larger than what was spent."""
         claims = []
--- a/src/knapweeddrum/process/entry/spending_task.py
+++ b/src/knapweeddrum/process/entry/spending_task.py
@@ -116,13 +116,15 @@
                 decoded.append(decode_spending(record))
             except MalformedRecordError as exc:
                 ctx.record_ignored(record.key, record.offset, str(exc))
-        ctx.predecessor_claims.apply(decoded, era)
+        # This process listens at the host's addresses, so that no earlier one does.
+        now = machine_time()
+        ctx.predecessor_claims.apply(decoded, era, now)
         for known in decoded:
             if known.incarnation in ctx.predecessor_claims.incarnations:
                 ctx.events.emit(
                     PREDECESSOR_READ,
                     holder=known.incarnation,
-                    seconds=ctx.predecessor_claims.seconds_since(known),
+                    seconds=now.seconds_since(known.at),
                     same_era=known.era == era,
                     organisations=len(known.limits),
                 )
--- a/src/knapweeddrum/process/entry_composition.py
+++ b/src/knapweeddrum/process/entry_composition.py
@@ -33,7 +33,6 @@
     MAX_WAITING_REPORTS,
     LostConnection,
 )
-from knapweeddrum.process.entry.machine_clock import machine_time
 from knapweeddrum.settings.entry_settings import EntrySettings
 from knapweeddrum.telemetry.bounded_writer import BoundedWriter
 from knapweeddrum.telemetry.counters import CONNECTIONS_OPENED, store_counter
@@ -56,7 +55,6 @@
     settings: EntrySettings, settings_path: pathlib.Path, level: str, metrics_port: int
 ) -> None:
     """Run an entry process until it is told to stop."""
-    started_at = machine_time()
     rng = random.SystemRandom()
     incarnation = new_incarnation(
         HostName(settings.host_name), "entry", time.time_ns() // 1_000_000, rng
@@ -86,9 +84,7 @@
         losses=losses,
         claim_witness=ClaimWitness(incarnation),
         claim_recovery=ClaimRecovery(incarnation),
-        predecessor_claims=PredecessorClaims(
-            settings.host_name, incarnation, started_at
-        ),
+        predecessor_claims=PredecessorClaims(settings.host_name, incarnation),
         placer=Placer(),
         events=EventLog(level, LineLogger(writer), incarnation=incarnation),
         metrics=metrics,
--- a/tests/core/prepaid/test_spending_limits.py
+++ b/tests/core/prepaid/test_spending_limits.py
@@ -42,8 +42,8 @@
 def claims_after(
     record: SpendingRecord, started_at: MachineTime, era: int = 0
 ) -> list[TokenClaim]:
-    claims = PredecessorClaims("host-1", SUCCESSOR, started_at)
-    claims.apply([record], era)
+    claims = PredecessorClaims("host-1", SUCCESSOR)
+    claims.apply([record], era, started_at)
     return claims.releases(ledger())
 
 
@@ -200,8 +200,8 @@
     """They may live and spend on."""
     record = spending_record(1, 20_000, 0.0, at=10.0)
     for host_name, incarnation in (("host-2", "host-2/entry/1"), ("host-1", HOLDER)):
-        claims = PredecessorClaims(host_name, incarnation, machine(12.0))
-        claims.apply([record], 0)
+        claims = PredecessorClaims(host_name, incarnation)
+        claims.apply([record], 0, machine(12.0))
         assert claims.releases(ledger()) == []
 
 
@@ -214,8 +214,8 @@
 
 def test_claim_is_never_lowered_below_what_it_says_was_spent():
     """A claim may have been written after the last record."""
-    claims = PredecessorClaims("host-1", SUCCESSOR, machine(10.0))
-    claims.apply([spending_record(1, 5, 0.0, at=10.0)], 0)
+    claims = PredecessorClaims("host-1", SUCCESSOR)
+    claims.apply([spending_record(1, 5, 0.0, at=10.0)], 0, machine(10.0))
     (claim,) = claims.releases(ledger(committed=700))
     assert claim.claimed == 700
     assert claims.settled(ledger(committed=700)) == []
--- a/tests/process/entry/claim_race.py
+++ b/tests/process/entry/claim_race.py
@@ -42,7 +42,6 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.loan_exchange import LOAN_PATH
 from knapweeddrum.process.entry.lost_connection import LostConnection
-from knapweeddrum.process.entry.machine_clock import machine_time
 from knapweeddrum.process.entry.peer_client import (
     PEER_REQUEST_TIMEOUT_SECONDS,
     PEER_UNRESPONSIVE_SECONDS,
@@ -499,7 +498,7 @@
         losses=losses,
         claim_witness=ClaimWitness(f"{name}/1"),
         claim_recovery=ClaimRecovery(f"{name}/1"),
-        predecessor_claims=PredecessorClaims(name, f"{name}/1", machine_time()),
+        predecessor_claims=PredecessorClaims(name, f"{name}/1"),
         placer=Placer(),
         events=RecordingEventLog(),
         metrics=Metrics(),
--- a/tests/process/entry/embedded_caller_server.py
+++ b/tests/process/entry/embedded_caller_server.py
@@ -32,7 +32,6 @@
 from knapweeddrum.process.entry.endpoint_permits import EndpointPermits
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.lost_connection import LostConnection
-from knapweeddrum.process.entry.machine_clock import machine_time
 from knapweeddrum.process.entry.peer_client import PeerClient
 from knapweeddrum.process.entry.permit_desk import PermitDesk
 from knapweeddrum.process.entry.request_parts import RequestParts
@@ -145,7 +144,7 @@
         losses=losses,
         claim_witness=ClaimWitness(INCARNATION),
         claim_recovery=ClaimRecovery(INCARNATION),
-        predecessor_claims=PredecessorClaims("host-1", INCARNATION, machine_time()),
+        predecessor_claims=PredecessorClaims("host-1", INCARNATION),
         placer=Placer(),
         events=RecordingEventLog(),
         metrics=Metrics(),
--- a/tests/process/entry/return_day.py
+++ b/tests/process/entry/return_day.py
@@ -47,7 +47,6 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.loan_exchange import LOAN_PATH, RETURN_PATH
 from knapweeddrum.process.entry.lost_connection import LostConnection
-from knapweeddrum.process.entry.machine_clock import machine_time
 from knapweeddrum.process.entry.page_server import PageAnswer
 from knapweeddrum.process.entry.peer_client import (
     PEER_REQUEST_TIMEOUT_SECONDS,
@@ -560,9 +559,7 @@
         losses=losses,
         claim_witness=ClaimWitness(host.incarnation),
         claim_recovery=ClaimRecovery(host.incarnation),
-        predecessor_claims=PredecessorClaims(
-            host.name, host.incarnation, machine_time()
-        ),
+        predecessor_claims=PredecessorClaims(host.name, host.incarnation),
         placer=Placer(),
         events=RecordingEventLog(),
         metrics=Metrics(),
