Log what is open and unanswered when a drain ends

A host that ended with requests that its transports had read and its sessions had not begun wrote nothing about them (in_progress is 0, so stopped_in_progress says nothing), nor about bodies that were still coming in. 'connections_ended' (652) counts both, so that a lost request is told apart by its host's log: begun and cut (621 names it), read and never begun, or still being sent. No change of behaviour.

--- a/src/knapweeddrum/process/entry/caller_server.py
+++ b/src/knapweeddrum/process/entry/caller_server.py
@@ -9,7 +9,7 @@
 from knapweeddrum.process.entry.caller_session import CallerSession
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.request_parts import RequestParts
-from knapweeddrum.telemetry.events import TASK_FAILED
+from knapweeddrum.telemetry.events import CONNECTIONS_ENDED, TASK_FAILED
 
 
 class CallerServer:
@@ -32,6 +32,15 @@
             session.request_id for session in self._sessions if session.request_id
         )
 
+    def report_end(self) -> None:
+        """Log what is open as the process ends."""
+        self._ctx.events.emit(
+            CONNECTIONS_ENDED,
+            open=len(self._sessions),
+            unanswered=sum(session.is_unanswered for session in self._sessions),
+            receiving=sum(session.is_receiving for session in self._sessions),
+        )
+
     async def run(self) -> None:
         """Accept connections until stopped; serve them until cancelled."""
         address = self._ctx.settings.caller_address
--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -57,6 +57,8 @@
         self._admission = RequestAdmission(ctx)
         self.request_id = ""
         """Identifier of the request that is being served, empty for none."""
+        self.is_receiving = False
+        """Whether the body of a request has begun to come in and isn't whole."""
 
     async def run(self) -> None:
         """Serve until the connection ends."""
@@ -76,6 +78,11 @@
         """Close the connection at once."""
         await self._conn.abort()
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Return whether anything was received that has no whole answer yet."""
+        return not self._conn.is_waiting or self._conn.has_pending_input()
+
     def end_if_idle(self) -> None:
         """End the connection unless a request has been received on it."""
         if self._conn.is_waiting:
@@ -102,6 +109,7 @@
         finally:
             self._ctx.in_progress -= 1
             self.request_id = ""
+            self.is_receiving = False
         return self._conn.finish()
 
     def _is_closing(self) -> bool:
@@ -117,9 +125,11 @@
             limits = _limits(self._ctx)
             req = decode_request(received)
             self.request_id = req.attempt_id
+            self.is_receiving = True
             body = await self._conn.read_body(
                 limits.max_body_bytes, limits.idle_timeout
             )
+            self.is_receiving = False
             job = self._admit(req, body, arrived_at)
             await self._run_until_disconnect(job)
         except MalformedRequestError as exc:
--- a/src/knapweeddrum/process/entry/drain_sequence.py
+++ b/src/knapweeddrum/process/entry/drain_sequence.py
@@ -81,6 +81,7 @@
                 ids=self._server.requests_in_progress()[:MAX_LOGGED_REQUESTS],
                 claims_returned=returned,
             )
+        self._server.report_end()
         ctx.events.emit(DRAIN_FINISHED)
 
     async def _finish_sessions(self) -> None:
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -260,3 +260,6 @@
 SIGNAL_RECEIVED = Event(
     651, "signal_received", "info", ("signal", "draining", "in_progress")
 )
+CONNECTIONS_ENDED = Event(
+    652, "connections_ended", "info", ("open", "unanswered", "receiving")
+)
