--- a/tests/process/entry/kept_connection.py
+++ b/tests/process/entry/kept_connection.py
@@ -42,6 +42,8 @@
     def __init__(self, stream: anyio.abc.SocketStream) -> None:
         self._stream = stream
         self._rest = b""
+        self.has_ended = False
+        """Whether the peer has ended the connection within or before an answer."""
 
     @classmethod
     async def connect(cls, address: str) -> KeptConnection:
@@ -58,8 +60,16 @@
         """Send the bytes."""
         await self._stream.send(request)
 
-    async def answer(self) -> KeptAnswer | None:
-        """Return the next answer, None if the connection ends before its head."""
+    def fileno(self) -> int:
+        """Return the descriptor of the socket, -1 once it is closed."""
+        sock = self._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        return sock.fileno()
+
+    async def answer(self, limit: float = ANSWER_LIMIT_SECONDS) -> KeptAnswer | None:
+        """Return the next answer, None if the connection ends before its head.
+
+        An answer that isn't whole after ``limit`` seconds counts as not given.
+        """
         parser = h11.Connection(h11.CLIENT)
         parser.send(h11.Request(method="POST", target="/", headers=[("Host", "a")]))
         parser.send(h11.EndOfMessage())
@@ -67,7 +77,7 @@
             parser.receive_data(self._rest)
         head: h11.Response | None = None
         body = bytearray()
-        with anyio.move_on_after(ANSWER_LIMIT_SECONDS):
+        with anyio.move_on_after(limit):
             try:
                 while True:
                     event = parser.next_event()
@@ -81,7 +91,7 @@
                         self._rest = parser.trailing_data[0]
                         return _answer(head, bytes(body), is_complete=True)
             except DISCONNECT_ERRORS:
-                pass
+                self.has_ended = True
         return _answer(head, bytes(body), is_complete=False)
 
     async def close(self) -> None:
--- a/tests/process/entry/planned_stop.py
+++ b/tests/process/entry/planned_stop.py
@@ -32,6 +32,10 @@
 EVENT_GAP_SECONDS = 0.1
 RECONNECT_SECONDS = 0.02
 PREPAID_TOKENS = 10_000_000
+LOSS_SLACK_SECONDS = 0.2
+"""Time after the last byte of a request within which its connection may end."""
+THROTTLED_SECONDS = 0.05
+"""Time for which a host with half a core stands still and then runs, in turns."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,6 +60,8 @@
     """Seconds for which the host is suspended at the first signal."""
     reading_pause: float = 0.0
     """Seconds that each caller waits between a request and reading its answer."""
+    half_core: bool = False
+    """Whether the host stands still for half of the time."""
 
     @classmethod
     def draw(cls, rng: random.Random) -> StopPlan:
@@ -110,6 +116,8 @@
         self._engine = VariedEngine("engine-1", random.Random(seed + 1))
         self._stock = StampedServer("stock-1", body=b"booked")
         self._unanswered: set[str] = set()
+        self.ended_late: list[str] = []
+        """Requests that ended without any answer when they had been sent for long."""
         self.whole = 0
         """Answers that were whole after the first signal."""
         self.exit_code: int | None = None
@@ -129,6 +137,8 @@
             ) as harness,
             anyio.create_task_group() as tasks,
         ):
+            if self._plan.half_core:
+                tasks.start_soon(_throttle, harness)
             for _ in range(self._plan.callers):
                 tasks.start_soon(self._call, harness)
             await anyio.sleep(WARM_UP_SECONDS)
@@ -189,8 +199,19 @@
         lasted = anyio.current_time() - sent_at
         if lasted > ROUTE_TIMEOUT_SECONDS - TIMEOUT_MARGIN_SECONDS:
             self._unanswered.discard(attempt)
+        if answer is None and conn.has_ended and lasted > LOSS_SLACK_SECONDS:
+            self.ended_late.append(attempt)
         if answer is None or not answer.is_complete:
             return False
         self._unanswered.discard(attempt)
         self.whole += self._stop_at < float("inf")
         return not answer.says_close
+
+
+async def _throttle(harness: EntryHarness) -> None:
+    """Let the host run for half of the time, until it has ended."""
+    while harness.process.returncode is None:
+        for number in (signal.SIGSTOP, signal.SIGCONT):
+            with contextlib.suppress(ProcessLookupError):
+                harness.send_signal(number)
+            await anyio.sleep(THROTTLED_SECONDS)
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -95,6 +95,8 @@
         """Refuses appends with 503 and answers reads."""
         self.lose_replies = 0
         """Number of next appends that are carried out without a reply."""
+        self.reply_delay = 0.0
+        """Seconds by which each answer is late."""
         self.calls = 0
         self.era: int | None = None
         """Sent with all answers, None for a store that tells none."""
@@ -143,6 +145,8 @@
         self.calls += 1
         if self.unresponsive:
             await anyio.sleep_forever()
+        if self.reply_delay:
+            await anyio.sleep(self.reply_delay)
         if self._away:
             return False
         target = urllib.parse.urlsplit(received.target.decode())
