Accept the connections that wait before a listener closes, and count them as open

Cause: the accepting task was cancelled and the socket closed although connections waited in the kernel's queue; a connection that had just been accepted had no session for some turns of the event loop, so that the drain took the host for idle.

Change: when a listener of callers stops, it accepts what waits and closes its socket in one step; the server has sessions until that has happened and all that was accepted has begun.

--- a/src/knapweeddrum/http/listener.py
+++ b/src/knapweeddrum/http/listener.py
@@ -34,28 +34,49 @@
         self._sock = sock
         self._on_failure = on_failure
         self._is_failing = False
+        self.opening = 0
+        """Connections that were accepted and whose handler has not begun."""
 
-    async def serve(
-        self, handler: ConnectionHandler, tasks: TaskGroup | None = None
-    ) -> None:
-        """Run ``handler`` for each connection until cancelled.
+    async def serve(self, handler: ConnectionHandler) -> None:
+        """Run ``handler`` for each connection until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            await self._accept_until_cancelled(handler, tasks)
+
+    async def serve_in(self, tasks: TaskGroup, handler: ConnectionHandler) -> None:
+        """Run ``handler`` in ``tasks`` for each connection, until cancelled.
 
-        The handlers run in ``tasks`` if it is given, and outlive this call then.
+        Then the connections that wait are accepted and the socket is closed in one
+        step, as their callers may have sent requests; the handlers outlive the call.
         """
-        async with contextlib.AsyncExitStack() as stack:
-            group = tasks
-            if group is None:
-                group = await stack.enter_async_context(anyio.create_task_group())
-            while True:
-                await anyio.wait_readable(self._sock)
-                try:
-                    for conn in self._accept_waiting():
-                        group.start_soon(_handle, conn, handler)
-                except OSError as exc:
-                    self._report(exc)
-                    await anyio.sleep(ACCEPT_RETRY_SECONDS)
-
-    def _accept_waiting(self) -> Iterator[socket.socket]:
+        try:
+            await self._accept_until_cancelled(handler, tasks)
+        finally:
+            while self._accept_waiting(handler, tasks) == MAX_ACCEPTED_TOGETHER:
+                pass
+            self._sock.close()
+
+    async def _accept_until_cancelled(
+        self, handler: ConnectionHandler, tasks: TaskGroup
+    ) -> None:
+        while True:
+            await anyio.wait_readable(self._sock)
+            self._accept_waiting(handler, tasks)
+            if self._is_failing:
+                await anyio.sleep(ACCEPT_RETRY_SECONDS)
+
+    def _accept_waiting(self, handler: ConnectionHandler, tasks: TaskGroup) -> int:
+        """Start the handlers of connections that wait; return how many."""
+        count = 0
+        try:
+            for conn in self._accepted():
+                count += 1
+                self.opening += 1
+                tasks.start_soon(self._handle, conn, handler)
+        except OSError as exc:
+            self._report(exc)
+        return count
+
+    def _accepted(self) -> Iterator[socket.socket]:
         for _ in range(MAX_ACCEPTED_TOGETHER):
             try:
                 conn, _ = self._sock.accept()
@@ -66,6 +87,17 @@
             conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             yield conn
 
+    async def _handle(self, conn: socket.socket, handler: ConnectionHandler) -> None:
+        try:
+            stream = await SocketStream.from_socket(conn)
+        except (OSError, ValueError):
+            # The peer has disconnected already.
+            conn.close()
+            return
+        finally:
+            self.opening -= 1
+        await handler(stream)
+
     def _report(self, exc: OSError) -> None:
         if not self._is_failing:
             self._is_failing = True
@@ -82,13 +114,3 @@
         sock.bind((host, int(port)))
         sock.listen(BACKLOG)
         yield Listener(sock, on_failure)
-
-
-async def _handle(conn: socket.socket, handler: ConnectionHandler) -> None:
-    try:
-        stream = await SocketStream.from_socket(conn)
-    except (OSError, ValueError):
-        # The peer has disconnected already.
-        conn.close()
-        return
-    await handler(stream)
--- a/src/knapweeddrum/process/entry/caller_server.py
+++ b/src/knapweeddrum/process/entry/caller_server.py
@@ -5,7 +5,7 @@
 import anyio
 from anyio.abc import SocketStream
 
-from knapweeddrum.http.listener import listen
+from knapweeddrum.http.listener import Listener, listen
 from knapweeddrum.process.entry.caller_session import CallerSession
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.request_parts import RequestParts
@@ -20,11 +20,18 @@
         self._parts = parts
         self._sessions: set[CallerSession] = set()
         self._accepting = anyio.CancelScope()
+        self._listener: Listener | None = None
+        self._is_listening = False
 
     @property
     def has_sessions(self) -> bool:
-        """Return whether any connection is open."""
-        return bool(self._sessions)
+        """Return whether any connection is open, or may be until the listener closes.
+
+        While connections are accepted, only those count that are open.
+        """
+        is_closing = self._is_listening and self._accepting.cancel_called
+        is_opening = self._listener is not None and self._listener.opening > 0
+        return bool(self._sessions) or is_opening or is_closing
 
     def requests_in_progress(self) -> list[str]:
         """Return the identifiers of the requests that have no whole answer yet."""
@@ -48,11 +55,14 @@
             anyio.create_task_group() as tasks,
             listen(address, self._ctx.record_accept_failure) as listener,
         ):
+            self._listener = listener
+            self._is_listening = True
             with self._accepting:
-                await listener.serve(self._serve, tasks)
+                await listener.serve_in(tasks, self._serve)
+            self._is_listening = False
 
     def stop_accepting(self) -> None:
-        """Stop accepting connections."""
+        """Accept the connections that wait, and no more from the next turn on."""
         self._accepting.cancel()
 
     def end_idle(self) -> None:
