End a drain with an answer to each request that was read

Cause: a drain that expects requests until its end was cancelled there before its listener closed, so that callers were accepted and read until the process had exited; what was read and not begun was cancelled, and its connection ended only as the interpreter did, 0.1 s later or 0.3 s at half a core. Class: an end that is decided by time and takes along what it hasn't looked at.

Change: the listener closes 1.2 s before the kill in any case; 0.6 s before it, what has no answer yet gets one: 503 (not run) if no endpoint had it, 502 (unknown) otherwise; answers that have begun have 0.2 s more, as before; connections are closed then, not by the exit. Ruled out: more time for the exit alone (the connections would be as many, only later).

--- a/src/knapweeddrum/process/entry/caller_server.py
+++ b/src/knapweeddrum/process/entry/caller_server.py
@@ -70,6 +70,11 @@
         for session in self._sessions:
             session.end_if_idle()
 
+    def give_up_requests(self) -> None:
+        """Refuse the requests for which no answer has begun."""
+        for session in self._sessions:
+            session.give_up()
+
     async def _serve(self, stream: SocketStream) -> None:
         session = CallerSession(self._ctx, self._parts, stream)
         self._sessions.add(session)
@@ -80,6 +85,7 @@
             self._ctx.events.emit(
                 TASK_FAILED, task="connection of a caller", error=repr(exc)
             )
-            await session.abort()
         finally:
             self._sessions.discard(session)
+            # Also when cancelled: the end of the process may come much later.
+            await session.abort()
--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -17,7 +17,11 @@
 from knapweeddrum.process.entry.attempt_error import AttemptError
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.refused_error import RefusedError
-from knapweeddrum.process.entry.request_admission import RequestAdmission
+from knapweeddrum.process.entry.request_admission import (
+    DRAINING_RETRY_AFTER_SECONDS,
+    RequestAdmission,
+    refused,
+)
 from knapweeddrum.process.entry.request_handler import RequestHandler
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.process.entry.request_log import RequestLog, milliseconds
@@ -59,6 +63,8 @@
         """Identifier of the request that is being served, empty for none."""
         self.is_receiving = False
         """Whether the body of a request has begun to come in and isn't whole."""
+        self._work: anyio.CancelScope | None = None
+        """Scope of what is done for the request until its answer begins."""
 
     async def run(self) -> None:
         """Serve until the connection ends."""
@@ -88,6 +94,11 @@
         if self._conn.is_waiting:
             self._conn.stop_reading()
 
+    def give_up(self) -> None:
+        """Refuse the request that is being received or served, if no answer began."""
+        if self._work is not None and not self._conn.has_begun_reply:
+            self._work.cancel()
+
     async def _serve_next(self) -> bool:
         """Serve one request; return whether another may follow."""
         limits = _limits(self._ctx)
@@ -110,6 +121,7 @@
             self._ctx.in_progress -= 1
             self.request_id = ""
             self.is_receiving = False
+            self._work = None
         return self._conn.finish()
 
     def _is_closing(self) -> bool:
@@ -125,11 +137,7 @@
             limits = _limits(self._ctx)
             req = decode_request(received)
             self.request_id = req.attempt_id
-            self.is_receiving = True
-            body = await self._conn.read_body(
-                limits.max_body_bytes, limits.idle_timeout
-            )
-            self.is_receiving = False
+            body = await self._read_body(limits)
             job = self._admit(req, body, arrived_at)
             await self._run_until_disconnect(job)
         except MalformedRequestError as exc:
@@ -139,6 +147,21 @@
             await self._refuse(exc.refusal, job, arrived_at)
         return True
 
+    async def _read_body(self, limits: CallerLimits) -> bytes:
+        """Return the body; raises RefusedError if it is given up before its end."""
+        self.is_receiving = True
+        with anyio.CancelScope() as self._work:
+            body = await self._conn.read_body(
+                limits.max_body_bytes, limits.idle_timeout
+            )
+            self.is_receiving = False
+            return body
+        raise refused(
+            RefusalReason.DRAINING,
+            retry_after=DRAINING_RETRY_AFTER_SECONDS,
+            detail="the host ends before the body is whole",
+        )
+
     def _admit(self, req: CallerRequest, body: bytes, arrived_at: float) -> RequestJob:
         try:
             return self._admission.admit(req, body, arrived_at)
@@ -154,6 +177,7 @@
         log = RequestLog(self._ctx, job)
         failure: Exception | None = None
         disconnected = False
+        is_answered = False
 
         async def watch_connection() -> None:
             nonlocal disconnected
@@ -162,9 +186,11 @@
             tasks.cancel_scope.cancel()
 
         async with anyio.create_task_group() as tasks:
+            self._work = tasks.cancel_scope
             tasks.start_soon(watch_connection)
             try:
                 await handler.handle()
+                is_answered = True
             except Exception as exc:  # noqa: BLE001
                 # Raised below: the task group would wrap it in an exception group.
                 failure = exc
@@ -172,14 +198,31 @@
         if disconnected or isinstance(failure, PeerDisconnectedError):
             log.abandoned(handler.spent)
             raise PeerDisconnectedError("the caller has disconnected")
-        if failure is None:
+        if is_answered:
             return
+        if failure is None:
+            raise self._given_up_error(job)
         if isinstance(failure, AttemptError):
             log.cut(failure, handler.spent)
         elif not isinstance(failure, RefusedError):
             self._raise_internal_error(failure)
         raise failure
 
+    def _given_up_error(self, job: RequestJob) -> Exception:
+        """Return the error of a request that the end of a drain has cancelled."""
+        if self._conn.has_begun_reply:
+            return PeerDisconnectedError("the drain ended within an answer")
+        if job.may_have_run:
+            detail = f"the host ends, no answer from {job.endpoint_id}"
+            return refused(
+                RefusalReason.OUTCOME_UNKNOWN, RunState.UNKNOWN, detail=detail
+            )
+        return refused(
+            RefusalReason.DRAINING,
+            retry_after=DRAINING_RETRY_AFTER_SECONDS,
+            detail="the host ends before the request was sent on",
+        )
+
     def _raise_internal_error(self, failure: Exception) -> NoReturn:
         """Refuse the request if no answer was begun, else end the connection."""
         self._ctx.events.emit(
--- a/src/knapweeddrum/process/entry/drain_sequence.py
+++ b/src/knapweeddrum/process/entry/drain_sequence.py
@@ -28,8 +28,11 @@
 TOKEN_RETURN_MARGIN_SECONDS = 1.2
 """Time before the kill at which unused tokens are returned in any case."""
 
-EXIT_MARGIN_SECONDS = 0.4
-"""Time before the kill at which the process exits, even with requests in progress."""
+EXIT_MARGIN_SECONDS = 0.6
+"""Time before the kill from which no request is waited for that has no answer yet."""
+
+LAST_ANSWERS_SECONDS = 0.2
+"""Time after that in which answers that have begun, and refusals, are sent."""
 
 SESSION_POLL_SECONDS = 0.05
 
@@ -67,13 +70,17 @@
             while self._expects_requests(started_at):
                 self._server.end_idle()
                 await anyio.sleep(SESSION_POLL_SECONDS)
-            self._server.stop_accepting()
+        self._server.stop_accepting()
+        with anyio.move_on_after(return_at - time.monotonic()):
             await self._finish_sessions()
         returned = False
         with anyio.move_on_after(ctx.drain_ends_at - time.monotonic()):
             # A store that is silent must not keep the process from ending.
             returned = await self._allocator.return_unused()
             await self._finish_sessions()
+        self._server.give_up_requests()
+        with anyio.move_on_after(LAST_ANSWERS_SECONDS):
+            await self._finish_sessions()
         if ctx.in_progress or not returned:
             ctx.events.emit(
                 STOPPED_IN_PROGRESS,
