Let a new connection wait for its first request during a drain

Cause: a connection accepted some milliseconds ago has received nothing and was ended as idle while its first request was on the way.

Change: a connection without any request isn't ended as idle for its first 0.25 s.

Before: test_first_request_of_a_new_connection_is_answered_while_its_host_drains failed; after, it passes, and test_lost_requests (20).

--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -42,6 +42,9 @@
 }
 """Refusal reasons of malformed requests by status; any other is BAD_REQUEST."""
 
+FIRST_REQUEST_WAIT_SECONDS = 0.25
+"""Time after its opening for which a connection waits for a request in any case."""
+
 
 class CallerSession:
     """Reads requests in order and answers each."""
@@ -59,6 +62,7 @@
             stream, self._limits.max_header_bytes, self._is_closing
         )
         self._admission = RequestAdmission(ctx)
+        self._first_request_due = time.monotonic() + FIRST_REQUEST_WAIT_SECONDS
         self.request_id = ""
         """Identifier of the request that is being served, empty for none."""
         self.is_receiving = False
@@ -90,8 +94,8 @@
         return not self._conn.is_waiting or self._conn.has_pending_input()
 
     def end_if_idle(self) -> None:
-        """End the connection unless a request has been received on it."""
-        if self._conn.is_waiting:
+        """End the connection unless a request has been received on it, or is due."""
+        if self._conn.is_waiting and time.monotonic() >= self._first_request_due:
             self._conn.stop_reading()
 
     def give_up(self) -> None:
@@ -111,6 +115,7 @@
             return False
         if received is None:
             return False
+        self._first_request_due = float("-inf")
         self._ctx.in_progress += 1
         self._ctx.last_request_at = time.monotonic()
         self._ctx.request_rate.count(self._ctx.last_request_at)
