Refuse a request whose body comes in while its host drains, if it may outlast the drain

Cause: admission, and with it the check against the drain's end, came after the whole body. Change: while the host drains, a request that is being received is refused with 503 (not run, another host can serve it) as soon as its own deadline ends after the drain; one whose deadline ends before is received on, and refused at the drain's end at the latest.

Before: test_body_that_comes_in_while_its_host_drains_is_refused_at_once failed (no answer); after: answered 503 within a second of the start of refusals.

--- a/src/knapweeddrum/process/entry/caller_server.py
+++ b/src/knapweeddrum/process/entry/caller_server.py
@@ -70,6 +70,11 @@
         for session in self._sessions:
             session.end_if_idle()
 
+    def refuse_late_bodies(self) -> None:
+        """Refuse the requests that are being received and may outlast the drain."""
+        for session in self._sessions:
+            session.refuse_late_body(self._ctx.drain_ends_at)
+
     def give_up_requests(self) -> None:
         """Refuse the requests for which no answer has begun."""
         for session in self._sessions:
--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -69,6 +69,8 @@
         """Whether the body of a request has begun to come in and isn't whole."""
         self._work: anyio.CancelScope | None = None
         """Scope of what is done for the request until its answer begins."""
+        self._deadline = float("inf")
+        """Deadline of the request whose body is being received."""
 
     async def run(self) -> None:
         """Serve until the connection ends."""
@@ -103,6 +105,11 @@
         if self._work is not None and not self._conn.has_begun_reply:
             self._work.cancel()
 
+    def refuse_late_body(self, ends_at: float) -> None:
+        """Refuse a request whose body isn't whole and that may last beyond a time."""
+        if self.is_receiving and self._deadline > ends_at:
+            self.give_up()
+
     async def _serve_next(self) -> bool:
         """Serve one request; return whether another may follow."""
         limits = _limits(self._ctx)
@@ -142,6 +149,7 @@
             limits = _limits(self._ctx)
             req = decode_request(received)
             self.request_id = req.attempt_id
+            self._deadline = self._admission.deadline(req, arrived_at)
             body = await self._read_body(limits)
             job = self._admit(req, body, arrived_at)
             await self._run_until_disconnect(job)
--- a/src/knapweeddrum/process/entry/drain_sequence.py
+++ b/src/knapweeddrum/process/entry/drain_sequence.py
@@ -68,8 +68,7 @@
         with anyio.move_on_after(return_at - time.monotonic()):
             await anyio.sleep(ctx.drain_refuses_from - time.monotonic())
             while self._expects_requests(started_at):
-                self._server.end_idle()
-                await anyio.sleep(SESSION_POLL_SECONDS)
+                await self._end_connections()
         self._server.stop_accepting()
         with anyio.move_on_after(return_at - time.monotonic()):
             await self._finish_sessions()
@@ -93,8 +92,13 @@
 
     async def _finish_sessions(self) -> None:
         while self._server.has_sessions:
-            self._server.end_idle()
-            await anyio.sleep(SESSION_POLL_SECONDS)
+            await self._end_connections()
+
+    async def _end_connections(self) -> None:
+        """End what is idle, refuse what can't be served any more, and wait a little."""
+        self._server.end_idle()
+        self._server.refuse_late_bodies()
+        await anyio.sleep(SESSION_POLL_SECONDS)
 
     def _expects_requests(self, started_at: float) -> bool:
         last = max(self._ctx.last_request_at, started_at)
--- a/src/knapweeddrum/process/entry/request_admission.py
+++ b/src/knapweeddrum/process/entry/request_admission.py
@@ -46,10 +46,7 @@
         organisation = self._organisation(configuration, route, req)
         service_name = route.choose_service(self._ctx.rng.random())
         service = configuration.services.get(service_name)
-        time_left = route.timeout
-        if req.time_left is not None:
-            time_left = min(time_left, req.time_left)
-        deadline = arrived_at + time_left
+        deadline = arrived_at + _time_left(route, req)
         self._check_drain(deadline, arrived_at)
         max_connections = MIN_CONNECTIONS
         tokens_per_event = 1
@@ -71,6 +68,17 @@
             fingerprint=_fingerprint(req, body, organisation),
         )
 
+    def deadline(self, req: CallerRequest, arrived_at: float) -> float:
+        """Return the deadline of a request whose body isn't known yet.
+
+        It is infinite if there is neither a route nor a limit of the caller's.
+        """
+        configuration = self._ctx.configuration
+        route = None
+        if configuration is not None:
+            route = configuration.find_route(req.host_name, req.path)
+        return arrived_at + _time_left(route, req)
+
     def _connection_limit(self, service: Service, now: float) -> int:
         """Return this host's part of the connections that an endpoint accepts."""
         fleet_size = self._ctx.fleet_size
@@ -105,6 +113,14 @@
         return organisation
 
 
+def _time_left(route: Route | None, req: CallerRequest) -> float:
+    """Return the shorter of the route's and the caller's time limit in seconds."""
+    timeout = route.timeout if route is not None else float("inf")
+    if req.time_left is None:
+        return timeout
+    return min(timeout, req.time_left)
+
+
 def _fingerprint(
     req: CallerRequest, body: bytes, organisation: Organisation | None
 ) -> str:
