--- a/src/knapweeddrum/process/entry/answer_relay.py
+++ b/src/knapweeddrum/process/entry/answer_relay.py
@@ -4,13 +4,15 @@
 
 import time
 
-from knapweeddrum.core.admission.crash_evidence import ProbeResult
+import anyio
+
 from knapweeddrum.core.catalog.route_kind import RouteKind
 from knapweeddrum.core.routing.answer_end import AnswerEnd
 from knapweeddrum.core.routing.answer_verdict import (
     AnswerVerdict,
+    first_question_delay,
     judge_body,
-    judge_by_endpoint,
+    judge_by_life_sign,
     judge_stream,
 )
 from knapweeddrum.core.streams.stream_origin import StreamOrigin
@@ -21,7 +23,7 @@
 from knapweeddrum.platform.endpoint_protocol import EndpointReplyHead
 from knapweeddrum.process.entry.attempt_error import AttemptError
 from knapweeddrum.process.entry.endpoint_attempt import EndpointAnswer
-from knapweeddrum.process.entry.endpoint_probe import probe_endpoint
+from knapweeddrum.process.entry.endpoint_probe import ask_life_sign
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.process.entry.request_log import RequestLog
 from knapweeddrum.process.entry.stream_origin_sharing import StreamOriginSharing
@@ -39,6 +41,8 @@
 MAX_UNDELIVERED_EVENTS = 2
 """Events that an endpoint may have generated but not delivered at a disconnect."""
 
+QUESTION_INTERVAL_SECONDS = 0.1
+
 
 class AnswerRelay:
     """Relays the answers to the attempts of one request as one answer."""
@@ -140,7 +144,9 @@
     ) -> None:
         """Raise an error if the answer broke off."""
         if verdict.end is AnswerEnd.UNKNOWN:
-            verdict = await _ask_endpoint(answer)
+            # Plain services are not known to report anything.
+            replies = self._job.route.kind is RouteKind.STREAMING
+            verdict = await _ask_endpoint(answer, replies=replies)
         self._log.answer_ended(verdict)
         if verdict.end is AnswerEnd.WHOLE:
             self._is_complete = True
@@ -192,14 +198,19 @@
     return b"".join(parts)
 
 
-async def _ask_endpoint(answer: EndpointAnswer) -> AnswerVerdict:
-    """Judge an answer by whether its endpoint still accepts connections."""
-    entry = answer.state.entry
-    if entry.draining:
-        # Its process may end just after a whole answer.
-        return judge_by_endpoint(refuses_connections=False)
-    probe = await probe_endpoint(entry.address)
-    return judge_by_endpoint(refuses_connections=probe is ProbeResult.REFUSED)
+async def _ask_endpoint(answer: EndpointAnswer, *, replies: bool) -> AnswerVerdict:
+    """Judge an answer that has just ended by whether its endpoint still runs."""
+    ended_at = time.monotonic()
+    state = answer.state
+    leaving = state.entry.draining or state.notices.leaving_since is not None
+    await anyio.sleep(first_question_delay(leaving=leaving, replies=replies))
+    while True:
+        asked_after = time.monotonic() - ended_at
+        sign = await ask_life_sign(state.entry.address, by_report=replies)
+        verdict = judge_by_life_sign(sign, asked_after)
+        if verdict.end is not AnswerEnd.UNKNOWN:
+            return verdict
+        await anyio.sleep(QUESTION_INTERVAL_SECONDS)
 
 
 def _without_length(headers: list[Header]) -> list[Header]:
--- a/src/knapweeddrum/value/answer_end_reason.py
+++ b/src/knapweeddrum/value/answer_end_reason.py
@@ -14,5 +14,8 @@
     NO_EVENT = "no_event"
     """A stream ended with its connection before its first event."""
     CONNECTION_ENDED = "connection_ended"
+    """The connection ended and the endpoint still ran after it."""
     ENDPOINT_GONE = "endpoint_gone"
     """The connection ended and the endpoint refuses new ones."""
+    ENDPOINT_SILENT = "endpoint_silent"
+    """The connection ended and the endpoint gave no sign of life."""
--- a/tests/process/entry/test_broken_answers.py
+++ b/tests/process/entry/test_broken_answers.py
@@ -10,6 +10,7 @@
 from tests.process.entry.entry_harness import (
     HOST_NAME,
     KEY,
+    POLL_INTERVAL_SECONDS,
     Answer,
     EntryHarness,
     entry_harness,
@@ -27,6 +28,9 @@
 INSIDE_FIRST_LINE = (event(1), event(2), b"id: 3\nda")
 AFTER_LAST_LINE = (event(1), event(2), b"id: 3\ndata: piece 3\n")
 BROKEN_BODIES = (INSIDE_FIRST_LINE, AFTER_LAST_LINE)
+DRAIN_NOTICE_SECONDS = 0.9
+"""Pause in an answer in which the host reads that its endpoint leaves."""
+
 NOT_RESUMABLE, RESUMABLE = "/draft/1", "/query/1"
 
 
@@ -52,6 +56,29 @@
     return await harness.call(path, tokens="35,60")
 
 
+async def call_while_draining(
+    harness: EntryHarness, fleet: tuple[ScriptedServer, ...], path: str
+) -> Answer:
+    """Return an answer whose endpoint has said before its end that it leaves."""
+    answers: list[Answer] = []
+    service = "stock" if path in {"/book/1", "/read/1"} else "engine"
+    tokens = None if service == "stock" else "35,60"
+
+    async def send() -> None:
+        answers.append(await harness.call(path, tokens=tokens))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(send)
+        while not runs(fleet):
+            await anyio.sleep(POLL_INTERVAL_SECONDS)
+        (server,) = [server for server in fleet if server.runs]
+        entry = server.entry(service, state="draining")
+        harness.store.put("keyed.servers", server.server_id, entry)
+        await harness.wait_for_event("endpoint_listed", len(fleet) + 1)
+        assert not answers
+    return answers[0]
+
+
 @async_test
 async def test_stream_that_ended_inside_an_event_never_looks_complete():
     """A stream that can't be resumed is cut at the caller as well."""
@@ -131,6 +158,59 @@
         assert (answer.body, answer.is_complete) == (WHOLE, True)
 
 
+@async_test
+async def test_stream_of_a_draining_endpoint_that_ends_never_looks_complete():
+    """An endpoint that leaves may be killed, or cut its streams before it exits."""
+    for ending in (Ending.CRASH, Ending.KILL, Ending.EXIT):
+        script = Script(
+            (event(1), event(2)), ending=ending, piece_gap=DRAIN_NOTICE_SECONDS
+        )
+        fleet = servers(script)
+        async with entry_harness(engines=fleet) as harness:
+            answer = await call_while_draining(harness, fleet, NOT_RESUMABLE)
+            seen = (answer.status, answer.is_complete)
+            assert seen == (200, False), (ending, answer.body)
+        fleet = servers(script)
+        async with entry_harness(engines=fleet) as harness:
+            answer = await call_while_draining(harness, fleet, RESUMABLE)
+            assert (answer.body, answer.is_complete) == (WHOLE, True), ending
+
+
+@async_test
+async def test_whole_stream_of_a_draining_endpoint_that_lives_is_passed_on():
+    """An endpoint that leaves goes on serving, and its answers end as any other's."""
+    script = Script((WHOLE,), piece_gap=DRAIN_NOTICE_SECONDS)
+    for path in (NOT_RESUMABLE, RESUMABLE):
+        fleet = servers(script)
+        async with entry_harness(engines=fleet) as harness:
+            answer = await call_while_draining(harness, fleet, path)
+            assert (answer.body, answer.is_complete) == (WHOLE, True)
+            assert runs(fleet) == 1
+
+
+@async_test
+async def test_stream_of_an_endpoint_that_accepts_connections_as_it_is_killed_is_cut():
+    """The kernel accepts connections until the whole process has ended."""
+    fleet = servers(Script((event(1), event(2)), ending=Ending.KILL))
+    async with entry_harness(engines=fleet) as harness:
+        answer = await call(harness, NOT_RESUMABLE)
+        assert (answer.status, answer.is_complete) == (200, False)
+
+
+@async_test
+async def test_plain_answer_of_a_draining_endpoint_that_ends_never_looks_complete():
+    """A safe request is repeated, a booking gets 502."""
+    for path, expected in (("/book/1", 502), ("/read/1", 200)):
+        fleet = services(
+            Script((b"bo",), ending=Ending.KILL, piece_gap=DRAIN_NOTICE_SECONDS)
+        )
+        async with entry_harness(services=fleet) as harness:
+            answer = await call_while_draining(harness, fleet, path)
+            assert answer.status == expected
+            assert answer.body != b"bo"
+            assert runs(fleet) == (1 if expected == 502 else 2)
+
+
 @async_test
 async def test_stream_that_ended_without_any_event_never_looks_complete():
     """The caller of a stream that can't be repeated gets 502."""
@@ -176,8 +256,10 @@
 @async_test
 async def test_plain_answer_of_an_endpoint_that_is_gone_never_looks_complete():
     """A safe request is repeated, a booking gets 502."""
-    for path, expected in (("/book/1", 502), ("/read/1", 200)):
-        fleet = services(Script((b"bo",), ending=Ending.CRASH))
+    endings = (Ending.CRASH, Ending.KILL)
+    outcomes = (("/book/1", 502), ("/read/1", 200))
+    for ending, (path, expected) in itertools.product(endings, outcomes):
+        fleet = services(Script((b"bo",), ending=ending))
         async with entry_harness(services=fleet) as harness:
             answer = await harness.call(path)
             assert answer.status == expected
--- a/tests/standins/scripted_server.py
+++ b/tests/standins/scripted_server.py
@@ -15,6 +15,9 @@
 from tests.standins.stamped_server import Behaviour, StampedServer, reset_when_closed
 
 STREAM_TYPE = b"text/event-stream"
+EXIT_SECONDS = 0.03
+"""Time for which a server that ends still accepts connections."""
+
 DISCONNECT_ERRORS = (anyio.BrokenResourceError, anyio.ClosedResourceError)
 
 
@@ -32,6 +35,13 @@
     """The connection is reset before the body has ended."""
     CRASH = "crash"
     """The server stops listening, then ends the connection."""
+    KILL = "kill"
+    """The connection ends, and EXIT_SECONDS later the server stops listening.
+
+    Until then the kernel accepts connections, which nobody serves, and resets them.
+    """
+    EXIT = "exit"
+    """The same, but the server serves others until it stops listening."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,6 +79,8 @@
         self.scripts = scripts
         self.closed_early = 0
         """Endless answers whose connection was closed."""
+        self._is_killed = False
+        self._tasks: anyio.abc.TaskGroup
         self._listener: anyio.abc.Listener[anyio.abc.SocketStream]
 
     @contextlib.asynccontextmanager
@@ -79,6 +91,7 @@
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         self.address = f"127.0.0.1:{port}"
         async with listener, anyio.create_task_group() as tasks:
+            self._tasks = tasks
             tasks.start_soon(self._listen, tasks)
             yield self.address
             tasks.cancel_scope.cancel()
@@ -89,6 +102,17 @@
         except* anyio.ClosedResourceError:
             pass
 
+    async def _connection(self, stream: anyio.abc.SocketStream) -> None:
+        if self._is_killed:
+            reset_when_closed(stream)
+            await stream.aclose()
+            return
+        await super()._connection(stream)
+
+    async def _stop_listening(self) -> None:
+        await anyio.sleep(EXIT_SECONDS)
+        await self._listener.aclose()
+
     async def _run(
         self,
         conn: ServerConnection,
@@ -125,6 +149,9 @@
             await stream.send(b"0\r\n\r\n")
         if script.ending is Ending.CRASH:
             await self._listener.aclose()
+        if script.ending in {Ending.KILL, Ending.EXIT}:
+            self._is_killed = script.ending is Ending.KILL
+            self._tasks.start_soon(self._stop_listening)
 
     def _head(self, received: ReceivedRequest, script: Script) -> bytes:
         lines = [
