Streams: a single version is certain only by a list that is newer than the stream (ORDER)

Cause: `EndpointHistory.sole_version` proved the version by a list up to 2 s old. The host that began the stream may have read a newer list. The same by the word of a host that is asked. Class: a fact is believed for a moment after the one at which it was seen.

Change: a stream that is taken up began before its request arrived, so the list must have been asked for after that; the host waits for its next read, a second at most, and refuses without one. Another host's word counts only if this one has had that version alone since 2 s before it asked, and by such a list.

Ruled out: a read out of turn, which would cost store calls just when many hosts were killed.

--- a/src/knapweeddrum/core/streams/endpoint_history.py
+++ b/src/knapweeddrum/core/streams/endpoint_history.py
@@ -64,11 +64,41 @@
         for service, listed in versions.items():
             self._observe_versions(service, listed, now)
 
+    def knows_list_of(self, moment: float) -> bool:
+        """Return whether the list was asked for at ``moment`` or later."""
+        return self._read_at >= moment
+
+    def origin_version(self, service: str, begun_before: float) -> str | None:
+        """Return the version at which a stream must have begun, None if unknown.
+
+        The stream began before ``begun_before``. Another host may have read a newer
+        list by then; only a list that was asked for later has all that it had.
+        """
+        if not self.knows_list_of(begun_before):
+            return None
+        return self.sole_version(service, begun_before)
+
+    def confirms(
+        self, service: str, version: str, told_after: float, begun_before: float
+    ) -> bool:
+        """Return whether another host's sole version is that of a stream for certain.
+
+        The host answered after ``told_after``, by a list that was up to date. This one
+        must have had that version alone ever since that list, and know a list of
+        ``begun_before``, before which the stream began.
+        """
+        sole = self._sole.get(service)
+        if sole is None or not self.knows_list_of(begun_before):
+            return False
+        is_covered = sole.since <= told_after - MAX_LIST_AGE_SECONDS
+        return sole.version == version and is_covered
+
     def sole_version(self, service: str, now: float) -> str | None:
-        """Return the version at which any stream of a service must have begun.
+        """Return the version at which any stream of a service has begun.
 
         None unless the service has had that version alone for as long as a stream may
-        be taken up again, by a list that is up to date.
+        be taken up again, by a list that is up to date. Other hosts may know of a
+        newer one already.
         """
         sole = self._sole.get(service)
         if sole is None or now - self._read_at > MAX_LIST_AGE_SECONDS:
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Iterator
 
+import anyio
 from anyio.streams.memory import MemoryObjectSendStream
 
 from knapweeddrum.core.admission.crash_register import CrashRegister
@@ -105,6 +106,8 @@
     configuration: Configuration | None = None
     configuration_read_at: float = float("-inf")
     service_list_read_at: float = float("-inf")
+    service_list_read: anyio.Event = dataclasses.field(default_factory=anyio.Event)
+    """Set and replaced at each read that brings the list up to date."""
     hosts_read_at: float = float("-inf")
     fleet_known_from: float | None = None
     """Time from which this host knows which others are ready, None before a read."""
--- a/src/knapweeddrum/process/entry/service_list_reader.py
+++ b/src/knapweeddrum/process/entry/service_list_reader.py
@@ -63,6 +63,8 @@
         )
         self._ctx.instances.observe(entries, self._written, read.asked_at)
         self._written.clear()
+        self._ctx.service_list_read.set()
+        self._ctx.service_list_read = anyio.Event()
 
     async def wait_for_lapse(self) -> None:
         """Wait until entries are listed that have lapsed."""
--- a/src/knapweeddrum/process/entry/stream_origin_sharing.py
+++ b/src/knapweeddrum/process/entry/stream_origin_sharing.py
@@ -45,6 +45,9 @@
 
 MAX_NOTICE_RECORDS = 200
 
+LIST_WAIT_SECONDS = 1.0
+"""Longest wait for a read of the service list, of which two a second are made."""
+
 REPEAT_SECONDS = 0.09
 """Time after which hosts are asked again, as a notice may be on its way."""
 
@@ -103,7 +106,7 @@
                 origin = await self._ask_within_limit(job)
         if origin is None:
             source = OriginSource.SOLE_VERSION
-            origin = self._sole_origin(job.route.service_names)
+            origin = await self._certain_origin(job)
         if origin is None:
             source = OriginSource.NONE
         self._ctx.events.emit(
@@ -143,27 +146,54 @@
         version = history.sole_version(services[0], time.monotonic())
         return StreamOrigin(services[0], version) if version is not None else None
 
+    async def _certain_origin(self, job: RequestJob) -> StreamOrigin | None:
+        """Return the only origin that a stream can have by a list of its lifetime."""
+        if self._sole_origin(job.route.service_names) is None:
+            return None
+        await self._wait_for_list(job)
+        (service,) = job.route.service_names
+        version = self._ctx.endpoint_history.origin_version(service, job.arrived_at)
+        return StreamOrigin(service, version) if version is not None else None
+
+    async def _wait_for_list(self, job: RequestJob) -> None:
+        """Wait until the list has been read that other hosts had at the arrival."""
+        wait = min(LIST_WAIT_SECONDS, job.deadline - time.monotonic())
+        with anyio.move_on_after(wait):
+            while not self._ctx.endpoint_history.knows_list_of(job.arrived_at):
+                await self._ctx.service_list_read.wait()
+
+    async def _confirmed_origin(
+        self, job: RequestJob, told: StreamOrigin, told_after: float
+    ) -> StreamOrigin | None:
+        """Return the only origin that another host tells, None if it may be another."""
+        await self._wait_for_list(job)
+        is_confirmed = self._ctx.endpoint_history.confirms(
+            told.service, told.software_version, told_after, job.arrived_at
+        )
+        return told if is_confirmed else None
+
     async def _ask_within_limit(self, job: RequestJob) -> StreamOrigin | None:
         """Ask other hosts, unless too many questions of the organisation were vain."""
         organisation = _organisation(job)
         if not self._limit.take(organisation, time.monotonic()):
             return None
         question = StreamOriginQuestion(_key(job), job.route.service_names)
-        origin = await self._ask_holders(organisation, question)
+        origin = await self._ask_holders(job, question)
         if origin is None:
             # The notice may be on its way.
             await anyio.sleep(REPEAT_SECONDS)
-            origin = await self._ask_holders(organisation, question)
+            origin = await self._ask_holders(job, question)
         if origin is not None:
             self._limit.give_back(organisation)
         return origin
 
     async def _ask_holders(
-        self, organisation: str, question: StreamOriginQuestion
+        self, job: RequestJob, question: StreamOriginQuestion
     ) -> StreamOrigin | None:
         """Ask one host after the other; most often the first one knows."""
+        asked_at = time.monotonic()
         sole_origin = None
-        for host in self._holders(organisation, ASKED_HOSTS):
+        for host in self._holders(_organisation(job), ASKED_HOSTS):
             reply = await self._peers.post(
                 host.peer_address, QUESTION_PATH, question, StreamOriginReply
             )
@@ -173,7 +203,9 @@
                 return _origin(reply.record)
             if reply.sole_version is not None:
                 sole_origin = StreamOrigin(question.services[0], reply.sole_version)
-        return sole_origin
+        if sole_origin is None:
+            return None
+        return await self._confirmed_origin(job, sole_origin, asked_at)
 
     async def _tell_untold(self) -> None:
         """Tell the holders of each origin that somebody may need to know."""
--- a/tests/core/streams/test_endpoint_history.py
+++ b/tests/core/streams/test_endpoint_history.py
@@ -117,3 +117,43 @@
     assert recalled("v2") is None
     assert recalled("v2", "v1") is None
     assert recalled("v1", "v2", "v1") is None
+
+
+def test_version_is_certain_only_by_a_list_that_was_asked_for_after_the_stream_began():
+    """Another host may have read a newer list, with a second version, before."""
+    history = EndpointHistory()
+    observe(history, 0.0, STREAM_MEMORY_SECONDS, "v1")
+    begun_before = STREAM_MEMORY_SECONDS + 0.4
+    assert history.sole_version("engine", begun_before) == "v1"
+    assert history.origin_version("engine", begun_before) is None
+    begun_later = EndpointHistory()
+    observe(begun_later, 0.0, STREAM_MEMORY_SECONDS, "v1")
+    later = STREAM_MEMORY_SECONDS + READ_INTERVAL
+    observe(history, later, later, "v1", "v2")
+    assert history.origin_version("engine", begun_before) is None
+    observe(begun_later, later, later, "v1")
+    assert begun_later.origin_version("engine", begun_before) == "v1"
+
+
+def test_answer_that_was_on_its_way_counts_from_when_it_was_asked_for():
+    """The store may have answered before the stream began."""
+    history = EndpointHistory()
+    observe(history, 0.0, STREAM_MEMORY_SECONDS, "v1")
+    asked_at = STREAM_MEMORY_SECONDS + 0.1
+    history.observe([endpoint("e0", "v1")], asked_at, asked_at + 0.3, 0)
+    assert history.origin_version("engine", asked_at) == "v1"
+    assert history.origin_version("engine", asked_at + 0.1) is None
+
+
+def test_sole_version_of_another_host_needs_the_own_list_since():
+    """Its list may be as old as one that is up to date may be."""
+    history = EndpointHistory()
+    observe(history, 10.0, 13.0, "v1")
+    told = 10.0 + MAX_LIST_AGE_SECONDS
+    assert history.confirms("engine", "v1", told, told)
+    assert not history.confirms("engine", "v1", told - 0.1, told)
+    assert not history.confirms("engine", "v1", told, 13.1)
+    assert not history.confirms("engine", "v2", told, told)
+    assert not history.confirms("other", "v1", told, told)
+    observe(history, 13.5, 13.5, "v1", "v2")
+    assert not history.confirms("engine", "v1", 13.4, 13.4)
