--- a/tests/process/entry/return_day.py
+++ b/tests/process/entry/return_day.py
@@ -7,12 +7,14 @@
 from __future__ import annotations
 
 import collections
+import contextlib
 import dataclasses
 import random
 import statistics
 import time
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import TypeVar, cast
+from unittest import mock
 
 import anyio
 import msgspec
@@ -32,6 +34,7 @@
 from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
 from knapweeddrum.http.connection_pool import ConnectionPool
 from knapweeddrum.http.header_list import HeaderList
+from knapweeddrum.message.call.spending_record import MachineTime
 from knapweeddrum.platform.exceptions import (
     AppendUnknownError,
     ConditionFailedError,
@@ -108,12 +111,12 @@
     value: bytes | None
 
 
-class ReturningStream:
-    """The claims of all hosts in a store that comes back from older copies."""
+class ReturningStore:
+    """The streams of all hosts in a store that comes back from older copies."""
 
     def __init__(self) -> None:
         self.era = 0
-        self.records: list[_Written] = []
+        self.streams: dict[str, list[_Written]] = collections.defaultdict(list)
         self.is_away = False
         self.appends = 0
         self.reads = 0
@@ -121,38 +124,39 @@
     def return_from_copy(self, age: float) -> None:
         """Lose what was written in the last ``age`` seconds."""
         now = anyio.current_time()
-        self.records = [r for r in self.records if r.at <= now - age]
+        for records in self.streams.values():
+            records[:] = [record for record in records if record.at <= now - age]
         self.era += 1
         self.is_away = False
 
 
 class HostStore:
-    """The calls of one host to the stream, as StoreClient makes them."""
+    """The calls of one host to the store, as StoreClient makes them."""
 
     def __init__(
-        self, stream: ReturningStream, rng: random.Random, lose_replies: float
+        self, store: ReturningStore, rng: random.Random, lose_replies: float
     ) -> None:
-        self._stream = stream
+        self._store = store
         self._rng = rng
         self._lose_replies = lose_replies
         self.era = StoreEra()
         self.is_cut = False
 
     async def append(
-        self, _name: str, records: Sequence[KeyedRecord], at: int | None = None
+        self, name: str, records: Sequence[KeyedRecord], at: int | None = None
     ) -> int:
         if at is not None and at and era_of(at) != self.era.current:
             raise StoreReturnedError(self.era.current)
         await self._reach()
-        stream = self._stream
-        stream.appends += 1
-        era = stream.era
+        store = self._store
+        store.appends += 1
+        era, stream = store.era, store.streams[name]
         is_lost = self._rng.random() < self._lose_replies
-        is_met = at is None or offset_of(at) == len(stream.records)
+        is_met = at is None or offset_of(at) == len(stream)
         if is_met:
             now = anyio.current_time()
-            stream.records += [_Written(now, r.key, r.value) for r in records]
-        end = len(stream.records)
+            stream += [_Written(now, r.key, r.value) for r in records]
+        end = len(stream)
         await anyio.sleep(STORE_SECONDS)
         try:
             known = self._accept(era)
@@ -161,18 +165,17 @@
         if is_lost:
             raise AppendUnknownError("reply lost")
         if not is_met:
-            raise ConditionFailedError("claims")
+            raise ConditionFailedError(name, store_position(known, end))
         if at and era_of(at) != known:
             raise AppendUnknownError("another era")
         return store_position(known, end)
 
-    async def read(self, _name: str, start: int, _wait: float = 0.0) -> StorePage:
+    async def read(self, name: str, start: int, _wait: float = 0.0) -> StorePage:
         if start and era_of(start) != self.era.current:
             raise StoreReturnedError(self.era.current)
         await self._reach()
-        stream = self._stream
-        stream.reads += 1
-        era, records = stream.era, list(stream.records)
+        self._store.reads += 1
+        era, records = self._store.era, list(self._store.streams[name])
         await anyio.sleep(STORE_SECONDS)
         known = self._believe(era)
         if start and era_of(start) != known:
@@ -184,11 +187,10 @@
         )
         return StorePage(page, store_position(known, len(records)), complete=True)
 
-    async def list_newest(self, _name: str) -> StoreListing:
+    async def list_newest(self, name: str) -> StoreListing:
         await self._reach()
-        stream = self._stream
-        stream.reads += 1
-        era, records = stream.era, list(stream.records)
+        self._store.reads += 1
+        era, records = self._store.era, list(self._store.streams[name])
         await anyio.sleep(STORE_SECONDS)
         known = self._believe(era)
         newest = {
@@ -200,7 +202,7 @@
 
     async def _reach(self) -> None:
         await anyio.sleep(STORE_SECONDS)
-        if self.is_cut or self._stream.is_away:
+        if self.is_cut or self._store.is_away:
             raise LogUnavailableError("the store can't be reached")
 
     def _believe(self, era: int) -> int:
@@ -227,7 +229,7 @@
         self.is_frozen_out = False
         self.beat = 0
         self.scope = anyio.CancelScope()
-        self.store = HostStore(day.stream, day.rng, day.plan.lose_replies)
+        self.store = HostStore(day.store, day.rng, day.plan.lose_replies)
         self.ctx = _context(self, day)
         self.store.era.on_return = self.ctx.record_store_return
         self.ctx.store = cast("StoreClient", self.store)
@@ -235,8 +237,9 @@
         self.unlocker = TokenUnlocker(self.ctx, peers)
         self.witness = TokenWitness(self.ctx, peers)
         self.borrower = TokenBorrower(self.ctx, peers)
+        self.spending = SpendingTask(self.ctx)
         self.allocator = TokenAllocator(
-            self.ctx, self.unlocker, self.borrower, SpendingTask(self.ctx)
+            self.ctx, self.unlocker, self.borrower, self.spending
         )
         self.lender = TokenLender(self.ctx, self.allocator)
 
@@ -246,6 +249,7 @@
                 tasks.start_soon(self.allocator.run)
                 tasks.start_soon(self.borrower.run)
                 tasks.start_soon(self.unlocker.run)
+                tasks.start_soon(self.spending.run)
                 await anyio.sleep_forever()
 
     def kill(self) -> None:
@@ -333,7 +337,7 @@
     def __init__(self, plan: ReturnPlan, seed: int) -> None:
         self.plan = plan
         self.rng = random.Random(seed)
-        self.stream = ReturningStream()
+        self.store = ReturningStore()
         self.hosts: list[DayHost] = []
         self.prepaid = dict.fromkeys(ORGANISATIONS, plan.prepaid)
         self.spent: collections.Counter[str] = collections.Counter()
@@ -366,7 +370,7 @@
         return None
 
     async def _play(self) -> None:
-        with virtual_clock():
+        with virtual_clock(), _machine_clock():
             async with anyio.create_task_group() as tasks:
                 for index in range(self.plan.hosts):
                     self._start(tasks, index, is_first=True)
@@ -399,7 +403,7 @@
         position = 0
         while True:
             await anyio.sleep(HEARTBEAT_SECONDS / 3)
-            if self.stream.is_away:
+            if self.store.is_away:
                 for host in self.hosts:
                     host.ctx.hosts.store_lost()
                 continue
@@ -463,10 +467,10 @@
         age = self.rng.choice((0.1, 1.0, 3.0, 10.0, self.plan.max_copy_age))
         away = self.rng.uniform(0.1, 2.0)
         await anyio.sleep(at)
-        self.stream.is_away = True
+        self.store.is_away = True
         await anyio.sleep(away)
         self._kill_largest(tasks)
-        self.stream.return_from_copy(age)
+        self.store.return_from_copy(age)
         tasks.start_soon(self._time_recovery, anyio.current_time())
 
     def _kill_largest(self, tasks: anyio.abc.TaskGroup) -> None:
@@ -488,8 +492,8 @@
 
     async def _time_recovery(self, begun: float) -> None:
         self.returned_at.append(begun)
-        era = self.stream.era
-        while self.stream.era == era:
+        era = self.store.era
+        while self.store.era == era:
             await anyio.sleep(0.05)
             for host in self.hosts:
                 recovery = host.ctx.claim_recovery
@@ -540,6 +544,19 @@
             host.ctx.token_accounts.set_prepaid(self.prepaid)
 
 
+@contextlib.contextmanager
+def _machine_clock() -> Iterator[None]:
+    """Let the machines' clocks show the time of the day; no machine starts again."""
+
+    def machine_time() -> MachineTime:
+        now = anyio.current_time()
+        return MachineTime("boot", now, now)
+
+    name = f"{SpendingTask.__module__}.machine_time"
+    with mock.patch(name, machine_time):
+        yield
+
+
 def _context(host: DayHost, day: ReturnDay) -> EntryContext:
     accounts = TokenAccounts(host.incarnation)
     accounts.set_prepaid(day.prepaid)
