Test what hosts have read while the store shows an older copy

The stand-in can now wait with that (rewritten_after); real processes see the copy alone for 2 s: configuration 1 instead of 5, a draining and a removed endpoint ready, heartbeats of a killed host.

--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -98,6 +98,8 @@
         self.calls = 0
         self.era: int | None = None
         """Sent with all answers, None for a store that tells none."""
+        self.rewritten_after = 0.0
+        """Seconds from a return until operator and endpoints have written again."""
         self._away = False
 
     async def return_from_copy(self, age: float, away: float) -> None:
@@ -105,12 +107,19 @@
         copied_at = time.monotonic() - age
         self._away = True
         await anyio.sleep(away)
-        for name, stream in self.streams.items():
-            lost = stream.rewind(copied_at)
-            for record in lost if name in REWRITTEN_STREAMS else ():
-                stream.append(record.key, record.value)
+        lost = {name: s.rewind(copied_at) for name, s in self.streams.items()}
+        if not self.rewritten_after:
+            self._write_again(lost)
         self.era = (self.era or 0) + 1
         self._away = False
+        if self.rewritten_after:
+            await anyio.sleep(self.rewritten_after)
+            self._write_again(lost)
+
+    def _write_again(self, lost: dict[str, list[WrittenRecord]]) -> None:
+        for name in REWRITTEN_STREAMS & lost.keys():
+            for record in lost[name]:
+                self.stream(name).append(record.key, record.value)
 
     def stream(self, name: str) -> StoredStream:
         return self.streams.setdefault(name, StoredStream())
