--- a/tests/process/entry/return_day.py
+++ b/tests/process/entry/return_day.py
@@ -100,6 +100,8 @@
     """Cuts of one host, from the store or from everything."""
     lose_replies: float = 0.02
     raises: int = 1
+    lowerings: int = 0
+    """Each by as much as a raise."""
     kill_most: int = 0
     """Hosts that are killed as the store returns, those with the largest claims."""
 
@@ -340,6 +342,8 @@
         self.store = ReturningStore()
         self.hosts: list[DayHost] = []
         self.prepaid = dict.fromkeys(ORGANISATIONS, plan.prepaid)
+        self.most_prepaid = dict(self.prepaid)
+        """Largest amounts so far; what was spent before a lowering stays spent."""
         self.spent: collections.Counter[str] = collections.Counter()
         self.refused: collections.Counter[TokenVerdict] = collections.Counter()
         self.returned_at: list[float] = []
@@ -353,7 +357,9 @@
 
     @property
     def overspent(self) -> int:
-        return sum(max(0, self.spent[o] - self.prepaid[o]) for o in ORGANISATIONS)
+        return sum(
+            max(0, self.spent[name] - most) for name, most in self.most_prepaid.items()
+        )
 
     @property
     def unspent(self) -> float:
@@ -461,7 +467,11 @@
         for _ in range(plan.cuts):
             tasks.start_soon(self._cut, rng.uniform(1.0, plan.seconds - 5.0))
         for _ in range(plan.raises):
-            tasks.start_soon(self._raise, rng.uniform(1.0, plan.seconds - 5.0))
+            at = rng.uniform(1.0, plan.seconds - 5.0)
+            tasks.start_soon(self._change_amount, at, plan.prepaid // 5)
+        for _ in range(plan.lowerings):
+            at = rng.uniform(1.0, plan.seconds - 5.0)
+            tasks.start_soon(self._change_amount, at, -(plan.prepaid // 5))
 
     async def _return_store(self, at: float, tasks: anyio.abc.TaskGroup) -> None:
         age = self.rng.choice((0.1, 1.0, 3.0, 10.0, self.plan.max_copy_age))
@@ -536,10 +546,11 @@
         host.store.is_cut = False
         host.is_frozen_out = False
 
-    async def _raise(self, at: float) -> None:
+    async def _change_amount(self, at: float, change: int) -> None:
         name = self.rng.choice(ORGANISATIONS)
         await anyio.sleep(at)
-        self.prepaid[name] += self.plan.prepaid // 5
+        self.prepaid[name] += change
+        self.most_prepaid[name] = max(self.most_prepaid[name], self.prepaid[name])
         for host in self.hosts:
             host.ctx.token_accounts.set_prepaid(self.prepaid)
 
--- a/tests/process/entry/test_return_day.py
+++ b/tests/process/entry/test_return_day.py
@@ -10,6 +10,7 @@
 OWNER_KILLED = ReturnPlan(
     returns=1, kills=0, stops=0, cuts=1, kill_most=1, prepaid=450_000
 )
+AMOUNTS_CHANGED = ReturnPlan(raises=2, lowerings=2)
 TWO_KILLED = dataclasses.replace(OWNER_KILLED, kill_most=2)
 MAX_CLOSED_SECONDS = 5.0
 MAX_UNSPENT = 0.1
@@ -22,6 +23,12 @@
     assert not report.overspent, report
 
 
+def test_returns_beside_raised_and_lowered_amounts_let_nobody_overspend():
+    """No more is spent than the largest amount that was in force."""
+    report = play_days(AMOUNTS_CHANGED, SEEDS)
+    assert not report.overspent, report
+
+
 def test_owner_killed_as_the_store_returns_lets_nobody_overspend():
     """What it spent beyond the copy is known to its witness."""
     report = play_days(OWNER_KILLED, SEEDS)
