--- a/tests/process/entry/test_host_state.py
+++ b/tests/process/entry/test_host_state.py
@@ -2,6 +2,7 @@
 
 import json
 
+import anyio
 import anyio.to_thread
 import msgspec
 
@@ -10,6 +11,7 @@
 from tests.async_test import async_test
 from tests.console.test_client_commands import run
 from tests.process.entry.entry_harness import entry_harness
+from tests.standins.platform_store import PlatformStore
 from tests.standins.stamped_server import Behaviour, StampedServer
 
 
@@ -40,3 +42,23 @@
         assert "version 1" in ran.out
         ran = await anyio.to_thread.run_sync(run, "--output", "json", "host-state", url)
         assert json.loads(ran.out)["host"] == "host-1"
+
+
+@async_test
+async def test_operators_see_the_era_of_the_store_and_suspended_claims():
+    """A process that is no first start waits for others, which there are none of."""
+    store = PlatformStore()
+    store.era = 1
+    async with entry_harness(store=store) as harness:
+        answer = await harness.get(harness.metrics_address, "/state")
+        before = msgspec.json.decode(answer.body, type=HostState)
+        await store.return_from_copy(age=60.0, away=0.1)
+        with anyio.fail_after(5.0):
+            await harness.wait_for_event("store_returned")
+        answer = await harness.get(harness.metrics_address, "/state")
+        state = msgspec.json.decode(answer.body, type=HostState)
+        assert state.store_era == before.store_era + 1
+        assert not state.claims_open
+        url = f"http://{harness.metrics_address}"
+        ran = await anyio.to_thread.run_sync(run, "host-state", url)
+        assert "suspended, missing: none" in ran.out, ran.out
