--- a/tests/process/entry/entry_harness.py
+++ b/tests/process/entry/entry_harness.py
@@ -22,6 +22,7 @@
 from tools.free_ports import free_ports
 
 ROOT = pathlib.Path(__file__).parent.parent.parent.parent
+RUN_ENTRY = ROOT / "src" / "run_entry.py"
 START_TIMEOUT_SECONDS = 15.0
 POLL_INTERVAL_SECONDS = 0.02
 STABLE_WINDOW_MS = 3000
@@ -211,6 +212,7 @@
     store: PlatformStore | None = None,
     document: dict[str, object] | None = None,
     name: str = "host-1",
+    program: pathlib.Path = RUN_ENTRY,
 ) -> AsyncIterator[EntryHarness]:
     """Run an entry process that is ready, with the servers in its service list."""
     store = store or PlatformStore()
@@ -222,7 +224,7 @@
                 store.put("keyed.servers", server.server_id, server.entry(service))
         store.put("keyed.op", "config", document or configuration())
         harness = await stack.enter_async_context(
-            entry_process(store, store_address, name)
+            entry_process(store, store_address, name, program=program)
         )
         await harness.wait_until_ready()
         yield harness
@@ -230,7 +232,12 @@
 
 @contextlib.asynccontextmanager
 async def entry_process(
-    store: PlatformStore, store_address: str, name: str, *, first_start: bool = False
+    store: PlatformStore,
+    store_address: str,
+    name: str,
+    *,
+    first_start: bool = False,
+    program: pathlib.Path = RUN_ENTRY,
 ) -> AsyncIterator[EntryHarness]:
     """Run one entry process on free ports."""
     ports = free_ports(5)
@@ -241,7 +248,7 @@
         path.write_text(f"bootstrap = {str(first_start).lower()}\n{text}")
         command = [
             sys.executable,
-            str(ROOT / "src" / "run_entry.py"),
+            str(program),
             "--metrics-port",
             str(ports[4]),
         ]
