Encode no answer whose sending is cancelled

The connection ended without an answer.

Change: a cancellation is noticed before anything is encoded, so the request gets its refusal (502, unknown).

--- a/src/knapweeddrum/http/server_connection.py
+++ b/src/knapweeddrum/http/server_connection.py
@@ -312,6 +312,8 @@
             return b""
 
     async def _send(self, *events: h11.Event) -> None:
+        # Once the events are encoded, a cancellation would lose what they say.
+        await anyio.lowlevel.checkpoint_if_cancelled()
         try:
             parts = [self._conn.send(event) for event in events]
         except h11.LocalProtocolError as exc:
--- a/tests/process/entry/test_drain_endings.py
+++ b/tests/process/entry/test_drain_endings.py
@@ -3,9 +3,15 @@
 import contextlib
 import signal
 import socket
+from unittest import mock
 
 import anyio
 
+from knapweeddrum.http.server_connection import ServerConnection
+from knapweeddrum.process.entry.caller_session import CallerSession
+from knapweeddrum.process.entry.entry_context import EntryContext
+from knapweeddrum.process.entry.request_job import RequestJob
+from knapweeddrum.process.entry.request_parts import RequestParts
 from tests.async_test import async_test
 from tests.process.entry.embedded_caller_server import (
     EmbeddedCallerServer,
@@ -135,6 +141,47 @@
     assert answer.status == 413
 
 
+class LateHandler:
+    """Has an answer when it is told so."""
+
+    arrived: anyio.Event
+    waiting: anyio.Event
+
+    def __init__(
+        self,
+        _ctx: EntryContext,
+        _parts: RequestParts,
+        conn: ServerConnection,
+        job: RequestJob,
+    ) -> None:
+        self._conn = conn
+        job.sends = 1
+        self.spent = 0
+
+    async def handle(self) -> None:
+        self.waiting.set()
+        await self.arrived.wait()
+        await self._conn.send_reply(200, [], b"booked")
+
+
+@async_test
+async def test_answer_that_arrives_as_the_drain_gives_it_up_is_not_lost():
+    """Its handler goes on for one turn, and is cancelled as it sends what it has."""
+    LateHandler.arrived = anyio.Event()
+    LateHandler.waiting = anyio.Event()
+    name = f"{CallerSession.__module__}.RequestHandler"
+    with mock.patch(name, LateHandler):
+        async with embedded_caller_server() as embedded:
+            conn = await KeptConnection.connect(embedded.ctx.settings.caller_address)
+            await conn.send(request("a1"))
+            await LateHandler.waiting.wait()
+            LateHandler.arrived.set()
+            embedded.server.give_up_requests()
+            answer = await conn.answer(ANSWER_SECONDS)
+    assert answer is not None
+    assert answer.status == 502
+
+
 def _stock() -> StampedServer:
     return StampedServer("stock-1", body=b"booked")
 
