Other hosts: one that is killed within a question has ended, and isn't only silent

What callers saw: after all other hosts were killed, the last one refused what it had not unlocked (503 budget_unreachable), for up to 2 s.

Cause: a process counts as ended if its address refuses a connection. A question that goes out on a kept connection and loses it connects nowhere, so the host counted as silent, and is_unresponsive then kept the unlocker from asking again for 2 s. A silent witness stays the only candidate.

Change: after a connection was lost within a question, PeerClient tries others, every 10 ms for 0.1 s at most and within the question's own time limit; a refusal shows the end. One look isn't enough: the listening socket of a killed process is often closed after its connections. The log line host_unanswered tells what was concluded (field ended).

Why it is safe: only a refused connection shows an end, as before, now also after a loss. A host that is suspended, cut off, or has closed a connection and goes on refuses none and stays unresponsive; so does one in whose place a successor listens already: the successor's heartbeat tells of the end.

Other callers of PeerClient, read: only TokenUnlocker asks has_ended. Loans, permits, limit news, crash records and stream origins leave out hosts that are unresponsive, which an ended one is too; sightings ask on regardless; the notice of a witness that leaves is sent once.

--- a/src/knapweeddrum/process/entry/peer_client.py
+++ b/src/knapweeddrum/process/entry/peer_client.py
@@ -8,7 +8,13 @@
 import anyio
 import msgspec
 
-from knapweeddrum.http.exceptions import ExchangeError, PeerRefusedError
+from knapweeddrum.http.client_connection import ClientConnection
+from knapweeddrum.http.exceptions import (
+    ExchangeError,
+    NoReplyError,
+    NotSentError,
+    PeerRefusedError,
+)
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry import counters
 from knapweeddrum.telemetry.events import HOST_UNANSWERED
@@ -21,6 +27,12 @@
 MAX_REPLY_BYTES = 65_536
 PEER_UNRESPONSIVE_SECONDS = 2.0
 """Time for which a host counts as unresponsive after a failed request."""
+PROBE_SECONDS = 0.1
+"""Time for which connections to a host are tried after one was lost.
+
+The listening socket of a killed process may be closed after its connections.
+"""
+PROBE_INTERVAL_SECONDS = 0.01
 
 OK = 200
 MAX_LAG_FRACTION = 0.3
@@ -57,6 +69,7 @@
 
         ``timeout`` is in seconds.
         """
+        give_up_at = time.monotonic() + timeout
         body = msgspec.json.encode(message)
         headers = [
             (b"Host", address.encode()),
@@ -78,12 +91,17 @@
             return decode_json(answer, reply_type)
         except (ExchangeError, TimeoutError, MalformedDocumentError) as exc:
             self._record_failure(address, timeout)
-            if isinstance(exc, PeerRefusedError):
+            ended = await _nobody_listens(address, exc, give_up_at)
+            if ended:
                 now = time.monotonic()
                 self._ended_until[address] = now + PEER_UNRESPONSIVE_SECONDS
             self._ctx.metrics.count(counters.HOST_UNANSWERED)
             self._ctx.events.emit(
-                HOST_UNANSWERED, host=address, question=path.decode(), error=repr(exc)
+                HOST_UNANSWERED,
+                host=address,
+                question=path.decode(),
+                error=repr(exc),
+                ended=ended,
             )
             return None
 
@@ -92,3 +110,26 @@
         now = time.monotonic()
         if self._ctx.loop_lag.current(now) < timeout * MAX_LAG_FRACTION:
             self._unresponsive_until[address] = now + PEER_UNRESPONSIVE_SECONDS
+
+
+async def _nobody_listens(address: str, failure: Exception, give_up_at: float) -> bool:
+    """Return whether a request failed because no process listens at its address.
+
+    A lost connection doesn't show that, as a process may close one and go on, so
+    others are tried; ``give_up_at`` is in monotonic seconds.
+    """
+    if not isinstance(failure, NoReplyError):
+        return isinstance(failure, PeerRefusedError)
+    probe_until = min(give_up_at, time.monotonic() + PROBE_SECONDS)
+    while (time_left := probe_until - time.monotonic()) > 0:
+        try:
+            conn = await ClientConnection.connect(address, time_left)
+        except PeerRefusedError:
+            return True
+        except NotSentError:
+            # Cut off, or reset by a process that is ending.
+            pass
+        else:
+            await conn.close()
+        await anyio.sleep(PROBE_INTERVAL_SECONDS)
+    return False
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -243,7 +243,9 @@
 TOKENS_RETURNED = Event(
     635, "tokens_returned", "info", ("organisation", "owner", "tokens", "is_known")
 )
-HOST_UNANSWERED = Event(624, "host_unanswered", "info", ("host", "question", "error"))
+HOST_UNANSWERED = Event(
+    624, "host_unanswered", "info", ("host", "question", "error", "ended")
+)
 OPENING_REFUSED = Event(625, "opening_refused", "info", ("organisation", "witness"))
 TOKENS_FREED = Event(626, "tokens_freed", "info", ("organisation", "holder", "kept"))
 HOST_BEHIND = Event(
--- /dev/null
+++ b/tests/process/entry/test_peer_client.py
@@ -0,0 +1,68 @@
+from __future__ import annotations
+
+import itertools
+import time
+from typing import cast
+
+from knapweeddrum.message.call.token_opening import TokenUnlockReply, TokenUnlockRequest
+from knapweeddrum.process.entry.peer_client import (
+    PEER_REQUEST_TIMEOUT_SECONDS,
+    PeerClient,
+)
+from tests.async_test import async_test
+from tests.process.entry.claim_race import (
+    ClaimRacePlan,
+    DistantStore,
+    SharedStream,
+    make_context,
+)
+from tests.process.entry.lost_peer import Address, Loss, lost_peer
+
+QUESTION = TokenUnlockRequest("host-0/1", "host-1/1", [])
+MARGIN_SECONDS = 0.1
+"""Time by which a question may exceed its time limit on a busy machine."""
+LOSSES = (Loss.RESET, Loss.CLOSED)
+
+
+@async_test
+async def test_host_that_ends_within_a_question_has_ended_at_once():
+    """Its kept connection is lost, and its address refuses others."""
+    for loss, after in itertools.product(
+        LOSSES, (Address.REFUSES, Address.REFUSES_SOON)
+    ):
+        assert await _has_ended(loss, after), (loss, after)
+
+
+@async_test
+async def test_host_that_loses_a_connection_and_may_live_has_not_ended():
+    """Nobody takes a host for ended that accepts connections, or is cut off."""
+    others = (Address.ACCEPTS, Address.SUCCESSOR, Address.UNANSWERED)
+    for loss, after in itertools.product(LOSSES, others):
+        assert not await _has_ended(loss, after), (loss, after)
+
+
+@async_test
+async def test_suspended_host_has_not_ended():
+    """It answers on no connection, and refuses none."""
+    assert not await _has_ended(Loss.SILENT, Address.ACCEPTS)
+
+
+async def _has_ended(loss: Loss, after: Address) -> bool:
+    """Lose a host within a question; return whether it counts as ended.
+
+    It must count as unresponsive, and be given up within the time limit.
+    """
+    store = cast("DistantStore", DistantStore(SharedStream(), 0.0))
+    ctx = make_context(0, ClaimRacePlan(hosts=2), store)
+    peers = PeerClient(ctx)
+    async with lost_peer(loss, after) as peer:
+        reply = await peers.post(peer.address, b"/", QUESTION, TokenUnlockReply)
+        assert reply is not None
+        asked_at = time.monotonic()
+        reply = await peers.post(peer.address, b"/", QUESTION, TokenUnlockReply)
+        assert reply is None
+        elapsed = time.monotonic() - asked_at
+        assert elapsed <= PEER_REQUEST_TIMEOUT_SECONDS + MARGIN_SECONDS
+        assert peers.is_unresponsive(peer.address)
+        await ctx.pool.close()
+        return peers.has_ended(peer.address)
