--- a/tests/process/entry/site/loss_judge.py
+++ b/tests/process/entry/site/loss_judge.py
@@ -69,7 +69,16 @@
         return [loss for loss in self.losses if loss.excuse is excuse]
 
     def of(self, circumstance: Circumstance) -> list[Loss]:
-        return [loss for loss in self.counted if circumstance in loss.circumstances]
+        """Return the losses that count in a circumstance."""
+        excuses: set[Excuse | None] = {None}
+        if circumstance is Circumstance.KEPT:
+            # The end of a drain is an excuse beside a SIGTERM only.
+            excuses.add(Excuse.DRAIN_END)
+        return [
+            loss
+            for loss in self.losses
+            if circumstance in loss.circumstances and loss.excuse in excuses
+        ]
 
     def broken(self) -> list[Circumstance]:
         """Return the circumstances in which the users' rule is broken."""
--- a/tests/process/entry/site/test_loss_judge.py
+++ b/tests/process/entry/site/test_loss_judge.py
@@ -112,6 +112,17 @@
     assert judged(played).broken() == [Circumstance.KEPT]
 
 
+def test_end_of_a_drain_excuses_no_kept_connection_closed_on_a_request():
+    """Requests that ended without any answer count though they were sent early."""
+    played = SiteHistory(stops=[HostEvent("host-1", 100.0, 107.7)])
+    for number in range(4):
+        req = dataclasses.replace(LOST, attempt=f"a{number}", ended_at=107.6)
+        played.requests.append(req)
+        played.record_run(dataclasses.replace(RUN, attempt=req.attempt))
+    assert judged(played).counted == []
+    assert judged(played).broken() == [Circumstance.KEPT]
+
+
 def test_request_lost_while_only_the_store_is_disturbed_breaks_the_rule():
     """The store excuses nothing."""
     played = history(LOST, RUN)
--- a/tests/process/entry/site/test_site.py
+++ b/tests/process/entry/site/test_site.py
@@ -21,6 +21,7 @@
     with tempfile.TemporaryDirectory() as folder:
         report = await SitePlay(LEGAL_AID, plan, pathlib.Path(folder)).play()
         assert not report.verdict.counted, describe(report)
+        assert not report.verdict.broken(), describe(report)
         assert not report.history.own_ends, describe(report)
         assert len(report.history.requests) > 0
 
