A request that a drain's end has cancelled has always begun no answer

Since nothing is encoded once the cancellation is due; the branch for the other case could not be reached, and would have ended the connection without a line.

--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -221,10 +221,8 @@
             self._raise_internal_error(failure)
         raise failure
 
-    def _given_up_error(self, job: RequestJob) -> Exception:
-        """Return the error of a request that the end of a drain has cancelled."""
-        if self._conn.has_begun_reply:
-            return PeerDisconnectedError("the drain ended within an answer")
+    def _given_up_error(self, job: RequestJob) -> RefusedError:
+        """Return the refusal of a request that the end of a drain has cancelled."""
         if job.may_have_run:
             detail = f"the host ends, no answer from {job.endpoint_id}"
             return refused(
