Test: a request sent just before the FIN of an idle connection is discarded

What callers saw: a request sent before any sign of the close gets no answer when its host handles the rest of that turn late (embedded server, the loop blocked for 0.3 s; one turn of the nine tried).

Cause: end_idle shuts down reading; the transport reads the end, and a turn later the session sends the FIN and discards what has arrived in between.

Ruled out: requests that arrive up to that read are answered, and so are all without end_idle (nine turns each).

Conclusion: the turn lasts as long as all connections that end together take, so that it passes lossSlackMs on a host that is behind only.

--- a/tests/process/entry/test_kernel_endings.py
+++ b/tests/process/entry/test_kernel_endings.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import dataclasses
+import select
 import signal
 import socket
 import time
@@ -15,6 +16,7 @@
 from tests.async_test import async_test
 from tests.process.entry.embedded_caller_server import (
     embedded_caller_server,
+    fall_behind,
     request,
 )
 from tests.process.entry.entry_harness import (
@@ -100,6 +102,14 @@
             return False
 
 
+def has_ended(conn: KeptConnection) -> bool:
+    """Return whether the caller can see that the host has ended the connection."""
+    poller = select.poll()
+    sock = conn._stream.extra(anyio.abc.SocketAttribute.raw_socket)
+    poller.register(sock.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
+
+
 async def is_answered(conn: KeptConnection, attempt: str) -> bool:
     try:
         await conn.send(request_bytes("/book/1", attempt, HOST_NAME, KEY))
@@ -213,6 +223,26 @@
     assert [turn for turn in turns if not await is_answered_after_stop(turn)] == []
 
 
+@async_test
+async def test_request_sent_before_the_end_of_an_idle_connection_is_answered():
+    """It arrives when the host has read the last time, and well before its FIN."""
+    lost: list[int] = []
+    async with embedded_caller_server() as embedded:
+        for turns in range(TURNS_UNTIL_SERVED):
+            conn = await embedded.connect()
+            embedded.server.end_idle()
+            for _ in range(turns):
+                await anyio.lowlevel.checkpoint()
+            if has_ended(conn):
+                break
+            conn.send_now(request("late"))
+            fall_behind()
+            if await conn.answer() is None:
+                lost.append(turns)
+            await conn.close()
+    assert lost == []
+
+
 @async_test
 async def test_requests_sent_to_a_suspended_host_as_its_listener_closes_are_answered():
     """They were sent well before it closes, and wait to be accepted."""
