End the process without the interpreter's teardown

Change: run_entry.py flushes its output and leaves by os._exit; all that must be closed is closed before.

--- a/src/run_entry.py
+++ b/src/run_entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
 
@@ -10,4 +11,8 @@
 
 from knapweeddrum.console.entry_process_command import main  # noqa: E402
 
-sys.exit(main())
+code = main()
+sys.stdout.flush()
+sys.stderr.flush()
+# The interpreter's teardown may take longer than what is left of the grace period.
+os._exit(code)
