--- a/tests/process/entry/site/loss_judge.py
+++ b/tests/process/entry/site/loss_judge.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import enum
 
@@ -72,8 +71,8 @@
         """Return the losses that count in a circumstance."""
         excuses: set[Excuse | None] = {None}
         if circumstance is Circumstance.KEPT:
-            # The end of a drain is an excuse beside a SIGTERM only.
-            excuses.add(Excuse.DRAIN_END)
+            # These are excuses beside planned work only.
+            excuses |= {Excuse.DRAIN_END, Excuse.TIME_LIMIT}
         return [
             loss
             for loss in self.losses
@@ -89,10 +88,7 @@
             and self.configuration_ratio > CONFIGURATION_RATIO
         ):
             broken.append(Circumstance.CONFIGURATION)
-        by_host = collections.Counter(
-            loss.request.host for loss in self.of(Circumstance.KEPT)
-        )
-        if any(count > MOST_KEPT_LOSSES for count in by_host.values()):
+        if len(self.of(Circumstance.KEPT)) > MOST_KEPT_LOSSES:
             broken.append(Circumstance.KEPT)
         return broken
 
@@ -117,7 +113,7 @@
         runs = self._runs(req)
         if req.ended_at - req.begun_at >= req.time_limit - TIME_LIMIT_MARGIN_SECONDS:
             return Excuse.TIME_LIMIT
-        if any(run.end is RunEnd.BROKE_OFF for run in runs):
+        if runs and runs[-1].end is RunEnd.BROKE_OFF:
             return Excuse.ENDPOINT
         if not runs and req.sent_at is None:
             return Excuse.UNFINISHED
@@ -192,9 +188,11 @@
         return frozenset(found)
 
     def _is_beside_configuration(self, req: SentRequest) -> bool:
+        """Return whether it was under way while a configuration may come into force."""
         lasts = self._shape.apply_time + 1.0
         return any(
-            at <= req.begun_at <= at + lasts for at in self._history.configurations
+            at <= req.ended_at and req.begun_at <= at + lasts
+            for at in self._history.configurations
         )
 
     def _configuration_ratio(self, losses: tuple[Loss, ...]) -> float:
--- a/tests/process/entry/site/test_loss_judge.py
+++ b/tests/process/entry/site/test_loss_judge.py
@@ -123,6 +123,31 @@
     assert judged(played).broken() == [Circumstance.KEPT]
 
 
+def test_kept_connections_closed_on_a_request_count_over_all_hosts():
+    """Four in all, at two hosts."""
+    played = SiteHistory()
+    for number in range(4):
+        host = f"host-{number % 2}"
+        req = dataclasses.replace(LOST, attempt=f"a{number}", host=host)
+        played.requests.append(req)
+        played.record_run(dataclasses.replace(RUN, attempt=req.attempt))
+    assert judged(played).broken() == [Circumstance.KEPT]
+
+
+def test_answer_cut_after_an_earlier_endpoint_broke_off_counts():
+    """The host repeated the request; it cut the answer of the second endpoint."""
+    first = dataclasses.replace(RUN, ended_at=100.5, end=RunEnd.BROKE_OFF)
+    second = dataclasses.replace(RUN, endpoint="engine-2", arrived_at=100.6)
+    assert only_loss(history(LOST, first, second)).excuse is None
+
+
+def test_answer_begun_before_a_configuration_and_cut_after_it_is_beside_it():
+    """A new configuration may cut what is under way."""
+    played = history(LOST, RUN)
+    played.configurations = [101.0]
+    assert Circumstance.CONFIGURATION in only_loss(played).circumstances
+
+
 def test_request_lost_while_only_the_store_is_disturbed_breaks_the_rule():
     """The store excuses nothing."""
     played = history(LOST, RUN)
