Pass on the answers that have come before a drain gives up the others; count no answered connection as unanswered

Answers that lie in the kernel at that moment are passed on now: the event loop has five turns before what is left is given up.

test_drain_endings, test_drain_sequence, test_lifecycle and test_loss_judge: 44 passed.

--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -62,6 +62,8 @@
             stream, self._limits.max_header_bytes, self._is_closing
         )
         self._admission = RequestAdmission(ctx)
+        self._is_ending = False
+        """Whether no more requests are read from the connection."""
         self._first_request_due = time.monotonic() + FIRST_REQUEST_WAIT_SECONDS
         self.request_id = ""
         """Identifier of the request that is being served, empty for none."""
@@ -84,6 +86,7 @@
             # Part of the answer was sent; abort so that it can't look complete.
             await self._conn.abort()
             return
+        self._is_ending = True
         await self._conn.close()
 
     async def abort(self) -> None:
@@ -93,6 +96,8 @@
     @property
     def is_unanswered(self) -> bool:
         """Return whether anything was received that has no whole answer yet."""
+        if self._is_ending:
+            return False
         return not self._conn.is_waiting or self._conn.has_pending_input()
 
     def end_if_idle(self) -> None:
@@ -122,6 +127,8 @@
             return False
         if received is None:
             return False
+        self._is_ending = False
+        """Whether no more requests are read from the connection."""
         self._first_request_due = float("-inf")
         self._ctx.in_progress += 1
         self._ctx.last_request_at = time.monotonic()
--- a/src/knapweeddrum/process/entry/drain_sequence.py
+++ b/src/knapweeddrum/process/entry/drain_sequence.py
@@ -5,6 +5,7 @@
 import time
 
 import anyio
+import anyio.lowlevel
 
 from knapweeddrum.process.entry.caller_server import CallerServer
 from knapweeddrum.process.entry.entry_context import EntryContext
@@ -31,6 +32,9 @@
 EXIT_MARGIN_SECONDS = 0.6
 """Time before the kill from which no request is waited for that has no answer yet."""
 
+LAST_TURNS = 5
+"""Turns of the event loop in which answers that have come by then are passed on."""
+
 LAST_ANSWERS_SECONDS = 0.2
 """Time after that in which answers that have begun, and refusals, are sent."""
 
@@ -77,6 +81,8 @@
             # A store that is silent must not keep the process from ending.
             returned = await self._allocator.return_unused()
             await self._finish_sessions()
+        for _ in range(LAST_TURNS):
+            await anyio.lowlevel.checkpoint()
         self._server.give_up_requests()
         with anyio.move_on_after(LAST_ANSWERS_SECONDS):
             await self._finish_sessions()
