Give requests up sooner at the end of a drain if the host is behind

Cause: the end of a drain was a fixed time before the kill, whatever the time that a host needs to refuse what it has read.

Change: the time at which tokens are returned and requests are given up is sooner by four times the lag of a host that is behind, 2 s at most; answers that have begun keep theirs. From then on nothing is admitted, and what is read later is refused too. A host that isn't behind does what it did.

--- a/src/knapweeddrum/process/entry/drain_sequence.py
+++ b/src/knapweeddrum/process/entry/drain_sequence.py
@@ -7,6 +7,7 @@
 import anyio
 import anyio.lowlevel
 
+from knapweeddrum.core.load.loop_lag import BEHIND_SECONDS
 from knapweeddrum.process.entry.caller_server import CallerServer
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
@@ -26,17 +27,25 @@
 LAST_REQUEST_WAIT_SECONDS = 0.6
 """Time without a new request after which none is expected."""
 
-TOKEN_RETURN_MARGIN_SECONDS = 1.2
-"""Time before the kill at which unused tokens are returned in any case."""
+TOKEN_RETURN_SECONDS = 0.6
+"""Time before the end of the drain at which unused tokens are returned in any case."""
 
 EXIT_MARGIN_SECONDS = 0.6
 """Time before the kill from which no request is waited for that has no answer yet."""
 
+LAG_MARGIN_FACTOR = 4.0
+"""Multiple of the lag of a process that is behind by which that time is sooner.
+
+A refusal takes it several turns of the event loop.
+"""
+
+MAX_LAG_MARGIN_SECONDS = 2.0
+
 LAST_TURNS = 5
 """Turns of the event loop in which answers that have come by then are passed on."""
 
-LAST_ANSWERS_SECONDS = 0.2
-"""Time after that in which answers that have begun, and refusals, are sent."""
+CUT_MARGIN_SECONDS = 0.4
+"""Time before the kill at which answers that have begun are cut."""
 
 SESSION_POLL_SECONDS = 0.05
 
@@ -67,25 +76,20 @@
         started_at = time.monotonic() - ctx.loop_lag.current(time.monotonic())
         ctx.drain_refuses_from = started_at + DIRECTORY_REFRESH_SECONDS
         ctx.drain_ends_at = started_at + ctx.settings.grace_period - EXIT_MARGIN_SECONDS
+        cut_at = started_at + ctx.settings.grace_period - CUT_MARGIN_SECONDS
         await self._witness.announce_leave()
-        return_at = started_at + ctx.settings.grace_period - TOKEN_RETURN_MARGIN_SECONDS
-        with anyio.move_on_after(return_at - time.monotonic()):
-            await anyio.sleep(ctx.drain_refuses_from - time.monotonic())
-            while self._expects_requests(started_at):
-                await self._end_connections()
+        await anyio.sleep(ctx.drain_refuses_from - time.monotonic())
+        while self._expects_requests(started_at) and not self._must_return_tokens():
+            await self._end_connections()
         self._server.stop_accepting()
-        with anyio.move_on_after(return_at - time.monotonic()):
-            await self._finish_sessions()
+        while self._server.has_sessions and not self._must_return_tokens():
+            await self._end_connections()
         returned = False
-        with anyio.move_on_after(ctx.drain_ends_at - time.monotonic()):
+        with anyio.move_on_after(self._time_left()):
             # A store that is silent must not keep the process from ending.
             returned = await self._allocator.return_unused()
             await self._finish_sessions()
-        for _ in range(LAST_TURNS):
-            await anyio.lowlevel.checkpoint()
-        self._server.give_up_requests()
-        with anyio.move_on_after(LAST_ANSWERS_SECONDS):
-            await self._finish_sessions()
+        await self._give_up_requests(cut_at)
         if ctx.in_progress or not returned:
             ctx.events.emit(
                 STOPPED_IN_PROGRESS,
@@ -96,6 +100,28 @@
         self._server.report_end()
         ctx.events.emit(DRAIN_FINISHED)
 
+    def _must_return_tokens(self) -> bool:
+        return self._time_left() <= TOKEN_RETURN_SECONDS
+
+    def _time_left(self) -> float:
+        """Return the seconds for which requests without an answer are waited for."""
+        now = time.monotonic()
+        lag = self._ctx.loop_lag.current(now)
+        margin = 0.0
+        if lag >= BEHIND_SECONDS:
+            margin = min(MAX_LAG_MARGIN_SECONDS, LAG_MARGIN_FACTOR * lag)
+        return self._ctx.drain_ends_at - margin - now
+
+    async def _give_up_requests(self, cut_at: float) -> None:
+        """Refuse what has no answer; wait for the answers that have begun."""
+        for _ in range(LAST_TURNS):
+            await anyio.lowlevel.checkpoint()
+        # Nothing is admitted any more.
+        self._ctx.drain_ends_at = time.monotonic()
+        while self._server.has_sessions and time.monotonic() < cut_at:
+            self._server.give_up_requests()
+            await self._end_connections()
+
     async def _finish_sessions(self) -> None:
         while self._server.has_sessions:
             await self._end_connections()
--- a/tests/process/entry/test_drain_sequence.py
+++ b/tests/process/entry/test_drain_sequence.py
@@ -83,3 +83,51 @@
             assert names == ["drain_started", "stopped_in_progress", "drain_finished"]
 
     run_virtual(play)
+
+
+class WaitingServer(IdleServer):
+    """Has a request without an answer until it is given up."""
+
+    def __init__(self) -> None:
+        self.has_sessions = True
+        self.given_up_at = 0.0
+
+    def give_up_requests(self) -> None:
+        self.given_up_at = anyio.current_time()
+        self.has_sessions = False
+
+
+def test_drain_of_a_host_that_is_behind_gives_requests_up_sooner():
+    """Their refusals take it several turns of the event loop, each of them late."""
+
+    async def given_up_after(lag: float) -> float:
+        ctx = draining_context()
+        server = WaitingServer()
+        started_at = anyio.current_time()
+        drain = DrainSequence(
+            ctx,
+            cast("CallerServer", server),
+            cast("TokenAllocator", SilentAllocator()),
+            cast("TokenWitness", LoneWitness()),
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_stay_behind, ctx, lag)
+            await drain.run()
+            tasks.cancel_scope.cancel()
+        return server.given_up_at - started_at
+
+    async def play() -> None:
+        with virtual_clock():
+            quick = await given_up_after(0.0)
+            slow = await given_up_after(0.3)
+            assert GRACE_SECONDS - 1.0 < quick < GRACE_SECONDS - 0.4
+            assert slow < quick - 1.0
+
+    run_virtual(play)
+
+
+async def _stay_behind(ctx: EntryContext, lag: float) -> None:
+    while True:
+        now = anyio.current_time()
+        ctx.loop_lag.record(lag, now)
+        await anyio.sleep(0.25)
