--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -127,8 +127,6 @@
             return False
         if received is None:
             return False
-        self._is_ending = False
-        """Whether no more requests are read from the connection."""
         self._first_request_due = float("-inf")
         self._ctx.in_progress += 1
         self._ctx.last_request_at = time.monotonic()
