--- a/tests/process/entry/test_limit_troubles.py
+++ b/tests/process/entry/test_limit_troubles.py
@@ -12,6 +12,7 @@
 LARGE_SEEDS = int(os.environ.get("KNAPWEED_LIMIT_SEEDS", "1"))
 """Fewer, as a day of so many hosts takes ten seconds."""
 CONTRADICTED_SEEDS = range(40)
+LARGE_MIXED_SEED = 25
 MIXED_SEEDS = range(int(os.environ.get("KNAPWEED_LIMIT_SEEDS", "20")))
 TROUBLE_AT = 9.0
 TROUBLE_SECONDS = 14.0
@@ -91,3 +92,9 @@
     """Of hosts, their heartbeats, the store and the endpoints, one upon the other."""
     for seed in MIXED_SEEDS:
         assert_holds(LimitDay(mixed_plan(hosts, seed), seed).play())
+
+
+def test_limit_holds_in_mixed_troubles_of_a_large_fleet():
+    """The same troubles at 62 hosts; a day on which the limit did not hold."""
+    plan = mixed_plan(LARGE_HOSTS, LARGE_MIXED_SEED)
+    assert_holds(LimitDay(plan, LARGE_MIXED_SEED).play())
