--- a/tests/process/entry/site/site_endpoint.py
+++ b/tests/process/entry/site/site_endpoint.py
@@ -21,7 +21,6 @@
 WORK_SPREAD = 0.7
 """Standard deviation of the logarithm of the time for which a request is worked on."""
 RECORD_BYTES = 800
-BEAT_SECONDS = 1.2
 LEAVE_POLL_SECONDS = 0.05
 
 
--- a/tests/process/entry/site/site_host.py
+++ b/tests/process/entry/site/site_host.py
@@ -9,6 +9,7 @@
 import pathlib
 import random
 import signal
+import socket
 import sys
 import time
 
@@ -208,6 +209,18 @@
         return self._folder / f"{self.place.name}.{self._starts}.log"
 
 
+def free_network(hosts: int) -> str:
+    """Return the first three numbers of loopback addresses that nobody uses."""
+    rng = random.SystemRandom()
+    while True:
+        network = f"127.{rng.randint(16, 250)}.{rng.randint(1, 250)}"
+        with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
+            for number in range(1, hosts + 1):
+                sock = stack.enter_context(socket.socket())
+                sock.bind((f"{network}.{number}", CALLER_PORT))
+            return network
+
+
 def _signal_if_running(process: anyio.abc.Process, number: signal.Signals) -> None:
     if process.returncode is None:
         with contextlib.suppress(ProcessLookupError):
--- a/tests/process/entry/site/site_play.py
+++ b/tests/process/entry/site/site_play.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-import contextlib
 import dataclasses
 import itertools
 import pathlib
 import random
 import signal
-import socket
 import time
 from collections.abc import Callable
 
@@ -17,9 +15,9 @@
 
 from tests.process.entry.site.loss_judge import LossJudge, Verdict
 from tests.process.entry.site.site_caller import SiteCaller
-from tests.process.entry.site.site_endpoint import BEAT_SECONDS, SiteEndpoint
+from tests.process.entry.site.site_endpoints import SiteEndpoints
 from tests.process.entry.site.site_history import Outcome, SiteHistory, Span
-from tests.process.entry.site.site_host import CALLER_PORT, HostPlace, SiteHost
+from tests.process.entry.site.site_host import HostPlace, SiteHost, free_network
 from tests.process.entry.site.site_plan import (
     Configurations,
     EndpointReplacements,
@@ -32,12 +30,7 @@
     StoreDisturbance,
     StoreTrouble,
 )
-from tests.process.entry.site.site_shape import (
-    ENGINE_SERVICE,
-    RECORDS_SERVICE,
-    SiteShape,
-    configuration,
-)
+from tests.process.entry.site.site_shape import SiteShape, configuration
 from tests.standins.platform_store import PlatformStore
 
 ROOT = pathlib.Path(__file__).parent.parent.parent.parent.parent
@@ -90,13 +83,10 @@
         self._store = PlatformStore()
         self._hosts: list[SiteHost] = []
         self._callers: dict[str, list[SiteCaller]] = {}
-        self._endpoints: list[SiteEndpoint] = []
-        self._endpoint_numbers = itertools.count()
+        self._endpoints = SiteEndpoints(shape, self._store, self._history, plan.seed)
         self._attempts = itertools.count()
         self._version = 0
         self._longest_pause = 0.0
-        self._tasks: anyio.abc.TaskGroup | None = None
-        """Tasks that last until the end of the play."""
 
     async def play(self) -> PlayReport:
         """Play the plan; return what callers and endpoints have seen."""
@@ -105,10 +95,7 @@
             self._store.serve() as store_address,
             anyio.create_task_group() as tasks,
         ):
-            self._tasks = tasks
-            for service in (ENGINE_SERVICE, RECORDS_SERVICE):
-                await self._start_endpoints(service, tasks)
-            tasks.start_soon(self._beat)
+            await self._endpoints.start(tasks)
             tasks.start_soon(self._watch_own_pauses)
             self._place_hosts(store_address)
             for host in self._hosts:
@@ -172,7 +159,7 @@
             case StoreDisturbance():
                 await self._disturb_store(step)
             case EndpointReplacements():
-                await self._replace_endpoints(step)
+                await self._endpoints.replace(step.count, step.gap)
             case HostKill():
                 self._rng.choice(self._hosts).kill()
             case HostFreeze():
@@ -232,54 +219,6 @@
         set_trouble(self._store, step.trouble, on=False)
         span.ended_at = time.monotonic() + self._shape.stable_window
 
-    # Endpoints.
-
-    async def _start_endpoints(self, service: str, tasks: anyio.abc.TaskGroup) -> None:
-        for centre in self._shape.data_centres:
-            count = centre.engines if service == ENGINE_SERVICE else 1
-            for _ in range(count):
-                await tasks.start(self._run_endpoint, service, centre.name)
-
-    async def _run_endpoint(
-        self,
-        service: str,
-        data_centre: str,
-        *,
-        task_status: anyio.abc.TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
-    ) -> None:
-        name = f"{service}-{next(self._endpoint_numbers)}"
-        rng = random.Random(f"{self._plan.seed} {name}")
-        endpoint = SiteEndpoint(
-            name, service, data_centre, self._shape, self._history, rng
-        )
-        async with endpoint.serve_until_idle():
-            self._endpoints.append(endpoint)
-            self._list_endpoint(endpoint)
-            task_status.started()
-            await endpoint.leaving_begun.wait()
-            self._list_endpoint(endpoint)
-            await anyio.sleep(self._shape.drain_delay + rng.uniform(0.0, 3.0))
-        self._endpoints.remove(endpoint)
-        self._store.drop("keyed.servers", endpoint.server_id)
-
-    async def _replace_endpoints(self, step: EndpointReplacements) -> None:
-        assert self._tasks is not None
-        for endpoint in self._rng.sample(self._endpoints, step.count):
-            await self._tasks.start(
-                self._run_endpoint, endpoint.service, endpoint.data_centre
-            )
-            endpoint.leave()
-            await anyio.sleep(step.gap)
-
-    def _list_endpoint(self, endpoint: SiteEndpoint) -> None:
-        self._store.put("keyed.servers", endpoint.server_id, endpoint.next_entry())
-
-    async def _beat(self) -> None:
-        while True:
-            await anyio.sleep(BEAT_SECONDS)
-            for endpoint in self._endpoints:
-                self._list_endpoint(endpoint)
-
     # Hosts and callers.
 
     def _place_hosts(self, store_address: str) -> None:
@@ -350,15 +289,3 @@
             store.lose_replies = LOST_REPLIES if on else 0
         case StoreTrouble.SLOW:
             store.reply_delay = SLOW_REPLY_SECONDS if on else 0.0
-
-
-def free_network(hosts: int) -> str:
-    """Return the first three numbers of loopback addresses that nobody uses."""
-    rng = random.SystemRandom()
-    while True:
-        network = f"127.{rng.randint(16, 250)}.{rng.randint(1, 250)}"
-        with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
-            for number in range(1, hosts + 1):
-                sock = stack.enter_context(socket.socket())
-                sock.bind((f"{network}.{number}", CALLER_PORT))
-            return network
