Read load reports with a fourth figure

Cause: endpoints of some services report a fourth figure, how long work takes on their machine. The decoder returned None for anything but three figures, so no load of these endpoints was known: none was ever full, and each counted only the requests of this host.

Change: LoadReport.work_time, None if it isn't reported. A report that can't be read is counted as endpoint_notice.load_ignored and logged once in a row.

--- a/src/knapweeddrum/core/placing/endpoint_state.py
+++ b/src/knapweeddrum/core/placing/endpoint_state.py
@@ -51,6 +51,7 @@
         self._unanswered: dict[str, float] = {}
         self._report: LoadReport | None = None
         self._reported_at = float("-inf")
+        self._is_report_malformed = False
 
     def start_attempt(self, attempt_id: str, tokens: int, now: float) -> None:
         """Record that a request is sent."""
@@ -100,6 +101,13 @@
         """Record the load that an answer reported."""
         self._report = report
         self._reported_at = now
+        self._is_report_malformed = False
+
+    def record_malformed_load(self) -> bool:
+        """Record a load that can't be read; return whether the last one could be."""
+        was_malformed = self._is_report_malformed
+        self._is_report_malformed = True
+        return not was_malformed
 
     def is_unresponsive(self, now: float) -> bool:
         """Return whether a request has waited too long and no data arrived."""
--- a/src/knapweeddrum/core/placing/load_report.py
+++ b/src/knapweeddrum/core/placing/load_report.py
@@ -12,3 +12,8 @@
     running: int
     waiting: int
     slots: int
+    work_time: float | None = None
+    """How long work takes on the endpoint's machine now, as a multiple of the usual.
+
+    None if the endpoint doesn't report it.
+    """
--- a/src/knapweeddrum/platform/endpoint_protocol.py
+++ b/src/knapweeddrum/platform/endpoint_protocol.py
@@ -22,6 +22,10 @@
 MOVED_STATUS = 421
 REFUSED_STATUS = 503
 EVENT_STREAM_TYPE = "text/event-stream"
+LOAD_FIGURE_COUNTS = (3, 4)
+"""Figures of a load report; a fourth one tells how long work takes."""
+USUAL_WORK_TIME = 100
+"""Fourth figure of an endpoint whose work takes as long as usual."""
 METHODS_WITHOUT_BODY = frozenset({b"GET", b"HEAD", b"DELETE"})
 
 
@@ -40,6 +44,8 @@
     moved: bool
     """Whether another endpoint than the expected one serves the address."""
     load: LoadReport | None
+    has_malformed_load: bool
+    """Whether it reports a load that can't be read."""
     limit: NamedLimit
     leaving: bool
     """Whether the endpoint says that it leaves."""
@@ -84,6 +90,8 @@
 def decode_reply_head(head: RawReplyHead) -> EndpointReplyHead:
     """Decode the status and headers of an endpoint's reply."""
     headers = head.headers
+    load_text = headers.text(names.SERVER_LOAD)
+    load = _decode_load(load_text)
     return EndpointReplyHead(
         status=head.status,
         attempt_id=headers.text(names.ATTEMPT_ID),
@@ -94,7 +102,8 @@
         leaving=headers.text(names.SERVER_LEAVING).strip() == "1",
         back_off=decode_back_off(headers) if head.status == REFUSED_STATUS else None,
         limit=decode_server_limit(headers),
-        load=_decode_load(headers.text(names.SERVER_LOAD)),
+        load=load,
+        has_malformed_load=load is None and bool(load_text),
         framing=head.framing,
         format=_decode_format(headers.text(names.CONTENT_TYPE)),
         headers=headers.end_to_end(names.STRIPPED_REPLY_HEADERS),
@@ -119,9 +128,11 @@
 
 
 def _decode_load(value: str) -> LoadReport | None:
+    """Return the load that three or four figures report, None for any other text."""
     figures = [parse_whole_number(part) for part in value.split(",")]
     known = [figure for figure in figures if figure is not None]
-    if len(figures) != 3 or len(known) != 3:
+    if len(known) != len(figures) or len(known) not in LOAD_FIGURE_COUNTS:
         return None
-    running, waiting, slots = known
-    return LoadReport(running, waiting, slots)
+    running, waiting, slots, *rest = known
+    work_time = rest[0] / USUAL_WORK_TIME if rest else None
+    return LoadReport(running, waiting, slots, work_time)
--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -122,8 +122,6 @@
             answer.record_data()
             if not head.moved:
                 record_notices(ctx, state, head, now)
-            if head.load is not None and not head.moved:
-                state.record_load(head.load, time.monotonic())
             await _check_head(answer)
             state.record_answer_start(attempt, job.input_tokens)
             yield answer
--- a/src/knapweeddrum/process/entry/notice_recorder.py
+++ b/src/knapweeddrum/process/entry/notice_recorder.py
@@ -27,6 +27,7 @@
     ``sent_at`` is the monotonic time at which the request was sent.
     """
     now = time.monotonic()
+    _record_load(ctx, state, head, now)
     _record_limit(ctx, state, head, sent_at, now)
     if head.leaving and state.notices.record_leaving(now):
         _report(ctx, state, EndpointNotice.LEAVING, None)
@@ -38,6 +39,18 @@
         _record_back_off(ctx, state, head.back_off, now)
 
 
+def _record_load(
+    ctx: EntryContext, state: EndpointState, head: EndpointReplyHead, now: float
+) -> None:
+    if head.load is not None:
+        state.record_load(head.load, now)
+    if not head.has_malformed_load:
+        return
+    ctx.metrics.count(notice_counter(EndpointNotice.LOAD_IGNORED))
+    if state.record_malformed_load():
+        _emit(ctx, state, EndpointNotice.LOAD_IGNORED, None)
+
+
 def _record_limit(
     ctx: EntryContext,
     state: EndpointState,
@@ -98,6 +111,15 @@
     seconds: float | None,
 ) -> None:
     ctx.metrics.count(notice_counter(notice))
+    _emit(ctx, state, notice, seconds)
+
+
+def _emit(
+    ctx: EntryContext,
+    state: EndpointState,
+    notice: EndpointNotice,
+    seconds: float | None,
+) -> None:
     ctx.events.emit(
         ENDPOINT_NOTICE,
         endpoint=state.entry.endpoint_id,
--- a/src/knapweeddrum/value/endpoint_notice.py
+++ b/src/knapweeddrum/value/endpoint_notice.py
@@ -16,3 +16,5 @@
     LIMIT_END = "limit_end"
     IGNORED = "ignored"
     """What it said is meaningless."""
+    LOAD_IGNORED = "load_ignored"
+    """The load that it reported can't be read."""
