Don't ask an owner again that can't claim

Cause: an owner of an organisation's tokens whose calls the store refuses answers at once that it has no tokens and may be asked again, as tokens are claimable in principle. The borrower asked it in a loop for 0.15 s, for each request.

They fill weak hosts' links and delay the refusal.

Change: may_ask_again only while the lender's store calls succeed. The borrower goes on to the next owner and the holders at once.

--- a/src/knapweeddrum/process/entry/token_lender.py
+++ b/src/knapweeddrum/process/entry/token_lender.py
@@ -144,6 +144,9 @@
         return verdict is TokenVerdict.EXHAUSTED
 
     def _is_claimable(self, req: TokenLoanRequest) -> bool:
+        """Return whether this host can claim the tokens, once its writes win."""
+        if not self._allocator.can_claim:
+            return False
         available = self._ctx.token_accounts.max_reservable(
             req.organisation, time.monotonic()
         )
--- a/tests/process/entry/claim_race.py
+++ b/tests/process/entry/claim_race.py
@@ -153,6 +153,7 @@
         self._stream = stream
         self._seconds = seconds
         self.refuses_writes = False
+        self.refuses_reads = False
 
     async def append(
         self, _name: str, records: Sequence[KeyedRecord], expected_end: int
@@ -167,6 +168,8 @@
 
     async def read(self, _name: str, start: int, _wait: float = 0.0) -> StorePage:
         await anyio.sleep(self._seconds)
+        if self.refuses_reads:
+            raise LogUnavailableError("read refused with status 503")
         self._stream.reads += 1
         records = self._stream.records
         page = StorePage(tuple(records[start:]), len(records), complete=True)
--- a/tests/process/entry/loan_hosts.py
+++ b/tests/process/entry/loan_hosts.py
@@ -41,6 +41,12 @@
         store = cast("DistantStore", self.contexts[number].store)
         store.refuses_writes = True
 
+    def refuse_all(self) -> None:
+        """Let the store refuse the calls of all hosts from now on."""
+        for ctx in self.contexts:
+            store = cast("DistantStore", ctx.store)
+            store.refuses_writes = store.refuses_reads = True
+
     def remove(self, number: int) -> None:
         """Let all other hosts know that a host is gone."""
         for other, ctx in enumerate(self.contexts):
--- a/tests/process/entry/test_token_owners.py
+++ b/tests/process/entry/test_token_owners.py
@@ -10,6 +10,9 @@
 MOST = PREPAID_TOKENS * 95 // 100
 MEAN_TOKENS = PREPAID_TOKENS // 150
 """Tokens of a request where ten come in a second, for fifteen seconds."""
+MAX_QUESTIONS = 4
+"""Questions to an owner for one request: for a claim, for what is left, for a refill
+and a return at that time."""
 PUBLISHED_SECONDS = 3.0
 """Time until a claim tells what its host has lent."""
 
@@ -102,3 +105,21 @@
         assert served >= PREPAID_TOKENS - MEAN_TOKENS, served / PREPAID_TOKENS
 
     play(test)
+
+
+def test_owner_that_cannot_claim_is_not_asked_in_a_loop():
+    """Such questions fill the links of both hosts and only delay the refusal."""
+
+    async def test(hosts: LoanHosts) -> None:
+        owner, *_, last = hosts.ranking
+        hosts.refuse_all()
+        for _ in range(3):
+            await _reserve(hosts, last, PREPAID_TOKENS // 2)
+            await anyio.sleep(1.0)
+        before = hosts.network.calls_to[peer_address(owner)]
+        verdict = await _reserve(hosts, last, PREPAID_TOKENS // 2)
+        asked = hosts.network.calls_to[peer_address(owner)] - before
+        assert verdict is not TokenVerdict.RESERVED
+        assert asked <= MAX_QUESTIONS, asked
+
+    play(test)
