--- a/src/knapweeddrum/core/directory/host_capacity.py
+++ b/src/knapweeddrum/core/directory/host_capacity.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
+from knapweeddrum.core.load.link_load import BYTES_PER_MEGABIT
+
 REQUEST_CORE_SECONDS = 0.02
 """Processor time that a request takes, with all events of its answer."""
 
 REQUEST_BYTES = 25_000
 """Bytes that a request moves over the host's link, in one direction."""
 
-BYTES_PER_MEGABIT = 125_000
-
 
 def host_capacity(processor_cores: float, link_mbps: float) -> float:
     """Return the requests per second that use up the processor or the link."""
