Count what an entry process receives, at its sockets

Cause: LinkLoad needs every byte that comes in: callers, endpoints, other hosts, the store. Change: ServerConnection, ClientConnection and ConnectionPool report the bytes of each receive; EntryContext.link_load gets them and follows the settings. Ruled out: a counter in anyio's streams (not ours), /proc (whole machine). Conclusion: nothing decides by it yet.

--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -11,7 +11,7 @@
 import select
 import socket
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 import h11
@@ -65,11 +65,14 @@
     """Sends requests and reads replies; never retries.
 
     After an exchange whose reply was not read to its end, the connection must be
-    closed.
+    closed. ``on_receive`` is told the number of bytes of each receive.
     """
 
-    def __init__(self, stream: SocketStream) -> None:
+    def __init__(
+        self, stream: SocketStream, on_receive: Callable[[int], None] = lambda _: None
+    ) -> None:
         self._stream = stream
+        self._on_receive = on_receive
         self._conn = h11.Connection(h11.CLIENT, MAX_REPLY_HEAD_BYTES)
         self._request_written = True
         self._reply_ended = False
@@ -90,7 +93,12 @@
         self._poller.register(raw_socket.fileno(), select.POLLIN)
 
     @classmethod
-    async def connect(cls, address: str, timeout: float) -> ClientConnection:
+    async def connect(
+        cls,
+        address: str,
+        timeout: float,
+        on_receive: Callable[[int], None] = lambda _: None,
+    ) -> ClientConnection:
         """Connect to ``IP:port`` within ``timeout`` seconds.
 
         Raises PeerRefusedError if nothing listens there, or another NotSentError.
@@ -106,7 +114,7 @@
             if isinstance(exc.__cause__ or exc, ConnectionRefusedError):
                 raise PeerRefusedError(f"{address}: {exc!r}") from exc
             raise NotSentError(f"{address}: {exc!r}") from exc
-        return cls(stream)
+        return cls(stream, on_receive)
 
     @contextlib.asynccontextmanager
     async def exchange(
@@ -304,12 +312,14 @@
 
     async def _receive(self) -> bytes:
         try:
-            return await self._stream.receive(MAX_RECEIVE_BYTES)
+            data = await self._stream.receive(MAX_RECEIVE_BYTES)
         except anyio.EndOfStream:
             self._connection_lost = True
             return b""
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
             raise NoReplyError(f"connection lost: {exc!r}") from exc
+        self._on_receive(len(data))
+        return data
 
     def _framing(self, response: h11.Response, headers: HeaderList) -> BodyFraming:
         if response.status_code in BODILESS_STATUSES or self._request_method == b"HEAD":
--- a/src/knapweeddrum/http/connection_pool.py
+++ b/src/knapweeddrum/http/connection_pool.py
@@ -19,13 +19,19 @@
 
     Connections are grouped by a key. An endpoint's key changes when it restarts, so
     that no request is sent on a connection to its earlier process. ``on_connect`` is
-    called with the key of each new connection.
+    called with the key of each new connection, ``on_receive`` with the number of bytes
+    of each receive.
     """
 
-    def __init__(self, on_connect: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        on_connect: Callable[[str], None],
+        on_receive: Callable[[int], None] = lambda _: None,
+    ) -> None:
         self._idle: dict[str, list[ClientConnection]] = {}
         self._open_counts: dict[str, int] = {}
         self._on_connect = on_connect
+        self._on_receive = on_receive
 
     async def acquire(
         self, key: str, address: str, limit: int, timeout: float
@@ -48,7 +54,7 @@
             )
         self._open_counts[key] = self._open_counts.get(key, 0) + 1
         try:
-            conn = await ClientConnection.connect(address, timeout)
+            conn = await ClientConnection.connect(address, timeout, self._on_receive)
         except BaseException:
             self._count_closed(key)
             raise
--- a/src/knapweeddrum/http/server_connection.py
+++ b/src/knapweeddrum/http/server_connection.py
@@ -55,10 +55,15 @@
         stream: SocketStream,
         max_head_bytes: int,
         is_closing: Callable[[], bool] = lambda: False,
+        on_receive: Callable[[int], None] = lambda _: None,
     ) -> None:
-        """Serve one connection; replies end it from when ``is_closing`` is true."""
+        """Serve one connection; replies end it from when ``is_closing`` is true.
+
+        ``on_receive`` is told the number of bytes of each receive.
+        """
         self._stream = stream
         self._is_closing = is_closing
+        self._on_receive = on_receive
         self._conn = h11.Connection(h11.SERVER, max_head_bytes)
         self._max_head_bytes = max_head_bytes
         self._poller = select.poll()
@@ -303,13 +308,15 @@
 
     async def _receive(self) -> bytes:
         try:
-            return await self._stream.receive(MAX_RECEIVE_BYTES)
+            data = await self._stream.receive(MAX_RECEIVE_BYTES)
         except anyio.EndOfStream:
             self._eof = True
             return b""
         except DISCONNECT_ERRORS:
             self._eof = True
             return b""
+        self._on_receive(len(data))
+        return data
 
     async def _send(self, *events: h11.Event) -> None:
         # Once the events are encoded, a cancellation would lose what they say.
--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -59,7 +59,10 @@
         self._parts = parts
         self._limits = _limits(ctx)
         self._conn = ServerConnection(
-            stream, self._limits.max_header_bytes, self._is_closing
+            stream,
+            self._limits.max_header_bytes,
+            self._is_closing,
+            ctx.link_load.receive,
         )
         self._admission = RequestAdmission(ctx)
         self._is_ending = False
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -22,6 +22,7 @@
 )
 from knapweeddrum.core.directory.host_standing import HostStanding
 from knapweeddrum.core.directory.peer_contacts import PeerContacts
+from knapweeddrum.core.load.link_load import LinkLoad
 from knapweeddrum.core.load.loop_lag import LoopLag
 from knapweeddrum.core.load.request_rate import RequestRate
 from knapweeddrum.core.placing.endpoint_limits import EndpointLimits
@@ -145,6 +146,7 @@
     endpoint_limits: EndpointLimits = dataclasses.field(default_factory=EndpointLimits)
     loans: LoanLedger = dataclasses.field(default_factory=LoanLedger)
     loop_lag: LoopLag = dataclasses.field(default_factory=LoopLag)
+    link_load: LinkLoad = dataclasses.field(default_factory=LinkLoad)
     claim_meter: ProcessorMeter = dataclasses.field(default_factory=ProcessorMeter)
     """Processor time that deciding on claims and applying them takes."""
 
--- a/src/knapweeddrum/process/entry/page_server.py
+++ b/src/knapweeddrum/process/entry/page_server.py
@@ -54,7 +54,9 @@
             await listener.serve(self._serve)
 
     async def _serve(self, stream: SocketStream) -> None:
-        conn = ServerConnection(stream, MAX_HEAD_BYTES)
+        conn = ServerConnection(
+            stream, MAX_HEAD_BYTES, on_receive=self._ctx.link_load.receive
+        )
         try:
             while await self._serve_next(conn):
                 pass
--- a/src/knapweeddrum/process/entry_composition.py
+++ b/src/knapweeddrum/process/entry_composition.py
@@ -17,6 +17,7 @@
 from knapweeddrum.core.admission.crash_register import CrashRegister
 from knapweeddrum.core.catalog.service_list import ServiceList, lapse_grace
 from knapweeddrum.core.directory.host_directory import HostDirectory
+from knapweeddrum.core.load.link_load import LinkLoad
 from knapweeddrum.core.membership.new_incarnation import new_incarnation
 from knapweeddrum.core.placing.endpoint_states import EndpointStates
 from knapweeddrum.core.placing.placer import Placer
@@ -61,7 +62,10 @@
     )
     writer = BoundedWriter(sys.stdout.fileno())
     metrics = Metrics()
-    pool = ConnectionPool(lambda _: metrics.count(CONNECTIONS_OPENED))
+    link_load = LinkLoad(settings.link_mbps)
+    pool = ConnectionPool(
+        lambda _: metrics.count(CONNECTIONS_OPENED), link_load.receive
+    )
     service_list = ServiceList(lapse_grace(settings.drain_delay))
     losses, reported_losses = anyio.create_memory_object_stream[LostConnection](
         MAX_WAITING_REPORTS
@@ -89,6 +93,7 @@
         events=EventLog(level, LineLogger(writer), incarnation=incarnation),
         metrics=metrics,
         rng=random.Random(rng.getrandbits(64)),
+        link_load=link_load,
     )
     ctx.store.era.on_return = ctx.record_store_return
     ctx.store.on_era_doubt = ctx.record_era_doubt
