Close the listener for moments while the link is full

Cause: callers that stay at one host come back there whatever it answers; only a reset at connect keeps their bytes off its link. Change: LinkWatch pauses CallerServer as LinkLoad decides. A pause ends serve_in as a drain does, then the address is bound again; a failure to bind is logged, counted and retried. Events link_full, link_has_room, listen_failed; counter link.listener_closed. A drain isn't shed. Ruled out: looking every 10 ms at all times (an idle host is not woken now), a listener that stays open and accepts later, a smaller backlog.

--- a/src/knapweeddrum/process/entry/caller_server.py
+++ b/src/knapweeddrum/process/entry/caller_server.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import SocketStream, TaskGroup
 
 from knapweeddrum.http.listener import Listener, listen
 from knapweeddrum.process.entry.caller_session import CallerSession
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.request_parts import RequestParts
-from knapweeddrum.telemetry.events import CONNECTIONS_ENDED, TASK_FAILED
+from knapweeddrum.telemetry.counters import LISTEN_FAILED_COUNT
+from knapweeddrum.telemetry.events import (
+    CONNECTIONS_ENDED,
+    LISTEN_FAILED,
+    TASK_FAILED,
+)
+
+LISTEN_RETRY_SECONDS = 0.05
+"""Pause after the address could not be bound again."""
 
 
 class CallerServer:
@@ -20,8 +28,13 @@
         self._parts = parts
         self._sessions: set[CallerSession] = set()
         self._accepting = anyio.CancelScope()
-        self._listener: Listener | None = None
+        self._listeners: list[Listener] = []
+        """The current one, and earlier ones with connections that are opening."""
         self._is_listening = False
+        self._is_paused = False
+        self._is_stopped = False
+        self._may_accept = anyio.Event()
+        """Set and replaced as accepting may go on, or has ended for good."""
 
     @property
     def has_sessions(self) -> bool:
@@ -30,7 +43,7 @@
         While connections are accepted, only those count that are open.
         """
         is_closing = self._is_listening and self._accepting.cancel_called
-        is_opening = self._listener is not None and self._listener.opening > 0
+        is_opening = any(listener.opening for listener in self._listeners)
         return bool(self._sessions) or is_opening or is_closing
 
     def requests_in_progress(self) -> list[str]:
@@ -49,21 +62,58 @@
         )
 
     async def run(self) -> None:
-        """Accept connections until stopped; serve them until cancelled."""
+        """Accept connections until stopped; serve them until cancelled.
+
+        Raises OSError if the address can't be bound at first; later that is tried
+        again.
+        """
+        async with anyio.create_task_group() as tasks:
+            await self._accept(tasks)
+            while not self._is_stopped:
+                if self._is_paused:
+                    await self._may_accept.wait()
+                    self._may_accept = anyio.Event()
+                    continue
+                try:
+                    await self._accept(tasks)
+                except OSError as exc:
+                    self._ctx.metrics.count(LISTEN_FAILED_COUNT)
+                    self._ctx.events.emit(LISTEN_FAILED, error=str(exc))
+                    await anyio.sleep(LISTEN_RETRY_SECONDS)
+
+    async def _accept(self, tasks: TaskGroup) -> None:
+        """Listen until paused or stopped."""
         address = self._ctx.settings.caller_address
-        async with (
-            anyio.create_task_group() as tasks,
-            listen(address, self._ctx.record_accept_failure) as listener,
-        ):
-            self._listener = listener
+        async with listen(address, self._ctx.record_accept_failure) as listener:
+            opening = [earlier for earlier in self._listeners if earlier.opening]
+            self._listeners = [*opening, listener]
+            self._accepting = anyio.CancelScope()
+            if self._is_stopped:
+                self._accepting.cancel()
             self._is_listening = True
-            with self._accepting:
-                await listener.serve_in(tasks, self._serve)
-            self._is_listening = False
+            try:
+                with self._accepting:
+                    await listener.serve_in(tasks, self._serve)
+            finally:
+                self._is_listening = False
 
     def stop_accepting(self) -> None:
         """Accept the connections that wait, and no more from the next turn on."""
+        self._is_stopped = True
         self._accepting.cancel()
+        self._may_accept.set()
+
+    def pause_accepting(self) -> None:
+        """Accept the connections that wait, then none: the kernel resets others."""
+        if not self._is_paused:
+            self._is_paused = True
+            self._accepting.cancel()
+
+    def resume_accepting(self) -> None:
+        """Go on after a pause, if any."""
+        if self._is_paused:
+            self._is_paused = False
+            self._may_accept.set()
 
     def end_idle(self) -> None:
         """End the connections on which no request has been received."""
--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -37,6 +37,7 @@
 from knapweeddrum.process.entry.keep_running import keep_running
 from knapweeddrum.process.entry.lapsed_entry_task import LapsedEntryTask
 from knapweeddrum.process.entry.limit_news_task import LimitNewsTask
+from knapweeddrum.process.entry.link_watch import LinkWatch
 from knapweeddrum.process.entry.loan_exchange import LOAN_PATH, RETURN_PATH
 from knapweeddrum.process.entry.loop_lag_task import LoopLagTask
 from knapweeddrum.process.entry.lost_connection import LostConnection
@@ -119,6 +120,7 @@
         self._housekeeping = HousekeepingTask(ctx, writer, settings_path)
         self._heartbeat = HeartbeatTask(ctx)
         self._loop_lag = LoopLagTask(ctx)
+        self._link_watch = LinkWatch(ctx, self._server, self._heartbeat.announce)
         self._service_list = ServiceListReader(ctx)
         self._lapsed_entries = LapsedEntryTask(ctx, self._service_list)
         self._version_recall = VersionRecallTask(ctx)
@@ -160,6 +162,7 @@
             ("sightings", self._sightings.run),
             ("limit news", self._limit_news.run),
             ("loop lag", self._loop_lag.run),
+            ("link", self._link_watch.run),
             ("crash detector", self._crash_detector.run),
             ("crash sharing", self._crash_sharing.run),
             ("stream origins", self._stream_origins.run),
--- a/src/knapweeddrum/process/entry/heartbeat_task.py
+++ b/src/knapweeddrum/process/entry/heartbeat_task.py
@@ -39,7 +39,7 @@
         self._written_at = time.monotonic()
         self._is_lost = False
         self._changed = anyio.Event()
-        ctx.endpoint_limits.on_change = self._announce
+        ctx.endpoint_limits.on_change = self.announce
 
     async def run(self) -> None:
         """Write heartbeats until cancelled."""
@@ -53,9 +53,10 @@
 
     async def announce_drain(self) -> None:
         """Write a heartbeat at once, as this host has begun to drain."""
-        self._announce()
+        self.announce()
 
-    def _announce(self) -> None:
+    def announce(self) -> None:
+        """Write a heartbeat soon, as something has changed that others need."""
         self._changed.set()
 
     async def write_heartbeat(self) -> bool:
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -77,6 +77,10 @@
 """Measurements at which this process was behind."""
 ACCEPT_FAILED_COUNT = "accept_failed"
 """Times that connections could not be accepted, several in a row as one."""
+LISTENER_CLOSED = "link.listener_closed"
+"""Times that new connections were turned away, as the link was full."""
+LISTEN_FAILED_COUNT = "listen_failed"
+"""Times that the address for callers could not be bound again."""
 WORKING_SET_CHANGES = "working_set.changed"
 """Times that the hosts changed that callers are sent to."""
 TASK_RESTARTED_COUNT = "task.restarted"
@@ -132,6 +136,8 @@
     HOST_UNANSWERED,
     HOST_BEHIND_COUNT,
     ACCEPT_FAILED_COUNT,
+    LISTENER_CLOSED,
+    LISTEN_FAILED_COUNT,
     WORKING_SET_CHANGES,
     TASK_RESTARTED_COUNT,
     SPENDING_WRITTEN,
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -255,6 +255,13 @@
     ("lag_ms", "processor_ms", "claims_ms", "in_progress"),
 )
 HOST_CAUGHT_UP = Event(634, "host_caught_up", "info", ())
+LINK_FULL = Event(
+    670, "link_full", "warning", ("bytes_per_second", "bound", "closings", "seconds")
+)
+LINK_HAS_ROOM = Event(
+    671, "link_has_room", "info", ("bytes_per_second", "bound", "closings", "seconds")
+)
+LISTEN_FAILED = Event(672, "listen_failed", "error", ("error",))
 LINES_DROPPED = Event(620, "lines_dropped", "warning", ("lines",))
 STOPPED_IN_PROGRESS = Event(
     621, "stopped_in_progress", "error", ("requests", "ids", "claims_returned")
