Working set: a host that was alone at its start doesn't linger

Change: hosts that are named because few are ready linger only after that has lasted as long as they would linger. Ruled out: no update before the first read (others may not be ready by then), no lingering in a small fleet (its callers have connections). Conclusion: calm fleets get the same set.

--- a/src/knapweeddrum/core/directory/working_set.py
+++ b/src/knapweeddrum/core/directory/working_set.py
@@ -36,20 +36,36 @@
 
     def __init__(self) -> None:
         self._needed_at: dict[str, float] = {}
+        self._small_since: float | None = None
         self.names: frozenset[str] = frozenset()
         """Names of the members; empty before the first update."""
 
     def update(self, hosts: Sequence[HostRecord], now: float) -> None:
         """Choose among the hosts that are ready, this one included."""
-        for host in _needed(hosts):
-            self._needed_at[host.name] = now
+        needed = {host.name for host in _needed(hosts)}
+        if self._is_settled(len(hosts), now):
+            for name in needed:
+                self._needed_at[name] = now
         self._needed_at = {
             name: needed_at
             for name, needed_at in self._needed_at.items()
             if now - needed_at < LINGER_SECONDS
         }
         ready = {host.name for host in hosts}
-        self.names = frozenset(self._needed_at.keys() & ready)
+        self.names = frozenset(needed | self._needed_at.keys() & ready)
+
+    def _is_settled(self, count: int, now: float) -> bool:
+        """Return whether hosts that are needed now stay when they no longer are.
+
+        A host that starts is alone until it has read of the others, and would else
+        name itself for long.
+        """
+        if count > SMALL_FLEET_HOSTS:
+            self._small_since = None
+            return True
+        if self._small_since is None:
+            self._small_since = now
+        return now - self._small_since >= LINGER_SECONDS
 
 
 def _needed(hosts: Sequence[HostRecord]) -> Sequence[HostRecord]:
--- a/tests/core/directory/test_working_set.py
+++ b/tests/core/directory/test_working_set.py
@@ -131,6 +131,34 @@
     assert len(working_set.names) < len(grown)
 
 
+@params(62, 91, 370)
+def test_host_that_was_alone_at_its_start_does_not_go_on_naming_itself(count):
+    """It reads of the others a moment later; it named itself for 20 s more."""
+    hosts = fleet(count, 8)
+    own = hosts[-1]
+    working_set = WorkingSet()
+    working_set.update([own], 0.0)
+    assert working_set.names == {own.name}
+    working_set.update([own, *hosts[:3]], 1.5)
+    assert len(working_set.names) == 4
+    working_set.update(hosts, 3.0)
+    assert working_set.names == {host.name for host in members(hosts)}
+    assert own.name not in working_set.names
+
+
+def test_hosts_of_a_small_fleet_that_grows_stay_for_a_while():
+    """Callers have connections to them."""
+    small = fleet(SMALL_FLEET_HOSTS)
+    working_set = WorkingSet()
+    for now in range(int(LINGER_SECONDS) + 1):
+        working_set.update(small, float(now))
+    grown = [*small, *(host(n, STRONG) for n in range(20, 30))]
+    working_set.update(grown, LINGER_SECONDS + 1.0)
+    assert {host.name for host in small} < working_set.names
+    working_set.update(grown, 2 * LINGER_SECONDS + 1.0)
+    assert not {host.name for host in small} & working_set.names
+
+
 def test_hosts_of_the_version_before_belong_to_the_fleet():
     """They name no capacity, and the answer is never empty."""
     old = [
