Working set: weak hosts join only when the strong ones are short

Cause: with 8 hosts of 107 requests a second among 91, a demand of 300 (three times 300 is more than they carry) added 27 weak ones at once, and callers who pick at random sent those three quarters of the requests. Change: if the next host in rank carries less than half, 1.5 times the demand is enough. If no number of hosts carries three times the demand, those are named that carry the most, not all. Ruled out: weak ones one by one (each makes every member's share larger until there are four for each strong one), an address named several times (callers may drop repetitions), answers that differ (connections).

--- a/src/knapweeddrum/core/directory/working_set.py
+++ b/src/knapweeddrum/core/directory/working_set.py
@@ -19,6 +19,17 @@
 CAPACITY_PER_DEMAND = 3.0
 """Capacity of the set as a multiple of the demand, to be ahead of a burst."""
 
+MIN_CAPACITY_PER_DEMAND = 1.5
+"""Multiple of the demand that much stronger hosts carry alone.
+
+Callers pick an address at random, so weaker members would take most of the requests.
+With 8 hosts of 107 requests a second among 83 of 25, 27 weak ones joined at a demand
+of 300 and got three quarters of it.
+"""
+
+WEAKER_FRACTION = 0.5
+"""Part of a member's capacity below which the next host is much weaker."""
+
 LINGER_SECONDS = 20.0
 """Time for which a host stays in the set after it is no longer needed."""
 
@@ -69,17 +80,32 @@
 
 
 def _needed(hosts: Sequence[HostRecord]) -> Sequence[HostRecord]:
-    """Return the fewest hosts that carry the demand with room for more."""
+    """Return the fewest hosts that carry the demand with room for more.
+
+    If no number of them does, return those that carry the most.
+    """
     if len(hosts) <= SMALL_FLEET_HOSTS:
         return hosts
     capacity = sum(host.capacity for host in hosts)
     demand = sum(host.request_rate for host in hosts)
     needed = max(MIN_CAPACITY_FRACTION * capacity, CAPACITY_PER_DEMAND * demand)
     ranked = sorted(hosts, key=lambda host: (-host.capacity, _rank(host.name)))
-    for count in range(MIN_HOSTS, len(ranked)):
-        if count * ranked[count - 1].capacity >= needed:
+    enough = max(MIN_CAPACITY_FRACTION * capacity, MIN_CAPACITY_PER_DEMAND * demand)
+    best, most = MIN_HOSTS, 0.0
+    for count in range(MIN_HOSTS, len(ranked) + 1):
+        carried = count * ranked[count - 1].capacity
+        if carried >= needed or carried >= enough and _others_are_weak(ranked, count):
             return ranked[:count]
-    return ranked
+        if carried >= most:
+            best, most = count, carried
+    return ranked[:best]
+
+
+def _others_are_weak(ranked: Sequence[HostRecord], count: int) -> bool:
+    """Return whether the next host in rank carries much less than the first ones."""
+    if count == len(ranked):
+        return False
+    return ranked[count].capacity < WEAKER_FRACTION * ranked[count - 1].capacity
 
 
 def _rank(name: str) -> bytes:
--- a/tests/core/directory/test_working_set.py
+++ b/tests/core/directory/test_working_set.py
@@ -105,6 +105,34 @@
     assert sizes[-1] == 195
 
 
+def largest_share(chosen: list[HostRecord], demand: float) -> float:
+    """Return the largest part of a member's capacity that random callers use."""
+    return demand / len(chosen) / min(record.capacity for record in chosen)
+
+
+@params((91, 8, 300.0), (91, 8, 560.0), (62, 8, 400.0), (195, 18, 1200.0))
+def test_weak_hosts_join_only_when_the_strong_ones_are_short(count, strong, demand):
+    """At a burst of twice the usual load 27 weak hosts got most of the requests."""
+    chosen = members(fleet(count, strong, demand))
+    assert [record.capacity for record in chosen] == [STRONG] * strong
+    assert largest_share(chosen, demand) <= 1 / 1.5
+    more = members(fleet(count, strong, STRONG * strong / 1.49))
+    assert len(more) > strong
+
+
+@params((91, 8), (30, 8), (20, 10), (195, 18))
+def test_members_that_join_make_the_largest_share_smaller(count, strong):
+    """Few weak hosts beside strong ones can carry less than the strong ones alone."""
+    for demand in (50.0, 300.0, 700.0, 1500.0, 9000.0):
+        hosts = fleet(count, strong, demand)
+        chosen = members(hosts)
+        if len(chosen) > strong:
+            assert largest_share(chosen, demand) < largest_share(hosts[:strong], demand)
+        else:
+            carried = len(chosen) * STRONG
+            assert carried >= 1.5 * demand or count * WEAK <= strong * STRONG
+
+
 @params(1, 2, 4)
 def test_set_without_the_members_that_vanish_still_carries_the_demand(parts):
     """After the loss of all members, a half or a quarter, others take their place."""
