Hosts that shed connections say so and are left out of the directory

Cause: callers who follow the directory were sent to hosts that reset them. The working set leaves such hosts out while half of all hosts have room. Ruled out: leaving out all that shed (the rest get more than they carry and shed as well), by the capacities told (three times too low by link).

--- a/src/knapweeddrum/core/directory/working_set.py
+++ b/src/knapweeddrum/core/directory/working_set.py
@@ -30,6 +30,12 @@
 WEAKER_FRACTION = 0.5
 """Part of a member's capacity below which the next host is much weaker."""
 
+MIN_ROOM_FRACTION = 0.5
+"""Part of the hosts that must have room for those without to be left out.
+
+The others would else get more than twice their requests, and shed as well.
+"""
+
 LINGER_SECONDS = 20.0
 """Time for which a host stays in the set after it is no longer needed."""
 
@@ -39,10 +45,11 @@
 
     With few hosts, each uses the connections that it has to endpoints again, knows
     their load from its own requests, and needs few loans of tokens. All hosts choose
-    the same set, as they read the same heartbeats. The others stand by: they serve who
-    comes and replace members that leave. Callers pick an address at random, so each
-    member gets the same part, and the weakest bounds what the set can carry. ``now`` is
-    in monotonic seconds.
+    the same set, as they read the same heartbeats. Those that shed connections are left
+    out, unless more than half of all do. The others stand by: they serve who comes and
+    replace members that leave. Callers pick an address at random, so each member gets
+    the same part, and the weakest bounds what the set can carry. ``now`` is in
+    monotonic seconds.
     """
 
     def __init__(self) -> None:
@@ -53,7 +60,9 @@
 
     def update(self, hosts: Sequence[HostRecord], now: float) -> None:
         """Choose among the hosts that are ready, this one included."""
-        needed = {host.name for host in _needed(hosts)}
+        chosen = _with_room(hosts)
+        demand = sum(host.request_rate for host in hosts)
+        needed = {host.name for host in _needed(chosen, demand)}
         if self._is_settled(len(hosts), now):
             for name in needed:
                 self._needed_at[name] = now
@@ -62,7 +71,7 @@
             for name, needed_at in self._needed_at.items()
             if now - needed_at < LINGER_SECONDS
         }
-        ready = {host.name for host in hosts}
+        ready = {host.name for host in chosen}
         self.names = frozenset(needed | self._needed_at.keys() & ready)
 
     def _is_settled(self, count: int, now: float) -> bool:
@@ -79,7 +88,13 @@
         return now - self._small_since >= LINGER_SECONDS
 
 
-def _needed(hosts: Sequence[HostRecord]) -> Sequence[HostRecord]:
+def _with_room(hosts: Sequence[HostRecord]) -> Sequence[HostRecord]:
+    """Return the hosts that shed no connections, or all if too few are left."""
+    room = [host for host in hosts if not host.sheds]
+    return room if len(room) >= MIN_ROOM_FRACTION * len(hosts) else hosts
+
+
+def _needed(hosts: Sequence[HostRecord], demand: float) -> Sequence[HostRecord]:
     """Return the fewest hosts that carry the demand with room for more.
 
     If no number of them does, return those that carry the most.
@@ -87,7 +102,6 @@
     if len(hosts) <= SMALL_FLEET_HOSTS:
         return hosts
     capacity = sum(host.capacity for host in hosts)
-    demand = sum(host.request_rate for host in hosts)
     needed = max(MIN_CAPACITY_FRACTION * capacity, CAPACITY_PER_DEMAND * demand)
     ranked = sorted(hosts, key=lambda host: (-host.capacity, _rank(host.name)))
     enough = max(MIN_CAPACITY_FRACTION * capacity, MIN_CAPACITY_PER_DEMAND * demand)
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -221,6 +221,7 @@
             capacity=host_capacity(settings.processor_cores, settings.link_mbps),
             request_rate=round(self.request_rate.per_second(now), 2),
             limits=self.endpoint_limits.told(now),
+            sheds=self.link_load.sheds,
         )
 
     def witnesses(self) -> list[str]:
--- a/src/knapweeddrum/value/host_record.py
+++ b/src/knapweeddrum/value/host_record.py
@@ -32,3 +32,5 @@
     """Requests per second that it received lately."""
     limits: tuple[ToldLimit, ...] = ()
     """Limits of endpoints that it knows of."""
+    sheds: bool = False
+    """Whether it turns new connections away at times, as its link is full."""
--- a/tests/core/directory/test_working_set.py
+++ b/tests/core/directory/test_working_set.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import dataclasses
 import random
 
 from nose2.tools import params
@@ -187,6 +188,41 @@
     assert not {host.name for host in small} & working_set.names
 
 
+def shedding(hosts: list[HostRecord], names: set[str]) -> list[HostRecord]:
+    return [dataclasses.replace(record, sheds=record.name in names) for record in hosts]
+
+
+@params((7, 0), (62, 8), (91, 8), (195, 18), (370, 18))
+def test_host_that_sheds_is_left_out_until_it_has_room(count, strong):
+    """Callers who follow the directory would be reset there."""
+    hosts = fleet(count, strong, rate=1.4 * count)
+    working_set = WorkingSet()
+    working_set.update(hosts, 0.0)
+    before = working_set.names
+    full = set(sorted(before)[:2])
+    working_set.update(shedding(hosts, full), 1.5)
+    assert not working_set.names & full
+    assert len(working_set.names) >= min(MIN_HOSTS, count - 2)
+    working_set.update(hosts, 3.0)
+    assert working_set.names >= before
+
+
+@params((1, 1), (7, 4), (7, 7), (91, 46), (91, 91))
+def test_hosts_that_shed_are_named_if_more_than_half_of_all_do(count, full):
+    """The others would get more than they carry, and shed as well."""
+    hosts = fleet(count, min(count, 8), rate=1.4 * count)
+    names = {record.name for record in hosts[:full]}
+    assert members(shedding(hosts, names)) == shedding(members(hosts), names)
+
+
+def test_host_that_sheds_does_not_name_itself():
+    """Its own directory says what the others say."""
+    hosts = fleet(7)
+    own = dataclasses.replace(hosts[0], sheds=True)
+    answer = directory_at(own, hosts).addresses(own.address)
+    assert sorted(answer) == [record.address for record in hosts[1:]]
+
+
 def test_hosts_of_the_version_before_belong_to_the_fleet():
     """They name no capacity, and the answer is never empty."""
     old = [
--- a/tests/platform/test_entry_codecs.py
+++ b/tests/platform/test_entry_codecs.py
@@ -221,6 +221,17 @@
         decode_heartbeat(odd)
 
 
+def test_heartbeat_tells_of_shedding_and_one_of_the_version_before_does_not():
+    """Hosts of two versions run side by side while a fleet is updated."""
+    record = HostRecord("a", "a/1", "a:1", "a:2", "z", ready=True, beat=1, sheds=True)
+    encoded = encode_heartbeat(record)
+    assert decode_heartbeat(encoded) == record
+    fields = json.loads(encoded.value or b"")
+    del fields["sheds"]
+    before = dataclasses.replace(encoded, value=json.dumps(fields).encode())
+    assert decode_heartbeat(before) == dataclasses.replace(record, sheds=False)
+
+
 def test_entry_with_an_address_that_no_socket_takes_is_malformed():
     """Connecting there fails in another way than connecting to a host that is gone."""
     for address in ("10.0.0.1:70000", "10.0.0.1:0", "10.0.0.999:80", "\u0661.0.0.1:8"):
