--- a/src/knapweeddrum/console/commands/host_state_command.py
+++ b/src/knapweeddrum/console/commands/host_state_command.py
@@ -101,6 +101,7 @@
             "requests per second",
             f"{state.request_rate:.1f}, carries {state.capacity:.0f}",
         ),
+        ("link, incoming", _link_text(state)),
     )
 
 
@@ -110,6 +111,13 @@
     return f"version {state.config_version}, read {_age_text(state.config_age)}"
 
 
+def _link_text(state: HostState) -> str:
+    used = f"{state.link_use:.0%} used, {state.link_behind:.2f} s behind"
+    if state.sheds_for is None:
+        return used
+    return f"{used}, sheds connections for {state.sheds_for:.1f} s"
+
+
 def _claims_text(state: HostState) -> str:
     if state.claims_open:
         return "open"
--- a/src/knapweeddrum/message/call/host_state.py
+++ b/src/knapweeddrum/message/call/host_state.py
@@ -84,3 +84,9 @@
     """Whether tokens may be claimed in that era."""
     missing_hosts: list[str] = []
     """Incarnations that claims wait for after a return of the store."""
+    link_use: float = 0.0
+    """Part of the link's incoming rate that received bytes took lately."""
+    link_behind: float = 0.0
+    """Seconds of the link's rate by which it is behind, see ``LinkLoad``."""
+    sheds_for: float | None = None
+    """Seconds since when new connections are turned away at times, None if not."""
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -317,6 +317,8 @@
             "endpoint_connections": self.pool.open_count(),
             "ready": float(self.is_ready),
             "loop_lag_seconds": self.loop_lag.recent(now),
+            "link_use": self.link_load.use(now),
+            "link_behind_seconds": self.link_load.level(now),
             "processor_seconds": time.process_time(),
             "claims_processor_seconds": self.claim_meter.seconds,
         }
--- a/src/knapweeddrum/process/entry/host_state_page.py
+++ b/src/knapweeddrum/process/entry/host_state_page.py
@@ -56,6 +56,9 @@
             working_set=sorted(ctx.hosts.working_set.names),
             capacity=own.capacity,
             request_rate=own.request_rate,
+            link_use=round(ctx.link_load.use(now), 3),
+            link_behind=round(ctx.link_load.level(now), 3),
+            sheds_for=_sheds_for(ctx, now),
         )
 
     def _endpoints(self, now: float) -> list[EndpointRow]:
@@ -108,5 +111,10 @@
         return rows
 
 
+def _sheds_for(ctx: EntryContext, now: float) -> float | None:
+    since = ctx.link_load.shedding_since
+    return None if since is None else round(now - since, 3)
+
+
 def _age(read_at: float, now: float) -> float | None:
     return None if math.isinf(read_at) else round(now - read_at, 3)
--- a/tests/process/entry/test_link_watch.py
+++ b/tests/process/entry/test_link_watch.py
@@ -13,6 +13,7 @@
 from knapweeddrum.telemetry.counters import LISTEN_FAILED_COUNT, LISTENER_CLOSED
 from tests.assertions import raises
 from tests.async_test import async_test
+from tests.console.test_client_commands import run
 from tests.process.entry.embedded_caller_server import (
     EmbeddedCallerServer,
     embedded_caller_server,
@@ -170,6 +171,9 @@
             for _ in range(CROWD):
                 tasks.start_soon(send_until, harness, until, bytes(CROWD_BODY))
             await harness.wait_for_event("link_full")
+            url = f"http://{harness.metrics_address}"
+            ran = await anyio.to_thread.run_sync(run, "host-state", url)
+            assert "sheds connections for" in ran.out, ran.out
         await harness.wait_for_event("link_has_room")
         assert (await harness.call("/read/1", attempt="later")).status == 200
         harness.send_signal(signal.SIGTERM)
