Ask fewer hosts for tokens while this host's own link is full

Cause: a loan whose answer waits in this host's full link timed out, and the next owner, the holders and the store were asked in turn; requests were held for 0.3 to 1 s and refused, and owners passed for unresponsive for 2 s. Change: after a loan that was lost while the link was full the host claims at once; if that fails too, requests are refused at once for 0.3 s. A host that didn't answer meanwhile is asked again after 0.3 s. Retry-After of a host that sheds is spread. Ruled out: refusing after the first lost loan (the store may answer). Conclusion: nothing changes while the link has room.

--- a/src/knapweeddrum/core/load/link_load.py
+++ b/src/knapweeddrum/core/load/link_load.py
@@ -77,6 +77,7 @@
         self._pending = 0
         self._updated_at = 0.0
         self._changed_at = float("-inf")
+        self._full_at = float("-inf")
         self._rate = 0.0
         self._closings_before = 0
         self._due_bytes = 0.0
@@ -106,6 +107,8 @@
     def update(self, now: float) -> None:
         """Drain the account and decide whether to take new connections."""
         self._drain(now)
+        if self.is_closed or self._level > SHED_SECONDS:
+            self._full_at = now
         if self.is_closed:
             has_room = self._level < RESUME_SECONDS
             if has_room or now - self._changed_at >= MAX_CLOSED_SECONDS:
@@ -122,6 +125,10 @@
             self.shedding_since = None
         self._set_due_bytes()
 
+    def was_full_since(self, since: float) -> bool:
+        """Return whether the link was too full for new connections since a time."""
+        return self._full_at >= since
+
     def level(self, now: float) -> float:
         """Return the seconds of the link's rate by which this host is behind."""
         self._drain(now)
--- a/src/knapweeddrum/process/entry/peer_client.py
+++ b/src/knapweeddrum/process/entry/peer_client.py
@@ -27,6 +27,12 @@
 MAX_REPLY_BYTES = 65_536
 PEER_UNRESPONSIVE_SECONDS = 2.0
 """Time for which a host counts as unresponsive after a failed request."""
+LINK_FULL_UNRESPONSIVE_SECONDS = 0.3
+"""The same if the failure may be due to this host's own link, which was full.
+
+Its queue is gone by then. With 2 s a host that lost one answer to its full link had no
+tokens long after that had room again.
+"""
 PROBE_SECONDS = 0.1
 """Time for which connections to a host are tried after one was lost.
 
@@ -69,7 +75,8 @@
 
         ``timeout`` is in seconds.
         """
-        give_up_at = time.monotonic() + timeout
+        asked_at = time.monotonic()
+        give_up_at = asked_at + timeout
         body = msgspec.json.encode(message)
         headers = [
             (b"Host", address.encode()),
@@ -90,7 +97,7 @@
                 return None
             return decode_json(answer, reply_type)
         except (ExchangeError, TimeoutError, MalformedDocumentError) as exc:
-            self._record_failure(address, timeout)
+            self._record_failure(address, timeout, asked_at)
             ended = await _nobody_listens(address, exc, give_up_at)
             if ended:
                 now = time.monotonic()
@@ -105,11 +112,16 @@
             )
             return None
 
-    def _record_failure(self, address: str, timeout: float) -> None:
+    def _record_failure(self, address: str, timeout: float, asked_at: float) -> None:
         """Avoid the host, unless it is this one that is behind."""
         now = time.monotonic()
         if self._ctx.loop_lag.current(now) < timeout * MAX_LAG_FRACTION:
-            self._unresponsive_until[address] = now + PEER_UNRESPONSIVE_SECONDS
+            was_full = self._ctx.link_load.was_full_since(asked_at)
+            self._unresponsive_until[address] = now + (
+                LINK_FULL_UNRESPONSIVE_SECONDS
+                if was_full
+                else PEER_UNRESPONSIVE_SECONDS
+            )
 
 
 async def _nobody_listens(address: str, failure: Exception, give_up_at: float) -> bool:
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -39,6 +39,9 @@
     TokenVerdict.UNREACHABLE: RefusalReason.BUDGET_UNREACHABLE,
 }
 
+MIN_SPREAD = 0.5
+"""Least part of the usual retry-after that callers of a full host are told."""
+
 WAIT_HISTOGRAM = "token_wait"
 """Histogram of how long requests wait for prepaid tokens."""
 
@@ -122,10 +125,16 @@
         if verdict is not TokenVerdict.EXHAUSTED:
             # Other hosts could not lend the tokens either; some may be free later.
             time_left = self._job.deadline - time.monotonic()
-            retry_after = max(0.01, time_left * RETRY_AFTER_FRACTION)
+            retry_after = max(0.01, time_left * RETRY_AFTER_FRACTION * self._spread())
         detail = f"wants {tokens} tokens: {self._allocator.describe(organisation)}"
         raise refused(REASON_BY_VERDICT[verdict], RunState.NOT_RUN, retry_after, detail)
 
+    def _spread(self) -> float:
+        """Return a factor by which callers of a full host come back apart."""
+        if not self._ctx.link_load.sheds:
+            return 1.0
+        return self._ctx.rng.uniform(MIN_SPREAD, 1.0)
+
     async def _attempt_until_answered(self) -> None:
         with anyio.CancelScope(deadline=self._job.deadline) as scope:
             while True:
--- a/src/knapweeddrum/process/entry/token_allocator.py
+++ b/src/knapweeddrum/process/entry/token_allocator.py
@@ -14,7 +14,7 @@
 from knapweeddrum.process.entry.claim_recovery_task import ClaimRecoveryTask
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.spending_task import SpendingTask
-from knapweeddrum.process.entry.token_borrower import TokenBorrower
+from knapweeddrum.process.entry.token_borrower import HINDERED_SECONDS, TokenBorrower
 from knapweeddrum.process.entry.token_claim_log import TokenClaimLog
 from knapweeddrum.process.entry.token_unlocker import TokenUnlocker
 from knapweeddrum.process.entry.token_waiter import TokenWaiter
@@ -71,6 +71,8 @@
         """Held from planning claims until the outcome of their write."""
         self._recovery = ClaimRecoveryTask(ctx, self._log)
         self._is_closed = False
+        self._cut_off_until = float("-inf")
+        """Time until which neither owners nor the store are expected to answer."""
 
     async def run(self) -> None:
         """Read the claims of all hosts, then plan and write claims until cancelled."""
@@ -109,10 +111,27 @@
             return TokenVerdict.RESERVED
         if verdict in (TokenVerdict.EXHAUSTED, TokenVerdict.HELD_ELSEWHERE):
             return verdict
-        # The owner can't be reached.
-        waited = time.monotonic() - now
-        timeout = max(MIN_CLAIM_WAIT_SECONDS, RESERVE_TIMEOUT_SECONDS - waited)
-        return await self.claim(organisation, tokens, timeout)
+        return await self._claim_without_owner(organisation, tokens, now)
+
+    async def _claim_without_owner(
+        self, organisation: str, tokens: int, began_at: float
+    ) -> TokenVerdict:
+        """Claim tokens as the owner can't be reached.
+
+        While this host's own full link keeps it from both, requests are refused at
+        once, but for one in HINDERED_SECONDS that tries.
+        """
+        now = time.monotonic()
+        if self._cut_off_until > now:
+            return TokenVerdict.UNREACHABLE
+        is_hindered = self._borrower.is_hindered(organisation)
+        timeout = MIN_CLAIM_WAIT_SECONDS
+        if not is_hindered:
+            timeout = max(timeout, RESERVE_TIMEOUT_SECONDS - (now - began_at))
+        verdict = await self.claim(organisation, tokens, timeout)
+        if is_hindered and verdict is TokenVerdict.UNREACHABLE:
+            self._cut_off_until = time.monotonic() + HINDERED_SECONDS
+        return verdict
 
     async def _claim_or_borrow(self, organisation: str, tokens: int) -> TokenVerdict:
         """Reserve tokens as their owner; other hosts hold what can't be claimed."""
--- a/src/knapweeddrum/process/entry/token_borrower.py
+++ b/src/knapweeddrum/process/entry/token_borrower.py
@@ -37,6 +37,13 @@
 RETURN_INTERVAL_SECONDS = 0.5
 FORGET_INTERVAL_SECONDS = 60.0
 """Interval at which loans to and from processes that have ended are forgotten."""
+HINDERED_SECONDS = 0.3
+"""Time for which no loan is asked for after this host's full link lost one."""
+MIN_LOST_SECONDS = 0.09
+"""Time without an answer from which a full link may have lost it.
+
+An address that refuses connections answers sooner.
+"""
 RETURN_ALL_TIMEOUT_SECONDS = 0.5
 """Time limit for giving back all free tokens before the process ends."""
 
@@ -60,6 +67,7 @@
         """Organisations whose tokens are being given back, one message at a time."""
         self._to_refill: set[str] = set()
         self._refill_after: dict[str, float] = {}
+        self._hindered_until: dict[str, float] = {}
         self._wake = anyio.Event()
 
     async def run(self) -> None:
@@ -89,6 +97,8 @@
         give_up_at = time.monotonic() + JOIN_TIMEOUT_SECONDS
         with self._waiting(organisation, tokens):
             while self._shortfall(organisation, tokens) > 0:
+                if self.is_hindered(organisation):
+                    return TokenVerdict.UNREACHABLE
                 in_progress = self._in_progress.get(organisation)
                 if in_progress is None:
                     verdict = await self._borrow_alone(organisation, tokens)
@@ -101,6 +111,13 @@
                     await in_progress.wait()
         return TokenVerdict.RESERVED
 
+    def is_hindered(self, organisation: str) -> bool:
+        """Return whether this host's own full link lost a loan a short time ago.
+
+        Other questions would be lost as well; a claim needs one answer of the store.
+        """
+        return self._hindered_until.get(organisation, 0.0) > time.monotonic()
+
     def refill_soon(self, organisation: str) -> None:
         """Borrow ahead of demand if less than half of what is held ahead is left."""
         if not self._ctx.token_owners_before(organisation):
@@ -134,10 +151,13 @@
         owners = self._responsive(self._ctx.token_owners_before(organisation))
         holders: dict[str, None] = {}
         for owner in owners:
+            asked_at = time.monotonic()
             reply = await self._ask_owner_repeatedly(owner, organisation, tokens)
             if self._shortfall(organisation, tokens) <= 0:
                 return TokenVerdict.RESERVED
             if reply is None:
+                if self._was_lost_by_link(organisation, asked_at):
+                    return TokenVerdict.UNREACHABLE
                 continue
             if reply.is_exhausted:
                 return TokenVerdict.EXHAUSTED
@@ -157,6 +177,15 @@
             await self._ask_other_claimers(organisation, tokens)
         return TokenVerdict.UNREACHABLE
 
+    def _was_lost_by_link(self, organisation: str, asked_at: float) -> bool:
+        now = time.monotonic()
+        if now - asked_at < MIN_LOST_SECONDS:
+            return False
+        if not self._ctx.link_load.was_full_since(asked_at):
+            return False
+        self._hindered_until[organisation] = now + HINDERED_SECONDS
+        return True
+
     async def _ask_owner_repeatedly(
         self, owner: HostRecord, organisation: str, tokens: int
     ) -> TokenLoanReply | None:
--- a/tests/core/load/test_link_load.py
+++ b/tests/core/load/test_link_load.py
@@ -138,6 +138,17 @@
     assert due
 
 
+def test_time_at_which_the_link_was_full_is_known():
+    """What failed meanwhile may be due to this host and not to the other one."""
+    load = LinkLoad(WEAK_MBPS)
+    assert not load.was_full_since(0.0)
+    fill(load, 1.0, 100.0, 2.0)
+    assert load.was_full_since(101.0)
+    fill(load, 0.2, 102.0, 1.0)
+    assert load.was_full_since(101.0)
+    assert not load.was_full_since(102.5)
+
+
 def test_link_of_another_rate_counts_from_when_the_settings_name_it():
     """Settings are read again while the process runs."""
     load = LinkLoad(WEAK_MBPS)
--- a/tests/process/entry/test_peer_client.py
+++ b/tests/process/entry/test_peer_client.py
@@ -4,8 +4,11 @@
 import time
 from typing import cast
 
+import anyio
+
 from knapweeddrum.message.call.token_opening import TokenUnlockReply, TokenUnlockRequest
 from knapweeddrum.process.entry.peer_client import (
+    LINK_FULL_UNRESPONSIVE_SECONDS,
     PEER_REQUEST_TIMEOUT_SECONDS,
     PeerClient,
 )
@@ -66,3 +69,27 @@
         assert peers.is_unresponsive(peer.address)
         await ctx.pool.close()
         return peers.has_ended(peer.address)
+
+
+@async_test
+async def test_host_is_asked_again_soon_if_its_answer_was_lost_in_a_full_link():
+    """One answer that this host's own link delayed would hide it for 2 s."""
+    assert not await _stays_unresponsive(is_link_full=True)
+    assert await _stays_unresponsive(is_link_full=False)
+
+
+async def _stays_unresponsive(*, is_link_full: bool) -> bool:
+    store = cast("DistantStore", DistantStore(SharedStream(), 0.0))
+    ctx = make_context(0, ClaimRacePlan(hosts=2), store)
+    peers = PeerClient(ctx)
+    async with lost_peer(Loss.SILENT, Address.ACCEPTS) as peer:
+        assert await peers.post(peer.address, b"/", QUESTION, TokenUnlockReply)
+        if is_link_full:
+            ctx.link_load.update(time.monotonic())
+            ctx.link_load.receive(10**9)
+            ctx.link_load.update(time.monotonic() + PEER_REQUEST_TIMEOUT_SECONDS)
+        assert not await peers.post(peer.address, b"/", QUESTION, TokenUnlockReply)
+        assert peers.is_unresponsive(peer.address)
+        await anyio.sleep(LINK_FULL_UNRESPONSIVE_SECONDS + 0.05)
+        await ctx.pool.close()
+        return peers.is_unresponsive(peer.address)
--- a/tests/process/entry/test_token_owners.py
+++ b/tests/process/entry/test_token_owners.py
@@ -1,10 +1,22 @@
 from __future__ import annotations
 
+from typing import cast
+
 import anyio
 
+from knapweeddrum.core.load.link_load import LinkLoad
 from knapweeddrum.core.prepaid.token_verdict import TokenVerdict
-from knapweeddrum.process.entry.token_borrower import JOIN_TIMEOUT_SECONDS
-from tests.process.entry.claim_race import LARGE, PREPAID_TOKENS, peer_address
+from knapweeddrum.process.entry.loan_exchange import LOAN_TIMEOUT_SECONDS
+from knapweeddrum.process.entry.token_allocator import MIN_CLAIM_WAIT_SECONDS
+from knapweeddrum.process.entry.token_borrower import (
+    JOIN_TIMEOUT_SECONDS,
+)
+from tests.process.entry.claim_race import (
+    LARGE,
+    PREPAID_TOKENS,
+    DistantStore,
+    peer_address,
+)
 from tests.process.entry.loan_hosts import LoanHosts, play
 
 MOST = PREPAID_TOKENS * 95 // 100
@@ -102,3 +114,82 @@
         assert served >= PREPAID_TOKENS - MEAN_TOKENS, served / PREPAID_TOKENS
 
     play(test)
+
+
+def fill_link(load: LinkLoad) -> None:
+    """Let more come in than the link carries."""
+    for _ in range(2):
+        load.update(anyio.current_time())
+        load.receive(10**9)
+    load.update(anyio.current_time() + 0.001)
+    assert load.is_closed
+
+
+async def reserve_at_full_link(
+    hosts: LoanHosts, store_seconds: float, count: int
+) -> list[tuple[TokenVerdict, float]]:
+    """Return verdicts and waits at a host that its own link cuts off."""
+    *_, third, _ = hosts.ranking
+    for number in set(hosts.ranking) - {third}:
+        hosts.network.seconds[peer_address(number)] = 1.0
+    store = cast("DistantStore", hosts.contexts[third].store)
+    store._seconds = store_seconds
+    fill_link(hosts.contexts[third].link_load)
+    results = []
+    for _ in range(count):
+        started_at = anyio.current_time()
+        verdict = await _reserve(hosts, third, MEAN_TOKENS)
+        results.append((verdict, anyio.current_time() - started_at))
+        await anyio.sleep(0.01)
+    return results
+
+
+def test_requests_are_refused_at_once_while_this_hosts_own_link_is_full():
+    """Each was held for half a second, though neither owners nor store answered."""
+
+    async def test(hosts: LoanHosts) -> None:
+        results = await reserve_at_full_link(hosts, 1.0, 5)
+        assert {verdict for verdict, _ in results} == {TokenVerdict.UNREACHABLE}
+        waits = [wait for _, wait in results]
+        longest = LOAN_TIMEOUT_SECONDS + MIN_CLAIM_WAIT_SECONDS + 0.01
+        assert waits[0] < longest
+        assert max(waits[1:]) < 0.01
+
+    play(test)
+
+
+def test_request_claims_without_asking_more_hosts_while_the_link_is_full():
+    """One answer of the store may come through where several of hosts don't."""
+
+    async def test(hosts: LoanHosts) -> None:
+        ((verdict, wait),) = await reserve_at_full_link(hosts, 0.02, 1)
+        assert verdict is TokenVerdict.RESERVED
+        assert wait < LOAN_TIMEOUT_SECONDS + MIN_CLAIM_WAIT_SECONDS
+
+    play(test)
+
+
+def test_host_whose_link_has_room_again_asks_the_owner():
+    """It is cut off for moments only."""
+
+    async def test(hosts: LoanHosts) -> None:
+        owner, _, third, _ = hosts.ranking
+        before = hosts.network.seconds[peer_address(owner)]
+        await reserve_at_full_link(hosts, 1.0, 2)
+        hosts.network.seconds[peer_address(owner)] = before
+        await anyio.sleep(2.5)
+        assert await _reserve(hosts, third, MEAN_TOKENS) is TokenVerdict.RESERVED
+
+    play(test)
+
+
+def test_requests_ask_other_hosts_while_only_the_owner_is_silent():
+    """The link of this host has room, so others can be asked in time."""
+
+    async def test(hosts: LoanHosts) -> None:
+        owner, _, third, _ = hosts.ranking
+        hosts.network.seconds[peer_address(owner)] = 1.0
+        assert await _reserve(hosts, third, MEAN_TOKENS) is TokenVerdict.RESERVED
+        assert not hosts.borrowers[third].is_hindered(LARGE)
+
+    play(test)
