LinkLoad: count accepted connections by what they are expected to bring

At 300 a second and more the moments in which it must be open let in more than the link carries. Change: a second account (AcceptedLoad) counts each connection as it is accepted; received bytes are drained at 0.9 instead of 0.85. Three connections end a moment in which the listener must be open.

--- a/src/knapweeddrum/core/load/link_load.py
+++ b/src/knapweeddrum/core/load/link_load.py
@@ -6,6 +6,8 @@
 import math
 from collections.abc import Callable
 
+from knapweeddrum.core.load.accepted_load import AcceptedLoad
+
 BYTES_PER_MEGABIT = 125_000
 
 DEFAULT_LINK_MBPS = 1000.0
@@ -13,18 +15,33 @@
 WIRE_BYTES_PER_BYTE = 1.08
 """Bytes on the link for each received byte, with the heads of its packets."""
 
-DRAIN_FRACTION = 0.85
+DRAIN_FRACTION = 0.9
 """Part of the link's rate at which the account drains.
 
 A link that carries more for long has a queue, so what comes in waits.
 """
 
-SHED_SECONDS = 0.04
-"""Level above which connections are turned away; a full link gets there in 0.3 s."""
+SHED_SECONDS = 0.06
+"""Level above which connections are turned away; a full link gets there in 0.6 s."""
 
 RESUME_SECONDS = 0.01
 """Level below which connections are taken again."""
 
+EXPECTED_SHED_SECONDS = 0.08
+"""What accepted connections may be expected to bring, in seconds of the link.
+
+Above it others are turned away if the link is in use.
+"""
+
+EXPECTED_RESUME_SECONDS = 0.05
+"""What they may be expected to bring for others to be taken again."""
+
+FULL_FRACTION = 0.8
+"""Part of the link in use from which what is expected counts."""
+
+USE_SECONDS = 0.15
+"""Time constant with which that part follows."""
+
 MAX_LEVEL_SECONDS = 0.2
 """Largest level, so that a host recovers soon after the load has ended."""
 
@@ -36,7 +53,13 @@
 """
 
 MIN_OPEN_SECONDS = 0.03
-"""Shortest time for which they are taken then."""
+"""Time for which they are taken then at least, if not so many come:"""
+
+MIN_ACCEPTED = 3
+"""Connections after which no more are taken sooner."""
+
+MIN_DUE_SECONDS = 0.01
+"""Least bytes between two looks, in seconds of the link."""
 
 QUIET_SECONDS = 2.0
 """Time without a closing after which a host no longer counts as shedding."""
@@ -57,12 +80,14 @@
 
 
 class LinkLoad:
-    """Leaky bucket of received bytes that tells whether to take new connections.
+    """Leaky buckets of bytes that tell whether to take new connections.
 
-    The level is in seconds of the link's full rate. ``now`` is in monotonic seconds.
+    One is of received bytes; it alone counts what open connections bring. The other is
+    of what new connections are expected to bring, and counts while the link is in use.
+    Levels are in seconds of the link's full rate. ``now`` is in monotonic seconds.
     Bytes are set against the whole time since the last update, as a process that was
-    paused receives at once what came in meanwhile. ``on_due`` is called when bytes that
-    were received may have taken the level above the bound.
+    paused receives at once what came in meanwhile. ``on_due`` is called when what was
+    counted may have taken a level above its bound.
     """
 
     def __init__(self, link_mbps: float = DEFAULT_LINK_MBPS) -> None:
@@ -74,9 +99,12 @@
         self.shedding_since: float | None = None
         """Time from which the host counts as shedding, None while it doesn't."""
         self._level = 0.0
+        self._accepted = AcceptedLoad()
+        self._use = 0.0
         self._pending = 0
         self._updated_at = 0.0
         self._changed_at = float("-inf")
+        self._accepted_since = 0
         self._full_at = float("-inf")
         self._rate = 0.0
         self._closings_before = 0
@@ -104,17 +132,24 @@
         if self._pending >= self._due_bytes:
             self.on_due()
 
+    def accept(self) -> None:
+        """Count a connection of a caller that was accepted."""
+        self._accepted.accept(self._link)
+        self._accepted_since += 1
+        if self._accepted.seconds > EXPECTED_SHED_SECONDS:
+            self.on_due()
+
     def update(self, now: float) -> None:
         """Drain the account and decide whether to take new connections."""
         self._drain(now)
         if self.is_closed or self._level > SHED_SECONDS:
             self._full_at = now
         if self.is_closed:
-            has_room = self._level < RESUME_SECONDS
-            if has_room or now - self._changed_at >= MAX_CLOSED_SECONDS:
+            if self._has_room() or now - self._changed_at >= MAX_CLOSED_SECONDS:
                 self.is_closed = False
                 self._changed_at = now
-        elif self._level > SHED_SECONDS and self._may_close(now):
+                self._accepted_since = 0
+        elif self._is_full() and self._may_close(now):
             self.is_closed = True
             self._changed_at = now
             self.closings += 1
@@ -147,8 +182,20 @@
         closings = self.closings - self._closings_before
         return SheddingReport(self._rate, self.bound, closings, now - since)
 
+    def _is_full(self) -> bool:
+        is_used = self._use > FULL_FRACTION * self._link
+        expected = self._accepted.seconds
+        return self._level > SHED_SECONDS or (
+            is_used and expected > EXPECTED_SHED_SECONDS
+        )
+
+    def _has_room(self) -> bool:
+        expected = self._accepted.seconds
+        return self._level < RESUME_SECONDS and expected < EXPECTED_RESUME_SECONDS
+
     def _may_close(self, now: float) -> bool:
-        return now - self._changed_at >= MIN_OPEN_SECONDS
+        is_over = now - self._changed_at >= MIN_OPEN_SECONDS
+        return is_over or self._accepted_since >= MIN_ACCEPTED
 
     def _is_quiet(self, now: float) -> bool:
         return now - self._changed_at >= QUIET_SECONDS
@@ -162,8 +209,14 @@
         self._updated_at = now
         level = self._level + received / self._link - DRAIN_FRACTION * elapsed
         self._level = min(MAX_LEVEL_SECONDS, max(0.0, level))
-        decay = math.exp(-elapsed / RATE_SECONDS)
-        self._rate = self._rate * decay + received / elapsed * (1.0 - decay)
+        self._accepted.drain(received, elapsed)
+        per_second = received / elapsed
+        self._rate += (per_second - self._rate) * _step(elapsed, RATE_SECONDS)
+        self._use += (per_second - self._use) * _step(elapsed, USE_SECONDS)
 
     def _set_due_bytes(self) -> None:
-        self._due_bytes = max(0.0, SHED_SECONDS - self._level) * self._link
+        self._due_bytes = max(MIN_DUE_SECONDS, SHED_SECONDS - self._level) * self._link
+
+
+def _step(elapsed: float, time_constant: float) -> float:
+    return 1.0 - math.exp(-elapsed / time_constant)
--- a/src/knapweeddrum/process/entry/caller_server.py
+++ b/src/knapweeddrum/process/entry/caller_server.py
@@ -131,6 +131,7 @@
             session.give_up()
 
     async def _serve(self, stream: SocketStream) -> None:
+        self._ctx.link_load.accept()
         session = CallerSession(self._ctx, self._parts, stream)
         self._sessions.add(session)
         try:
--- a/src/knapweeddrum/process/entry/link_watch.py
+++ b/src/knapweeddrum/process/entry/link_watch.py
@@ -14,7 +14,7 @@
 from knapweeddrum.telemetry.events import LINK_FULL, LINK_HAS_ROOM
 
 LOOK_SECONDS = 0.01
-"""Shortest time between two looks at the link's load."""
+"""Interval of looks at the link's load while the listener is closed."""
 
 
 class LinkWatch:
@@ -39,10 +39,11 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
-            if not self._load.is_closed:
+            if self._load.is_closed:
+                await anyio.sleep(LOOK_SECONDS)
+            else:
                 await self._wait_until_due()
             self._look(time.monotonic())
-            await anyio.sleep(LOOK_SECONDS)
 
     def _wake(self) -> None:
         self._due.set()
