Test that callers who wait as a pause begins are answered

Cause: the test accepted the waiting connection before the pause, so it passed without the accept queue being emptied (injected fault). Change: a test without a turn of the event loop between connect and pause; it also checks has_sessions. Clearer comments of LinkLoad. Ruled out: nothing. Conclusion: test only.

--- a/src/knapweeddrum/core/load/link_load.py
+++ b/src/knapweeddrum/core/load/link_load.py
@@ -53,13 +53,13 @@
 """
 
 MIN_OPEN_SECONDS = 0.03
-"""Time for which they are taken then at least, if not so many come:"""
+"""Shortest time for which they are taken after that, or until enough have come."""
 
 MIN_ACCEPTED = 3
-"""Connections after which no more are taken sooner."""
+"""Number of connections that is enough."""
 
 MIN_DUE_SECONDS = 0.01
-"""Least bytes between two looks, in seconds of the link."""
+"""Least number of received bytes between two looks, in seconds of the link."""
 
 QUIET_SECONDS = 2.0
 """Time without a closing after which a host no longer counts as shedding."""
--- a/tests/process/entry/test_link_watch.py
+++ b/tests/process/entry/test_link_watch.py
@@ -20,7 +20,6 @@
     request,
 )
 from tests.process.entry.entry_harness import EntryHarness, entry_harness
-from tests.process.entry.kept_connection import KeptConnection
 from tests.standins.recording_event_log import RecordingEventLog
 from tests.standins.stamped_server import StampedServer
 
@@ -52,23 +51,42 @@
 
 @async_test
 async def test_new_callers_are_reset_during_a_pause_and_others_served():
-    """Kept connections go on, and one that waits to be accepted loses nothing."""
+    """Kept connections go on."""
     async with embedded_caller_server() as host:
         kept = await host.connect()
-        waiting = await KeptConnection.connect(host.ctx.settings.caller_address)
-        waiting.send_now(request("waiting"))
         address = await pause(host)
         await kept.send(request("second"))
-        for conn in (kept, waiting):
-            answer = await conn.answer()
-            assert answer is not None
-            assert answer.status == 503
-            assert not answer.says_close
+        answer = await kept.answer()
+        assert answer is not None
+        assert answer.status == 503
+        assert not answer.says_close
         host.server.resume_accepting()
         await wait_until(lambda: connects(address))
         assert (await (await host.connect()).answer(0.1)) is None
 
 
+@async_test
+async def test_callers_that_wait_as_a_pause_begins_are_answered():
+    """They may have sent requests, and a drain that begins then waits for them."""
+    async with embedded_caller_server() as host:
+        await wait_until(lambda: not host.server.has_sessions)
+        ip, _, port = host.ctx.settings.caller_address.rpartition(":")
+        with contextlib.ExitStack() as stack:
+            callers = [
+                stack.enter_context(socket.create_connection((ip, int(port))))
+                for _ in range(5)
+            ]
+            for caller in callers:
+                caller.sendall(request("waiting"))
+            host.server.pause_accepting()
+            for _ in range(50):
+                assert host.server.has_sessions
+                await anyio.sleep(0)
+            for caller in callers:
+                answer = await anyio.to_thread.run_sync(caller.recv, 4096)
+                assert answer.startswith(b"HTTP/1.1 503 ")
+
+
 @async_test
 async def test_stop_during_a_pause_is_for_good():
     """A drain would otherwise wait for a listener, or listen again at its end."""
