Working set: hosts don't linger while nobody sends requests

Cause: in a fleet that starts in pieces the weak hosts that were ready first were named for 20 s beside the strong ones that came later. Change: a host that is needed lingers only if hosts get requests. Ruled out: no lingering within 20 s of a start (a burst just after it would change the set to and fro). Conclusion: the same set once requests come.

--- a/src/knapweeddrum/core/directory/working_set.py
+++ b/src/knapweeddrum/core/directory/working_set.py
@@ -63,7 +63,8 @@
         chosen = _with_room(hosts)
         demand = sum(host.request_rate for host in hosts)
         needed = {host.name for host in _needed(chosen, demand)}
-        if self._is_settled(len(hosts), now):
+        # Without requests nobody has connections to lose.
+        if self._is_settled(len(hosts), now) and demand > 0.0:
             for name in needed:
                 self._needed_at[name] = now
         self._needed_at = {
