--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -22,6 +22,7 @@
 )
 from knapweeddrum.core.directory.host_standing import HostStanding
 from knapweeddrum.core.directory.peer_contacts import PeerContacts
+from knapweeddrum.core.load.link_load import LinkLoad
 from knapweeddrum.core.load.loop_lag import LoopLag
 from knapweeddrum.core.load.request_rate import RequestRate
 from knapweeddrum.core.placing.endpoint_limits import EndpointLimits
@@ -145,6 +146,7 @@
     endpoint_limits: EndpointLimits = dataclasses.field(default_factory=EndpointLimits)
     loans: LoanLedger = dataclasses.field(default_factory=LoanLedger)
     loop_lag: LoopLag = dataclasses.field(default_factory=LoopLag)
+    link_load: LinkLoad = dataclasses.field(default_factory=LinkLoad)
     claim_meter: ProcessorMeter = dataclasses.field(default_factory=ProcessorMeter)
     """Processor time that deciding on claims and applying them takes."""
 
@@ -219,6 +221,7 @@
             capacity=host_capacity(settings.processor_cores, settings.link_mbps),
             request_rate=round(self.request_rate.per_second(now), 2),
             limits=self.endpoint_limits.told(now),
+            sheds=self.link_load.sheds,
         )
 
     def witnesses(self) -> list[str]:
@@ -314,6 +317,8 @@
             "endpoint_connections": self.pool.open_count(),
             "ready": float(self.is_ready),
             "loop_lag_seconds": self.loop_lag.recent(now),
+            "link_use": self.link_load.use(now),
+            "link_behind_seconds": self.link_load.level(now),
             "processor_seconds": time.process_time(),
             "claims_processor_seconds": self.claim_meter.seconds,
         }
--- a/tests/core/directory/test_working_set.py
+++ b/tests/core/directory/test_working_set.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import dataclasses
 import random
 
 from nose2.tools import params
@@ -105,6 +106,34 @@
     assert sizes[-1] == 195
 
 
+def largest_share(chosen: list[HostRecord], demand: float) -> float:
+    """Return the largest part of a member's capacity that random callers use."""
+    return demand / len(chosen) / min(record.capacity for record in chosen)
+
+
+@params((91, 8, 300.0), (91, 8, 560.0), (62, 8, 400.0), (195, 18, 1200.0))
+def test_weak_hosts_join_only_when_the_strong_ones_are_short(count, strong, demand):
+    """At a burst of twice the usual load 27 weak hosts got most of the requests."""
+    chosen = members(fleet(count, strong, demand))
+    assert [record.capacity for record in chosen] == [STRONG] * strong
+    assert largest_share(chosen, demand) <= 1 / 1.5
+    more = members(fleet(count, strong, STRONG * strong / 1.49))
+    assert len(more) > strong
+
+
+@params((91, 8), (30, 8), (20, 10), (195, 18))
+def test_members_that_join_make_the_largest_share_smaller(count, strong):
+    """Few weak hosts beside strong ones can carry less than the strong ones alone."""
+    for demand in (50.0, 300.0, 700.0, 1500.0, 9000.0):
+        hosts = fleet(count, strong, demand)
+        chosen = members(hosts)
+        if len(chosen) > strong:
+            assert largest_share(chosen, demand) < largest_share(hosts[:strong], demand)
+        else:
+            carried = len(chosen) * STRONG
+            assert carried >= 1.5 * demand or count * WEAK <= strong * STRONG
+
+
 @params(1, 2, 4)
 def test_set_without_the_members_that_vanish_still_carries_the_demand(parts):
     """After the loss of all members, a half or a quarter, others take their place."""
@@ -131,6 +160,80 @@
     assert len(working_set.names) < len(grown)
 
 
+@params(62, 91, 370)
+def test_host_that_was_alone_at_its_start_does_not_go_on_naming_itself(count):
+    """It reads of the others a moment later; it named itself for 20 s more."""
+    hosts = fleet(count, 8)
+    own = hosts[-1]
+    working_set = WorkingSet()
+    working_set.update([own], 0.0)
+    assert working_set.names == {own.name}
+    working_set.update([own, *hosts[:3]], 1.5)
+    assert len(working_set.names) == 4
+    working_set.update(hosts, 3.0)
+    assert working_set.names == {host.name for host in members(hosts)}
+    assert own.name not in working_set.names
+
+
+@params(62, 91)
+def test_weak_hosts_that_start_first_make_way_before_requests_come(count):
+    """A fleet that starts in pieces named them for 20 s beside the strong ones."""
+    hosts = fleet(count, 8)
+    working_set = WorkingSet()
+    working_set.update(hosts[-30:], 0.0)
+    assert len(working_set.names) >= MIN_HOSTS
+    working_set.update(hosts, 1.5)
+    assert working_set.names == {host.name for host in members(hosts)}
+
+
+def test_hosts_of_a_small_fleet_that_grows_stay_for_a_while():
+    """Callers have connections to them."""
+    small = fleet(SMALL_FLEET_HOSTS, rate=20.0)
+    working_set = WorkingSet()
+    for now in range(int(LINGER_SECONDS) + 1):
+        working_set.update(small, float(now))
+    grown = [*small, *(host(n, STRONG) for n in range(20, 30))]
+    working_set.update(grown, LINGER_SECONDS + 1.0)
+    assert {host.name for host in small} < working_set.names
+    working_set.update(grown, 2 * LINGER_SECONDS + 1.0)
+    assert not {host.name for host in small} & working_set.names
+
+
+def shedding(hosts: list[HostRecord], names: set[str]) -> list[HostRecord]:
+    return [dataclasses.replace(record, sheds=record.name in names) for record in hosts]
+
+
+@params((7, 0), (62, 8), (91, 8), (195, 18), (370, 18))
+def test_host_that_sheds_is_left_out_until_it_has_room(count, strong):
+    """Callers who follow the directory would be reset there."""
+    hosts = fleet(count, strong, rate=1.4 * count)
+    working_set = WorkingSet()
+    working_set.update(hosts, 0.0)
+    before = working_set.names
+    full = set(sorted(before)[:2])
+    working_set.update(shedding(hosts, full), 1.5)
+    assert not working_set.names & full
+    assert len(working_set.names) >= min(MIN_HOSTS, count - 2)
+    working_set.update(hosts, 3.0)
+    assert working_set.names >= before
+
+
+@params((1, 1), (7, 4), (7, 7), (91, 46), (91, 91))
+def test_hosts_that_shed_are_named_if_more_than_half_of_all_do(count, full):
+    """The others would get more than they carry, and shed as well."""
+    hosts = fleet(count, min(count, 8), rate=1.4 * count)
+    names = {record.name for record in hosts[:full]}
+    assert members(shedding(hosts, names)) == shedding(members(hosts), names)
+
+
+def test_host_that_sheds_does_not_name_itself():
+    """Its own directory says what the others say."""
+    hosts = fleet(7)
+    own = dataclasses.replace(hosts[0], sheds=True)
+    answer = directory_at(own, hosts).addresses(own.address)
+    assert sorted(answer) == [record.address for record in hosts[1:]]
+
+
 def test_hosts_of_the_version_before_belong_to_the_fleet():
     """They name no capacity, and the answer is never empty."""
     old = [
