Run test modules with crowds of clients after all others, by themselves

Cause: such a module's clients take the processors from tests in other workers, and the other way round.

Change: LONE_MODULES run in a second batch with one worker. Its first module comes with the tests of uncontrolled clients.

Test: test_modules_with_crowds_do_not_run_beside_others. tests.tools.test_run_tests passes.

--- a/tests/tools/test_run_tests.py
+++ b/tests/tools/test_run_tests.py
@@ -10,7 +10,7 @@
 
 from tools.free_ports import FIRST_PORT, LAST_PORT, PortSlice
 from tools.outcomes import Outcomes
-from tools.parallel_tests import ROOT, all_modules
+from tools.parallel_tests import LONE_MODULES, ROOT, all_modules, batches
 from tools.run_tests import report
 
 FAILING_MODULE = """
@@ -102,3 +102,11 @@
     assert not drawn[1] & drawn[2]
     assert all(FIRST_PORT <= port < LAST_PORT for port in set.union(*drawn))
     assert str(PortSlice.parse("1/3")) == "1/3"
+
+
+def test_modules_with_crowds_do_not_run_beside_others():
+    """Beside them, other tests and theirs would fail for want of processor time."""
+    lone = LONE_MODULES[0]
+    together, alone = batches([lone, "tests.a", "tests.b"], 4)
+    assert together == (["tests.a", "tests.b"], 4)
+    assert alone == ([lone], 1)
--- a/tools/parallel_tests.py
+++ b/tools/parallel_tests.py
@@ -30,6 +30,12 @@
 )
 """Prefixes of modules that take long, begun first so that none is waited for alone."""
 
+LONE_MODULES = ("tests.process.entry.test_uncontrolled_clients",)
+"""Modules that run after all others, each by itself.
+
+Their crowds of clients take the processors from other tests, and the other way round.
+"""
+
 
 def worker_count() -> int:
     """Return how many workers to use, by the environment or the processors.
@@ -51,6 +57,20 @@
 
 def run_modules(modules: list[str], workers: int) -> Outcomes:
     """Run each module in a process of its own and print its output when it ends."""
+    total = Outcomes()
+    for batch, count in batches(modules, workers):
+        total.add(_run_batch(batch, count))
+    return total
+
+
+def batches(modules: list[str], workers: int) -> list[tuple[list[str], int]]:
+    """Return the modules to run together, in turn, each with a number of workers."""
+    together = [module for module in modules if module not in LONE_MODULES]
+    alone = [module for module in modules if module in LONE_MODULES]
+    return [(together, workers), (alone, 1)]
+
+
+def _run_batch(modules: list[str], workers: int) -> Outcomes:
     total = Outcomes()
     slices = [PortSlice(number, workers) for number in range(workers)]
     with ThreadPoolExecutor(workers) as pool:
