Leave out the endpoints of emptied data centres

Change: EmptiedDataCentres holds the newest record of each name. Endpoints there are no candidates, a request that was placed before is stopped before it is sent, and nothing there is asked or probed but after an answer that ran there. Names go along in heartbeats and direct answers (HostRecord.emptied).

--- a/src/knapweeddrum/process/entry/configuration_reader.py
+++ b/src/knapweeddrum/process/entry/configuration_reader.py
@@ -8,6 +8,7 @@
 from knapweeddrum.platform.exceptions import MalformedRecordError
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.streams import CONFIGURATION_KEY
+from knapweeddrum.process.entry.emptied_records import EmptiedRecords
 from knapweeddrum.process.entry.entry_context import (
     MAX_LOGGED_ERROR_CHARS,
     EntryContext,
@@ -24,16 +25,24 @@
 
     def __init__(self, ctx: EntryContext) -> None:
         self._ctx = ctx
+        self._emptied = EmptiedRecords(ctx)
 
     def apply_listing(
         self, records: Iterable[KeyedRecord], end: int, now: float
     ) -> None:
-        """Apply the newest version."""
-        self.apply_records(records, now)
+        """Apply the newest version and the data centres that are emptied."""
+        listed = list(records)
+        self._emptied.apply_listing(listed, end, now)
+        self.apply_records(listed, now)
 
     def apply_records(self, records: Iterable[KeyedRecord], now: float) -> None:
-        """Apply the last version among the records."""
-        own = [record for record in records if record.key == CONFIGURATION_KEY]
+        """Apply the last version among the records.
+
+        Data centres are emptied first: a host that has a configuration may be ready.
+        """
+        newer = list(records)
+        self._emptied.apply_records(newer, now)
+        own = [record for record in newer if record.key == CONFIGURATION_KEY]
         if own and own[-1].value is not None:
             self._apply(own[-1], own[-1].value)
 
@@ -43,6 +52,7 @@
     def on_up_to_date(self, read: StreamRead) -> None:
         """Record when the configuration was last known to be current."""
         self._ctx.configuration_read_at = read.received_at
+        self._ctx.emptied.record_read(read.next_offset)
 
     def _apply(self, record: KeyedRecord, body: bytes) -> None:
         ctx = self._ctx
--- a/src/knapweeddrum/process/entry/crash_detector.py
+++ b/src/knapweeddrum/process/entry/crash_detector.py
@@ -100,7 +100,8 @@
         listing = self._listing(state.entry)
         probe = None
         probed_at = time.monotonic()
-        if evidence.needs_probe(listing, probed_at):
+        is_in_use = not self._ctx.emptied.is_emptied(state.entry.data_centre)
+        if is_in_use and evidence.needs_probe(listing, probed_at):
             probe = await probe_endpoint(state.entry.address)
         if evidence.is_alive(state.last_data_at):
             self._ctx.crash_register.forget_cuts(key)
--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -176,15 +176,39 @@
     ctx: EntryContext, job: RequestJob, state: EndpointState
 ) -> ClientConnection:
     """Return a connection that suits the request; raises AttemptError."""
+    _require_in_use(ctx, state)
     conn = await _open_connection(ctx, job, state)
     suits = False
     try:
-        suits = await _suits(ctx, job, state, conn)
+        _require_in_use(ctx, state)
+        is_suitable = await _suits(ctx, job, state, conn)
+        _require_in_use(ctx, state)
+        suits = is_suitable
     finally:
         if not suits:
             with anyio.CancelScope(shield=True):
                 await ctx.pool.release(connection_key(state.entry), conn)
-    return conn if suits else await _open_connection(ctx, job, state)
+    if suits:
+        return conn
+    conn = await _open_connection(ctx, job, state)
+    try:
+        _require_in_use(ctx, state)
+    except AttemptError:
+        with anyio.CancelScope(shield=True):
+            await ctx.pool.release(connection_key(state.entry), conn)
+        raise
+    return conn
+
+
+def _require_in_use(ctx: EntryContext, state: EndpointState) -> None:
+    """Raise AttemptError if the data centre was emptied after the choice."""
+    data_centre = state.entry.data_centre
+    if ctx.emptied.is_emptied(data_centre):
+        raise AttemptError(
+            RetryReason.DATA_CENTRE_EMPTIED,
+            RunState.NOT_RUN,
+            f"data centre {data_centre} was emptied",
+        )
 
 
 async def _suits(
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -13,6 +13,7 @@
 
 from knapweeddrum.core.admission.crash_register import CrashRegister
 from knapweeddrum.core.catalog.configuration import Configuration
+from knapweeddrum.core.catalog.emptied_data_centres import EmptiedDataCentres
 from knapweeddrum.core.catalog.service_list import ServiceList
 from knapweeddrum.core.directory.fleet_size import FleetSize
 from knapweeddrum.core.directory.host_capacity import host_capacity
@@ -143,6 +144,7 @@
     heartbeat_number: int = 0
     """Number of the last heartbeat that was tried to write."""
     endpoint_limits: EndpointLimits = dataclasses.field(default_factory=EndpointLimits)
+    emptied: EmptiedDataCentres = dataclasses.field(default_factory=EmptiedDataCentres)
     loans: LoanLedger = dataclasses.field(default_factory=LoanLedger)
     loop_lag: LoopLag = dataclasses.field(default_factory=LoopLag)
     claim_meter: ProcessorMeter = dataclasses.field(default_factory=ProcessorMeter)
@@ -171,6 +173,10 @@
         """Return the starts of all listed endpoints."""
         return frozenset(instance_name(entry) for entry in self.service_list.all())
 
+    def in_use(self, states: list[EndpointState]) -> list[EndpointState]:
+        """Return the endpoints whose data centre was not emptied."""
+        return [s for s in states if not self.emptied.is_emptied(s.entry.data_centre)]
+
     def token_holders(self, organisation: str) -> list[str]:
         """Return the peer addresses of other hosts that may have free tokens."""
         now = time.monotonic()
@@ -219,6 +225,7 @@
             capacity=host_capacity(settings.processor_cores, settings.link_mbps),
             request_rate=round(self.request_rate.per_second(now), 2),
             limits=self.endpoint_limits.told(now),
+            emptied=self.emptied.told(),
         )
 
     def witnesses(self) -> list[str]:
--- a/src/knapweeddrum/process/entry/host_reader.py
+++ b/src/knapweeddrum/process/entry/host_reader.py
@@ -12,6 +12,7 @@
     decode_version_record,
 )
 from knapweeddrum.platform.keyed_record import KeyedRecord
+from knapweeddrum.process.entry.emptied_records import EmptiedRecords
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.fleet_view import FleetView
 from knapweeddrum.process.entry.stream_follower import RecordReader
@@ -27,6 +28,7 @@
     def __init__(self, ctx: EntryContext, fleet_view: FleetView) -> None:
         self._ctx = ctx
         self._fleet_view = fleet_view
+        self._emptied = EmptiedRecords(ctx)
 
     def apply_listing(
         self, records: Iterable[KeyedRecord], end: int, now: float
@@ -49,6 +51,9 @@
             self._ctx.hosts.apply_heartbeat(record.key, record.offset, host)
             if host is not None and host.name != self._ctx.settings.host_name:
                 self._ctx.endpoint_limits.merge(host.limits, written_at)
+            if host is not None:
+                # The one of this host's earlier start too.
+                self._emptied.apply_told(host, now)
 
     def on_store_lost(self) -> None:
         """Pause the heartbeat timeouts, as heartbeats can't be read."""
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -202,11 +202,12 @@
         ctx = self._ctx
         job = self._job
         if job.stream_version is None:
-            return ctx.endpoint_states.of_service(job.service)
+            return ctx.in_use(ctx.endpoint_states.of_service(job.service))
         now = time.monotonic()
+        states = ctx.endpoint_states.of_version(job.service, job.stream_version)
         return [
             state
-            for state in ctx.endpoint_states.of_version(job.service, job.stream_version)
+            for state in ctx.in_use(states)
             if ctx.endpoint_history.takes_streams(state, ctx.settings.drain_delay, now)
             and not ctx.instances.has_ended(instance_name(state.entry))
         ]
--- a/src/knapweeddrum/process/entry/sighting_task.py
+++ b/src/knapweeddrum/process/entry/sighting_task.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from knapweeddrum.message.call.sighting import SightingExchange
+from knapweeddrum.process.entry.emptied_records import EmptiedRecords
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.fleet_view import FleetView
 from knapweeddrum.process.entry.page_server import PageAnswer
@@ -40,6 +41,7 @@
         self._ctx = ctx
         self._peers = peers
         self._fleet_view = fleet_view
+        self._emptied = EmptiedRecords(ctx)
 
     async def run(self) -> None:
         """Ask while there is doubt, until cancelled."""
@@ -98,4 +100,5 @@
         ctx.peer_contacts.merge(others, at)
         ctx.hosts.apply_sightings(others, at)
         ctx.endpoint_limits.merge(host.limits, at)
+        self._emptied.apply_told(host, at)
         return is_news
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -232,6 +232,12 @@
 )
 CLAIMS_ADOPTED = Event(642, "claims_adopted", "info", ("era", "end", "after_ms"))
 CLAIMS_SUSPENDED = Event(643, "claims_suspended", "error", ("era", "missing", "for_ms"))
+DATA_CENTRE_EMPTIED = Event(
+    661, "data_centre_emptied", "warning", ("data_centre", "offset", "told_by")
+)
+DATA_CENTRE_TAKEN_BACK = Event(
+    662, "data_centre_taken_back", "warning", ("data_centre", "offset", "told_by")
+)
 SETTINGS_RELOADED = Event(618, "settings_reloaded", "info", ("changed",))
 SETTINGS_REJECTED = Event(619, "settings_rejected", "error", ("error",))
 TOKENS_LENT = Event(
--- a/src/knapweeddrum/value/host_record.py
+++ b/src/knapweeddrum/value/host_record.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from knapweeddrum.value.documents import Count, Measure
+from knapweeddrum.value.told_data_centre import ToldDataCentre
 from knapweeddrum.value.told_limit import ToldLimit
 
 UNKNOWN_CAPACITY = 25.0
@@ -32,3 +33,5 @@
     """Requests per second that it received lately."""
     limits: tuple[ToldLimit, ...] = ()
     """Limits of endpoints that it knows of."""
+    emptied: tuple[ToldDataCentre, ...] = ()
+    """Data centres that were emptied, or taken back since."""
--- a/src/knapweeddrum/value/retry_reason.py
+++ b/src/knapweeddrum/value/retry_reason.py
@@ -31,7 +31,15 @@
     CONNECTION_LOST = "connection_lost"
     """The connection ended before the answer was complete."""
     DEADLINE = "deadline"
+    DATA_CENTRE_EMPTIED = "data_centre_emptied"
+    """The endpoint's data centre was emptied before the request was sent."""
 
 
-NOT_SENT_REASONS = frozenset({RetryReason.CONNECT_FAILED, RetryReason.RESTARTED})
+NOT_SENT_REASONS = frozenset(
+    {
+        RetryReason.CONNECT_FAILED,
+        RetryReason.RESTARTED,
+        RetryReason.DATA_CENTRE_EMPTIED,
+    }
+)
 """Reasons of attempts that ended before the request was sent."""
