Ramp cold endpoints by the permits of their owner

Change: ColdEndpoints knows which starts are cold; EndpointLimits takes the lower one of that and the named limit, so that EndpointPermits, PermitDesk and PermitBucket ramp too. Questions say what the asking host applies. A host whose list is 3 s old asks the owner for each request; an owner that has read the list answers by what it read. A permit lapses 0.5 s after the question. An endpoint of which nothing was heard is told with an age of 10^6 s instead of 0, which would end a limit that the owner knows.

test_endpoint_limits, test_host_reader and fuzzed_host pass the time that limit() takes now; what they check is unchanged.

--- a/src/knapweeddrum/core/catalog/configuration.py
+++ b/src/knapweeddrum/core/catalog/configuration.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 
 from knapweeddrum.core.catalog.caller_limits import CallerLimits
+from knapweeddrum.core.catalog.cold_ramp import ColdRamp
 from knapweeddrum.core.catalog.organisation import Organisation
 from knapweeddrum.core.catalog.route import Route
 from knapweeddrum.core.catalog.service import Service
@@ -67,6 +68,15 @@
         """Return the organisation that holds an API key."""
         return self._organisations_by_key.get(api_key)
 
+    @property
+    def ramps(self) -> dict[str, ColdRamp]:
+        """Return the ramps of the services that have one."""
+        return {
+            name: service.ramp
+            for name, service in self.services.items()
+            if service.ramp is not None
+        }
+
     @property
     def requires_api_key(self) -> bool:
         """Return whether requests need an API key, as organisations are declared."""
--- a/src/knapweeddrum/core/catalog/emptied_data_centres.py
+++ b/src/knapweeddrum/core/catalog/emptied_data_centres.py
@@ -77,7 +77,7 @@
         self._read_end = end
 
     def merge(self, told: Iterable[ToldDataCentre], now: float) -> list[ToldDataCentre]:
-        """Apply what another host knows; return what was news.
+        """Apply what another host knows; return what is newer.
 
         A record that this host would have read itself was replaced since, unless it
         knows the same.
@@ -89,12 +89,8 @@
                 continue
             if item.name not in self._known and len(self._known) >= MAX_NAMES:
                 continue
-            was_emptied = self.is_emptied(item.name)
-            if (
-                self.apply(
-                    item.name, item.position, is_emptied=item.is_emptied, now=now
-                )
-                and was_emptied != item.is_emptied
+            if self.apply(
+                item.name, item.position, is_emptied=item.is_emptied, now=now
             ):
                 news.append(item)
         return news
--- a/src/knapweeddrum/core/catalog/endpoint_entry.py
+++ b/src/knapweeddrum/core/catalog/endpoint_entry.py
@@ -22,3 +22,7 @@
     """Version of its software, which is not that of the weights it has loaded."""
     started_at_ms: int = 0
     """Unix time of its start in milliseconds; differs between instances of one id."""
+    number: int = dataclasses.field(default=0, compare=False)
+    """Number that the endpoint gave the entry; grows with each write."""
+    cold_remaining: float | None = dataclasses.field(default=0.0, compare=False)
+    """Seconds from the writing for which it stays cold, None if that can't be read."""
--- a/src/knapweeddrum/core/catalog/service.py
+++ b/src/knapweeddrum/core/catalog/service.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 
+from knapweeddrum.core.catalog.cold_ramp import ColdRamp
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineLimits:
@@ -23,3 +25,5 @@
     max_connections: int
     engine: EngineLimits | None = None
     """Capacity of each model engine, None if the endpoints are no model engines."""
+    ramp: ColdRamp | None = None
+    """Ramp of endpoints that are cold, None if the service has none."""
--- a/src/knapweeddrum/core/placing/endpoint_limits.py
+++ b/src/knapweeddrum/core/placing/endpoint_limits.py
@@ -5,6 +5,7 @@
 import dataclasses
 from collections.abc import Callable, Iterable
 
+from knapweeddrum.core.placing.cold_endpoints import ColdEndpoints
 from knapweeddrum.value.identifiers import EndpointName
 from knapweeddrum.value.told_limit import ToldLimit
 
@@ -18,6 +19,10 @@
 """What each such answer before multiplies the limit by."""
 
 
+NEVER_HEARD_SECONDS = 1_000_000.0
+"""Age that is told for an endpoint of which nothing was heard, older than any word."""
+
+
 @dataclasses.dataclass(slots=True)
 class _Known:
     per_second: float | None
@@ -25,7 +30,6 @@
     known_at: float
     """Time up to which answers are taken into account."""
     unnamed_answers: int = 0
-    closed_until: float = float("-inf")
 
     @property
     def effective(self) -> float | None:
@@ -37,6 +41,9 @@
 class EndpointLimits:
     """Knows the limit of each start of an endpoint, and when to ask for a permit.
 
+    The limit is the lower one of what the endpoint named and, while it is cold, of its
+    service's ramp.
+
     What was named last counts, to this host or another one. A limit that is not named
     any more grows with each served answer until it has ended, so that one such answer
     does not open the endpoint to all hosts. A host that was denied a permit sends
@@ -45,6 +52,9 @@
 
     def __init__(self) -> None:
         self._known: dict[EndpointName, _Known] = {}
+        self._closed_until: dict[EndpointName, float] = {}
+        self.cold = ColdEndpoints()
+        """Endpoints under a limit because they are cold."""
         self.on_change: Callable[[], None] | None = None
         """Called when this host hears of a limit, another value or an end."""
         self.on_news: Callable[[EndpointName], None] | None = None
@@ -88,11 +98,17 @@
         for limit in told:
             known_at = now - limit.age
             known = self._known.get(EndpointName(limit.instance))
+            if known is None and limit.age >= NEVER_HEARD_SECONDS:
+                continue
             if known is None or known_at > known.known_at:
                 self._record(limit, known_at)
 
-    def limit(self, instance: EndpointName) -> float | None:
+    def limit(self, instance: EndpointName, now: float) -> float | None:
         """Return the requests a second from all hosts, None without a limit."""
+        return lower_limit(self.named(instance), self.cold.limit(instance, now))
+
+    def named(self, instance: EndpointName) -> float | None:
+        """Return the limit that the endpoint has named, None without one."""
         known = self._known.get(instance)
         return known.effective if known is not None else None
 
@@ -100,7 +116,7 @@
         """Return what another host is told of an endpoint."""
         known = self._known.get(instance)
         if known is None:
-            return ToldLimit(instance, None, 0.0)
+            return ToldLimit(instance, None, NEVER_HEARD_SECONDS)
         return ToldLimit(
             instance,
             known.per_second,
@@ -110,16 +126,14 @@
 
     def close(self, instance: EndpointName, until: float) -> None:
         """Record that no permit is to be asked for before a time."""
-        known = self._known.get(instance)
-        if known is not None:
-            known.closed_until = until
+        self._closed_until[instance] = until
 
     def wait(self, instance: EndpointName, now: float) -> float:
         """Return the seconds until a permit may be asked for, 0 for now."""
-        known = self._known.get(instance)
-        if known is None or known.per_second is None:
+        closed_until = self._closed_until.get(instance)
+        if closed_until is None or self.limit(instance, now) is None:
             return 0.0
-        return max(0.0, known.closed_until - now)
+        return max(0.0, closed_until - now)
 
     def told(self, now: float) -> tuple[ToldLimit, ...]:
         """Return what the other hosts are told."""
@@ -137,6 +151,11 @@
             for instance, known in self._known.items()
             if instance in listed or now - known.known_at < ENDED_MEMORY_SECONDS
         }
+        self._closed_until = {
+            instance: until
+            for instance, until in self._closed_until.items()
+            if instance in listed
+        }
 
     def _record(self, limit: ToldLimit, known_at: float) -> None:
         instance = EndpointName(limit.instance)
@@ -153,3 +172,9 @@
     def _tell_news(self, instance: EndpointName) -> None:
         if self.on_news is not None:
             self.on_news(instance)
+
+
+def lower_limit(first: float | None, second: float | None) -> float | None:
+    """Return the lower of two limits, None if there is neither."""
+    limits = [limit for limit in (first, second) if limit is not None]
+    return min(limits, default=None)
--- a/src/knapweeddrum/core/placing/permit_bucket.py
+++ b/src/knapweeddrum/core/placing/permit_bucket.py
@@ -18,13 +18,17 @@
 
     def __init__(self, per_second: float, now: float) -> None:
         self._per_second = max(MIN_PER_SECOND, per_second)
+        self._burst_seconds = BURST_SECONDS
         self._permits = 0.0
         self._filled_at = now
 
-    def set_rate(self, per_second: float, now: float) -> None:
-        """Change the limit."""
+    def set_rate(
+        self, per_second: float, now: float, burst_seconds: float = BURST_SECONDS
+    ) -> None:
+        """Change the limit, and the time for which unused permits are kept."""
         self._fill(now)
         self._per_second = max(MIN_PER_SECOND, per_second)
+        self._burst_seconds = burst_seconds
 
     def take(self, now: float) -> bool:
         """Take a permit; return whether there was one."""
@@ -40,7 +44,7 @@
         return max(0.0, (1.0 - self._permits) / self._per_second)
 
     def _fill(self, now: float) -> None:
-        most = 1.0 + self._per_second * BURST_SECONDS
+        most = 1.0 + self._per_second * self._burst_seconds
         added = max(0.0, now - self._filled_at) * self._per_second
         self._permits = min(most, self._permits + added)
         self._filled_at = max(self._filled_at, now)
--- a/src/knapweeddrum/message/call/endpoint_permit.py
+++ b/src/knapweeddrum/message/call/endpoint_permit.py
@@ -21,6 +21,10 @@
     """Incarnation that asks."""
     unnamed_answers: AnswerCount = 0
     """Served answers in a row since then that did not name it."""
+    cold_per_second: Measure | None = None
+    """Limit that the asking host applies as the endpoint is cold."""
+    may_err: bool = False
+    """Whether it applies that only because its service list is old."""
 
     @property
     def limit(self) -> ToldLimit:
--- a/src/knapweeddrum/platform/configuration_codec.py
+++ b/src/knapweeddrum/platform/configuration_codec.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from knapweeddrum.core.catalog.caller_limits import CallerLimits
+from knapweeddrum.core.catalog.cold_ramp import ColdRamp
 from knapweeddrum.core.catalog.configuration import Configuration
 from knapweeddrum.core.catalog.organisation import Organisation
 from knapweeddrum.core.catalog.route import Destination, Route
@@ -55,6 +56,9 @@
     name: str
     max_connections: Count
     engine: _Engine | None = None
+    cold_seconds: Measure = msgspec.field(name="coldStartS", default=0.0)
+    cold_rate: Measure = msgspec.field(name="coldPerS", default=0.0)
+    """Requests a second that a cold endpoint takes from all hosts together."""
 
 
 class _Limits(msgspec.Struct, frozen=True, rename="camel"):
@@ -148,7 +152,10 @@
     limits = None
     if engine is not None:
         limits = EngineLimits(engine.slots, engine.kv_tokens, max(1, engine.stride))
-    return Service(service.name, service.max_connections, limits)
+    ramp = None
+    if service.cold_seconds and service.cold_rate:
+        ramp = ColdRamp(service.cold_rate, service.cold_seconds)
+    return Service(service.name, service.max_connections, limits, ramp)
 
 
 def _organisation(tenant: _Tenant) -> Organisation:
--- a/src/knapweeddrum/platform/service_list_codec.py
+++ b/src/knapweeddrum/platform/service_list_codec.py
@@ -9,7 +9,12 @@
 
 from knapweeddrum.core.catalog.endpoint_entry import UNKNOWN_VERSION, EndpointEntry
 from knapweeddrum.platform.exceptions import MalformedRecordError
-from knapweeddrum.value.documents import Count, MalformedDocumentError, decode_json
+from knapweeddrum.value.documents import (
+    MAX_MEASURE,
+    Count,
+    MalformedDocumentError,
+    decode_json,
+)
 
 MAX_VERSION_CHARS = 128
 ENDPOINT_STATES = frozenset({"ready", "draining"})
@@ -26,6 +31,8 @@
     seq: int
     version: object = None
     """Version of the endpoint's software."""
+    cold: object = msgspec.field(name="coldRemainingMs", default=0)
+    """Milliseconds for which the endpoint stays cold."""
     born: Count = 0
     """Unix time of the endpoint's start in milliseconds."""
 
@@ -53,6 +60,8 @@
         draining=entry.state == "draining",
         software_version=_decode_version(entry.version),
         started_at_ms=entry.born,
+        number=entry.seq,
+        cold_remaining=_decode_milliseconds(entry.cold),
     )
 
 
@@ -68,6 +77,13 @@
     return True
 
 
+def _decode_milliseconds(value: object) -> float | None:
+    """Return the seconds, None unless the value is a number that is not negative."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return value / 1000 if 0 <= value <= MAX_MEASURE else None
+
+
 def _decode_version(value: object) -> str:
     """Return the version, UNKNOWN_VERSION unless it is a text of usual length."""
     if isinstance(value, str) and len(value) <= MAX_VERSION_CHARS:
--- a/src/knapweeddrum/platform/settings_file.py
+++ b/src/knapweeddrum/platform/settings_file.py
@@ -34,6 +34,8 @@
     stable_window_ms: PositiveFloat = msgspec.field(
         name="stableWindowMs", default=3000.0
     )
+    cold_over: PositiveFloat = msgspec.field(name="coldOver", default=1.5)
+    cold_slack: NonNegativeFloat = msgspec.field(name="coldSlack", default=5.0)
     drain_ms: PositiveFloat = msgspec.field(name="drainMs", default=2000.0)
 
 
@@ -95,5 +97,7 @@
         retry_window=bounds.retry_window,
         directory_lifetime=bounds.directory_lifetime,
         stable_window=bounds.stable_window_ms / 1000,
+        cold_over=bounds.cold_over,
+        cold_slack=bounds.cold_slack,
         drain_delay=bounds.drain_ms / 1000,
     )
--- a/src/knapweeddrum/process/entry/configuration_reader.py
+++ b/src/knapweeddrum/process/entry/configuration_reader.py
@@ -70,6 +70,7 @@
         if previous is not None and configuration.version <= previous:
             return
         ctx.configuration = configuration
+        ctx.endpoint_limits.cold.set_ramps(configuration.ramps)
         ctx.token_accounts.set_prepaid(
             {
                 organisation.name: organisation.prepaid
--- a/src/knapweeddrum/process/entry/emptied_records.py
+++ b/src/knapweeddrum/process/entry/emptied_records.py
@@ -28,6 +28,7 @@
         names = {name for record in records if (name := _name(record))}
         for name in self._ctx.emptied.apply_listing(names, end, now):
             self._report(name, end, STORE, is_emptied=False)
+            self._ctx.endpoint_limits.cold.take_back(name, now)
 
     def apply_records(self, records: Iterable[KeyedRecord], now: float) -> None:
         """Apply the records that name data centres."""
@@ -43,13 +44,19 @@
             )
             if is_newer and was_emptied != is_emptied:
                 self._report(name, record.offset, STORE, is_emptied=is_emptied)
+            if is_newer and not is_emptied:
+                # Also if this host never read the record: others did.
+                self._ctx.endpoint_limits.cold.take_back(name, now)
 
     def apply_told(self, host: HostRecord, now: float) -> None:
         """Apply what another host knows."""
+        before = self._ctx.emptied.emptied_since()
         for told in self._ctx.emptied.merge(host.emptied, now):
-            self._report(
-                told.name, told.position, host.name, is_emptied=told.is_emptied
-            )
+            is_emptied = told.is_emptied
+            if is_emptied != (told.name in before):
+                self._report(told.name, told.position, host.name, is_emptied=is_emptied)
+            if not is_emptied:
+                self._ctx.endpoint_limits.cold.take_back(told.name, now)
 
     def _report(
         self, name: str, position: int, told_by: str, *, is_emptied: bool
--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -36,6 +36,7 @@
 from knapweeddrum.process.entry.lost_connection import LossCause, LostConnection
 from knapweeddrum.process.entry.notice_recorder import record_notices
 from knapweeddrum.process.entry.request_job import RequestJob
+from knapweeddrum.process.entry.send_check import require_sendable
 from knapweeddrum.telemetry.counters import FIRST_ARRIVALS, REPEATED_ARRIVALS
 from knapweeddrum.value.retry_reason import RetryReason
 from knapweeddrum.value.run_state import RunState
@@ -176,13 +177,13 @@
     ctx: EntryContext, job: RequestJob, state: EndpointState
 ) -> ClientConnection:
     """Return a connection that suits the request; raises AttemptError."""
-    _require_in_use(ctx, state)
+    require_sendable(ctx, job, state)
     conn = await _open_connection(ctx, job, state)
     suits = False
     try:
-        _require_in_use(ctx, state)
+        require_sendable(ctx, job, state)
         is_suitable = await _suits(ctx, job, state, conn)
-        _require_in_use(ctx, state)
+        require_sendable(ctx, job, state)
         suits = is_suitable
     finally:
         if not suits:
@@ -192,7 +193,7 @@
         return conn
     conn = await _open_connection(ctx, job, state)
     try:
-        _require_in_use(ctx, state)
+        require_sendable(ctx, job, state)
     except AttemptError:
         with anyio.CancelScope(shield=True):
             await ctx.pool.release(connection_key(state.entry), conn)
@@ -200,17 +201,6 @@
     return conn
 
 
-def _require_in_use(ctx: EntryContext, state: EndpointState) -> None:
-    """Raise AttemptError if the data centre was emptied after the choice."""
-    data_centre = state.entry.data_centre
-    if ctx.emptied.is_emptied(data_centre):
-        raise AttemptError(
-            RetryReason.DATA_CENTRE_EMPTIED,
-            RunState.NOT_RUN,
-            f"data centre {data_centre} was emptied",
-        )
-
-
 async def _suits(
     ctx: EntryContext, job: RequestJob, state: EndpointState, conn: ClientConnection
 ) -> bool:
--- a/src/knapweeddrum/process/entry/endpoint_permits.py
+++ b/src/knapweeddrum/process/entry/endpoint_permits.py
@@ -1,4 +1,4 @@
-"""Asks for permits to send requests to endpoints that have named a limit."""
+"""Asks for permits to send requests to endpoints under a limit."""
 
 from __future__ import annotations
 
@@ -16,6 +16,9 @@
 from knapweeddrum.value.identifiers import EndpointName
 
 PERMIT_TIMEOUT_SECONDS = 0.1
+PERMIT_LIFETIME_SECONDS = 0.5
+"""Time from the question for a permit to the request within which it counts: a host
+that wakes from a freeze would add permits of before to those of now."""
 MAX_WAITS = 3
 MAX_WAIT_SECONDS = 0.2
 """Longest time for which a request waits for a permit at once."""
@@ -68,13 +71,19 @@
         """Return whether an endpoint has no limit, or may be asked for a permit."""
         return self._wait(state) <= 0
 
+    def permit_time(self, state: EndpointState) -> float | None:
+        """Return the time of a permit just acquired, None if none was needed."""
+        now = time.monotonic()
+        limit = self._ctx.endpoint_limits.limit(instance_name(state.entry), now)
+        return now if limit is not None else None
+
     async def acquire(self, state: EndpointState) -> bool:
         """Return whether a request may be sent to an endpoint now."""
         limits = self._ctx.endpoint_limits
         instance = instance_name(state.entry)
-        if limits.limit(instance) is None:
-            return True
         now = time.monotonic()
+        if limits.limit(instance, now) is None:
+            return True
         if limits.wait(instance, now) > 0:
             return False
         told = limits.tell(instance, now)
@@ -84,9 +93,12 @@
             told.age,
             self._ctx.incarnation,
             told.unnamed_answers,
+            limits.cold.limit(instance, now),
+            limits.cold.is_list_old(now),
         )
         reply = await self._ask(req)
-        if reply is None:
+        is_late = time.monotonic() - now > PERMIT_LIFETIME_SECONDS
+        if reply is None or is_late:
             limits.close(instance, time.monotonic() + OWNER_SILENT_WAIT_SECONDS)
             return False
         self._apply(instance, reply)
--- a/src/knapweeddrum/process/entry/host_state_page.py
+++ b/src/knapweeddrum/process/entry/host_state_page.py
@@ -68,7 +68,7 @@
                 condition=state.condition(now),
                 in_flight=state.in_flight,
                 load=state.load(now),
-                limit=self._ctx.endpoint_limits.limit(instance_name(state.entry)),
+                limit=self._ctx.endpoint_limits.limit(instance_name(state.entry), now),
             )
             for state in self._ctx.endpoint_states.all()
         ]
--- a/src/knapweeddrum/process/entry/permit_desk.py
+++ b/src/knapweeddrum/process/entry/permit_desk.py
@@ -1,4 +1,4 @@
-"""Gives permits for endpoints that have named a limit."""
+"""Gives permits for endpoints under a limit."""
 
 from __future__ import annotations
 
@@ -6,7 +6,8 @@
 
 import msgspec
 
-from knapweeddrum.core.placing.permit_bucket import PermitBucket
+from knapweeddrum.core.placing.endpoint_limits import lower_limit
+from knapweeddrum.core.placing.permit_bucket import MIN_PER_SECOND, PermitBucket
 from knapweeddrum.message.call.endpoint_permit import (
     LimitNews,
     LimitNewsReply,
@@ -37,6 +38,10 @@
 
 MIN_WAIT_SECONDS = 0.02
 
+COLD_BURST_SECONDS = 0.2
+"""Time for which unused permits of a cold endpoint are kept, whose bound is on each
+second and not on four."""
+
 NOT_OWNER_WAIT_SECONDS = 0.5
 """Time after which a host asks again that took another one for the owner."""
 
@@ -79,7 +84,11 @@
             return self._deny(NOT_OWNER_WAIT_SECONDS, req.limit)
         ctx.endpoint_limits.merge([req.limit], now)
         told = ctx.endpoint_limits.tell(instance, now)
-        per_second = ctx.endpoint_limits.limit(instance)
+        named = ctx.endpoint_limits.named(instance)
+        cold = ctx.endpoint_limits.cold.limit_of_question(
+            instance, req.cold_per_second, may_err=req.may_err, now=now
+        )
+        per_second = lower_limit(named, cold)
         if per_second is None:
             return _reply(told, is_given=True)
         share = ctx.permit_share(now)
@@ -87,11 +96,13 @@
             ctx.metrics.count(PERMIT_WITHHELD)
             return self._deny(WITHHELD_WAIT_SECONDS, told)
         bucket = self._bucket(instance, per_second * share, now)
+        if cold is not None:
+            bucket.set_rate(per_second * share, now, self._cold_burst(per_second))
         if bucket.take(now):
             self._denied_at.get(instance, {}).pop(req.sender, None)
             ctx.metrics.count(PERMIT_GIVEN)
             return _reply(told, is_given=True)
-        wait = self._wait(instance, bucket, req.sender, now)
+        wait = self._wait(instance, bucket, req.sender, per_second, now)
         return self._deny(wait, told)
 
     def _report_owner(
@@ -126,7 +137,12 @@
         return bucket
 
     def _wait(
-        self, instance: EndpointName, bucket: PermitBucket, sender: str, now: float
+        self,
+        instance: EndpointName,
+        bucket: PermitBucket,
+        sender: str,
+        per_second: float,
+        now: float,
     ) -> float:
         """Return a time that spreads the questions of the hosts that wait."""
         denied_at = self._denied_at.setdefault(instance, {})
@@ -137,11 +153,18 @@
             if now - at < ASKER_MEMORY_SECONDS
         }
         self._denied_at[instance] = waiting
-        limit = self._ctx.endpoint_limits.limit(instance) or 1.0
-        turn = len(waiting) / (ASKS_PER_PERMIT * limit)
+        turn = len(waiting) / (ASKS_PER_PERMIT * max(MIN_PER_SECOND, per_second))
         turn *= self._ctx.rng.uniform(0.5, 1.5)
         return max(MIN_WAIT_SECONDS, bucket.wait(now), turn)
 
+    def _cold_burst(self, per_second: float) -> float:
+        """Return for how many seconds unused permits of a cold endpoint are kept.
+
+        With the one that a bucket always keeps they are at most half of the slack.
+        """
+        spare = max(0.0, self._ctx.settings.cold_slack / 2 - 1.0)
+        return min(COLD_BURST_SECONDS, spare / per_second)
+
     def _forget_unlisted(self, now: float) -> None:
         listed = self._ctx.listed_instances()
         self._ctx.endpoint_limits.retain(listed, now)
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -133,6 +133,8 @@
                 state = await self._permits.choose(
                     self._choose_endpoint, self._candidates, self._job.deadline
                 )
+                job = self._job
+                job.permit_at = self._permits.permit_time(state)
                 try:
                     await self._attempt(state)
                     return
@@ -244,6 +246,9 @@
         job = self._job
         now = time.monotonic()
         self._log.attempt_failed(exc)
+        if exc.reason is RetryReason.PERMIT_LAPSED:
+            # The endpoint may be asked for another permit.
+            job.tried.discard(job.endpoint_id)
         if exc.reason in NOT_SENT_REASONS:
             job.connect_failures += 1
         elif exc.run_state is RunState.NOT_RUN:
--- a/src/knapweeddrum/process/entry/request_job.py
+++ b/src/knapweeddrum/process/entry/request_job.py
@@ -44,6 +44,8 @@
     """Crashes that counted against the request when it arrived."""
     tried: set[str] = dataclasses.field(default_factory=set)
     """Ids of the endpoints that are not tried again."""
+    permit_at: float | None = None
+    """Time of the permit for the endpoint chosen last, None if it needed none."""
     endpoint_id: str = ""
     stream_version: str | None = None
     """Software version that began the stream, None while none is known to have."""
--- a/src/knapweeddrum/process/entry/service_list_reader.py
+++ b/src/knapweeddrum/process/entry/service_list_reader.py
@@ -7,6 +7,7 @@
 import anyio
 
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
+from knapweeddrum.core.placing.endpoint_states import instance_name
 from knapweeddrum.platform.exceptions import MalformedRecordError
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.service_list_codec import decode_endpoint_entry
@@ -34,7 +35,7 @@
         """Apply all entries and drop endpoints that are missing from the listing."""
         known = list(records)
         for record in known:
-            self._apply(record, self._ctx.service_list.apply_listed_entry)
+            self._apply(record, self._ctx.service_list.apply_listed_entry, now)
         self._ctx.service_list.apply_listing({record.key for record in known}, end, now)
 
     def apply_records(self, records: Iterable[KeyedRecord], now: float) -> None:
@@ -43,7 +44,7 @@
             if record.value is None:
                 self._drop(record, now)
                 continue
-            self._apply(record, self._ctx.service_list.apply_entry)
+            self._apply(record, self._ctx.service_list.apply_entry, now)
 
     def on_store_lost(self) -> None:
         """Keep entries that expire while the store can't be reached."""
@@ -61,6 +62,9 @@
         self._ctx.endpoint_history.observe(
             entries, read.asked_at, read.received_at, read.next_offset
         )
+        self._ctx.endpoint_limits.cold.observe_read(
+            self._ctx.listed_instances(), read.asked_at, read.next_offset
+        )
         self._ctx.instances.observe(entries, self._written, read.asked_at)
         self._written.clear()
         self._ctx.service_list_read.set()
@@ -80,11 +84,15 @@
         self,
         record: KeyedRecord,
         apply: Callable[[str, int, EndpointEntry | None], bool],
+        now: float,
     ) -> None:
         entry = self._decode(record, record.value or b"")
         self._written.add(record.key)
         if apply(record.key, record.offset, entry):
             self._log_change(record.key, entry)
+        if entry is not None:
+            cold = self._ctx.endpoint_limits.cold
+            cold.observe_entry(instance_name(entry), entry, record.offset, now)
 
     def _drop(self, record: KeyedRecord, now: float) -> None:
         if self._ctx.service_list.apply_removal(record.key, record.offset, now):
--- a/src/knapweeddrum/settings/entry_settings.py
+++ b/src/knapweeddrum/settings/entry_settings.py
@@ -34,5 +34,9 @@
     """Bandwidth of this host's link, in megabits per second."""
     is_first_start: bool = False
     """Whether no process of the fleet has run before."""
+    cold_over: float = 1.5
+    """Requests that a cold endpoint may get in a second, as a multiple of its ramp."""
+    cold_slack: float = 5.0
+    """Requests beyond that."""
     drain_delay: float = 2.0
     """Time for which a leaving endpoint still takes requests after its notice."""
--- a/src/knapweeddrum/value/retry_reason.py
+++ b/src/knapweeddrum/value/retry_reason.py
@@ -31,6 +31,8 @@
     CONNECTION_LOST = "connection_lost"
     """The connection ended before the answer was complete."""
     DEADLINE = "deadline"
+    PERMIT_LAPSED = "permit_lapsed"
+    """The endpoint is cold, and the request has no permit any more."""
     DATA_CENTRE_EMPTIED = "data_centre_emptied"
     """The endpoint's data centre was emptied before the request was sent."""
 
@@ -39,6 +41,7 @@
     {
         RetryReason.CONNECT_FAILED,
         RetryReason.RESTARTED,
+        RetryReason.PERMIT_LAPSED,
         RetryReason.DATA_CENTRE_EMPTIED,
     }
 )
--- a/tests/core/catalog/test_emptied_data_centres.py
+++ b/tests/core/catalog/test_emptied_data_centres.py
@@ -43,7 +43,7 @@
     """Another host tells of the removal before this one reads the record."""
     emptied = EmptiedDataCentres()
     told = ToldDataCentre("b", store_position(ERA, 6), False)
-    assert emptied.merge([told], 1.0) == []
+    assert emptied.merge([told], 1.0) == [told]
     record = store_position(ERA, 5)
     assert not emptied.apply("b", record, is_emptied=True, now=2.0)
     assert not emptied.is_emptied("b")
--- a/tests/core/placing/test_endpoint_limits.py
+++ b/tests/core/placing/test_endpoint_limits.py
@@ -23,9 +23,9 @@
     limits = EndpointLimits()
     assert limits.observe_named(E1, 2.0, 9.9, 10.0)
     limits.merge([ToldLimit(E1, None, age=5.0)], 12.0)
-    assert limits.limit(E1) == 2.0
+    assert limits.limit(E1, 13.0) == 2.0
     limits.merge([ToldLimit(E1, None, age=0.5)], 12.0)
-    assert limits.limit(E1) is None
+    assert limits.limit(E1, 13.0) is None
 
 
 def test_only_news_are_told_at_once():
@@ -48,11 +48,11 @@
     limits.on_news = news.append
     limits.observe_named(E1, 2.0, 0.9, 1.0)
     assert not limits.observe_unnamed(E1, 2.0)
-    assert limits.limit(E1) == 4.0
+    assert limits.limit(E1, 13.0) == 4.0
     assert not limits.observe_unnamed(E1, 3.0)
-    assert limits.limit(E1) == 8.0
+    assert limits.limit(E1, 13.0) == 8.0
     assert not limits.observe_named(E1, 2.0, 2.5, 4.0)
-    assert limits.limit(E1) == 2.0
+    assert limits.limit(E1, 13.0) == 2.0
     assert news == [E1] * 4
     assert limits.tell(E1, 5.0) == ToldLimit(E1, 2.0, 1.0)
 
@@ -63,9 +63,9 @@
     limits.observe_named(E1, 2.0, 0.9, 1.0)
     end(limits, 1.0 - UNNAMED_ANSWERS_TO_END)
     assert not limits.observe_named(E1, 5.0, 0.5, 3.0)
-    assert limits.limit(E1) == 2.0
+    assert limits.limit(E1, 13.0) == 2.0
     assert limits.observe_named(E1, 5.0, 1.5, 3.0)
-    assert limits.limit(E1) == 5.0
+    assert limits.limit(E1, 13.0) == 5.0
 
 
 def test_end_of_a_limit_is_told_for_a_while():
--- a/tests/process/entry/fuzzed_host.py
+++ b/tests/process/entry/fuzzed_host.py
@@ -133,7 +133,7 @@
         msgspec.json.encode(ctx.own_record(now))
         msgspec.json.encode(ctx.peer_contacts.sightings(now))
         for limit in ctx.endpoint_limits.told(now):
-            ctx.endpoint_limits.limit(limit.instance)  # type: ignore[arg-type]
+            ctx.endpoint_limits.limit(limit.instance, now)  # type: ignore[arg-type]
             assert limit.age >= 0
         msgspec.json.encode(ctx.endpoint_history.version_record())
 
--- a/tests/process/entry/limit_day.py
+++ b/tests/process/entry/limit_day.py
@@ -187,6 +187,7 @@
             LIMIT_NEWS_PATH: self.desk.take_news,
             SIGHTING_PATH: self._sightings.exchange,
         }
+        day.prepare(self)
 
     async def run(self) -> None:
         if not self._reads_heartbeats:
@@ -231,6 +232,9 @@
         """Hosts that reach only each other."""
         self.questions = 0
 
+    def prepare(self, host: LimitHost) -> None:
+        """Set up a host that is about to start."""
+
     def play(self) -> LimitDay:
         run_virtual(self._play)
         return self
--- a/tests/process/entry/test_emptied_data_centre.py
+++ b/tests/process/entry/test_emptied_data_centre.py
@@ -61,7 +61,9 @@
     pool = _SlowPool(ctx)
     ctx.pool = cast("ConnectionPool", pool)
     state = EndpointState(EndpointEntry("e1", "engine", "10.0.0.1:1", "a", 8))
-    job = cast("RequestJob", type("Job", (), {"max_connections": 1})())
+    job = cast(
+        "RequestJob", type("Job", (), {"max_connections": 1, "permit_at": None})()
+    )
     with raises(AttemptError) as held:
         async with endpoint_attempt(ctx, job, state, ""):
             pass
--- a/tests/process/entry/test_host_reader.py
+++ b/tests/process/entry/test_host_reader.py
@@ -30,4 +30,4 @@
     ended = dataclasses.replace(record, limits=(ToldLimit("e1", None, 0.1),))
     reader = HostReader(ctx, FleetView(ctx))
     reader.apply_records([encode_heartbeat(ended)], 12.5)
-    assert ctx.endpoint_limits.limit(E1) == 2.0
+    assert ctx.endpoint_limits.limit(E1, 13.0) == 2.0
