Leave hosts that ended out of the directory soon after an outage

Cause: the directory needed 5 s of store time, so callers were sent to hosts that ended in an outage of the store up to 6 s after its return.

Change: addresses() leaves out hosts without a sign of life for 5 s of this host's clock once the store has answered for 2.8 s (two reads). Membership is unchanged.

Ruled out: judging during the outage, when no heartbeat can be written.

Tests: test_host_that_ended_in_an_outage_is_left_out_soon_after_it asks for it at the third read after the return, 3.0 s; the code before needs 6.0 s. By the read interval of 1.5 s and a first read within 0.75 s of the return it is 3.75 s.

--- a/src/knapweeddrum/core/directory/host_directory.py
+++ b/src/knapweeddrum/core/directory/host_directory.py
@@ -15,6 +15,16 @@
 HOST_FAILURE_TIMEOUT_SECONDS = 12.0
 """Time without a heartbeat, while the store answers, after which a host has failed."""
 
+SILENT_SECONDS = HEARTBEAT_TIMEOUT_SECONDS
+"""Time without a sign of life, store or not, after which callers aren't sent to a host.
+
+Without an outage of the store both time-outs end with the same read.
+"""
+
+RETURN_SECONDS = 2.8
+"""Time for which the store must have answered for that: two reads, in which each host
+that runs has written a heartbeat."""
+
 WRITING_SECONDS = 3.5
 """Time without a heartbeat after which its host may have failed to write one."""
 
@@ -43,6 +53,11 @@
         self._offsets: dict[str, int] = {}
         self._heartbeat_at: dict[str, float] = {}
         """Time of the last sign of life of each host, on the store's clock."""
+        self._seen_at: dict[str, float] = {}
+        """The same, on this host's clock."""
+        self._returned_at = float("-inf")
+        """Time of the first read since the store was lost last."""
+        self._last_read_at = float("-inf")
         self._written_at: dict[str, float] = {}
         """Time of the last heartbeat that was read, on the store's clock."""
         self._replaced: set[str] = set()
@@ -62,7 +77,13 @@
         """
         if self._read_at is not None:
             self._store_available_seconds += now - self._read_at
+        else:
+            self._returned_at = now
+            if self._last_read_at == float("-inf"):
+                # Heartbeats of the first listing count from now on.
+                self._seen_at = dict.fromkeys(self._seen_at, now)
         self._read_at = now
+        self._last_read_at = now
 
     def apply_heartbeat(self, key: str, offset: int, record: HostRecord | None) -> None:
         """Apply a heartbeat, or the removal of a host if ``record`` is None."""
@@ -78,7 +99,7 @@
         if known is not None and known.incarnation != record.incarnation:
             self._replaced.add(known.incarnation)
         self._records[key] = record
-        self._record_life(key, self._store_available_seconds)
+        self._record_life(key, self._store_available_seconds, self._last_read_at)
         self._written_at[key] = self._store_available_seconds
 
     def apply_direct(self, record: HostRecord, now: float) -> bool:
@@ -97,7 +118,7 @@
             known = None
         if known is None or record.beat >= known.beat:
             self._records[record.name] = record
-        self._record_life(record.name, self._store_time(now))
+        self._record_life(record.name, self._store_time(now), now)
         return not was_known
 
     def apply_sightings(self, sightings: Iterable[Sighting], asked_at: float) -> None:
@@ -106,10 +127,14 @@
         for sighting in sightings:
             record = self._records.get(sighting.name)
             if record is not None and record.incarnation == sighting.incarnation:
-                self._record_life(record.name, store_time - sighting.age)
+                self._record_life(
+                    record.name, store_time - sighting.age, asked_at - sighting.age
+                )
 
-    def _record_life(self, name: str, at: float) -> None:
-        self._heartbeat_at[name] = max(at, self._heartbeat_at.get(name, at))
+    def _record_life(self, name: str, store_time: float, now: float) -> None:
+        known_at = self._heartbeat_at.get(name, store_time)
+        self._heartbeat_at[name] = max(store_time, known_at)
+        self._seen_at[name] = max(now, self._seen_at.get(name, now))
 
     def suspects(self, now: float) -> list[HostRecord]:
         """Return the other hosts without a sign of life lately that may still run."""
@@ -192,8 +217,10 @@
         """Return the addresses for callers; ``own`` is None while not ready.
 
         They are those of the working set, or of all ready hosts if it has none left.
+        Hosts that ended in an outage of the store are left out soon after it, while
+        they still count for all else.
         """
-        ready = self.ready_hosts()
+        ready = [host for host in self.ready_hosts() if not self._is_silent(host.name)]
         members = self.working_set.names
         ready_members = [record for record in ready if record.name in members]
         others = self._choose(ready_members or ready)
@@ -269,6 +296,15 @@
     def _is_running(self, name: str) -> bool:
         return self._age(name) <= HEARTBEAT_TIMEOUT_SECONDS
 
+    def _is_silent(self, name: str) -> bool:
+        """Return whether a host gave no sign of life though it could have.
+
+        Judged by the reads, so that one that is under way counts against no host.
+        """
+        answered = self._last_read_at - self._returned_at
+        silent = self._last_read_at - self._seen_at[name]
+        return answered >= RETURN_SECONDS and silent >= SILENT_SECONDS
+
     def _has_failed(self, name: str) -> bool:
         return self._age(name) > HOST_FAILURE_TIMEOUT_SECONDS
 
--- a/tests/core/directory/test_host_directory.py
+++ b/tests/core/directory/test_host_directory.py
@@ -45,6 +45,39 @@
     assert directory.addresses("own:80") == ["own:80", "b:80"]
 
 
+def test_host_that_ended_in_an_outage_is_left_out_soon_after_it():
+    """Callers were sent to it until 5 s of store time had passed after the return."""
+    directory = directory_with(("own", "b", "c"))
+    directory.store_answered(1.5)
+    directory.apply_heartbeat("b", 10, heartbeat("b", 2))
+    directory.store_lost()
+    for number, now in enumerate((4.8, 6.3, 7.8)):
+        assert "b:80" in directory.addresses("own:80")
+        directory.apply_heartbeat("c", 20 + number, heartbeat("c", 2 + number))
+        directory.store_answered(now)
+    assert directory.addresses("own:80") == ["own:80", "c:80"]
+    assert [host.name for host in directory.running_hosts()] == ["b", "c"]
+
+
+def test_host_that_answered_directly_in_an_outage_stays_in_the_directory():
+    """Its heartbeats are not written yet, though the store is read."""
+    directory = directory_with(("own", "b"))
+    directory.store_lost()
+    directory.apply_direct(heartbeat("b"), 60.0)
+    for now in (58.0, 59.5, 61.0):
+        directory.store_answered(now)
+    assert "b:80" in directory.addresses("own:80")
+
+
+def test_outage_before_the_first_read_leaves_nobody_out():
+    """Heartbeats of the first listing may have been written just before it."""
+    directory = HostDirectory("own")
+    directory.apply_heartbeat("b", 1, heartbeat("b"))
+    for now in (1000.0, 1001.5, 1003.0):
+        directory.store_answered(now)
+    assert directory.addresses(None) == ["b:80"]
+
+
 def test_heartbeat_read_twice_or_late_counts_once():
     """An older record neither makes a host ready again nor replaces a newer one."""
     directory = directory_with(("own", "b"))
