Give no permits for endpoints of an emptied data centre

Cause: a host that has not read the record asks owners that have.

Change: PermitDesk denies such permits.

--- a/src/knapweeddrum/process/entry/permit_desk.py
+++ b/src/knapweeddrum/process/entry/permit_desk.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from knapweeddrum.core.placing.endpoint_limits import lower_limit
+from knapweeddrum.core.placing.endpoint_states import instance_name
 from knapweeddrum.core.placing.permit_bucket import MIN_PER_SECOND, PermitBucket
 from knapweeddrum.message.call.endpoint_permit import (
     LimitNews,
@@ -82,6 +83,9 @@
         self._report_owner(instance, owners)
         if owners:
             return self._deny(NOT_OWNER_WAIT_SECONDS, req.limit)
+        if self._is_emptied(instance):
+            # The host that asks has not read the record yet.
+            return self._deny(WITHHELD_WAIT_SECONDS, req.limit)
         ctx.endpoint_limits.merge([req.limit], now)
         told = ctx.endpoint_limits.tell(instance, now)
         named = ctx.endpoint_limits.named(instance)
@@ -105,6 +109,15 @@
         wait = self._wait(instance, bucket, req.sender, per_second, now)
         return self._deny(wait, told)
 
+    def _is_emptied(self, instance: EndpointName) -> bool:
+        """Return whether the endpoint's data centre gets no new work."""
+        ctx = self._ctx
+        return any(
+            ctx.emptied.is_emptied(entry.data_centre)
+            for entry in ctx.service_list.all()
+            if instance_name(entry) == instance
+        )
+
     def _report_owner(
         self, instance: EndpointName, owners: tuple[HostRecord, ...]
     ) -> None:
--- a/tests/process/entry/cold_day.py
+++ b/tests/process/entry/cold_day.py
@@ -20,9 +20,11 @@
 MAX_IN_A_SECOND = 16
 """Whole part of 7.5 x 1.5 + 5."""
 COLD_AT = 10.0
-"""Time at which the endpoints become cold, in entries that are read at once."""
+"""Time at which the endpoints become cold."""
 COLD_SECONDS = 100.0
 READ_SECONDS = 0.5
+WRITE_SECONDS = 1.2
+"""Time between two entries of an endpoint; its position tells when one was written."""
 CONNECT_SECONDS = 0.25
 SLOW_CONNECTS = 0.2
 """Part of the requests that wait for a connection."""
@@ -45,6 +47,7 @@
     ) -> None:
         super().__init__(plan, seed)
         self._freezes = freezes
+        self.cold_from = COLD_AT
 
     @property
     def most_in_a_second(self) -> int:
@@ -52,11 +55,18 @@
 
         They are counted from when hosts that are cut off take their list for old.
         """
+        return self.most_from(COLD_AT + LIST_OLD_SECONDS)
+
+    def most_from(self, begun: float) -> int:
+        """Return the most arrivals at one endpoint in any second from a time on."""
         return max(
-            sum(1 for at in times if first <= at < first + 1.0)
-            for times in self.arrivals.values()
-            for first in times
-            if first >= COLD_AT + LIST_OLD_SECONDS
+            (
+                sum(1 for at in times if first <= at < first + 1.0)
+                for times in self.arrivals.values()
+                for first in times
+                if first >= begun
+            ),
+            default=0,
         )
 
     def prepare(self, host: LimitHost) -> None:
@@ -77,16 +87,21 @@
             for host in self.hosts:
                 is_cut = host.number in self.store.cut
                 if host.is_running and not is_cut and not self._frozen_for(host):
-                    self._read_list(host)
+                    self.read_store(host)
             await anyio.sleep(READ_SECONDS)
 
+    def read_store(self, host: LimitHost) -> None:
+        """Read what was written to the store since the read before."""
+        self._read_list(host)
+
     def _read_list(self, host: LimitHost) -> None:
         now = anyio.current_time()
         cold = host.ctx.endpoint_limits.cold
-        left = COLD_SECONDS if now >= COLD_AT else 0.0
+        written_at = now - now % WRITE_SECONDS
+        left = COLD_SECONDS if written_at >= self.cold_from else 0.0
         for entry in self.entries:
             written = dataclasses.replace(entry, cold_remaining=left)
-            position = int(now * 1000)
+            position = int(written_at * 1000)
             cold.observe_entry(instance_name(entry), written, position, now)
         listed = [instance_name(entry) for entry in self.entries]
         cold.observe_read(listed, now, int(now * 1000) + 1)
