--- a/src/knapweeddrum/console/commands/host_state_command.py
+++ b/src/knapweeddrum/console/commands/host_state_command.py
@@ -12,6 +12,7 @@
 from knapweeddrum.message.call.host_state import (
     BudgetRow,
     CrashRow,
+    EmptiedRow,
     EndpointRow,
     HostState,
 )
@@ -26,6 +27,7 @@
     "IN FLIGHT",
     "LOAD",
     "LIMIT",
+    "COLD",
 )
 BUDGETS_HEADING = (
     "ORGANISATION",
@@ -45,8 +47,11 @@
 class HostStateCommand(Command):
     """Show the state of a host's entry process.
 
-    The address is the one at which the process serves its metrics. Hosts claim prepaid
-    tokens, that is, set them aside for themselves; CLAIMED counts those of all hosts.
+    The address is the one at which the process serves its metrics. COLD tells for how
+    long an endpoint still takes few requests a second, or that its next entry is to
+    tell. Emptied data centres are shown with when this host learnt of them. Hosts claim
+    prepaid tokens, that is, set them aside for themselves; CLAIMED counts those of all
+    hosts.
     UNOPENED tokens are claimed by this host but locked: spendable only with the consent
     of its witness, another entry process. LENT and BORROWED are tokens lent to and
     borrowed from other hosts. IN DOUBT tells whether this host wrote a claim and does
@@ -95,6 +100,7 @@
         ("claims known up to offset", str(state.claims_end)),
         ("store era", str(state.store_era) if state.store_era else "not told"),
         ("claims", _claims_text(state)),
+        ("emptied data centres", _emptied_text(state.emptied)),
         ("ready hosts", ", ".join(state.ready_hosts) or "none"),
         ("working set", ", ".join(state.working_set) or "none"),
         (
@@ -134,9 +140,21 @@
         str(row.in_flight),
         f"{row.load:g}",
         "none" if row.limit is None else f"{row.limit:g}/s",
+        _cold_text(row.cold_left),
     )
 
 
+def _cold_text(left: float | None) -> str:
+    if left is None:
+        return "no"
+    return f"{left:.1f} s" if left else "until told"
+
+
+def _emptied_text(rows: list[EmptiedRow]) -> str:
+    texts = [f"{row.data_centre} ({_age_text(row.age)})" for row in rows]
+    return ", ".join(texts) or "none"
+
+
 def _budget_row(row: BudgetRow) -> tuple[str, ...]:
     return (
         row.organisation,
--- a/src/knapweeddrum/core/placing/cold_endpoints.py
+++ b/src/knapweeddrum/core/placing/cold_endpoints.py
@@ -71,6 +71,15 @@
             entry.service, entry.data_centre, entry.number, position, cold_until
         )
 
+    def is_called_cold(self, instance: EndpointName, now: float) -> bool:
+        """Return whether an entry tells that an endpoint is cold now."""
+        known = self._known.get(instance)
+        return (
+            known is not None
+            and known.service in self._ramps
+            and now < known.cold_until
+        )
+
     def observe_read(
         self, listed: Collection[EndpointName], asked_at: float, end: int
     ) -> None:
--- a/src/knapweeddrum/message/call/host_state.py
+++ b/src/knapweeddrum/message/call/host_state.py
@@ -18,7 +18,9 @@
     load: float
     """Requests that run or wait there, as far as this host knows."""
     limit: float | None = None
-    """Requests a second that it takes from all hosts, None if it names no limit."""
+    """Requests a second that it takes from all hosts, None if it has no limit."""
+    cold_left: float | None = None
+    """Seconds for which it stays cold; 0 if an entry is yet to tell, None if warm."""
 
 
 class BudgetRow(msgspec.Struct, frozen=True):
@@ -43,6 +45,14 @@
     """Whether a conditional write of the claim here has an unknown outcome."""
 
 
+class EmptiedRow(msgspec.Struct, frozen=True):
+    """A data centre that gets no new work."""
+
+    data_centre: str
+    age: float
+    """Seconds since this host learnt of it."""
+
+
 class CrashRow(msgspec.Struct, frozen=True):
     """A request under which endpoints crashed."""
 
@@ -84,3 +94,4 @@
     """Whether tokens may be claimed in that era."""
     missing_hosts: list[str] = []
     """Incarnations that claims wait for after a return of the store."""
+    emptied: list[EmptiedRow] = []
--- a/src/knapweeddrum/process/entry/host_state_page.py
+++ b/src/knapweeddrum/process/entry/host_state_page.py
@@ -11,6 +11,7 @@
 from knapweeddrum.message.call.host_state import (
     BudgetRow,
     CrashRow,
+    EmptiedRow,
     EndpointRow,
     HostState,
 )
@@ -56,9 +57,14 @@
             working_set=sorted(ctx.hosts.working_set.names),
             capacity=own.capacity,
             request_rate=own.request_rate,
+            emptied=[
+                EmptiedRow(name, round(now - since, 3))
+                for name, since in ctx.emptied.emptied_since().items()
+            ],
         )
 
     def _endpoints(self, now: float) -> list[EndpointRow]:
+        limits = self._ctx.endpoint_limits
         return [
             EndpointRow(
                 endpoint=state.entry.endpoint_id,
@@ -68,7 +74,8 @@
                 condition=state.condition(now),
                 in_flight=state.in_flight,
                 load=state.load(now),
-                limit=self._ctx.endpoint_limits.limit(instance_name(state.entry), now),
+                limit=limits.limit(instance_name(state.entry), now),
+                cold_left=limits.cold.cold_left(instance_name(state.entry), now),
             )
             for state in self._ctx.endpoint_states.all()
         ]
--- a/src/knapweeddrum/process/entry/service_list_reader.py
+++ b/src/knapweeddrum/process/entry/service_list_reader.py
@@ -15,6 +15,7 @@
 from knapweeddrum.process.entry.stream_follower import RecordReader
 from knapweeddrum.process.entry.stream_read import StreamRead
 from knapweeddrum.telemetry.events import (
+    ENDPOINT_COLD,
     ENDPOINT_LISTED,
     ENDPOINT_UNLISTED,
 )
@@ -91,8 +92,21 @@
         if apply(record.key, record.offset, entry):
             self._log_change(record.key, entry)
         if entry is not None:
-            cold = self._ctx.endpoint_limits.cold
-            cold.observe_entry(instance_name(entry), entry, record.offset, now)
+            self._apply_cold_time(entry, record.offset, now)
+
+    def _apply_cold_time(self, entry: EndpointEntry, offset: int, now: float) -> None:
+        cold = self._ctx.endpoint_limits.cold
+        instance = instance_name(entry)
+        was_cold = cold.is_called_cold(instance, now)
+        cold.observe_entry(instance, entry, offset, now)
+        if was_cold or not cold.is_called_cold(instance, now):
+            return
+        self._ctx.events.emit(
+            ENDPOINT_COLD,
+            endpoint=entry.endpoint_id,
+            service=entry.service,
+            seconds=round(cold.cold_left(instance, now) or 0.0, 3),
+        )
 
     def _drop(self, record: KeyedRecord, now: float) -> None:
         if self._ctx.service_list.apply_removal(record.key, record.offset, now):
--- a/tests/platform/test_entry_codecs.py
+++ b/tests/platform/test_entry_codecs.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from knapweeddrum.core.catalog.cold_ramp import ColdRamp
 from knapweeddrum.core.catalog.route_kind import RouteKind
 from knapweeddrum.core.prepaid.token_claim import TokenClaim
 from knapweeddrum.http.client_connection import RawReplyHead
@@ -133,6 +134,24 @@
             decode_endpoint_entry("e", json.dumps({**good, **change}).encode())
 
 
+def test_cold_times_are_seconds_and_no_odd_one_loses_the_entry():
+    """An endpoint whose entry is lost gets no requests."""
+    for value, seconds in ((1500, 1.5), (0, 0.0), ("soon", None), (-1, None)):
+        body = json.dumps({**ENTRY, "coldRemainingMs": value}).encode()
+        entry = decode_endpoint_entry("e", body)
+        assert (entry.cold_remaining, entry.number) == (seconds, 3)
+    assert decode_endpoint_entry("e", json.dumps(ENTRY).encode()).cold_remaining == 0.0
+
+
+def test_service_without_a_cold_time_has_no_ramp():
+    """Its endpoints get as many requests as before."""
+    document = configuration()
+    document["services"][0].update(coldStartS=20, coldPerS=7.5)
+    document["services"][1].update(coldStartS=0, coldPerS=7.5)
+    decoded = decode_configuration(json.dumps(document).encode())
+    assert decoded.ramps == {"engine": ColdRamp(7.5, 20.0)}
+
+
 def test_claim_keeps_an_organisation_name_with_the_separator():
     """An organisation's name may contain the key's separator."""
     claim = TokenClaim("a|b", "host-1/entry/1", 7, 5, 6, "host-2/entry/1")
--- a/tests/process/entry/test_host_state.py
+++ b/tests/process/entry/test_host_state.py
@@ -10,7 +10,7 @@
 from knapweeddrum.message.call.host_state import HostState
 from tests.async_test import async_test
 from tests.console.test_client_commands import run
-from tests.process.entry.entry_harness import entry_harness
+from tests.process.entry.entry_harness import configuration, entry_harness
 from tests.standins.platform_store import PlatformStore
 from tests.standins.stamped_server import Behaviour, StampedServer
 
@@ -62,3 +62,27 @@
         url = f"http://{harness.metrics_address}"
         ran = await anyio.to_thread.run_sync(run, "host-state", url)
         assert "suspended, missing: none" in ran.out, ran.out
+
+
+@async_test
+async def test_operators_see_cold_endpoints_and_emptied_data_centres():
+    """Both explain why an endpoint that answers gets few requests or none."""
+    engine = StampedServer("engine-1", events=2)
+    document = configuration()
+    document["services"][0].update(coldStartS=20, coldPerS=7.5)  # type: ignore[index]
+    async with entry_harness(engines=(engine,), document=document) as harness:
+        entry = engine.entry("engine", coldRemainingMs=60_000, seq=2)
+        harness.store.put("keyed.servers", "engine-1", entry)
+        harness.store.put("keyed.op", "evacuate/zone-a", {})
+        with anyio.fail_after(10.0):
+            await harness.wait_for_event("endpoint_cold")
+            await harness.wait_for_event("data_centre_emptied")
+        answer = await harness.get(harness.metrics_address, "/state")
+        state = msgspec.json.decode(answer.body, type=HostState)
+        (row,) = state.endpoints
+        assert row.limit == 7.5
+        assert row.cold_left is not None and 30 < row.cold_left <= 60
+        assert [row.data_centre for row in state.emptied] == ["zone-a"]
+        url = f"http://{harness.metrics_address}"
+        ran = await anyio.to_thread.run_sync(run, "host-state", url)
+        assert "zone-a (" in ran.out, ran.out
