--- a/tests/process/entry/cold_day.py
+++ b/tests/process/entry/cold_day.py
@@ -48,6 +48,8 @@
         super().__init__(plan, seed)
         self._freezes = freezes
         self.cold_from = COLD_AT
+        self.requested: list[float] = []
+        """Times at which callers sent requests."""
 
     @property
     def most_in_a_second(self) -> int:
@@ -124,6 +126,7 @@
         return not frozen and super().reaches(one, other)
 
     async def _request(self, host: LimitHost) -> None:
+        self.requested.append(anyio.current_time())
         await anyio.sleep(self._frozen_for(host))
         await super()._request(host)
 
--- a/tests/process/entry/test_cold_day.py
+++ b/tests/process/entry/test_cold_day.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import dataclasses
+
 from nose2.tools import params
 
 from tests.process.entry.cold_day import (
@@ -17,6 +19,11 @@
 SECONDS = 26.0
 MAX_READING_HOSTS = 62
 DEMAND = 90.0
+CALM_DEMAND = 9.0
+OUTAGE_FROM = COLD_AT + 3.0
+"""Time from which on all lists are old."""
+OUTAGE_TO = COLD_AT + 11.0
+MIN_SERVED = 0.95
 
 
 def _plan(hosts: int, *troubles: Trouble) -> LimitPlan:
@@ -65,3 +72,20 @@
     """What they were permitted before they stood still comes too late."""
     half = tuple(range(0, hosts, 2))
     _play(_plan(hosts), Freeze(COLD_AT + 3.0, 2.0, half), Freeze(18.0, 5.0, (1, 2)))
+
+
+@params(7, 62)
+def test_calm_callers_are_served_in_an_outage_of_the_store(hosts: int):
+    """Nobody reads whether endpoints became cold, so each request takes a permit."""
+    outage = Trouble(TroubleKind.STORE_CUT, COLD_AT - 1.0, 12.0)
+    plan = dataclasses.replace(_plan(hosts, outage), demand=CALM_DEMAND)
+    for seed in SEEDS:
+        day = ColdDay(plan, seed)
+        day.cold_from = float("inf")
+        day.play()
+        counted = [
+            sum(OUTAGE_FROM <= at < OUTAGE_TO for at in times)
+            for times in (day.requested, *day.arrivals.values())
+        ]
+        served = sum(counted[1:]) / counted[0]
+        assert served >= MIN_SERVED, served
--- a/tests/process/entry/test_emptied_data_centre.py
+++ b/tests/process/entry/test_emptied_data_centre.py
@@ -11,10 +11,12 @@
 from knapweeddrum.platform.fleet_codec import encode_heartbeat
 from knapweeddrum.platform.streams import EMPTIED_KEY_PREFIX
 from knapweeddrum.process.entry.attempt_error import AttemptError
+from knapweeddrum.process.entry.crash_detector import CrashDetector
 from knapweeddrum.process.entry.endpoint_attempt import endpoint_attempt
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.fleet_view import FleetView
 from knapweeddrum.process.entry.host_reader import HostReader
+from knapweeddrum.process.entry.lost_connection import LossCause, LostConnection
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.value.host_record import HostRecord
 from knapweeddrum.value.retry_reason import RetryReason
@@ -29,6 +31,7 @@
 )
 from tests.process.entry.entry_harness import Answer, entry_harness
 from tests.standins.platform_store import PlatformStore
+from tests.standins.recording_event_log import RecordingEventLog
 from tests.standins.stamped_server import StampedServer
 
 KEY = f"{EMPTIED_KEY_PREFIX}zone-a"
@@ -71,6 +74,25 @@
     assert pool.released == 1
 
 
+@async_test
+async def test_lost_connection_to_an_emptied_data_centre_is_not_probed():
+    """The detector connects to find out whether the endpoint crashed."""
+    ctx = _context()
+    server = StampedServer("e1")
+    send, receive = anyio.create_memory_object_stream[LostConnection](1)
+    async with server.serve() as address:
+        entry = EndpointEntry("e1", "engine", address, "a", 8)
+        ctx.service_list.apply_entry("e1", 1, entry)
+        state = EndpointState(entry)
+        ctx.emptied.apply("a", 7, is_emptied=True, now=time.monotonic())
+        loss = LostConnection(state, time.monotonic(), LossCause.CONNECTION_LOST)
+        send.send_nowait(loss)
+        with anyio.move_on_after(0.6):
+            await CrashDetector(ctx, receive).run()
+    assert server.connections == 0
+    assert "endpoint_examined" in cast("RecordingEventLog", ctx.events).names
+
+
 @async_test
 async def test_host_learns_of_an_emptied_data_centre_from_a_heartbeat():
     """A host that starts after the store lost the record reads the heartbeats."""
