Tell a host that has just started of data centres that were taken back

Cause: such a host has read neither record and ignored what others told of the removal, as its own listing reached further; entries that it had read may be older than the removal.

Change: told removals count in any case; the test fails before.

--- a/src/knapweeddrum/core/catalog/emptied_data_centres.py
+++ b/src/knapweeddrum/core/catalog/emptied_data_centres.py
@@ -79,13 +79,15 @@
     def merge(self, told: Iterable[ToldDataCentre], now: float) -> list[ToldDataCentre]:
         """Apply what another host knows; return what is newer.
 
-        A record that this host would have read itself was replaced since, unless it
-        knows the same.
+        A record that this host would have read itself was replaced since. A removal
+        counts in any case: a host that has just started did not read it, and what it
+        knows of the endpoints may be older.
         """
         news = []
         for item in told:
             is_same_era = era_of(item.position) == era_of(self._read_end)
-            if is_same_era and item.position < self._read_end:
+            is_read = is_same_era and item.position < self._read_end
+            if is_read and item.is_emptied:
                 continue
             if item.name not in self._known and len(self._known) >= MAX_NAMES:
                 continue
--- a/tests/core/catalog/test_emptied_data_centres.py
+++ b/tests/core/catalog/test_emptied_data_centres.py
@@ -64,3 +64,12 @@
     starting.record_read(store_position(ERA, 8))
     assert starting.merge(_emptied().told(), 2.0) == []
     assert not starting.is_emptied("b")
+
+
+def test_host_that_starts_after_a_removal_is_told_of_it():
+    """Its listing has neither record, and the entries that it reads may be older."""
+    starting = EmptiedDataCentres()
+    starting.record_read(store_position(ERA, 8))
+    removal = ToldDataCentre("b", store_position(ERA, 7), False)
+    assert starting.merge([removal], 2.0) == [removal]
+    assert not starting.is_emptied("b")
