Give no permits before a host has read who else lives

Cause: a host that starts while it doesn't reach the store takes itself for the only one and the owner of all, and HostStanding.share gives it everything. Others ask it by the heartbeats of its start before.

Change: EntryContext.permit_share is 0 until the hosts have been read.

The test of it fails without the change (fault injected).

--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -203,7 +203,12 @@
         )
 
     def permit_share(self, now: float) -> float:
-        """Return the part of an endpoint's permits that this host may give as owner."""
+        """Return the part of an endpoint's permits that this host may give as owner.
+
+        One that has not read yet who else lives takes itself for every owner.
+        """
+        if self.hosts_read_at == float("-inf"):
+            return 0.0
         return self.standing.share(
             [host.name for host in self.hosts.running_hosts()],
             self.hosts.writing_names(),
--- a/tests/process/entry/test_send_check.py
+++ b/tests/process/entry/test_send_check.py
@@ -3,6 +3,8 @@
 import time
 from typing import cast
 
+import anyio
+
 from knapweeddrum.core.catalog.cold_ramp import ColdRamp
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.core.placing.endpoint_state import EndpointState
@@ -24,6 +26,7 @@
     make_context,
 )
 
+RATE = 7.5
 ENTRY = EndpointEntry("e1", "engine", "10.0.0.1:1", "a", 8, cold_remaining=60.0)
 STATE = EndpointState(ENTRY)
 
@@ -34,7 +37,7 @@
     ctx = make_context(0, ClaimRacePlan(hosts=1), store)
     now = time.monotonic()
     cold = ctx.endpoint_limits.cold
-    cold.set_ramps({"engine": ColdRamp(7.5, 20.0)})
+    cold.set_ramps({"engine": ColdRamp(RATE, 20.0)})
     cold.observe_entry(instance_name(ENTRY), ENTRY, 1, now)
     cold.observe_read([instance_name(ENTRY)], now, 2)
     return ctx
@@ -62,5 +65,20 @@
     desk = PermitDesk(_context())
     warm = PermitRequest("e2", None, 1e6, "host-1/1")
     assert desk.give(warm).is_given
-    cold = PermitRequest("e3", None, 1e6, "host-1/1", cold_per_second=7.5)
+    cold = PermitRequest("e3", None, 1e6, "host-1/1", cold_per_second=RATE)
     assert not desk.give(cold).is_given
+
+
+@async_test
+async def test_host_that_has_not_read_who_lives_gives_no_permit():
+    """Others may ask it by the heartbeats of its start before; they have an owner."""
+    ctx = _context()
+    desk = PermitDesk(ctx)
+    question = PermitRequest(instance_name(ENTRY), None, 1e6, "host-1/1")
+    for _ in range(2):
+        assert not desk.give(question).is_given
+        await anyio.sleep(3 / RATE)
+    ctx.hosts_read_at = time.monotonic()
+    assert not desk.give(question).is_given
+    await anyio.sleep(3 / RATE)
+    assert desk.give(question).is_given
