--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -36,6 +36,7 @@
 from knapweeddrum.process.entry.lost_connection import LossCause, LostConnection
 from knapweeddrum.process.entry.notice_recorder import record_notices
 from knapweeddrum.process.entry.request_job import RequestJob
+from knapweeddrum.process.entry.send_check import require_sendable
 from knapweeddrum.telemetry.counters import FIRST_ARRIVALS, REPEATED_ARRIVALS
 from knapweeddrum.value.retry_reason import RetryReason
 from knapweeddrum.value.run_state import RunState
@@ -176,15 +177,28 @@
     ctx: EntryContext, job: RequestJob, state: EndpointState
 ) -> ClientConnection:
     """Return a connection that suits the request; raises AttemptError."""
+    require_sendable(ctx, job, state)
     conn = await _open_connection(ctx, job, state)
     suits = False
     try:
-        suits = await _suits(ctx, job, state, conn)
+        require_sendable(ctx, job, state)
+        is_suitable = await _suits(ctx, job, state, conn)
+        require_sendable(ctx, job, state)
+        suits = is_suitable
     finally:
         if not suits:
             with anyio.CancelScope(shield=True):
                 await ctx.pool.release(connection_key(state.entry), conn)
-    return conn if suits else await _open_connection(ctx, job, state)
+    if suits:
+        return conn
+    conn = await _open_connection(ctx, job, state)
+    try:
+        require_sendable(ctx, job, state)
+    except AttemptError:
+        with anyio.CancelScope(shield=True):
+            await ctx.pool.release(connection_key(state.entry), conn)
+        raise
+    return conn
 
 
 async def _suits(
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -142,6 +142,8 @@
                 state = await self._permits.choose(
                     self._choose_endpoint, self._candidates, self._job.deadline
                 )
+                job = self._job
+                job.permit_at = self._permits.permit_time(state)
                 try:
                     await self._attempt(state)
                     return
@@ -211,11 +213,12 @@
         ctx = self._ctx
         job = self._job
         if job.stream_version is None:
-            return ctx.endpoint_states.of_service(job.service)
+            return ctx.in_use(ctx.endpoint_states.of_service(job.service))
         now = time.monotonic()
+        states = ctx.endpoint_states.of_version(job.service, job.stream_version)
         return [
             state
-            for state in ctx.endpoint_states.of_version(job.service, job.stream_version)
+            for state in ctx.in_use(states)
             if ctx.endpoint_history.takes_streams(state, ctx.settings.drain_delay, now)
             and not ctx.instances.has_ended(instance_name(state.entry))
         ]
@@ -252,6 +255,9 @@
         job = self._job
         now = time.monotonic()
         self._log.attempt_failed(exc)
+        if exc.reason is RetryReason.PERMIT_LAPSED:
+            # The endpoint may be asked for another permit.
+            job.tried.discard(job.endpoint_id)
         if exc.reason in NOT_SENT_REASONS:
             job.connect_failures += 1
         elif exc.run_state is RunState.NOT_RUN:
--- a/src/knapweeddrum/process/entry/service_list_reader.py
+++ b/src/knapweeddrum/process/entry/service_list_reader.py
@@ -7,6 +7,7 @@
 import anyio
 
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
+from knapweeddrum.core.placing.endpoint_states import instance_name
 from knapweeddrum.platform.exceptions import MalformedRecordError
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.service_list_codec import decode_endpoint_entry
@@ -14,6 +15,7 @@
 from knapweeddrum.process.entry.stream_follower import RecordReader
 from knapweeddrum.process.entry.stream_read import StreamRead
 from knapweeddrum.telemetry.events import (
+    ENDPOINT_COLD,
     ENDPOINT_LISTED,
     ENDPOINT_UNLISTED,
 )
@@ -34,7 +36,7 @@
         """Apply all entries and drop endpoints that are missing from the listing."""
         known = list(records)
         for record in known:
-            self._apply(record, self._ctx.service_list.apply_listed_entry)
+            self._apply(record, self._ctx.service_list.apply_listed_entry, now)
         self._ctx.service_list.apply_listing({record.key for record in known}, end, now)
 
     def apply_records(self, records: Iterable[KeyedRecord], now: float) -> None:
@@ -43,7 +45,7 @@
             if record.value is None:
                 self._drop(record, now)
                 continue
-            self._apply(record, self._ctx.service_list.apply_entry)
+            self._apply(record, self._ctx.service_list.apply_entry, now)
 
     def on_store_lost(self) -> None:
         """Keep entries that expire while the store can't be reached."""
@@ -61,6 +63,9 @@
         self._ctx.endpoint_history.observe(
             entries, read.asked_at, read.received_at, read.next_offset
         )
+        self._ctx.endpoint_limits.cold.observe_read(
+            self._ctx.listed_instances(), read.asked_at, read.next_offset
+        )
         self._ctx.instances.observe(entries, self._written, read.asked_at)
         self._written.clear()
         self._ctx.service_list_read.set()
@@ -80,11 +85,28 @@
         self,
         record: KeyedRecord,
         apply: Callable[[str, int, EndpointEntry | None], bool],
+        now: float,
     ) -> None:
         entry = self._decode(record, record.value or b"")
         self._written.add(record.key)
         if apply(record.key, record.offset, entry):
             self._log_change(record.key, entry)
+        if entry is not None:
+            self._apply_cold_time(entry, record.offset, now)
+
+    def _apply_cold_time(self, entry: EndpointEntry, offset: int, now: float) -> None:
+        cold = self._ctx.endpoint_limits.cold
+        instance = instance_name(entry)
+        was_cold = cold.is_called_cold(instance, now)
+        cold.observe_entry(instance, entry, offset, now)
+        if was_cold or not cold.is_called_cold(instance, now):
+            return
+        self._ctx.events.emit(
+            ENDPOINT_COLD,
+            endpoint=entry.endpoint_id,
+            service=entry.service,
+            seconds=round(cold.cold_left(instance, now) or 0.0, 3),
+        )
 
     def _drop(self, record: KeyedRecord, now: float) -> None:
         if self._ctx.service_list.apply_removal(record.key, record.offset, now):
--- a/src/knapweeddrum/value/host_record.py
+++ b/src/knapweeddrum/value/host_record.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from knapweeddrum.value.documents import Count, Measure
+from knapweeddrum.value.told_data_centre import ToldDataCentre
 from knapweeddrum.value.told_limit import ToldLimit
 
 UNKNOWN_CAPACITY = 25.0
@@ -34,3 +35,5 @@
     """Limits of endpoints that it knows of."""
     sheds: bool = False
     """Whether it turns new connections away at times, as its link is full."""
+    emptied: tuple[ToldDataCentre, ...] = ()
+    """Data centres that were emptied, or taken back since."""
