--- a/tests/process/entry/cold_day.py
+++ b/tests/process/entry/cold_day.py
@@ -75,9 +75,6 @@
         cold = host.ctx.endpoint_limits.cold
         cold.set_ramps({"engine": ColdRamp(COLD_PER_SECOND, COLD_SECONDS)})
         self._read_list(host)
-        if self.plan.reads_heartbeats:
-            # A host that starts has read nothing, as make_context takes it to have.
-            host.ctx.hosts.store_lost()
 
     async def _callers(self) -> None:
         async with anyio.create_task_group() as tasks:
--- a/tests/process/entry/limit_day.py
+++ b/tests/process/entry/limit_day.py
@@ -440,7 +440,10 @@
     ctx.configuration = cast("Configuration", object())
     ctx.claims_loaded = ctx.crash_records_loaded = ctx.versions_recalled = True
     ctx.service_list_read_at = 0.0
-    if not day.plan.reads_heartbeats:
+    if day.plan.reads_heartbeats:
+        # make_context takes the heartbeats for read since the day began.
+        ctx.hosts.store_lost()
+    else:
         ctx.hosts_read_at = 0.0
     _apply_entries(ctx, day.entries, 0)
     return ctx
