--- a/tests/process/entry/entry_harness.py
+++ b/tests/process/entry/entry_harness.py
@@ -213,6 +213,7 @@
     document: dict[str, object] | None = None,
     name: str = "host-1",
     program: pathlib.Path = RUN_ENTRY,
+    limits: str = "",
 ) -> AsyncIterator[EntryHarness]:
     """Run an entry process that is ready, with the servers in its service list."""
     store = store or PlatformStore()
@@ -224,7 +225,7 @@
                 store.put("keyed.servers", server.server_id, server.entry(service))
         store.put("keyed.op", "config", document or configuration())
         harness = await stack.enter_async_context(
-            entry_process(store, store_address, name, program=program)
+            entry_process(store, store_address, name, program=program, limits=limits)
         )
         await harness.wait_until_ready()
         yield harness
@@ -238,14 +239,16 @@
     *,
     first_start: bool = False,
     program: pathlib.Path = RUN_ENTRY,
+    limits: str = "",
 ) -> AsyncIterator[EntryHarness]:
-    """Run one entry process on free ports."""
+    """Run one entry process on free ports; ``limits`` are lines of that section."""
     ports = free_ports(5)
     addresses = [f"127.0.0.1:{port}" for port in ports]
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / "host.toml"
         text = settings_text(name, store_address, addresses)
-        path.write_text(f"bootstrap = {str(first_start).lower()}\n{text}")
+        text = f"bootstrap = {str(first_start).lower()}\n{text}\n[limits]\n{limits}"
+        path.write_text(text)
         command = [
             sys.executable,
             str(program),
--- a/tests/standins/stamped_server.py
+++ b/tests/standins/stamped_server.py
@@ -96,6 +96,7 @@
         self.runs: list[HeaderList] = []
         self.targets: list[bytes] = []
         self.bodies: list[bytes] = []
+        self.max_body_bytes = MAX_BODY_BYTES
         self.arrivals = 0
         self.cancelled = 0
         self.connections = 0
@@ -148,7 +149,7 @@
         received = await conn.next_request(IDLE_TIMEOUT_SECONDS, IDLE_TIMEOUT_SECONDS)
         if received is None:
             return False
-        body = await conn.read_body(MAX_BODY_BYTES, IDLE_TIMEOUT_SECONDS)
+        body = await conn.read_body(self.max_body_bytes, IDLE_TIMEOUT_SECONDS)
         if received.target == REPORT_TARGET:
             await self._report(conn)
             return conn.finish()
