Ask for the bytes that a server connection holds, and write in slices

Cause: bodies are gathered, and answers and requests handed to the transport whole, however many there are. A connection that serves requests sent ahead got another 64 KiB into its parser with each request: wait_for_disconnect counted what it read itself, not what the parser still had.

Change: ServerConnection takes a ConnectionRoom, tells it its phase and asks it for bytes; without one nothing is bounded. Bodies are joined once. Requests and answers above 64 KiB are written in slices that the peer has to take within 15 s each. What the parser holds counts as read ahead. Listener takes a gate that may close a connection it has accepted. ConnectionPool may have a limit over all servers, and sizes for the kernel's buffers.

Ruled out: a smaller MAX_READ_AHEAD_BYTES, which would grow just the same.

Measured: with the parser left out of the count, 20 requests served of 100,000 sent ahead bring the held bytes to 2.6 MB (bound 0.2 MB); the new test fails. 8 tests of tests.http.test_server_connection pass.

--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -25,6 +25,7 @@
     PeerRefusedError,
 )
 from knapweeddrum.http.header_list import Header, HeaderList
+from knapweeddrum.http.socket_writing import limit_buffers, write_slices
 from knapweeddrum.value.body_framing import BodyFraming
 from knapweeddrum.value.whole_number import parse_whole_number
 
@@ -108,6 +109,11 @@
             raise NotSentError(f"{address}: {exc!r}") from exc
         return cls(stream)
 
+    def limit_buffers(self, size: int) -> None:
+        """Fix the sizes of the kernel's buffers."""
+        with contextlib.suppress(OSError):
+            limit_buffers(self._stream, size)
+
     @contextlib.asynccontextmanager
     async def exchange(
         self, method: bytes, target: bytes, headers: list[Header], body: bytes
@@ -119,15 +125,15 @@
         """
         self._request_method = method
         self._reply_ended = False
-        data = self._encode_request(method, target, headers, body)
-        if len(data) <= MAX_INLINE_REQUEST_BYTES:
-            await self._write(data)
+        parts = self._encode_request(method, target, headers, body)
+        if sum(map(len, parts)) <= MAX_INLINE_REQUEST_BYTES:
+            await self._write(parts)
             yield await self.next_head()
             return
         failure: Exception | None = None
         async with anyio.create_task_group() as tasks:
             self._request_written = False
-            tasks.start_soon(self._write_in_task, data)
+            tasks.start_soon(self._write_in_task, parts)
             try:
                 yield await self.next_head()
             except Exception as exc:  # noqa: BLE001
@@ -234,7 +240,7 @@
 
     def _encode_request(
         self, method: bytes, target: bytes, headers: list[Header], body: bytes
-    ) -> bytes:
+    ) -> list[bytes]:
         try:
             parts = [
                 self._conn.send(
@@ -246,17 +252,18 @@
             parts.append(self._conn.send(h11.EndOfMessage()))
         except h11.LocalProtocolError as exc:
             raise NotSentError(f"request can't be encoded: {exc}") from exc
-        return b"".join(part for part in parts if part is not None)
+        return [part for part in parts if part]
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, parts: list[bytes]) -> None:
         try:
-            await self._stream.send(data)
+            for data in write_slices(parts):
+                await self._stream.send(data)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
             raise NoReplyError(f"sending failed: {exc!r}") from exc
 
-    async def _write_in_task(self, data: bytes) -> None:
+    async def _write_in_task(self, parts: list[bytes]) -> None:
         try:
-            await self._write(data)
+            await self._write(parts)
             self._request_written = True
         except NoReplyError:
             # Reading the reply fails as well and reports the error.
--- a/src/knapweeddrum/http/connection_pool.py
+++ b/src/knapweeddrum/http/connection_pool.py
@@ -26,13 +26,18 @@
         self._idle: dict[str, list[ClientConnection]] = {}
         self._open_counts: dict[str, int] = {}
         self._on_connect = on_connect
+        self.max_open: int | None = None
+        """Connections to all servers together, None for no limit."""
+        self.buffer_bytes = 0
+        """Size of the kernel's buffers to ask for, 0 for its own choice."""
 
     async def acquire(
         self, key: str, address: str, limit: int, timeout: float
     ) -> ClientConnection:
         """Return the most recently used idle connection, or a new one.
 
-        Raises ConnectionLimitError if ``limit`` connections are open, NotSentError if
+        Raises ConnectionLimitError if ``limit`` connections are open, or ``max_open``
+        to all servers, NotSentError if
         connecting fails or takes more than ``timeout`` seconds.
         """
         now = time.monotonic()
@@ -46,12 +51,15 @@
             raise ConnectionLimitError(
                 f"{key}: limit of {limit} open connections reached"
             )
+        await self._make_room()
         self._open_counts[key] = self._open_counts.get(key, 0) + 1
         try:
             conn = await ClientConnection.connect(address, timeout)
         except BaseException:
             self._count_closed(key)
             raise
+        if self.buffer_bytes:
+            conn.limit_buffers(self.buffer_bytes)
         self._on_connect(key)
         return conn
 
@@ -99,6 +107,16 @@
         """Close all idle connections."""
         await self.sweep((), time.monotonic())
 
+    async def _make_room(self) -> None:
+        """Close an idle connection if no more may be open."""
+        if self.max_open is None or self.open_count() < self.max_open:
+            return
+        for key, idle in self._idle.items():
+            if idle:
+                await self._close(key, idle.pop(0))
+                return
+        raise ConnectionLimitError(f"limit of {self.max_open} connections reached")
+
     async def _close(self, key: str, conn: ClientConnection) -> None:
         self._count_closed(key)
         await conn.close()
--- a/src/knapweeddrum/http/exceptions.py
+++ b/src/knapweeddrum/http/exceptions.py
@@ -43,5 +43,9 @@
         self.status = status
 
 
+class NoRoomError(Exception):
+    """This host has no memory for a request that is being received; it has not run."""
+
+
 class PeerDisconnectedError(Exception):
     """The peer has closed the connection or can no longer be reached."""
--- a/src/knapweeddrum/http/listener.py
+++ b/src/knapweeddrum/http/listener.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from typing import Protocol
 
 import anyio
 from anyio.abc import SocketStream, TaskGroup
@@ -22,6 +23,16 @@
 FailureReporter = Callable[[OSError], None]
 
 
+class Gate(Protocol):
+    """Decides which accepted connections stay open."""
+
+    def admit(self) -> bool:
+        """Return whether a connection may stay; ``leave`` follows if so."""
+
+    def leave(self) -> None:
+        """Record that the handler of an admitted connection begins, or none does."""
+
+
 class Listener:
     """Accepts all connections that wait, in each pass of the event loop.
 
@@ -30,8 +41,14 @@
     of descriptors, is passed to ``on_failure``, one report for several in a row.
     """
 
-    def __init__(self, sock: socket.socket, on_failure: FailureReporter) -> None:
+    def __init__(
+        self,
+        sock: socket.socket,
+        on_failure: FailureReporter,
+        gate: Gate | None = None,
+    ) -> None:
         self._sock = sock
+        self._gate = gate
         self._on_failure = on_failure
         self._is_failing = False
         self.opening = 0
@@ -65,11 +82,14 @@
                 await anyio.sleep(ACCEPT_RETRY_SECONDS)
 
     def _accept_waiting(self, handler: ConnectionHandler, tasks: TaskGroup) -> int:
-        """Start the handlers of connections that wait; return how many."""
+        """Accept connections that wait; return how many, also of those refused."""
         count = 0
         try:
             for conn in self._accepted():
                 count += 1
+                if self._gate is not None and not self._gate.admit():
+                    conn.close()
+                    continue
                 self.opening += 1
                 tasks.start_soon(self._handle, conn, handler)
         except OSError as exc:
@@ -96,6 +116,8 @@
             return
         finally:
             self.opening -= 1
+            if self._gate is not None:
+                self._gate.leave()
         await handler(stream)
 
     def _report(self, exc: OSError) -> None:
@@ -105,7 +127,9 @@
 
 
 @contextlib.asynccontextmanager
-async def listen(address: str, on_failure: FailureReporter) -> AsyncIterator[Listener]:
+async def listen(
+    address: str, on_failure: FailureReporter, gate: Gate | None = None
+) -> AsyncIterator[Listener]:
     """Listen at ``IP:port`` until the context is left; raises OSError."""
     host, _, port = address.rpartition(":")
     with contextlib.closing(socket.socket()) as sock:
@@ -113,4 +137,4 @@
         sock.setblocking(False)
         sock.bind((host, int(port)))
         sock.listen(BACKLOG)
-        yield Listener(sock, on_failure)
+        yield Listener(sock, on_failure, gate)
--- a/src/knapweeddrum/http/server_connection.py
+++ b/src/knapweeddrum/http/server_connection.py
@@ -19,8 +19,15 @@
 import h11
 from anyio.abc import SocketAttribute, SocketStream
 
-from knapweeddrum.http.exceptions import MalformedRequestError, PeerDisconnectedError
+from knapweeddrum.http.connection_room import ConnectionRoom, UnlimitedRoom
+from knapweeddrum.http.exceptions import (
+    MalformedRequestError,
+    NoRoomError,
+    PeerDisconnectedError,
+)
 from knapweeddrum.http.header_list import Header, HeaderList
+from knapweeddrum.http.socket_writing import limit_buffers, write_slices
+from knapweeddrum.value.connection_phase import ConnectionPhase
 
 MAX_RECEIVE_BYTES = 65_536
 MAX_READ_AHEAD_BYTES = 65_536
@@ -31,6 +38,15 @@
 LINGERING_CLOSE_SILENCE_SECONDS = 0.5
 """Time without any byte after which it closes sooner."""
 
+SEND_TIMEOUT_SECONDS = 15.0
+"""Time in which a peer must take 64 KiB, the idle timeout for requests as well."""
+
+COPIES = 2
+"""Copies of a body in memory when its parts are joined."""
+
+ROOM_INTERVAL_SECONDS = 0.05
+"""Interval of the questions whether the host has memory for an answer."""
+
 NOTICE_TURNS = 5
 """Turns of the event loop after which pending input has been received."""
 CLOSE_HEADER = (b"Connection", b"close")
@@ -55,9 +71,19 @@
         stream: SocketStream,
         max_head_bytes: int,
         is_closing: Callable[[], bool] = lambda: False,
+        room: ConnectionRoom | None = None,
     ) -> None:
         """Serve one connection; replies end it from when ``is_closing`` is true."""
         self._stream = stream
+        self._room = room or UnlimitedRoom()
+        self._room.bind(self.shed)
+        if self._room.buffer_bytes:
+            limit_buffers(stream, self._room.buffer_bytes)
+        self._taken = 0
+        """Bytes that the room granted for the exchange."""
+        self._phase = ConnectionPhase.WAITING
+        self._sheddable: anyio.CancelScope | None = None
+        """Scope of receiving a body, sending or closing, which may be given up."""
         self._is_closing = is_closing
         self._conn = h11.Connection(h11.SERVER, max_head_bytes)
         self._max_head_bytes = max_head_bytes
@@ -96,26 +122,51 @@
         """Return the body of the request.
 
         Raises MalformedRequestError above ``limit`` bytes or after ``timeout``
-        seconds, and PeerDisconnectedError.
+        seconds, NoRoomError if the host has no memory for it, and
+        PeerDisconnectedError.
         """
         if self._conn.they_are_waiting_for_100_continue:
             await self._send(h11.InformationalResponse(status_code=100, headers=[]))
-        body = bytearray()
-        with anyio.move_on_after(timeout):
+        parts: list[bytes] = []
+        size = 0
+        with anyio.move_on_after(timeout), anyio.CancelScope() as self._sheddable:
             while True:
                 event = await self._next_event()
                 if isinstance(event, h11.Data):
-                    body += event.data
-                    if len(body) > limit:
+                    size += len(event.data)
+                    if size > limit:
                         raise MalformedRequestError(413, "request body too large")
+                    self._take(len(event.data) * COPIES)
+                    parts.append(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage):
-                    return bytes(body)
+                    self._enter(ConnectionPhase.SERVED)
+                    return b"".join(parts)
                 else:
                     raise PeerDisconnectedError(
                         "connection ended within the request body"
                     )
+        if self._sheddable.cancel_called:
+            raise NoRoomError(f"shed, {self._taken} bytes of its body held")
         raise MalformedRequestError(408, "request body not received in time")
 
+    def shed(self) -> None:
+        """End the connection, or refuse the request that is being received.
+
+        A request that is being served goes on.
+        """
+        if self._phase is ConnectionPhase.SERVED:
+            return
+        if self._sheddable is not None:
+            self._sheddable.cancel()
+        else:
+            self.stop_reading()
+
+    async def reserve(self, count: int) -> None:
+        """Wait until the host has memory for so many bytes of an answer."""
+        while not self._room.take(count * COPIES):
+            await anyio.sleep(ROOM_INTERVAL_SECONDS)
+        self._taken += count * COPIES
+
     def stop_reading(self) -> None:
         """End the connection unless a request was received before.
 
@@ -151,13 +202,18 @@
         """Return when the peer closes the connection; run while a request is served.
 
         What the peer sends meanwhile is buffered for the next request. Once that
-        exceeds MAX_READ_AHEAD_BYTES, reading stops and this method never returns. Nor
-        does it if this side has stopped reading.
+        exceeds MAX_READ_AHEAD_BYTES, with what the parser has of it already, or the
+        host has no memory, reading stops and this method never returns. Nor does it
+        if this side has stopped reading.
         """
+        unparsed = len(self._conn.trailing_data[0])
         while not self._eof:
-            if len(self._read_ahead) > MAX_READ_AHEAD_BYTES:
+            if unparsed + len(self._read_ahead) > MAX_READ_AHEAD_BYTES:
+                await anyio.sleep_forever()
+            data = await self._receive()
+            self._read_ahead += data
+            if not self._try_take(len(data)):
                 await anyio.sleep_forever()
-            self._read_ahead += await self._receive()
         if self._reading_stopped:
             await anyio.sleep_forever()
 
@@ -188,12 +244,15 @@
 
     def finish(self) -> bool:
         """End the exchange and return whether the connection can be reused."""
+        self._room.give_back(self._taken)
+        self._taken = 0
         if self._eof:
             return False
         try:
             self._conn.start_next_cycle()
         except h11.LocalProtocolError:
             return False
+        self._try_take(len(self._read_ahead) + len(self._conn.trailing_data[0]))
         return True
 
     async def close(self) -> None:
@@ -202,8 +261,9 @@
         Closing at once while input is unread could reset the connection before the
         peer has received the last reply.
         """
+        self._enter(ConnectionPhase.ENDING)
         try:
-            with anyio.move_on_after(LINGERING_CLOSE_SECONDS):
+            with anyio.move_on_after(LINGERING_CLOSE_SECONDS) as self._sheddable:
                 await self._stream.send_eof()
                 while await self._discard_input():
                     pass
@@ -240,16 +300,20 @@
 
     async def _first_event(self) -> object:
         """Return an event after at most one receive, None if the connection ended."""
+        self._sheddable = None
+        self._enter(ConnectionPhase.RECEIVING)
         event = self._parse_event()
         if event is not h11.NEED_DATA:
             return event
         if self._conn.trailing_data[0]:
             return h11.NEED_DATA
         self.is_waiting = True
+        self._enter(ConnectionPhase.WAITING)
         try:
             data = b"" if self._eof else await self._receive()
         finally:
             self.is_waiting = False
+            self._enter(ConnectionPhase.RECEIVING)
         if not data or self._aborted:
             return None
         self._conn.receive_data(data)
@@ -318,7 +382,33 @@
             parts = [self._conn.send(event) for event in events]
         except h11.LocalProtocolError as exc:
             raise PeerDisconnectedError(f"reply can't be sent: {exc}") from exc
+        phase, scope = self._phase, self._sheddable
         try:
-            await self._stream.send(b"".join(part for part in parts if part))
+            for data in write_slices([part for part in parts if part]):
+                await self._write(data)
         except DISCONNECT_ERRORS as exc:
             raise PeerDisconnectedError(repr(exc)) from exc
+        finally:
+            self._sheddable = scope
+            self._enter(phase)
+
+    async def _write(self, data: bytes) -> None:
+        self._enter(ConnectionPhase.SENDING)
+        with anyio.move_on_after(SEND_TIMEOUT_SECONDS) as self._sheddable:
+            await self._stream.send(data)
+            return
+        raise PeerDisconnectedError("the peer takes nothing of its answer")
+
+    def _enter(self, phase: ConnectionPhase) -> None:
+        self._phase = phase
+        self._room.enter(phase)
+
+    def _take(self, count: int) -> None:
+        if not self._try_take(count):
+            raise NoRoomError(f"no memory, {self._taken} bytes of its body held")
+
+    def _try_take(self, count: int) -> bool:
+        if not self._room.take(count):
+            return False
+        self._taken += count
+        return True
--- a/tests/http/test_server_connection.py
+++ b/tests/http/test_server_connection.py
@@ -6,8 +6,13 @@
 import anyio
 import anyio.abc
 
+from knapweeddrum.http.connection_room import ConnectionRoom, UnlimitedRoom
 from knapweeddrum.http.exceptions import MalformedRequestError, PeerDisconnectedError
-from knapweeddrum.http.server_connection import ServerConnection
+from knapweeddrum.http.server_connection import (
+    MAX_READ_AHEAD_BYTES,
+    MAX_RECEIVE_BYTES,
+    ServerConnection,
+)
 from tests.async_test import async_test
 from tests.standins.stamped_server import reset_when_closed
 
@@ -19,11 +24,12 @@
 @contextlib.asynccontextmanager
 async def connected_pair(
     serve: Callable[[ServerConnection], object],
+    room: ConnectionRoom | None = None,
 ) -> AsyncIterator[anyio.abc.SocketStream]:
     """Run ``serve`` on the server's end of a connection and yield the client's end."""
 
     async def connection(stream: anyio.abc.SocketStream) -> None:
-        await serve(ServerConnection(stream, 500))
+        await serve(ServerConnection(stream, 500, room=room))
 
     async with (
         await anyio.create_tcp_listener(local_host="127.0.0.1") as listener,
@@ -175,3 +181,40 @@
         await anyio.aclose_forcefully(stream)
         await done.wait()
     assert [type(failure) for failure in failures] == [PeerDisconnectedError], failures
+
+
+@async_test
+async def test_requests_sent_ahead_are_read_only_as_far_as_the_bound():
+    """Guards against a parser that gets another 64 KiB with each request it serves."""
+    taken: list[int] = []
+    request = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+    class Room(UnlimitedRoom):
+        held = 0
+
+        def take(self, count: int) -> bool:
+            self.held += count
+            taken.append(self.held)
+            return True
+
+        def give_back(self, count: int) -> None:
+            self.held -= count
+
+    done = anyio.Event()
+
+    async def serve(conn: ServerConnection) -> None:
+        for _ in range(20):
+            await conn.next_request(0.3, 0.3)
+            await conn.read_body(BODY_LIMIT_BYTES, 0.3)
+            with anyio.move_on_after(0.02):
+                await conn.wait_for_disconnect()
+            await conn.send_reply(200, [], b"")
+            assert conn.finish()
+        done.set()
+        await conn.abort()
+
+    async with connected_pair(serve, Room()) as stream:
+        with contextlib.suppress(anyio.BrokenResourceError):
+            await stream.send(request * 100_000)
+        await done.wait()
+    assert max(taken) <= MAX_READ_AHEAD_BYTES + 2 * MAX_RECEIVE_BYTES, max(taken)
