Bound what a host holds for its clients, and end the largest and slowest

A host of 128 MB reached up to 734 MB, and 476 sockets where its settings allow 120, by clients that kept to all limits of the configuration.

Change: limits.memoryMb and limits.maxFds are read from the settings. EntryContext.connections owns the accounts of design 049; each connection of callers and of clients of pages has a ClientRoom there, and each listener a gate. A body for which there is no memory is refused: 429 overloaded, not run, Retry-After of at most 0.3 of the time left and 1 s, jittered. An endpoint's buffered answer is read when there is memory for it. Outgoing connections have a part of their own. If memoryMb is named, the kernel's buffers have a fixed size. Events 670 and 671, counters connection.shed and connection.refused, three gauges, and two rows of host-state.

Ruled out: leaving silent connections alone for 0.25 s. The readiness page then refused its client while a crowd had just taken all connections of the pages.

--- a/src/knapweeddrum/console/commands/host_state_command.py
+++ b/src/knapweeddrum/console/commands/host_state_command.py
@@ -101,6 +101,28 @@
             "requests per second",
             f"{state.request_rate:.1f}, carries {state.capacity:.0f}",
         ),
+        ("held for clients", _held_text(state)),
+        ("connections", _connections_text(state)),
+    )
+
+
+def _held_text(state: HostState) -> str:
+    now, most, limit = (
+        f"{count / 1e6:.1f}"
+        for count in (
+            state.client_bytes,
+            state.most_client_bytes,
+            state.client_bytes_limit,
+        )
+    )
+    return f"{now} MB of {limit} MB, at most {most} MB"
+
+
+def _connections_text(state: HostState) -> str:
+    return (
+        f"callers {state.caller_connections} of {state.caller_connections_limit}, "
+        f"pages {state.page_connections} of {state.page_connections_limit}, "
+        f"refused {state.refused_connections}"
     )
 
 
--- a/src/knapweeddrum/message/call/host_state.py
+++ b/src/knapweeddrum/message/call/host_state.py
@@ -78,6 +78,17 @@
     """Requests per second that this host can carry."""
     request_rate: float = 0.0
     """Requests per second that it received lately."""
+    client_bytes: int = 0
+    """Bytes held for callers and clients of pages."""
+    most_client_bytes: int = 0
+    """The largest sum of these since the process started."""
+    client_bytes_limit: int = 0
+    caller_connections: int = 0
+    caller_connections_limit: int = 0
+    page_connections: int = 0
+    page_connections_limit: int = 0
+    refused_connections: int = 0
+    """Connections closed when accepted since the process started."""
     store_era: int = 0
     """Era of the store, counted from 1; 0 if the store tells none."""
     claims_open: bool = True
--- a/src/knapweeddrum/platform/settings_file.py
+++ b/src/knapweeddrum/platform/settings_file.py
@@ -4,7 +4,7 @@
 
 import pathlib
 import tomllib
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 
@@ -14,8 +14,11 @@
 SETTINGS_VARIABLE = "KNAPWEEDDRUM_BOOT"
 """Environment variable that names the settings file."""
 
+BYTES_PER_MB = 1_000_000
+
 Address = Annotated[str, msgspec.Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
+PositiveInteger = Annotated[int, msgspec.Meta(gt=0)]
 NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
 
 
@@ -45,6 +48,18 @@
     speed: PositiveFloat = msgspec.field(name="cores", default=1.0)
     """Speed of the processor, in cores."""
     link_mbps: PositiveFloat = msgspec.field(name="linkMbps", default=1000.0)
+    memory_mb: PositiveFloat | None = msgspec.field(name="memoryMb", default=None)
+    max_descriptors: PositiveInteger | None = msgspec.field(name="maxFds", default=None)
+
+    def named(self) -> dict[str, Any]:
+        """Return the fields of EntrySettings that are set only if they are named."""
+        named: dict[str, Any] = {}
+        if self.memory_mb is not None:
+            named["memory_bytes"] = int(self.memory_mb * BYTES_PER_MB)
+            named["names_memory"] = True
+        if self.max_descriptors is not None:
+            named["max_descriptors"] = self.max_descriptors
+        return named
 
 
 class _Store(msgspec.Struct, frozen=True):
@@ -96,4 +111,5 @@
         directory_lifetime=bounds.directory_lifetime,
         stable_window=bounds.stable_window_ms / 1000,
         drain_delay=bounds.drain_ms / 1000,
+        **document.limits.named(),
     )
--- a/src/knapweeddrum/process/entry/answer_relay.py
+++ b/src/knapweeddrum/process/entry/answer_relay.py
@@ -31,6 +31,7 @@
 from knapweeddrum.value.body_framing import BodyFraming
 from knapweeddrum.value.retry_reason import RetryReason
 from knapweeddrum.value.run_state import RunState
+from knapweeddrum.value.whole_number import parse_whole_number
 
 MAX_SIZED_BODY_BYTES = 4 * 1024 * 1024
 """Largest body with a length that is buffered before it is passed on."""
@@ -105,7 +106,7 @@
             await self._relay_buffered(answer)
 
     async def _relay_buffered(self, answer: EndpointAnswer) -> None:
-        body = await _read_body(answer)
+        body = await self._read_body(answer)
         await self._require_whole(answer, judge_body(answer.head.framing))
         self._record_first_chunk(answer)
         self._has_uncountable_output = answer.head.status < 300
@@ -113,6 +114,27 @@
         await self._caller.send_reply(answer.head.status, headers, body)
         self._log.answered(answer.head.status, self.tokens_to_charge())
 
+    async def _read_body(self, answer: EndpointAnswer) -> bytes:
+        """Return the whole body; raises EndlessReplyError if it is too long.
+
+        It waits while this host has no memory for it.
+        """
+        has_length = answer.head.framing is BodyFraming.LENGTH
+        limit = MAX_SIZED_BODY_BYTES if has_length else MAX_UNSIZED_BODY_BYTES
+        reserved = min(_told_length(answer.head.headers), limit) if has_length else 0
+        await self._caller.reserve(reserved)
+        parts: list[bytes] = []
+        size = 0
+        while (data := await answer.next_data()) is not None:
+            parts.append(data)
+            size += len(data)
+            if size > limit:
+                raise EndlessReplyError(f"body exceeds {limit} bytes")
+            if size > reserved:
+                await self._caller.reserve(size - reserved)
+                reserved = size
+        return b"".join(parts)
+
     async def _relay_stream(self, answer: EndpointAnswer) -> None:
         """Pass on complete events as they arrive."""
         splitter = self._splitter
@@ -184,20 +206,6 @@
             self._job.first_chunk_at = time.monotonic()
 
 
-async def _read_body(answer: EndpointAnswer) -> bytes:
-    """Return the whole body; raises EndlessReplyError if it is too long."""
-    has_length = answer.head.framing is BodyFraming.LENGTH
-    limit = MAX_SIZED_BODY_BYTES if has_length else MAX_UNSIZED_BODY_BYTES
-    parts: list[bytes] = []
-    size = 0
-    while (data := await answer.next_data()) is not None:
-        parts.append(data)
-        size += len(data)
-        if size > limit:
-            raise EndlessReplyError(f"body exceeds {limit} bytes")
-    return b"".join(parts)
-
-
 async def _ask_endpoint(answer: EndpointAnswer, *, replies: bool) -> AnswerVerdict:
     """Judge an answer that has just ended by whether its endpoint still runs."""
     ended_at = time.monotonic()
@@ -213,5 +221,10 @@
         await anyio.sleep(QUESTION_INTERVAL_SECONDS)
 
 
+def _told_length(headers: list[Header]) -> int:
+    values = [value for name, value in headers if name.lower() == b"content-length"]
+    return parse_whole_number(values[0].decode("latin-1")) or 0 if values else 0
+
+
 def _without_length(headers: list[Header]) -> list[Header]:
     return [pair for pair in headers if pair[0].lower() != b"content-length"]
--- a/src/knapweeddrum/process/entry/caller_server.py
+++ b/src/knapweeddrum/process/entry/caller_server.py
@@ -7,6 +7,7 @@
 
 from knapweeddrum.http.listener import Listener, listen
 from knapweeddrum.process.entry.caller_session import CallerSession
+from knapweeddrum.process.entry.client_connections import ClientRoom, ConnectionGate
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.request_parts import RequestParts
 from knapweeddrum.telemetry.events import CONNECTIONS_ENDED, TASK_FAILED
@@ -22,6 +23,8 @@
         self._accepting = anyio.CancelScope()
         self._listener: Listener | None = None
         self._is_listening = False
+        connections = ctx.connections
+        self._gate = ConnectionGate(connections, connections.callers)
 
     @property
     def has_sessions(self) -> bool:
@@ -53,7 +56,7 @@
         address = self._ctx.settings.caller_address
         async with (
             anyio.create_task_group() as tasks,
-            listen(address, self._ctx.record_accept_failure) as listener,
+            listen(address, self._ctx.record_accept_failure, self._gate) as listener,
         ):
             self._listener = listener
             self._is_listening = True
@@ -81,7 +84,9 @@
             session.give_up()
 
     async def _serve(self, stream: SocketStream) -> None:
-        session = CallerSession(self._ctx, self._parts, stream)
+        connections = self._ctx.connections
+        room = ClientRoom(connections, connections.callers, stream)
+        session = CallerSession(self._ctx, self._parts, stream, room)
         self._sessions.add(session)
         try:
             await session.run()
@@ -92,5 +97,6 @@
             )
         finally:
             self._sessions.discard(session)
+            room.close()
             # Also when cancelled: the end of the process may come much later.
             await session.abort()
--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -9,7 +9,13 @@
 from anyio.abc import SocketStream
 
 from knapweeddrum.core.catalog.caller_limits import CallerLimits
-from knapweeddrum.http.exceptions import MalformedRequestError, PeerDisconnectedError
+from knapweeddrum.core.routing.failover_policy import RETRY_AFTER_FRACTION
+from knapweeddrum.http.connection_room import ConnectionRoom
+from knapweeddrum.http.exceptions import (
+    MalformedRequestError,
+    NoRoomError,
+    PeerDisconnectedError,
+)
 from knapweeddrum.http.server_connection import ReceivedRequest, ServerConnection
 from knapweeddrum.platform.caller_protocol import decode_request
 from knapweeddrum.platform.caller_request import CallerRequest
@@ -42,6 +48,9 @@
 }
 """Refusal reasons of malformed requests by status; any other is BAD_REQUEST."""
 
+MAX_NO_ROOM_RETRY_SECONDS = 1.0
+"""Longest Retry-After of a request for whose body there is no memory."""
+
 FIRST_REQUEST_WAIT_SECONDS = 0.25
 """Time after its opening for which a connection waits for a request in any case."""
 
@@ -54,12 +63,13 @@
         ctx: EntryContext,
         parts: RequestParts,
         stream: SocketStream,
+        room: ConnectionRoom | None = None,
     ) -> None:
         self._ctx = ctx
         self._parts = parts
         self._limits = _limits(ctx)
         self._conn = ServerConnection(
-            stream, self._limits.max_header_bytes, self._is_closing
+            stream, self._limits.max_header_bytes, self._is_closing, room
         )
         self._admission = RequestAdmission(ctx)
         self._is_ending = False
@@ -169,9 +179,12 @@
         """Return the body; raises RefusedError if it is given up before its end."""
         self.is_receiving = True
         with anyio.CancelScope() as self._work:
-            body = await self._conn.read_body(
-                limits.max_body_bytes, limits.idle_timeout
-            )
+            try:
+                body = await self._conn.read_body(
+                    limits.max_body_bytes, limits.idle_timeout
+                )
+            except NoRoomError as exc:
+                raise self._no_room_error(exc) from exc
             self.is_receiving = False
             return body
         raise refused(
@@ -180,6 +193,15 @@
             detail="the host ends before the body is whole",
         )
 
+    def _no_room_error(self, exc: NoRoomError) -> RefusedError:
+        """Return the refusal of a request for whose body there is no memory."""
+        time_left = max(0.0, self._deadline - time.monotonic())
+        longest = min(MAX_NO_ROOM_RETRY_SECONDS, time_left * RETRY_AFTER_FRACTION)
+        retry_after = longest * self._ctx.rng.uniform(0.5, 1.0)
+        return refused(
+            RefusalReason.OVERLOADED, retry_after=retry_after, detail=str(exc)
+        )
+
     def _admit(self, req: CallerRequest, body: bytes, arrived_at: float) -> RequestJob:
         try:
             return self._admission.admit(req, body, arrived_at)
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -42,6 +42,11 @@
 from knapweeddrum.core.streams.version_record import VersionRecord
 from knapweeddrum.http.connection_pool import ConnectionPool
 from knapweeddrum.platform.store_client import StoreClient
+from knapweeddrum.process.entry.client_connections import (
+    DEFAULT_HOST_LIMITS,
+    ClientConnections,
+    host_limits,
+)
 from knapweeddrum.process.entry.lost_connection import LostConnection
 from knapweeddrum.process.entry.processor_meter import ProcessorMeter
 from knapweeddrum.settings.entry_settings import EntrySettings
@@ -145,6 +150,9 @@
     endpoint_limits: EndpointLimits = dataclasses.field(default_factory=EndpointLimits)
     loans: LoanLedger = dataclasses.field(default_factory=LoanLedger)
     loop_lag: LoopLag = dataclasses.field(default_factory=LoopLag)
+    connections: ClientConnections = dataclasses.field(
+        default_factory=lambda: ClientConnections(DEFAULT_HOST_LIMITS)
+    )
     claim_meter: ProcessorMeter = dataclasses.field(default_factory=ProcessorMeter)
     """Processor time that deciding on claims and applying them takes."""
 
@@ -186,6 +194,13 @@
         self.metrics.count(ACCEPT_FAILED_COUNT)
         self.events.emit(ACCEPT_FAILED, error=str(exc))
 
+    def apply_host_limits(self) -> None:
+        """Use the bounds for memory and descriptors that the settings call for."""
+        limits = host_limits(self.settings)
+        self.connections.apply(limits)
+        self.pool.max_open = limits.outgoing
+        self.pool.buffer_bytes = limits.buffer_bytes
+
     def record_ignored(self, key: str, position: int, error: str) -> None:
         """Record that a record of the store can't be read."""
         self.metrics.count(ENTRY_IGNORED_COUNT)
@@ -311,6 +326,9 @@
             "endpoints_listed": len(self.service_list.all()),
             "requests_in_progress": self.in_progress,
             "crash_suspects": len(self.crash_register.fingerprints(time.time())),
+            "client_bytes": self.connections.memory.used,
+            "caller_connections": self.connections.callers.count,
+            "page_connections": self.connections.pages.count,
             "endpoint_connections": self.pool.open_count(),
             "ready": float(self.is_ready),
             "loop_lag_seconds": self.loop_lag.recent(now),
--- a/src/knapweeddrum/process/entry/host_state_page.py
+++ b/src/knapweeddrum/process/entry/host_state_page.py
@@ -34,6 +34,7 @@
     def _state(self, now: float) -> HostState:
         ctx = self._ctx
         configuration = ctx.configuration
+        held = ctx.connections
         own = ctx.own_record(now)
         return HostState(
             host=ctx.settings.host_name,
@@ -56,6 +57,14 @@
             working_set=sorted(ctx.hosts.working_set.names),
             capacity=own.capacity,
             request_rate=own.request_rate,
+            client_bytes=held.memory.used,
+            most_client_bytes=held.memory.most_used,
+            client_bytes_limit=held.memory.limit,
+            caller_connections=held.callers.count,
+            caller_connections_limit=held.callers.limit,
+            page_connections=held.pages.count,
+            page_connections_limit=held.pages.limit,
+            refused_connections=held.callers.refused + held.pages.refused,
         )
 
     def _endpoints(self, now: float) -> list[EndpointRow]:
--- a/src/knapweeddrum/process/entry/housekeeping_task.py
+++ b/src/knapweeddrum/process/entry/housekeeping_task.py
@@ -54,6 +54,7 @@
         changed = settings != ctx.settings
         ctx.settings = settings
         ctx.store.address = settings.store_address
+        ctx.apply_host_limits()
         ctx.events.emit(SETTINGS_RELOADED, changed=changed)
 
     async def _close_stale_connections(self) -> None:
--- a/src/knapweeddrum/process/entry/page_server.py
+++ b/src/knapweeddrum/process/entry/page_server.py
@@ -7,10 +7,15 @@
 
 from anyio.abc import SocketStream
 
-from knapweeddrum.http.exceptions import MalformedRequestError, PeerDisconnectedError
+from knapweeddrum.http.exceptions import (
+    MalformedRequestError,
+    NoRoomError,
+    PeerDisconnectedError,
+)
 from knapweeddrum.http.header_list import Header
 from knapweeddrum.http.listener import listen
 from knapweeddrum.http.server_connection import ServerConnection
+from knapweeddrum.process.entry.client_connections import ClientRoom, ConnectionGate
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import MESSAGE_REJECTED_COUNT
 from knapweeddrum.telemetry.events import MESSAGE_REJECTED, TASK_FAILED
@@ -50,18 +55,24 @@
 
     async def run(self) -> None:
         """Accept connections until cancelled."""
-        async with listen(self._address, self._ctx.record_accept_failure) as listener:
+        connections = self._ctx.connections
+        gate = ConnectionGate(connections, connections.pages)
+        failed = self._ctx.record_accept_failure
+        async with listen(self._address, failed, gate) as listener:
             await listener.serve(self._serve)
 
     async def _serve(self, stream: SocketStream) -> None:
-        conn = ServerConnection(stream, MAX_HEAD_BYTES)
+        connections = self._ctx.connections
+        room = ClientRoom(connections, connections.pages, stream)
+        conn = ServerConnection(stream, MAX_HEAD_BYTES, room=room)
         try:
             while await self._serve_next(conn):
                 pass
-        except (PeerDisconnectedError, MalformedRequestError):
+            await conn.close()
+        except (PeerDisconnectedError, MalformedRequestError, NoRoomError):
             await conn.abort()
-            return
-        await conn.close()
+        finally:
+            room.close()
 
     async def _serve_next(self, conn: ServerConnection) -> bool:
         received = await conn.next_request(IDLE_TIMEOUT_SECONDS, HEAD_TIMEOUT_SECONDS)
--- a/src/knapweeddrum/process/entry_composition.py
+++ b/src/knapweeddrum/process/entry_composition.py
@@ -33,6 +33,7 @@
     MAX_WAITING_REPORTS,
     LostConnection,
 )
+from knapweeddrum.process.entry.shed_log import ShedLog
 from knapweeddrum.settings.entry_settings import EntrySettings
 from knapweeddrum.telemetry.bounded_writer import BoundedWriter
 from knapweeddrum.telemetry.counters import CONNECTIONS_OPENED, store_counter
@@ -90,6 +91,10 @@
         metrics=metrics,
         rng=random.Random(rng.getrandbits(64)),
     )
+    shed_log = ShedLog(ctx.connections, ctx.events, metrics)
+    ctx.connections.on_shed = shed_log.record_shed
+    ctx.connections.on_refused = shed_log.record_refused
+    ctx.apply_host_limits()
     ctx.store.era.on_return = ctx.record_store_return
     ctx.store.on_era_doubt = ctx.record_era_doubt
     await EntryProcess(ctx, reported_losses, writer, settings_path, metrics_port).run()
--- a/src/knapweeddrum/settings/entry_settings.py
+++ b/src/knapweeddrum/settings/entry_settings.py
@@ -4,6 +4,11 @@
 
 import dataclasses
 
+DEFAULT_MEMORY_BYTES = 1_024_000_000
+"""Memory of a host whose settings name none, five times that of a weak one."""
+
+DEFAULT_MAX_DESCRIPTORS = 65_536
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntrySettings:
@@ -32,6 +37,12 @@
     """Processor time that this host has, in cores."""
     link_mbps: float = 1000.0
     """Bandwidth of this host's link, in megabits per second."""
+    memory_bytes: int = DEFAULT_MEMORY_BYTES
+    """Memory above which the platform kills this process."""
+    names_memory: bool = False
+    """Whether the platform names that memory."""
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
+    """Descriptors that this process may have, those of files included."""
     is_first_start: bool = False
     """Whether no process of the fleet has run before."""
     drain_delay: float = 2.0
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -75,6 +75,10 @@
 """Requests to another host that got no usable reply in time."""
 HOST_BEHIND_COUNT = "host.behind"
 """Measurements at which this process was behind."""
+CONNECTION_SHED_COUNT = "connection.shed"
+"""Connections of clients that were ended for the memory or descriptors they held."""
+CONNECTION_REFUSED = "connection.refused"
+"""Connections that were closed when accepted, as descriptors were used up."""
 ACCEPT_FAILED_COUNT = "accept_failed"
 """Times that connections could not be accepted, several in a row as one."""
 WORKING_SET_CHANGES = "working_set.changed"
@@ -132,6 +136,8 @@
     HOST_UNANSWERED,
     HOST_BEHIND_COUNT,
     ACCEPT_FAILED_COUNT,
+    CONNECTION_SHED_COUNT,
+    CONNECTION_REFUSED,
     WORKING_SET_CHANGES,
     TASK_RESTARTED_COUNT,
     SPENDING_WRITTEN,
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -201,6 +201,23 @@
 HEARTBEATS_LOST = Event(647, "heartbeats_lost", "warning", ("error", "written_before"))
 HEARTBEATS_WRITTEN = Event(648, "heartbeats_written", "info", ("written_before",))
 HOSTS_CHANGED = Event(615, "hosts_changed", "info", ("ready",))
+CONNECTION_SHED = Event(
+    670,
+    "connection_shed",
+    "warning",
+    (
+        "connection",
+        "reason",
+        "phase",
+        "held",
+        "for_ms",
+        "held_by_all",
+        "unlogged",
+    ),
+)
+CONNECTIONS_REFUSED = Event(
+    671, "connections_refused", "warning", ("refused", "callers", "pages")
+)
 ACCEPT_FAILED = Event(637, "accept_failed", "error", ("error",))
 WORKING_SET_CHANGED = Event(
     636,
--- a/tests/process/entry/test_host_state.py
+++ b/tests/process/entry/test_host_state.py
@@ -40,6 +40,7 @@
         assert ran.code == ExitCode.OK
         assert "ejected" in ran.out
         assert "version 1" in ran.out
+        assert "callers 0 of" in ran.out
         ran = await anyio.to_thread.run_sync(run, "--output", "json", "host-state", url)
         assert json.loads(ran.out)["host"] == "host-1"
 
