End connections that send ahead, and fix the size of kernel buffers

Cause: trials with more descriptors than in the tests (maxFds 2048, 150 and 900 clients, 128 MB). With buffers made smaller the more sockets there are (4 KiB), a single request of 4 MiB got no 200 in calm, 4 of 4. And 170 connections that were served requests sent ahead, one after the other, kept a caller out for 100 tries.

Change: the kernel's buffers are 32 KiB as asked for, and memory bounds the sockets instead (488 at 128 MB, 1,037 at 200 MB). A connection that has sent requests ahead ends after its present answer (Connection: close) when descriptors are short.

Ruled out: to count the kernel's bytes by ioctl for each connection; a process that is behind would not get to it.

Left: 150 clients (300 requests) for answers of 4 MiB that nobody reads; the process holds 77 MB, but 100 ordinary requests in a row for the same service got 503 no_endpoint, as answers that wait for memory keep the endpoint's connections until their deadline.

--- a/src/knapweeddrum/core/load/connection_account.py
+++ b/src/knapweeddrum/core/load/connection_account.py
@@ -67,6 +67,7 @@
         return 0
     if conn.phase is ConnectionPhase.WAITING:
         return 2 if conn.has_had_request else 1
-    if conn.phase is ConnectionPhase.RECEIVING:
-        return 3 if age >= STALL_SECONDS else None
-    return 3 if conn.is_stalled(now) else None
+    is_receiving = conn.phase is ConnectionPhase.RECEIVING
+    if (is_receiving and age >= STALL_SECONDS) or conn.is_stalled(now):
+        return 3
+    return 4 if conn.served_in_row > 1 else None
--- a/src/knapweeddrum/core/load/held_connection.py
+++ b/src/knapweeddrum/core/load/held_connection.py
@@ -28,6 +28,8 @@
     held: int = 0
     """Bytes that were granted."""
     has_had_request: bool = False
+    served_in_row: int = 0
+    """Requests since the connection last waited: above one, it sends ahead."""
     is_shed: bool = False
     """Whether it was shed for its bytes; it gets no more."""
     is_ended: bool = False
@@ -35,8 +37,11 @@
 
     def enter(self, phase: ConnectionPhase, now: float) -> None:
         """Record the beginning of a phase; sending begins anew with each write."""
-        if phase is ConnectionPhase.SERVED:
+        if phase is ConnectionPhase.SERVED and self.phase is ConnectionPhase.RECEIVING:
             self.has_had_request = True
+            self.served_in_row += 1
+        elif phase is ConnectionPhase.WAITING:
+            self.served_in_row = 0
         if phase is not self.phase or phase is ConnectionPhase.SENDING:
             self.phase = phase
             self.since = now
--- a/src/knapweeddrum/core/load/host_limits.py
+++ b/src/knapweeddrum/core/load/host_limits.py
@@ -10,21 +10,24 @@
 ACCOUNT_FRACTION = 0.5
 """Part of the rest that is counted byte by byte.
 
-The other part is for copies, fragmentation, what is between two reads, and the kernel.
+The other part is for the kernel's buffers of all connections. Copies, fragmentation and
+what is between two reads have to fit into what the process itself leaves.
 """
 
 MIN_ACCOUNT_BYTES = 24_000_000
 """Least account: one request and one answer of 4 MiB, each counted twice."""
 
-BUFFERS_FRACTION = 0.25
-"""Part of the rest that the kernel's buffers of all connections may fill."""
+BUFFER_BYTES = 32_768
+"""Kernel buffer that is asked for, each way; the kernel uses twice that.
 
-MAX_BUFFER_BYTES = 32_768
-"""Largest kernel buffer that is asked for; the kernel uses twice that."""
+With 4 KiB, a single request of 4 MiB was not answered in calm.
+"""
+
+SOCKET_BYTES = 2 * BUFFER_BYTES
+"""What a connection may fill in the kernel, on average.
 
-MIN_BUFFER_BYTES = 4_096
-KERNEL_BUFFERS = 4
-"""Two buffers for each connection, of twice the size that is asked for."""
+Half of the sockets are those of clients, who may fill both ways, twice this.
+"""
 
 FILE_DESCRIPTORS = 200
 OWN_DESCRIPTORS = 16
@@ -56,12 +59,13 @@
         sockets = max(MIN_SOCKETS, max_descriptors - FILE_DESCRIPTORS - OWN_DESCRIPTORS)
         rest = max(0, memory_bytes - PROCESS_BYTES)
         account = max(MIN_ACCOUNT_BYTES, int(rest * ACCOUNT_FRACTION))
-        buffer = int(rest * BUFFERS_FRACTION) // (sockets * KERNEL_BUFFERS)
-        buffer = max(MIN_BUFFER_BYTES, min(MAX_BUFFER_BYTES, buffer))
+        if sizes_buffers:
+            most = int(rest * (1 - ACCOUNT_FRACTION)) // SOCKET_BYTES
+            sockets = max(MIN_SOCKETS, min(sockets, most))
         return cls(
             account_bytes=account,
             callers=int(sockets * CALLERS_FRACTION),
             pages=int(sockets * PAGES_FRACTION),
             outgoing=int(sockets * OUTGOING_FRACTION),
-            buffer_bytes=buffer if sizes_buffers else 0,
+            buffer_bytes=BUFFER_BYTES if sizes_buffers else 0,
         )
--- a/src/knapweeddrum/http/server_connection.py
+++ b/src/knapweeddrum/http/server_connection.py
@@ -81,6 +81,8 @@
             limit_buffers(stream, self._room.buffer_bytes)
         self._taken = 0
         """Bytes that the room granted for the exchange."""
+        self._is_last = False
+        """Whether the connection ends after the present exchange."""
         self._phase = ConnectionPhase.WAITING
         self._sheddable: anyio.CancelScope | None = None
         """Scope of receiving a body, sending or closing, which may be given up."""
@@ -152,8 +154,10 @@
     def shed(self) -> None:
         """End the connection, or refuse the request that is being received.
 
-        A request that is being served goes on.
+        A request that is being served is answered; those sent ahead of its answer
+        are not read.
         """
+        self._is_last = True
         if self._phase is ConnectionPhase.SERVED:
             return
         if self._sheddable is not None:
@@ -246,7 +250,7 @@
         """End the exchange and return whether the connection can be reused."""
         self._room.give_back(self._taken)
         self._taken = 0
-        if self._eof:
+        if self._eof or self._is_last:
             return False
         try:
             self._conn.start_next_cycle()
@@ -278,7 +282,7 @@
         await anyio.aclose_forcefully(self._stream)
 
     def _reply_head(self, status: int, headers: list[Header]) -> h11.Response:
-        if self._reading_stopped or self._is_closing():
+        if self._reading_stopped or self._is_last or self._is_closing():
             headers = [*headers, CLOSE_HEADER]
         return h11.Response(status_code=status, headers=headers)
 
