--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -9,7 +9,6 @@
 from anyio.abc import SocketStream
 
 from knapweeddrum.core.catalog.caller_limits import CallerLimits
-from knapweeddrum.core.routing.failover_policy import RETRY_AFTER_FRACTION
 from knapweeddrum.http.connection_room import ConnectionRoom
 from knapweeddrum.http.exceptions import (
     MalformedRequestError,
@@ -26,6 +25,7 @@
 from knapweeddrum.process.entry.request_admission import (
     DRAINING_RETRY_AFTER_SECONDS,
     RequestAdmission,
+    no_room_error,
     refused,
 )
 from knapweeddrum.process.entry.request_handler import RequestHandler
@@ -48,9 +48,6 @@
 }
 """Refusal reasons of malformed requests by status; any other is BAD_REQUEST."""
 
-MAX_NO_ROOM_RETRY_SECONDS = 1.0
-"""Longest Retry-After of a request for whose body there is no memory."""
-
 FIRST_REQUEST_WAIT_SECONDS = 0.25
 """Time after its opening for which a connection waits for a request in any case."""
 
@@ -184,7 +181,8 @@
                     limits.max_body_bytes, limits.idle_timeout
                 )
             except NoRoomError as exc:
-                raise self._no_room_error(exc) from exc
+                time_left = self._deadline - time.monotonic()
+                raise no_room_error(self._ctx, time_left, str(exc)) from exc
             self.is_receiving = False
             return body
         raise refused(
@@ -193,15 +191,6 @@
             detail="the host ends before the body is whole",
         )
 
-    def _no_room_error(self, exc: NoRoomError) -> RefusedError:
-        """Return the refusal of a request for whose body there is no memory."""
-        time_left = max(0.0, self._deadline - time.monotonic())
-        longest = min(MAX_NO_ROOM_RETRY_SECONDS, time_left * RETRY_AFTER_FRACTION)
-        retry_after = longest * self._ctx.rng.uniform(0.5, 1.0)
-        return refused(
-            RefusalReason.OVERLOADED, retry_after=retry_after, detail=str(exc)
-        )
-
     def _admit(self, req: CallerRequest, body: bytes, arrived_at: float) -> RequestJob:
         try:
             return self._admission.admit(req, body, arrived_at)
--- a/src/knapweeddrum/process/entry/request_admission.py
+++ b/src/knapweeddrum/process/entry/request_admission.py
@@ -12,6 +12,7 @@
     connection_limit,
 )
 from knapweeddrum.core.directory.fleet_size import ALONE_SECONDS
+from knapweeddrum.core.routing.failover_policy import RETRY_AFTER_FRACTION
 from knapweeddrum.platform.caller_request import CallerRequest
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.refused_error import RefusedError
@@ -23,6 +24,9 @@
 NOT_READY_RETRY_AFTER_SECONDS = 0.3
 """Retry-after while the process has no configuration yet."""
 
+MAX_NO_ROOM_RETRY_SECONDS = 1.0
+"""Longest Retry-After of a request for whose body there is no memory."""
+
 DRAINING_RETRY_AFTER_SECONDS = 0.01
 """Retry-after of a request that another host can serve at once."""
 
@@ -136,3 +140,11 @@
 ) -> RefusedError:
     """Return an error that refuses a request; ``retry_after`` is in seconds."""
     return RefusedError(Refusal(reason, run_state, retry_after, detail))
+
+
+def no_room_error(ctx: EntryContext, time_left: float, detail: str) -> RefusedError:
+    """Return the refusal of a request for whose body there is no memory."""
+    longest = min(MAX_NO_ROOM_RETRY_SECONDS, max(0.0, time_left) * RETRY_AFTER_FRACTION)
+    # Jittered, so that those that were refused together don't come back together.
+    retry_after = longest * ctx.rng.uniform(0.5, 1.0)
+    return refused(RefusalReason.OVERLOADED, retry_after=retry_after, detail=detail)
--- a/tests/platform/test_entry_codecs.py
+++ b/tests/platform/test_entry_codecs.py
@@ -35,6 +35,7 @@
 from knapweeddrum.platform.record_codec import decode_page, encode_records
 from knapweeddrum.platform.service_list_codec import decode_endpoint_entry
 from knapweeddrum.platform.settings_file import read_settings_file
+from knapweeddrum.settings.entry_settings import DEFAULT_MAX_DESCRIPTORS
 from knapweeddrum.value.body_framing import BodyFraming
 from knapweeddrum.value.host_record import HostRecord
 from tests.process.entry.entry_harness import configuration, settings_text
@@ -243,3 +244,18 @@
         headers = HeaderList([(b"Server-Load", b"1,0," + b"9" * digits)])
         head = RawReplyHead(200, headers, BodyFraming.LENGTH)
         assert decode_reply_head(head).load is None
+
+
+def test_limits_of_the_settings_file_are_read_if_they_are_named():
+    """Guards against bounds that are made up where the platform names others."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "host.toml"
+        text = settings_text("a", "127.0.0.1:1", ["127.0.0.1:2"] * 4)
+        path.write_text(text)
+        unnamed = read_settings_file(path)
+        path.write_text(f"{text}\n[limits]\nmemoryMb = 200\nmaxFds = 512\n")
+        named = read_settings_file(path)
+    assert not unnamed.names_memory
+    assert unnamed.max_descriptors == DEFAULT_MAX_DESCRIPTORS
+    assert (named.memory_bytes, named.max_descriptors) == (200_000_000, 512)
+    assert named.names_memory
--- a/tests/process/entry/test_uncontrolled_clients.py
+++ b/tests/process/entry/test_uncontrolled_clients.py
@@ -232,6 +232,30 @@
         await check_outcome(harness, watch)
 
 
+@async_test
+async def test_request_that_is_shed_is_told_that_it_did_not_run():
+    """Guards against a refusal without its reason, or of a request that was sent on."""
+    async with small_host() as (harness, _, _):
+        host, _, port = harness.caller_address.rpartition(":")
+        async with contextlib.AsyncExitStack() as stack:
+            streams = []
+            # Three incomplete bodies, each counted twice, exceed what large ones have.
+            for _ in range(3):
+                stream = await anyio.connect_tcp(host, int(port))
+                streams.append(await stack.enter_async_context(stream))
+                await body_client("/book/1", BODY_BYTES, unsent=1)(stream)
+            with anyio.fail_after(LIMITS["idleTimeoutMs"] / 2000):
+                # The first is the slowest; it gets its answer before its time is over.
+                answer = b""
+                while b'"run_state"' not in answer:
+                    answer += await streams[0].receive()
+        assert answer.startswith(b"HTTP/1.1 429 "), answer
+        assert b'"run_state":"not_run"' in answer, answer
+        assert b"retry-after:" in answer.lower(), answer
+        assert harness.events("connection_shed")[0]["phase"] == "receiving"
+        assert not harness.events("request_sent")
+
+
 @async_test
 async def test_crowd_at_the_pages():
     """Guards against the same at the pages for hosts, operators and the directory."""
