--- a/src/knapweeddrum/http/server_connection.py
+++ b/src/knapweeddrum/http/server_connection.py
@@ -19,8 +19,16 @@
 import h11
 from anyio.abc import SocketAttribute, SocketStream
 
-from knapweeddrum.http.exceptions import MalformedRequestError, PeerDisconnectedError
+from knapweeddrum.http.connection_hold import ConnectionHold
+from knapweeddrum.http.connection_room import ConnectionRoom, UnlimitedRoom
+from knapweeddrum.http.exceptions import (
+    MalformedRequestError,
+    NoRoomError,
+    PeerDisconnectedError,
+)
 from knapweeddrum.http.header_list import Header, HeaderList
+from knapweeddrum.http.socket_writing import limit_buffers, write_slices
+from knapweeddrum.value.connection_phase import ConnectionPhase
 
 MAX_RECEIVE_BYTES = 65_536
 MAX_READ_AHEAD_BYTES = 65_536
@@ -31,6 +39,12 @@
 LINGERING_CLOSE_SILENCE_SECONDS = 0.5
 """Time without any byte after which it closes sooner."""
 
+SEND_TIMEOUT_SECONDS = 15.0
+"""Time in which a peer must take 64 KiB, the idle timeout for requests as well."""
+
+COPIES = 2
+"""Copies of a body in memory when it is whole."""
+
 NOTICE_TURNS = 5
 """Turns of the event loop after which pending input has been received."""
 CLOSE_HEADER = (b"Connection", b"close")
@@ -56,12 +70,18 @@
         max_head_bytes: int,
         is_closing: Callable[[], bool] = lambda: False,
         on_receive: Callable[[int], None] = lambda _: None,
+        room: ConnectionRoom | None = None,
     ) -> None:
         """Serve one connection; replies end it from when ``is_closing`` is true.
 
         ``on_receive`` is told the number of bytes of each receive.
         """
         self._stream = stream
+        room = room or UnlimitedRoom()
+        room.bind(self.shed)
+        if room.buffer_bytes:
+            limit_buffers(stream, room.buffer_bytes)
+        self._hold = ConnectionHold(room)
         self._is_closing = is_closing
         self._on_receive = on_receive
         self._conn = h11.Connection(h11.SERVER, max_head_bytes)
@@ -101,26 +121,45 @@
         """Return the body of the request.
 
         Raises MalformedRequestError above ``limit`` bytes or after ``timeout``
-        seconds, and PeerDisconnectedError.
+        seconds, NoRoomError if the host has no memory for it, and
+        PeerDisconnectedError.
         """
         if self._conn.they_are_waiting_for_100_continue:
             await self._send(h11.InformationalResponse(status_code=100, headers=[]))
+        # A list of parts would hold many times a body that comes in tiny chunks.
         body = bytearray()
-        with anyio.move_on_after(timeout):
+        with anyio.move_on_after(timeout), anyio.CancelScope() as self._hold.sheddable:
             while True:
                 event = await self._next_event()
                 if isinstance(event, h11.Data):
-                    body += event.data
-                    if len(body) > limit:
+                    if len(body) + len(event.data) > limit:
                         raise MalformedRequestError(413, "request body too large")
+                    self._hold.take(len(event.data) * COPIES)
+                    body += event.data
                 elif isinstance(event, h11.EndOfMessage):
+                    self._hold.enter(ConnectionPhase.SERVED)
                     return bytes(body)
                 else:
                     raise PeerDisconnectedError(
                         "connection ended within the request body"
                     )
+        if self._hold.sheddable.cancel_called:
+            raise NoRoomError(f"shed, {self._hold.taken} bytes of its body held")
         raise MalformedRequestError(408, "request body not received in time")
 
+    def shed(self) -> None:
+        """End the connection, or refuse the request that is being received.
+
+        A request that is being served is answered; those sent ahead of its answer
+        are not read.
+        """
+        if not self._hold.shed():
+            self.stop_reading()
+
+    async def reserve(self, count: int) -> None:
+        """Wait until the host has memory for so many bytes of an answer."""
+        await self._hold.wait_and_take(count * COPIES)
+
     def stop_reading(self) -> None:
         """End the connection unless a request was received before.
 
@@ -156,13 +195,18 @@
         """Return when the peer closes the connection; run while a request is served.
 
         What the peer sends meanwhile is buffered for the next request. Once that
-        exceeds MAX_READ_AHEAD_BYTES, reading stops and this method never returns. Nor
-        does it if this side has stopped reading.
+        exceeds MAX_READ_AHEAD_BYTES, with what the parser has of it already, or the
+        host has no memory, reading stops and this method never returns. Nor does it
+        if this side has stopped reading.
         """
+        unparsed = len(self._conn.trailing_data[0])
         while not self._eof:
-            if len(self._read_ahead) > MAX_READ_AHEAD_BYTES:
+            if unparsed + len(self._read_ahead) > MAX_READ_AHEAD_BYTES:
+                await anyio.sleep_forever()
+            data = await self._receive()
+            self._read_ahead += data
+            if not self._hold.try_take(len(data)):
                 await anyio.sleep_forever()
-            self._read_ahead += await self._receive()
         if self._reading_stopped:
             await anyio.sleep_forever()
 
@@ -193,12 +237,14 @@
 
     def finish(self) -> bool:
         """End the exchange and return whether the connection can be reused."""
-        if self._eof:
+        self._hold.give_back()
+        if self._eof or self._hold.is_last:
             return False
         try:
             self._conn.start_next_cycle()
         except h11.LocalProtocolError:
             return False
+        self._hold.try_take(len(self._read_ahead) + len(self._conn.trailing_data[0]))
         return True
 
     async def close(self) -> None:
@@ -207,8 +253,9 @@
         Closing at once while input is unread could reset the connection before the
         peer has received the last reply.
         """
+        self._hold.enter(ConnectionPhase.ENDING)
         try:
-            with anyio.move_on_after(LINGERING_CLOSE_SECONDS):
+            with anyio.move_on_after(LINGERING_CLOSE_SECONDS) as self._hold.sheddable:
                 await self._stream.send_eof()
                 while await self._discard_input():
                     pass
@@ -223,7 +270,7 @@
         await anyio.aclose_forcefully(self._stream)
 
     def _reply_head(self, status: int, headers: list[Header]) -> h11.Response:
-        if self._reading_stopped or self._is_closing():
+        if self._reading_stopped or self._hold.is_last or self._is_closing():
             headers = [*headers, CLOSE_HEADER]
         return h11.Response(status_code=status, headers=headers)
 
@@ -245,16 +292,20 @@
 
     async def _first_event(self) -> object:
         """Return an event after at most one receive, None if the connection ended."""
+        self._hold.sheddable = None
+        self._hold.enter(ConnectionPhase.RECEIVING)
         event = self._parse_event()
         if event is not h11.NEED_DATA:
             return event
         if self._conn.trailing_data[0]:
             return h11.NEED_DATA
         self.is_waiting = True
+        self._hold.enter(ConnectionPhase.WAITING)
         try:
             data = b"" if self._eof else await self._receive()
         finally:
             self.is_waiting = False
+            self._hold.enter(ConnectionPhase.RECEIVING)
         if not data or self._aborted:
             return None
         self._conn.receive_data(data)
@@ -325,7 +376,19 @@
             parts = [self._conn.send(event) for event in events]
         except h11.LocalProtocolError as exc:
             raise PeerDisconnectedError(f"reply can't be sent: {exc}") from exc
+        phase, scope = self._hold.phase, self._hold.sheddable
         try:
-            await self._stream.send(b"".join(part for part in parts if part))
+            for data in write_slices([part for part in parts if part]):
+                await self._write(data)
         except DISCONNECT_ERRORS as exc:
             raise PeerDisconnectedError(repr(exc)) from exc
+        finally:
+            self._hold.sheddable = scope
+            self._hold.enter(phase)
+
+    async def _write(self, data: bytes) -> None:
+        self._hold.enter(ConnectionPhase.SENDING)
+        with anyio.move_on_after(SEND_TIMEOUT_SECONDS) as self._hold.sheddable:
+            await self._stream.send(data)
+            return
+        raise PeerDisconnectedError("the peer takes nothing of its answer")
--- a/src/knapweeddrum/process/entry/caller_server.py
+++ b/src/knapweeddrum/process/entry/caller_server.py
@@ -7,6 +7,7 @@
 
 from knapweeddrum.http.listener import Listener, listen
 from knapweeddrum.process.entry.caller_session import CallerSession
+from knapweeddrum.process.entry.client_connections import ClientRoom, ConnectionGate
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.request_parts import RequestParts
 from knapweeddrum.telemetry.counters import LISTEN_FAILED_COUNT
@@ -35,6 +36,8 @@
         self._is_stopped = False
         self._may_accept = anyio.Event()
         """Set and replaced as accepting may go on, or has ended for good."""
+        connections = ctx.connections
+        self._gate = ConnectionGate(connections, connections.callers)
 
     @property
     def has_sessions(self) -> bool:
@@ -84,7 +87,9 @@
     async def _accept(self, tasks: TaskGroup) -> None:
         """Listen until paused or stopped."""
         address = self._ctx.settings.caller_address
-        async with listen(address, self._ctx.record_accept_failure) as listener:
+        async with listen(
+            address, self._ctx.record_accept_failure, self._gate
+        ) as listener:
             opening = [earlier for earlier in self._listeners if earlier.opening]
             self._listeners = [*opening, listener]
             self._accepting = anyio.CancelScope()
@@ -132,7 +137,9 @@
 
     async def _serve(self, stream: SocketStream) -> None:
         self._ctx.link_load.accept()
-        session = CallerSession(self._ctx, self._parts, stream)
+        connections = self._ctx.connections
+        room = ClientRoom(connections, connections.callers, stream)
+        session = CallerSession(self._ctx, self._parts, stream, room)
         self._sessions.add(session)
         try:
             await session.run()
@@ -143,5 +150,6 @@
             )
         finally:
             self._sessions.discard(session)
+            room.close()
             # Also when cancelled: the end of the process may come much later.
             await session.abort()
--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -9,7 +9,12 @@
 from anyio.abc import SocketStream
 
 from knapweeddrum.core.catalog.caller_limits import CallerLimits
-from knapweeddrum.http.exceptions import MalformedRequestError, PeerDisconnectedError
+from knapweeddrum.http.connection_room import ConnectionRoom
+from knapweeddrum.http.exceptions import (
+    MalformedRequestError,
+    NoRoomError,
+    PeerDisconnectedError,
+)
 from knapweeddrum.http.server_connection import ReceivedRequest, ServerConnection
 from knapweeddrum.platform.caller_protocol import decode_request
 from knapweeddrum.platform.caller_request import CallerRequest
@@ -20,6 +25,7 @@
 from knapweeddrum.process.entry.request_admission import (
     DRAINING_RETRY_AFTER_SECONDS,
     RequestAdmission,
+    no_room_error,
     refused,
 )
 from knapweeddrum.process.entry.request_handler import RequestHandler
@@ -54,6 +60,7 @@
         ctx: EntryContext,
         parts: RequestParts,
         stream: SocketStream,
+        room: ConnectionRoom | None = None,
     ) -> None:
         self._ctx = ctx
         self._parts = parts
@@ -63,6 +70,7 @@
             self._limits.max_header_bytes,
             self._is_closing,
             ctx.link_load.receive,
+            room,
         )
         self._admission = RequestAdmission(ctx)
         self._is_ending = False
@@ -172,9 +180,13 @@
         """Return the body; raises RefusedError if it is given up before its end."""
         self.is_receiving = True
         with anyio.CancelScope() as self._work:
-            body = await self._conn.read_body(
-                limits.max_body_bytes, limits.idle_timeout
-            )
+            try:
+                body = await self._conn.read_body(
+                    limits.max_body_bytes, limits.idle_timeout
+                )
+            except NoRoomError as exc:
+                time_left = self._deadline - time.monotonic()
+                raise no_room_error(self._ctx, time_left, str(exc)) from exc
             self.is_receiving = False
             return body
         raise refused(
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -44,6 +44,11 @@
 from knapweeddrum.core.streams.version_record import VersionRecord
 from knapweeddrum.http.connection_pool import ConnectionPool
 from knapweeddrum.platform.store_client import StoreClient
+from knapweeddrum.process.entry.client_connections import (
+    DEFAULT_HOST_LIMITS,
+    ClientConnections,
+    host_limits,
+)
 from knapweeddrum.process.entry.lost_connection import LostConnection
 from knapweeddrum.process.entry.processor_meter import ProcessorMeter
 from knapweeddrum.settings.entry_settings import EntrySettings
@@ -149,6 +154,9 @@
     loans: LoanLedger = dataclasses.field(default_factory=LoanLedger)
     loop_lag: LoopLag = dataclasses.field(default_factory=LoopLag)
     link_load: LinkLoad = dataclasses.field(default_factory=LinkLoad)
+    connections: ClientConnections = dataclasses.field(
+        default_factory=lambda: ClientConnections(DEFAULT_HOST_LIMITS)
+    )
     claim_meter: ProcessorMeter = dataclasses.field(default_factory=ProcessorMeter)
     """Processor time that deciding on claims and applying them takes."""
 
@@ -194,6 +202,13 @@
         self.metrics.count(ACCEPT_FAILED_COUNT)
         self.events.emit(ACCEPT_FAILED, error=str(exc))
 
+    def apply_host_limits(self) -> None:
+        """Use the bounds for memory and descriptors that the settings call for."""
+        limits = host_limits(self.settings)
+        self.connections.apply(limits)
+        self.pool.max_open = limits.outgoing
+        self.pool.buffer_bytes = limits.buffer_bytes
+
     def record_ignored(self, key: str, position: int, error: str) -> None:
         """Record that a record of the store can't be read."""
         self.metrics.count(ENTRY_IGNORED_COUNT)
@@ -326,6 +341,9 @@
             "endpoints_listed": len(self.service_list.all()),
             "requests_in_progress": self.in_progress,
             "crash_suspects": len(self.crash_register.fingerprints(time.time())),
+            "client_bytes": self.connections.memory.used,
+            "caller_connections": self.connections.callers.count,
+            "page_connections": self.connections.pages.count,
             "endpoint_connections": self.pool.open_count(),
             "ready": float(self.is_ready),
             "loop_lag_seconds": self.loop_lag.recent(now),
--- a/src/knapweeddrum/process/entry/host_state_page.py
+++ b/src/knapweeddrum/process/entry/host_state_page.py
@@ -35,6 +35,7 @@
     def _state(self, now: float) -> HostState:
         ctx = self._ctx
         configuration = ctx.configuration
+        held = ctx.connections
         own = ctx.own_record(now)
         return HostState(
             host=ctx.settings.host_name,
@@ -64,6 +65,14 @@
                 EmptiedRow(name, round(now - since, 3))
                 for name, since in ctx.emptied.emptied_since().items()
             ],
+            client_bytes=held.memory.used,
+            most_client_bytes=held.memory.most_used,
+            client_bytes_limit=held.memory.limit,
+            caller_connections=held.callers.count,
+            caller_connections_limit=held.callers.limit,
+            page_connections=held.pages.count,
+            page_connections_limit=held.pages.limit,
+            refused_connections=held.callers.refused + held.pages.refused,
         )
 
     def _endpoints(self, now: float) -> list[EndpointRow]:
--- a/src/knapweeddrum/process/entry/housekeeping_task.py
+++ b/src/knapweeddrum/process/entry/housekeeping_task.py
@@ -55,6 +55,7 @@
         ctx.settings = settings
         ctx.store.address = settings.store_address
         ctx.link_load.set_link(settings.link_mbps)
+        ctx.apply_host_limits()
         ctx.events.emit(SETTINGS_RELOADED, changed=changed)
 
     async def _close_stale_connections(self) -> None:
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -75,6 +75,10 @@
 """Requests to another host that got no usable reply in time."""
 HOST_BEHIND_COUNT = "host.behind"
 """Measurements at which this process was behind."""
+CONNECTION_SHED_COUNT = "connection.shed"
+"""Connections of clients that were ended for the memory or descriptors they held."""
+CONNECTION_REFUSED = "connection.refused"
+"""Connections that were closed when accepted, as descriptors were used up."""
 ACCEPT_FAILED_COUNT = "accept_failed"
 """Times that connections could not be accepted, several in a row as one."""
 LISTENER_CLOSED = "link.listener_closed"
@@ -138,6 +142,8 @@
     ACCEPT_FAILED_COUNT,
     LISTENER_CLOSED,
     LISTEN_FAILED_COUNT,
+    CONNECTION_SHED_COUNT,
+    CONNECTION_REFUSED,
     WORKING_SET_CHANGES,
     TASK_RESTARTED_COUNT,
     SPENDING_WRITTEN,
--- a/tests/process/entry/test_link_watch.py
+++ b/tests/process/entry/test_link_watch.py
@@ -181,7 +181,8 @@
     service = StampedServer("shop-1")
     async with entry_harness(services=(service,)) as harness:
         text = harness.settings_path.read_text()
-        harness.settings_path.write_text(f"{text}\n[limits]\nlinkMbps = 2.0\n")
+        slow = text.replace("[limits]\n", "[limits]\nlinkMbps = 2.0\n")
+        harness.settings_path.write_text(slow)
         harness.send_signal(signal.SIGHUP)
         await harness.wait_for_event("settings_reloaded")
         async with anyio.create_task_group() as tasks:
