Learn how many requests in progress an endpoint takes well

Cause: an endpoint that slows down long before its slots are used, and doesn't report it, was given sessions that left other endpoints.

Change: ConcurrencyLimit (AIMD): two answers in a row that start 0.15 s later than expected lower it to 0.8 of what was in progress, not below 4; answers in time near it and time raise it. Sessions move to endpoints below their limits only; a session leaves its own endpoint by cost alone, as its cache is there. This host's share of the requests is now asked for once in 0.25 s and not for each request.

--- a/src/knapweeddrum/core/capacity/expected_start.py
+++ b/src/knapweeddrum/core/capacity/expected_start.py
@@ -38,11 +38,11 @@
 class ExpectedStart:
     """Estimates the seconds until the first event of a request.
 
-    ``share`` is this host's part of the fleet's requests, None if it is unknown.
     Times are in monotonic seconds.
     """
 
-    def __init__(self, means: ServiceMeans, share: float | None, now: float) -> None:
+    def __init__(self, means: ServiceMeans, now: float) -> None:
+        share = means.demand_share
         self._means = means
         self._now = now
         prompts = means.recent_prompts
--- a/src/knapweeddrum/core/capacity/prompt_queue.py
+++ b/src/knapweeddrum/core/capacity/prompt_queue.py
@@ -48,14 +48,19 @@
         self._prompts = self._prompts * decay + 1.0
         self._rate_at = now
 
-    def begin_answer(self, attempt_id: str, overhead: float, now: float) -> None:
-        """Record that an answer began; ``overhead`` is the time after the prefill."""
+    def begin_answer(self, attempt_id: str, overhead: float, now: float) -> float:
+        """Record that an answer began, and return the seconds it was late by.
+
+        ``overhead`` is the time after the prefill.
+        """
         prompt = self._waiting.get(attempt_id)
         if prompt is None:
-            return
-        self._waits = (self._waits[1], max(0.0, now - prompt.due_at - overhead))
+            return 0.0
+        late_by = max(0.0, now - prompt.due_at - overhead)
+        self._waits = (self._waits[1], late_by)
         self._waited_at = now
         self.remove(attempt_id, now)
+        return late_by
 
     def remove(self, attempt_id: str, now: float) -> None:
         """Record that a prompt is not waiting any more."""
--- a/src/knapweeddrum/core/capacity/service_means.py
+++ b/src/knapweeddrum/core/capacity/service_means.py
@@ -18,9 +18,13 @@
     work_time: float
     recent_tokens: float
     recent_prompts: float
+    demand_share: float | None
+    """This host's part of the fleet's requests, None if it is not known."""
 
 
-def service_means(capacities: Sequence[EndpointCapacity], now: float) -> ServiceMeans:
+def service_means(
+    capacities: Sequence[EndpointCapacity], demand_share: float | None, now: float
+) -> ServiceMeans:
     """Return the means over all endpoints of a service, at least one."""
     speeds = [
         speed
@@ -38,4 +42,5 @@
         statistics.median(work_times) if work_times else 1.0,
         sum(tokens for tokens, _ in recent) / len(recent),
         sum(prompts for _, prompts in recent) / len(recent),
+        demand_share,
     )
--- a/src/knapweeddrum/core/placing/endpoint_state.py
+++ b/src/knapweeddrum/core/placing/endpoint_state.py
@@ -67,7 +67,7 @@
     ) -> None:
         """Record that a request is sent."""
         if prompt.tokens:
-            self.capacity.start(attempt_id, prompt, now)
+            self.capacity.start(attempt_id, prompt, self.load(now), now)
         self.in_flight += 1
         self.pending_prompt_tokens += tokens
         self._unanswered[attempt_id] = now
@@ -79,7 +79,7 @@
 
     def record_answer_start(self, attempt_id: str, tokens: int, now: float) -> None:
         """Record that the answer to a request began; repeated calls change nothing."""
-        self.capacity.begin_answer(attempt_id, now)
+        self.capacity.begin_answer(attempt_id, self.entry.slots, now)
         self._end_wait(attempt_id, tokens)
 
     def _end_wait(self, attempt_id: str, tokens: int) -> None:
@@ -178,6 +178,13 @@
         reported = self._report.running + self._report.waiting
         return float(max(reported, self.in_flight))
 
+    def has_room(self, now: float) -> bool:
+        """Return whether it takes another request well, as far as is known."""
+        limit = self.capacity.limit.limit(now)
+        if limit != float("inf") and self.load(now) >= limit:
+            return False
+        return not self.is_full(now)
+
     def is_full(self, now: float) -> bool:
         """Return whether the endpoint reported too many requests waiting for a slot."""
         if (
--- a/src/knapweeddrum/core/placing/placement_request.py
+++ b/src/knapweeddrum/core/placing/placement_request.py
@@ -25,5 +25,3 @@
     prompt: PromptParts = NO_PROMPT
     target_latency: float = 0.0
     """Seconds within which an answer that begins is worth most, 0 if not known."""
-    demand_share: float | None = None
-    """This host's part of the fleet's requests, None if it is not known."""
--- a/src/knapweeddrum/core/placing/placer.py
+++ b/src/knapweeddrum/core/placing/placer.py
@@ -7,7 +7,7 @@
 from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.placing.placement_request import PlacementRequest
 from knapweeddrum.core.placing.rendezvous import rendezvous_rank
-from knapweeddrum.core.placing.start_placer import StartPlacer
+from knapweeddrum.core.placing.start_placer import DemandShare, StartPlacer
 
 __all__ = ["PlacementRequest", "Placer", "rendezvous_rank"]
 
@@ -41,8 +41,12 @@
     call is multiplied by the work time.
     """
 
-    def __init__(self, rng: random.Random | None = None) -> None:
-        self._by_start = StartPlacer(rng or random.Random(0))
+    def __init__(
+        self,
+        rng: random.Random | None = None,
+        demand_share: DemandShare = lambda: None,
+    ) -> None:
+        self._by_start = StartPlacer(rng or random.Random(0), demand_share)
 
     def choose(
         self, states: list[EndpointState], req: PlacementRequest, now: float
--- a/src/knapweeddrum/core/placing/start_placer.py
+++ b/src/knapweeddrum/core/placing/start_placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 from knapweeddrum.core.capacity.expected_start import ExpectedStart, StartEstimate
 from knapweeddrum.core.capacity.service_means import ServiceMeans, service_means
@@ -41,11 +42,16 @@
 """Time for which the means of a service are used; they take 70 endpoints' reading."""
 
 
+DemandShare = Callable[[], float | None]
+"""Returns this host's part of the fleet's requests, None if it is not known."""
+
+
 class StartPlacer:
     """Chooses by expected start, for services whose endpoints report a work time."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, demand_share: DemandShare) -> None:
         self._rng = rng
+        self._demand_share = demand_share
         self._means: dict[str, tuple[float, ServiceMeans]] = {}
 
     def choose(
@@ -53,7 +59,7 @@
     ) -> EndpointState:
         """Return the endpoint for a request with a prompt; there is at least one."""
         means = self._means_of(eligible, now)
-        expected = ExpectedStart(means, req.demand_share, now)
+        expected = ExpectedStart(means, now)
         first = first_by_rank(eligible, req.session) if req.session else None
         output_tokens = min(req.prompt.output_tokens, MAX_OUTPUT_TOKENS)
         output_weight = output_tokens * TOKEN_SECONDS * OUTPUT_WEIGHT
@@ -63,7 +69,7 @@
             if estimate.seconds <= req.target_latency * EARLY_FRACTION:
                 return first
             first_cost = _cost(estimate, first.load(now), output_weight)
-        free = [state for state in eligible if not state.is_full(now)] or eligible
+        free = [state for state in eligible if state.has_room(now)] or eligible
         best, best_cost = free[0], float("inf")
         for state in free:
             estimate = expected.estimate(state.capacity, req.prompt, is_first=False)
@@ -88,7 +94,8 @@
         service = states[0].entry.service
         at, means = self._means.get(service, (float("-inf"), None))
         if means is None or not 0.0 <= now - at < MEANS_LIFETIME_SECONDS:
-            means = service_means([state.capacity for state in states], now)
+            capacities = [state.capacity for state in states]
+            means = service_means(capacities, self._demand_share(), now)
             self._means[service] = (now, means)
         return means
 
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -189,7 +189,6 @@
             may_probe=job.route.idempotent,
             prompt=job.prompt_parts,
             target_latency=job.route.target_latency,
-            demand_share=self._ctx.hosts.demand_share(),
         )
         state = choose_apart_from_suspects(self._ctx, states, placement, constraints)
         if state is None:
--- a/src/knapweeddrum/process/entry_composition.py
+++ b/src/knapweeddrum/process/entry_composition.py
@@ -66,6 +66,7 @@
     losses, reported_losses = anyio.create_memory_object_stream[LostConnection](
         MAX_WAITING_REPORTS
     )
+    hosts = HostDirectory(settings.host_name)
     ctx = EntryContext(
         settings=settings,
         incarnation=incarnation,
@@ -77,7 +78,7 @@
         pool=pool,
         service_list=service_list,
         endpoint_states=EndpointStates(service_list),
-        hosts=HostDirectory(settings.host_name),
+        hosts=hosts,
         token_accounts=TokenAccounts(incarnation),
         token_owners=TokenOwners(settings.host_name),
         crash_register=CrashRegister(CRASH_POLICY),
@@ -85,7 +86,7 @@
         claim_witness=ClaimWitness(incarnation),
         claim_recovery=ClaimRecovery(incarnation),
         predecessor_claims=PredecessorClaims(settings.host_name, incarnation),
-        placer=Placer(rng),
+        placer=Placer(rng, hosts.demand_share),
         events=EventLog(level, LineLogger(writer), incarnation=incarnation),
         metrics=metrics,
         rng=random.Random(rng.getrandbits(64)),
--- a/tests/core/capacity/simulated_engine.py
+++ b/tests/core/capacity/simulated_engine.py
@@ -61,6 +61,8 @@
     def __init__(self, clock: Clock, rng: random.Random, base: float = 1.0) -> None:
         self.base = base
         self.slow_factor = SLOW_FACTOR
+        self.knee = float(SLOTS)
+        """Requests above which all work slows down, unreported."""
         self._clock = clock
         self._rng = rng
         self._cache: collections.OrderedDict[str, int] = collections.OrderedDict()
@@ -145,6 +147,7 @@
         if self._prompts:
             chunk = min(CHUNK_TOKENS, self._prompts[0].unread)
             seconds += chunk / TOKENS_PER_SECOND
+        seconds *= max(1.0, self.running / self.knee) ** 2
         end = self._clock.now + seconds * self.work_time
         self._clock.at(end, lambda: self._end_step(chunk, list(self._decoding)))
 
--- a/tests/core/capacity/simulated_fleet.py
+++ b/tests/core/capacity/simulated_fleet.py
@@ -105,7 +105,7 @@
         rng = random.Random(f"placer/{number}")
         if self._policy == "weights":
             return WeightedPlacer(self.engines, rng)
-        return Placer(rng)
+        return Placer(rng, lambda: 1.0 / len(self.hosts))
 
     def play(self, seconds: float, load: float | None = None) -> None:
         """Let requests come for a while, in waves and clumps."""
@@ -145,7 +145,6 @@
             session=session_id,
             prompt=prompt,
             target_latency=kind.target,
-            demand_share=1.0 / len(self.hosts),
         )
         now = self.clock.now
         state = host.placer.choose(host.states, req, now)
--- a/tests/core/capacity/test_placing_by_start.py
+++ b/tests/core/capacity/test_placing_by_start.py
@@ -124,7 +124,7 @@
     fleet.play(2.0)
     host, now = fleet.hosts[0], fleet.clock.now
     prompt = PromptParts(9_190, (("c", 2_520), ("s", 3_780)), 50)
-    req = PlacementRequest(session="s", prompt=prompt, demand_share=0.2)
+    req = PlacementRequest(session="s", prompt=prompt)
     started = time.process_time()
     for _ in range(200):
         host.placer.choose(host.states, req, now)
