Show what was learned of endpoints in host-state

Cause: an operator could not see why sessions leave an endpoint.

Change: knapweedctl host-state shows the work time expected now, the prefill speed, the queue of this host's prompts and the learned limit of each endpoint; counter session.moved.

Ruled out: a log event for each change of the limit (several a second in a burst).

Measured: with a real process and two stand-ins, one of which reports 9 times the usual work time, more than two thirds of 24 sessions go to the other.

--- a/src/knapweeddrum/console/commands/host_state_command.py
+++ b/src/knapweeddrum/console/commands/host_state_command.py
@@ -26,6 +26,10 @@
     "IN FLIGHT",
     "LOAD",
     "LIMIT",
+    "WORK TIME",
+    "TOKENS/S",
+    "QUEUED",
+    "TAKES",
 )
 BUDGETS_HEADING = (
     "ORGANISATION",
@@ -134,6 +138,10 @@
         str(row.in_flight),
         f"{row.load:g}",
         "none" if row.limit is None else f"{row.limit:g}/s",
+        "not told" if row.work_time is None else f"{row.work_time:.2f}",
+        "unknown" if row.prefill_speed is None else f"{row.prefill_speed:.0f}",
+        f"{row.queued:.2f} s",
+        "any" if row.learned_limit is None else f"{row.learned_limit:g}",
     )
 
 
--- a/src/knapweeddrum/core/placing/placer.py
+++ b/src/knapweeddrum/core/placing/placer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.placing.placement_request import PlacementRequest
@@ -45,8 +46,10 @@
         self,
         rng: random.Random | None = None,
         demand_share: DemandShare = lambda: None,
+        on_move: Callable[[], None] = lambda: None,
     ) -> None:
-        self._by_start = StartPlacer(rng or random.Random(0), demand_share)
+        """``on_move`` is called when a session is placed elsewhere to start sooner."""
+        self._by_start = StartPlacer(rng or random.Random(0), demand_share, on_move)
 
     def choose(
         self, states: list[EndpointState], req: PlacementRequest, now: float
--- a/src/knapweeddrum/core/placing/start_placer.py
+++ b/src/knapweeddrum/core/placing/start_placer.py
@@ -49,9 +49,15 @@
 class StartPlacer:
     """Chooses by expected start, for services whose endpoints report a work time."""
 
-    def __init__(self, rng: random.Random, demand_share: DemandShare) -> None:
+    def __init__(
+        self,
+        rng: random.Random,
+        demand_share: DemandShare,
+        on_move: Callable[[], None],
+    ) -> None:
         self._rng = rng
         self._demand_share = demand_share
+        self._on_move = on_move
         self._means: dict[str, tuple[float, ServiceMeans]] = {}
 
     def choose(
@@ -81,6 +87,8 @@
                 best, best_cost = state, cost
         if first is not None and first_cost <= best_cost + STAY_SECONDS:
             return first
+        if first is not None and best is not first:
+            self._on_move()
         return best
 
     def work_time(
--- a/src/knapweeddrum/message/call/host_state.py
+++ b/src/knapweeddrum/message/call/host_state.py
@@ -19,6 +19,17 @@
     """Requests that run or wait there, as far as this host knows."""
     limit: float | None = None
     """Requests a second that it takes from all hosts, None if it names no limit."""
+    work_time: float | None = None
+    """How long work is expected to take there now, as a multiple of the usual.
+
+    None if the endpoint doesn't report it.
+    """
+    prefill_speed: float | None = None
+    """Learned prompt tokens a second at a work time of 1, None if not known."""
+    queued: float = 0.0
+    """Seconds until the prompts that this host sent there will have been read."""
+    learned_limit: float | None = None
+    """Requests in progress above which no sessions move there, None for no such."""
 
 
 class BudgetRow(msgspec.Struct, frozen=True):
--- a/src/knapweeddrum/process/entry/host_state_page.py
+++ b/src/knapweeddrum/process/entry/host_state_page.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.placing.endpoint_states import instance_name
 from knapweeddrum.message.call.host_state import (
     BudgetRow,
@@ -59,19 +60,29 @@
         )
 
     def _endpoints(self, now: float) -> list[EndpointRow]:
-        return [
-            EndpointRow(
-                endpoint=state.entry.endpoint_id,
-                service=state.entry.service,
-                address=state.entry.address,
-                data_centre=state.entry.data_centre,
-                condition=state.condition(now),
-                in_flight=state.in_flight,
-                load=state.load(now),
-                limit=self._ctx.endpoint_limits.limit(instance_name(state.entry)),
-            )
-            for state in self._ctx.endpoint_states.all()
-        ]
+        states = self._ctx.endpoint_states.all()
+        return [self._endpoint(state, now) for state in states]
+
+    def _endpoint(self, state: EndpointState, now: float) -> EndpointRow:
+        capacity = state.capacity
+        limit = capacity.limit.limit(now)
+        work_time = None
+        if capacity.reports_work_time:
+            work_time = round(capacity.work_time.current(1.0, now), 2)
+        return EndpointRow(
+            endpoint=state.entry.endpoint_id,
+            service=state.entry.service,
+            address=state.entry.address,
+            data_centre=state.entry.data_centre,
+            condition=state.condition(now),
+            in_flight=state.in_flight,
+            load=state.load(now),
+            limit=self._ctx.endpoint_limits.limit(instance_name(state.entry)),
+            work_time=work_time,
+            prefill_speed=capacity.speed.tokens_per_second(now),
+            queued=round(capacity.queue.own_seconds(now), 3),
+            learned_limit=None if math.isinf(limit) else round(limit, 1),
+        )
 
     def _crashes(self, now: float) -> list[CrashRow]:
         register = self._ctx.crash_register
--- a/src/knapweeddrum/process/entry_composition.py
+++ b/src/knapweeddrum/process/entry_composition.py
@@ -35,7 +35,11 @@
 )
 from knapweeddrum.settings.entry_settings import EntrySettings
 from knapweeddrum.telemetry.bounded_writer import BoundedWriter
-from knapweeddrum.telemetry.counters import CONNECTIONS_OPENED, store_counter
+from knapweeddrum.telemetry.counters import (
+    CONNECTIONS_OPENED,
+    SESSION_MOVED,
+    store_counter,
+)
 from knapweeddrum.telemetry.event_log import EventLog
 from knapweeddrum.telemetry.line_logger import LineLogger
 from knapweeddrum.telemetry.metrics import Metrics
@@ -86,7 +90,7 @@
         claim_witness=ClaimWitness(incarnation),
         claim_recovery=ClaimRecovery(incarnation),
         predecessor_claims=PredecessorClaims(settings.host_name, incarnation),
-        placer=Placer(rng, hosts.demand_share),
+        placer=Placer(rng, hosts.demand_share, lambda: metrics.count(SESSION_MOVED)),
         events=EventLog(level, LineLogger(writer), incarnation=incarnation),
         metrics=metrics,
         rng=random.Random(rng.getrandbits(64)),
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -33,6 +33,8 @@
 HEARTBEAT_FAILED = "heartbeat_failed"
 PART_BLAMED_COUNT = "part.blamed"
 """Parts of prompts that this host began to refuse, as they crash endpoints."""
+SESSION_MOVED = "session.moved"
+"""Requests placed elsewhere than their session's first endpoint, to start sooner."""
 STORE_RETURNED_COUNT = "store_era.returned"
 """Times that the store was found to have come back from an older copy."""
 STORE_ERA_DOUBTED_COUNT = "store_era.doubted"
@@ -110,6 +112,7 @@
     CONNECTIONS_OPENED,
     HEARTBEAT_FAILED,
     PART_BLAMED_COUNT,
+    SESSION_MOVED,
     STORE_RETURNED_COUNT,
     STORE_ERA_DOUBTED_COUNT,
     CLAIM_REWRITTEN,
--- a/tests/core/capacity/test_placing_by_start.py
+++ b/tests/core/capacity/test_placing_by_start.py
@@ -129,3 +129,13 @@
     for _ in range(200):
         host.placer.choose(host.states, req, now)
     assert (time.process_time() - started) / 200 < 0.002
+
+
+def test_short_calls_prefer_usual_work_times():
+    """Plain services: loads are equal, so fixed costs would share the calls evenly."""
+    host = Host(Placer(), 2)
+    for state, work_time in zip(host.states, (3.0, 1.0), strict=True):
+        for number in range(3):
+            state.record_load(LoadReport(2, 0, 64, work_time), number / 10)
+    req = PlacementRequest()
+    assert host.placer.choose(host.states, req, 0.3) is host.states[1]
--- a/tests/platform/test_entry_codecs.py
+++ b/tests/platform/test_entry_codecs.py
@@ -174,6 +174,7 @@
     assert (req.host_name, req.path) == ("desk.example", "/a/b")
     assert (req.api_key, req.time_left) == ("k1", 1.5)
     assert (req.prompt.input_tokens, req.prompt.output_limit) == (35, 80)
+    assert (req.prompt.parts, req.prompt.part_tokens) == (("aa", "bb"), (10, 20))
     assert req.prompt.session == "bb"
 
 
--- a/tests/process/entry/test_host_state.py
+++ b/tests/process/entry/test_host_state.py
@@ -62,3 +62,37 @@
         url = f"http://{harness.metrics_address}"
         ran = await anyio.to_thread.run_sync(run, "host-state", url)
         assert "suspended, missing: none" in ran.out, ran.out
+
+
+class ReportingServer(StampedServer):
+    """An endpoint that reports how long work takes, in percent of the usual."""
+
+    def __init__(self, server_id: str, work_time: int) -> None:
+        super().__init__(server_id, events=2)
+        self.work_time = work_time
+
+    def load(self) -> bytes:
+        return b"1,0,8,%d" % self.work_time
+
+
+@async_test
+async def test_sessions_leave_an_endpoint_that_reports_slow_work():
+    """A report that is decoded and not used would leave half of them there."""
+    engines = (ReportingServer("engine-1", 100), ReportingServer("engine-2", 900))
+    async with entry_harness(engines=engines) as harness:
+        for number in range(24):
+            answer = await harness.call(
+                "/draft/1",
+                attempt=f"a{number}",
+                tokens="300,10",
+                prefix=f"aa:10,s{number}:20,own{number}:270",
+            )
+            assert answer.status == 200
+        assert engines[0].arrivals > engines[1].arrivals * 2
+        answer = await harness.get(harness.metrics_address, "/state")
+        state = msgspec.json.decode(answer.body, type=HostState)
+        rows = {row.endpoint: row for row in state.endpoints}
+        assert rows["engine-1"].work_time == 1.0
+        assert rows["engine-2"].work_time > 1.0
+        answer = await harness.get(harness.metrics_address, "/metrics")
+        assert b"session.moved" in answer.body
