Move fewer sessions where the whole service is busy

Cause: in bursts of 3 and 4.5 times over 44 engines placement by start served fewer in time than rank: each moved session is read anew.

Change: the cost of reading is divided by the square of the part of their time that the service's endpoints don't read prompts.

Tests: capacity, placing, test_host_state: 38 pass.

--- a/src/knapweeddrum/core/capacity/expected_start.py
+++ b/src/knapweeddrum/core/capacity/expected_start.py
@@ -51,6 +51,9 @@
         self._rate_weight = own_weight * fleet_factor / RATE_SECONDS
         """Factor from this host's recent tokens at an endpoint to the fleet's rate."""
         mean_rate = means.recent_tokens * fleet_factor / RATE_SECONDS
+        token_seconds = means.work_time / means.tokens_per_second
+        self.mean_utilisation = min(MAX_UTILISATION, mean_rate * token_seconds)
+        """Part of their time that the service's endpoints read prompts."""
         self._mean_rate = (1.0 - own_weight) * mean_rate
         mean_tokens = means.recent_tokens / prompts if prompts > 0 else 0.0
         others = 1.0 - share if share else 0.0
--- a/src/knapweeddrum/core/placing/start_placer.py
+++ b/src/knapweeddrum/core/placing/start_placer.py
@@ -26,6 +26,12 @@
 It delays the prompts that come next.
 """
 
+IDLE_POWER = 2.0
+"""Power of the idle part of the service's time by which the reading cost is divided.
+
+Where all endpoints are busy, moved sessions would add prompts to read everywhere.
+"""
+
 RUNNING_WEIGHT = 0.3
 """The same for each request that runs there, whose tokens come later meanwhile."""
 
@@ -75,19 +81,21 @@
         first = first_by_rank(eligible, req.session) if req.session else None
         output_tokens = min(req.prompt.output_tokens, MAX_OUTPUT_TOKENS)
         output_weight = output_tokens * TOKEN_SECONDS * OUTPUT_WEIGHT
+        idle = 1.0 - expected.mean_utilisation
+        reading_weight = READING_WEIGHT / idle**IDLE_POWER
         first_cost = float("inf")
         if first is not None and not first.is_full(now):
             estimate = expected.estimate(first.capacity, req.prompt, is_first=True)
             if estimate.seconds <= req.target_latency * EARLY_FRACTION:
                 return first
-            first_cost = _cost(estimate, first.load(now), output_weight)
+            first_cost = _cost(estimate, reading_weight, first.load(now), output_weight)
         free = self._compared(eligible, req.session, now)
         best, best_cost = free[0], float("inf")
         for state in free:
             estimate = expected.estimate(state.capacity, req.prompt, is_first=False)
             if estimate.seconds >= best_cost:
                 continue
-            cost = _cost(estimate, state.load(now), output_weight)
+            cost = _cost(estimate, reading_weight, state.load(now), output_weight)
             cost += self._rng.random() * TIE_SECONDS
             if cost < best_cost:
                 best, best_cost = state, cost
@@ -129,8 +137,10 @@
         return means
 
 
-def _cost(estimate: StartEstimate, running: float, output_weight: float) -> float:
+def _cost(
+    estimate: StartEstimate, reading_weight: float, running: float, output_weight: float
+) -> float:
     """Return the expected start, and the delay of others and of the answer."""
-    disturbed = READING_WEIGHT + RUNNING_WEIGHT * running
+    disturbed = reading_weight + RUNNING_WEIGHT * running
     output = output_weight * estimate.work_time * (1.0 + estimate.utilisation)
     return estimate.seconds + estimate.reading_seconds * disturbed + output
