--- a/src/knapweeddrum/console/commands/host_state_command.py
+++ b/src/knapweeddrum/console/commands/host_state_command.py
@@ -28,6 +28,10 @@
     "LOAD",
     "LIMIT",
     "COLD",
+    "WORK TIME",
+    "TOKENS/S",
+    "QUEUED",
+    "TAKES",
 )
 BUDGETS_HEADING = (
     "ORGANISATION",
@@ -171,6 +175,10 @@
         f"{row.load:g}",
         "none" if row.limit is None else f"{row.limit:g}/s",
         _cold_text(row.cold_left),
+        "not told" if row.work_time is None else f"{row.work_time:.2f}",
+        "unknown" if row.prefill_speed is None else f"{row.prefill_speed:.0f}",
+        f"{row.queued:.2f} s",
+        "any" if row.learned_limit is None else f"{row.learned_limit:g}",
     )
 
 
--- a/src/knapweeddrum/process/entry/host_state_page.py
+++ b/src/knapweeddrum/process/entry/host_state_page.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.placing.endpoint_states import instance_name
 from knapweeddrum.message.call.host_state import (
     BudgetRow,
@@ -76,21 +77,32 @@
         )
 
     def _endpoints(self, now: float) -> list[EndpointRow]:
+        states = self._ctx.endpoint_states.all()
+        return [self._endpoint(state, now) for state in states]
+
+    def _endpoint(self, state: EndpointState, now: float) -> EndpointRow:
         limits = self._ctx.endpoint_limits
-        return [
-            EndpointRow(
-                endpoint=state.entry.endpoint_id,
-                service=state.entry.service,
-                address=state.entry.address,
-                data_centre=state.entry.data_centre,
-                condition=state.condition(now),
-                in_flight=state.in_flight,
-                load=state.load(now),
-                limit=limits.limit(instance_name(state.entry), now),
-                cold_left=limits.cold.cold_left(instance_name(state.entry), now),
-            )
-            for state in self._ctx.endpoint_states.all()
-        ]
+        instance = instance_name(state.entry)
+        capacity = state.capacity
+        learned = capacity.limit.limit(now)
+        work_time = None
+        if capacity.reports_work_time:
+            work_time = round(capacity.work_time.current(1.0, now), 2)
+        return EndpointRow(
+            endpoint=state.entry.endpoint_id,
+            service=state.entry.service,
+            address=state.entry.address,
+            data_centre=state.entry.data_centre,
+            condition=state.condition(now),
+            in_flight=state.in_flight,
+            load=state.load(now),
+            limit=limits.limit(instance, now),
+            cold_left=limits.cold.cold_left(instance, now),
+            work_time=work_time,
+            prefill_speed=capacity.speed.tokens_per_second(now),
+            queued=round(capacity.queue.own_seconds(now), 3),
+            learned_limit=None if math.isinf(learned) else round(learned, 1),
+        )
 
     def _crashes(self, now: float) -> list[CrashRow]:
         register = self._ctx.crash_register
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -198,6 +198,8 @@
             exclude=frozenset(job.tried),
             connected=frozenset() if session else self._connected_endpoints(),
             may_probe=job.route.idempotent,
+            prompt=job.prompt_parts,
+            target_latency=job.route.target_latency,
         )
         state = choose_apart_from_suspects(self._ctx, states, placement, constraints)
         if state is None:
--- a/src/knapweeddrum/process/entry_composition.py
+++ b/src/knapweeddrum/process/entry_composition.py
@@ -37,7 +37,11 @@
 from knapweeddrum.process.entry.shed_log import ShedLog
 from knapweeddrum.settings.entry_settings import EntrySettings
 from knapweeddrum.telemetry.bounded_writer import BoundedWriter
-from knapweeddrum.telemetry.counters import CONNECTIONS_OPENED, store_counter
+from knapweeddrum.telemetry.counters import (
+    CONNECTIONS_OPENED,
+    SESSION_MOVED,
+    store_counter,
+)
 from knapweeddrum.telemetry.event_log import EventLog
 from knapweeddrum.telemetry.line_logger import LineLogger
 from knapweeddrum.telemetry.metrics import Metrics
@@ -71,6 +75,7 @@
     losses, reported_losses = anyio.create_memory_object_stream[LostConnection](
         MAX_WAITING_REPORTS
     )
+    hosts = HostDirectory(settings.host_name)
     ctx = EntryContext(
         settings=settings,
         incarnation=incarnation,
@@ -82,7 +87,7 @@
         pool=pool,
         service_list=service_list,
         endpoint_states=EndpointStates(service_list),
-        hosts=HostDirectory(settings.host_name),
+        hosts=hosts,
         token_accounts=TokenAccounts(incarnation),
         token_owners=TokenOwners(settings.host_name),
         crash_register=CrashRegister(CRASH_POLICY),
@@ -90,7 +95,7 @@
         claim_witness=ClaimWitness(incarnation),
         claim_recovery=ClaimRecovery(incarnation),
         predecessor_claims=PredecessorClaims(settings.host_name, incarnation),
-        placer=Placer(),
+        placer=Placer(rng, hosts.demand_share, lambda: metrics.count(SESSION_MOVED)),
         events=EventLog(level, LineLogger(writer), incarnation=incarnation),
         metrics=metrics,
         rng=random.Random(rng.getrandbits(64)),
