Record which endpoints a host can't connect to

Change: all connections to endpoints, of requests and of probes, are opened by one EndpointConnector, which counts what became of them (endpoint_connect.*) and logs when an endpoint comes out of reach or back (690, 691). The gauge endpoints_unreached and a column of host-state set hosts side by side: endpoints that are gone are unreached at all hosts, lost links at one. No decision changes.

Measured: tests of telemetry, http, the probe, crashing requests and the console pass (51 and 154, three of these after their calls were changed).

--- a/src/knapweeddrum/console/commands/host_state_command.py
+++ b/src/knapweeddrum/console/commands/host_state_command.py
@@ -32,6 +32,7 @@
     "TOKENS/S",
     "QUEUED",
     "TAKES",
+    "UNREACHED",
 )
 BUDGETS_HEADING = (
     "ORGANISATION",
@@ -179,6 +180,7 @@
         "unknown" if row.prefill_speed is None else f"{row.prefill_speed:.0f}",
         f"{row.queued:.2f} s",
         "any" if row.learned_limit is None else f"{row.learned_limit:g}",
+        "no" if row.unreached_for is None else f"{row.unreached_for:.1f} s",
     )
 
 
--- a/src/knapweeddrum/core/admission/crash_evidence.py
+++ b/src/knapweeddrum/core/admission/crash_evidence.py
@@ -4,6 +4,8 @@
 
 import enum
 
+from knapweeddrum.value.probe_result import ProbeResult
+
 EVIDENCE_LIFETIME_SECONDS = 10.0
 """Time after a lost connection for which signs of a crash are looked for."""
 
@@ -22,14 +24,6 @@
 """Time after an accepted connection until the next is tried."""
 
 
-class ProbeResult(enum.Enum):
-    """Result of a connection that was opened to see if an endpoint still runs."""
-
-    CONNECTED = "connected"
-    REFUSED = "refused"
-    UNANSWERED = "unanswered"
-
-
 class Listing(enum.Enum):
     """Where the service list has an endpoint that lost a connection."""
 
--- a/src/knapweeddrum/http/connection_pool.py
+++ b/src/knapweeddrum/http/connection_pool.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import time
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 
 import anyio
 
@@ -13,6 +13,9 @@
 
 MAX_IDLE_CONNECTIONS_PER_SERVER = 64
 
+Opener = Callable[[], Awaitable[ClientConnection]]
+"""Opens a new connection; raises NotSentError."""
+
 
 class ConnectionPool:
     """Keeps idle connections for reuse and limits the open ones per server.
@@ -37,14 +40,11 @@
         self.buffer_bytes = 0
         """Size of the kernel's buffers to ask for, 0 for its own choice."""
 
-    async def acquire(
-        self, key: str, address: str, limit: int, timeout: float
-    ) -> ClientConnection:
+    async def acquire(self, key: str, limit: int, connect: Opener) -> ClientConnection:
         """Return the most recently used idle connection, or a new one.
 
         Raises ConnectionLimitError if ``limit`` connections are open, or ``max_open``
-        to all servers, NotSentError if
-        connecting fails or takes more than ``timeout`` seconds.
+        to all servers, and what ``connect`` raises.
         """
         now = time.monotonic()
         idle = self._idle.get(key, [])
@@ -60,7 +60,7 @@
         await self._make_room()
         self._open_counts[key] = self._open_counts.get(key, 0) + 1
         try:
-            conn = await ClientConnection.connect(address, timeout, self._on_receive)
+            conn = await connect()
         except BaseException:
             self._count_closed(key)
             raise
@@ -73,8 +73,15 @@
     async def lease(
         self, key: str, address: str, limit: int, timeout: float
     ) -> AsyncIterator[ClientConnection]:
-        """Acquire a connection, and release it on leaving the context."""
-        conn = await self.acquire(key, address, limit, timeout)
+        """Acquire a connection to ``IP:port``, and release it on leaving the context.
+
+        Raises NotSentError if connecting takes more than ``timeout`` seconds.
+        """
+
+        async def connect() -> ClientConnection:
+            return await ClientConnection.connect(address, timeout, self._on_receive)
+
+        conn = await self.acquire(key, limit, connect)
         try:
             yield conn
         finally:
--- a/src/knapweeddrum/message/call/host_state.py
+++ b/src/knapweeddrum/message/call/host_state.py
@@ -32,6 +32,8 @@
     """Seconds until the prompts that this host sent there will have been read."""
     learned_limit: float | None = None
     """Requests in progress above which no sessions move there, None for no such."""
+    unreached_for: float | None = None
+    """Seconds since this host's connections to it fail, None if the last did not."""
 
 
 class BudgetRow(msgspec.Struct, frozen=True):
--- a/src/knapweeddrum/process/entry/answer_relay.py
+++ b/src/knapweeddrum/process/entry/answer_relay.py
@@ -23,6 +23,7 @@
 from knapweeddrum.platform.endpoint_protocol import EndpointReplyHead
 from knapweeddrum.process.entry.attempt_error import AttemptError
 from knapweeddrum.process.entry.endpoint_attempt import EndpointAnswer
+from knapweeddrum.process.entry.endpoint_connector import EndpointConnector
 from knapweeddrum.process.entry.endpoint_probe import ask_life_sign
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.process.entry.request_log import RequestLog
@@ -54,8 +55,10 @@
         job: RequestJob,
         log: RequestLog,
         stream_origins: StreamOriginSharing,
+        connector: EndpointConnector,
     ) -> None:
         self._stream_origins = stream_origins
+        self._connector = connector
         self._caller = caller
         self._job = job
         self._log = log
@@ -168,7 +171,7 @@
         if verdict.end is AnswerEnd.UNKNOWN:
             # Plain services are not known to report anything.
             replies = self._job.route.kind is RouteKind.STREAMING
-            verdict = await _ask_endpoint(answer, replies=replies)
+            verdict = await self._ask_endpoint(answer, replies=replies)
         self._log.answer_ended(verdict)
         if verdict.end is AnswerEnd.WHOLE:
             self._is_complete = True
@@ -178,6 +181,22 @@
             raise TruncatedReplyError(detail)
         raise AttemptError(RetryReason.STREAM_CUT, RunState.RAN, detail)
 
+    async def _ask_endpoint(
+        self, answer: EndpointAnswer, *, replies: bool
+    ) -> AnswerVerdict:
+        """Judge an answer that has just ended by whether its endpoint still runs."""
+        ended_at = time.monotonic()
+        state = answer.state
+        leaving = state.entry.draining or state.notices.leaving_since is not None
+        await anyio.sleep(first_question_delay(leaving=leaving, replies=replies))
+        while True:
+            asked_after = time.monotonic() - ended_at
+            sign = await ask_life_sign(self._connector, state.entry, by_report=replies)
+            verdict = judge_by_life_sign(sign, asked_after)
+            if verdict.end is not AnswerEnd.UNKNOWN:
+                return verdict
+            await anyio.sleep(QUESTION_INTERVAL_SECONDS)
+
     async def _forward(self, answer: EndpointAnswer, data: bytes) -> None:
         if not self.started:
             self._record_first_chunk(answer)
@@ -206,21 +225,6 @@
             self._job.first_chunk_at = time.monotonic()
 
 
-async def _ask_endpoint(answer: EndpointAnswer, *, replies: bool) -> AnswerVerdict:
-    """Judge an answer that has just ended by whether its endpoint still runs."""
-    ended_at = time.monotonic()
-    state = answer.state
-    leaving = state.entry.draining or state.notices.leaving_since is not None
-    await anyio.sleep(first_question_delay(leaving=leaving, replies=replies))
-    while True:
-        asked_after = time.monotonic() - ended_at
-        sign = await ask_life_sign(state.entry.address, by_report=replies)
-        verdict = judge_by_life_sign(sign, asked_after)
-        if verdict.end is not AnswerEnd.UNKNOWN:
-            return verdict
-        await anyio.sleep(QUESTION_INTERVAL_SECONDS)
-
-
 def _told_length(headers: list[Header]) -> int:
     values = [value for name, value in headers if name.lower() == b"content-length"]
     return parse_whole_number(values[0].decode("latin-1")) or 0 if values else 0
--- a/src/knapweeddrum/process/entry/crash_detector.py
+++ b/src/knapweeddrum/process/entry/crash_detector.py
@@ -16,7 +16,6 @@
 from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.placing.endpoint_states import instance_name
 from knapweeddrum.process.entry.crash_records import record_crash
-from knapweeddrum.process.entry.endpoint_probe import probe_endpoint
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.lost_connection import LossCause, LostConnection
 from knapweeddrum.telemetry.events import ENDPOINT_EXAMINED
@@ -102,7 +101,7 @@
         probed_at = time.monotonic()
         is_in_use = not self._ctx.emptied.is_emptied(state.entry.data_centre)
         if is_in_use and evidence.needs_probe(listing, probed_at):
-            probe = await probe_endpoint(state.entry.address)
+            probe = await self._ctx.connector.probe(state.entry)
         if evidence.is_alive(state.last_data_at):
             self._ctx.crash_register.forget_cuts(key)
             return True
--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import dataclasses
+import functools
 import time
 from collections.abc import AsyncIterator
 
@@ -233,12 +234,12 @@
     ctx: EntryContext, job: RequestJob, state: EndpointState
 ) -> ClientConnection:
     entry = state.entry
+    connect = functools.partial(
+        ctx.connector.connect, entry, ENDPOINT_CONNECT_TIMEOUT_SECONDS
+    )
     try:
         return await ctx.pool.acquire(
-            connection_key(entry),
-            entry.address,
-            job.max_connections,
-            ENDPOINT_CONNECT_TIMEOUT_SECONDS,
+            connection_key(entry), job.max_connections, connect
         )
     except ConnectionLimitError as exc:
         raise AttemptError(
--- a/src/knapweeddrum/process/entry/endpoint_probe.py
+++ b/src/knapweeddrum/process/entry/endpoint_probe.py
@@ -1,45 +1,39 @@
-"""Probes whether an endpoint accepts connections, and whether it still runs."""
+"""Asks endpoints whether they still run."""
 
 from __future__ import annotations
 
 import anyio
 
-from knapweeddrum.core.admission.crash_evidence import ProbeResult
+from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.core.routing.life_sign import LifeSign
 from knapweeddrum.http.client_connection import ClientConnection
 from knapweeddrum.http.exceptions import ExchangeError, NotSentError, PeerRefusedError
 from knapweeddrum.platform.start_report import REPORT_TARGET
-
-PROBE_TIMEOUT_SECONDS = 0.25
+from knapweeddrum.process.entry.endpoint_connector import (
+    PROBE_TIMEOUT_SECONDS,
+    EndpointConnector,
+)
 
 REPLY_TIMEOUT_SECONDS = 0.25
 
 
-async def probe_endpoint(address: str) -> ProbeResult:
-    """Connect to ``IP:port``, close the connection and return what became of it."""
-    try:
-        conn = await ClientConnection.connect(address, PROBE_TIMEOUT_SECONDS)
-    except PeerRefusedError:
-        return ProbeResult.REFUSED
-    except NotSentError:
-        return ProbeResult.UNANSWERED
-    await conn.close()
-    return ProbeResult.CONNECTED
-
-
-async def ask_life_sign(address: str, *, by_report: bool) -> LifeSign:
-    """Connect to ``IP:port`` and return what became of it.
+async def ask_life_sign(
+    connector: EndpointConnector, entry: EndpointEntry, *, by_report: bool
+) -> LifeSign:
+    """Connect to an endpoint and return what became of it.
 
     With ``by_report`` the endpoint is asked for a report.
     """
     try:
-        conn = await ClientConnection.connect(address, PROBE_TIMEOUT_SECONDS)
+        conn = await connector.connect(entry, PROBE_TIMEOUT_SECONDS)
     except PeerRefusedError:
         return LifeSign.REFUSED
     except NotSentError:
         return LifeSign.UNREACHED
     try:
-        return await _reply_sign(address, conn) if by_report else LifeSign.ACCEPTED
+        return (
+            await _reply_sign(entry.address, conn) if by_report else LifeSign.ACCEPTED
+        )
     finally:
         with anyio.CancelScope(shield=True):
             await conn.close()
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -37,6 +37,7 @@
 from knapweeddrum.core.prepaid.token_accounts import TokenAccounts
 from knapweeddrum.core.prepaid.token_owners import TokenOwners
 from knapweeddrum.core.prepaid.witness_ranking import rank_witnesses
+from knapweeddrum.core.routing.endpoint_reach import EndpointReach
 from knapweeddrum.core.routing.failover_policy import FailoverPolicy
 from knapweeddrum.core.routing.retry_window import RetryWindow
 from knapweeddrum.core.streams.endpoint_history import EndpointHistory
@@ -49,6 +50,10 @@
     ClientConnections,
     host_limits,
 )
+from knapweeddrum.process.entry.endpoint_connector import (
+    DirectConnector,
+    EndpointConnector,
+)
 from knapweeddrum.process.entry.lost_connection import LostConnection
 from knapweeddrum.process.entry.processor_meter import ProcessorMeter
 from knapweeddrum.settings.entry_settings import EntrySettings
@@ -137,6 +142,9 @@
     instances: InstanceHistory = dataclasses.field(default_factory=InstanceHistory)
     open_attempts: dict[str, EndpointState] = dataclasses.field(default_factory=dict)
     """Endpoints that requests were sent to and that have not answered them whole."""
+    reach: EndpointReach = dataclasses.field(default_factory=EndpointReach)
+    connector: EndpointConnector = dataclasses.field(default_factory=DirectConnector)
+    """Opens all connections to endpoints."""
     attempt_numbers: Iterator[int] = dataclasses.field(default_factory=itertools.count)
     in_progress: int = 0
     last_request_at: float = 0.0
@@ -345,6 +353,7 @@
             "caller_connections": self.connections.callers.count,
             "page_connections": self.connections.pages.count,
             "endpoint_connections": self.pool.open_count(),
+            "endpoints_unreached": len(self.reach.unreached()),
             "ready": float(self.is_ready),
             "loop_lag_seconds": self.loop_lag.recent(now),
             "link_use": self.link_load.use(now),
--- a/src/knapweeddrum/process/entry/host_state_page.py
+++ b/src/knapweeddrum/process/entry/host_state_page.py
@@ -101,6 +101,7 @@
             work_time=work_time,
             prefill_speed=capacity.speed.tokens_per_second(now),
             queued=round(capacity.queue.own_seconds(now), 3),
+            unreached_for=_rounded(self._ctx.reach.unreached_for(instance, now)),
             learned_limit=None if math.isinf(learned) else round(learned, 1),
         )
 
@@ -139,6 +140,10 @@
         return rows
 
 
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 3)
+
+
 def _sheds_for(ctx: EntryContext, now: float) -> float | None:
     since = ctx.link_load.shedding_since
     return None if since is None else round(now - since, 3)
--- a/src/knapweeddrum/process/entry/housekeeping_task.py
+++ b/src/knapweeddrum/process/entry/housekeeping_task.py
@@ -38,6 +38,7 @@
         while True:
             await anyio.sleep(HOUSEKEEPING_INTERVAL_SECONDS)
             await self._close_stale_connections()
+            self._ctx.reach.keep(self._ctx.listed_instances())
             self._report_dropped()
             if _modification_time(self._settings_path) != self._modified_at:
                 self.reload()
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -64,7 +64,9 @@
         self._policy = ctx.failover_policy(job.service, time.monotonic())
         self._log = RequestLog(ctx, job)
         self._caller = caller
-        self._relay = AnswerRelay(caller, job, self._log, parts.stream_origins)
+        self._relay = AnswerRelay(
+            caller, job, self._log, parts.stream_origins, ctx.connector
+        )
         self._last_failure: AttemptError | None = None
         self.spent = 0
         """Prepaid tokens charged for the request, set when it ends."""
--- a/src/knapweeddrum/process/entry_composition.py
+++ b/src/knapweeddrum/process/entry_composition.py
@@ -34,6 +34,7 @@
     MAX_WAITING_REPORTS,
     LostConnection,
 )
+from knapweeddrum.process.entry.path_connector import PathConnector
 from knapweeddrum.process.entry.shed_log import ShedLog
 from knapweeddrum.settings.entry_settings import EntrySettings
 from knapweeddrum.telemetry.bounded_writer import BoundedWriter
@@ -104,6 +105,7 @@
     shed_log = ShedLog(ctx.connections, ctx.events, metrics)
     ctx.connections.on_shed = shed_log.record_shed
     ctx.connections.on_refused = shed_log.record_refused
+    ctx.connector = PathConnector(ctx)
     ctx.apply_host_limits()
     ctx.store.era.on_return = ctx.record_store_return
     ctx.store.on_era_doubt = ctx.record_era_doubt
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -9,6 +9,7 @@
 from knapweeddrum.value.answer_end_reason import AnswerEndReason
 from knapweeddrum.value.control_refusal_reason import ControlRefusalReason
 from knapweeddrum.value.endpoint_notice import EndpointNotice
+from knapweeddrum.value.probe_result import ProbeResult
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.retry_reason import RetryReason
 from knapweeddrum.value.start_reply import StartReply
@@ -180,6 +181,11 @@
     return f"answer_end.{reason.value}"
 
 
+def connect_counter(result: ProbeResult) -> str:
+    """Return the name of the counter of connections to endpoints by their result."""
+    return f"endpoint_connect.{result.value}"
+
+
 def start_reply_counter(reply: StartReply) -> str:
     """Return the name of the counter of an endpoint's replies on its start."""
     return f"endpoint_start.{reply.value}"
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -256,6 +256,15 @@
     662, "data_centre_taken_back", "warning", ("data_centre", "offset", "told_by")
 )
 ENDPOINT_COLD = Event(663, "endpoint_cold", "info", ("endpoint", "service", "seconds"))
+ENDPOINT_UNREACHED = Event(
+    690,
+    "endpoint_unreached",
+    "warning",
+    ("endpoint", "result", "error", "unreached", "listed"),
+)
+ENDPOINT_REACHED = Event(
+    691, "endpoint_reached", "info", ("endpoint", "failed_for", "unreached")
+)
 SETTINGS_RELOADED = Event(618, "settings_reloaded", "info", ("changed",))
 SETTINGS_REJECTED = Event(619, "settings_rejected", "error", ("error",))
 TOKENS_LENT = Event(
--- a/tests/http/test_client_connection.py
+++ b/tests/http/test_client_connection.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import functools
 import time
 import unittest
 
@@ -7,7 +8,7 @@
 import anyio.abc
 
 from knapweeddrum.http.client_connection import ClientConnection
-from knapweeddrum.http.connection_pool import ConnectionPool
+from knapweeddrum.http.connection_pool import ConnectionPool, Opener
 from knapweeddrum.http.event_splitter import EventSplitter
 from knapweeddrum.http.exceptions import (
     ConnectionLimitError,
@@ -33,6 +34,11 @@
         return await conn.read_body(1000)
 
 
+def opener(server: str) -> Opener:
+    """Return what opens connections to ``IP:port``."""
+    return functools.partial(ClientConnection.connect, server, 1.0)
+
+
 @async_test
 async def test_connection_is_reusable_after_a_complete_reply():
     """After a reply with a length or in chunks, the connection can be reused."""
@@ -98,7 +104,7 @@
     """A connection that received bytes after a reply is not reused."""
     async with RawServer([OK_REPLY + b"extra"]).serve() as url:
         pool = ConnectionPool(lambda _: None)
-        conn = await pool.acquire("a", address(url), 2, 1.0)
+        conn = await pool.acquire("a", 2, opener(address(url)))
         await body_of(conn)
         await pool.release("a", conn)
         assert pool.idle_keys() == frozenset()
@@ -112,7 +118,7 @@
         opened: list[str] = []
         pool = ConnectionPool(opened.append)
         for _ in range(2):
-            conn = await pool.acquire("a", address(url), 2, 1.0)
+            conn = await pool.acquire("a", 2, opener(address(url)))
             assert await body_of(conn) == b"ok"
             await pool.release("a", conn)
             await anyio.sleep(0.05)
@@ -138,19 +144,19 @@
     """The limit holds per key; another incarnation reuses no connection."""
     async with RawServer([OK_REPLY] * 4).serve() as url:
         pool = ConnectionPool(lambda _: None)
-        first = await pool.acquire("a/1", address(url), 1, 1.0)
+        first = await pool.acquire("a/1", 1, opener(address(url)))
         with CASE.assertRaises(ConnectionLimitError):
-            await pool.acquire("a/1", address(url), 1, 1.0)
+            await pool.acquire("a/1", 1, opener(address(url)))
         await body_of(first)
         await pool.release("a/1", first)
-        other = await pool.acquire("a/2", address(url), 1, 1.0)
+        other = await pool.acquire("a/2", 1, opener(address(url)))
         assert other is not first
         await pool.sweep(["a/2"], time.monotonic())
         assert pool.idle_keys() == frozenset()
         await pool.release("a/2", other)
         assert pool.open_count() == 0
     with CASE.assertRaises(NotSentError):
-        await pool.acquire("b", "127.0.0.1:1", 1, 1.0)
+        await pool.acquire("b", 1, opener("127.0.0.1:1"))
     assert pool.open_count() == 0
 
 
--- a/tests/telemetry/test_counters_page.py
+++ b/tests/telemetry/test_counters_page.py
@@ -7,6 +7,7 @@
 from knapweeddrum.telemetry.counters import (
     FIXED_COUNTERS,
     answer_end_counter,
+    connect_counter,
     control_refusal_counter,
     notice_counter,
     refusal_counter,
@@ -16,6 +17,7 @@
 from knapweeddrum.value.answer_end_reason import AnswerEndReason
 from knapweeddrum.value.control_refusal_reason import ControlRefusalReason
 from knapweeddrum.value.endpoint_notice import EndpointNotice
+from knapweeddrum.value.probe_result import ProbeResult
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.retry_reason import RetryReason
 from knapweeddrum.value.start_reply import StartReply
@@ -32,6 +34,7 @@
         *map(retry_counter, RetryReason),
         *map(answer_end_counter, AnswerEndReason),
         *map(notice_counter, EndpointNotice),
+        *map(connect_counter, ProbeResult),
         *map(start_reply_counter, StartReply),
         *map(control_refusal_counter, ControlRefusalReason),
     ]
