--- /dev/null
+++ b/tests/standins/network_link.py
@@ -0,0 +1,184 @@
+"""Stand-in for the link between one host and one endpoint, which can be cut."""
+
+from __future__ import annotations
+
+import contextlib
+import enum
+import socket
+from collections.abc import AsyncIterator
+
+import anyio
+import anyio.abc
+
+from tests.standins.stamped_server import reset_when_closed
+from tools.free_ports import free_ports
+
+BACKLOG = 128
+FILLERS = 4
+"""Connections that fill the queue of a listener which accepts no more than one."""
+READ_BYTES = 65_536
+
+
+class Cut(enum.Enum):
+    """How a link is cut."""
+
+    SILENT = "silent"
+    """New connections aren't answered, nothing passes on open ones."""
+    RESET = "reset"
+    """New connections are refused, open ones are reset."""
+    NEW_REFUSED = "new_refused"
+    """New connections are refused, open ones live on."""
+
+
+class NetworkLink:
+    """Passes connections on to an endpoint until it is cut."""
+
+    def __init__(self, endpoint_address: str) -> None:
+        self._endpoint_address = endpoint_address
+        (self._port,) = free_ports(1)
+        self._listener: socket.socket | None = None
+        self._fillers: list[socket.socket] = []
+        self._streams: set[anyio.abc.SocketStream] = set()
+        self._passes = anyio.Event()
+        self._passes.set()
+        self._changed = anyio.Event()
+        self._accepts = True
+
+    @property
+    def address(self) -> str:
+        """Return ``IP:port`` at which the host finds the endpoint."""
+        return f"127.0.0.1:{self._port}"
+
+    @contextlib.asynccontextmanager
+    async def serve(self) -> AsyncIterator[None]:
+        """Pass connections on until the context is left."""
+        self._listen()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._accept, tasks)
+            yield
+            tasks.cancel_scope.cancel()
+        self._close_listener()
+
+    def cut(self, how: Cut) -> None:
+        """Cut the link."""
+        self._accepts = False
+        self._wake()
+        if how is Cut.SILENT:
+            self._passes = anyio.Event()
+            self._fill_queue()
+            return
+        self._close_listener()
+        if how is Cut.RESET:
+            self._reset_all()
+
+    def restore(self) -> None:
+        """Restore the link; what was held back passes."""
+        for sock in self._fillers:
+            sock.close()
+        self._fillers = []
+        self._close_listener()
+        self._listen()
+        self._passes.set()
+        self._accepts = True
+        self._wake()
+
+    def _listen(self) -> None:
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setblocking(False)
+        sock.bind(("127.0.0.1", self._port))
+        sock.listen(BACKLOG)
+        self._listener = sock
+
+    def _close_listener(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+
+    def _fill_queue(self) -> None:
+        """Leave no room for further connections, whose packets are dropped then."""
+        assert self._listener is not None
+        self._listener.listen(0)
+        for _ in range(FILLERS):
+            sock = socket.socket()
+            sock.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                sock.connect(("127.0.0.1", self._port))
+            self._fillers.append(sock)
+
+    def _reset_all(self) -> None:
+        for stream in self._streams:
+            with contextlib.suppress(OSError, anyio.ClosedResourceError):
+                reset_when_closed(stream)
+                stream.extra(anyio.abc.SocketAttribute.raw_socket).shutdown(
+                    socket.SHUT_RD
+                )
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def _accept(self, tasks: anyio.abc.TaskGroup) -> None:
+        while True:
+            if not self._accepts or self._listener is None:
+                await self._changed.wait()
+                continue
+            try:
+                conn, _ = self._listener.accept()
+            except BlockingIOError:
+                await self._wait_for_connection()
+                continue
+            conn.setblocking(False)
+            tasks.start_soon(self._pass_on, conn)
+
+    async def _wait_for_connection(self) -> None:
+        """Return when a connection waits or the link has changed."""
+        async with anyio.create_task_group() as tasks:
+
+            async def until_changed() -> None:
+                await self._changed.wait()
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(until_changed)
+            assert self._listener is not None
+            await anyio.wait_readable(self._listener)
+            tasks.cancel_scope.cancel()
+
+    async def _pass_on(self, conn: socket.socket) -> None:
+        stream = await anyio.abc.SocketStream.from_socket(conn)
+        host, _, port = self._endpoint_address.rpartition(":")
+        try:
+            other = await anyio.connect_tcp(host, int(port))
+        except OSError:
+            reset_when_closed(stream)
+            await anyio.aclose_forcefully(stream)
+            return
+        ends = {stream, other}
+        self._streams |= ends
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._pump, stream, other, tasks)
+                tasks.start_soon(self._pump, other, stream, tasks)
+        finally:
+            self._streams -= ends
+            for end in ends:
+                await anyio.aclose_forcefully(end)
+
+    async def _pump(
+        self,
+        source: anyio.abc.SocketStream,
+        sink: anyio.abc.SocketStream,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        try:
+            while True:
+                data = await source.receive(READ_BYTES)
+                await self._passes.wait()
+                await sink.send(data)
+        except anyio.EndOfStream:
+            await self._passes.wait()
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError):
+            await self._passes.wait()
+            with contextlib.suppress(OSError, anyio.ClosedResourceError):
+                reset_when_closed(sink)
+        tasks.cancel_scope.cancel()
