Reach endpoints through other hosts where the own path is lost

Three endpoints were tried for 0.25 s each, then 503; open connections hung until the callers' limits.

Cause: a host takes a failure of its own links for a failure of each endpoint. It knew one way to an endpoint, ejected all of them in turn, and asked nobody whether others reach them. Beside it the same mistake in the recognition of crashes: two refused probes of a host whose links were reset recorded a crash of the endpoint, against the requests that ran there, for all hosts.

Change: EndpointReach tells an endpoint that is gone from a path that is lost: connections fail here, and another host, asked once for each failure, connects. From then on connections to that endpoint lead through another host (TunnelClient, TunnelServer), which passes bytes on and nothing else: the request, its tokens, permit, retries, time limit and crash evidence stay with the host that took it. Two lost paths with nothing reached since stand for all. Lost paths are probed twice a second; two connections in a row restore one. Idle connections on a silent path are closed, those in use given up after half a second without a byte.

Why it works: what was missing is a way, not a decision; three to six hosts beside the refusing one had it. An endpoint that all hosts fail to reach is not sought elsewhere, so that load on it stays as it was.

A tunnel says how the endpoint ended its connection (in order, or by a reset); one that ends without that was cut on the way, which is neither an end of an answer nor a failure of the endpoint.

--- a/src/knapweeddrum/console/commands/host_state_command.py
+++ b/src/knapweeddrum/console/commands/host_state_command.py
@@ -33,6 +33,7 @@
     "QUEUED",
     "TAKES",
     "UNREACHED",
+    "WAY",
 )
 BUDGETS_HEADING = (
     "ORGANISATION",
@@ -113,6 +114,7 @@
             f"{state.request_rate:.1f}, carries {state.capacity:.0f}",
         ),
         ("link, incoming", _link_text(state)),
+        ("paths to endpoints", _paths_text(state)),
         ("held for clients", _held_text(state)),
         ("connections", _connections_text(state)),
     )
@@ -151,6 +153,13 @@
     return f"{used}, sheds connections for {state.sheds_for:.1f} s"
 
 
+def _paths_text(state: HostState) -> str:
+    lost = f"{state.paths_lost} lost"
+    if state.cut_off:
+        lost = f"cut off, {lost}"
+    return f"{lost}, {state.tunnel_sockets // 2} tunnels for other hosts"
+
+
 def _claims_text(state: HostState) -> str:
     if state.claims_open:
         return "open"
@@ -181,6 +190,7 @@
         f"{row.queued:.2f} s",
         "any" if row.learned_limit is None else f"{row.learned_limit:g}",
         "no" if row.unreached_for is None else f"{row.unreached_for:.1f} s",
+        "other hosts" if row.path_lost else "direct",
     )
 
 
--- a/src/knapweeddrum/core/placing/endpoint_state.py
+++ b/src/knapweeddrum/core/placing/endpoint_state.py
@@ -104,6 +104,10 @@
         """Avoid the endpoint for a while, as it can't be reached."""
         self._health.eject(now)
 
+    def readmit(self, now: float) -> None:
+        """Use the endpoint again: it was the path to it that failed."""
+        self._health.readmit(now)
+
     def record_end(self, now: float) -> None:
         """Avoid the endpoint, as it has crashed; a later start is another endpoint."""
         self._ended_at = now
--- a/src/knapweeddrum/core/placing/endpoint_states.py
+++ b/src/knapweeddrum/core/placing/endpoint_states.py
@@ -20,6 +20,14 @@
         self._by_service: dict[str, list[EndpointState]] = {}
         self._version = -1
 
+    def find(self, name: EndpointName) -> EndpointState | None:
+        """Return the state of one start of an endpoint, None if it is not listed."""
+        self._refresh()
+        state = self._states.get(name.rsplit("/", 2)[0])
+        if state is None or instance_name(state.entry) != name:
+            return None
+        return state
+
     def of_service(self, service: str) -> list[EndpointState]:
         """Return the states of a service's endpoints that don't leave, by id."""
         self._refresh()
--- a/src/knapweeddrum/core/routing/health_tracker.py
+++ b/src/knapweeddrum/core/routing/health_tracker.py
@@ -63,6 +63,12 @@
         if self.state(now) is not HealthState.EJECTED:
             self._eject(now)
 
+    def readmit(self, now: float) -> None:
+        """End an ejection for which the endpoint was not the cause."""
+        if not self._healthy:
+            self._ejections = 0
+            self._readmit(now)
+
     def _finish_healthy(
         self, result: AttemptResult, started_at: float, now: float
     ) -> None:
--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -9,23 +9,25 @@
 
 import contextlib
 import select
-import socket
 import time
 from collections.abc import AsyncIterator, Callable
 
 import anyio
 import h11
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import ByteStream, SocketAttribute
 
 from knapweeddrum.http.exceptions import (
     EndlessReplyError,
     MalformedReplyError,
     NoReplyError,
     NotSentError,
+    PathCutError,
     PeerRefusedError,
 )
 from knapweeddrum.http.header_list import Header, HeaderList
-from knapweeddrum.http.socket_writing import limit_buffers, write_slices
+from knapweeddrum.http.socket_options import limit_buffers, limit_silence
+from knapweeddrum.http.socket_writing import write_slices
+from knapweeddrum.http.tunnel_stream import TunnelCutError, TunnelStream
 from knapweeddrum.value.body_framing import BodyFraming
 from knapweeddrum.value.whole_number import parse_whole_number
 
@@ -49,8 +51,6 @@
 """Idle time after which a connection is not reused, if the server announces none."""
 IDLE_TIMEOUT_MARGIN_SECONDS = 0.8
 """Time before the server's idle timeout from which on a connection is not reused."""
-TCP_USER_TIMEOUT_MS = 4_000
-"""Time after which the kernel closes a connection with unacknowledged data."""
 
 
 class RawReplyHead:
@@ -70,7 +70,7 @@
     """
 
     def __init__(
-        self, stream: SocketStream, on_receive: Callable[[int], None] = lambda _: None
+        self, stream: ByteStream, on_receive: Callable[[int], None] = lambda _: None
     ) -> None:
         self._stream = stream
         self._on_receive = on_receive
@@ -80,17 +80,20 @@
         self._request_method = b""
         self._idle_timeout = DEFAULT_IDLE_TIMEOUT_SECONDS
         self._connection_lost = False
+        self._is_given_up = False
         self._parsed: h11.Event | h11.RemoteProtocolError | None = None
         """What followed the data that was returned last, if that was received."""
         self.used = False
         """Whether an exchange was completed on this connection."""
         self.opened_at = time.monotonic()
         self.idle_since = self.opened_at
+        self.received_at = self.opened_at
+        """Time at which anything was received last."""
+        self.via = ""
+        """Name of the host through which the connection leads, empty for none."""
         self._poller = select.poll()
+        limit_silence(stream)
         raw_socket = stream.extra(SocketAttribute.raw_socket)
-        raw_socket.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-        )
         self._poller.register(raw_socket.fileno(), select.POLLIN)
 
     @classmethod
@@ -240,8 +243,23 @@
         """
         if now - self.idle_since > self._idle_timeout:
             return False
+        if isinstance(self._stream, TunnelStream) and self._stream.has_unread:
+            return False
         return not self._poller.poll(0)
 
+    def detach(self) -> tuple[ByteStream, bytes]:
+        """Return the connection after a reply, for use by another protocol.
+
+        With it come the bytes that followed the reply. It must not be used here any
+        more.
+        """
+        return self._stream, self._conn.trailing_data[0]
+
+    async def give_up(self) -> None:
+        """Close the connection: the exchange on it raises PathCutError."""
+        self._is_given_up = True
+        await self.close()
+
     async def close(self) -> None:
         """Close the connection at once."""
         await anyio.aclose_forcefully(self._stream)
@@ -323,8 +341,13 @@
         except anyio.EndOfStream:
             self._connection_lost = True
             return b""
+        except TunnelCutError as exc:
+            raise PathCutError(str(exc)) from exc
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
+            if self._is_given_up:
+                raise PathCutError("given up, as the path is silent") from exc
             raise NoReplyError(f"connection lost: {exc!r}") from exc
+        self.received_at = time.monotonic()
         self._on_receive(len(data))
         return data
 
--- a/src/knapweeddrum/http/connection_pool.py
+++ b/src/knapweeddrum/http/connection_pool.py
@@ -16,6 +16,9 @@
 Opener = Callable[[], Awaitable[ClientConnection]]
 """Opens a new connection; raises NotSentError."""
 
+Matcher = Callable[[str, ClientConnection], bool]
+"""Tells by its key and itself whether a connection is meant."""
+
 
 class ConnectionPool:
     """Keeps idle connections for reuse and limits the open ones per server.
@@ -33,10 +36,13 @@
     ) -> None:
         self._idle: dict[str, list[ClientConnection]] = {}
         self._open_counts: dict[str, int] = {}
+        self._leased: dict[str, set[ClientConnection]] = {}
         self._on_connect = on_connect
         self._on_receive = on_receive
         self.max_open: int | None = None
         """Connections to all servers together, None for no limit."""
+        self.reserved = 0
+        """Descriptors among ``max_open`` that are used for something else."""
         self.buffer_bytes = 0
         """Size of the kernel's buffers to ask for, 0 for its own choice."""
 
@@ -51,6 +57,7 @@
         while idle:
             conn = idle.pop()
             if conn.is_usable(now):
+                self._lease(key, conn)
                 return conn
             await self._close(key, conn)
         if self._open_counts.get(key, 0) >= limit:
@@ -67,6 +74,7 @@
         if self.buffer_bytes:
             conn.limit_buffers(self.buffer_bytes)
         self._on_connect(key)
+        self._lease(key, conn)
         return conn
 
     @contextlib.asynccontextmanager
@@ -90,6 +98,7 @@
 
     async def release(self, key: str, conn: ClientConnection) -> None:
         """Keep a connection for reuse, or close it."""
+        self._end_lease(key, conn)
         idle = self._idle.setdefault(key, [])
         if conn.finish() and len(idle) < MAX_IDLE_CONNECTIONS_PER_SERVER:
             idle.append(conn)
@@ -116,13 +125,35 @@
             if not usable and key not in live:
                 self._idle.pop(key, None)
 
+    async def close_idle(self, matches: Matcher) -> None:
+        """Close the idle connections that ``matches`` returns true for."""
+        for key, idle in list(self._idle.items()):
+            unwanted = [conn for conn in idle if matches(key, conn)]
+            self._idle[key] = [conn for conn in idle if conn not in unwanted]
+            for conn in unwanted:
+                await self._close(key, conn)
+
+    async def give_up_leased(self, matches: Matcher) -> None:
+        """Close those in use that ``matches`` returns true for.
+
+        Their exchanges raise PathCutError.
+        """
+        matching = [
+            conn
+            for key, conns in self._leased.items()
+            for conn in conns
+            if matches(key, conn)
+        ]
+        for conn in matching:
+            await conn.give_up()
+
     async def close(self) -> None:
         """Close all idle connections."""
         await self.sweep((), time.monotonic())
 
     async def _make_room(self) -> None:
         """Close an idle connection if no more may be open."""
-        if self.max_open is None or self.open_count() < self.max_open:
+        if self.max_open is None or self.open_count() + self.reserved < self.max_open:
             return
         for key, idle in self._idle.items():
             if idle:
@@ -134,6 +165,15 @@
         self._count_closed(key)
         await conn.close()
 
+    def _lease(self, key: str, conn: ClientConnection) -> None:
+        self._leased.setdefault(key, set()).add(conn)
+
+    def _end_lease(self, key: str, conn: ClientConnection) -> None:
+        leased = self._leased.get(key, set())
+        leased.discard(conn)
+        if not leased:
+            self._leased.pop(key, None)
+
     def _count_closed(self, key: str) -> None:
         count = self._open_counts.get(key, 0) - 1
         if count > 0:
--- a/src/knapweeddrum/http/exceptions.py
+++ b/src/knapweeddrum/http/exceptions.py
@@ -15,6 +15,10 @@
     """The host of the server is up, and nothing accepts connections there."""
 
 
+class NoPathError(NotSentError):
+    """No way leads to the server; that says nothing of the server itself."""
+
+
 class ConnectionLimitError(NotSentError):
     """The limit of open connections to the server has been reached."""
 
@@ -23,6 +27,10 @@
     """The request may have been sent, but no complete reply was received."""
 
 
+class PathCutError(NoReplyError):
+    """The way to the server was cut, which says nothing of the server itself."""
+
+
 class MalformedReplyError(NoReplyError):
     """The bytes received are not a valid reply to the request."""
 
--- a/src/knapweeddrum/http/server_connection.py
+++ b/src/knapweeddrum/http/server_connection.py
@@ -11,7 +11,6 @@
 import dataclasses
 import select
 import socket
-import struct
 from collections.abc import Callable
 
 import anyio
@@ -27,7 +26,8 @@
     PeerDisconnectedError,
 )
 from knapweeddrum.http.header_list import Header, HeaderList
-from knapweeddrum.http.socket_writing import limit_buffers, write_slices
+from knapweeddrum.http.socket_options import limit_buffers, set_reset_on_close
+from knapweeddrum.http.socket_writing import write_slices
 from knapweeddrum.value.connection_phase import ConnectionPhase
 
 MAX_RECEIVE_BYTES = 65_536
@@ -264,6 +264,13 @@
         finally:
             await anyio.aclose_forcefully(self._stream)
 
+    def detach(self) -> SocketStream:
+        """Return the connection after a reply, for use by another protocol.
+
+        It must not be used here any more.
+        """
+        return self._stream
+
     async def abort(self) -> None:
         """Close at once, so that an unfinished reply does not look complete."""
         self._aborted = True
@@ -284,9 +291,8 @@
         That holds for the end of the process too. Raises PeerDisconnectedError if the
         connection has ended.
         """
-        linger = struct.pack("ii", is_reset, 0)
         try:
-            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            set_reset_on_close(self._socket, is_reset=is_reset)
         except OSError as exc:
             raise PeerDisconnectedError(f"connection has ended: {exc!r}") from exc
 
--- a/src/knapweeddrum/http/socket_writing.py
+++ b/src/knapweeddrum/http/socket_writing.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import socket
 from collections.abc import Iterator
 
-from anyio.abc import SocketAttribute, SocketStream
-
 MAX_WRITE_BYTES = 65_536
 """Bytes that are handed to the transport before the peer has taken them."""
 
@@ -19,10 +16,3 @@
     for part in parts:
         for start in range(0, len(part), MAX_WRITE_BYTES):
             yield part[start : start + MAX_WRITE_BYTES]
-
-
-def limit_buffers(stream: SocketStream, size: int) -> None:
-    """Fix the sizes of the kernel's buffers, which would grow to megabytes else."""
-    sock = stream.extra(SocketAttribute.raw_socket)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
--- a/src/knapweeddrum/message/call/host_state.py
+++ b/src/knapweeddrum/message/call/host_state.py
@@ -34,6 +34,8 @@
     """Requests in progress above which no sessions move there, None for no such."""
     unreached_for: float | None = None
     """Seconds since this host's connections to it fail, None if the last did not."""
+    path_lost: bool = False
+    """Whether requests go there through other hosts."""
 
 
 class BudgetRow(msgspec.Struct, frozen=True):
@@ -125,3 +127,9 @@
     sheds_for: float | None = None
     """Seconds since when new connections are turned away at times, None if not."""
     emptied: list[EmptiedRow] = []
+    cut_off: bool = False
+    """Whether this host reaches no endpoint but through other hosts."""
+    paths_lost: int = 0
+    """Endpoints that other hosts reach and this one does not."""
+    tunnel_sockets: int = 0
+    """Sockets by which it connects other hosts to endpoints, two for each."""
--- a/src/knapweeddrum/process/entry/drain_sequence.py
+++ b/src/knapweeddrum/process/entry/drain_sequence.py
@@ -12,6 +12,7 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
 from knapweeddrum.process.entry.token_witness import TokenWitness
+from knapweeddrum.process.entry.tunnel_server import TunnelServer
 from knapweeddrum.telemetry.events import (
     DRAIN_FINISHED,
     DRAIN_STARTED,
@@ -61,11 +62,13 @@
         server: CallerServer,
         allocator: TokenAllocator,
         witness: TokenWitness,
+        tunnels: TunnelServer,
     ) -> None:
         self._ctx = ctx
         self._server = server
         self._allocator = allocator
         self._witness = witness
+        self._tunnels = tunnels
 
     async def run(self) -> None:
         """Drain; return when the process can exit."""
@@ -77,6 +80,7 @@
         ctx.drain_refuses_from = started_at + DIRECTORY_REFRESH_SECONDS
         ctx.drain_ends_at = started_at + ctx.settings.grace_period - EXIT_MARGIN_SECONDS
         cut_at = started_at + ctx.settings.grace_period - CUT_MARGIN_SECONDS
+        await self._tunnels.announce_drain()
         await self._witness.announce_leave()
         await anyio.sleep(ctx.drain_refuses_from - time.monotonic())
         while self._expects_requests(started_at) and not self._must_return_tokens():
@@ -89,6 +93,7 @@
             # A store that is silent must not keep the process from ending.
             returned = await self._allocator.return_unused()
             await self._finish_sessions()
+            await self._finish_tunnels()
         await self._give_up_requests(cut_at)
         if ctx.in_progress or not returned:
             ctx.events.emit(
@@ -126,6 +131,11 @@
         while self._server.has_sessions:
             await self._end_connections()
 
+    async def _finish_tunnels(self) -> None:
+        """Wait until the other hosts have ended the requests in their tunnels."""
+        while self._tunnels.open_count:
+            await anyio.sleep(SESSION_POLL_SECONDS)
+
     async def _end_connections(self) -> None:
         """End what is idle, refuse what can't be served any more, and wait a little."""
         self._server.end_idle()
--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -19,8 +19,10 @@
     ConnectionLimitError,
     EndlessReplyError,
     MalformedReplyError,
+    NoPathError,
     NoReplyError,
     NotSentError,
+    PathCutError,
 )
 from knapweeddrum.platform.endpoint_protocol import (
     EndpointReplyHead,
@@ -92,6 +94,7 @@
     the endpoint cancel the request.
     """
     conn = await _connect(ctx, job, state)
+    job.via = conn.via
     key = connection_key(state.entry)
     now = time.monotonic()
     # Callers may use one identifier for several requests at a time.
@@ -130,15 +133,18 @@
         result = _result_of_answer(head)
     except AttemptError as exc:
         result = _result_of_failure(exc)
-        is_lost = isinstance(exc.__cause__, NoReplyError)
+        is_lost = _is_endpoints_loss(exc.__cause__)
+        if isinstance(exc.__cause__, PathCutError):
+            result = AttemptResult.CANCELLED
         raise
     except NotSentError as exc:
         raise AttemptError(
             RetryReason.ENDPOINT_ERROR, RunState.NOT_RUN, str(exc)
         ) from exc
     except NoReplyError as exc:
-        result = AttemptResult.FAILURE
-        is_lost = True
+        is_lost = _is_endpoints_loss(exc)
+        if is_lost:
+            result = AttemptResult.FAILURE
         raise _broken_answer_error(exc) from exc
     finally:
         del ctx.open_attempts[attempt]
@@ -241,7 +247,7 @@
         return await ctx.pool.acquire(
             connection_key(entry), job.max_connections, connect
         )
-    except ConnectionLimitError as exc:
+    except (ConnectionLimitError, NoPathError) as exc:
         raise AttemptError(
             RetryReason.CONNECT_FAILED, RunState.NOT_RUN, str(exc)
         ) from exc
@@ -312,6 +318,11 @@
                 return
 
 
+def _is_endpoints_loss(exc: BaseException | None) -> bool:
+    """Return whether a connection was lost and its endpoint may be the cause."""
+    return isinstance(exc, NoReplyError) and not isinstance(exc, PathCutError)
+
+
 def _broken_answer_error(exc: NoReplyError) -> AttemptError:
     reason = RetryReason.CONNECTION_LOST
     if isinstance(exc, EndlessReplyError):
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -257,6 +257,7 @@
             limits=self.endpoint_limits.told(now),
             sheds=self.link_load.sheds,
             emptied=self.emptied.told(),
+            cut_off=self.reach.is_cut_off,
         )
 
     def witnesses(self) -> list[str]:
@@ -354,6 +355,9 @@
             "page_connections": self.connections.pages.count,
             "endpoint_connections": self.pool.open_count(),
             "endpoints_unreached": len(self.reach.unreached()),
+            "paths_lost": len(self.reach.lost_paths()),
+            "cut_off": float(self.reach.is_cut_off),
+            "tunnel_sockets": self.pool.reserved,
             "ready": float(self.is_ready),
             "loop_lag_seconds": self.loop_lag.recent(now),
             "link_use": self.link_load.use(now),
--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -42,6 +42,8 @@
 from knapweeddrum.process.entry.loop_lag_task import LoopLagTask
 from knapweeddrum.process.entry.lost_connection import LostConnection
 from knapweeddrum.process.entry.page_server import PageHandler, PageServer
+from knapweeddrum.process.entry.path_connector import PathConnector
+from knapweeddrum.process.entry.path_watch import PathWatch
 from knapweeddrum.process.entry.peer_client import PeerClient
 from knapweeddrum.process.entry.permit_desk import (
     LIMIT_NEWS_PATH,
@@ -63,6 +65,8 @@
 from knapweeddrum.process.entry.token_lender import TokenLender
 from knapweeddrum.process.entry.token_unlocker import UNLOCK_PATH, TokenUnlocker
 from knapweeddrum.process.entry.token_witness import WITNESS_LEAVE_PATH, TokenWitness
+from knapweeddrum.process.entry.tunnel_client import TUNNEL_PATH
+from knapweeddrum.process.entry.tunnel_server import TunnelServer
 from knapweeddrum.process.entry.version_recall_task import VersionRecallTask
 from knapweeddrum.telemetry.bounded_writer import BoundedWriter
 from knapweeddrum.telemetry.events import (
@@ -93,6 +97,7 @@
     def __init__(
         self,
         ctx: EntryContext,
+        paths: PathConnector,
         losses: MemoryObjectReceiveStream[LostConnection],
         writer: BoundedWriter,
         settings_path: pathlib.Path,
@@ -121,6 +126,10 @@
         self._heartbeat = HeartbeatTask(ctx)
         self._loop_lag = LoopLagTask(ctx)
         self._link_watch = LinkWatch(ctx, self._server, self._heartbeat.announce)
+        self._tunnels = TunnelServer(ctx, paths)
+        self._path_watch = PathWatch(
+            ctx, paths, self._tunnels, self._heartbeat.announce
+        )
         self._service_list = ServiceListReader(ctx)
         self._lapsed_entries = LapsedEntryTask(ctx, self._service_list)
         self._version_recall = VersionRecallTask(ctx)
@@ -163,6 +172,7 @@
             ("limit news", self._limit_news.run),
             ("loop lag", self._loop_lag.run),
             ("link", self._link_watch.run),
+            ("paths", self._path_watch.run),
             ("crash detector", self._crash_detector.run),
             ("crash sharing", self._crash_sharing.run),
             ("stream origins", self._stream_origins.run),
@@ -183,6 +193,7 @@
                     UNLOCK_PATH: self._witness.unlock,
                     WITNESS_LEAVE_PATH: self._witness.record_leave,
                     SIGHTING_PATH: self._sightings.exchange,
+                    TUNNEL_PATH: self._tunnels.open,
                     PERMIT_PATH: self._permit_desk.answer,
                     LIMIT_NEWS_PATH: self._permit_desk.take_news,
                     CRASH_EXCHANGE_PATH: self._crash_sharing.exchange,
@@ -278,7 +289,9 @@
         )
 
     async def _drain(self, signals: AsyncIterator[signal.Signals]) -> None:
-        drain = DrainSequence(self._ctx, self._server, self._allocator, self._witness)
+        drain = DrainSequence(
+            self._ctx, self._server, self._allocator, self._witness, self._tunnels
+        )
         async with anyio.create_task_group() as tasks:
 
             async def stop_at_interrupt() -> None:
--- a/src/knapweeddrum/process/entry/host_state_page.py
+++ b/src/knapweeddrum/process/entry/host_state_page.py
@@ -66,6 +66,9 @@
                 EmptiedRow(name, round(now - since, 3))
                 for name, since in ctx.emptied.emptied_since().items()
             ],
+            cut_off=own.cut_off,
+            paths_lost=len(ctx.reach.lost_paths()),
+            tunnel_sockets=ctx.pool.reserved,
             client_bytes=held.memory.used,
             most_client_bytes=held.memory.most_used,
             client_bytes_limit=held.memory.limit,
@@ -102,6 +105,7 @@
             prefill_speed=capacity.speed.tokens_per_second(now),
             queued=round(capacity.queue.own_seconds(now), 3),
             unreached_for=_rounded(self._ctx.reach.unreached_for(instance, now)),
+            path_lost=self._ctx.reach.is_path_lost(instance),
             learned_limit=None if math.isinf(learned) else round(learned, 1),
         )
 
--- a/src/knapweeddrum/process/entry/page_server.py
+++ b/src/knapweeddrum/process/entry/page_server.py
@@ -5,6 +5,7 @@
 import dataclasses
 from collections.abc import Awaitable, Callable, Mapping
 
+import anyio
 from anyio.abc import SocketStream
 
 from knapweeddrum.http.exceptions import (
@@ -41,6 +42,10 @@
     status: int
     body: bytes = b""
     content_type: str = "application/json"
+    take_over: Callable[[SocketStream], Awaitable[None]] | None = None
+    """Uses the connection after the response has been sent, and closes it."""
+    discard: Callable[[], Awaitable[None]] | None = None
+    """Called when the connection has ended, if ``take_over`` was called or not."""
 
 
 class PageServer:
@@ -71,7 +76,7 @@
             room=room,
         )
         try:
-            while await self._serve_next(conn):
+            while await self._serve_next(conn, room):
                 pass
             await conn.close()
         except (PeerDisconnectedError, MalformedRequestError, NoRoomError):
@@ -79,7 +84,7 @@
         finally:
             room.close()
 
-    async def _serve_next(self, conn: ServerConnection) -> bool:
+    async def _serve_next(self, conn: ServerConnection, room: ClientRoom) -> bool:
         received = await conn.next_request(IDLE_TIMEOUT_SECONDS, HEAD_TIMEOUT_SECONDS)
         if received is None:
             return False
@@ -89,8 +94,18 @@
             return False
         answer = await self._answer(received.target.partition(b"?")[0], body)
         headers: list[Header] = [(b"Content-Type", answer.content_type.encode())]
-        await conn.send_reply(answer.status, headers, answer.body)
-        return conn.finish()
+        try:
+            await conn.send_reply(answer.status, headers, answer.body)
+            if answer.take_over is None:
+                return conn.finish()
+            # What the connection holds from here on is in another account.
+            room.close()
+            await answer.take_over(conn.detach())
+            return False
+        finally:
+            if answer.discard is not None:
+                with anyio.CancelScope(shield=True):
+                    await answer.discard()
 
     async def _answer(self, path: bytes, body: bytes) -> PageAnswer:
         page = self._pages.get(path)
--- a/src/knapweeddrum/process/entry/path_connector.py
+++ b/src/knapweeddrum/process/entry/path_connector.py
@@ -1,14 +1,17 @@
-"""Connects to endpoints and keeps up which of them are in reach."""
+"""Connects to endpoints, through other hosts where the own path is lost."""
 
 from __future__ import annotations
 
 import time
 
+import anyio
+
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.core.placing.endpoint_states import instance_name
 from knapweeddrum.http.client_connection import ClientConnection
 from knapweeddrum.http.exceptions import NotSentError
 from knapweeddrum.process.entry.endpoint_connector import (
+    PROBE_TIMEOUT_SECONDS,
     DirectConnector,
     EndpointConnector,
     failed_result,
@@ -20,14 +23,37 @@
 
 
 class PathConnector(EndpointConnector):
-    """Connects from this host and records what became of each connection."""
+    """Chooses the way to each endpoint by what became of earlier connections.
+
+    ``tunnels`` leads through other hosts.
+    """
 
-    def __init__(self, ctx: EntryContext) -> None:
+    def __init__(self, ctx: EntryContext, tunnels: EndpointConnector) -> None:
         self._ctx = ctx
+        self._tunnels = tunnels
         self._direct = DirectConnector(ctx.link_load.receive)
+        self.changed = anyio.Event()
+        """Set and replaced when an endpoint or a path came in or out of reach."""
 
     async def connect(self, entry: EndpointEntry, timeout: float) -> ClientConnection:
-        """Connect to the address of the entry."""
+        """Connect from this host, or through another one if the path is lost."""
+        if self._ctx.reach.is_path_lost(instance_name(entry)):
+            return await self._tunnels.connect(entry, timeout)
+        return await self.connect_directly(entry, timeout)
+
+    async def probe(self, entry: EndpointEntry) -> ProbeResult:
+        """Connect and return what became of it; other hosts confirm a failure."""
+        if self._ctx.reach.is_path_lost(instance_name(entry)):
+            return await self._tunnels.probe(entry)
+        result = await self.probe_directly(entry)
+        if result is ProbeResult.CONNECTED or await self.is_reached_elsewhere(entry):
+            return ProbeResult.CONNECTED
+        return result
+
+    async def connect_directly(
+        self, entry: EndpointEntry, timeout: float
+    ) -> ClientConnection:
+        """Connect from this host."""
         try:
             conn = await self._direct.connect(entry, timeout)
         except NotSentError as exc:
@@ -36,6 +62,24 @@
         self._record(entry, ProbeResult.CONNECTED)
         return conn
 
+    async def probe_directly(self, entry: EndpointEntry) -> ProbeResult:
+        """Connect from this host, close the connection, return what became of it."""
+        try:
+            conn = await self.connect_directly(entry, PROBE_TIMEOUT_SECONDS)
+        except NotSentError as exc:
+            return failed_result(exc)
+        await conn.close()
+        return ProbeResult.CONNECTED
+
+    async def is_reached_elsewhere(self, entry: EndpointEntry) -> bool:
+        """Ask other hosts whether they reach an endpoint; if so, the path is lost."""
+        if await self._tunnels.probe(entry) is not ProbeResult.CONNECTED:
+            return False
+        name = instance_name(entry)
+        if self._ctx.reach.record_elsewhere(name, time.monotonic()):
+            self._notify()
+        return True
+
     def _record(
         self, entry: EndpointEntry, result: ProbeResult, error: str = ""
     ) -> None:
@@ -46,6 +90,7 @@
         failed_for = ctx.reach.unreached_for(name, now)
         if not ctx.reach.record(name, result, now):
             return
+        self._notify()
         if result is ProbeResult.CONNECTED:
             ctx.events.emit(
                 ENDPOINT_REACHED,
@@ -62,3 +107,7 @@
             unreached=len(ctx.reach.unreached()),
             listed=len(ctx.service_list.all()),
         )
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = anyio.Event()
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -169,6 +169,7 @@
         job = self._job
         resume_after = self._relay.last_event_id or job.req.resume_after
         job.endpoint_id = state.entry.endpoint_id
+        job.via = ""
         job.answer_framing = None
         job.rest_bytes = 0
         job.tried.add(job.endpoint_id)
--- a/src/knapweeddrum/process/entry/request_job.py
+++ b/src/knapweeddrum/process/entry/request_job.py
@@ -48,6 +48,8 @@
     permit_at: float | None = None
     """Time of the permit for the endpoint chosen last, None if it needed none."""
     endpoint_id: str = ""
+    via: str = ""
+    """Host through which that endpoint was reached, empty for none."""
     stream_version: str | None = None
     """Software version that began the stream, None while none is known to have."""
     first_chunk_at: float | None = None
--- a/src/knapweeddrum/process/entry_composition.py
+++ b/src/knapweeddrum/process/entry_composition.py
@@ -36,6 +36,7 @@
 )
 from knapweeddrum.process.entry.path_connector import PathConnector
 from knapweeddrum.process.entry.shed_log import ShedLog
+from knapweeddrum.process.entry.tunnel_client import TunnelClient
 from knapweeddrum.settings.entry_settings import EntrySettings
 from knapweeddrum.telemetry.bounded_writer import BoundedWriter
 from knapweeddrum.telemetry.counters import (
@@ -105,8 +106,11 @@
     shed_log = ShedLog(ctx.connections, ctx.events, metrics)
     ctx.connections.on_shed = shed_log.record_shed
     ctx.connections.on_refused = shed_log.record_refused
-    ctx.connector = PathConnector(ctx)
+    paths = PathConnector(ctx, TunnelClient(ctx))
+    ctx.connector = paths
     ctx.apply_host_limits()
     ctx.store.era.on_return = ctx.record_store_return
     ctx.store.on_era_doubt = ctx.record_era_doubt
-    await EntryProcess(ctx, reported_losses, writer, settings_path, metrics_port).run()
+    await EntryProcess(
+        ctx, paths, reported_losses, writer, settings_path, metrics_port
+    ).run()
--- a/src/knapweeddrum/telemetry/counters.py
+++ b/src/knapweeddrum/telemetry/counters.py
@@ -58,6 +58,14 @@
 """Writes of token claims whose outcome is unknown."""
 CLAIM_GIVEN_UP = "claim.given_up"
 """Rounds of token claims that were given up after too many failed writes."""
+TUNNEL_OPENED = "tunnel.opened"
+"""Connections to endpoints that this host opened through other hosts."""
+TUNNEL_FAILED_COUNT = "tunnel.failed"
+"""Times that no other host could connect to an endpoint for this one."""
+TUNNEL_SERVED = "tunnel.served"
+"""Connections to endpoints that this host opened for other hosts."""
+TUNNEL_DENIED = "tunnel.denied"
+"""Questions for such a connection that it denied."""
 ENDPOINT_ENDED = "endpoint.ended"
 """Crashes of endpoints that this entry process found out."""
 CRASH_RECORD_NOT_WRITTEN = "crash_record.not_written"
@@ -157,6 +165,10 @@
     MESSAGE_REJECTED_COUNT,
     CLAIM_RECORDS_READ,
     CLAIM_WRITTEN,
+    TUNNEL_OPENED,
+    TUNNEL_FAILED_COUNT,
+    TUNNEL_SERVED,
+    TUNNEL_DENIED,
 )
 """Counters whose names contain no reason, route kind, status or outcome."""
 
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -97,6 +97,7 @@
     (
         "request",
         "endpoint",
+        "via",
         "reason",
         "run_state",
         "error",
@@ -112,6 +113,7 @@
     (
         "request",
         "endpoint",
+        "via",
         "status",
         "framing",
         "rest_bytes",
@@ -265,6 +267,11 @@
 ENDPOINT_REACHED = Event(
     691, "endpoint_reached", "info", ("endpoint", "failed_for", "unreached")
 )
+PATH_LOST = Event(692, "path_lost", "warning", ("endpoint", "failed_for", "lost"))
+PATH_RESTORED = Event(693, "path_restored", "info", ("endpoint", "after", "lost"))
+HOST_CUT_OFF = Event(694, "host_cut_off", "error", ("lost",))
+HOST_REACHES_ENDPOINTS = Event(695, "host_reaches_endpoints", "info", ("after", "lost"))
+TUNNEL_REFUSED = Event(696, "tunnel_refused", "info", ("host", "endpoint", "reason"))
 SETTINGS_RELOADED = Event(618, "settings_reloaded", "info", ("changed",))
 SETTINGS_REJECTED = Event(619, "settings_rejected", "error", ("error",))
 TOKENS_LENT = Event(
--- a/src/knapweeddrum/value/host_record.py
+++ b/src/knapweeddrum/value/host_record.py
@@ -37,3 +37,5 @@
     """Whether it turns new connections away at times, as its link is full."""
     emptied: tuple[ToldDataCentre, ...] = ()
     """Data centres that were emptied, or taken back since."""
+    cut_off: bool = False
+    """Whether it reaches no endpoint but through other hosts."""
--- a/tests/process/entry/test_drain_sequence.py
+++ b/tests/process/entry/test_drain_sequence.py
@@ -10,6 +10,7 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
 from knapweeddrum.process.entry.token_witness import TokenWitness
+from knapweeddrum.process.entry.tunnel_server import TunnelServer
 from tests.process.entry.claim_race import (
     ClaimRacePlan,
     DistantStore,
@@ -56,6 +57,15 @@
     async def announce_leave(self) -> None: ...
 
 
+class NoTunnels:
+    """Passes nothing on for other hosts."""
+
+    open_count = 0
+
+    async def announce_drain(self) -> None:
+        return
+
+
 def draining_context() -> EntryContext:
     store = cast("DistantStore", DistantStore(SharedStream(), 0.0))
     ctx = make_context(0, ClaimRacePlan(hosts=1), store)
@@ -74,6 +84,7 @@
                 cast("CallerServer", IdleServer()),
                 cast("TokenAllocator", SilentAllocator()),
                 cast("TokenWitness", LoneWitness()),
+                cast("TunnelServer", NoTunnels()),
             )
             started_at = anyio.current_time()
             with anyio.fail_after(2 * GRACE_SECONDS):
@@ -109,6 +120,7 @@
             cast("CallerServer", server),
             cast("TokenAllocator", SilentAllocator()),
             cast("TokenWitness", LoneWitness()),
+            cast("TunnelServer", NoTunnels()),
         )
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_stay_behind, ctx, lag)
--- a/tests/standins/network_link.py
+++ b/tests/standins/network_link.py
@@ -62,7 +62,6 @@
     def cut(self, how: Cut) -> None:
         """Cut the link."""
         self._accepts = False
-        self._wake()
         if how is Cut.SILENT:
             self._passes = anyio.Event()
             self._fill_queue()
@@ -92,6 +91,7 @@
 
     def _close_listener(self) -> None:
         if self._listener is not None:
+            anyio.notify_closing(self._listener)
             self._listener.close()
             self._listener = None
 
@@ -124,26 +124,15 @@
                 await self._changed.wait()
                 continue
             try:
+                await anyio.wait_readable(self._listener)
+                if not self._accepts or self._listener is None:
+                    continue
                 conn, _ = self._listener.accept()
-            except BlockingIOError:
-                await self._wait_for_connection()
+            except (BlockingIOError, anyio.ClosedResourceError):
                 continue
             conn.setblocking(False)
             tasks.start_soon(self._pass_on, conn)
 
-    async def _wait_for_connection(self) -> None:
-        """Return when a connection waits or the link has changed."""
-        async with anyio.create_task_group() as tasks:
-
-            async def until_changed() -> None:
-                await self._changed.wait()
-                tasks.cancel_scope.cancel()
-
-            tasks.start_soon(until_changed)
-            assert self._listener is not None
-            await anyio.wait_readable(self._listener)
-            tasks.cancel_scope.cancel()
-
     async def _pass_on(self, conn: socket.socket) -> None:
         stream = await anyio.abc.SocketStream.from_socket(conn)
         host, _, port = self._endpoint_address.rpartition(":")
