Never pass on a status that is none

Seen: an endpoint in trouble answers with status 600 or 999; on a route with one attempt (bookings, streams) its caller gets it as an answer.

Cause: h11 takes any three digits from 200 on for a status, and only 5xx was treated as a failure.

Change: a head with a status above 599 is a malformed reply, as RFC 9110 (15) has it, for all clients of ClientConnection. 000, 099, 20, 0200 and -200 were rejected before.

Why it works: the status is judged where the head is decoded, before any route or retry is looked at.

Measured: test_status_that_is_none_is_never_passed_on fails before for 600 and 999 at /book/1 and passes now for seven statuses on three kinds of route.

--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -46,6 +46,7 @@
 MAX_PORT = 65_535
 MAX_SHOWN_CHARS = 64
 """Characters of an invalid address that an error message shows at most."""
+MAX_STATUS = 599
 BODILESS_STATUSES = frozenset({204, 304})
 DEFAULT_IDLE_TIMEOUT_SECONDS = 12.0
 """Idle time after which a connection is not reused, if the server announces none."""
@@ -159,6 +160,8 @@
         for _ in range(MAX_INTERIM_HEADS + 1):
             event = await self._next_head_event()
             if isinstance(event, h11.Response):
+                if event.status_code > MAX_STATUS:
+                    raise MalformedReplyError(f"status {event.status_code} is none")
                 headers = HeaderList(event.headers.raw_items())
                 self._update_idle_timeout(headers)
                 framing = self._framing(event, headers)
