Take an early answer for whole only once its request was taken

Seen: an endpoint answers a long upload at once with a 200 without a length, sends part of its body, ends its side in good order and resets the connection 0.05 s later, the upload unread.

Cause: an answer that ends with its connection was judged by the end alone, and by a sign of life of the endpoint. The reset after it was looked at by nobody.

Change: such an answer is whole only if the endpoint's kernel has acknowledged the whole request and the connection was not reset; that is waited for up to a second (sent_data). The host at the far end of a tunnel asks the same before it passes on a clean end. Counted as answer_end.request_unread.

Ruled out: resets without the clean end before them were never taken for whole. An endpoint that ends its side and reads on still serves its caller.

A reset after everything was acknowledged, and later than the sign of life, can't be seen and is open."

--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -25,6 +25,7 @@
     PeerRefusedError,
 )
 from knapweeddrum.http.header_list import Header, HeaderList
+from knapweeddrum.http.sent_data import is_sent_data_taken
 from knapweeddrum.http.socket_options import limit_buffers, limit_silence
 from knapweeddrum.http.socket_writing import write_slices
 from knapweeddrum.http.tunnel_stream import TunnelCutError, TunnelStream
@@ -226,6 +227,10 @@
             self._conn.receive_data(surplus)
         self._reply_ended = False
 
+    async def is_request_taken(self) -> bool:
+        """Return whether the server's kernel has the whole request, or soon has it."""
+        return await is_sent_data_taken(self._stream)
+
     def finish(self) -> bool:
         """End the exchange and return whether the connection can be reused."""
         if self._connection_lost or not self._reply_ended or not self._request_written:
--- a/src/knapweeddrum/http/tunnel.py
+++ b/src/knapweeddrum/http/tunnel.py
@@ -9,6 +9,7 @@
 import anyio
 from anyio.abc import ByteStream
 
+from knapweeddrum.http.sent_data import is_sent_data_taken
 from knapweeddrum.http.socket_options import (
     limit_buffers,
     reset_on_close,
@@ -101,7 +102,9 @@
         try:
             data = await self._endpoint.receive(MAX_RECEIVE_BYTES)
         except anyio.EndOfStream:
-            return END_FRAME
+            # A reset may follow if the endpoint has not read the request.
+            is_taken = await is_sent_data_taken(self._endpoint)
+            return END_FRAME if is_taken else RESET_FRAME
         except DISCONNECT_ERRORS:
             return RESET_FRAME
         self.received_at = time.monotonic()
--- a/src/knapweeddrum/process/entry/answer_relay.py
+++ b/src/knapweeddrum/process/entry/answer_relay.py
@@ -28,6 +28,7 @@
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.process.entry.request_log import RequestLog
 from knapweeddrum.process.entry.stream_origin_sharing import StreamOriginSharing
+from knapweeddrum.value.answer_end_reason import AnswerEndReason
 from knapweeddrum.value.answer_format import AnswerFormat
 from knapweeddrum.value.body_framing import BodyFraming
 from knapweeddrum.value.retry_reason import RetryReason
@@ -45,6 +46,9 @@
 
 QUESTION_INTERVAL_SECONDS = 0.1
 
+UNREAD_REQUEST = AnswerVerdict(AnswerEnd.BROKEN_OFF, AnswerEndReason.REQUEST_UNREAD)
+"""What follows an answer before its request was read may be a reset."""
+
 
 class AnswerRelay:
     """Relays the answers to the attempts of one request as one answer."""
@@ -172,6 +176,8 @@
             # Plain services are not known to report anything.
             replies = self._job.route.kind is RouteKind.STREAMING
             verdict = await self._ask_endpoint(answer, replies=replies)
+            if not await answer.conn.is_request_taken():
+                verdict = UNREAD_REQUEST
         self._log.answer_ended(verdict)
         if verdict.end is AnswerEnd.WHOLE:
             self._is_complete = True
--- a/src/knapweeddrum/value/answer_end_reason.py
+++ b/src/knapweeddrum/value/answer_end_reason.py
@@ -15,6 +15,8 @@
     """A stream ended with its connection before its first event."""
     CONNECTION_ENDED = "connection_ended"
     """The connection ended and the endpoint still ran after it."""
+    REQUEST_UNREAD = "request_unread"
+    """The connection ended with part of the request not taken by the endpoint."""
     ENDPOINT_GONE = "endpoint_gone"
     """The connection ended and the endpoint refuses new ones."""
     ENDPOINT_SILENT = "endpoint_silent"
--- a/tests/process/entry/test_early_answers.py
+++ b/tests/process/entry/test_early_answers.py
@@ -28,7 +28,7 @@
         return await harness.call(path, body=body, tokens=tokens)
 
 
-@nose2.tools.params(Ending.RESET, Ending.LATE_RESET, Ending.CLOSE)
+@nose2.tools.params(Ending.RESET, Ending.LATE_RESET, Ending.CLOSE, Ending.HALF_CLOSE)
 def test_part_of_an_early_answer_to_an_upload_never_looks_complete(ending: Ending):
     """The answer has no length, and the upload is still being written."""
 
