Split two large modules: connections for a request, heads of replies

What a received head is, and how its body is framed, stands in raw_reply_head. Nothing else changes.

--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -25,11 +25,11 @@
     PeerRefusedError,
 )
 from knapweeddrum.http.header_list import Header, HeaderList
+from knapweeddrum.http.raw_reply_head import RawReplyHead, raw_reply_head
 from knapweeddrum.http.sent_data import is_sent_data_taken
 from knapweeddrum.http.socket_options import limit_buffers, limit_silence
 from knapweeddrum.http.socket_writing import write_slices
 from knapweeddrum.http.tunnel_stream import TunnelCutError, TunnelStream
-from knapweeddrum.value.body_framing import BodyFraming
 from knapweeddrum.value.whole_number import parse_whole_number
 
 MAX_RECEIVE_BYTES = 65_536
@@ -47,23 +47,12 @@
 MAX_PORT = 65_535
 MAX_SHOWN_CHARS = 64
 """Characters of an invalid address that an error message shows at most."""
-MAX_STATUS = 599
-BODILESS_STATUSES = frozenset({204, 304})
 DEFAULT_IDLE_TIMEOUT_SECONDS = 12.0
 """Idle time after which a connection is not reused, if the server announces none."""
 IDLE_TIMEOUT_MARGIN_SECONDS = 0.8
 """Time before the server's idle timeout from which on a connection is not reused."""
 
 
-class RawReplyHead:
-    """Status and headers of a reply; names and values are bytes, as received."""
-
-    def __init__(self, status: int, headers: HeaderList, framing: BodyFraming) -> None:
-        self.status = status
-        self.headers = headers
-        self.framing = framing
-
-
 class ClientConnection:
     """Sends requests and reads replies; never retries.
 
@@ -161,12 +150,9 @@
         for _ in range(MAX_INTERIM_HEADS + 1):
             event = await self._next_head_event()
             if isinstance(event, h11.Response):
-                if event.status_code > MAX_STATUS:
-                    raise MalformedReplyError(f"status {event.status_code} is none")
-                headers = HeaderList(event.headers.raw_items())
-                self._update_idle_timeout(headers)
-                framing = self._framing(event, headers)
-                return RawReplyHead(event.status_code, headers, framing)
+                head = raw_reply_head(event, self._request_method)
+                self._update_idle_timeout(head.headers)
+                return head
             if not isinstance(event, h11.InformationalResponse):
                 raise MalformedReplyError(
                     f"expected the head of a reply, got {type(event).__name__}"
@@ -359,15 +345,6 @@
         self._on_receive(len(data))
         return data
 
-    def _framing(self, response: h11.Response, headers: HeaderList) -> BodyFraming:
-        if response.status_code in BODILESS_STATUSES or self._request_method == b"HEAD":
-            return BodyFraming.LENGTH
-        if response.http_version >= b"1.1" and headers.text(b"transfer-encoding"):
-            return BodyFraming.CHUNKS
-        if headers.get(b"content-length") is not None:
-            return BodyFraming.LENGTH
-        return BodyFraming.CONNECTION
-
     def _update_idle_timeout(self, headers: HeaderList) -> None:
         for part in headers.text(b"keep-alive").split(","):
             name, _, value = part.strip().partition("=")
--- a/src/knapweeddrum/platform/endpoint_protocol.py
+++ b/src/knapweeddrum/platform/endpoint_protocol.py
@@ -8,8 +8,8 @@
 from knapweeddrum.core.placing.back_off import BackOff
 from knapweeddrum.core.placing.load_report import LoadReport
 from knapweeddrum.core.placing.named_limit import NamedLimit
-from knapweeddrum.http.client_connection import RawReplyHead
 from knapweeddrum.http.header_list import Header
+from knapweeddrum.http.raw_reply_head import RawReplyHead
 from knapweeddrum.platform import header_names as names
 from knapweeddrum.platform.caller_request import CallerRequest
 from knapweeddrum.platform.retry_after import decode_back_off
--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import dataclasses
-import functools
 import time
 from collections.abc import AsyncIterator
 
@@ -16,10 +15,8 @@
 from knapweeddrum.core.routing.attempt_result import AttemptResult
 from knapweeddrum.http.client_connection import ClientConnection
 from knapweeddrum.http.exceptions import (
-    ConnectionLimitError,
     EndlessReplyError,
     MalformedReplyError,
-    NoPathError,
     NoReplyError,
     NotSentError,
     PathCutError,
@@ -30,22 +27,16 @@
     request_headers,
 )
 from knapweeddrum.process.entry.attempt_error import AttemptError
-from knapweeddrum.process.entry.endpoint_start import (
-    ask_start,
-    is_listed_start,
-    serving_version,
-)
+from knapweeddrum.process.entry.endpoint_connection import connect_for
+from knapweeddrum.process.entry.endpoint_start import serving_version
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.lost_connection import LossCause, LostConnection
 from knapweeddrum.process.entry.notice_recorder import record_notices
 from knapweeddrum.process.entry.request_job import RequestJob
-from knapweeddrum.process.entry.send_check import require_sendable
 from knapweeddrum.telemetry.counters import FIRST_ARRIVALS, REPEATED_ARRIVALS
 from knapweeddrum.value.retry_reason import RetryReason
 from knapweeddrum.value.run_state import RunState
-from knapweeddrum.value.start_reply import StartReply
 
-ENDPOINT_CONNECT_TIMEOUT_SECONDS = 0.25
 MAX_DISCARDED_BODY_BYTES = 65_536
 MAX_DISCARD_SECONDS = 0.1
 MAX_SKIPPED_REPLIES = 8
@@ -93,7 +84,7 @@
     Leaving the context before the end of the body closes the connection, which makes
     the endpoint cancel the request.
     """
-    conn = await _connect(ctx, job, state)
+    conn = await connect_for(ctx, job, state)
     job.via = conn.via
     key = connection_key(state.entry)
     now = time.monotonic()
@@ -180,84 +171,6 @@
             ctx.losses.send_nowait(LostConnection(state, now, cause))
 
 
-async def _connect(
-    ctx: EntryContext, job: RequestJob, state: EndpointState
-) -> ClientConnection:
-    """Return a connection that suits the request; raises AttemptError."""
-    require_sendable(ctx, job, state)
-    conn = await _open_connection(ctx, job, state)
-    suits = False
-    try:
-        require_sendable(ctx, job, state)
-        is_suitable = await _suits(ctx, job, state, conn)
-        require_sendable(ctx, job, state)
-        suits = is_suitable
-    finally:
-        if not suits:
-            with anyio.CancelScope(shield=True):
-                await ctx.pool.release(connection_key(state.entry), conn)
-    if suits:
-        return conn
-    conn = await _open_connection(ctx, job, state)
-    try:
-        require_sendable(ctx, job, state)
-    except AttemptError:
-        with anyio.CancelScope(shield=True):
-            await ctx.pool.release(connection_key(state.entry), conn)
-        raise
-    return conn
-
-
-async def _suits(
-    ctx: EntryContext, job: RequestJob, state: EndpointState, conn: ClientConnection
-) -> bool:
-    """Return whether a connection can carry the request.
-
-    One that carries a stream that may be resumed is asked which start of the endpoint
-    answers on it, unless that is known. Raises AttemptError if a stream that has begun
-    must not go on there.
-    """
-    if not job.route.resumable or is_listed_start(ctx, state, conn):
-        return True
-    if not ctx.instances.hides_start(instance_name(state.entry)):
-        reply = await ask_start(ctx, state, conn)
-        if reply is StartReply.NO_REPLY and job.stream_version is None:
-            return False
-        if reply is StartReply.NO_REPLY:
-            raise AttemptError(
-                RetryReason.CONNECT_FAILED, RunState.NOT_RUN, "start not told in time"
-            )
-    if job.stream_version is None or is_listed_start(ctx, state, conn):
-        return True
-    raise AttemptError(
-        RetryReason.RESTARTED,
-        RunState.NOT_RUN,
-        "another start of the endpoint than the listed one may answer",
-    )
-
-
-async def _open_connection(
-    ctx: EntryContext, job: RequestJob, state: EndpointState
-) -> ClientConnection:
-    entry = state.entry
-    connect = functools.partial(
-        ctx.connector.connect, entry, ENDPOINT_CONNECT_TIMEOUT_SECONDS
-    )
-    try:
-        return await ctx.pool.acquire(
-            connection_key(entry), job.max_connections, connect
-        )
-    except (ConnectionLimitError, NoPathError) as exc:
-        raise AttemptError(
-            RetryReason.CONNECT_FAILED, RunState.NOT_RUN, str(exc)
-        ) from exc
-    except NotSentError as exc:
-        state.eject(time.monotonic())
-        raise AttemptError(
-            RetryReason.CONNECT_FAILED, RunState.NOT_RUN, str(exc)
-        ) from exc
-
-
 async def _head_of_request(
     job: RequestJob, conn: ClientConnection, head: EndpointReplyHead
 ) -> EndpointReplyHead:
--- a/tests/platform/test_endpoint_load.py
+++ b/tests/platform/test_endpoint_load.py
@@ -3,8 +3,8 @@
 from nose2.tools import params
 
 from knapweeddrum.core.placing.load_report import LoadReport
-from knapweeddrum.http.client_connection import RawReplyHead
 from knapweeddrum.http.header_list import HeaderList
+from knapweeddrum.http.raw_reply_head import RawReplyHead
 from knapweeddrum.platform.endpoint_protocol import EndpointReplyHead, decode_reply_head
 from knapweeddrum.value.body_framing import BodyFraming
 
--- a/tests/platform/test_entry_codecs.py
+++ b/tests/platform/test_entry_codecs.py
@@ -12,9 +12,9 @@
 from knapweeddrum.core.catalog.cold_ramp import ColdRamp
 from knapweeddrum.core.catalog.route_kind import RouteKind
 from knapweeddrum.core.prepaid.token_claim import TokenClaim
-from knapweeddrum.http.client_connection import RawReplyHead
 from knapweeddrum.http.exceptions import MalformedRequestError
 from knapweeddrum.http.header_list import HeaderList
+from knapweeddrum.http.raw_reply_head import RawReplyHead
 from knapweeddrum.http.server_connection import ReceivedRequest
 from knapweeddrum.message.call.crash_mark import CrashMark
 from knapweeddrum.message.call.crash_record import CrashRecord
--- a/tests/process/entry/limit_day.py
+++ b/tests/process/entry/limit_day.py
@@ -22,8 +22,8 @@
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.core.placing.endpoint_state import EndpointState
 from knapweeddrum.core.placing.endpoint_states import instance_name
-from knapweeddrum.http.client_connection import RawReplyHead
 from knapweeddrum.http.header_list import Header, HeaderList
+from knapweeddrum.http.raw_reply_head import RawReplyHead
 from knapweeddrum.platform import header_names as names
 from knapweeddrum.platform.endpoint_protocol import decode_reply_head
 from knapweeddrum.platform.streams import HOSTS_STREAM
