Take a host for cut off only while nothing else is reached

It sent new connections to them through others and told these that it was cut off.

Cause: EndpointReach counted connections only, and nobody tried the endpoints that were merely taken to be lost.

A connection that was cut on its way is no sign of a crash for the retries of its request either.

--- a/src/knapweeddrum/core/routing/endpoint_reach.py
+++ b/src/knapweeddrum/core/routing/endpoint_reach.py
@@ -39,8 +39,8 @@
     """Tells an endpoint that is gone from a path from this host that is lost.
 
     A path is lost if connections to its endpoint fail here while another host reaches
-    it. With several lost paths and no endpoint reached since, this host is cut off: the
-    other paths count as lost too. Times are in monotonic seconds.
+    it. When several were lost since an endpoint was reached last, this host is cut off:
+    the other paths count as lost too. Times are in monotonic seconds.
     """
 
     def __init__(self) -> None:
@@ -120,8 +120,11 @@
     @property
     def is_cut_off(self) -> bool:
         """Return whether this host has lost the paths to all endpoints."""
-        lost = [f.since for f in self._failures.values() if f.lost_at is not None]
-        return len(lost) >= CUT_OFF_ENDPOINTS and self._connected_at < min(lost)
+        lost_since = sum(
+            failure.lost_at is not None and failure.since > self._connected_at
+            for failure in self._failures.values()
+        )
+        return lost_since >= CUT_OFF_ENDPOINTS
 
     def unreached(self) -> list[EndpointName]:
         """Return the endpoints whose last connection failed."""
--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -124,7 +124,7 @@
         result = _result_of_answer(head)
     except AttemptError as exc:
         result = _result_of_failure(exc)
-        is_lost = _is_endpoints_loss(exc.__cause__)
+        is_lost = is_endpoints_loss(exc.__cause__)
         if isinstance(exc.__cause__, PathCutError):
             result = AttemptResult.CANCELLED
         raise
@@ -133,7 +133,7 @@
             RetryReason.ENDPOINT_ERROR, RunState.NOT_RUN, str(exc)
         ) from exc
     except NoReplyError as exc:
-        is_lost = _is_endpoints_loss(exc)
+        is_lost = is_endpoints_loss(exc)
         if is_lost:
             result = AttemptResult.FAILURE
         raise _broken_answer_error(exc) from exc
@@ -231,7 +231,7 @@
                 return
 
 
-def _is_endpoints_loss(exc: BaseException | None) -> bool:
+def is_endpoints_loss(exc: BaseException | None) -> bool:
     """Return whether a connection was lost and its endpoint may be the cause."""
     return isinstance(exc, NoReplyError) and not isinstance(exc, PathCutError)
 
--- a/src/knapweeddrum/process/entry/path_watch.py
+++ b/src/knapweeddrum/process/entry/path_watch.py
@@ -9,6 +9,7 @@
 from anyio.abc import TaskGroup
 
 from knapweeddrum.core.placing.endpoint_state import EndpointState
+from knapweeddrum.core.placing.endpoint_states import instance_name
 from knapweeddrum.http.client_connection import ClientConnection
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.path_connector import PathConnector
@@ -30,6 +31,9 @@
 MAX_PROBED_PATHS = 8
 """Lost paths on which connecting is tried at a time, drawn at random."""
 
+MAX_TRIED_PATHS = 2
+"""Paths of a host that is cut off on which it is tried whether that is so."""
+
 SILENT_SECONDS = 0.5
 """Time without any byte after which a connection on a silent path is given up."""
 
@@ -80,13 +84,21 @@
     async def _probe_lost_paths(self) -> None:
         while True:
             await anyio.sleep(PROBE_INTERVAL_SECONDS)
-            states = [self._ctx.endpoint_states.find(name) for name in self._lost]
-            listed = self._ctx.in_use([s for s in states if s is not None])
-            count = min(len(listed), MAX_PROBED_PATHS)
             async with anyio.create_task_group() as tasks:
-                for state in self._ctx.rng.sample(listed, count):
+                for state in self._paths_to_probe():
                     tasks.start_soon(self._paths.probe_directly, state.entry)
 
+    def _paths_to_probe(self) -> list[EndpointState]:
+        """Return lost paths, and some that are only taken to be lost."""
+        ctx = self._ctx
+        in_use = ctx.in_use(ctx.endpoint_states.all())
+        lost = [s for s in in_use if instance_name(s.entry) in self._lost]
+        chosen = ctx.rng.sample(lost, min(len(lost), MAX_PROBED_PATHS))
+        if ctx.reach.is_cut_off:
+            others = [s for s in in_use if instance_name(s.entry) not in self._lost]
+            chosen += ctx.rng.sample(others, min(len(others), MAX_TRIED_PATHS))
+        return chosen
+
     async def _follow_changes(self, tasks: TaskGroup) -> None:
         lost = self._ctx.reach.lost_paths()
         now = time.monotonic()
--- a/src/knapweeddrum/process/entry/request_handler.py
+++ b/src/knapweeddrum/process/entry/request_handler.py
@@ -13,7 +13,6 @@
 from knapweeddrum.core.routing.failed_attempt import FailedAttempt
 from knapweeddrum.core.routing.failover_policy import RETRY_AFTER_FRACTION
 from knapweeddrum.core.routing.give_up import GiveUp
-from knapweeddrum.http.exceptions import NoReplyError
 from knapweeddrum.http.server_connection import ServerConnection
 from knapweeddrum.process.entry.answer_relay import AnswerRelay
 from knapweeddrum.process.entry.attempt_error import AttemptError
@@ -21,7 +20,10 @@
     choose_apart_from_suspects,
     crash_constraints,
 )
-from knapweeddrum.process.entry.endpoint_attempt import endpoint_attempt
+from knapweeddrum.process.entry.endpoint_attempt import (
+    endpoint_attempt,
+    is_endpoints_loss,
+)
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.refused_error import RefusedError
 from knapweeddrum.process.entry.request_admission import refused
@@ -267,7 +269,7 @@
             job.connect_failures += 1
         elif exc.run_state is RunState.NOT_RUN:
             job.refused_sends += 1
-        elif isinstance(exc.__cause__, NoReplyError):
+        elif is_endpoints_loss(exc.__cause__):
             job.lost_connections += 1
         self._last_failure = exc
         failure = FailedAttempt(
--- a/tests/core/routing/test_endpoint_reach.py
+++ b/tests/core/routing/test_endpoint_reach.py
@@ -73,6 +73,17 @@
     assert not reach.is_path_lost(C)
 
 
+def test_host_that_loses_the_rest_of_its_paths_later_is_cut_off():
+    """Paths that were lost before another endpoint was reached don't count."""
+    reach = EndpointReach()
+    lose(reach, A, now=1.0)
+    reach.record(B, CONNECTED, 1.5)
+    lose(reach, B, now=2.0)
+    assert not reach.is_cut_off
+    lose(reach, C, now=2.1)
+    assert reach.is_cut_off
+
+
 def test_path_that_is_back_for_a_moment_stays_lost():
     """Two connections in a row restore it."""
     reach = EndpointReach()
