--- a/tests/standins/network_link.py
+++ b/tests/standins/network_link.py
@@ -63,7 +63,8 @@
         """Cut the link."""
         self._accepts = False
         if how is Cut.SILENT:
-            self._passes = anyio.Event()
+            if self._passes.is_set():
+                self._passes = anyio.Event()
             self._fill_queue()
             return
         self._close_listener()
@@ -97,6 +98,8 @@
 
     def _fill_queue(self) -> None:
         """Leave no room for further connections, whose packets are dropped then."""
+        if self._listener is None:
+            self._listen()
         assert self._listener is not None
         self._listener.listen(0)
         for _ in range(FILLERS):
