--- a/src/knapweeddrum/process/entry/path_watch.py
+++ b/src/knapweeddrum/process/entry/path_watch.py
@@ -84,6 +84,8 @@
     async def _probe_lost_paths(self) -> None:
         while True:
             await anyio.sleep(PROBE_INTERVAL_SECONDS)
+            if not self._lost:
+                continue
             async with anyio.create_task_group() as tasks:
                 for state in self._paths_to_probe():
                     tasks.start_soon(self._paths.probe_directly, state.entry)
@@ -108,10 +110,9 @@
         for name in [name for name in self._lost if name not in lost]:
             self._record_restored(name, now)
         self._follow_cut(now)
-        await self._close_silent(now)
-        await self._ctx.pool.close_idle(
-            lambda key, conn: bool(conn.via) and not self._is_lost(key)
-        )
+        await self._close_needless_tunnels()
+        if self._lost:
+            await self._close_silent(now)
 
     def _record_lost(self, name: EndpointName, now: float, tasks: TaskGroup) -> None:
         ctx = self._ctx
@@ -161,15 +162,19 @@
 
     def _readmit_all(self, now: float) -> None:
         """Use the endpoints again whose connections failed by the way to them."""
-        for state in self._unreached_states():
-            state.readmit(now)
+        for name in self._ctx.reach.unreached():
+            state = self._ctx.endpoint_states.find(name)
+            if state is not None:
+                state.readmit(now)
+
+    async def _close_needless_tunnels(self) -> None:
+        """Close idle connections through other hosts on paths that are not lost."""
 
-    def _unreached_states(self) -> list[EndpointState]:
-        states = map(self._ctx.endpoint_states.find, self._ctx.reach.unreached())
-        return [state for state in states if state is not None]
+        def is_needless(key: str, conn: ClientConnection) -> bool:
+            is_tunnel = bool(conn.via)
+            return is_tunnel and not self._ctx.reach.is_path_lost(EndpointName(key))
 
-    def _is_lost(self, key: str) -> bool:
-        return self._ctx.reach.is_path_lost(EndpointName(key))
+        await self._ctx.pool.close_idle(is_needless)
 
     async def _close_silent(self, now: float) -> None:
         """Close connections on which nothing can come."""
