Give up connections through a host that has frozen

Cause: only the end of a tunnel was noticed, and a frozen host's kernel keeps its connections.

Change: TunnelWatch looks at the connections in use through other hosts; after half a second without a byte their host is asked, once a second, and without an answer in 0.3 s what leads through it is given up and it is not asked for 2 s, for no service. Requests that may be repeated go on through another host. The soak freezes hosts too.

--- a/src/knapweeddrum/core/routing/tunnel_hosts.py
+++ b/src/knapweeddrum/core/routing/tunnel_hosts.py
@@ -23,7 +23,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
-        self._avoided_until: dict[tuple[str, str], float] = {}
+        self._avoided_until: dict[tuple[str, str | None], float] = {}
 
     def order(
         self,
@@ -43,15 +43,18 @@
             able, key=lambda host: (host.data_centre != data_centre, -drawn[host.name])
         )
 
-    def avoid(self, host: HostRecord, service: str, now: float) -> None:
-        """Leave a host out for a while."""
+    def avoid(self, host: HostRecord, service: str | None, now: float) -> None:
+        """Leave a host out for a while, for a service or for all."""
         self._avoided_until = {
             key: until for key, until in self._avoided_until.items() if until > now
         }
         self._avoided_until[host.name, service] = now + AVOIDED_SECONDS
 
     def _is_avoided(self, host: HostRecord, service: str, now: float) -> bool:
-        return self._avoided_until.get((host.name, service), 0.0) > now
+        return any(
+            self._avoided_until.get((host.name, which), 0.0) > now
+            for which in (service, None)
+        )
 
     def _draw(self, host: HostRecord) -> float:
         """Return a random key that is the larger of two in proportion to capacity."""
--- a/src/knapweeddrum/http/connection_pool.py
+++ b/src/knapweeddrum/http/connection_pool.py
@@ -133,19 +133,19 @@
             for conn in unwanted:
                 await self._close(key, conn)
 
-    async def give_up_leased(self, matches: Matcher) -> None:
-        """Close those in use that ``matches`` returns true for.
+    def leased(self) -> list[tuple[str, ClientConnection]]:
+        """Return the connections in use, with their keys."""
+        return [(key, conn) for key, conns in self._leased.items() for conn in conns]
+
+    async def give_up_leased(self, matches: Matcher) -> int:
+        """Close those in use that ``matches`` returns true for; return how many.
 
         Their exchanges raise PathCutError.
         """
-        matching = [
-            conn
-            for key, conns in self._leased.items()
-            for conn in conns
-            if matches(key, conn)
-        ]
+        matching = [conn for key, conn in self.leased() if matches(key, conn)]
         for conn in matching:
             await conn.give_up()
+        return len(matching)
 
     async def close(self) -> None:
         """Close all idle connections."""
--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -65,8 +65,9 @@
 from knapweeddrum.process.entry.token_lender import TokenLender
 from knapweeddrum.process.entry.token_unlocker import UNLOCK_PATH, TokenUnlocker
 from knapweeddrum.process.entry.token_witness import WITNESS_LEAVE_PATH, TokenWitness
-from knapweeddrum.process.entry.tunnel_client import TUNNEL_PATH
+from knapweeddrum.process.entry.tunnel_client import TUNNEL_PATH, TunnelClient
 from knapweeddrum.process.entry.tunnel_server import TunnelServer
+from knapweeddrum.process.entry.tunnel_watch import TunnelWatch
 from knapweeddrum.process.entry.version_recall_task import VersionRecallTask
 from knapweeddrum.telemetry.bounded_writer import BoundedWriter
 from knapweeddrum.telemetry.events import (
@@ -98,6 +99,7 @@
         self,
         ctx: EntryContext,
         paths: PathConnector,
+        tunnel_client: TunnelClient,
         losses: MemoryObjectReceiveStream[LostConnection],
         writer: BoundedWriter,
         settings_path: pathlib.Path,
@@ -130,6 +132,7 @@
         self._path_watch = PathWatch(
             ctx, paths, self._tunnels, self._heartbeat.announce
         )
+        self._tunnel_watch = TunnelWatch(ctx, peers, tunnel_client)
         self._service_list = ServiceListReader(ctx)
         self._lapsed_entries = LapsedEntryTask(ctx, self._service_list)
         self._version_recall = VersionRecallTask(ctx)
@@ -173,6 +176,7 @@
             ("loop lag", self._loop_lag.run),
             ("link", self._link_watch.run),
             ("paths", self._path_watch.run),
+            ("tunnels", self._tunnel_watch.run),
             ("crash detector", self._crash_detector.run),
             ("crash sharing", self._crash_sharing.run),
             ("stream origins", self._stream_origins.run),
--- a/src/knapweeddrum/process/entry/tunnel_client.py
+++ b/src/knapweeddrum/process/entry/tunnel_client.py
@@ -113,8 +113,16 @@
             time.monotonic(),
         )
 
+    def avoid_silent(self, host: HostRecord, entry: EndpointEntry, error: str) -> None:
+        """Ask a host that did not answer a question about an endpoint no more."""
+        self._hosts.avoid(host, None, time.monotonic())
+        self._log_refusal(host, entry, error)
+
     def _avoid(self, host: HostRecord, entry: EndpointEntry, reason: str) -> None:
         self._hosts.avoid(host, entry.service, time.monotonic())
+        self._log_refusal(host, entry, reason)
+
+    def _log_refusal(self, host: HostRecord, entry: EndpointEntry, reason: str) -> None:
         self._ctx.events.emit(
             TUNNEL_REFUSED, host=host.name, endpoint=entry.endpoint_id, reason=reason
         )
@@ -129,14 +137,14 @@
                 address, HOST_CONNECT_TIMEOUT_SECONDS, self._ctx.link_load.receive
             )
         except NotSentError as exc:
-            self._avoid(host, entry, repr(exc))
+            self.avoid_silent(host, entry, repr(exc))
             return None
         is_kept = False
         try:
             reply = await self._reply(conn, address, entry, is_probe=is_probe)
             is_kept = reply.result is ProbeResult.CONNECTED
         except (ExchangeError, TimeoutError, MalformedDocumentError) as exc:
-            self._avoid(host, entry, repr(exc))
+            self.avoid_silent(host, entry, repr(exc))
             return None
         finally:
             if not is_kept:
--- a/src/knapweeddrum/process/entry_composition.py
+++ b/src/knapweeddrum/process/entry_composition.py
@@ -106,11 +106,12 @@
     shed_log = ShedLog(ctx.connections, ctx.events, metrics)
     ctx.connections.on_shed = shed_log.record_shed
     ctx.connections.on_refused = shed_log.record_refused
-    paths = PathConnector(ctx, TunnelClient(ctx))
+    tunnels = TunnelClient(ctx)
+    paths = PathConnector(ctx, tunnels)
     ctx.connector = paths
     ctx.apply_host_limits()
     ctx.store.era.on_return = ctx.record_store_return
     ctx.store.on_era_doubt = ctx.record_era_doubt
     await EntryProcess(
-        ctx, paths, reported_losses, writer, settings_path, metrics_port
+        ctx, paths, tunnels, reported_losses, writer, settings_path, metrics_port
     ).run()
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -272,6 +272,7 @@
 HOST_CUT_OFF = Event(694, "host_cut_off", "error", ("lost",))
 HOST_REACHES_ENDPOINTS = Event(695, "host_reaches_endpoints", "info", ("after", "lost"))
 TUNNEL_REFUSED = Event(696, "tunnel_refused", "info", ("host", "endpoint", "reason"))
+TUNNELS_GIVEN_UP = Event(697, "tunnels_given_up", "warning", ("host", "connections"))
 SETTINGS_RELOADED = Event(618, "settings_reloaded", "info", ("changed",))
 SETTINGS_REJECTED = Event(619, "settings_rejected", "error", ("error",))
 TOKENS_LENT = Event(
--- a/tests/core/routing/test_tunnel_hosts.py
+++ b/tests/core/routing/test_tunnel_hosts.py
@@ -75,3 +75,11 @@
     assert order(hosts, [host(0)], 1.1) == []
     assert hosts.order([host(0)], "engine", "a", 1.1) == [host(0)]
     assert order(hosts, [host(0)], 1.1 + AVOIDED_SECONDS) == ["host-0"]
+
+
+def test_host_that_did_not_answer_is_left_out_for_all_services():
+    """It may be frozen."""
+    hosts = TunnelHosts(random.Random(1))
+    hosts.avoid(host(0), None, 1.0)
+    assert order(hosts, [host(0)], 1.1) == []
+    assert order(hosts, [host(0)], 1.1 + AVOIDED_SECONDS) == ["host-0"]
--- a/tests/process/entry/cut_soak.py
+++ b/tests/process/entry/cut_soak.py
@@ -68,6 +68,7 @@
         self._numbers = itertools.count()
         self._sent: list[Sent] = []
         self._ended: list[CutHost] = []
+        self._frozen: list[CutHost] = []
         self._report = SoakReport()
 
     async def play(self) -> SoakReport:
@@ -101,11 +102,12 @@
     async def _cause_trouble(self, fleet: CutFleet) -> None:
         ends_at = time.monotonic() + TROUBLE_SECONDS
         while time.monotonic() < ends_at:
-            action = self._rng.choice((self._cut, self._cut, self._restore, self._end))
-            action(fleet)
+            actions = (self._cut, self._cut, self._restore, self._end, self._freeze)
+            self._rng.choice(actions)(fleet)
             await anyio.sleep(self._rng.uniform(0.0, MAX_PAUSE_SECONDS))
         for host in fleet.hosts:
             host.restore()
+        self._thaw()
 
     def _cut(self, fleet: CutFleet) -> None:
         hosts = self._cuttable(fleet)
@@ -118,6 +120,19 @@
         for host in fleet.hosts:
             if self._rng.random() < 0.6:
                 host.restore()
+        self._thaw()
+
+    def _freeze(self, fleet: CutFleet) -> None:
+        """Stop a host from running, until links are restored."""
+        host = self._rng.choice(self._cuttable(fleet))
+        self._frozen.append(host)
+        host.process.send_signal(signal.SIGSTOP)
+
+    def _thaw(self) -> None:
+        for host in self._frozen:
+            with contextlib.suppress(ProcessLookupError):
+                host.process.send_signal(signal.SIGCONT)
+        self._frozen.clear()
 
     def _end(self, fleet: CutFleet) -> None:
         """Kill or stop a host."""
--- a/tests/process/entry/test_tunnels.py
+++ b/tests/process/entry/test_tunnels.py
@@ -25,16 +25,16 @@
 """Time in which a request that nobody can serve is refused."""
 
 
-def engine(name: str = "engine-1") -> StampedServer:
-    """Return an engine whose streams take two seconds."""
-    server = StampedServer(name, events=STREAM_EVENTS)
+def engine(name: str = "engine-1", events: int = STREAM_EVENTS) -> StampedServer:
+    """Return an engine whose streams take two seconds, or less with fewer events."""
+    server = StampedServer(name, events=events)
     server.event_gap = EVENT_GAP_SECONDS
     return server
 
 
-def whole_stream() -> bytes:
+def whole_stream(events: int = STREAM_EVENTS) -> bytes:
     """Return the body of a whole stream."""
-    numbers = range(1, STREAM_EVENTS + 1)
+    numbers = range(1, events + 1)
     return b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in numbers)
 
 
@@ -95,6 +95,20 @@
     assert ended == []
 
 
+@async_test
+async def test_streams_survive_the_freeze_of_the_host_that_passes_them_on():
+    """Its connections stay open, and nothing comes on them."""
+    servers = (engine("engine-1", events=12), engine("engine-2", events=12))
+    stock = StampedServer("stock-1")
+    async with cut_fleet(3, engines=servers, services=(stock,)) as fleet:
+        host, frozen = fleet.hosts[:2]
+        await lose_paths(fleet, host)
+        async with streams(fleet, host, "/query/1") as answers:
+            frozen.process.send_signal(signal.SIGSTOP)
+        frozen.process.send_signal(signal.SIGCONT)
+    assert [a.body for a in answers if a.is_complete] == [whole_stream(12)] * STREAMS
+
+
 @async_test
 async def test_stream_cut_with_the_host_that_passes_it_on_never_looks_complete():
     """One that can't go on elsewhere ends in a way that its caller notices."""
