--- a/src/knapweeddrum/process/entry/caller_server.py
+++ b/src/knapweeddrum/process/entry/caller_server.py
@@ -11,11 +11,8 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.request_parts import RequestParts
 from knapweeddrum.telemetry.counters import LISTEN_FAILED_COUNT
-from knapweeddrum.telemetry.events import (
-    CONNECTIONS_ENDED,
-    LISTEN_FAILED,
-    TASK_FAILED,
-)
+from knapweeddrum.telemetry.entry_events import CONNECTIONS_ENDED, LISTEN_FAILED
+from knapweeddrum.telemetry.events import TASK_FAILED
 
 LISTEN_RETRY_SECONDS = 0.05
 """Pause after the address could not be bound again."""
--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -33,10 +33,8 @@
 from knapweeddrum.process.entry.request_log import RequestLog, milliseconds
 from knapweeddrum.process.entry.request_parts import RequestParts
 from knapweeddrum.process.router.problem import STATUS_BY_REASON, Problem
-from knapweeddrum.telemetry.events import (
-    REQUEST_REFUSED,
-    TASK_FAILED,
-)
+from knapweeddrum.telemetry.entry_events import REQUEST_REFUSED
+from knapweeddrum.telemetry.events import TASK_FAILED
 from knapweeddrum.value.refusal import Refusal
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.run_state import RunState
--- a/src/knapweeddrum/process/entry/claim_recovery_task.py
+++ b/src/knapweeddrum/process/entry/claim_recovery_task.py
@@ -26,7 +26,7 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.token_claim_log import TokenClaimLog
 from knapweeddrum.telemetry.counters import CLAIM_REWRITTEN
-from knapweeddrum.telemetry.events import (
+from knapweeddrum.telemetry.entry_events import (
     CLAIMS_ADOPTED,
     CLAIMS_CHECKED_IN,
     CLAIMS_OPENED,
--- a/src/knapweeddrum/process/entry/configuration_reader.py
+++ b/src/knapweeddrum/process/entry/configuration_reader.py
@@ -16,7 +16,7 @@
 from knapweeddrum.process.entry.stream_follower import RecordReader
 from knapweeddrum.process.entry.stream_read import StreamRead
 from knapweeddrum.telemetry.counters import CONFIG_REJECTED_COUNT
-from knapweeddrum.telemetry.events import CONFIG_APPLIED, CONFIG_REJECTED
+from knapweeddrum.telemetry.entry_events import CONFIG_APPLIED, CONFIG_REJECTED
 from knapweeddrum.value.store_position import offset_of
 
 
--- a/src/knapweeddrum/process/entry/crash_detector.py
+++ b/src/knapweeddrum/process/entry/crash_detector.py
@@ -18,7 +18,7 @@
 from knapweeddrum.process.entry.crash_records import record_crash
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.lost_connection import LossCause, LostConnection
-from knapweeddrum.telemetry.events import ENDPOINT_EXAMINED
+from knapweeddrum.telemetry.entry_events import ENDPOINT_EXAMINED
 from knapweeddrum.value.identifiers import EndpointName
 
 PROBE_INTERVAL_SECONDS = 0.25
--- a/src/knapweeddrum/process/entry/crash_records.py
+++ b/src/knapweeddrum/process/entry/crash_records.py
@@ -18,7 +18,11 @@
 from knapweeddrum.process.entry.refused_error import RefusedError
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.telemetry import counters
-from knapweeddrum.telemetry.events import CRASHES_COUNTED, ENDPOINT_ENDED, PART_BLAMED
+from knapweeddrum.telemetry.entry_events import (
+    CRASHES_COUNTED,
+    ENDPOINT_ENDED,
+    PART_BLAMED,
+)
 from knapweeddrum.value.refusal import Refusal
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.run_state import RunState
--- a/src/knapweeddrum/process/entry/crash_sharing.py
+++ b/src/knapweeddrum/process/entry/crash_sharing.py
@@ -25,7 +25,7 @@
 from knapweeddrum.process.entry.page_server import PageAnswer
 from knapweeddrum.process.entry.peer_client import PeerClient
 from knapweeddrum.telemetry.counters import CRASH_RECORD_NOT_WRITTEN
-from knapweeddrum.telemetry.events import CRASHES_CLEARED
+from knapweeddrum.telemetry.entry_events import CRASHES_CLEARED
 from knapweeddrum.value.documents import decode_json
 
 CRASH_EXCHANGE_PATH = b"/crash-records"
--- a/src/knapweeddrum/process/entry/drain_sequence.py
+++ b/src/knapweeddrum/process/entry/drain_sequence.py
@@ -13,11 +13,8 @@
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
 from knapweeddrum.process.entry.token_witness import TokenWitness
 from knapweeddrum.process.entry.tunnel_server import TunnelServer
-from knapweeddrum.telemetry.events import (
-    DRAIN_FINISHED,
-    DRAIN_STARTED,
-    STOPPED_IN_PROGRESS,
-)
+from knapweeddrum.telemetry.entry_events import STOPPED_IN_PROGRESS
+from knapweeddrum.telemetry.events import DRAIN_FINISHED, DRAIN_STARTED
 
 DIRECTORY_REFRESH_SECONDS = 2.5
 """Time from the start of a drain until callers have refreshed the directory.
--- a/src/knapweeddrum/process/entry/emptied_records.py
+++ b/src/knapweeddrum/process/entry/emptied_records.py
@@ -7,7 +7,10 @@
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.streams import EMPTIED_KEY_PREFIX
 from knapweeddrum.process.entry.entry_context import EntryContext
-from knapweeddrum.telemetry.events import DATA_CENTRE_EMPTIED, DATA_CENTRE_TAKEN_BACK
+from knapweeddrum.telemetry.entry_events import (
+    DATA_CENTRE_EMPTIED,
+    DATA_CENTRE_TAKEN_BACK,
+)
 from knapweeddrum.value.host_record import HostRecord
 from knapweeddrum.value.store_position import offset_of
 
--- a/src/knapweeddrum/process/entry/endpoint_start.py
+++ b/src/knapweeddrum/process/entry/endpoint_start.py
@@ -18,7 +18,7 @@
 )
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import start_reply_counter
-from knapweeddrum.telemetry.events import ENDPOINT_START_ASKED
+from knapweeddrum.telemetry.entry_events import ENDPOINT_START_ASKED
 from knapweeddrum.value.start_reply import StartReply
 
 START_TIMEOUT_SECONDS = 0.25
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -63,13 +63,13 @@
     STORE_ERA_DOUBTED_COUNT,
     STORE_RETURNED_COUNT,
 )
-from knapweeddrum.telemetry.event_log import EventLog
-from knapweeddrum.telemetry.events import (
+from knapweeddrum.telemetry.entry_events import (
     ACCEPT_FAILED,
     ENTRY_IGNORED,
     STORE_ERA_DOUBTED,
     STORE_RETURNED,
 )
+from knapweeddrum.telemetry.event_log import EventLog
 from knapweeddrum.telemetry.metrics import Metrics
 from knapweeddrum.value.host_record import HostRecord
 from knapweeddrum.value.identifiers import EndpointName
--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -70,11 +70,8 @@
 from knapweeddrum.process.entry.tunnel_watch import TunnelWatch
 from knapweeddrum.process.entry.version_recall_task import VersionRecallTask
 from knapweeddrum.telemetry.bounded_writer import BoundedWriter
-from knapweeddrum.telemetry.events import (
-    PROCESS_STARTED,
-    PROCESS_STOPPED,
-    SIGNAL_RECEIVED,
-)
+from knapweeddrum.telemetry.entry_events import SIGNAL_RECEIVED
+from knapweeddrum.telemetry.events import PROCESS_STARTED, PROCESS_STOPPED
 
 BINARY = "knapweed-entry"
 METRICS_PATH = b"/metrics"
--- a/src/knapweeddrum/process/entry/fleet_view.py
+++ b/src/knapweeddrum/process/entry/fleet_view.py
@@ -4,7 +4,7 @@
 
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import WORKING_SET_CHANGES
-from knapweeddrum.telemetry.events import HOSTS_CHANGED, WORKING_SET_CHANGED
+from knapweeddrum.telemetry.entry_events import HOSTS_CHANGED, WORKING_SET_CHANGED
 
 
 class FleetView:
--- a/src/knapweeddrum/process/entry/heartbeat_task.py
+++ b/src/knapweeddrum/process/entry/heartbeat_task.py
@@ -14,7 +14,7 @@
 from knapweeddrum.platform.streams import HOSTS_STREAM
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import HEARTBEAT_FAILED
-from knapweeddrum.telemetry.events import HEARTBEATS_LOST, HEARTBEATS_WRITTEN
+from knapweeddrum.telemetry.entry_events import HEARTBEATS_LOST, HEARTBEATS_WRITTEN
 
 HEARTBEAT_INTERVAL_SECONDS = 1.5
 RETRY_SECONDS = 0.25
--- a/src/knapweeddrum/process/entry/housekeeping_task.py
+++ b/src/knapweeddrum/process/entry/housekeeping_task.py
@@ -12,7 +12,7 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry import counters
 from knapweeddrum.telemetry.bounded_writer import BoundedWriter
-from knapweeddrum.telemetry.events import (
+from knapweeddrum.telemetry.entry_events import (
     LINES_DROPPED,
     SETTINGS_REJECTED,
     SETTINGS_RELOADED,
--- a/src/knapweeddrum/process/entry/link_watch.py
+++ b/src/knapweeddrum/process/entry/link_watch.py
@@ -11,7 +11,7 @@
 from knapweeddrum.process.entry.caller_server import CallerServer
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import LISTENER_CLOSED
-from knapweeddrum.telemetry.events import LINK_FULL, LINK_HAS_ROOM
+from knapweeddrum.telemetry.entry_events import LINK_FULL, LINK_HAS_ROOM
 
 LOOK_SECONDS = 0.01
 """Interval of looks at the link's load while the listener is closed."""
--- a/src/knapweeddrum/process/entry/loan_exchange.py
+++ b/src/knapweeddrum/process/entry/loan_exchange.py
@@ -14,7 +14,7 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.peer_client import PeerClient
 from knapweeddrum.telemetry import counters
-from knapweeddrum.telemetry.events import TOKENS_BORROWED, TOKENS_RETURNED
+from knapweeddrum.telemetry.entry_events import TOKENS_BORROWED, TOKENS_RETURNED
 from knapweeddrum.value.host_record import HostRecord
 
 LOAN_PATH = b"/tokens"
--- a/src/knapweeddrum/process/entry/loop_lag_task.py
+++ b/src/knapweeddrum/process/entry/loop_lag_task.py
@@ -8,7 +8,7 @@
 
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import HOST_BEHIND_COUNT
-from knapweeddrum.telemetry.events import HOST_BEHIND, HOST_CAUGHT_UP
+from knapweeddrum.telemetry.entry_events import HOST_BEHIND, HOST_CAUGHT_UP
 
 MEASURE_INTERVAL_SECONDS = 0.25
 REPORT_INTERVAL_SECONDS = 2.0
--- a/src/knapweeddrum/process/entry/notice_recorder.py
+++ b/src/knapweeddrum/process/entry/notice_recorder.py
@@ -10,7 +10,7 @@
 from knapweeddrum.platform.endpoint_protocol import REFUSED_STATUS, EndpointReplyHead
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import notice_counter
-from knapweeddrum.telemetry.events import ENDPOINT_LIMIT, ENDPOINT_NOTICE
+from knapweeddrum.telemetry.entry_events import ENDPOINT_LIMIT, ENDPOINT_NOTICE
 from knapweeddrum.value.endpoint_notice import EndpointNotice
 
 FIRST_ERROR_STATUS = 400
--- a/src/knapweeddrum/process/entry/page_server.py
+++ b/src/knapweeddrum/process/entry/page_server.py
@@ -19,7 +19,8 @@
 from knapweeddrum.process.entry.client_connections import ClientRoom, ConnectionGate
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import MESSAGE_REJECTED_COUNT
-from knapweeddrum.telemetry.events import MESSAGE_REJECTED, TASK_FAILED
+from knapweeddrum.telemetry.entry_events import MESSAGE_REJECTED
+from knapweeddrum.telemetry.events import TASK_FAILED
 from knapweeddrum.value.documents import MalformedDocumentError
 
 MAX_HEAD_BYTES = 8192
--- a/src/knapweeddrum/process/entry/path_connector.py
+++ b/src/knapweeddrum/process/entry/path_connector.py
@@ -18,7 +18,7 @@
 )
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import connect_counter
-from knapweeddrum.telemetry.events import ENDPOINT_REACHED, ENDPOINT_UNREACHED
+from knapweeddrum.telemetry.entry_events import ENDPOINT_REACHED, ENDPOINT_UNREACHED
 from knapweeddrum.value.probe_result import ProbeResult
 
 
--- a/src/knapweeddrum/process/entry/path_watch.py
+++ b/src/knapweeddrum/process/entry/path_watch.py
@@ -14,7 +14,7 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.path_connector import PathConnector
 from knapweeddrum.process.entry.tunnel_server import TunnelServer
-from knapweeddrum.telemetry.events import (
+from knapweeddrum.telemetry.entry_events import (
     HOST_CUT_OFF,
     HOST_REACHES_ENDPOINTS,
     PATH_LOST,
--- a/src/knapweeddrum/process/entry/peer_client.py
+++ b/src/knapweeddrum/process/entry/peer_client.py
@@ -17,7 +17,7 @@
 )
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry import counters
-from knapweeddrum.telemetry.events import HOST_UNANSWERED
+from knapweeddrum.telemetry.entry_events import HOST_UNANSWERED
 from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 
 PEER_REQUEST_TIMEOUT_SECONDS = 0.15
--- a/src/knapweeddrum/process/entry/permit_desk.py
+++ b/src/knapweeddrum/process/entry/permit_desk.py
@@ -22,7 +22,7 @@
     PERMIT_GIVEN,
     PERMIT_WITHHELD,
 )
-from knapweeddrum.telemetry.events import PERMITS_OWNED
+from knapweeddrum.telemetry.entry_events import PERMITS_OWNED
 from knapweeddrum.value.documents import decode_json
 from knapweeddrum.value.host_record import HostRecord
 from knapweeddrum.value.identifiers import EndpointName
--- a/src/knapweeddrum/process/entry/request_log.py
+++ b/src/knapweeddrum/process/entry/request_log.py
@@ -12,7 +12,7 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.telemetry import counters
-from knapweeddrum.telemetry.events import (
+from knapweeddrum.telemetry.entry_events import (
     ANSWER_CUT,
     ATTEMPT_FAILED,
     REQUEST_ABANDONED,
--- a/src/knapweeddrum/process/entry/service_list_reader.py
+++ b/src/knapweeddrum/process/entry/service_list_reader.py
@@ -14,7 +14,7 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.stream_follower import RecordReader
 from knapweeddrum.process.entry.stream_read import StreamRead
-from knapweeddrum.telemetry.events import (
+from knapweeddrum.telemetry.entry_events import (
     ENDPOINT_COLD,
     ENDPOINT_LISTED,
     ENDPOINT_UNLISTED,
--- a/src/knapweeddrum/process/entry/shed_log.py
+++ b/src/knapweeddrum/process/entry/shed_log.py
@@ -5,8 +5,8 @@
 from knapweeddrum.core.load.held_connection import HeldConnection
 from knapweeddrum.process.entry.client_connections import ClientConnections
 from knapweeddrum.telemetry.counters import CONNECTION_REFUSED, CONNECTION_SHED_COUNT
+from knapweeddrum.telemetry.entry_events import CONNECTION_SHED, CONNECTIONS_REFUSED
 from knapweeddrum.telemetry.event_log import EventLog
-from knapweeddrum.telemetry.events import CONNECTION_SHED, CONNECTIONS_REFUSED
 from knapweeddrum.telemetry.metrics import Metrics
 
 SHED_LINE_INTERVAL_SECONDS = 0.5
--- a/src/knapweeddrum/process/entry/spending_task.py
+++ b/src/knapweeddrum/process/entry/spending_task.py
@@ -25,7 +25,7 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.machine_clock import machine_time
 from knapweeddrum.telemetry.counters import SPENDING_NOT_WRITTEN, SPENDING_WRITTEN
-from knapweeddrum.telemetry.events import PREDECESSOR_READ
+from knapweeddrum.telemetry.entry_events import PREDECESSOR_READ
 from knapweeddrum.value.store_position import era_of
 
 WRITE_INTERVAL_SECONDS = 0.5
--- a/src/knapweeddrum/process/entry/stream_origin_sharing.py
+++ b/src/knapweeddrum/process/entry/stream_origin_sharing.py
@@ -29,7 +29,7 @@
 from knapweeddrum.process.entry.peer_client import PeerClient
 from knapweeddrum.process.entry.request_job import RequestJob
 from knapweeddrum.process.entry.request_log import MAX_LOGGED_ID_CHARS
-from knapweeddrum.telemetry.events import STREAM_ORIGIN_SOUGHT
+from knapweeddrum.telemetry.entry_events import STREAM_ORIGIN_SOUGHT
 from knapweeddrum.value.documents import decode_json
 from knapweeddrum.value.host_record import HostRecord
 from knapweeddrum.value.origin_source import OriginSource
--- a/src/knapweeddrum/process/entry/token_claim_log.py
+++ b/src/knapweeddrum/process/entry/token_claim_log.py
@@ -29,13 +29,12 @@
     CLAIM_UNKNOWN,
     CLAIM_WRITTEN,
 )
-from knapweeddrum.telemetry.events import (
+from knapweeddrum.telemetry.entry_events import (
     CLAIM_FAILED,
-    DEPENDENCY_READY,
     TOKENS_CLAIMED,
     TOKENS_FREED,
-    WAITING,
 )
+from knapweeddrum.telemetry.events import DEPENDENCY_READY, WAITING
 from knapweeddrum.value.store_position import era_of, offset_of
 
 FAILURE_COUNTERS: dict[type[PlatformError], str] = {
--- a/src/knapweeddrum/process/entry/token_lender.py
+++ b/src/knapweeddrum/process/entry/token_lender.py
@@ -18,7 +18,7 @@
 from knapweeddrum.process.entry.page_server import PageAnswer
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
 from knapweeddrum.telemetry import counters
-from knapweeddrum.telemetry.events import TOKENS_LENT
+from knapweeddrum.telemetry.entry_events import TOKENS_LENT
 from knapweeddrum.value.documents import decode_json
 
 LOAN_CLAIM_TIMEOUT_SECONDS = 0.1
--- a/src/knapweeddrum/process/entry/token_unlocker.py
+++ b/src/knapweeddrum/process/entry/token_unlocker.py
@@ -17,7 +17,7 @@
     PEER_UNRESPONSIVE_SECONDS,
     PeerClient,
 )
-from knapweeddrum.telemetry.events import OPENING_REFUSED
+from knapweeddrum.telemetry.entry_events import OPENING_REFUSED
 
 UNLOCK_PATH = b"/openings"
 UNLOCK_INTERVAL_SECONDS = 0.25
--- a/src/knapweeddrum/process/entry/tunnel_client.py
+++ b/src/knapweeddrum/process/entry/tunnel_client.py
@@ -22,7 +22,7 @@
 from knapweeddrum.process.entry.endpoint_connector import EndpointConnector
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import TUNNEL_FAILED_COUNT, TUNNEL_OPENED
-from knapweeddrum.telemetry.events import TUNNEL_REFUSED
+from knapweeddrum.telemetry.entry_events import TUNNEL_REFUSED
 from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 from knapweeddrum.value.host_record import HostRecord
 from knapweeddrum.value.probe_result import ProbeResult
--- a/src/knapweeddrum/process/entry/tunnel_watch.py
+++ b/src/knapweeddrum/process/entry/tunnel_watch.py
@@ -16,7 +16,7 @@
     TUNNEL_PATH,
     TunnelClient,
 )
-from knapweeddrum.telemetry.events import TUNNELS_GIVEN_UP
+from knapweeddrum.telemetry.entry_events import TUNNELS_GIVEN_UP
 from knapweeddrum.value.identifiers import EndpointName
 
 CHECK_INTERVAL_SECONDS = 0.25
--- a/src/knapweeddrum/process/entry/version_recall_task.py
+++ b/src/knapweeddrum/process/entry/version_recall_task.py
@@ -17,7 +17,7 @@
 from knapweeddrum.platform.streams import SERVICE_LIST_STREAM
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.stream_follower import RETRY_SECONDS
-from knapweeddrum.telemetry.events import VERSIONS_RECALLED
+from knapweeddrum.telemetry.entry_events import VERSIONS_RECALLED
 from knapweeddrum.value.recall_outcome import RecallOutcome
 from knapweeddrum.value.store_position import offset_of
 
--- a/src/knapweeddrum/process/router/config_follower.py
+++ b/src/knapweeddrum/process/router/config_follower.py
@@ -13,11 +13,7 @@
 from knapweeddrum.process.router.router_context import RouterContext
 from knapweeddrum.rpc.exceptions import RpcError
 from knapweeddrum.rpc.keeper_methods import CONFIG
-from knapweeddrum.telemetry.events import (
-    CONFIG_IN_FORCE,
-    DEPENDENCY_READY,
-    WAITING,
-)
+from knapweeddrum.telemetry.events import CONFIG_IN_FORCE, DEPENDENCY_READY, WAITING
 
 LONG_POLL_SECONDS = 10.0
 """Time after which the keeper answers a long poll without a change."""
--- a/tests/telemetry/test_events_page.py
+++ b/tests/telemetry/test_events_page.py
@@ -5,16 +5,17 @@
 import re
 
 from knapweeddrum import telemetry
-from knapweeddrum.telemetry import events
+from knapweeddrum.telemetry import entry_events, events
 from knapweeddrum.telemetry.event import Event
 from tests.telemetry.catalogue import table_rows
 
 SOURCES = pathlib.Path(telemetry.__file__).parent.parent
+CATALOGUE = tuple(pathlib.Path(str(m.__file__)) for m in (events, entry_events))
 
 
 def declared() -> dict[str, Event]:
     """Return the events of the catalogue by the names of their constants."""
-    members = vars(events).items()
+    members = [*vars(events).items(), *vars(entry_events).items()]
     return {name: item for name, item in members if isinstance(item, Event)}
 
 
@@ -43,7 +44,7 @@
         [event.name for event in declared().values()],
     ):
         assert max(collections.Counter(values).values()) == 1
-    source = pathlib.Path(events.__file__).read_text(encoding="utf-8")
+    source = "".join(path.read_text(encoding="utf-8") for path in CATALOGUE)
     assert len(declared()) == len(re.findall(r"= Event\(", source))
 
 
@@ -52,7 +53,7 @@
     text = "\n".join(
         path.read_text(encoding="utf-8")
         for path in SOURCES.rglob("*.py")
-        if path.name != "events.py"
+        if path not in CATALOGUE
     )
     unused = [name for name in declared() if not re.search(rf"\b{name}\b", text)]
     assert unused == []
