Don't fail at a time that is over after a pause

Looked for elsewhere: the removal of lapsed entries did the same; it is run again after task_failed.

Change: both sleep until a time, which may be over.

--- a/src/knapweeddrum/process/entry/drain_sequence.py
+++ b/src/knapweeddrum/process/entry/drain_sequence.py
@@ -79,7 +79,7 @@
         cut_at = started_at + ctx.settings.grace_period - CUT_MARGIN_SECONDS
         await self._tunnels.announce_drain()
         await self._witness.announce_leave()
-        await anyio.sleep(ctx.drain_refuses_from - time.monotonic())
+        await anyio.sleep_until(ctx.drain_refuses_from)
         while self._expects_requests(started_at) and not self._must_return_tokens():
             await self._end_connections()
         self._server.stop_accepting()
--- a/src/knapweeddrum/process/entry/lapsed_entry_task.py
+++ b/src/knapweeddrum/process/entry/lapsed_entry_task.py
@@ -26,5 +26,5 @@
             await self._reader.wait_for_lapse()
             lapses_at = self._ctx.service_list.lapses_at
             if lapses_at is not None:
-                await anyio.sleep(lapses_at - time.monotonic())
+                await anyio.sleep_until(lapses_at)
                 self._reader.remove_lapsed(time.monotonic())
--- a/tests/process/entry/test_drain_sequence.py
+++ b/tests/process/entry/test_drain_sequence.py
@@ -6,7 +6,10 @@
 import anyio
 
 from knapweeddrum.process.entry.caller_server import CallerServer
-from knapweeddrum.process.entry.drain_sequence import DrainSequence
+from knapweeddrum.process.entry.drain_sequence import (
+    DIRECTORY_REFRESH_SECONDS,
+    DrainSequence,
+)
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.process.entry.token_allocator import TokenAllocator
 from knapweeddrum.process.entry.token_witness import TokenWitness
@@ -96,6 +99,33 @@
     run_virtual(play)
 
 
+class PausedWitness:
+    """Takes so long to tell that this host leaves as if the process was paused."""
+
+    async def announce_leave(self) -> None:
+        await anyio.sleep(2 * DIRECTORY_REFRESH_SECONDS)
+
+
+def test_drain_of_a_process_that_was_paused_goes_on():
+    """The time from which it refuses is over when it gets to wait for it."""
+
+    async def play() -> None:
+        with virtual_clock():
+            ctx = draining_context()
+            drain = DrainSequence(
+                ctx,
+                cast("CallerServer", IdleServer()),
+                cast("TokenAllocator", SilentAllocator()),
+                cast("TokenWitness", PausedWitness()),
+                cast("TunnelServer", NoTunnels()),
+            )
+            await drain.run()
+            names = cast("RecordingEventLog", ctx.events).names
+            assert names[-1] == "drain_finished"
+
+    run_virtual(play)
+
+
 class WaitingServer(IdleServer):
     """Has a request without an answer until it is given up."""
 
