--- a/tests/process/entry/cut_soak.py
+++ b/tests/process/entry/cut_soak.py
@@ -32,6 +32,7 @@
 CALL_INTERVAL_SECONDS = 0.1
 CALL_SECONDS = 6.0
 PATHS = ("/query/1", "/draft/1", "/read/1", "/book/1")
+GOOD_EXITS = frozenset({None, 0, -signal.SIGKILL})
 NOT_RUN_STATUSES = frozenset({429, 503})
 
 
@@ -209,6 +210,10 @@
                 self._report.wrong.append(f"{sent.attempt}: ran {count} times")
             if sent.status in NOT_RUN_STATUSES and count:
                 self._report.wrong.append(f"{sent.attempt}: {sent.status}, but ran")
+        for host in self._ended:
+            code = host.process.process.returncode
+            if code not in GOOD_EXITS:
+                self._report.wrong.append(f"a host ended with {code}")
         for host in fleet.hosts:
             for name in ("endpoint_ended", "task_failed"):
                 for line in host.process.events(name):
