End a tunnel at once when the host that asked leaves within an upload

Seen: while the diff was read: a caller that leaves while its body is still being written closes the tunnel, but what waits in the kernel of the host that asked is sent first. The host between goes on passing it to the endpoint, which gets a request whose caller has left (GONE).

Cause: a close sends what is buffered; and the host between looks at the tunnel only when the endpoint has taken what it holds.

Change: a connection through another host is reset if it is closed within an exchange; the host between notices that while it sends, too.

--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -27,7 +27,11 @@
 from knapweeddrum.http.header_list import Header, HeaderList
 from knapweeddrum.http.raw_reply_head import RawReplyHead, raw_reply_head
 from knapweeddrum.http.sent_data import is_sent_data_taken
-from knapweeddrum.http.socket_options import limit_buffers, limit_silence
+from knapweeddrum.http.socket_options import (
+    limit_buffers,
+    limit_silence,
+    reset_on_close,
+)
 from knapweeddrum.http.socket_writing import write_slices
 from knapweeddrum.http.tunnel_stream import TunnelCutError, TunnelStream
 from knapweeddrum.value.whole_number import parse_whole_number
@@ -255,7 +259,13 @@
         await self.close()
 
     async def close(self) -> None:
-        """Close the connection at once."""
+        """Close the connection at once.
+
+        One through another host is reset within an exchange: what is still to be sent
+        would be passed on to the server before its end.
+        """
+        if self.via and not self._reply_ended:
+            reset_on_close(self._stream)
         await anyio.aclose_forcefully(self._stream)
 
     def _encode_request(
--- a/src/knapweeddrum/http/tunnel.py
+++ b/src/knapweeddrum/http/tunnel.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import time
 from collections.abc import Callable
 
 import anyio
-from anyio.abc import ByteStream
+from anyio.abc import ByteStream, SocketAttribute
 
 from knapweeddrum.http.sent_data import is_sent_data_taken
 from knapweeddrum.http.socket_options import (
@@ -23,6 +24,7 @@
 )
 
 MAX_RECEIVE_BYTES = 65_536
+CLIENT_CHECK_SECONDS = 0.1
 LAST_FRAMES = (END_FRAME, RESET_FRAME)
 
 DISCONNECT_ERRORS = (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError)
@@ -47,7 +49,11 @@
         self._on_receive = on_receive
         self.received_at = time.monotonic()
         """Time at which the endpoint sent anything last."""
+        self.is_over = False
         self._sending = anyio.Lock()
+        self._client_poller = select.poll()
+        client_socket = client.extra(SocketAttribute.raw_socket)
+        self._client_poller.register(client_socket.fileno(), select.POLLRDHUP)
         for stream in (client, endpoint):
             send_keep_alives(stream)
             if buffer_bytes:
@@ -64,6 +70,7 @@
             with anyio.CancelScope(shield=True):
                 await anyio.aclose_forcefully(self._endpoint)
                 await anyio.aclose_forcefully(self._client)
+            self.is_over = True
 
     async def abort(self) -> None:
         """Cut the tunnel, as nothing comes from the endpoint any more."""
@@ -82,11 +89,27 @@
         on the way.
         """
         with contextlib.suppress(anyio.EndOfStream, *DISCONNECT_ERRORS):
-            while True:
+            while not self._has_client_left():
                 data = await self._client.receive(MAX_RECEIVE_BYTES)
                 self._on_receive(len(data))
-                with contextlib.suppress(*DISCONNECT_ERRORS):
-                    await self._endpoint.send(data)
+                await self._send_request(data)
+
+    async def _send_request(self, data: bytes) -> None:
+        """Send a part of a request; give up if the other host leaves meanwhile."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._cancel_after_client, tasks.cancel_scope)
+            with contextlib.suppress(*DISCONNECT_ERRORS):
+                await self._endpoint.send(data)
+            tasks.cancel_scope.cancel()
+
+    async def _cancel_after_client(self, scope: anyio.CancelScope) -> None:
+        while not self._has_client_left():
+            await anyio.sleep(CLIENT_CHECK_SECONDS)
+        scope.cancel()
+
+    def _has_client_left(self) -> bool:
+        """Return whether the other host closed the tunnel, all read or not."""
+        return bool(self._client_poller.poll(0))
 
     async def _pass_answers(self) -> None:
         """Pass on what the endpoint sends, and how it ended the connection.
