Take no endpoint for crashed that nobody could be asked about

After a freeze every question to another host seems unanswered, so all others are left out for 2 s; then nobody is asked and the own failed probe counts alone. Or those that are asked are cut off and don't know it yet, as the one host that knows is left out. And data of a neighbour proved the path to be whole, though it had come through another host.

Change: of several hosts, a probe that none could confirm tells nothing. A host that is behind leaves nobody out. Only data that came directly shows that a path is whole.

--- a/src/knapweeddrum/core/placing/endpoint_state.py
+++ b/src/knapweeddrum/core/placing/endpoint_state.py
@@ -52,6 +52,8 @@
         self._health = HealthTracker(HEALTH_LIMITS)
         self.last_data_at = float("-inf")
         """Time at which data arrived from the endpoint last."""
+        self.direct_data_at = float("-inf")
+        """The same for data that did not come through another host."""
         self._ended_at = float("-inf")
         self._unanswered: dict[str, float] = {}
         self._report: LoadReport | None = None
@@ -73,9 +75,11 @@
         self._unanswered[attempt_id] = now
         self._health.begin(now)
 
-    def record_data(self, now: float) -> None:
-        """Record that data arrived from the endpoint."""
+    def record_data(self, now: float, *, is_direct: bool = True) -> None:
+        """Record that data arrived from the endpoint, by its own path or another."""
         self.last_data_at = now
+        if is_direct:
+            self.direct_data_at = now
 
     def record_answer_start(self, attempt_id: str, tokens: int, now: float) -> None:
         """Record that the answer to a request began; repeated calls change nothing."""
--- a/src/knapweeddrum/process/entry/crash_detector.py
+++ b/src/knapweeddrum/process/entry/crash_detector.py
@@ -115,10 +115,13 @@
         return True
 
     def _neighbour_data_at(self, state: EndpointState) -> float:
-        """Return when another endpoint of the same data centre sent data last."""
+        """Return when another endpoint of the same data centre sent data last.
+
+        Only what came from there directly shows that the path is not cut.
+        """
         return max(
             (
-                other.last_data_at
+                other.direct_data_at
                 for other in self._ctx.endpoint_states.all()
                 if other is not state
                 and other.entry.data_centre == state.entry.data_centre
--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -72,7 +72,8 @@
     def record_data(self) -> None:
         """Record that data arrived, unless another endpoint at the address sent it."""
         if not self.head.moved:
-            self.state.record_data(time.monotonic())
+            is_direct = not self.conn.via
+            self.state.record_data(time.monotonic(), is_direct=is_direct)
 
 
 @contextlib.asynccontextmanager
--- a/src/knapweeddrum/process/entry/endpoint_connector.py
+++ b/src/knapweeddrum/process/entry/endpoint_connector.py
@@ -23,8 +23,11 @@
         Raises PeerRefusedError if nothing listens there, or another NotSentError.
         """
 
-    async def probe(self, entry: EndpointEntry) -> ProbeResult:
-        """Connect, close the connection and return what became of it."""
+    async def probe(self, entry: EndpointEntry) -> ProbeResult | None:
+        """Connect, close the connection and return what became of it.
+
+        None if that would tell nothing of the endpoint.
+        """
         try:
             conn = await self.connect(entry, PROBE_TIMEOUT_SECONDS)
         except NotSentError as exc:
--- a/src/knapweeddrum/process/entry/path_connector.py
+++ b/src/knapweeddrum/process/entry/path_connector.py
@@ -41,14 +41,17 @@
             return await self._tunnels.connect(entry, timeout)
         return await self.connect_directly(entry, timeout)
 
-    async def probe(self, entry: EndpointEntry) -> ProbeResult:
-        """Connect and return what became of it; other hosts confirm a failure."""
+    async def probe(self, entry: EndpointEntry) -> ProbeResult | None:
+        """Connect and return what became of it; other hosts confirm a failure.
+
+        None if it failed here and, of several hosts, none could be asked.
+        """
         if self._ctx.reach.is_path_lost(instance_name(entry)):
             return await self._tunnels.probe(entry)
         result = await self.probe_directly(entry)
-        if result is ProbeResult.CONNECTED or await self.is_reached_elsewhere(entry):
-            return ProbeResult.CONNECTED
-        return result
+        if result is ProbeResult.CONNECTED or not self._ctx.hosts.ready_hosts():
+            return result
+        return await self.ask_others(entry)
 
     async def connect_directly(
         self, entry: EndpointEntry, timeout: float
@@ -71,14 +74,17 @@
         await conn.close()
         return ProbeResult.CONNECTED
 
-    async def is_reached_elsewhere(self, entry: EndpointEntry) -> bool:
-        """Ask other hosts whether they reach an endpoint; if so, the path is lost."""
-        if await self._tunnels.probe(entry) is not ProbeResult.CONNECTED:
-            return False
-        name = instance_name(entry)
-        if self._ctx.reach.record_elsewhere(name, time.monotonic()):
-            self._notify()
-        return True
+    async def ask_others(self, entry: EndpointEntry) -> ProbeResult | None:
+        """Ask other hosts whether they reach an endpoint; if so, the path is lost.
+
+        None if none could be asked.
+        """
+        result = await self._tunnels.probe(entry)
+        if result is ProbeResult.CONNECTED:
+            name = instance_name(entry)
+            if self._ctx.reach.record_elsewhere(name, time.monotonic()):
+                self._notify()
+        return result
 
     def _record(
         self, entry: EndpointEntry, result: ProbeResult, error: str = ""
--- a/src/knapweeddrum/process/entry/path_watch.py
+++ b/src/knapweeddrum/process/entry/path_watch.py
@@ -79,7 +79,7 @@
         for name in self._ctx.reach.to_ask(time.monotonic()):
             state = self._ctx.endpoint_states.find(name)
             if state is not None and self._ctx.in_use([state]):
-                tasks.start_soon(self._paths.is_reached_elsewhere, state.entry)
+                tasks.start_soon(self._paths.ask_others, state.entry)
 
     async def _probe_lost_paths(self) -> None:
         while True:
--- a/src/knapweeddrum/process/entry/tunnel_client.py
+++ b/src/knapweeddrum/process/entry/tunnel_client.py
@@ -19,7 +19,10 @@
 from knapweeddrum.http.socket_options import send_keep_alives
 from knapweeddrum.http.tunnel_stream import TunnelStream
 from knapweeddrum.message.call.endpoint_tunnel import TunnelReply, TunnelRequest
-from knapweeddrum.process.entry.endpoint_connector import EndpointConnector
+from knapweeddrum.process.entry.endpoint_connector import (
+    EndpointConnector,
+    failed_result,
+)
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import TUNNEL_FAILED_COUNT, TUNNEL_OPENED
 from knapweeddrum.telemetry.entry_events import TUNNEL_REFUSED
@@ -44,6 +47,8 @@
 """
 
 MAX_REPLY_BYTES = 4096
+MAX_OWN_LAG_SECONDS = 0.1
+"""Lag of this host from which on it may have missed an answer."""
 
 
 class TunnelClient(EndpointConnector):
@@ -65,15 +70,15 @@
         self._ctx.metrics.count(TUNNEL_OPENED)
         return conn
 
-    async def probe(self, entry: EndpointEntry) -> ProbeResult:
-        """Ask other hosts whether they reach an endpoint."""
+    async def probe(self, entry: EndpointEntry) -> ProbeResult | None:
+        """Ask other hosts whether they reach an endpoint; None if none can be asked."""
         try:
             limit = TUNNEL_TIMEOUT_SECONDS
             conn = await self._first_connected(entry, limit, is_probe=True)
-        except PeerRefusedError:
-            return ProbeResult.REFUSED
-        except NotSentError:
-            return ProbeResult.UNANSWERED
+        except NoPathError:
+            return None
+        except NotSentError as exc:
+            return failed_result(exc)
         await conn.close()
         return ProbeResult.CONNECTED
 
@@ -114,8 +119,13 @@
         )
 
     def avoid_silent(self, host: HostRecord, entry: EndpointEntry, error: str) -> None:
-        """Ask a host that did not answer a question about an endpoint no more."""
-        self._hosts.avoid(host, None, time.monotonic())
+        """Ask a host no more that did not answer a question about an endpoint.
+
+        It is asked again if this host is behind, which may be why.
+        """
+        now = time.monotonic()
+        if self._ctx.loop_lag.current(now) < MAX_OWN_LAG_SECONDS:
+            self._hosts.avoid(host, None, now)
         self._log_refusal(host, entry, error)
 
     def _avoid(self, host: HostRecord, entry: EndpointEntry, reason: str) -> None:
