Ask other hosts less, and believe a lost path only after another try

Cause: a host that failed to connect a moment before an endpoint was back heard from another one that reached it just after. And each failed probe of each host asked up to eight others, when most endpoints of a service were down and processors busiest.

Change: a path is lost only if a further connection fails after another host's answer. The crash detector asks only when it would conclude that an endpoint is gone, once a second with the questions of other failures, and three hosts at most.

--- a/src/knapweeddrum/core/routing/endpoint_reach.py
+++ b/src/knapweeddrum/core/routing/endpoint_reach.py
@@ -30,6 +30,8 @@
     last_at: float = 0.0
     count: int = 0
     asked_at: float = float("-inf")
+    answer: ProbeResult | None = None
+    """What other hosts said of the endpoint last, None if none could be asked."""
     lost_at: float | None = None
     """When another host was found to reach the endpoint, None if none was."""
     accepted_in_row: int = 0
@@ -82,6 +84,25 @@
             self._failures[name].asked_at = now
         return names
 
+    def is_asked(self, name: EndpointName, now: float) -> bool:
+        """Return whether other hosts were asked about an endpoint a moment ago."""
+        failure = self._failures.get(name)
+        return failure is not None and now - failure.asked_at < ASK_INTERVAL_SECONDS
+
+    def record_answer(
+        self, name: EndpointName, answer: ProbeResult | None, now: float
+    ) -> None:
+        """Record what other hosts said of an endpoint, None if none could be asked."""
+        failure = self._failures.get(name)
+        if failure is not None:
+            failure.answer = answer
+            failure.asked_at = now
+
+    def answer(self, name: EndpointName) -> ProbeResult | None:
+        """Return what other hosts said last, None for nothing."""
+        failure = self._failures.get(name)
+        return None if failure is None else failure.answer
+
     def record_elsewhere(self, name: EndpointName, now: float) -> bool:
         """Record that another host reaches an endpoint; return if the path was lost."""
         failure = self._failures.get(name)
--- a/src/knapweeddrum/process/entry/crash_detector.py
+++ b/src/knapweeddrum/process/entry/crash_detector.py
@@ -10,6 +10,7 @@
 
 from knapweeddrum.core.admission.crash_evidence import (
     CrashEvidence,
+    CrashSign,
     Listing,
 )
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
@@ -23,6 +24,8 @@
 
 PROBE_INTERVAL_SECONDS = 0.25
 SILENCE_CHECK_SECONDS = 0.25
+PROBED_SIGNS = frozenset({CrashSign.REFUSED, CrashSign.UNANSWERED})
+"""Signs that a host takes from its own connections alone."""
 
 
 class CrashDetector:
@@ -109,6 +112,10 @@
         sign = evidence.judge(listing, probe, probed_at, neighbour_data_at)
         if sign is None:
             return False
+        if sign in PROBED_SIGNS:
+            is_gone = await self._ctx.connector.confirm_failure(state.entry)
+            if not is_gone or evidence.is_alive(state.last_data_at):
+                return False
         now = time.monotonic()
         state.record_end(now)
         record_crash(self._ctx, state.entry, sign, evidence.age(now))
--- a/src/knapweeddrum/process/entry/endpoint_connector.py
+++ b/src/knapweeddrum/process/entry/endpoint_connector.py
@@ -35,6 +35,10 @@
         await conn.close()
         return ProbeResult.CONNECTED
 
+    async def confirm_failure(self, entry: EndpointEntry) -> bool:
+        """Return whether an endpoint that can't be reached is out of all reach."""
+        return True
+
 
 class DirectConnector(EndpointConnector):
     """Connects from this host; ``on_receive`` is told the size of each receive."""
--- a/src/knapweeddrum/process/entry/path_connector.py
+++ b/src/knapweeddrum/process/entry/path_connector.py
@@ -42,16 +42,25 @@
         return await self.connect_directly(entry, timeout)
 
     async def probe(self, entry: EndpointEntry) -> ProbeResult | None:
-        """Connect and return what became of it; other hosts confirm a failure.
+        """Connect and return what became of it.
 
-        None if it failed here and, of several hosts, none could be asked.
+        None if the path is lost and no other host can be asked.
         """
         if self._ctx.reach.is_path_lost(instance_name(entry)):
             return await self._tunnels.probe(entry)
-        result = await self.probe_directly(entry)
-        if result is ProbeResult.CONNECTED or not self._ctx.hosts.ready_hosts():
-            return result
-        return await self.ask_others(entry)
+        return await self.probe_directly(entry)
+
+    async def confirm_failure(self, entry: EndpointEntry) -> bool:
+        """Return whether other hosts, if there are any, can't reach an endpoint either.
+
+        One that no host could be asked about may be in their reach.
+        """
+        if not self._ctx.hosts.ready_hosts():
+            return True
+        if not self._ctx.reach.is_asked(instance_name(entry), time.monotonic()):
+            await self.ask_others(entry)
+        answer = self._ctx.reach.answer(instance_name(entry))
+        return answer is not None and answer is not ProbeResult.CONNECTED
 
     async def connect_directly(
         self, entry: EndpointEntry, timeout: float
@@ -74,17 +83,21 @@
         await conn.close()
         return ProbeResult.CONNECTED
 
-    async def ask_others(self, entry: EndpointEntry) -> ProbeResult | None:
-        """Ask other hosts whether they reach an endpoint; if so, the path is lost.
+    async def ask_others(self, entry: EndpointEntry) -> None:
+        """Ask other hosts whether they reach an endpoint that this one does not.
 
-        None if none could be asked.
+        If one does, and a further connection fails here, the path is lost. The endpoint
+        may have come back meanwhile.
         """
-        result = await self._tunnels.probe(entry)
-        if result is ProbeResult.CONNECTED:
-            name = instance_name(entry)
-            if self._ctx.reach.record_elsewhere(name, time.monotonic()):
-                self._notify()
-        return result
+        name = instance_name(entry)
+        answer = await self._tunnels.probe(entry)
+        self._ctx.reach.record_answer(name, answer, time.monotonic())
+        if answer is not ProbeResult.CONNECTED:
+            return
+        if await self.probe_directly(entry) is ProbeResult.CONNECTED:
+            return
+        if self._ctx.reach.record_elsewhere(name, time.monotonic()):
+            self._notify()
 
     def _record(
         self, entry: EndpointEntry, result: ProbeResult, error: str = ""
--- a/src/knapweeddrum/process/entry/tunnel_client.py
+++ b/src/knapweeddrum/process/entry/tunnel_client.py
@@ -40,10 +40,10 @@
 """Time in which the endpoint must accept the connection of the host asked."""
 
 REPLY_TIMEOUT_SECONDS = ENDPOINT_TIMEOUT_SECONDS + 0.1
-MAX_FAILED_HOSTS = 8
+MAX_FAILED_HOSTS = 3
 """Hosts that can't reach an endpoint after which it counts as out of all reach.
 
-Of hosts that were cut off a moment ago several may not know it yet.
+Of hosts that were cut off a moment ago some may not know it yet.
 """
 
 MAX_REPLY_BYTES = 4096
--- a/tests/process/entry/test_path_connector.py
+++ b/tests/process/entry/test_path_connector.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import time
 from typing import cast
 
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
@@ -19,6 +20,7 @@
     SharedStream,
     make_context,
 )
+from tests.standins.stamped_server import StampedServer
 from tools.free_ports import free_ports
 
 
@@ -45,31 +47,44 @@
     return ctx
 
 
-async def probe_of_a_refusing_endpoint(
-    ctx: EntryContext, elsewhere: ProbeResult | None
-) -> ProbeResult | None:
-    """Return what a probe tells of an endpoint that refuses this host."""
+async def is_confirmed(ctx: EntryContext, elsewhere: ProbeResult | None) -> bool:
+    """Return whether it is confirmed that an endpoint which refuses is gone."""
     entry = EndpointEntry("e-1", "engine", f"127.0.0.1:{free_ports(1)[0]}", "a", 8)
     paths = PathConnector(ctx, OtherHosts(elsewhere))
-    result = await paths.probe(entry)
+    assert await paths.probe(entry) is ProbeResult.REFUSED
+    confirmed = await paths.confirm_failure(entry)
     is_lost = ctx.reach.is_path_lost(instance_name(entry))
     assert is_lost == (elsewhere is ProbeResult.CONNECTED)
-    return result
+    return confirmed
 
 
 @async_test
-async def test_refused_probe_that_no_host_can_confirm_shows_no_crash():
+async def test_failure_that_no_host_can_confirm_shows_no_crash():
     """The other hosts may be cut off too, or this one has just been paused."""
-    assert await probe_of_a_refusing_endpoint(context(), None) is None
+    assert not await is_confirmed(context(), None)
 
 
 @async_test
-async def test_refused_probe_tells_what_other_hosts_confirm():
+async def test_failure_is_confirmed_by_other_hosts():
     """A host without others goes by its own connection."""
-    for result in ProbeResult:
-        assert await probe_of_a_refusing_endpoint(context(), result) is result
-    alone = context(is_alone=True)
-    assert await probe_of_a_refusing_endpoint(alone, None) is ProbeResult.REFUSED
+    assert await is_confirmed(context(), ProbeResult.REFUSED)
+    assert await is_confirmed(context(), ProbeResult.UNANSWERED)
+    assert not await is_confirmed(context(), ProbeResult.CONNECTED)
+    assert await is_confirmed(context(is_alone=True), None)
+
+
+@async_test
+async def test_endpoint_that_has_just_come_back_leaves_no_lost_path():
+    """Another host reached it first."""
+    server = StampedServer("e-1")
+    ctx = context()
+    async with server.serve() as address:
+        entry = EndpointEntry("e-1", "engine", address, "a", 8)
+        name = instance_name(entry)
+        ctx.reach.record(name, ProbeResult.REFUSED, time.monotonic())
+        await PathConnector(ctx, OtherHosts(ProbeResult.CONNECTED)).ask_others(entry)
+    assert not ctx.reach.is_path_lost(name)
+    assert ctx.reach.unreached() == []
 
 
 def test_data_through_another_host_does_not_show_that_a_path_is_whole():
