--- a/tests/process/entry/test_cut_soak.py
+++ b/tests/process/entry/test_cut_soak.py
@@ -9,7 +9,7 @@
 
 
 ALL_ASKED_CUT_OFF_SEED = 29
-"""A run in which the three hosts that were asked did not know that they were cut off."""
+"""A run in which the three hosts asked did not know that they were cut off."""
 
 
 def play(seed: int) -> None:
