Log which write of an endpoint listed it

Of an endpoint that is listed again the log named neither its start nor the number of the entry, so a late write, an entry that was kept after an outage and an endpoint that came back looked the same.

endpoint_listed now has started_at_ms, entry and offset, endpoint_unlisted has offset.

--- a/src/knapweeddrum/process/entry/service_list_reader.py
+++ b/src/knapweeddrum/process/entry/service_list_reader.py
@@ -19,6 +19,7 @@
     ENDPOINT_LISTED,
     ENDPOINT_UNLISTED,
 )
+from knapweeddrum.value.store_position import offset_of
 
 
 class ServiceListReader(RecordReader):
@@ -79,7 +80,9 @@
     def remove_lapsed(self, now: float) -> None:
         """Remove the lapsed entries whose grace has passed."""
         for key in self._ctx.service_list.expire(now):
-            self._ctx.events.emit(ENDPOINT_UNLISTED, endpoint=key, lapsed=True)
+            self._ctx.events.emit(
+                ENDPOINT_UNLISTED, endpoint=key, lapsed=True, offset=None
+            )
 
     def _apply(
         self,
@@ -90,7 +93,7 @@
         entry = self._decode(record, record.value or b"")
         self._written.add(record.key)
         if apply(record.key, record.offset, entry):
-            self._log_change(record.key, entry)
+            self._log_change(record, entry)
         if entry is not None:
             self._apply_cold_time(entry, record.offset, now)
 
@@ -110,7 +113,7 @@
 
     def _drop(self, record: KeyedRecord, now: float) -> None:
         if self._ctx.service_list.apply_removal(record.key, record.offset, now):
-            self._ctx.events.emit(ENDPOINT_UNLISTED, endpoint=record.key, lapsed=False)
+            self._log_removal(record)
 
     def _decode(self, record: KeyedRecord, body: bytes) -> EndpointEntry | None:
         try:
@@ -119,15 +122,26 @@
             self._ctx.record_ignored(record.key, record.offset, str(exc))
             return None
 
-    def _log_change(self, key: str, entry: EndpointEntry | None) -> None:
+    def _log_change(self, record: KeyedRecord, entry: EndpointEntry | None) -> None:
         if entry is None:
-            self._ctx.events.emit(ENDPOINT_UNLISTED, endpoint=key, lapsed=False)
+            self._log_removal(record)
             return
         self._ctx.events.emit(
             ENDPOINT_LISTED,
-            endpoint=key,
+            endpoint=record.key,
             service=entry.service,
             address=entry.address,
             software_version=entry.software_version,
             draining=entry.draining,
+            started_at_ms=entry.started_at_ms,
+            entry=entry.number,
+            offset=offset_of(record.offset),
+        )
+
+    def _log_removal(self, record: KeyedRecord) -> None:
+        self._ctx.events.emit(
+            ENDPOINT_UNLISTED,
+            endpoint=record.key,
+            lapsed=False,
+            offset=offset_of(record.offset),
         )
--- a/src/knapweeddrum/telemetry/entry_events.py
+++ b/src/knapweeddrum/telemetry/entry_events.py
@@ -143,9 +143,20 @@
     612,
     "endpoint_listed",
     "info",
-    ("endpoint", "service", "address", "software_version", "draining"),
+    (
+        "endpoint",
+        "service",
+        "address",
+        "software_version",
+        "draining",
+        "started_at_ms",
+        "entry",
+        "offset",
+    ),
+)
+ENDPOINT_UNLISTED = Event(
+    613, "endpoint_unlisted", "info", ("endpoint", "lapsed", "offset")
 )
-ENDPOINT_UNLISTED = Event(613, "endpoint_unlisted", "info", ("endpoint", "lapsed"))
 ENTRY_IGNORED = Event(614, "entry_ignored", "warning", ("key", "offset", "error"))
 PREDECESSOR_READ = Event(
     650,
