Leave out entries of an earlier start of an endpoint

An endpoint was started again under its id, at another address, and a heartbeat of the earlier start was carried out late: until the next heartbeat requests went to the earlier address.

Cause: as before, the place of an entry in the stream stood for the time of its writing; apply_listed_entry refused removed starts, not earlier ones. Evidence: endpoint_listed with a lower started_at_ms at a higher offset.

An entry of an earlier start counts only if it was carried out later than a write can be after the last of the later one, so that an endpoint whose clock was set back is used again.

--- a/src/knapweeddrum/core/catalog/entry_order.py
+++ b/src/knapweeddrum/core/catalog/entry_order.py
@@ -48,6 +48,7 @@
     which may be seconds after the endpoint sent it: then an endpoint may have gone, or
     have written again. An endpoint that was silent is removed by the store and may go
     on; one that leaves is removed at once, and what it sent before is never news.
+    Nor is what an earlier start sent, once a later one is known.
     Endpoints that don't tell their start can't be told apart from later starts, so that
     their entries all count. Times are in monotonic seconds.
     """
@@ -65,10 +66,12 @@
         write. One that is later than any write can be is news, whatever it tells.
         """
         known = self._known.get(entry.endpoint_id)
-        if known is None or not _is_same_start(known.entry, entry):
+        if known is None or not _tell_starts(known.entry, entry):
             return False
         if carried_out_after >= known.changed_at + MAX_WRITE_DELAY_SECONDS:
             return False
+        if entry.started_at_ms != known.entry.started_at_ms:
+            return entry.started_at_ms < known.entry.started_at_ms
         if not known.is_removed:
             return entry.number < known.entry.number
         late_entries = MAX_LATE_ENTRIES if known.has_left else 0
@@ -118,5 +121,9 @@
             known.has_left = known.silent_for < self._silence
 
 
+def _tell_starts(first: EndpointEntry, second: EndpointEntry) -> bool:
+    return first.started_at_ms != 0 and second.started_at_ms != 0
+
+
 def _is_same_start(first: EndpointEntry, second: EndpointEntry) -> bool:
     return first.started_at_ms == second.started_at_ms != 0
--- a/tests/core/catalog/entry_day.py
+++ b/tests/core/catalog/entry_day.py
@@ -59,6 +59,8 @@
     returns: int = 0
     used_after_leaving: list[Leave] = dataclasses.field(default_factory=list)
     not_used_after_return: list[Return] = dataclasses.field(default_factory=list)
+    went_back: list[tuple[str, int, int]] = dataclasses.field(default_factory=list)
+    """Endpoints of which an earlier start replaced a later one; both starts."""
 
 
 class EntryDay:
@@ -209,6 +211,7 @@
         while asked_at < DAY_SECONDS:
             in_use.append((asked_at, self._step(asked_at)))
             asked_at += READ_SECONDS
+        findings.went_back = _steps_back(in_use)
         for leave in self._day.leaves:
             if self._uses(in_use, leave):
                 findings.used_after_leaving.append(leave)
@@ -271,3 +274,17 @@
             for at, used in in_use
             if back.at <= at <= until
         )
+
+
+def _steps_back(
+    in_use: list[tuple[float, set[tuple[str, int]]]],
+) -> list[tuple[str, int, int]]:
+    """Return the endpoints that were used at an earlier start after a later one."""
+    latest: dict[str, int] = {}
+    found = []
+    for _, used in in_use:
+        for key, start in sorted(used):
+            if start < latest.get(key, 0):
+                found.append((key, latest[key], start))
+            latest[key] = max(start, latest.get(key, 0))
+    return found
--- a/tests/core/catalog/test_entry_day.py
+++ b/tests/core/catalog/test_entry_day.py
@@ -47,3 +47,11 @@
         host = ReadingHost(day, drawn_cuts(seed))
         findings = host.run(RETURN_SECONDS)
         assert not findings.used_after_leaving, (seed, findings.used_after_leaving)
+
+
+def test_no_order_of_late_writes_leads_back_to_an_earlier_start():
+    """Neither beside the entries of the later one nor after its removal."""
+    for seed in range(SEEDS):
+        for cuts in ((), drawn_cuts(seed)):
+            findings = ReadingHost(EntryDay(seed), cuts).run(RETURN_SECONDS)
+            assert not findings.went_back, (seed, findings.went_back)
--- a/tests/process/entry/test_late_entries.py
+++ b/tests/process/entry/test_late_entries.py
@@ -115,3 +115,23 @@
         write(harness, server)
         await anyio.sleep(READ_SECONDS)
         await call(harness, "after")
+
+
+@async_test
+async def test_late_heartbeat_of_an_earlier_start_moves_no_requests_to_its_address():
+    """The endpoint runs again under its id at another address (502, MIXED)."""
+    earlier, later = service(1), service(1)
+    later.born = earlier.born + 1
+    async with later.serve(), entry_harness(services=(earlier,)) as harness:
+        late = earlier.entry("stock")
+        write(harness, later)
+        await harness.wait_for_event("endpoint_listed", 2)
+        harness.store.put("keyed.servers", earlier.server_id, late)
+        await anyio.sleep(READ_SECONDS)
+        await call(harness, "beside")
+        assert earlier.arrivals == 0
+        await remove(harness, later)
+        harness.store.put("keyed.servers", earlier.server_id, earlier.entry("stock"))
+        await anyio.sleep(READ_SECONDS)
+        assert (await harness.call("/book/1")).status == 503
+        assert earlier.arrivals == 0
