Read what led to a listing of the endpoints

Cause: the listing has the newest record of each key by its place in the stream, and neither the removal nor the numbers that were read before. Evidence: endpoint_listed of a late entry on the host that started, while the others log entry_outdated for it.

The reader of the service list gets the last records before a listing first, as far as the store keeps them, and applies them in order. They don't tell why an entry was removed, so only numbers that were read before are refused and no sound endpoint waits. Not after a return of the store from an older copy, whose records would take back what is known.

The test with a host that starts failed before.

--- a/src/knapweeddrum/core/catalog/service_list.py
+++ b/src/knapweeddrum/core/catalog/service_list.py
@@ -115,6 +115,20 @@
         self._order.record_removal(key, now, self._carried_out_after)
         return self._remove(key)
 
+    def apply_past_removal(self, key: str, offset: int, now: float) -> bool:
+        """Apply a removal from before a listing; return whether the entry was dropped.
+
+        Nothing tells why it was removed.
+        """
+        if not self._is_newer(key, offset):
+            return False
+        self._order.record_lapse(key, now, self._carried_out_after)
+        has_been_read = self._carried_out_after > NEVER
+        if has_been_read and key in self._entries and self._may_have_lapsed(key, now):
+            self._lapsed.add(key)
+            return False
+        return self._remove(key)
+
     def apply_listing(self, keys: set[str], end: int, now: float) -> None:
         """Apply a complete listing that ends at offset ``end``."""
         for key in sorted(set(self._entries) - keys):
--- a/src/knapweeddrum/process/entry/service_list_reader.py
+++ b/src/knapweeddrum/process/entry/service_list_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterable
 
 import anyio
@@ -24,6 +25,12 @@
 )
 from knapweeddrum.value.store_position import offset_of
 
+PAST_SECONDS = 11.0
+"""Time from a removal until an entry that was sent before it is removed as well."""
+
+MIN_PAST_KEYS = 4
+"""Endpoints whose records are read at least, as those that left are not listed."""
+
 
 class ServiceListReader(RecordReader):
     """Applies endpoint entries to the service list and logs its changes."""
@@ -43,11 +50,24 @@
             self._apply(record, self._ctx.service_list.apply_listed_entry, now)
         self._ctx.service_list.apply_listing({record.key for record in known}, end, now)
 
+    def past_records(self, listed: int) -> int:
+        """Return how many records tell what was removed and may be written late."""
+        interval = self._ctx.settings.endpoint_heartbeat_interval
+        return math.ceil(PAST_SECONDS / interval) * max(listed, MIN_PAST_KEYS)
+
+    def apply_past(self, records: Iterable[KeyedRecord], now: float) -> None:
+        """Apply what endpoints wrote and removed before a listing."""
+        for record in records:
+            if record.value is None:
+                self._drop(record, self._ctx.service_list.apply_past_removal, now)
+                continue
+            self._apply(record, self._ctx.service_list.apply_listed_entry, now)
+
     def apply_records(self, records: Iterable[KeyedRecord], now: float) -> None:
         """Apply newer entries."""
         for record in records:
             if record.value is None:
-                self._drop(record, now)
+                self._drop(record, self._ctx.service_list.apply_removal, now)
                 continue
             self._apply(record, self._ctx.service_list.apply_entry, now)
 
@@ -131,8 +151,13 @@
             listed=self._ctx.service_list.get(record.key) is not None,
         )
 
-    def _drop(self, record: KeyedRecord, now: float) -> None:
-        if self._ctx.service_list.apply_removal(record.key, record.offset, now):
+    def _drop(
+        self,
+        record: KeyedRecord,
+        apply: Callable[[str, int, float], bool],
+        now: float,
+    ) -> None:
+        if apply(record.key, record.offset, now):
             self._log_removal(record)
 
     def _decode(self, record: KeyedRecord, body: bytes) -> EndpointEntry | None:
--- a/src/knapweeddrum/process/entry/stream_follower.py
+++ b/src/knapweeddrum/process/entry/stream_follower.py
@@ -15,13 +15,18 @@
 )
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.store_client import StoreClient
+from knapweeddrum.platform.store_listing import StoreListing
 from knapweeddrum.process.entry.stream_read import StreamRead
 from knapweeddrum.telemetry.event_log import EventLog
 from knapweeddrum.telemetry.events import DEPENDENCY_READY, WAITING
+from knapweeddrum.value.store_position import era_of, store_position
 
 RETRY_SECONDS = 0.25
 """Pause after a failed call to the store."""
 
+PAST_TRIES = 2
+"""Reads of the records before a listing, of which the oldest may have expired."""
+
 
 class RecordReader(abc.ABC):
     """Applies the records of one stream; ``now`` is in monotonic seconds."""
@@ -39,6 +44,14 @@
     def apply_records(self, records: Iterable[KeyedRecord], now: float) -> None:
         """Apply the records that follow those applied before."""
 
+    def past_records(self, listed: int) -> int:
+        """Return how many records before a listing of so many keys are of use."""
+        return 0
+
+    def apply_past(self, records: Iterable[KeyedRecord], now: float) -> None:
+        """Apply the records before a listing, which follows."""
+        self.apply_records(records, now)
+
     @abc.abstractmethod
     def on_store_lost(self) -> None:
         """Handle a failed call to the store."""
@@ -52,7 +65,8 @@
     """Lists a stream, then reads the records that follow the listing.
 
     The stream is listed again when the store has deleted records that were not read, or
-    has come back from an older copy, which counts as an outage.
+    has come back from an older copy, which counts as an outage. A reader that needs
+    what led to a listing gets the records before it, but for those of an older copy.
     ``wait`` is how long a read waits for a record, ``interval`` the minimum time from
     one read to the next, both in seconds.
     """
@@ -73,6 +87,8 @@
         self._wait = wait
         self._interval = interval
         self._next_offset: int | None = None
+        self._reads_past = True
+        """Whether the records before the next listing are of use."""
         self._is_store_unreachable = False
 
     async def run(self) -> None:
@@ -95,9 +111,11 @@
         except StoreReturnedError:
             self._reader.on_store_lost()
             self._next_offset = None
+            self._reads_past = False
             return await self._step()
         except RecordsExpiredError:
             self._next_offset = None
+            self._reads_past = True
             return await self._step()
         except LogUnavailableError as exc:
             self._record_failure(exc)
@@ -107,11 +125,38 @@
     async def _list(self) -> None:
         asked_at = time.monotonic()
         listing = await self._store.list_newest(self.stream)
+        past = await self._read_past(listing) if self._reads_past else []
         now = time.monotonic()
         self._next_offset = listing.next_offset
+        if past:
+            self._reader.apply_past(past, now)
         self._reader.apply_listing(listing.records, listing.next_offset, now)
         self._record_success(StreamRead(asked_at, now, listing.next_offset))
 
+    async def _read_past(self, listing: StoreListing) -> list[KeyedRecord]:
+        """Return the last records before a listing, as far as the store has them."""
+        end = listing.next_offset
+        first = store_position(era_of(end), 0)
+        start = max(first, end - self._reader.past_records(len(listing.records)))
+        for _ in range(PAST_TRIES):
+            try:
+                return await self._read_range(start, end)
+            except StoreReturnedError:
+                raise
+            except RecordsExpiredError as exc:
+                start = store_position(era_of(end), exc.first)
+        return []
+
+    async def _read_range(self, start: int, end: int) -> list[KeyedRecord]:
+        found: list[KeyedRecord] = []
+        while start < end:
+            page = await self._store.read(self.stream, start)
+            found += [record for record in page.records if record.offset < end]
+            if page.next_offset <= start:
+                break
+            start = page.next_offset
+        return found
+
     async def _read(self, start: int) -> None:
         asked_at = time.monotonic()
         page = await self._store.read(self.stream, start, self._wait)
--- a/tests/process/entry/test_late_entries.py
+++ b/tests/process/entry/test_late_entries.py
@@ -9,7 +9,11 @@
     SILENCE_INTERVALS,
 )
 from tests.async_test import async_test
-from tests.process.entry.entry_harness import EntryHarness, entry_harness
+from tests.process.entry.entry_harness import (
+    EntryHarness,
+    entry_harness,
+    entry_process,
+)
 from tests.standins.stamped_server import StampedServer
 
 CALLS = 6
@@ -135,3 +139,40 @@
         await anyio.sleep(READ_SECONDS)
         assert (await harness.call("/book/1")).status == 503
         assert earlier.arrivals == 0
+
+
+@async_test
+async def test_host_that_starts_after_a_late_heartbeat_sends_the_endpoint_nothing():
+    """It reads the listing, in which nothing tells that the endpoint left (DRAIN)."""
+    leaving, staying = service(1), service(2)
+    async with entry_harness(services=(leaving, staying)) as harness:
+        late = leaving.entry("stock")
+        write(harness, leaving)
+        write(harness, staying)
+        harness.store.drop("keyed.servers", leaving.server_id)
+        harness.store.put("keyed.servers", leaving.server_id, late)
+        write(harness, staying)
+        async with entry_process(
+            harness.store, harness.store_address, "host-2"
+        ) as started:
+            await started.wait_until_ready()
+            await call(started, "started")
+            assert leaving.arrivals == 0
+            write(harness, leaving)
+            await anyio.sleep(READ_SECONDS)
+            assert started.events("endpoint_listed")[-1]["endpoint"] == "stock-1"
+
+
+@async_test
+async def test_host_that_starts_uses_endpoints_whose_late_heartbeat_is_listed():
+    """The listing has an entry that was sent before others; the endpoint runs."""
+    running = service(1)
+    async with entry_harness(services=(running,)) as harness:
+        late = running.entry("stock")
+        write(harness, running)
+        harness.store.put("keyed.servers", running.server_id, late)
+        async with entry_process(
+            harness.store, harness.store_address, "host-2"
+        ) as started:
+            await started.wait_until_ready()
+            await call(started, "started")
--- a/tests/process/entry/test_stream_follower.py
+++ b/tests/process/entry/test_stream_follower.py
@@ -35,10 +35,30 @@
         return StorePage((), start, complete=True)
 
 
+class StoreWithPast:
+    """Has records up to offset 6; the listing ends before the last one."""
+
+    def __init__(self, first: int) -> None:
+        self.first = first
+        self.records = tuple(KeyedRecord("a", b"1", n) for n in range(first, 7))
+
+    async def list_newest(self, stream: str) -> StoreListing:
+        return StoreListing(self.records[-2:-1], 6)
+
+    async def read(self, stream: str, start: int, wait: float = 0.0) -> StorePage:
+        await anyio.sleep(CALL_SECONDS)
+        if start < self.first:
+            raise RecordsExpiredError(self.first)
+        found = tuple(record for record in self.records if record.offset >= start)
+        return StorePage(found, 7, complete=True)
+
+
 class ReaderLog(RecordReader):
     """Records the calls of a follower."""
 
-    def __init__(self) -> None:
+    def __init__(self, past: int = 0) -> None:
+        self.past = past
+        self.past_offsets: list[int] = []
         self.calls: list[str] = []
         self.reads: list[StreamRead] = []
 
@@ -47,6 +67,13 @@
     ) -> None:
         self.calls.append("listing")
 
+    def past_records(self, listed: int) -> int:
+        return self.past * listed
+
+    def apply_past(self, records: Iterable[KeyedRecord], now: float) -> None:
+        self.calls.append("past")
+        self.past_offsets += [record.offset for record in records]
+
     def apply_records(self, records: Iterable[KeyedRecord], now: float) -> None:
         self.calls.append("records")
 
@@ -58,10 +85,13 @@
         self.reads.append(read)
 
 
-async def follow(reader: RecordReader, seconds: float) -> None:
-    """Follow a store whose history is deleted once."""
+async def follow(
+    reader: RecordReader, seconds: float, store: object | None = None
+) -> None:
+    """Follow a store; by default one whose history is deleted once."""
+    store = store or ForgetfulStore()
     events = SimpleNamespace(emit=lambda *args, **fields: None)
-    follower = StreamFollower(ForgetfulStore(), "s", reader, events, 0.0, 0.0)  # type: ignore[arg-type]
+    follower = StreamFollower(store, "s", reader, events, 0.0, 0.0)  # type: ignore[arg-type]
     with anyio.move_on_after(seconds):
         await follower.run()
 
@@ -82,3 +112,23 @@
     assert all(
         read.received_at - read.asked_at >= CALL_SECONDS for read in reader.reads
     )
+
+
+@async_test
+async def test_reader_gets_the_records_before_a_listing_first():
+    """Those from the listing's end on are read after it, once."""
+    reader = ReaderLog(past=2)
+    await follow(reader, 2.5 * CALL_SECONDS, StoreWithPast(first=3))
+    assert reader.calls[:3] == ["past", "listing", "up to date"]
+    assert reader.past_offsets == [4, 5]
+
+
+@async_test
+async def test_records_before_a_listing_that_have_expired_delay_nothing():
+    """What the store still has of them is read; without any the listing counts."""
+    reader = ReaderLog(past=6)
+    await follow(reader, 3.5 * CALL_SECONDS, StoreWithPast(first=5))
+    assert reader.past_offsets == [5]
+    reader = ReaderLog(past=6)
+    await follow(reader, 3.5 * CALL_SECONDS, StoreWithPast(first=6))
+    assert reader.calls[:2] == ["listing", "up to date"]
