Take no late writes for proof that the store was served

At the store's return an endpoint's writes from before and within the outage may be carried out together. Three of them counted as proof that the store had served all the while, so that the entries of all other endpoints that had lapsed were dropped at once: their callers got 503 until the endpoints had written again.

Cause: entries that are read count as written since the store was lost. An endpoint whose own entry disappeared in that time proves nothing: the store did not hear of it for three intervals. Its writes are not counted any more; those of an endpoint that stayed listed still tell the cut of one host from an outage.

The new test failed before (the first read after the return dropped the other entry). What remains: late writes of an endpoint whose entry had not expired.

--- a/src/knapweeddrum/core/catalog/service_list.py
+++ b/src/knapweeddrum/core/catalog/service_list.py
@@ -60,6 +60,8 @@
         self._is_store_lost = False
         self._store_back_at = NEVER
         self._writes_since_loss: collections.Counter[str] = collections.Counter()
+        self._lapsed_since_loss: set[str] = set()
+        """Endpoints whose later writes may have been sent before the store was back."""
         self.version = 0
         """Number that grows with each change of the list."""
 
@@ -76,6 +78,7 @@
             return
         self._is_store_lost = True
         self._writes_since_loss.clear()
+        self._lapsed_since_loss.clear()
         self._renewed.clear()
 
     def store_reached(self, now: float) -> None:
@@ -110,6 +113,7 @@
             return False
         if key in self._entries and self._may_have_lapsed(key, now):
             self._lapsed.add(key)
+            self._lapsed_since_loss.add(key)
             self._order.record_lapse(key, now, self._carried_out_after)
             return False
         self._order.record_removal(key, now, self._carried_out_after)
@@ -185,7 +189,8 @@
 
     def _record_write(self, key: str) -> None:
         self._lapsed.discard(key)
-        self._writes_since_loss[key] += 1
+        if key not in self._lapsed_since_loss:
+            self._writes_since_loss[key] += 1
         if not self._is_store_lost:
             self._renewed.add(key)
 
@@ -219,6 +224,7 @@
         return True
 
     def _remove(self, key: str) -> bool:
+        self._renewed.discard(key)
         if self._entries.pop(key, None) is None:
             return False
         self.version += 1
--- a/tests/core/catalog/test_service_list.py
+++ b/tests/core/catalog/test_service_list.py
@@ -95,6 +95,18 @@
     assert usable(listed) == ["e1", "e2"]
 
 
+def test_late_writes_of_a_lapsed_endpoint_end_no_grace_of_others():
+    """At its return the store carries out what was sent before and in the outage."""
+    listed = lost_list()
+    listed.apply_removal("e1", 2, now=107.5)
+    listed.apply_removal("e2", 3, now=107.5)
+    for offset in range(4, 4 + MIN_WRITES_OF_SERVED_ENDPOINT):
+        listed.apply_entry("e2", offset, entry("e2"), 107.5)
+    listed.store_reached(107.5)
+    assert listed.expire(107.5) == ()
+    assert usable(listed) == ["e1", "e2"]
+
+
 def test_writes_before_an_outage_are_no_evidence_in_the_next():
     """Only what endpoints wrote since this host lost the store counts."""
     listed = ServiceList()
