Take a listed entry for no sign that its endpoint ran

A host that lists the endpoints again counted each entry of the listing as written since its last list. A connection that was opened before that list was then taken to lead to the listed start, also if that had ended and another answered: a stream could go on at another software version (ORDER). Not seen in the field; found by reading, as the listing is another place where a record that is read counts as one that was just written.

Only entries that are read from the stream after the last list count now, and none that were sent before others that had been read. The new test with a repeated listing failed before; two others guard late entries and the sign itself.

--- a/src/knapweeddrum/process/entry/service_list_reader.py
+++ b/src/knapweeddrum/process/entry/service_list_reader.py
@@ -38,7 +38,7 @@
     def __init__(self, ctx: EntryContext) -> None:
         self._ctx = ctx
         self._written: set[str] = set()
-        """Endpoints whose entries were read since the list was up to date."""
+        """Endpoints that wrote entries since the list was up to date."""
         self._lapse = anyio.Event()
 
     def apply_listing(
@@ -69,7 +69,8 @@
             if record.value is None:
                 self._drop(record, self._ctx.service_list.apply_removal, now)
                 continue
-            self._apply(record, self._ctx.service_list.apply_entry, now)
+            if self._apply(record, self._ctx.service_list.apply_entry, now):
+                self._written.add(record.key)
 
     def on_store_lost(self) -> None:
         """Keep entries that expire while the store can't be reached."""
@@ -113,17 +114,18 @@
         record: KeyedRecord,
         apply: Callable[[str, int, EndpointEntry | None, float], EntryOutcome],
         now: float,
-    ) -> None:
+    ) -> bool:
+        """Apply an entry; return whether it tells what its endpoint wrote last."""
         entry = self._decode(record, record.value or b"")
         outcome = apply(record.key, record.offset, entry, now)
         if entry is not None and outcome is EntryOutcome.OUTDATED:
             self._record_outdated(record, entry)
-            return
-        self._written.add(record.key)
+            return False
         if outcome is EntryOutcome.CHANGED:
             self._log_change(record, entry)
         if entry is not None:
             self._apply_cold_time(entry, record.offset, now)
+        return entry is not None
 
     def _apply_cold_time(self, entry: EndpointEntry, offset: int, now: float) -> None:
         cold = self._ctx.endpoint_limits.cold
