Believe no limits of a heartbeat that is known to be outdated

A host's heartbeat that the store carried out after a later one was left out of the directory of hosts, but its limits of endpoints were applied as if they were three seconds old at most. A write may be six seconds late: a limit that had been lowered since was raised again, at each host, until the next heartbeat (LIMIT). Not seen in the field.

apply_heartbeat tells whether a heartbeat is news, and only then its limits count. Emptied data centres go on being applied, as their positions order them.

--- a/src/knapweeddrum/core/directory/host_directory.py
+++ b/src/knapweeddrum/core/directory/host_directory.py
@@ -85,22 +85,26 @@
         self._read_at = now
         self._last_read_at = now
 
-    def apply_heartbeat(self, key: str, offset: int, record: HostRecord | None) -> None:
-        """Apply a heartbeat, or the removal of a host if ``record`` is None."""
+    def apply_heartbeat(self, key: str, offset: int, record: HostRecord | None) -> bool:
+        """Apply a heartbeat, or the removal of a host if ``record`` is None.
+
+        Return whether it was written after all that is known of the host.
+        """
         if offset <= self._offsets.get(key, -1):
-            return
+            return False
         self._offsets[key] = offset
         if record is None:
             self._records.pop(key, None)
-            return
+            return True
         known = self._records.get(key)
         if self._is_outdated(record, known):
-            return
+            return False
         if known is not None and known.incarnation != record.incarnation:
             self._replaced.add(known.incarnation)
         self._records[key] = record
         self._record_life(key, self._store_available_seconds, self._last_read_at)
         self._written_at[key] = self._store_available_seconds
+        return True
 
     def apply_direct(self, record: HostRecord, now: float) -> bool:
         """Apply what a host said of itself, at ``now``; return if that was unknown."""
--- a/src/knapweeddrum/process/entry/host_reader.py
+++ b/src/knapweeddrum/process/entry/host_reader.py
@@ -48,8 +48,9 @@
             except MalformedRecordError as exc:
                 self._ctx.record_ignored(record.key, record.offset, str(exc))
                 continue
-            self._ctx.hosts.apply_heartbeat(record.key, record.offset, host)
-            if host is not None and host.name != self._ctx.settings.host_name:
+            is_news = self._ctx.hosts.apply_heartbeat(record.key, record.offset, host)
+            is_own = record.key == self._ctx.settings.host_name
+            if host is not None and is_news and not is_own:
                 self._ctx.endpoint_limits.merge(host.limits, written_at)
             if host is not None:
                 # The one of this host's earlier start too.
