Judge removals beside an outage by nothing but what was read

Removals that are read while the store was lost, or soon after, were sorted into those of endpoints that left and those that lapsed, by writes since then. In a short outage an endpoint whose entry lapsed, and that came back after the grace, could be taken for one that left: its next two entries were refused, 2.4 s of use. DRAIN asks nothing there, as the store isn't stable yet.

Such a removal tells nothing now: any number above the last counts, as before.

--- a/src/knapweeddrum/core/catalog/entry_order.py
+++ b/src/knapweeddrum/core/catalog/entry_order.py
@@ -35,8 +35,6 @@
     changed_at: float
     """When the entry, or its removal, was read."""
     is_removed: bool = False
-    silent_for: float = 0.0
-    """Seconds from the entry to its removal, at least."""
     has_left: bool = False
     """Whether the endpoint removed the entry itself, as it leaves."""
 
@@ -94,19 +92,19 @@
 
         The endpoint has left, unless it was silent before.
         """
-        self.record_lapse(key, now, carried_out_after)
-        self.confirm_removal(key)
-
-    def record_lapse(self, key: str, now: float, carried_out_after: float) -> None:
-        """Record that an entry was removed, perhaps as the store could not be reached.
+        known = self._known.get(key)
+        if known is None or known.is_removed:
+            return
+        silent_for = carried_out_after - known.changed_at
+        self.record_lapse(key, now)
+        known.has_left = silent_for < self._silence
 
-        What the endpoint sends next counts, until the removal is confirmed.
-        """
+    def record_lapse(self, key: str, now: float) -> None:
+        """Record that an entry was removed, nothing tells why; read at ``now``."""
         known = self._known.get(key)
         if known is None or known.is_removed:
             return
         known.is_removed = True
-        known.silent_for = carried_out_after - known.changed_at
         known.changed_at = now
         self._removed[key] = None
         if len(self._removed) > MAX_REMOVED:
@@ -114,12 +112,6 @@
             del self._removed[oldest]
             del self._known[oldest]
 
-    def confirm_removal(self, key: str) -> None:
-        """Record that the store worked when an entry was removed."""
-        known = self._known.get(key)
-        if known is not None and known.is_removed:
-            known.has_left = known.silent_for < self._silence
-
 
 def _tell_starts(first: EndpointEntry, second: EndpointEntry) -> bool:
     return first.started_at_ms != 0 and second.started_at_ms != 0
--- a/src/knapweeddrum/core/catalog/service_list.py
+++ b/src/knapweeddrum/core/catalog/service_list.py
@@ -55,8 +55,6 @@
         self._entries: dict[str, EndpointEntry] = {}
         self._offsets: dict[str, int] = {}
         self._lapsed: set[str] = set()
-        self._renewed: set[str] = set()
-        """Endpoints whose entries were written since the store was back."""
         self._is_store_lost = False
         self._store_back_at = NEVER
         self._writes_since_loss: collections.Counter[str] = collections.Counter()
@@ -79,7 +77,6 @@
         self._is_store_lost = True
         self._writes_since_loss.clear()
         self._lapsed_since_loss.clear()
-        self._renewed.clear()
 
     def store_reached(self, now: float) -> None:
         """Record that the store answers."""
@@ -111,10 +108,8 @@
         """Apply the removal of an entry; return whether the list dropped it at once."""
         if not self._is_newer(key, offset):
             return False
-        if key in self._entries and self._may_have_lapsed(key, now):
-            self._lapsed.add(key)
-            self._lapsed_since_loss.add(key)
-            self._order.record_lapse(key, now, self._carried_out_after)
+        if key in self._entries and self._is_in_grace_period(now):
+            self._keep_lapsed(key, now)
             return False
         self._order.record_removal(key, now, self._carried_out_after)
         return self._remove(key)
@@ -126,11 +121,11 @@
         """
         if not self._is_newer(key, offset):
             return False
-        self._order.record_lapse(key, now, self._carried_out_after)
         has_been_read = self._carried_out_after > NEVER
-        if has_been_read and key in self._entries and self._may_have_lapsed(key, now):
-            self._lapsed.add(key)
+        if has_been_read and key in self._entries and self._is_in_grace_period(now):
+            self._keep_lapsed(key, now)
             return False
+        self._order.record_lapse(key, now)
         return self._remove(key)
 
     def apply_listing(self, keys: set[str], end: int, now: float) -> None:
@@ -145,8 +140,6 @@
         gone = tuple(sorted(self._lapsed))
         self._lapsed.clear()
         for key in gone:
-            if self._has_served_endpoints():
-                self._order.confirm_removal(key)
             self._remove(key)
         return gone
 
@@ -187,16 +180,15 @@
         self._record_write(key)
         return _outcome(self._put(key, entry))
 
+    def _keep_lapsed(self, key: str, now: float) -> None:
+        self._lapsed.add(key)
+        self._lapsed_since_loss.add(key)
+        self._order.record_lapse(key, now)
+
     def _record_write(self, key: str) -> None:
         self._lapsed.discard(key)
         if key not in self._lapsed_since_loss:
             self._writes_since_loss[key] += 1
-        if not self._is_store_lost:
-            self._renewed.add(key)
-
-    def _may_have_lapsed(self, key: str, now: float) -> bool:
-        """Return whether an entry may have disappeared though its endpoint runs."""
-        return key not in self._renewed and self._is_in_grace_period(now)
 
     def _is_in_grace_period(self, now: float) -> bool:
         if self._is_store_lost:
@@ -224,7 +216,6 @@
         return True
 
     def _remove(self, key: str) -> bool:
-        self._renewed.discard(key)
         if self._entries.pop(key, None) is None:
             return False
         self.version += 1
