Move the followers of the store's streams out of the entry process

Which streams are followed, and how often, stands in a module of its own now; nothing else has changed. Ruled out: a follower owned by each reader, as readers are tested without one. The tests of the entry process pass.

--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -10,14 +10,7 @@
 from anyio.streams.memory import MemoryObjectReceiveStream
 
 from knapweeddrum.platform.directory_protocol import DIRECTORY_PATH, READY_PATH
-from knapweeddrum.platform.streams import (
-    CONFIGURATION_STREAM,
-    CRASHES_STREAM,
-    HOSTS_STREAM,
-    SERVICE_LIST_STREAM,
-)
 from knapweeddrum.process.entry.caller_server import CallerServer
-from knapweeddrum.process.entry.configuration_reader import ConfigurationReader
 from knapweeddrum.process.entry.crash_detector import CrashDetector
 from knapweeddrum.process.entry.crash_record_reader import CrashRecordReader
 from knapweeddrum.process.entry.crash_sharing import (
@@ -31,7 +24,6 @@
 from knapweeddrum.process.entry.entry_pages import EntryPages
 from knapweeddrum.process.entry.fleet_view import FleetView
 from knapweeddrum.process.entry.heartbeat_task import HeartbeatTask
-from knapweeddrum.process.entry.host_reader import HostReader
 from knapweeddrum.process.entry.host_state_page import STATE_PATH, HostStatePage
 from knapweeddrum.process.entry.housekeeping_task import HousekeepingTask
 from knapweeddrum.process.entry.keep_running import keep_running
@@ -54,7 +46,7 @@
 from knapweeddrum.process.entry.service_list_reader import ServiceListReader
 from knapweeddrum.process.entry.sighting_task import SIGHTING_PATH, SightingTask
 from knapweeddrum.process.entry.spending_task import SpendingTask
-from knapweeddrum.process.entry.stream_follower import RecordReader, StreamFollower
+from knapweeddrum.process.entry.stream_followers import stream_followers
 from knapweeddrum.process.entry.stream_origin_sharing import (
     NOTICE_PATH,
     QUESTION_PATH,
@@ -76,13 +68,6 @@
 BINARY = "knapweed-entry"
 METRICS_PATH = b"/metrics"
 
-CONFIGURATION_LONG_POLL_SECONDS = 1.0
-CONFIGURATION_READ_INTERVAL_SECONDS = 0.15
-SERVICE_LIST_READ_INTERVAL_SECONDS = 0.5
-HOSTS_READ_INTERVAL_SECONDS = 1.5
-CRASHES_LONG_POLL_SECONDS = 2.0
-CRASHES_READ_INTERVAL_SECONDS = 0.2
-
 HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
@@ -159,9 +144,11 @@
 
     def _background_tasks(self) -> list[tuple[str, Callable[[], Awaitable[None]]]]:
         """Return the tasks that run beside the servers, with their names."""
-        followers = [(f.stream, f.run) for f in self._followers()]
+        followers = stream_followers(
+            self._ctx, self._service_list, self._fleet_view, self._crash_records
+        )
         return [
-            *followers,
+            *((follower.stream, follower.run) for follower in followers),
             ("spending", self._spending.run),
             ("allocator", self._allocator.run),
             ("borrower", self._borrower.run),
@@ -227,41 +214,6 @@
     ) -> PageServer:
         return PageServer(self._ctx, address, pages)
 
-    def _followers(self) -> list[StreamFollower]:
-        ctx = self._ctx
-        return [
-            self._follower(
-                CONFIGURATION_STREAM,
-                ConfigurationReader(ctx),
-                CONFIGURATION_LONG_POLL_SECONDS,
-                CONFIGURATION_READ_INTERVAL_SECONDS,
-            ),
-            self._follower(
-                SERVICE_LIST_STREAM,
-                self._service_list,
-                0.0,
-                SERVICE_LIST_READ_INTERVAL_SECONDS,
-            ),
-            self._follower(
-                HOSTS_STREAM,
-                HostReader(ctx, self._fleet_view),
-                0.0,
-                HOSTS_READ_INTERVAL_SECONDS,
-            ),
-            self._follower(
-                CRASHES_STREAM,
-                self._crash_records,
-                CRASHES_LONG_POLL_SECONDS,
-                CRASHES_READ_INTERVAL_SECONDS,
-            ),
-        ]
-
-    def _follower(
-        self, stream: str, reader: RecordReader, wait: float, interval: float
-    ) -> StreamFollower:
-        ctx = self._ctx
-        return StreamFollower(ctx.store, stream, reader, ctx.events, wait, interval)
-
     async def _wait_for_stop_signal(
         self, signals: AsyncIterator[signal.Signals]
     ) -> None:
--- a/tests/process/entry/limit_day.py
+++ b/tests/process/entry/limit_day.py
@@ -29,7 +29,6 @@
 from knapweeddrum.platform.streams import HOSTS_STREAM
 from knapweeddrum.process.entry.endpoint_permits import EndpointPermits
 from knapweeddrum.process.entry.entry_context import EntryContext
-from knapweeddrum.process.entry.entry_process import HOSTS_READ_INTERVAL_SECONDS
 from knapweeddrum.process.entry.fleet_view import FleetView
 from knapweeddrum.process.entry.heartbeat_task import (
     HEARTBEAT_INTERVAL_SECONDS,
@@ -51,6 +50,7 @@
 )
 from knapweeddrum.process.entry.sighting_task import SIGHTING_PATH, SightingTask
 from knapweeddrum.process.entry.stream_follower import StreamFollower
+from knapweeddrum.process.entry.stream_followers import HOSTS_READ_INTERVAL_SECONDS
 from knapweeddrum.value.body_framing import BodyFraming
 from tests.process.entry.claim_race import (
     ClaimRacePlan,
--- a/tests/process/entry/test_crash_return.py
+++ b/tests/process/entry/test_crash_return.py
@@ -24,12 +24,12 @@
 from knapweeddrum.process.entry.crash_record_reader import CrashRecordReader
 from knapweeddrum.process.entry.crash_sharing import CrashSharing
 from knapweeddrum.process.entry.entry_context import EntryContext
-from knapweeddrum.process.entry.entry_process import (
+from knapweeddrum.process.entry.peer_client import PeerClient
+from knapweeddrum.process.entry.stream_follower import StreamFollower
+from knapweeddrum.process.entry.stream_followers import (
     CRASHES_LONG_POLL_SECONDS,
     CRASHES_READ_INTERVAL_SECONDS,
 )
-from knapweeddrum.process.entry.peer_client import PeerClient
-from knapweeddrum.process.entry.stream_follower import StreamFollower
 from tests.process.entry.claim_race import (
     ClaimRacePlan,
     DistantStore,
