Take idle connections out of the pool in one step

Cause: the pool waited for one idle connection to close and went on with the lists from before, while others leased from them and close_idle replaced them. A connection in use was then offered as idle: the next request closed it under the first, or would have shared it. Ruled out: the watch of paths, which reports PathCutError.

Idle connections are removed before any is closed, and acquire looks the list up each time.

--- a/src/knapweeddrum/http/connection_pool.py
+++ b/src/knapweeddrum/http/connection_pool.py
@@ -53,8 +53,7 @@
         to all servers, and what ``connect`` raises.
         """
         now = time.monotonic()
-        idle = self._idle.get(key, [])
-        while idle:
+        while idle := self._idle.get(key):
             conn = idle.pop()
             if conn.is_usable(now):
                 self._lease(key, conn)
@@ -116,22 +115,32 @@
     async def sweep(self, live_keys: Iterable[str], now: float) -> None:
         """Close idle connections that are unusable or whose key is not a live one."""
         live = frozenset(live_keys)
-        for key, idle in list(self._idle.items()):
-            usable = [conn for conn in idle if key in live and conn.is_usable(now)]
-            unusable = [conn for conn in idle if conn not in usable]
-            self._idle[key] = usable
-            for conn in unusable:
-                await self._close(key, conn)
-            if not usable and key not in live:
-                self._idle.pop(key, None)
+
+        def is_unwanted(key: str, conn: ClientConnection) -> bool:
+            return key not in live or not conn.is_usable(now)
+
+        await self.close_idle(is_unwanted)
 
     async def close_idle(self, matches: Matcher) -> None:
         """Close the idle connections that ``matches`` returns true for."""
+        for key, conn in self._take_idle(matches):
+            await self._close(key, conn)
+
+    def _take_idle(self, matches: Matcher) -> list[tuple[str, ClientConnection]]:
+        """Remove idle connections and return them, with their keys.
+
+        All are taken in one step: while one is closed, others may be leased.
+        """
+        taken: list[tuple[str, ClientConnection]] = []
         for key, idle in list(self._idle.items()):
             unwanted = [conn for conn in idle if matches(key, conn)]
-            self._idle[key] = [conn for conn in idle if conn not in unwanted]
-            for conn in unwanted:
-                await self._close(key, conn)
+            taken += [(key, conn) for conn in unwanted]
+            kept = [conn for conn in idle if conn not in unwanted]
+            if kept:
+                self._idle[key] = kept
+            else:
+                del self._idle[key]
+        return taken
 
     def leased(self) -> list[tuple[str, ClientConnection]]:
         """Return the connections in use, with their keys."""
