--- a/src/knapweeddrum/core/catalog/service_list.py
+++ b/src/knapweeddrum/core/catalog/service_list.py
@@ -28,6 +28,7 @@
 """
 
 NEVER = float("-inf")
+"""Time of what has not happened, or of which nothing is known."""
 
 
 class ServiceList:
