Test: a late heartbeat after an outage renews no endpoint that left

With a real host: the store is away, the endpoint's entry goes, and a heartbeat from before one that was read is carried out at the return.

--- a/tests/process/entry/test_late_entries.py
+++ b/tests/process/entry/test_late_entries.py
@@ -176,3 +176,24 @@
         ) as started:
             await started.wait_until_ready()
             await call(started, "started")
+
+
+@async_test
+async def test_late_heartbeat_after_an_outage_renews_no_endpoint_that_left():
+    """It was sent before one that was read; the entry lapsed in the outage (DRAIN)."""
+    leaving, staying = service(1), service(2)
+    async with entry_harness(services=(leaving, staying)) as harness:
+        late = leaving.entry("stock")
+        write(harness, leaving)
+        await anyio.sleep(READ_SECONDS)
+        harness.store.busy = True
+        await harness.wait_for_event("waiting")
+        harness.store.drop("keyed.servers", leaving.server_id)
+        harness.store.put("keyed.servers", leaving.server_id, late)
+        harness.store.drop("keyed.servers", staying.server_id)
+        write(harness, staying)
+        harness.store.busy = False
+        await harness.wait_for_event("endpoint_unlisted")
+        await call(harness, "after")
+        assert leaving.arrivals == 0
+        assert harness.events("entry_outdated")
