Log why an entry of an endpoint counts, and what it was compared with

From the hosts' lines nobody could tell why an endpoint was taken into use again: endpoint_listed said which entry it was, not which rule let it in, what it was compared with, nor how old that was. A removal that was kept as a lapse had no line at all, and nothing told hosts of two builds apart.

- endpoint_listed and entry_outdated: the rule, the entry that is known, how long ago it or its removal was read, when the read before was asked for.
- endpoint_kept (699): a removal was read, and the endpoint stays in use for a while, as it may have lapsed in an outage.

The decisions are the same; EntryOrder.judge names the rule that is_outdated applied. The lines of the service list stand in a module of their own.

--- a/src/knapweeddrum/core/catalog/entry_order.py
+++ b/src/knapweeddrum/core/catalog/entry_order.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
+from knapweeddrum.core.catalog.entry_judgement import EntryJudgement, EntryRule
 
 MAX_WRITE_DELAY_SECONDS = 7.0
 """Time from the sending of an entry within which the store carries it out."""
@@ -57,23 +58,30 @@
         self._removed: dict[str, None] = {}
         """Ids of the endpoints that were removed, the oldest first."""
 
-    def is_outdated(self, entry: EndpointEntry, carried_out_after: float) -> bool:
-        """Return whether an entry was written before what is known of its endpoint.
+    def judge(
+        self, entry: EndpointEntry, carried_out_after: float, now: float
+    ) -> EntryJudgement:
+        """Judge whether an entry was written before what is known of its endpoint.
 
         ``carried_out_after`` is a time before which the store had not carried out the
-        write. One that is later than any write can be is news, whatever it tells.
+        write, which was read at ``now``. One that is later than any write can be is
+        news, whatever it tells.
         """
         known = self._known.get(entry.endpoint_id)
-        if known is None or not _tell_starts(known.entry, entry):
-            return False
-        if carried_out_after >= known.changed_at + MAX_WRITE_DELAY_SECONDS:
-            return False
-        if entry.started_at_ms != known.entry.started_at_ms:
-            return entry.started_at_ms < known.entry.started_at_ms
-        if not known.is_removed:
-            return entry.number < known.entry.number
-        late_entries = MAX_LATE_ENTRIES if known.has_left else 0
-        return entry.number <= known.entry.number + late_entries
+        if known is None:
+            return EntryJudgement(EntryRule.FIRST)
+        return EntryJudgement(
+            _rule(known, entry, carried_out_after),
+            known.entry.number,
+            known.entry.started_at_ms,
+            now - known.changed_at,
+            known.is_removed,
+        )
+
+    def known_for(self, key: str, now: float) -> float | None:
+        """Return the seconds since an entry or its removal was read, None for none."""
+        known = self._known.get(key)
+        return None if known is None else now - known.changed_at
 
     def is_draining(self, entry: EndpointEntry) -> bool:
         """Return whether a start has told that it drains, in this entry or before."""
@@ -113,6 +121,24 @@
             del self._known[oldest]
 
 
+def _rule(known: _Known, entry: EndpointEntry, carried_out_after: float) -> EntryRule:
+    if not _tell_starts(known.entry, entry):
+        return EntryRule.UNTOLD_START
+    if carried_out_after >= known.changed_at + MAX_WRITE_DELAY_SECONDS:
+        return EntryRule.CARRIED_OUT_LATER
+    if entry.started_at_ms > known.entry.started_at_ms:
+        return EntryRule.LATER_START
+    if entry.started_at_ms < known.entry.started_at_ms:
+        return EntryRule.EARLIER_START
+    if not known.is_removed:
+        is_older = entry.number < known.entry.number
+        return EntryRule.OLDER if is_older else EntryRule.NEXT
+    late_entries = MAX_LATE_ENTRIES if known.has_left else 0
+    if entry.number <= known.entry.number + late_entries:
+        return EntryRule.BEFORE_REMOVAL
+    return EntryRule.AFTER_LEAVING if known.has_left else EntryRule.AFTER_SILENCE
+
+
 def _tell_starts(first: EndpointEntry, second: EndpointEntry) -> bool:
     return first.started_at_ms != 0 and second.started_at_ms != 0
 
--- a/src/knapweeddrum/core/catalog/service_list.py
+++ b/src/knapweeddrum/core/catalog/service_list.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
+from knapweeddrum.core.catalog.entry_judgement import EntryJudgement, EntryRule
 from knapweeddrum.core.catalog.entry_order import (
     DEFAULT_HEARTBEAT_SECONDS,
     EntryOrder,
@@ -63,6 +64,8 @@
         """Endpoints whose later writes may have been sent before the store was back."""
         self.version = 0
         """Number that grows with each change of the list."""
+        self.last_judgement = EntryJudgement(EntryRule.FIRST)
+        """How the entry that was applied last was judged."""
 
     @property
     def lapses_at(self) -> float | None:
@@ -144,6 +147,23 @@
             self._remove(key)
         return gone
 
+    def is_lapsed(self, endpoint_id: str) -> bool:
+        """Return whether an entry was removed and is kept until it can be renewed."""
+        return endpoint_id in self._lapsed
+
+    def known_for(self, endpoint_id: str, now: float) -> float | None:
+        """Return the seconds since its entry or removal was read, None if none was."""
+        return self._order.known_for(endpoint_id, now)
+
+    def read_age(self, now: float) -> float | None:
+        """Return the seconds since the last read was asked for, None before one was.
+
+        What is read at ``now`` was carried out within them, unless it is a listing.
+        """
+        if self._carried_out_after == NEVER:
+            return None
+        return now - self._carried_out_after
+
     def get(self, endpoint_id: str) -> EndpointEntry | None:
         """Return the entry of an endpoint, None if it is not listed."""
         return self._entries.get(endpoint_id)
@@ -173,7 +193,8 @@
         if entry is None:
             self._lapsed.discard(key)
             return _outcome(self._remove(key))
-        if self._order.is_outdated(entry, carried_out_after):
+        self.last_judgement = self._order.judge(entry, carried_out_after, now)
+        if self.last_judgement.rule.is_outdated:
             return EntryOutcome.OUTDATED
         if self._order.is_draining(entry):
             entry = dataclasses.replace(entry, draining=True)
--- a/src/knapweeddrum/process/control/control_process.py
+++ b/src/knapweeddrum/process/control/control_process.py
@@ -13,6 +13,7 @@
 from knapweeddrum.process.control.exceptions import ControlError
 from knapweeddrum.process.control.keeper_client import KeeperClient
 from knapweeddrum.process.control.operator_guard import OperatorGuard
+from knapweeddrum.telemetry.build_id import build_id
 from knapweeddrum.telemetry.events import PROCESS_STARTED, PROCESS_STOPPED
 
 BINARY = "knapweed-control"
@@ -54,7 +55,9 @@
             host.control_port,
             context.settings.control.stop_limit_seconds,
         )
-        context.events.emit(PROCESS_STARTED, binary=BINARY, host=host.name)
+        context.events.emit(
+            PROCESS_STARTED, binary=BINARY, host=host.name, build=build_id()
+        )
         async with anyio.create_task_group() as group:
             group.start_soon(self.follower.run)
             group.start_soon(self._stop_server, server)
--- a/src/knapweeddrum/process/entry/entry_process.py
+++ b/src/knapweeddrum/process/entry/entry_process.py
@@ -62,6 +62,7 @@
 from knapweeddrum.process.entry.tunnel_watch import TunnelWatch
 from knapweeddrum.process.entry.version_recall_task import VersionRecallTask
 from knapweeddrum.telemetry.bounded_writer import BoundedWriter
+from knapweeddrum.telemetry.build_id import build_id
 from knapweeddrum.telemetry.entry_events import SIGNAL_RECEIVED
 from knapweeddrum.telemetry.events import PROCESS_STARTED, PROCESS_STOPPED
 
@@ -128,7 +129,12 @@
         Further SIGTERMs change nothing, as tools may send several for one stop.
         """
         ctx = self._ctx
-        ctx.events.emit(PROCESS_STARTED, binary=BINARY, host=ctx.settings.host_name)
+        ctx.events.emit(
+            PROCESS_STARTED,
+            binary=BINARY,
+            host=ctx.settings.host_name,
+            build=build_id(),
+        )
         with anyio.open_signal_receiver(*HANDLED_SIGNALS) as signals:
             async with anyio.create_task_group() as tasks:
                 for server in self._page_servers():
--- a/src/knapweeddrum/process/entry/service_list_reader.py
+++ b/src/knapweeddrum/process/entry/service_list_reader.py
@@ -14,16 +14,11 @@
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.service_list_codec import decode_endpoint_entry
 from knapweeddrum.process.entry.entry_context import EntryContext
+from knapweeddrum.process.entry.service_list_log import ServiceListLog
 from knapweeddrum.process.entry.stream_follower import RecordReader
 from knapweeddrum.process.entry.stream_read import StreamRead
 from knapweeddrum.telemetry.counters import ENTRY_OUTDATED_COUNT
-from knapweeddrum.telemetry.entry_events import (
-    ENDPOINT_COLD,
-    ENDPOINT_LISTED,
-    ENDPOINT_UNLISTED,
-    ENTRY_OUTDATED,
-)
-from knapweeddrum.value.store_position import offset_of
+from knapweeddrum.telemetry.entry_events import ENDPOINT_COLD
 
 PAST_SECONDS = 11.0
 """Time from a removal until an entry that was sent before it is removed as well."""
@@ -37,6 +32,7 @@
 
     def __init__(self, ctx: EntryContext) -> None:
         self._ctx = ctx
+        self._log = ServiceListLog(ctx.service_list, ctx.events)
         self._written: set[str] = set()
         """Endpoints that wrote entries since the list was up to date."""
         self._lapse = anyio.Event()
@@ -105,9 +101,7 @@
     def remove_lapsed(self, now: float) -> None:
         """Remove the lapsed entries whose grace has passed."""
         for key in self._ctx.service_list.expire(now):
-            self._ctx.events.emit(
-                ENDPOINT_UNLISTED, endpoint=key, lapsed=True, offset=None
-            )
+            self._log.log_lapse(key)
 
     def _apply(
         self,
@@ -119,10 +113,11 @@
         entry = self._decode(record, record.value or b"")
         outcome = apply(record.key, record.offset, entry, now)
         if entry is not None and outcome is EntryOutcome.OUTDATED:
-            self._record_outdated(record, entry)
+            self._ctx.metrics.count(ENTRY_OUTDATED_COUNT)
+            self._log.log_outdated(record, entry, now)
             return False
         if outcome is EntryOutcome.CHANGED:
-            self._log_change(record, entry)
+            self._log.log_change(record, entry, now)
         if entry is not None:
             self._apply_cold_time(entry, record.offset, now)
         return entry is not None
@@ -141,26 +136,19 @@
             seconds=round(cold.cold_left(instance, now) or 0.0, 3),
         )
 
-    def _record_outdated(self, record: KeyedRecord, entry: EndpointEntry) -> None:
-        self._ctx.metrics.count(ENTRY_OUTDATED_COUNT)
-        self._ctx.events.emit(
-            ENTRY_OUTDATED,
-            endpoint=record.key,
-            address=entry.address,
-            started_at_ms=entry.started_at_ms,
-            entry=entry.number,
-            offset=offset_of(record.offset),
-            listed=self._ctx.service_list.get(record.key) is not None,
-        )
-
     def _drop(
         self,
         record: KeyedRecord,
         apply: Callable[[str, int, float], bool],
         now: float,
     ) -> None:
+        service_list = self._ctx.service_list
+        known_for = service_list.known_for(record.key, now)
+        was_lapsed = service_list.is_lapsed(record.key)
         if apply(record.key, record.offset, now):
-            self._log_removal(record)
+            self._log.log_removal(record)
+        elif service_list.is_lapsed(record.key) and not was_lapsed:
+            self._log.log_kept(record, known_for, now)
 
     def _decode(self, record: KeyedRecord, body: bytes) -> EndpointEntry | None:
         try:
@@ -168,27 +156,3 @@
         except MalformedRecordError as exc:
             self._ctx.record_ignored(record.key, record.offset, str(exc))
             return None
-
-    def _log_change(self, record: KeyedRecord, entry: EndpointEntry | None) -> None:
-        if entry is None:
-            self._log_removal(record)
-            return
-        self._ctx.events.emit(
-            ENDPOINT_LISTED,
-            endpoint=record.key,
-            service=entry.service,
-            address=entry.address,
-            software_version=entry.software_version,
-            draining=entry.draining,
-            started_at_ms=entry.started_at_ms,
-            entry=entry.number,
-            offset=offset_of(record.offset),
-        )
-
-    def _log_removal(self, record: KeyedRecord) -> None:
-        self._ctx.events.emit(
-            ENDPOINT_UNLISTED,
-            endpoint=record.key,
-            lapsed=False,
-            offset=offset_of(record.offset),
-        )
--- a/src/knapweeddrum/process/keeper/keeper_process.py
+++ b/src/knapweeddrum/process/keeper/keeper_process.py
@@ -48,6 +48,7 @@
 from knapweeddrum.rpc.rpc_server import rpc_server
 from knapweeddrum.settings.host_settings import HostSettings
 from knapweeddrum.settings.settings import Settings
+from knapweeddrum.telemetry.build_id import build_id
 from knapweeddrum.telemetry.event_log import EventLog
 from knapweeddrum.telemetry.events import PROCESS_STARTED, PROCESS_STOPPED
 from knapweeddrum.telemetry.metrics import Metrics
@@ -141,7 +142,9 @@
         own = self._settings.host
         fleet = self._settings.fleet
         identity = FleetIdentity(fleet=fleet.name, key=fleet.key)
-        self._events.emit(PROCESS_STARTED, binary=BINARY, host=own.name)
+        self._events.emit(
+            PROCESS_STARTED, binary=BINARY, host=own.name, build=build_id()
+        )
         async with stop_signal() as stop, anyio.create_task_group() as tasks:
             self.start_tasks(tasks)
             address = str(own.address)
--- a/src/knapweeddrum/process/router/router_process.py
+++ b/src/knapweeddrum/process/router/router_process.py
@@ -10,6 +10,7 @@
 from knapweeddrum.process.router.caller_server import listen
 from knapweeddrum.process.router.router import Router, running_router
 from knapweeddrum.process.router.router_context import RouterContext
+from knapweeddrum.telemetry.build_id import build_id
 from knapweeddrum.telemetry.events import PROCESS_STARTED, PROCESS_STOPPED
 
 BINARY = "knapweed-router"
@@ -26,7 +27,9 @@
     listener = listen(str(host.address), host.router_port)
     with anyio.open_signal_receiver(*STOP_SIGNALS) as signals:
         async with running_router(context, listener) as router:
-            context.events.emit(PROCESS_STARTED, binary=BINARY, host=host.name)
+            context.events.emit(
+                PROCESS_STARTED, binary=BINARY, host=host.name, build=build_id()
+            )
             await anext(signals)
             await _drain_until_signal(signals, router)
     context.events.emit(PROCESS_STOPPED, binary=BINARY)
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -11,7 +11,7 @@
 
 # All processes
 
-PROCESS_STARTED = Event(100, "process_started", "info", ("binary", "host"))
+PROCESS_STARTED = Event(100, "process_started", "info", ("binary", "host", "build"))
 PROCESS_STOPPED = Event(101, "process_stopped", "info", ("binary",))
 DRAIN_STARTED = Event(102, "drain_started", "info", ("in_progress",))
 DRAIN_FINISHED = Event(103, "drain_finished", "info", ())
