Order entries of endpoints that don't tell their start

Cause: EntryOrder compared numbers within a start only, and took an entry that names none for one of another start, so that it always counted.

Why this works: a write is at most 7 s late, so a late entry's number is near the newest; a new start counts anew, far below. Entries of one address with near numbers are compared as those of one start.

--- a/src/knapweeddrum/core/catalog/entry_judgement.py
+++ b/src/knapweeddrum/core/catalog/entry_judgement.py
@@ -21,7 +21,7 @@
     CARRIED_OUT_LATER = "carried_out_later"
     """It was carried out later than what was sent before can be."""
     UNTOLD_START = "untold_start"
-    """Entries don't tell their start, and it is not near the newest known."""
+    """Nothing tells that it is of the start that is known."""
     OLDER = "older"
     """It has a lower number than the newest known."""
     EARLIER_START = "earlier_start"
--- a/src/knapweeddrum/core/catalog/entry_order.py
+++ b/src/knapweeddrum/core/catalog/entry_order.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.core.catalog.entry_judgement import EntryJudgement, EntryRule
@@ -22,6 +23,9 @@
 More don't fit into the time for which an endpoint that leaves was silent.
 """
 
+EXTRA_OVERTAKEN_ENTRIES = 2
+"""Entries that an endpoint writes between its heartbeats while one of them is late."""
+
 DEFAULT_HEARTBEAT_SECONDS = 1.2
 """Interval at which endpoints write their entries."""
 
@@ -48,12 +52,17 @@
     have written again. An endpoint that was silent is removed by the store and may go
     on; one that leaves is removed at once, and what it sent before is never news.
     Nor is what an earlier start sent, once a later one is known.
-    Endpoints that don't tell their start can't be told apart from later starts, so that
-    their entries all count. Times are in monotonic seconds.
+    If an endpoint doesn't tell its start, entries of one address whose numbers are so
+    near that they can be late are taken for those of one. Times are in monotonic
+    seconds.
     """
 
     def __init__(self, heartbeat_interval: float = DEFAULT_HEARTBEAT_SECONDS) -> None:
         self._silence = SILENCE_INTERVALS * heartbeat_interval
+        self._max_overtaken = (
+            math.ceil(MAX_WRITE_DELAY_SECONDS / heartbeat_interval)
+            + EXTRA_OVERTAKEN_ENTRIES
+        )
         self._known: dict[str, _Known] = {}
         self._removed: dict[str, None] = {}
         """Ids of the endpoints that were removed, the oldest first."""
@@ -71,7 +80,7 @@
         if known is None:
             return EntryJudgement(EntryRule.FIRST)
         return EntryJudgement(
-            _rule(known, entry, carried_out_after),
+            self._rule(known, entry, carried_out_after),
             known.entry.number,
             known.entry.started_at_ms,
             now - known.changed_at,
@@ -120,27 +129,38 @@
             del self._removed[oldest]
             del self._known[oldest]
 
-
-def _rule(known: _Known, entry: EndpointEntry, carried_out_after: float) -> EntryRule:
-    if not _tell_starts(known.entry, entry):
-        return EntryRule.UNTOLD_START
-    if carried_out_after >= known.changed_at + MAX_WRITE_DELAY_SECONDS:
-        return EntryRule.CARRIED_OUT_LATER
-    if entry.started_at_ms > known.entry.started_at_ms:
-        return EntryRule.LATER_START
-    if entry.started_at_ms < known.entry.started_at_ms:
-        return EntryRule.EARLIER_START
-    if not known.is_removed:
-        is_older = entry.number < known.entry.number
-        return EntryRule.OLDER if is_older else EntryRule.NEXT
-    late_entries = MAX_LATE_ENTRIES if known.has_left else 0
-    if entry.number <= known.entry.number + late_entries:
-        return EntryRule.BEFORE_REMOVAL
-    return EntryRule.AFTER_LEAVING if known.has_left else EntryRule.AFTER_SILENCE
-
-
-def _tell_starts(first: EndpointEntry, second: EndpointEntry) -> bool:
-    return first.started_at_ms != 0 and second.started_at_ms != 0
+    def _rule(
+        self, known: _Known, entry: EndpointEntry, carried_out_after: float
+    ) -> EntryRule:
+        if carried_out_after >= known.changed_at + MAX_WRITE_DELAY_SECONDS:
+            return EntryRule.CARRIED_OUT_LATER
+        if self._may_be_untold_start(known.entry, entry):
+            return EntryRule.UNTOLD_START
+        if entry.started_at_ms > known.entry.started_at_ms:
+            return EntryRule.LATER_START
+        if entry.started_at_ms < known.entry.started_at_ms:
+            return EntryRule.EARLIER_START
+        if not known.is_removed:
+            is_older = entry.number < known.entry.number
+            return EntryRule.OLDER if is_older else EntryRule.NEXT
+        late_entries = MAX_LATE_ENTRIES if known.has_left else 0
+        if entry.number <= known.entry.number + late_entries:
+            return EntryRule.BEFORE_REMOVAL
+        return EntryRule.AFTER_LEAVING if known.has_left else EntryRule.AFTER_SILENCE
+
+    def _may_be_untold_start(self, known: EndpointEntry, entry: EndpointEntry) -> bool:
+        """Return whether nothing tells that two entries are of one start.
+
+        Without the time of the start it is their address, and numbers of which the
+        lower one can still be late, as each start counts anew.
+        """
+        if known.started_at_ms and entry.started_at_ms:
+            return False
+        if known.started_at_ms != entry.started_at_ms:
+            return True
+        if not known.number or not entry.number or known.address != entry.address:
+            return True
+        return entry.number < known.number - self._max_overtaken
 
 
 def _is_same_start(first: EndpointEntry, second: EndpointEntry) -> bool:
--- a/tests/process/entry/test_late_entries.py
+++ b/tests/process/entry/test_late_entries.py
@@ -63,6 +63,23 @@
         assert harness.events("entry_outdated")
 
 
+@async_test
+async def test_late_heartbeat_without_a_start_brings_a_removed_endpoint_no_requests():
+    """Endpoints that don't tell their start number their entries as well (DRAIN)."""
+    leaving, staying = service(1), service(2)
+    leaving.entries_tell_start = False
+    async with entry_harness(services=(leaving, staying)) as harness:
+        late = leaving.entry("stock")
+        write(harness, leaving)
+        await anyio.sleep(READ_SECONDS)
+        await remove(harness, leaving)
+        harness.store.put("keyed.servers", leaving.server_id, late)
+        await anyio.sleep(READ_SECONDS)
+        await call(harness, "after")
+        assert leaving.arrivals == 0
+        assert harness.events("entry_outdated")
+
+
 @async_test
 async def test_last_heartbeat_before_a_removal_brings_the_endpoint_no_requests():
     """Its number is above each that was read, and still it was sent before (DRAIN)."""
--- a/tests/standins/stamped_server.py
+++ b/tests/standins/stamped_server.py
@@ -90,6 +90,8 @@
         """Unix time of its start in milliseconds."""
         self.tells_start = True
         """Whether its reports name the time of its start."""
+        self.entries_tell_start = True
+        """Whether its entries do."""
         self.reports = 0
         """Reports that were asked for."""
         self.piece = b"piece"
@@ -114,6 +116,7 @@
     def entry(self, service: str, **changes: object) -> dict[str, object]:
         """Return the server's next entry in the list of a service's endpoints."""
         self.entries += 1
+        start = {"born": self.born} if self.entries_tell_start else {}
         return {
             "service": service,
             "address": self.address,
@@ -123,7 +126,7 @@
             "state": "ready",
             "coldRemainingMs": 0,
             "seq": self.entries,
-            "born": self.born,
+            **start,
             **changes,
         }
 
