Believe a removal that comes too soon to be for silence

Cause: a removal that is read in an outage, or within 1.7 s after it, was kept as a lapse, though an entry that was written within three heartbeat intervals can't have expired. The 1.7 s count from the store's return.

Evidence: endpoint_kept in the log, read_ms one to three seconds. The tests failed before: test_removal_too_soon_for_silence_counts_at_once_after_a_short_cut, test_removal_that_is_read_after_a_short_outage_ends_requests_at_once.

Why this works: the host knows a time before which the last entry was not carried out; from that to the read of the removal is the longest silence there can have been. Below 2.8 intervals the endpoint removed the entry itself.

--- a/src/knapweeddrum/core/catalog/entry_order.py
+++ b/src/knapweeddrum/core/catalog/entry_order.py
@@ -17,6 +17,12 @@
 The store waits for three, of which this host sees less, as it reads now and then.
 """
 
+MIN_EXPIRY_INTERVALS = 2.8
+"""Heartbeat intervals without an entry before which the store removes none.
+
+It waits for three, which endpoints keep to approximately.
+"""
+
 MAX_LATE_ENTRIES = 2
 """Entries that an endpoint has sent at most since the one that was read last.
 
@@ -39,6 +45,8 @@
     """The newest entry of the newest start."""
     changed_at: float
     """When the entry, or its removal, was read."""
+    carried_out_after: float
+    """Time before which the store had not carried out the entry."""
     is_removed: bool = False
     has_left: bool = False
     """Whether the endpoint removed the entry itself, as it leaves."""
@@ -59,6 +67,7 @@
 
     def __init__(self, heartbeat_interval: float = DEFAULT_HEARTBEAT_SECONDS) -> None:
         self._silence = SILENCE_INTERVALS * heartbeat_interval
+        self._min_expiry = MIN_EXPIRY_INTERVALS * heartbeat_interval
         self._max_overtaken = (
             math.ceil(MAX_WRITE_DELAY_SECONDS / heartbeat_interval)
             + EXTRA_OVERTAKEN_ENTRIES
@@ -99,11 +108,20 @@
             return entry.draining
         return entry.draining or known.entry.draining
 
-    def record_entry(self, entry: EndpointEntry, now: float) -> None:
+    def record_entry(
+        self, entry: EndpointEntry, now: float, carried_out_after: float
+    ) -> None:
         """Record an entry that is not outdated, read at ``now``."""
-        self._known[entry.endpoint_id] = _Known(entry, now)
+        self._known[entry.endpoint_id] = _Known(entry, now, carried_out_after)
         self._removed.pop(entry.endpoint_id, None)
 
+    def has_left(self, key: str, now: float) -> bool:
+        """Return whether a removal read at ``now`` is too soon to be for silence."""
+        known = self._known.get(key)
+        if known is None or known.is_removed:
+            return False
+        return now - known.carried_out_after < self._min_expiry
+
     def record_removal(self, key: str, now: float, carried_out_after: float) -> None:
         """Record that an entry was removed while the store worked, read at ``now``.
 
--- a/src/knapweeddrum/core/catalog/service_list.py
+++ b/src/knapweeddrum/core/catalog/service_list.py
@@ -41,8 +41,8 @@
     An entry that disappears during a store outage, or within ``lapse_grace`` seconds
     after it, counts as lapsed: it is kept until that time has passed, so that it can be
     renewed. At any other time it is removed at once, also after a cut of this host
-    alone: what endpoints wrote meanwhile tells a cut from an outage. Times are in
-    monotonic seconds.
+    alone: what endpoints wrote meanwhile tells a cut from an outage. So is an entry
+    that was written too lately to expire. Times are in monotonic seconds.
     """
 
     def __init__(
@@ -110,13 +110,10 @@
 
     def apply_removal(self, key: str, offset: int, now: float) -> bool:
         """Apply the removal of an entry; return whether the list dropped it at once."""
-        if not self._is_newer(key, offset):
-            return False
-        if key in self._entries and self._is_in_grace_period(now):
-            self._keep_lapsed(key, now)
-            return False
-        self._order.record_removal(key, now, self._carried_out_after)
-        return self._remove(key)
+        if self._order.has_left(key, now) and self._is_newer(key, offset):
+            self._order.record_removal(key, now, self._carried_out_after)
+            return self._remove(key)
+        return self._apply_unexplained_removal(key, offset, now)
 
     def apply_past_removal(self, key: str, offset: int, now: float) -> bool:
         """Apply a removal from before a listing; return whether the entry was dropped.
@@ -135,7 +132,7 @@
     def apply_listing(self, keys: set[str], end: int, now: float) -> None:
         """Apply a complete listing that ends at offset ``end``."""
         for key in sorted(set(self._entries) - keys):
-            self.apply_removal(key, end, now)
+            self._apply_unexplained_removal(key, end, now)
 
     def expire(self, now: float) -> tuple[str, ...]:
         """Remove and return the lapsed entries that were not renewed in time."""
@@ -198,10 +195,20 @@
             return EntryOutcome.OUTDATED
         if self._order.is_draining(entry):
             entry = dataclasses.replace(entry, draining=True)
-        self._order.record_entry(entry, now)
+        self._order.record_entry(entry, now, carried_out_after)
         self._record_write(key)
         return _outcome(self._put(key, entry))
 
+    def _apply_unexplained_removal(self, key: str, offset: int, now: float) -> bool:
+        """Apply a removal that may be for silence; return whether it counts at once."""
+        if not self._is_newer(key, offset):
+            return False
+        if key in self._entries and self._is_in_grace_period(now):
+            self._keep_lapsed(key, now)
+            return False
+        self._order.record_removal(key, now, self._carried_out_after)
+        return self._remove(key)
+
     def _keep_lapsed(self, key: str, now: float) -> None:
         self._lapsed.add(key)
         self._lapsed_since_loss.add(key)
--- a/tests/core/catalog/test_entry_order.py
+++ b/tests/core/catalog/test_entry_order.py
@@ -15,7 +15,7 @@
 def known_order(*, removed_at: float | None = None) -> EntryOrder:
     """Return the order after the entry was read at 10, asked for at 9.5."""
     order = EntryOrder(INTERVAL)
-    order.record_entry(NEWEST, 10.0)
+    order.record_entry(NEWEST, 10.0, 9.5)
     if removed_at is not None:
         order.record_removal("e1", removed_at, removed_at - 0.5)
     return order
--- a/tests/core/catalog/test_service_list.py
+++ b/tests/core/catalog/test_service_list.py
@@ -3,6 +3,10 @@
 import dataclasses
 
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
+from knapweeddrum.core.catalog.entry_order import (
+    DEFAULT_HEARTBEAT_SECONDS,
+    MIN_EXPIRY_INTERVALS,
+)
 from knapweeddrum.core.catalog.entry_outcome import EntryOutcome
 from knapweeddrum.core.catalog.service_list import (
     LAPSED_ENTRY_GRACE_SECONDS,
@@ -11,6 +15,8 @@
     lapse_grace,
 )
 
+MIN_EXPIRY_SECONDS = MIN_EXPIRY_INTERVALS * DEFAULT_HEARTBEAT_SECONDS
+
 
 def entry(name: str, **changes) -> EndpointEntry:
     values = {
@@ -95,6 +101,39 @@
     assert usable(listed) == ["e1", "e2"]
 
 
+def list_read_before_a_cut() -> ServiceList:
+    """Return a list of e1, last read at 10.0, at a host that can't reach the store."""
+    listed = ServiceList()
+    listed.record_read(9.0)
+    listed.apply_entry("e1", 0, entry("e1", started_at_ms=1, number=4), 9.5)
+    listed.record_read(9.9)
+    listed.store_lost()
+    return listed
+
+
+def test_removal_too_soon_for_silence_counts_at_once_after_a_short_cut():
+    """An endpoint that left got requests for as long as a lapsed entry (DRAIN)."""
+    listed = list_read_before_a_cut()
+    assert listed.apply_removal("e1", 1, now=9.0 + MIN_EXPIRY_SECONDS - 0.1)
+    late = entry("e1", started_at_ms=1, number=5)
+    assert listed.apply_entry("e1", 2, late, 13.0) is EntryOutcome.OUTDATED
+    assert usable(listed) == []
+
+
+def test_removal_that_may_be_for_silence_is_kept_after_a_short_cut():
+    """The endpoint may have been cut off from the store as this host was."""
+    listed = list_read_before_a_cut()
+    assert not listed.apply_removal("e1", 1, now=9.0 + MIN_EXPIRY_SECONDS + 0.1)
+    assert usable(listed) == ["e1"]
+
+
+def test_entry_that_a_store_from_an_older_copy_lacks_is_kept():
+    """That it is not listed tells neither when nor why it was removed."""
+    listed = list_read_before_a_cut()
+    listed.apply_listing(set(), end=1, now=10.5)
+    assert usable(listed) == ["e1"]
+
+
 def test_late_writes_of_a_lapsed_endpoint_end_no_grace_of_others():
     """At its return the store carries out what was sent before and in the outage."""
     listed = lost_list()
--- a/tests/process/entry/test_late_entries.py
+++ b/tests/process/entry/test_late_entries.py
@@ -214,3 +214,24 @@
         await call(harness, "after")
         assert leaving.arrivals == 0
         assert harness.events("entry_outdated")
+
+
+@async_test
+async def test_removal_that_is_read_after_a_short_outage_ends_requests_at_once():
+    """The entry can't have expired so soon, so that the endpoint has left (DRAIN)."""
+    leaving, staying = service(1), service(2)
+    async with entry_harness(services=(leaving, staying)) as harness:
+        write(harness, leaving)
+        await anyio.sleep(READ_SECONDS)
+        write(harness, leaving)
+        await anyio.sleep(READ_SECONDS / 2)
+        harness.store.busy = True
+        await harness.wait_for_event("waiting")
+        harness.store.drop("keyed.servers", leaving.server_id)
+        harness.store.busy = False
+        with anyio.fail_after(READ_SECONDS):
+            (unlisted,) = await harness.wait_for_event("endpoint_unlisted")
+        assert unlisted["lapsed"] is False
+        arrivals = leaving.arrivals
+        await call(harness, "after")
+        assert leaving.arrivals == arrivals
