Close connections to the store that may be as silent as one without an answer

Cause: a call without an answer closed its own connection only; the next try took another idle one, as old and as silent, and waited in vain again.

Why this works: after a call without an answer, idle connections on which nothing came since the answer was due are closed, and the next call opens a new one, which works.

New connections are opened only after such a call.

--- a/src/knapweeddrum/http/connection_pool.py
+++ b/src/knapweeddrum/http/connection_pool.py
@@ -126,6 +126,18 @@
         for key, conn in self._take_idle(matches):
             await self._close(key, conn)
 
+    async def close_silent(self, key: str, since: float) -> None:
+        """Close the idle connections of a server on which nothing came since a time.
+
+        After a call without an answer they may be as silent as its connection was.
+        ``since`` is in monotonic seconds.
+        """
+
+        def is_silent(found: str, conn: ClientConnection) -> bool:
+            return found == key and conn.received_at < since
+
+        await self.close_idle(is_silent)
+
     def _take_idle(self, matches: Matcher) -> list[tuple[str, ClientConnection]]:
         """Remove idle connections and return them, with their keys.
 
--- a/src/knapweeddrum/platform/store_client.py
+++ b/src/knapweeddrum/platform/store_client.py
@@ -4,6 +4,7 @@
 
 import base64
 import dataclasses
+import time
 import urllib.parse
 from collections.abc import Callable, Sequence
 
@@ -224,6 +225,7 @@
     ) -> _Reply:
         """Make one call; raises NotSentError, NoReplyError and EraDoubtError."""
         outcome = "no_reply"
+        due_at = time.monotonic() + wait
         lease = self._pool.lease(
             self.address, self.address, MAX_CONNECTIONS, CONNECT_TIMEOUT_SECONDS
         )
@@ -241,6 +243,7 @@
             outcome = "not_sent"
             raise
         except TimeoutError as exc:
+            await self._pool.close_silent(self.address, due_at)
             raise NoReplyError(f"{self.address}: no reply in time") from exc
         finally:
             self._on_call(kind, outcome)
--- a/tests/http/test_connection_pool.py
+++ b/tests/http/test_connection_pool.py
@@ -19,6 +19,7 @@
     def __init__(self) -> None:
         self.usable = True
         self.closed = False
+        self.received_at = time.monotonic()
 
     def is_usable(self, now: float) -> bool:
         return self.usable
@@ -80,3 +81,18 @@
     assert len(set(leased)) == len(leased) == 2
     assert wanted in leased
     assert not wanted.closed
+
+
+@async_test
+async def test_connections_as_silent_as_a_failed_one_are_not_offered_again():
+    """The next call would wait in vain as well, until none is left (CONFIG, DRAIN)."""
+    pool = ConnectionPool(lambda _: None)
+    silent, heard = await idle_connections(pool, "a", 2)
+    (other,) = await idle_connections(pool, "b", 1)
+    called_at = time.monotonic()
+    heard.received_at = called_at + 0.1
+    await pool.close_silent("a", called_at)
+    assert silent.closed
+    assert await pool.acquire("a", LIMIT, connect) is heard
+    assert await pool.acquire("a", LIMIT, connect) is not silent
+    assert await pool.acquire("b", LIMIT, connect) is other
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -103,6 +103,12 @@
         self.rewritten_after = 0.0
         """Seconds from a return until operator and endpoints have written again."""
         self._away = False
+        self._open: set[ServerConnection] = set()
+        self._silent: set[ServerConnection] = set()
+
+    def silence_open_connections(self) -> None:
+        """Answer nothing any more on the connections that are open now."""
+        self._silent |= self._open
 
     async def return_from_copy(self, age: float, away: float) -> None:
         """Be away for some seconds and come back from a copy ``age`` seconds old."""
@@ -141,9 +147,11 @@
 
     async def _connection(self, stream: anyio.abc.SocketStream) -> None:
         conn = ServerConnection(stream, 16_384)
+        self._open.add(conn)
         with contextlib.suppress(PeerDisconnectedError, MalformedRequestError):
             while await self._serve_next(conn):
                 pass
+        self._open.discard(conn)
         await conn.abort()
 
     async def _serve_next(self, conn: ServerConnection) -> bool:
@@ -221,6 +229,8 @@
         await self._reply(conn, 200, json.dumps(reply).encode())
 
     async def _reply(self, conn: ServerConnection, status: int, body: bytes) -> None:
+        if conn in self._silent:
+            await anyio.sleep_forever()
         headers = [] if self.era is None else [(ERA_HEADER, str(self.era).encode())]
         await conn.send_reply(status, headers, body)
 
