Close connections to a host that may be as silent as one without an answer

What callers would see: after the connections between hosts went silent, each kept connection to a host costs one question and 2 s in which it counts as unresponsive: no loans and releases of tokens for as long.

Why this works: after a question that is not answered in time, idle connections to the host on which nothing came since are closed; the next question opens a new one, which works if the host does.

--- a/src/knapweeddrum/process/entry/peer_client.py
+++ b/src/knapweeddrum/process/entry/peer_client.py
@@ -98,6 +98,8 @@
             return decode_json(answer, reply_type)
         except (ExchangeError, TimeoutError, MalformedDocumentError) as exc:
             self._record_failure(address, timeout, asked_at)
+            if isinstance(exc, TimeoutError):
+                await self._ctx.pool.close_silent(address, asked_at)
             ended = await _nobody_listens(address, exc, give_up_at)
             if ended:
                 now = time.monotonic()
--- a/tests/process/entry/test_peer_client.py
+++ b/tests/process/entry/test_peer_client.py
@@ -24,6 +24,7 @@
 QUESTION = TokenUnlockRequest("host-0/1", "host-1/1", [])
 MARGIN_SECONDS = 0.1
 """Time by which a question may exceed its time limit on a busy machine."""
+KEPT_CONNECTIONS = 3
 LOSSES = (Loss.RESET, Loss.CLOSED)
 
 
@@ -71,6 +72,31 @@
         return peers.has_ended(peer.address)
 
 
+@async_test
+async def test_host_answers_the_next_question_after_its_connections_went_silent():
+    """Each kept connection made it count as unresponsive for 2 s more."""
+    store = cast("DistantStore", DistantStore(SharedStream(), 0.0))
+    ctx = make_context(0, ClaimRacePlan(hosts=2), store)
+    peers = PeerClient(ctx)
+    replies: list[TokenUnlockReply | None] = []
+    async with lost_peer(Loss.SILENT, Address.ACCEPTS) as peer:
+
+        async def ask() -> None:
+            replies.append(
+                await peers.post(peer.address, b"/", QUESTION, TokenUnlockReply)
+            )
+
+        async with anyio.create_task_group() as tasks:
+            for _ in range(KEPT_CONNECTIONS):
+                tasks.start_soon(ask)
+        assert None not in replies
+        await ask()
+        assert replies[-1] is None
+        await ask()
+        assert replies[-1] is not None
+        await ctx.pool.close()
+
+
 @async_test
 async def test_host_is_asked_again_soon_if_its_answer_was_lost_in_a_full_link():
     """One answer that this host's own link delayed would hide it for 2 s."""
