--- a/tests/process/entry/test_late_entries.py
+++ b/tests/process/entry/test_late_entries.py
@@ -17,6 +17,7 @@
 from tests.standins.stamped_server import StampedServer
 
 CALLS = 6
+POLL_SECONDS = 0.02
 READ_SECONDS = 1.2
 """Time within which a host has read what was written; it reads every 0.5 s."""
 SILENT_SECONDS = 3 * DEFAULT_HEARTBEAT_SECONDS
@@ -47,6 +48,15 @@
     await harness.wait_for_event("endpoint_unlisted", count + 1)
 
 
+async def lose_store(harness: EntryHarness) -> None:
+    """Refuse all calls, until the host knows that it can't read the service list."""
+    harness.store.busy = True
+    lost: set[object] = set()
+    while "keyed.servers" not in lost:
+        await anyio.sleep(POLL_SECONDS)
+        lost = {line["dependency"] for line in harness.events("waiting")}
+
+
 @async_test
 async def test_late_heartbeat_of_an_endpoint_that_left_brings_it_no_requests():
     """The store carried out a heartbeat from before the removal after it (DRAIN)."""
@@ -203,8 +213,7 @@
         late = leaving.entry("stock")
         write(harness, leaving)
         await anyio.sleep(READ_SECONDS)
-        harness.store.busy = True
-        await harness.wait_for_event("waiting")
+        await lose_store(harness)
         harness.store.drop("keyed.servers", leaving.server_id)
         harness.store.put("keyed.servers", leaving.server_id, late)
         harness.store.drop("keyed.servers", staying.server_id)
@@ -225,8 +234,7 @@
         await anyio.sleep(READ_SECONDS)
         write(harness, leaving)
         await anyio.sleep(READ_SECONDS / 2)
-        harness.store.busy = True
-        await harness.wait_for_event("waiting")
+        await lose_store(harness)
         harness.store.drop("keyed.servers", leaving.server_id)
         harness.store.busy = False
         with anyio.fail_after(READ_SECONDS):
