--- a/src/knapweeddrum/core/catalog/service_list.py
+++ b/src/knapweeddrum/core/catalog/service_list.py
@@ -110,10 +110,12 @@
 
     def apply_removal(self, key: str, offset: int, now: float) -> bool:
         """Apply the removal of an entry; return whether the list dropped it at once."""
-        if self._order.has_left(key, now) and self._is_newer(key, offset):
-            self._order.record_removal(key, now, self._carried_out_after)
-            return self._remove(key)
-        return self._apply_unexplained_removal(key, offset, now)
+        if not self._is_newer(key, offset):
+            return False
+        if not self._order.has_left(key, now) and self._keep_if_lapsed(key, now):
+            return False
+        self._order.record_removal(key, now, self._carried_out_after)
+        return self._remove(key)
 
     def apply_past_removal(self, key: str, offset: int, now: float) -> bool:
         """Apply a removal from before a listing; return whether the entry was dropped.
@@ -123,8 +125,7 @@
         if not self._is_newer(key, offset):
             return False
         has_been_read = self._carried_out_after > NEVER
-        if has_been_read and key in self._entries and self._is_in_grace_period(now):
-            self._keep_lapsed(key, now)
+        if has_been_read and self._keep_if_lapsed(key, now):
             return False
         self._order.record_lapse(key, now)
         return self._remove(key)
@@ -132,7 +133,9 @@
     def apply_listing(self, keys: set[str], end: int, now: float) -> None:
         """Apply a complete listing that ends at offset ``end``."""
         for key in sorted(set(self._entries) - keys):
-            self._apply_unexplained_removal(key, end, now)
+            if self._is_newer(key, end) and not self._keep_if_lapsed(key, now):
+                self._order.record_removal(key, now, self._carried_out_after)
+                self._remove(key)
 
     def expire(self, now: float) -> tuple[str, ...]:
         """Remove and return the lapsed entries that were not renewed in time."""
@@ -199,20 +202,14 @@
         self._record_write(key)
         return _outcome(self._put(key, entry))
 
-    def _apply_unexplained_removal(self, key: str, offset: int, now: float) -> bool:
-        """Apply a removal that may be for silence; return whether it counts at once."""
-        if not self._is_newer(key, offset):
+    def _keep_if_lapsed(self, key: str, now: float) -> bool:
+        """Keep a removed entry that may have expired in an outage; return if so."""
+        if key not in self._entries or not self._is_in_grace_period(now):
             return False
-        if key in self._entries and self._is_in_grace_period(now):
-            self._keep_lapsed(key, now)
-            return False
-        self._order.record_removal(key, now, self._carried_out_after)
-        return self._remove(key)
-
-    def _keep_lapsed(self, key: str, now: float) -> None:
         self._lapsed.add(key)
         self._lapsed_since_loss.add(key)
         self._order.record_lapse(key, now)
+        return True
 
     def _record_write(self, key: str) -> None:
         self._lapsed.discard(key)
