--- a/src/knapweeddrum/process/entry/service_list_log.py
+++ b/src/knapweeddrum/process/entry/service_list_log.py
@@ -5,13 +5,13 @@
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.core.catalog.service_list import ServiceList
 from knapweeddrum.platform.keyed_record import KeyedRecord
-from knapweeddrum.telemetry.entry_events import (
+from knapweeddrum.telemetry.event_log import EventLog
+from knapweeddrum.telemetry.service_list_events import (
     ENDPOINT_KEPT,
     ENDPOINT_LISTED,
     ENDPOINT_UNLISTED,
     ENTRY_OUTDATED,
 )
-from knapweeddrum.telemetry.event_log import EventLog
 from knapweeddrum.value.store_position import offset_of
 
 
--- a/src/knapweeddrum/telemetry/events.py
+++ b/src/knapweeddrum/telemetry/events.py
@@ -2,7 +2,7 @@
 
 Numbers: 1xx all processes, 2xx router, 3xx keeper, 4xx control process, 5xx
 command-line client (none so far). Those of the entry process, 6xx, stand in
-``entry_events``.
+``entry_events`` and ``service_list_events``.
 """
 
 from __future__ import annotations
--- a/tests/telemetry/test_events_page.py
+++ b/tests/telemetry/test_events_page.py
@@ -5,17 +5,18 @@
 import re
 
 from knapweeddrum import telemetry
-from knapweeddrum.telemetry import entry_events, events
+from knapweeddrum.telemetry import entry_events, events, service_list_events
 from knapweeddrum.telemetry.event import Event
 from tests.telemetry.catalogue import table_rows
 
 SOURCES = pathlib.Path(telemetry.__file__).parent.parent
-CATALOGUE = tuple(pathlib.Path(str(m.__file__)) for m in (events, entry_events))
+MODULES = (events, entry_events, service_list_events)
+CATALOGUE = tuple(pathlib.Path(str(module.__file__)) for module in MODULES)
 
 
 def declared() -> dict[str, Event]:
     """Return the events of the catalogue by the names of their constants."""
-    members = [*vars(events).items(), *vars(entry_events).items()]
+    members = [member for module in MODULES for member in vars(module).items()]
     return {name: item for name, item in members if isinstance(item, Event)}
 
 
