--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -32,7 +32,7 @@
     limit_silence,
     reset_on_close,
 )
-from knapweeddrum.http.socket_writing import write_slices
+from knapweeddrum.http.socket_writing import SENT, write_slices
 from knapweeddrum.http.tunnel_stream import TunnelCutError, TunnelStream
 from knapweeddrum.value.whole_number import parse_whole_number
 
@@ -84,6 +84,7 @@
         self.idle_since = self.opened_at
         self.received_at = self.opened_at
         """Time at which anything was received last."""
+        self.received_bytes = 0
         self.via = ""
         """Name of the host through which the connection leads, empty for none."""
         self._poller = select.poll()
@@ -287,6 +288,7 @@
     async def _write(self, parts: list[bytes]) -> None:
         try:
             for data in write_slices(parts):
+                SENT["client"] += len(data)
                 await self._stream.send(data)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
             raise NoReplyError(f"sending failed: {exc!r}") from exc
@@ -352,6 +354,7 @@
                 raise PathCutError("given up, as the path is silent") from exc
             raise NoReplyError(f"connection lost: {exc!r}") from exc
         self.received_at = time.monotonic()
+        self.received_bytes += len(data)
         self._on_receive(len(data))
         return data
 
--- a/src/knapweeddrum/http/connection_pool.py
+++ b/src/knapweeddrum/http/connection_pool.py
@@ -25,20 +25,14 @@
 
     Connections are grouped by a key. An endpoint's key changes when it restarts, so
     that no request is sent on a connection to its earlier process. ``on_connect`` is
-    called with the key of each new connection, ``on_receive`` with the number of bytes
-    of each receive.
+    called with the key of each new connection.
     """
 
-    def __init__(
-        self,
-        on_connect: Callable[[str], None],
-        on_receive: Callable[[int], None] = lambda _: None,
-    ) -> None:
+    def __init__(self, on_connect: Callable[[str], None]) -> None:
         self._idle: dict[str, list[ClientConnection]] = {}
         self._open_counts: dict[str, int] = {}
         self._leased: dict[str, set[ClientConnection]] = {}
         self._on_connect = on_connect
-        self._on_receive = on_receive
         self.max_open: int | None = None
         """Connections to all servers together, None for no limit."""
         self.reserved = 0
@@ -78,15 +72,21 @@
 
     @contextlib.asynccontextmanager
     async def lease(
-        self, key: str, address: str, limit: int, timeout: float
+        self,
+        key: str,
+        address: str,
+        limit: int,
+        timeout: float,
+        on_receive: Callable[[int], None] = lambda _: None,
     ) -> AsyncIterator[ClientConnection]:
         """Acquire a connection to ``IP:port``, and release it on leaving the context.
 
-        Raises NotSentError if connecting takes more than ``timeout`` seconds.
+        ``on_receive`` is told the number of bytes of each receive on a new one. Raises
+        NotSentError if connecting takes more than ``timeout`` seconds.
         """
 
         async def connect() -> ClientConnection:
-            return await ClientConnection.connect(address, timeout, self._on_receive)
+            return await ClientConnection.connect(address, timeout, on_receive)
 
         conn = await self.acquire(key, limit, connect)
         try:
--- a/src/knapweeddrum/platform/store_client.py
+++ b/src/knapweeddrum/platform/store_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import contextlib
 import dataclasses
 import time
 import urllib.parse
@@ -26,6 +27,7 @@
 )
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.record_codec import decode_page, encode_records
+from knapweeddrum.platform.store_call import StoreCall
 from knapweeddrum.platform.store_era import StoreEra
 from knapweeddrum.platform.store_listing import StoreListing
 from knapweeddrum.platform.store_page import StorePage
@@ -80,6 +82,18 @@
     first: Offset
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Question:
+    """What a call asks; the answer may be ``wait`` seconds late by its own wish."""
+
+    kind: str
+    stream: str
+    method: bytes
+    target: bytes
+    body: bytes = b""
+    wait: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Reply:
     status: int
@@ -87,24 +101,50 @@
     era: int
 
 
+class _Progress:
+    """How far a call got; ``began_at`` is in monotonic seconds."""
+
+    def __init__(self, began_at: float) -> None:
+        self.began_at = began_at
+        self.on_new_connection = True
+        self._conn: ClientConnection | None = None
+        self._received_before = 0
+
+    def start(self, conn: ClientConnection) -> None:
+        """Count what comes in on a connection from now on."""
+        self._conn = conn
+        self._received_before = conn.received_bytes
+        self.on_new_connection = not conn.used
+
+    @property
+    def received(self) -> int:
+        """Bytes of the answer that have come in."""
+        if self._conn is None:
+            return 0
+        return self._conn.received_bytes - self._received_before
+
+
 class StoreClient:
     """Appends to and reads from keyed streams; it never retries a call.
 
     Offsets are given and returned as positions, which tell the era of the store too.
-    ``on_call`` is called after each call with its kind (``append``, ``read`` or
-    ``newest``) and outcome: the reply's status, ``not_sent``, ``no_reply`` or
-    ``era_doubt``.
+    ``on_receive`` is told the number of bytes of each receive.
     """
 
     def __init__(
-        self, address: str, pool: ConnectionPool, on_call: Callable[[str, str], None]
+        self,
+        address: str,
+        pool: ConnectionPool,
+        on_receive: Callable[[int], None] = lambda _: None,
     ) -> None:
         self.address = address
         self.era = StoreEra()
         self.on_era_doubt: Callable[[str], None] = _ignore_doubt
         """Called with the reason when an answer is not believed."""
+        self.on_call: Callable[[StoreCall], None] = lambda _: None
+        """Called with each call that has ended."""
         self._pool = pool
-        self._on_call = on_call
+        self._on_receive = on_receive
 
     async def append(
         self,
@@ -127,7 +167,7 @@
         target = _target("/-/log-append", query)
         try:
             reply = await self._call(
-                "append", b"POST", target, encode_records(records), 0.0
+                _Question("append", stream, b"POST", target, encode_records(records))
             )
         except NotSentError as exc:
             raise LogUnavailableError(str(exc)) from exc
@@ -161,7 +201,10 @@
             "maxKb": REQUESTED_PAGE_KB,
             "waitMs": int(wait * 1000),
         }
-        reply = await self._read_call("read", "/-/log-read", query, wait)
+        target = _target("/-/log-read", query)
+        reply = await self._read_call(
+            _Question("read", stream, b"GET", target, wait=wait)
+        )
         if not _is_of_era(start, reply.era):
             raise StoreReturnedError(reply.era)
         try:
@@ -203,7 +246,8 @@
         query: dict[str, object] = {"topic": stream, "part": PARTITION}
         if after:
             query["after"] = after
-        reply = await self._read_call("newest", "/-/log-newest", query, 0.0)
+        target = _target("/-/log-newest", query)
+        reply = await self._read_call(_Question("newest", stream, b"GET", target))
         if reply.status != OK:
             raise LogUnavailableError(f"listing answered with status {reply.status}")
         try:
@@ -212,52 +256,79 @@
             raise LogUnavailableError(f"malformed listing: {exc}") from exc
         return _ListingPage(listing, reply.era)
 
-    async def _read_call(
-        self, kind: str, path: str, query: dict[str, object], wait: float
-    ) -> _Reply:
+    async def _read_call(self, question: _Question) -> _Reply:
         try:
-            return await self._call(kind, b"GET", _target(path, query), b"", wait)
+            return await self._call(question)
         except (ExchangeError, EraDoubtError) as exc:
             raise LogUnavailableError(str(exc)) from exc
 
-    async def _call(
-        self, kind: str, method: bytes, target: bytes, body: bytes, wait: float
-    ) -> _Reply:
+    async def _call(self, question: _Question) -> _Reply:
         """Make one call; raises NotSentError, NoReplyError and EraDoubtError."""
-        outcome = "no_reply"
-        due_at = time.monotonic() + wait
-        lease = self._pool.lease(
-            self.address, self.address, MAX_CONNECTIONS, CONNECT_TIMEOUT_SECONDS
-        )
+        progress = _Progress(time.monotonic())
         try:
-            with anyio.fail_after(CALL_TIMEOUT_SECONDS + wait):
-                async with lease as conn:
-                    reply = await self._exchange(conn, method, target, body)
-                    outcome = str(reply.status)
-                    return reply
+            reply = await self._answer(question, progress)
         except EraDoubtError as exc:
-            outcome = "era_doubt"
+            self._report(question, progress, "era_doubt", exc)
             self.on_era_doubt(str(exc))
             raise
-        except NotSentError:
-            outcome = "not_sent"
+        except NotSentError as exc:
+            self._report(question, progress, "not_sent", exc)
+            raise
+        except NoReplyError as exc:
+            self._report(question, progress, "no_reply", exc)
             raise
+        self._report(question, progress, str(reply.status))
+        return reply
+
+    async def _answer(self, question: _Question, progress: _Progress) -> _Reply:
+        due_at = progress.began_at + question.wait
+        try:
+            with anyio.fail_after(CALL_TIMEOUT_SECONDS + question.wait):
+                async with self._lease() as conn:
+                    progress.start(conn)
+                    return await self._exchange(conn, question)
         except TimeoutError as exc:
             await self._pool.close_silent(self.address, due_at)
             raise NoReplyError(f"{self.address}: no reply in time") from exc
-        finally:
-            self._on_call(kind, outcome)
 
-    async def _exchange(
-        self, conn: ClientConnection, method: bytes, target: bytes, body: bytes
-    ) -> _Reply:
+    def _lease(self) -> contextlib.AbstractAsyncContextManager[ClientConnection]:
+        return self._pool.lease(
+            self.address,
+            self.address,
+            MAX_CONNECTIONS,
+            CONNECT_TIMEOUT_SECONDS,
+            self._on_receive,
+        )
+
+    async def _exchange(self, conn: ClientConnection, question: _Question) -> _Reply:
         headers: list[Header] = [(b"Host", self.address.encode())]
-        if method == b"POST":
-            headers.append((b"Content-Length", str(len(body)).encode()))
-        async with conn.exchange(method, target, headers, body) as head:
+        if question.method == b"POST":
+            headers.append((b"Content-Length", str(len(question.body)).encode()))
+        async with conn.exchange(
+            question.method, question.target, headers, question.body
+        ) as head:
             reply = await conn.read_body(MAX_PAGE_BYTES)
             return _Reply(head.status, reply, self.era.accept(head.headers))
 
+    def _report(
+        self,
+        question: _Question,
+        progress: _Progress,
+        outcome: str,
+        exc: Exception | None = None,
+    ) -> None:
+        self.on_call(
+            StoreCall(
+                question.kind,
+                question.stream,
+                outcome,
+                "" if exc is None else str(exc),
+                time.monotonic() - progress.began_at,
+                progress.received,
+                progress.on_new_connection,
+            )
+        )
+
 
 def _target(path: str, query: dict[str, object]) -> bytes:
     return f"{path}?{urllib.parse.urlencode(query)}".encode()
--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -35,6 +35,7 @@
 from knapweeddrum.process.router.problem import STATUS_BY_REASON, Problem
 from knapweeddrum.telemetry.entry_events import REQUEST_REFUSED
 from knapweeddrum.telemetry.events import TASK_FAILED
+from knapweeddrum.value.link_source import LinkSource
 from knapweeddrum.value.refusal import Refusal
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.run_state import RunState
@@ -67,7 +68,7 @@
             stream,
             self._limits.max_header_bytes,
             self._is_closing,
-            ctx.link_load.receive,
+            ctx.receiver(LinkSource.CALLERS),
             room,
         )
         self._admission = RequestAdmission(ctx)
--- a/src/knapweeddrum/process/entry/entry_context.py
+++ b/src/knapweeddrum/process/entry/entry_context.py
@@ -6,7 +6,7 @@
 import itertools
 import random
 import time
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import anyio
 from anyio.streams.memory import MemoryObjectSendStream
@@ -24,6 +24,7 @@
 from knapweeddrum.core.directory.host_standing import HostStanding
 from knapweeddrum.core.directory.peer_contacts import PeerContacts
 from knapweeddrum.core.load.link_load import LinkLoad
+from knapweeddrum.core.load.link_sources import LinkSources
 from knapweeddrum.core.load.loop_lag import LoopLag
 from knapweeddrum.core.load.request_rate import RequestRate
 from knapweeddrum.core.placing.endpoint_limits import EndpointLimits
@@ -73,6 +74,7 @@
 from knapweeddrum.telemetry.metrics import Metrics
 from knapweeddrum.value.host_record import HostRecord
 from knapweeddrum.value.identifiers import EndpointName
+from knapweeddrum.value.link_source import LinkSource
 from knapweeddrum.value.store_position import offset_of
 
 MAX_LOGGED_ERROR_CHARS = 300
@@ -162,12 +164,17 @@
     loans: LoanLedger = dataclasses.field(default_factory=LoanLedger)
     loop_lag: LoopLag = dataclasses.field(default_factory=LoopLag)
     link_load: LinkLoad = dataclasses.field(default_factory=LinkLoad)
+    link_sources: LinkSources = dataclasses.field(default_factory=LinkSources)
     connections: ClientConnections = dataclasses.field(
         default_factory=lambda: ClientConnections(DEFAULT_HOST_LIMITS)
     )
     claim_meter: ProcessorMeter = dataclasses.field(default_factory=ProcessorMeter)
     """Processor time that deciding on claims and applying them takes."""
 
+    def receiver(self, source: LinkSource) -> Callable[[int], None]:
+        """Return what is to be told the size of each receive from a source."""
+        return self.link_sources.receiver(source, self.link_load)
+
     def store_age(self, now: float) -> float:
         """Return the seconds since the store last answered a read."""
         reads = (
@@ -362,6 +369,10 @@
             "loop_lag_seconds": self.loop_lag.recent(now),
             "link_use": self.link_load.use(now),
             "link_behind_seconds": self.link_load.level(now),
+            **{
+                f"link_bytes_{source}": float(total)
+                for source, total in self.link_sources.totals.items()
+            },
             "processor_seconds": time.process_time(),
             "claims_processor_seconds": self.claim_meter.seconds,
         }
--- a/src/knapweeddrum/process/entry/page_server.py
+++ b/src/knapweeddrum/process/entry/page_server.py
@@ -22,6 +22,7 @@
 from knapweeddrum.telemetry.entry_events import MESSAGE_REJECTED
 from knapweeddrum.telemetry.events import TASK_FAILED
 from knapweeddrum.value.documents import MalformedDocumentError
+from knapweeddrum.value.link_source import LinkSource
 
 MAX_HEAD_BYTES = 8192
 IDLE_TIMEOUT_SECONDS = 15.0
@@ -73,7 +74,7 @@
         conn = ServerConnection(
             stream,
             MAX_HEAD_BYTES,
-            on_receive=self._ctx.link_load.receive,
+            on_receive=self._ctx.receiver(LinkSource.HOSTS),
             room=room,
         )
         try:
--- a/src/knapweeddrum/process/entry/path_connector.py
+++ b/src/knapweeddrum/process/entry/path_connector.py
@@ -19,6 +19,7 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import connect_counter
 from knapweeddrum.telemetry.entry_events import ENDPOINT_REACHED, ENDPOINT_UNREACHED
+from knapweeddrum.value.link_source import LinkSource
 from knapweeddrum.value.probe_result import ProbeResult
 
 
@@ -31,7 +32,7 @@
     def __init__(self, ctx: EntryContext, tunnels: EndpointConnector) -> None:
         self._ctx = ctx
         self._tunnels = tunnels
-        self._direct = DirectConnector(ctx.link_load.receive)
+        self._direct = DirectConnector(ctx.receiver(LinkSource.ENDPOINTS))
         self.changed = anyio.Event()
         """Set and replaced when an endpoint or a path came in or out of reach."""
 
--- a/src/knapweeddrum/process/entry/peer_client.py
+++ b/src/knapweeddrum/process/entry/peer_client.py
@@ -19,6 +19,7 @@
 from knapweeddrum.telemetry import counters
 from knapweeddrum.telemetry.entry_events import HOST_UNANSWERED
 from knapweeddrum.value.documents import MalformedDocumentError, decode_json
+from knapweeddrum.value.link_source import LinkSource
 
 PEER_REQUEST_TIMEOUT_SECONDS = 0.15
 """Default time limit of a request to another host, from connect to reply."""
@@ -83,7 +84,11 @@
             (b"Content-Length", str(len(body)).encode()),
         ]
         lease = self._ctx.pool.lease(
-            address, address, MAX_PEER_CONNECTIONS, PEER_CONNECT_TIMEOUT_SECONDS
+            address,
+            address,
+            MAX_PEER_CONNECTIONS,
+            PEER_CONNECT_TIMEOUT_SECONDS,
+            self._ctx.receiver(LinkSource.HOSTS),
         )
         try:
             with anyio.fail_after(timeout):
--- a/src/knapweeddrum/process/entry/tunnel_client.py
+++ b/src/knapweeddrum/process/entry/tunnel_client.py
@@ -28,6 +28,7 @@
 from knapweeddrum.telemetry.entry_events import TUNNEL_REFUSED
 from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 from knapweeddrum.value.host_record import HostRecord
+from knapweeddrum.value.link_source import LinkSource
 from knapweeddrum.value.probe_result import ProbeResult
 
 TUNNEL_PATH = b"/endpoint-tunnel"
@@ -144,7 +145,9 @@
         address = host.peer_address
         try:
             conn = await ClientConnection.connect(
-                address, HOST_CONNECT_TIMEOUT_SECONDS, self._ctx.link_load.receive
+                address,
+                HOST_CONNECT_TIMEOUT_SECONDS,
+                self._ctx.receiver(LinkSource.HOSTS),
             )
         except NotSentError as exc:
             self.avoid_silent(host, entry, repr(exc))
@@ -194,7 +197,7 @@
         stream, received = conn.detach()
         send_keep_alives(stream)
         tunnel = ClientConnection(
-            TunnelStream(stream, received), self._ctx.link_load.receive
+            TunnelStream(stream, received), self._ctx.receiver(LinkSource.HOSTS)
         )
         tunnel.via = host.name
         return tunnel
--- a/src/knapweeddrum/process/entry/tunnel_server.py
+++ b/src/knapweeddrum/process/entry/tunnel_server.py
@@ -28,6 +28,7 @@
 from knapweeddrum.value.connection_phase import ConnectionPhase
 from knapweeddrum.value.documents import decode_json
 from knapweeddrum.value.identifiers import EndpointName
+from knapweeddrum.value.link_source import LinkSource
 from knapweeddrum.value.probe_result import ProbeResult
 
 ANNOUNCE_SECONDS = 0.2
@@ -136,7 +137,7 @@
                 client,
                 conn.detach()[0],
                 self._ctx.pool.buffer_bytes,
-                self._ctx.link_load.receive,
+                self._ctx.receiver(LinkSource.HOSTS),
             )
             self._tunnels[tunnel] = instance_name(entry)
             try:
--- a/src/knapweeddrum/process/entry_composition.py
+++ b/src/knapweeddrum/process/entry_composition.py
@@ -18,6 +18,7 @@
 from knapweeddrum.core.catalog.service_list import ServiceList, lapse_grace
 from knapweeddrum.core.directory.host_directory import HostDirectory
 from knapweeddrum.core.load.link_load import LinkLoad
+from knapweeddrum.core.load.link_sources import LinkSources
 from knapweeddrum.core.membership.new_incarnation import new_incarnation
 from knapweeddrum.core.placing.endpoint_states import EndpointStates
 from knapweeddrum.core.placing.placer import Placer
@@ -36,18 +37,16 @@
 )
 from knapweeddrum.process.entry.path_connector import PathConnector
 from knapweeddrum.process.entry.shed_log import ShedLog
+from knapweeddrum.process.entry.store_call_log import StoreCallLog
 from knapweeddrum.process.entry.tunnel_client import TunnelClient
 from knapweeddrum.settings.entry_settings import EntrySettings
 from knapweeddrum.telemetry.bounded_writer import BoundedWriter
-from knapweeddrum.telemetry.counters import (
-    CONNECTIONS_OPENED,
-    SESSION_MOVED,
-    store_counter,
-)
+from knapweeddrum.telemetry.counters import CONNECTIONS_OPENED, SESSION_MOVED
 from knapweeddrum.telemetry.event_log import EventLog
 from knapweeddrum.telemetry.line_logger import LineLogger
 from knapweeddrum.telemetry.metrics import Metrics
 from knapweeddrum.value.identifiers import HostName
+from knapweeddrum.value.link_source import LinkSource
 
 CRASH_POLICY = CrashPolicy(
     suspect_crashes=2,
@@ -70,9 +69,8 @@
     writer = BoundedWriter(sys.stdout.fileno())
     metrics = Metrics()
     link_load = LinkLoad(settings.link_mbps)
-    pool = ConnectionPool(
-        lambda _: metrics.count(CONNECTIONS_OPENED), link_load.receive
-    )
+    link_sources = LinkSources()
+    pool = ConnectionPool(lambda _: metrics.count(CONNECTIONS_OPENED))
     service_list = ServiceList(
         lapse_grace(settings.drain_delay), settings.endpoint_heartbeat_interval
     )
@@ -86,7 +84,7 @@
         store=StoreClient(
             settings.store_address,
             pool,
-            lambda kind, outcome: metrics.count(store_counter(kind, outcome)),
+            link_sources.receiver(LinkSource.STORE, link_load),
         ),
         pool=pool,
         service_list=service_list,
@@ -104,6 +102,7 @@
         metrics=metrics,
         rng=random.Random(rng.getrandbits(64)),
         link_load=link_load,
+        link_sources=link_sources,
     )
     shed_log = ShedLog(ctx.connections, ctx.events, metrics)
     ctx.connections.on_shed = shed_log.record_shed
@@ -114,6 +113,7 @@
     ctx.apply_host_limits()
     ctx.store.era.on_return = ctx.record_store_return
     ctx.store.on_era_doubt = ctx.record_era_doubt
+    ctx.store.on_call = StoreCallLog(ctx).record
     await EntryProcess(
         ctx, paths, tunnels, reported_losses, writer, settings_path, metrics_port
     ).run()
--- a/src/knapweeddrum/telemetry/entry_events.py
+++ b/src/knapweeddrum/telemetry/entry_events.py
@@ -249,6 +249,24 @@
 LINK_HAS_ROOM = Event(
     671, "link_has_room", "info", ("bytes_per_second", "bound", "closings", "seconds")
 )
+STORE_CALL_FAILED = Event(
+    673,
+    "store_call_failed",
+    "info",
+    (
+        "call",
+        "stream",
+        "outcome",
+        "error",
+        "after_ms",
+        "received_bytes",
+        "on_new_connection",
+        "config_age_ms",
+        "lag_ms",
+        "link_behind",
+        "link_bytes_per_second",
+    ),
+)
 LISTEN_FAILED = Event(672, "listen_failed", "error", ("error",))
 LINES_DROPPED = Event(620, "lines_dropped", "warning", ("lines",))
 STOPPED_IN_PROGRESS = Event(
