Say why a call to the store got no answer, and what fills the link

The logs could not tell apart whether an answer was too long for the limit, no connection came about, or nothing got through at all: waiting is logged once for an outage, with one error for all three.

Behaviour is unchanged.

--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -32,7 +32,7 @@
     limit_silence,
     reset_on_close,
 )
-from knapweeddrum.http.socket_writing import SENT, write_slices
+from knapweeddrum.http.socket_writing import write_slices
 from knapweeddrum.http.tunnel_stream import TunnelCutError, TunnelStream
 from knapweeddrum.value.whole_number import parse_whole_number
 
@@ -288,7 +288,6 @@
     async def _write(self, parts: list[bytes]) -> None:
         try:
             for data in write_slices(parts):
-                SENT["client"] += len(data)
                 await self._stream.send(data)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError, OSError) as exc:
             raise NoReplyError(f"sending failed: {exc!r}") from exc
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -19,6 +19,7 @@
     StoreReturnedError,
 )
 from knapweeddrum.platform.keyed_record import KeyedRecord
+from knapweeddrum.platform.store_call import StoreCall
 from knapweeddrum.platform.store_client import StoreClient
 from tests.async_test import async_test
 from tests.standins.platform_store import PlatformStore
@@ -32,7 +33,7 @@
 async def connected(store: PlatformStore) -> AsyncIterator[StoreClient]:
     async with store.serve() as address:
         pool = ConnectionPool(lambda _: None)
-        yield StoreClient(address, pool, lambda *_: None)
+        yield StoreClient(address, pool)
         await pool.close()
 
 
@@ -98,7 +99,7 @@
         with CASE.assertRaises(RecordsExpiredError):
             await client.read("keyed.x", 0)
     pool = ConnectionPool(lambda _: None)
-    client = StoreClient("127.0.0.1:1", pool, lambda *_: None)
+    client = StoreClient("127.0.0.1:1", pool)
     with CASE.assertRaises(LogUnavailableError):
         await client.append("keyed.x", RECORDS)
 
@@ -200,7 +201,7 @@
 
     async with serving(answer) as address:
         pool = ConnectionPool(lambda _: None)
-        yield StoreClient(address, pool, lambda *_: None)
+        yield StoreClient(address, pool)
         await pool.close()
 
 
@@ -213,3 +214,29 @@
         with CASE.assertRaises(ConditionFailedError) as caught:
             await client.append("keyed.x", RECORDS, expected_end=0)
         assert caught.exception.end == 1
+
+
+@async_test
+async def test_failed_call_tells_how_far_its_answer_got():
+    """A call without an answer and one whose answer was too long look alike else."""
+
+    async def handle(stream: anyio.abc.SocketStream) -> None:
+        await stream.receive()
+        await stream.send(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + b"x" * 900
+        )
+        await anyio.sleep_forever()
+
+    calls: list[StoreCall] = []
+    async with serving(handle) as address:
+        pool = ConnectionPool(lambda _: None)
+        client = StoreClient(address, pool)
+        client.on_call = calls.append
+        with CASE.assertRaises(LogUnavailableError):
+            await client.read("keyed.x", 0)
+        await pool.close()
+    (call,) = calls
+    assert (call.kind, call.stream, call.outcome) == ("read", "keyed.x", "no_reply")
+    assert 900 < call.received < 1000
+    assert call.on_new_connection
+    assert call.error
--- a/tests/process/entry/test_spending_task.py
+++ b/tests/process/entry/test_spending_task.py
@@ -24,7 +24,7 @@
 def make_holder(store_address: str) -> EntryContext:
     """Return the context of a host that has claimed 10,000 tokens and spent 1,000."""
     pool = ConnectionPool(lambda _: None)
-    client = StoreClient(store_address, pool, lambda *_: None)
+    client = StoreClient(store_address, pool)
     ctx = make_context(0, ClaimRacePlan(hosts=1), cast("DistantStore", client))
     account = ctx.token_accounts.account(LARGE, 0.0)
     account.confirmed = account.intended = account.unlocked = 10_000
