--- a/tests/standins/network_link.py
+++ b/tests/standins/network_link.py
@@ -1,11 +1,12 @@
-"""Stand-in for the link between one host and one endpoint, which can be cut."""
+"""Stand-in for the link between one host and one server, which can be cut."""
 
 from __future__ import annotations
 
 import contextlib
 import enum
 import socket
-from collections.abc import AsyncIterator
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 import anyio
 import anyio.abc
@@ -17,6 +18,8 @@
 FILLERS = 4
 """Connections that fill the queue of a listener which accepts no more than one."""
 READ_BYTES = 65_536
+PACKET_BYTES = 4096
+"""Bytes that a link of limited rate carries at a time."""
 
 
 class Cut(enum.Enum):
@@ -31,9 +34,15 @@
 
 
 class NetworkLink:
-    """Passes connections on to an endpoint until it is cut."""
+    """Passes connections on to a server until it is cut.
 
-    def __init__(self, endpoint_address: str) -> None:
+    ``bytes_per_second`` is what it brings to the host on all connections together, None
+    for no limit.
+    """
+
+    def __init__(
+        self, endpoint_address: str, bytes_per_second: float | None = None
+    ) -> None:
         self._endpoint_address = endpoint_address
         (self._port,) = free_ports(1)
         self._listener: socket.socket | None = None
@@ -43,6 +52,8 @@
         self._passes.set()
         self._changed = anyio.Event()
         self._accepts = True
+        self.bytes_per_second = bytes_per_second
+        self._busy_until = 0.0
 
     @property
     def address(self) -> str:
@@ -149,22 +160,36 @@
         self._streams |= ends
         try:
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._pump, stream, other, tasks)
-                tasks.start_soon(self._pump, other, stream, tasks)
+                tasks.start_soon(self._pump, stream, other, tasks, self._receive)
+                tasks.start_soon(self._pump, other, stream, tasks, self._carry)
         finally:
             self._streams -= ends
             for end in ends:
                 await anyio.aclose_forcefully(end)
 
+    async def _receive(self, source: anyio.abc.SocketStream) -> bytes:
+        return await source.receive(READ_BYTES)
+
+    async def _carry(self, source: anyio.abc.SocketStream) -> bytes:
+        """Return what the link brings next, at its rate and in turn."""
+        if self.bytes_per_second is None:
+            return await self._receive(source)
+        data = await source.receive(PACKET_BYTES)
+        begins_at = max(time.monotonic(), self._busy_until)
+        self._busy_until = begins_at + len(data) / self.bytes_per_second
+        await anyio.sleep(self._busy_until - time.monotonic())
+        return data
+
     async def _pump(
         self,
         source: anyio.abc.SocketStream,
         sink: anyio.abc.SocketStream,
         tasks: anyio.abc.TaskGroup,
+        take: Callable[[anyio.abc.SocketStream], Awaitable[bytes]],
     ) -> None:
         try:
             while True:
-                data = await source.receive(READ_BYTES)
+                data = await take(source)
                 await self._passes.wait()
                 await sink.send(data)
         except anyio.EndOfStream:
