Let a long answer of the store come in, and ask again beside it

Callers got answers by an old configuration, or 503 for ever: a host whose link left 100 kB a second to the store never read a configuration of 225 kB, and one that started never got ready.

Cause: each call had a limit on its whole time, 0.9 s and the wait. An answer that took longer was thrown away and asked for again from its first byte; five streams did that at once, and their answers filled the link.

After 0.9 s its reader is told that the answer is late, as it was told of the failure, and the question is asked once more on a new connection; what receives something first goes on, the other is closed. Idle connections are closed only if a new one had an answer where the old one had none. What came in of a page that is cut is applied. A reader that needs the newest records only (configuration, hosts) lists when it is behind, as all versions between would be read and dropped. Further pages of a listing, those before a listing and the recall of versions go on where they ended.

Writes keep their limit: their answers are short.

--- a/src/knapweeddrum/http/client_connection.py
+++ b/src/knapweeddrum/http/client_connection.py
@@ -84,7 +84,6 @@
         self.idle_since = self.opened_at
         self.received_at = self.opened_at
         """Time at which anything was received last."""
-        self.received_bytes = 0
         self.via = ""
         """Name of the host through which the connection leads, empty for none."""
         self._poller = select.poll()
@@ -353,7 +352,6 @@
                 raise PathCutError("given up, as the path is silent") from exc
             raise NoReplyError(f"connection lost: {exc!r}") from exc
         self.received_at = time.monotonic()
-        self.received_bytes += len(data)
         self._on_receive(len(data))
         return data
 
--- a/src/knapweeddrum/http/connection_pool.py
+++ b/src/knapweeddrum/http/connection_pool.py
@@ -40,14 +40,18 @@
         self.buffer_bytes = 0
         """Size of the kernel's buffers to ask for, 0 for its own choice."""
 
-    async def acquire(self, key: str, limit: int, connect: Opener) -> ClientConnection:
+    async def acquire(
+        self, key: str, limit: int, connect: Opener, *, is_new: bool = False
+    ) -> ClientConnection:
         """Return the most recently used idle connection, or a new one.
 
+        A new one in any case if ``is_new`` is true.
+
         Raises ConnectionLimitError if ``limit`` connections are open, or ``max_open``
         to all servers, and what ``connect`` raises.
         """
         now = time.monotonic()
-        while idle := self._idle.get(key):
+        while not is_new and (idle := self._idle.get(key)):
             conn = idle.pop()
             if conn.is_usable(now):
                 self._lease(key, conn)
@@ -78,6 +82,8 @@
         limit: int,
         timeout: float,
         on_receive: Callable[[int], None] = lambda _: None,
+        *,
+        is_new: bool = False,
     ) -> AsyncIterator[ClientConnection]:
         """Acquire a connection to ``IP:port``, and release it on leaving the context.
 
@@ -88,7 +94,7 @@
         async def connect() -> ClientConnection:
             return await ClientConnection.connect(address, timeout, on_receive)
 
-        conn = await self.acquire(key, limit, connect)
+        conn = await self.acquire(key, limit, connect, is_new=is_new)
         try:
             yield conn
         finally:
--- a/src/knapweeddrum/platform/record_codec.py
+++ b/src/knapweeddrum/platform/record_codec.py
@@ -34,11 +34,11 @@
     return b"".join(parts)
 
 
-def decode_page(body: bytes, start: int) -> StorePage:
+def decode_page(body: bytes, start: int, *, is_whole: bool = True) -> StorePage:
     """Decode the reply to a read from position ``start``.
 
     Records with an invalid key are left out. Raises MalformedRecordError if the page
-    is truncated.
+    is truncated; one that is known not to be whole must have a record.
     """
     if len(body) < PAGE_HEADER.size:
         raise MalformedRecordError("page is shorter than its header")
@@ -51,11 +51,15 @@
     position = PAGE_HEADER.size
     while position < len(body):
         if position + LENGTH_PREFIX.size > len(body):
+            if not is_whole:
+                break
             raise MalformedRecordError("page ends within the length of a record")
         (length,) = LENGTH_PREFIX.unpack_from(body, position)
         position += LENGTH_PREFIX.size
         content = body[position : position + length]
         if len(content) != length:
+            if not is_whole:
+                break
             raise MalformedRecordError("page ends within a record")
         position += length
         record = _decode_record(content, store_position(era, offset))
@@ -63,6 +67,8 @@
             records.append(record)
         offset += 1
     next_position = store_position(era, offset)
+    if not is_whole and offset == max(offset_of(start), first):
+        raise MalformedRecordError("page was cut within its first record")
     return StorePage(tuple(records), next_position, complete=offset >= end)
 
 
--- a/src/knapweeddrum/platform/store_client.py
+++ b/src/knapweeddrum/platform/store_client.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import base64
-import contextlib
 import dataclasses
 import time
 import urllib.parse
@@ -12,10 +11,8 @@
 import anyio
 import msgspec
 
-from knapweeddrum.http.client_connection import ClientConnection
 from knapweeddrum.http.connection_pool import ConnectionPool
 from knapweeddrum.http.exceptions import ExchangeError, NoReplyError, NotSentError
-from knapweeddrum.http.header_list import Header
 from knapweeddrum.platform.exceptions import (
     AppendUnknownError,
     ConditionFailedError,
@@ -25,21 +22,31 @@
     RecordsExpiredError,
     StoreReturnedError,
 )
+from knapweeddrum.platform.hedged_read import HedgedRead, ReadPatience
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.record_codec import decode_page, encode_records
 from knapweeddrum.platform.store_call import StoreCall
 from knapweeddrum.platform.store_era import StoreEra
+from knapweeddrum.platform.store_exchange import ConnectionLease, StoreExchange
 from knapweeddrum.platform.store_listing import StoreListing
 from knapweeddrum.platform.store_page import StorePage
+from knapweeddrum.platform.store_question import StoreQuestion, StoreReply
 from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 from knapweeddrum.value.store_position import Offset, era_of, offset_of, store_position
 
-CONNECT_TIMEOUT_SECONDS = 0.5
-CALL_TIMEOUT_SECONDS = 0.9
-"""Time limit of a call, added to the time that it may wait for records."""
-MAX_CONNECTIONS = 8
-MAX_PAGE_BYTES = 4 * 1024 * 1024
+LATE_SECONDS = 0.9
+"""Time after which an answer is late, added to that for which the store may wait.
+
+A write is given up then, a read is asked once more on a new connection.
+"""
+MAX_SILENCE_SECONDS = 4.0
+"""Time without a byte after which a read is given up."""
+READ_PATIENCE = ReadPatience(LATE_SECONDS, MAX_SILENCE_SECONDS)
+MAX_CONNECTIONS = 16
 REQUESTED_PAGE_KB = 1024
+FURTHER_PAGE_TRIES = 3
+"""Reads of a further page of a listing before all of it is given up."""
+FURTHER_PAGE_PAUSE_SECONDS = 0.25
 
 PARTITION = 0
 """The fleet's streams have a single partition."""
@@ -82,48 +89,6 @@
     first: Offset
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Question:
-    """What a call asks; the answer may be ``wait`` seconds late by its own wish."""
-
-    kind: str
-    stream: str
-    method: bytes
-    target: bytes
-    body: bytes = b""
-    wait: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Reply:
-    status: int
-    body: bytes
-    era: int
-
-
-class _Progress:
-    """How far a call got; ``began_at`` is in monotonic seconds."""
-
-    def __init__(self, began_at: float) -> None:
-        self.began_at = began_at
-        self.on_new_connection = True
-        self._conn: ClientConnection | None = None
-        self._received_before = 0
-
-    def start(self, conn: ClientConnection) -> None:
-        """Count what comes in on a connection from now on."""
-        self._conn = conn
-        self._received_before = conn.received_bytes
-        self.on_new_connection = not conn.used
-
-    @property
-    def received(self) -> int:
-        """Bytes of the answer that have come in."""
-        if self._conn is None:
-            return 0
-        return self._conn.received_bytes - self._received_before
-
-
 class StoreClient:
     """Appends to and reads from keyed streams; it never retries a call.
 
@@ -143,6 +108,8 @@
         """Called with the reason when an answer is not believed."""
         self.on_call: Callable[[StoreCall], None] = lambda _: None
         """Called with each call that has ended."""
+        self.on_late: Callable[[], None] = lambda: None
+        """Called for each read without a whole answer after LATE_SECONDS."""
         self._pool = pool
         self._on_receive = on_receive
 
@@ -166,8 +133,10 @@
             query["at"] = offset_of(expected_end)
         target = _target("/-/log-append", query)
         try:
-            reply = await self._call(
-                _Question("append", stream, b"POST", target, encode_records(records))
+            reply = await self._write_call(
+                StoreQuestion(
+                    "append", stream, b"POST", target, encode_records(records)
+                )
             )
         except NotSentError as exc:
             raise LogUnavailableError(str(exc)) from exc
@@ -187,11 +156,19 @@
             raise AppendUnknownError(f"malformed reply to an append: {exc}") from exc
         return store_position(reply.era, end)
 
-    async def read(self, stream: str, start: int, wait: float = 0.0) -> StorePage:
+    async def read(
+        self,
+        stream: str,
+        start: int,
+        wait: float = 0.0,
+        on_late: Callable[[], None] = lambda: None,
+    ) -> StorePage:
         """Return records from position ``start`` on.
 
-        A read at the end of the stream waits up to ``wait`` seconds for a record.
-        Raises RecordsExpiredError, StoreReturnedError and LogUnavailableError.
+        A read at the end of the stream waits up to ``wait`` seconds for a record. Those
+        that came in of a page that was cut are returned. ``on_late`` is called if that
+        takes longer than LATE_SECONDS beside. Raises RecordsExpiredError,
+        StoreReturnedError and LogUnavailableError.
         """
         self._check_era(start)
         query = {
@@ -203,7 +180,7 @@
         }
         target = _target("/-/log-read", query)
         reply = await self._read_call(
-            _Question("read", stream, b"GET", target, wait=wait)
+            StoreQuestion("read", stream, b"GET", target, wait=wait), on_late
         )
         if not _is_of_era(start, reply.era):
             raise StoreReturnedError(reply.era)
@@ -214,22 +191,24 @@
             if reply.status != OK:
                 raise LogUnavailableError(f"read answered with status {reply.status}")
             position = store_position(reply.era, offset_of(start))
-            return decode_page(reply.body, position)
+            return decode_page(reply.body, position, is_whole=reply.is_whole)
         except (MalformedDocumentError, MalformedRecordError) as exc:
             raise LogUnavailableError(f"malformed page: {exc}") from exc
 
-    async def list_newest(self, stream: str) -> StoreListing:
+    async def list_newest(
+        self, stream: str, on_late: Callable[[], None] = lambda: None
+    ) -> StoreListing:
         """Return the newest record of each key, read page by page.
 
         ``next_offset`` is the end of the stream as of the first page, as records that
-        were appended after that may be missing from the listing.
-        Raises LogUnavailableError.
+        were appended after that may be missing from the listing. ``on_late`` is called
+        for each page that takes longer than LATE_SECONDS. Raises LogUnavailableError.
         """
-        first = await self._read_listing(stream, "")
+        first = await self._read_listing(stream, "", on_late)
         pages = [first]
         while pages[-1].listing.more and pages[-1].listing.items:
             after = pages[-1].listing.items[-1].key
-            pages.append(await self._read_listing(stream, after))
+            pages.append(await self._read_further(stream, after, on_late))
             if pages[-1].era != first.era:
                 raise LogUnavailableError("the store returned during a listing")
         items = [item for page in pages for item in page.listing.items]
@@ -242,12 +221,27 @@
         if not _is_of_era(position, self.era.current):
             raise StoreReturnedError(self.era.current)
 
-    async def _read_listing(self, stream: str, after: str) -> _ListingPage:
+    async def _read_further(
+        self, stream: str, after: str, on_late: Callable[[], None]
+    ) -> _ListingPage:
+        """Read a page that follows others, which would have to be read again."""
+        for _ in range(FURTHER_PAGE_TRIES - 1):
+            try:
+                return await self._read_listing(stream, after, on_late)
+            except LogUnavailableError:
+                await anyio.sleep(FURTHER_PAGE_PAUSE_SECONDS)
+        return await self._read_listing(stream, after, on_late)
+
+    async def _read_listing(
+        self, stream: str, after: str, on_late: Callable[[], None]
+    ) -> _ListingPage:
         query: dict[str, object] = {"topic": stream, "part": PARTITION}
         if after:
             query["after"] = after
         target = _target("/-/log-newest", query)
-        reply = await self._read_call(_Question("newest", stream, b"GET", target))
+        reply = await self._read_call(
+            StoreQuestion("newest", stream, b"GET", target), on_late
+        )
         if reply.status != OK:
             raise LogUnavailableError(f"listing answered with status {reply.status}")
         try:
@@ -256,76 +250,88 @@
             raise LogUnavailableError(f"malformed listing: {exc}") from exc
         return _ListingPage(listing, reply.era)
 
-    async def _read_call(self, question: _Question) -> _Reply:
+    async def _read_call(
+        self, question: StoreQuestion, on_late: Callable[[], None]
+    ) -> StoreReply:
+        """Read; a second time on a new connection if nothing comes in."""
+        began_at = time.monotonic()
+        due_at = began_at + question.wait
+
+        def record_late() -> None:
+            self.on_late()
+            on_late()
+
+        read = HedgedRead(
+            lambda on_progress: self._exchange(
+                question, MAX_SILENCE_SECONDS, on_progress
+            ),
+            self._lease,
+            due_at,
+            READ_PATIENCE,
+            record_late,
+        )
         try:
-            return await self._call(question)
+            reply = await read.run()
         except (ExchangeError, EraDoubtError) as exc:
+            self._report(question, began_at, read.exchanges, exc)
             raise LogUnavailableError(str(exc)) from exc
+        first = read.began_at if not question.wait else None
+        self._report(question, began_at, read.exchanges, reply, first)
+        if read.has_silent_connection:
+            await self._pool.close_silent(self.address, due_at)
+        return reply
 
-    async def _call(self, question: _Question) -> _Reply:
-        """Make one call; raises NotSentError, NoReplyError and EraDoubtError."""
-        progress = _Progress(time.monotonic())
+    async def _write_call(self, question: StoreQuestion) -> StoreReply:
+        """Write once; raises NotSentError, NoReplyError and EraDoubtError."""
+        began_at = time.monotonic()
+        exchange = self._exchange(question, LATE_SECONDS)
         try:
-            reply = await self._answer(question, progress)
-        except EraDoubtError as exc:
-            self._report(question, progress, "era_doubt", exc)
-            self.on_era_doubt(str(exc))
-            raise
-        except NotSentError as exc:
-            self._report(question, progress, "not_sent", exc)
-            raise
-        except NoReplyError as exc:
-            self._report(question, progress, "no_reply", exc)
+            reply = await exchange.run(self._lease())
+        except (ExchangeError, EraDoubtError) as exc:
+            self._report(question, began_at, [exchange], exc)
             raise
-        self._report(question, progress, str(reply.status))
+        self._report(question, began_at, [exchange], reply)
         return reply
 
-    async def _answer(self, question: _Question, progress: _Progress) -> _Reply:
-        due_at = progress.began_at + question.wait
-        try:
-            with anyio.fail_after(CALL_TIMEOUT_SECONDS + question.wait):
-                async with self._lease() as conn:
-                    progress.start(conn)
-                    return await self._exchange(conn, question)
-        except TimeoutError as exc:
-            await self._pool.close_silent(self.address, due_at)
-            raise NoReplyError(f"{self.address}: no reply in time") from exc
+    def _exchange(
+        self,
+        question: StoreQuestion,
+        silence: float,
+        on_progress: Callable[[], None] = lambda: None,
+    ) -> StoreExchange:
+        return StoreExchange(question, self.address, self.era, silence, on_progress)
 
-    def _lease(self) -> contextlib.AbstractAsyncContextManager[ClientConnection]:
+    def _lease(self, is_new: bool = False) -> ConnectionLease:
         return self._pool.lease(
             self.address,
             self.address,
             MAX_CONNECTIONS,
-            CONNECT_TIMEOUT_SECONDS,
+            MAX_SILENCE_SECONDS,
             self._on_receive,
+            is_new=is_new,
         )
 
-    async def _exchange(self, conn: ClientConnection, question: _Question) -> _Reply:
-        headers: list[Header] = [(b"Host", self.address.encode())]
-        if question.method == b"POST":
-            headers.append((b"Content-Length", str(len(question.body)).encode()))
-        async with conn.exchange(
-            question.method, question.target, headers, question.body
-        ) as head:
-            reply = await conn.read_body(MAX_PAGE_BYTES)
-            return _Reply(head.status, reply, self.era.accept(head.headers))
-
     def _report(
         self,
-        question: _Question,
-        progress: _Progress,
-        outcome: str,
-        exc: Exception | None = None,
+        question: StoreQuestion,
+        began_at: float,
+        exchanges: Sequence[StoreExchange],
+        result: StoreReply | Exception,
+        first_at: float | None = None,
     ) -> None:
+        if isinstance(result, EraDoubtError):
+            self.on_era_doubt(str(result))
         self.on_call(
             StoreCall(
                 question.kind,
                 question.stream,
-                outcome,
-                "" if exc is None else str(exc),
-                time.monotonic() - progress.began_at,
-                progress.received,
-                progress.on_new_connection,
+                _outcome(result),
+                _error(result),
+                time.monotonic() - began_at,
+                None if first_at is None else first_at - began_at,
+                max(exchange.received for exchange in exchanges),
+                exchanges[0].on_new_connection,
+                len(exchanges) > 1,
             )
         )
 
@@ -334,12 +340,28 @@
     return f"{path}?{urllib.parse.urlencode(query)}".encode()
 
 
+def _outcome(result: StoreReply | Exception) -> str:
+    if isinstance(result, EraDoubtError):
+        return "era_doubt"
+    if isinstance(result, NotSentError):
+        return "not_sent"
+    if isinstance(result, Exception):
+        return "no_reply"
+    return str(result.status) if result.is_whole else "cut"
+
+
+def _error(result: StoreReply | Exception) -> str:
+    if isinstance(result, Exception):
+        return str(result)
+    return "" if result.is_whole else "the answer was cut"
+
+
 def _is_of_era(position: int, era: int) -> bool:
     """Return whether a position is valid; that of the beginning is in all eras."""
     return not position or era_of(position) == era
 
 
-def _end_of_stream(reply: _Reply) -> int | None:
+def _end_of_stream(reply: StoreReply) -> int | None:
     """Return where a stream ends by the answer to an append that came too late."""
     try:
         end = decode_json(reply.body, _ConditionFailed).end
--- a/src/knapweeddrum/process/entry/configuration_reader.py
+++ b/src/knapweeddrum/process/entry/configuration_reader.py
@@ -23,6 +23,8 @@
 class ConfigurationReader(RecordReader):
     """Applies the newest version of the configuration; older ones are ignored."""
 
+    needs_newest_only = True
+
     def __init__(self, ctx: EntryContext) -> None:
         self._ctx = ctx
         self._emptied = EmptiedRecords(ctx)
--- a/src/knapweeddrum/process/entry/host_reader.py
+++ b/src/knapweeddrum/process/entry/host_reader.py
@@ -25,6 +25,8 @@
 class HostReader(RecordReader):
     """Applies heartbeats to the host directory."""
 
+    needs_newest_only = True
+
     def __init__(self, ctx: EntryContext, fleet_view: FleetView) -> None:
         self._ctx = ctx
         self._fleet_view = fleet_view
--- a/src/knapweeddrum/process/entry/store_call_log.py
+++ b/src/knapweeddrum/process/entry/store_call_log.py
@@ -37,6 +37,7 @@
             after_ms=_milliseconds(call.seconds),
             received_bytes=call.received,
             on_new_connection=call.on_new_connection,
+            asked_twice=call.asked_twice,
             config_age_ms=_milliseconds(now - ctx.configuration_read_at),
             lag_ms=_milliseconds(ctx.loop_lag.recent(now)),
             link_behind=round(ctx.link_load.level(now), 3),
--- a/src/knapweeddrum/process/entry/stream_follower.py
+++ b/src/knapweeddrum/process/entry/stream_follower.py
@@ -16,6 +16,7 @@
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.store_client import StoreClient
 from knapweeddrum.platform.store_listing import StoreListing
+from knapweeddrum.platform.store_page import StorePage
 from knapweeddrum.process.entry.stream_read import StreamRead
 from knapweeddrum.telemetry.event_log import EventLog
 from knapweeddrum.telemetry.events import DEPENDENCY_READY, WAITING
@@ -27,6 +28,9 @@
 PAST_TRIES = 2
 """Reads of the records before a listing, of which the oldest may have expired."""
 
+PAGE_TRIES = 3
+"""Reads of one page of them before the listing is given up as well."""
+
 
 class RecordReader(abc.ABC):
     """Applies the records of one stream; ``now`` is in monotonic seconds."""
@@ -52,9 +56,12 @@
         """Apply the records before a listing, which follows."""
         self.apply_records(records, now)
 
+    needs_newest_only = False
+    """Whether earlier records of a key are of no use once a later one is known."""
+
     @abc.abstractmethod
     def on_store_lost(self) -> None:
-        """Handle a failed call to the store."""
+        """Handle a call to the store that failed, or whose answer is late."""
 
     @abc.abstractmethod
     def on_up_to_date(self, read: StreamRead) -> None:
@@ -65,7 +72,8 @@
     """Lists a stream, then reads the records that follow the listing.
 
     The stream is listed again when the store has deleted records that were not read, or
-    has come back from an older copy, which counts as an outage. A reader that needs
+    has come back from an older copy, which counts as an outage. So it is when a reader
+    that needs only the newest records is behind. A reader that needs
     what led to a listing gets the records before it, but for those of an older copy.
     ``wait`` is how long a read waits for a record, ``interval`` the minimum time from
     one read to the next, both in seconds.
@@ -124,7 +132,7 @@
 
     async def _list(self) -> None:
         asked_at = time.monotonic()
-        listing = await self._store.list_newest(self.stream)
+        listing = await self._store.list_newest(self.stream, self._record_late)
         past = await self._read_past(listing) if self._reads_past else []
         now = time.monotonic()
         self._next_offset = listing.next_offset
@@ -150,22 +158,36 @@
     async def _read_range(self, start: int, end: int) -> list[KeyedRecord]:
         found: list[KeyedRecord] = []
         while start < end:
-            page = await self._store.read(self.stream, start)
+            page = await self._read_page(start)
             found += [record for record in page.records if record.offset < end]
             if page.next_offset <= start:
                 break
             start = page.next_offset
         return found
 
+    async def _read_page(self, start: int) -> StorePage:
+        for _ in range(PAGE_TRIES - 1):
+            try:
+                return await self._store.read(
+                    self.stream, start, 0.0, self._record_late
+                )
+            except LogUnavailableError as exc:
+                self._record_lost(str(exc))
+                await anyio.sleep(RETRY_SECONDS)
+        return await self._store.read(self.stream, start, 0.0, self._record_late)
+
     async def _read(self, start: int) -> None:
         asked_at = time.monotonic()
-        page = await self._store.read(self.stream, start, self._wait)
+        page = await self._store.read(self.stream, start, self._wait, self._record_late)
         now = time.monotonic()
         if page.records:
             self._reader.apply_records(page.records, now)
         self._next_offset = page.next_offset
         if page.complete:
             self._record_success(StreamRead(asked_at, now, page.next_offset))
+        elif self._reader.needs_newest_only:
+            self._next_offset = None
+            self._reads_past = False
 
     def _record_success(self, read: StreamRead) -> None:
         if self._is_store_unreachable:
@@ -174,7 +196,16 @@
         self._reader.on_up_to_date(read)
 
     def _record_failure(self, exc: LogUnavailableError) -> None:
+        self._record_lost(str(exc))
+        if self._reader.needs_newest_only:
+            self._next_offset = None
+
+    def _record_late(self) -> None:
+        """Record that an answer is late, though it may come in yet."""
+        self._record_lost("the answer is late")
+
+    def _record_lost(self, error: str) -> None:
         if not self._is_store_unreachable:
             self._is_store_unreachable = True
-            self._events.emit(WAITING, dependency=self.stream, error=str(exc))
+            self._events.emit(WAITING, dependency=self.stream, error=error)
         self._reader.on_store_lost()
--- a/src/knapweeddrum/process/entry/token_claim_log.py
+++ b/src/knapweeddrum/process/entry/token_claim_log.py
@@ -149,7 +149,9 @@
         What else the stream holds is told to the recovery.
         """
         try:
-            listing = await self._ctx.store.list_newest(CLAIMS_STREAM)
+            listing = await self._ctx.store.list_newest(
+                CLAIMS_STREAM, self._record_late
+            )
         except LogUnavailableError as exc:
             self._record_failure(exc)
             return None
@@ -168,7 +170,9 @@
         """
         try:
             while True:
-                page = await self._ctx.store.read(CLAIMS_STREAM, view.end, wait)
+                page = await self._ctx.store.read(
+                    CLAIMS_STREAM, view.end, wait, self._record_late
+                )
                 self._apply(view, page.records)
                 view.advance(page.next_offset)
                 if page.complete:
@@ -228,9 +232,16 @@
                 )
 
     def _record_failure(self, exc: PlatformError) -> None:
+        self._record_lost(str(exc))
+
+    def _record_late(self) -> None:
+        """Let requests wait no longer for an answer that may come in yet."""
+        self._record_lost("the answer is late")
+
+    def _record_lost(self, error: str) -> None:
         if not self.is_store_unreachable:
             self.is_store_unreachable = True
-            self._ctx.events.emit(WAITING, dependency=CLAIMS_STREAM, error=str(exc))
+            self._ctx.events.emit(WAITING, dependency=CLAIMS_STREAM, error=error)
 
     def _record_success(self) -> None:
         self._read_at = time.monotonic()
--- a/src/knapweeddrum/process/entry/version_recall_task.py
+++ b/src/knapweeddrum/process/entry/version_recall_task.py
@@ -36,6 +36,8 @@
 
     def __init__(self, ctx: EntryContext) -> None:
         self._ctx = ctx
+        self._offset = 0
+        """Position up to which the entries are applied."""
 
     async def run(self) -> None:
         """Recall once, as soon as the list and the hosts' records have been read."""
@@ -73,23 +75,32 @@
         return history.list_offset
 
     async def _read(self, recall: VersionRecall, list_end: int) -> RecallOutcome:
-        """Apply all entries from the record's offset up to the end of the list."""
-        offset = recall.first_offset
-        if offset > list_end:
+        """Apply the entries from the record's offset up to the end of the list.
+
+        A further call goes on where the last one ended.
+        """
+        self._offset = max(self._offset, recall.first_offset)
+        if self._offset > list_end:
             return RecallOutcome.EXPIRED
         try:
-            while offset < list_end:
-                page = await self._ctx.store.read(SERVICE_LIST_STREAM, offset)
+            while self._offset < list_end:
+                page = await self._ctx.store.read(
+                    SERVICE_LIST_STREAM, self._offset, 0.0, self._begin_without
+                )
                 _apply(recall, page.records)
-                if page.next_offset <= offset:
+                if page.next_offset <= self._offset:
                     return RecallOutcome.EXPIRED
-                offset = page.next_offset
+                self._offset = page.next_offset
         except RecordsExpiredError:
             return RecallOutcome.EXPIRED
         except LogUnavailableError:
             return RecallOutcome.UNAVAILABLE
         return RecallOutcome.DONE
 
+    def _begin_without(self) -> None:
+        """Let the host be ready though the answer is late."""
+        self._ctx.versions_recalled = True
+
 
 def _apply(recall: VersionRecall, records: tuple[KeyedRecord, ...]) -> None:
     for record in records:
--- a/src/knapweeddrum/telemetry/entry_events.py
+++ b/src/knapweeddrum/telemetry/entry_events.py
@@ -261,6 +261,7 @@
         "after_ms",
         "received_bytes",
         "on_new_connection",
+        "asked_twice",
         "config_age_ms",
         "lag_ms",
         "link_behind",
