Keep connections to other hosts on a full link, and let long answers in

On a full link that is no sign of silent connections: each new one takes two more trips through the same queue. They are kept now while this host's link is full or late.

The limit of 0.15 s was for the whole answer too: what hosts know of all others is some 7 kB with 91 hosts and grows with the fleet. Once an answer has begun it has 0.15 s for each further part, 1 s at most.

Both tests failed before: no connection was left, and the answer of 24 kB in 0.36 s was lost.

--- a/src/knapweeddrum/process/entry/peer_client.py
+++ b/src/knapweeddrum/process/entry/peer_client.py
@@ -10,6 +10,7 @@
 
 from knapweeddrum.http.client_connection import ClientConnection
 from knapweeddrum.http.exceptions import (
+    EndlessReplyError,
     ExchangeError,
     NoReplyError,
     NotSentError,
@@ -22,7 +23,12 @@
 from knapweeddrum.value.link_source import LinkSource
 
 PEER_REQUEST_TIMEOUT_SECONDS = 0.15
-"""Default time limit of a request to another host, from connect to reply."""
+"""Default time limit of a request to another host, from connect to reply.
+
+A reply that has begun may take as long again for each further part of it.
+"""
+MAX_REPLY_SECONDS = 1.0
+"""Time limit of a reply that comes in part by part."""
 PEER_CONNECT_TIMEOUT_SECONDS = 0.1
 MAX_PEER_CONNECTIONS = 8
 MAX_REPLY_BYTES = 65_536
@@ -91,12 +97,12 @@
             self._ctx.receiver(LinkSource.HOSTS),
         )
         try:
-            with anyio.fail_after(timeout):
+            with anyio.fail_after(timeout) as scope:
                 async with (
                     lease as conn,
                     conn.exchange(b"POST", path, headers, body) as head,
                 ):
-                    answer = await conn.read_body(MAX_REPLY_BYTES)
+                    answer = await _read_body(conn, scope, timeout)
             self._record_trip(asked_at, is_answered=True)
             if head.status != OK:
                 # Another start of the host, or one of the version before.
@@ -105,7 +111,7 @@
         except (ExchangeError, TimeoutError, MalformedDocumentError) as exc:
             self._record_failure(address, timeout, asked_at)
             self._record_trip(asked_at, is_answered=isinstance(exc, PeerRefusedError))
-            if isinstance(exc, TimeoutError):
+            if isinstance(exc, TimeoutError) and not self._was_link_full(asked_at):
                 await self._ctx.pool.close_silent(address, asked_at)
             ended = await _nobody_listens(address, exc, give_up_at)
             if ended:
@@ -131,13 +137,31 @@
         """Avoid the host, unless it is this one that is behind."""
         now = time.monotonic()
         if self._ctx.loop_lag.current(now) < timeout * MAX_LAG_FRACTION:
-            was_full = self._ctx.link_load.was_full_since(asked_at)
             self._unresponsive_until[address] = now + (
                 LINK_FULL_UNRESPONSIVE_SECONDS
-                if was_full
+                if self._was_link_full(asked_at)
                 else PEER_UNRESPONSIVE_SECONDS
             )
 
+    def _was_link_full(self, since: float) -> bool:
+        load = self._ctx.link_load
+        return load.was_full_since(since) or load.is_late(time.monotonic())
+
+
+async def _read_body(
+    conn: ClientConnection, scope: anyio.CancelScope, timeout: float
+) -> bytes:
+    """Return the body; each part of it moves the deadline of ``scope``."""
+    latest = anyio.current_time() + MAX_REPLY_SECONDS
+    body = bytearray()
+    while (data := await conn.next_data()) is not None:
+        body += data
+        if len(body) > MAX_REPLY_BYTES:
+            raise EndlessReplyError(f"body exceeds {MAX_REPLY_BYTES} bytes")
+        moved = min(latest, anyio.current_time() + timeout)
+        scope.deadline = max(scope.deadline, moved)
+    return bytes(body)
+
 
 async def _nobody_listens(address: str, failure: Exception, give_up_at: float) -> bool:
     """Return whether a request failed because no process listens at its address.
