--- a/src/knapweeddrum/process/entry/tunnel_client.py
+++ b/src/knapweeddrum/process/entry/tunnel_client.py
@@ -143,6 +143,7 @@
     ) -> ClientConnection | ProbeResult | None:
         """Return a connection, how connecting failed there, or None if refused."""
         address = host.peer_address
+        asked_at = time.monotonic()
         try:
             conn = await ClientConnection.connect(
                 address,
@@ -152,6 +153,7 @@
         except NotSentError as exc:
             self.avoid_silent(host, entry, repr(exc))
             return None
+        self._record_trip(asked_at)
         is_kept = False
         try:
             reply = await self._reply(conn, address, entry, is_probe=is_probe)
@@ -169,6 +171,13 @@
             return reply.result
         return self._tunnel(conn, host)
 
+    def _record_trip(self, asked_at: float) -> None:
+        """Record that another host was reached, though no endpoint is."""
+        now = time.monotonic()
+        self._ctx.link_load.record_trip(
+            LinkSource.HOSTS, now - asked_at, now, is_answered=True
+        )
+
     async def _reply(
         self,
         conn: ClientConnection,
