--- a/src/knapweeddrum/platform/http_append_log.py
+++ b/src/knapweeddrum/platform/http_append_log.py
@@ -6,6 +6,8 @@
 import urllib.parse
 from collections.abc import AsyncIterator
 
+import anyio
+
 from knapweeddrum.http.exceptions import ExchangeError, NoReplyError, NotSentError
 from knapweeddrum.http.exchange_client import ExchangeClient
 from knapweeddrum.http.reply import Reply
@@ -24,7 +26,9 @@
 
 APPEND_TIMEOUT_SECONDS = 5.0
 READ_TIMEOUT_SECONDS = 5.0
-"""Time limit of a read, added to the time that it may wait for a record."""
+"""Time of a read without a byte, added to that for which it may wait for a record."""
+MAX_READ_SECONDS = 60.0
+"""Time limit of a page that comes in part by part."""
 PAGE_LIMIT_BYTES = 8 * 1024 * 1024
 APPEND_REPLY_LIMIT_BYTES = 4 * 1024
 
@@ -70,16 +74,22 @@
         req = Request(
             method="GET", path=f"{self._records_path(stream)}?{query}", reuse=True
         )
-        timeout = READ_TIMEOUT_SECONDS + wait
         try:
-            reply = await self._client.exchange(req, timeout, PAGE_LIMIT_BYTES)
-        except ExchangeError as exc:
+            reply = await self._read_page(req, wait)
+        except (ExchangeError, TimeoutError) as exc:
             raise LogUnavailableError(str(exc)) from exc
         try:
             return self._decode_page(reply, start)
         except MalformedDocumentError as exc:
             raise LogUnavailableError(f"malformed page: {exc}") from exc
 
+    async def _read_page(self, req: Request, wait: float) -> Reply:
+        """Return the reply; one that goes on coming in isn't begun again."""
+        silence = READ_TIMEOUT_SECONDS + wait
+        with anyio.fail_after(MAX_READ_SECONDS + wait):
+            async with self._client.stream(req, silence) as streamed:
+                return Reply(streamed.head, await streamed.read(PAGE_LIMIT_BYTES))
+
     def _records_path(self, stream: str) -> str:
         return f"/v1/streams/{urllib.parse.quote(stream, safe='')}/records"
 
--- a/tests/platform/test_http_append_log.py
+++ b/tests/platform/test_http_append_log.py
@@ -2,9 +2,12 @@
 
 import contextlib
 from collections.abc import AsyncIterator
+from unittest import mock
 
 import anyio
+from anyio.abc import SocketStream
 
+from knapweeddrum.platform import http_append_log
 from knapweeddrum.platform.exceptions import (
     AppendUnknownError,
     LogUnavailableError,
@@ -16,9 +19,11 @@
 from tests.standins.append_log import AppendLogStandIn
 from tests.standins.raw_server import RESET, RawServer, json_reply
 from tests.standins.serving import serve
+from tests.standins.tcp_serving import serving
 
 STREAM = "budget-0"
 LONG_WAIT_SECONDS = 50.0
+SLOW_PART_SECONDS = 0.1
 
 
 @contextlib.asynccontextmanager
@@ -157,3 +162,28 @@
     async with server.serve() as url, HttpAppendLog.connect(url) as log:
         with raises(LogUnavailableError):
             await log.read(STREAM, 0, 10, 0.0)
+
+
+@async_test
+async def test_page_that_comes_in_slowly_is_not_begun_again():
+    """The limit was for the whole page, so that a long one never came in."""
+    body = b'{"first": 0, "next": 0, ' + b" " * 4000 + b'"records": []}'
+
+    async def handle(stream: SocketStream) -> None:
+        await stream.receive()
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+        await stream.send(head.encode())
+        for start in range(0, len(body), 1000):
+            await anyio.sleep(SLOW_PART_SECONDS)
+            await stream.send(body[start : start + 1000])
+
+    limit = mock.patch.object(
+        http_append_log, "READ_TIMEOUT_SECONDS", 2 * SLOW_PART_SECONDS
+    )
+    with limit:
+        async with (
+            serving(handle) as address,
+            HttpAppendLog.connect(f"http://{address}") as log,
+        ):
+            page = await log.read(STREAM, 0, 100, 0.0)
+    assert page.next == 0
