Read the newest configuration, not all between, when several are behind

A host of 300 kB a second read six versions of 225 kB one after the other, up to four a page; the last was in force 3.1 s after it was put. The stand-in for the store keeps to the size of a page that is asked for, one record at least.

--- a/src/knapweeddrum/platform/store_client.py
+++ b/src/knapweeddrum/platform/store_client.py
@@ -162,8 +162,9 @@
         start: int,
         wait: float = 0.0,
         on_late: Callable[[], None] = lambda: None,
+        page_kb: int = REQUESTED_PAGE_KB,
     ) -> StorePage:
-        """Return records from position ``start`` on.
+        """Return records from position ``start`` on, some ``page_kb`` KiB of them.
 
         A read at the end of the stream waits up to ``wait`` seconds for a record. Those
         that came in of a page that was cut are returned. ``on_late`` is called if that
@@ -175,7 +176,7 @@
             "topic": stream,
             "part": PARTITION,
             "from": offset_of(start),
-            "maxKb": REQUESTED_PAGE_KB,
+            "maxKb": page_kb,
             "waitMs": int(wait * 1000),
         }
         target = _target("/-/log-read", query)
--- a/src/knapweeddrum/process/entry/configuration_reader.py
+++ b/src/knapweeddrum/process/entry/configuration_reader.py
@@ -24,6 +24,8 @@
     """Applies the newest version of the configuration; older ones are ignored."""
 
     needs_newest_only = True
+    page_kb = 64
+    """Little more than one long version, as those before the last are of no use."""
 
     def __init__(self, ctx: EntryContext) -> None:
         self._ctx = ctx
--- a/src/knapweeddrum/process/entry/stream_follower.py
+++ b/src/knapweeddrum/process/entry/stream_follower.py
@@ -14,7 +14,7 @@
     StoreReturnedError,
 )
 from knapweeddrum.platform.keyed_record import KeyedRecord
-from knapweeddrum.platform.store_client import StoreClient
+from knapweeddrum.platform.store_client import REQUESTED_PAGE_KB, StoreClient
 from knapweeddrum.platform.store_listing import StoreListing
 from knapweeddrum.platform.store_page import StorePage
 from knapweeddrum.process.entry.stream_read import StreamRead
@@ -59,6 +59,9 @@
     needs_newest_only = False
     """Whether earlier records of a key are of no use once a later one is known."""
 
+    page_kb = REQUESTED_PAGE_KB
+    """KiB of records that are read at a time."""
+
     @abc.abstractmethod
     def on_store_lost(self) -> None:
         """Handle a call to the store that failed, or whose answer is late."""
@@ -178,7 +181,9 @@
 
     async def _read(self, start: int) -> None:
         asked_at = time.monotonic()
-        page = await self._store.read(self.stream, start, self._wait, self._record_late)
+        page = await self._store.read(
+            self.stream, start, self._wait, self._record_late, self._reader.page_kb
+        )
         now = time.monotonic()
         if page.records:
             self._reader.apply_records(page.records, now)
--- a/tests/process/entry/claim_race.py
+++ b/tests/process/entry/claim_race.py
@@ -167,7 +167,12 @@
             await anyio.sleep(self._seconds)
 
     async def read(
-        self, _name: str, start: int, _wait: float = 0.0, _on_late: object = None
+        self,
+        _name: str,
+        start: int,
+        _wait: float = 0.0,
+        _on_late: object = None,
+        _page_kb: int = 0,
     ) -> StorePage:
         await anyio.sleep(self._seconds)
         if self.refuses_reads:
--- a/tests/process/entry/hosts_store.py
+++ b/tests/process/entry/hosts_store.py
@@ -106,7 +106,12 @@
         raise AppendUnknownError("no reply")
 
     async def read(
-        self, _name: str, start: int, _wait: float = 0.0, _on_late: object = None
+        self,
+        _name: str,
+        start: int,
+        _wait: float = 0.0,
+        _on_late: object = None,
+        _page_kb: int = 0,
     ) -> StorePage:
         await self._call()
         if era_of(start) != self._store.era:
--- a/tests/process/entry/return_day.py
+++ b/tests/process/entry/return_day.py
@@ -173,7 +173,12 @@
         return store_position(known, end)
 
     async def read(
-        self, name: str, start: int, _wait: float = 0.0, _on_late: object = None
+        self,
+        name: str,
+        start: int,
+        _wait: float = 0.0,
+        _on_late: object = None,
+        _page_kb: int = 0,
     ) -> StorePage:
         if start and era_of(start) != self.era.current:
             raise StoreReturnedError(self.era.current)
--- a/tests/process/entry/test_crash_return.py
+++ b/tests/process/entry/test_crash_return.py
@@ -71,7 +71,12 @@
         return await super().append(name, records, at)
 
     async def read(
-        self, name: str, start: int, wait: float = 0.0, _on_late: object = None
+        self,
+        name: str,
+        start: int,
+        wait: float = 0.0,
+        _on_late: object = None,
+        _page_kb: int = 0,
     ) -> StorePage:
         self._day.reads[int(anyio.current_time())] += 1
         era = self._day.store.era
--- a/tests/process/entry/test_full_link.py
+++ b/tests/process/entry/test_full_link.py
@@ -21,6 +21,9 @@
 
 LINK_BYTES_PER_SECOND = 100_000
 """What callers leave of a link of 10 Mbit/s."""
+WEAK_LINK_BYTES_PER_SECOND = 300_000
+VERSIONS = range(2, 8)
+VERSION_INTERVAL_SECONDS = 0.33
 APPLY_SECONDS = 3.0
 """Time of the settings in which a configuration is to be in force."""
 MORE_ROUTES = 1000
@@ -75,6 +78,22 @@
         assert time.monotonic() - acked_at < APPLY_SECONDS
 
 
+@async_test
+async def test_last_of_several_long_configurations_is_in_force_in_time():
+    """All versions between were read, from the first on (CONFIG)."""
+    async with host_behind_link(configuration()) as (harness, link):
+        link.bytes_per_second = WEAK_LINK_BYTES_PER_SECOND
+        for version in VERSIONS:
+            harness.store.put("keyed.op", "config", long_configuration(version))
+            put_at = time.monotonic()
+            await anyio.sleep(VERSION_INTERVAL_SECONDS)
+        with anyio.fail_after(2 * APPLY_SECONDS):
+            await applied(harness, VERSIONS[-1])
+        assert time.monotonic() - put_at < APPLY_SECONDS
+        seen = [line["version"] for line in harness.events("config_applied")]
+        assert len(seen) < len(VERSIONS)
+
+
 @async_test
 async def test_host_gets_ready_though_its_listings_come_in_slowly():
     """A listing that takes over 0.9 s was begun again for ever."""
--- a/tests/process/entry/test_stream_follower.py
+++ b/tests/process/entry/test_stream_follower.py
@@ -30,7 +30,12 @@
         return StoreListing(self.records, 5)
 
     async def read(
-        self, stream: str, start: int, wait: float, on_late: OnLate = None
+        self,
+        stream: str,
+        start: int,
+        wait: float,
+        on_late: OnLate = None,
+        page_kb: int = 0,
     ) -> StorePage:
         await anyio.sleep(CALL_SECONDS)
         if not self.has_history:
@@ -50,7 +55,12 @@
         return StoreListing(self.records[-2:-1], 6)
 
     async def read(
-        self, stream: str, start: int, wait: float = 0.0, on_late: OnLate = None
+        self,
+        stream: str,
+        start: int,
+        wait: float = 0.0,
+        on_late: OnLate = None,
+        page_kb: int = 0,
     ) -> StorePage:
         await anyio.sleep(CALL_SECONDS)
         if start < self.first:
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -213,7 +213,8 @@
         if not stream.first <= start <= stream.end:
             await self._reply(conn, 410, json.dumps({"first": stream.first}).encode())
             return True
-        records = stream.records[start - stream.first :]
+        page_bytes = int(query.get("maxKb", "1024")) * 1024
+        records = _first_records(stream.records[start - stream.first :], page_bytes)
         head = struct.pack(">QQ", stream.end, stream.first)
         body = encode_records(KeyedRecord(key, value) for key, value in records)
         await self._reply(conn, 200, head + body)
@@ -235,6 +236,18 @@
         await conn.send_reply(status, headers, body)
 
 
+def _first_records(
+    records: list[tuple[str, bytes | None]], page_bytes: int
+) -> list[tuple[str, bytes | None]]:
+    """Return as many records as a page holds, one at least."""
+    size = 0
+    for count, (key, value) in enumerate(records):
+        size += 5 + len(key) + len(value or b"")
+        if count and size > page_bytes:
+            return records[:count]
+    return records
+
+
 def _decode_records(body: bytes) -> list[tuple[str, bytes | None]]:
     records = []
     while body:
