Take a quick answer of an endpoint for a sign that the link has room

A slow store beside endpoints that crash looked like a full link at a host that opens few connections. An answer to a request counts only if it was quick, as it takes the endpoint's work too.

--- a/src/knapweeddrum/core/load/link_load.py
+++ b/src/knapweeddrum/core/load/link_load.py
@@ -155,6 +155,10 @@
         if not self.is_closed and self._trips.are_late(now):
             self.on_due()
 
+    def record_work(self, seconds: float, now: float) -> None:
+        """Record the time until an answer began that an endpoint worked for."""
+        self._trips.record_work(seconds, now)
+
     def update(self, now: float) -> None:
         """Drain the account and decide whether to take new connections."""
         self._drain(now)
--- a/src/knapweeddrum/core/load/round_trips.py
+++ b/src/knapweeddrum/core/load/round_trips.py
@@ -34,6 +34,11 @@
         else:
             self._late_at[source] = now
 
+    def record_work(self, seconds: float, now: float) -> None:
+        """Record an answer that took work beside the trip: a late one tells nothing."""
+        if seconds <= QUICK_SECONDS:
+            self._quick_at = now
+
     def are_late(self, now: float) -> bool:
         """Return whether endpoints and others were late, and nobody was quick."""
         since = now - WINDOW_SECONDS
--- a/src/knapweeddrum/process/entry/endpoint_attempt.py
+++ b/src/knapweeddrum/process/entry/endpoint_attempt.py
@@ -120,7 +120,9 @@
             if not head.moved:
                 record_notices(ctx, state, head, now)
             await _check_head(answer)
-            state.record_answer_start(attempt, job.input_tokens, time.monotonic())
+            began_at = time.monotonic()
+            state.record_answer_start(attempt, job.input_tokens, began_at)
+            ctx.link_load.record_work(began_at - now, began_at)
             yield answer
         result = _result_of_answer(head)
     except AttemptError as exc:
--- a/tests/core/load/test_round_trips.py
+++ b/tests/core/load/test_round_trips.py
@@ -43,6 +43,17 @@
     assert not trips.are_late(NOW + 0.1)
 
 
+def test_slow_store_beside_endpoints_that_crash_is_not_taken_for_a_full_link():
+    """Requests are answered quickly; long prompts tell nothing either way."""
+    trips = RoundTrips()
+    trips.record(LinkSource.ENDPOINTS, LATE_SECONDS, NOW, is_answered=False)
+    trips.record(LinkSource.STORE, LATE_SECONDS, NOW, is_answered=True)
+    trips.record_work(LATE_SECONDS, NOW)
+    assert trips.are_late(NOW)
+    trips.record_work(0.1, NOW)
+    assert not trips.are_late(NOW)
+
+
 def test_listener_is_closed_though_no_bytes_are_received():
     """Bytes of callers who gave up fill the link and never reach the process."""
     load = LinkLoad(5.0)
