--- a/src/knapweeddrum/platform/store_client.py
+++ b/src/knapweeddrum/platform/store_client.py
@@ -42,7 +42,8 @@
 MAX_SILENCE_SECONDS = 4.0
 """Time without a byte after which a read is given up."""
 READ_PATIENCE = ReadPatience(LATE_SECONDS, MAX_SILENCE_SECONDS)
-MAX_CONNECTIONS = 16
+MAX_CONNECTIONS = 24
+"""Those of five streams that are asked for three times at once, and of writes."""
 REQUESTED_PAGE_KB = 1024
 FURTHER_PAGE_TRIES = 3
 """Reads of a further page of a listing before all of it is given up."""
