List heartbeats again only after a long time without a read

After each failed read of the heartbeats all hosts were listed, with a third more for base64, where what was written since is a part of that. Now after 3 s, two intervals of the heartbeats.

--- a/src/knapweeddrum/process/entry/stream_follower.py
+++ b/src/knapweeddrum/process/entry/stream_follower.py
@@ -32,6 +32,10 @@
 """Reads of one page of them before the listing is given up as well."""
 
 
+BEHIND_SECONDS = 3.0
+"""Time without a read after which a listing is shorter than what was written since."""
+
+
 class RecordReader(abc.ABC):
     """Applies the records of one stream; ``now`` is in monotonic seconds."""
 
@@ -101,6 +105,8 @@
         self._reads_past = True
         """Whether the records before the next listing are of use."""
         self._is_store_unreachable = False
+        self._read_at = float("-inf")
+        """Time of the last read that reached the end of the stream."""
 
     async def run(self) -> None:
         """Follow the stream until cancelled."""
@@ -195,6 +201,7 @@
             self._reads_past = False
 
     def _record_success(self, read: StreamRead) -> None:
+        self._read_at = read.received_at
         if self._is_store_unreachable:
             self._is_store_unreachable = False
             self._events.emit(DEPENDENCY_READY, dependency=self.stream)
@@ -202,7 +209,8 @@
 
     def _record_failure(self, exc: LogUnavailableError) -> None:
         self._record_lost(str(exc))
-        if self._reader.needs_newest_only:
+        is_behind = time.monotonic() - self._read_at >= BEHIND_SECONDS
+        if is_behind and self._reader.needs_newest_only:
             self._next_offset = None
 
     def _record_late(self) -> None:
--- a/tests/process/entry/test_stream_follower.py
+++ b/tests/process/entry/test_stream_follower.py
@@ -5,11 +5,16 @@
 
 import anyio
 
-from knapweeddrum.platform.exceptions import RecordsExpiredError
+from knapweeddrum.platform.exceptions import LogUnavailableError, RecordsExpiredError
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.store_listing import StoreListing
 from knapweeddrum.platform.store_page import StorePage
-from knapweeddrum.process.entry.stream_follower import RecordReader, StreamFollower
+from knapweeddrum.process.entry.stream_follower import (
+    BEHIND_SECONDS,
+    RETRY_SECONDS,
+    RecordReader,
+    StreamFollower,
+)
 from knapweeddrum.process.entry.stream_read import StreamRead
 from tests.async_test import async_test
 
@@ -148,3 +153,34 @@
     reader = ReaderLog(past=6)
     await follow(reader, 3.5 * CALL_SECONDS, StoreWithPast(first=6))
     assert reader.calls[:2] == ["listing", "up to date"]
+
+
+class StoreInTrouble:
+    """Fails ``failures`` reads that take some time each; counts the listings."""
+
+    def __init__(self, failures: int, seconds: float) -> None:
+        self.listings = 0
+        self._failures = failures
+        self._seconds = seconds
+
+    async def list_newest(self, stream: str, on_late: OnLate = None) -> StoreListing:
+        self.listings += 1
+        return StoreListing((), 5)
+
+    async def read(self, stream: str, start: int, *_: object) -> StorePage:
+        await anyio.sleep(self._seconds)
+        if self._failures:
+            self._failures -= 1
+            raise LogUnavailableError("busy")
+        return StorePage((), start, complete=True)
+
+
+@async_test
+async def test_heartbeats_are_listed_again_only_after_a_long_time_without_a_read():
+    """A listing of hundreds of hosts is long, and so is all that they wrote since."""
+    for failures, seconds, listings in ((1, CALL_SECONDS, 1), (1, BEHIND_SECONDS, 2)):
+        store = StoreInTrouble(failures, seconds)
+        reader = ReaderLog()
+        reader.needs_newest_only = True
+        await follow(reader, 2 * seconds + 2 * RETRY_SECONDS, store)
+        assert store.listings == listings
