--- a/src/knapweeddrum/platform/hedged_read.py
+++ b/src/knapweeddrum/platform/hedged_read.py
@@ -19,10 +19,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadPatience:
-    """Times in seconds: after ``late`` another connection is tried.
+    """Times in seconds from when an answer is due.
 
-    After twice that again, or if the first connection was new and is known to work;
-    after ``silence`` without a byte the read is given up.
+    After ``late`` it is asked for on another connection; after twice that if the first
+    connection was new, so that it is known to work. After ``silence`` without a byte
+    the read is given up.
     """
 
     late: float
@@ -51,6 +52,7 @@
         self._new_lease = new_lease
         self._patience = patience
         self._on_late = on_late
+        self._due_at = due_at
         self._late_at = due_at + patience.late
         self._heard_at = due_at
         self.began_at: float | None = None
@@ -106,16 +108,19 @@
             self._ask_again(tasks, now)
 
     def _ask_again(self, tasks: anyio.abc.TaskGroup, now: float) -> None:
-        first = self.exchanges[0]
-        is_known_to_work = first.on_new_connection and first.is_connected
-        due_at = self._late_at - self._patience.late
-        patient_until = due_at + 2.0 * self._patience.late
-        if is_known_to_work and not first.has_begun and now < patient_until:
-            self._asks_again_at = patient_until
+        pause = 2.0 * self._patience.late
+        if self._is_first_known_to_work() and now < self._due_at + pause:
+            self._asks_again_at = self._due_at + pause
             return
-        self._asks_again_at = now + 2.0 * self._patience.late
+        self._asks_again_at = now + pause
         self._start(tasks)
 
+    def _is_first_known_to_work(self) -> bool:
+        """Return whether the first connection was new, and its answer hasn't begun."""
+        first = self.exchanges[0]
+        is_new = first.on_new_connection and first.is_connected
+        return is_new and not first.has_begun
+
     def _start(self, tasks: anyio.abc.TaskGroup) -> None:
         exchange = self._new_exchange(lambda: self._record_progress(exchange))
         self.exchanges.append(exchange)
--- a/src/knapweeddrum/platform/store_call.py
+++ b/src/knapweeddrum/platform/store_call.py
@@ -4,6 +4,10 @@
 
 import dataclasses
 
+from knapweeddrum.http.exceptions import NotSentError
+from knapweeddrum.platform.exceptions import EraDoubtError
+from knapweeddrum.platform.store_question import StoreReply
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreCall:
@@ -25,3 +29,21 @@
     on_new_connection: bool
     asked_twice: bool
     """Whether it was asked once more on a new connection."""
+
+
+def call_outcome(result: StoreReply | Exception) -> str:
+    """Return what became of a call by its answer or error."""
+    if isinstance(result, EraDoubtError):
+        return "era_doubt"
+    if isinstance(result, NotSentError):
+        return "not_sent"
+    if isinstance(result, Exception):
+        return "no_reply"
+    return str(result.status) if result.is_whole else "cut"
+
+
+def call_error(result: StoreReply | Exception) -> str:
+    """Return the error of a call, empty without one."""
+    if isinstance(result, Exception):
+        return str(result)
+    return "" if result.is_whole else "the answer was cut"
--- a/src/knapweeddrum/platform/store_client.py
+++ b/src/knapweeddrum/platform/store_client.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-import base64
-import dataclasses
 import time
 import urllib.parse
 from collections.abc import Callable, Sequence
 
 import anyio
-import msgspec
 
 from knapweeddrum.http.connection_pool import ConnectionPool
 from knapweeddrum.http.exceptions import ExchangeError, NoReplyError, NotSentError
@@ -25,14 +22,22 @@
 from knapweeddrum.platform.hedged_read import HedgedRead, ReadPatience
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.record_codec import decode_page, encode_records
-from knapweeddrum.platform.store_call import StoreCall
+from knapweeddrum.platform.store_answers import (
+    Appended,
+    Expired,
+    Listing,
+    ListingPage,
+    decode_item,
+    end_of_stream,
+)
+from knapweeddrum.platform.store_call import StoreCall, call_error, call_outcome
 from knapweeddrum.platform.store_era import StoreEra
 from knapweeddrum.platform.store_exchange import ConnectionLease, StoreExchange
 from knapweeddrum.platform.store_listing import StoreListing
 from knapweeddrum.platform.store_page import StorePage
 from knapweeddrum.platform.store_question import StoreQuestion, StoreReply
 from knapweeddrum.value.documents import MalformedDocumentError, decode_json
-from knapweeddrum.value.store_position import Offset, era_of, offset_of, store_position
+from knapweeddrum.value.store_position import era_of, offset_of, store_position
 
 LATE_SECONDS = 0.9
 """Time after which an answer is late, added to that for which the store may wait.
@@ -59,37 +64,6 @@
 """Statuses of an append that mean that the store wrote nothing."""
 
 
-class _ListedItem(msgspec.Struct, frozen=True):
-    key: str
-    value: str
-    offset: Offset
-
-
-class _Listing(msgspec.Struct, frozen=True):
-    items: tuple[_ListedItem, ...]
-    end: Offset
-    more: bool = msgspec.field(name="hasMore", default=False)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _ListingPage:
-    listing: _Listing
-    era: int
-
-
-class _Appended(msgspec.Struct, frozen=True):
-    offset: Offset
-    end: Offset
-
-
-class _ConditionFailed(msgspec.Struct, frozen=True):
-    end: Offset
-
-
-class _Expired(msgspec.Struct, frozen=True):
-    first: Offset
-
-
 class StoreClient:
     """Appends to and reads from keyed streams; it never retries a call.
 
@@ -146,13 +120,13 @@
         if reply.status in NOT_EXECUTED_STATUSES:
             raise LogUnavailableError(f"append refused with status {reply.status}")
         if reply.status == CONDITION_FAILED:
-            raise ConditionFailedError(stream, _end_of_stream(reply))
+            raise ConditionFailedError(stream, end_of_stream(reply))
         if reply.status != OK:
             raise AppendUnknownError(f"append answered with status {reply.status}")
         if expected_end is not None and not _is_of_era(expected_end, reply.era):
             raise AppendUnknownError(f"append carried out in era {reply.era}")
         try:
-            end = decode_json(reply.body, _Appended).end
+            end = decode_json(reply.body, Appended).end
         except MalformedDocumentError as exc:
             raise AppendUnknownError(f"malformed reply to an append: {exc}") from exc
         return store_position(reply.era, end)
@@ -188,7 +162,7 @@
             raise StoreReturnedError(reply.era)
         try:
             if reply.status == GONE:
-                first = decode_json(reply.body, _Expired).first
+                first = decode_json(reply.body, Expired).first
                 raise RecordsExpiredError(first)
             if reply.status != OK:
                 raise LogUnavailableError(f"read answered with status {reply.status}")
@@ -214,7 +188,7 @@
             if pages[-1].era != first.era:
                 raise LogUnavailableError("the store returned during a listing")
         items = [item for page in pages for item in page.listing.items]
-        records = [_decode_item(item, first.era) for item in items]
+        records = [decode_item(item, first.era) for item in items]
         end = store_position(first.era, first.listing.end)
         return StoreListing(tuple(records), end)
 
@@ -225,7 +199,7 @@
 
     async def _read_further(
         self, stream: str, after: str, on_late: Callable[[], None]
-    ) -> _ListingPage:
+    ) -> ListingPage:
         """Read a page that follows others, which would have to be read again."""
         for _ in range(FURTHER_PAGE_TRIES - 1):
             try:
@@ -236,7 +210,7 @@
 
     async def _read_listing(
         self, stream: str, after: str, on_late: Callable[[], None]
-    ) -> _ListingPage:
+    ) -> ListingPage:
         query: dict[str, object] = {"topic": stream, "part": PARTITION}
         if after:
             query["after"] = after
@@ -247,10 +221,10 @@
         if reply.status != OK:
             raise LogUnavailableError(f"listing answered with status {reply.status}")
         try:
-            listing = decode_json(reply.body, _Listing)
+            listing = decode_json(reply.body, Listing)
         except MalformedDocumentError as exc:
             raise LogUnavailableError(f"malformed listing: {exc}") from exc
-        return _ListingPage(listing, reply.era)
+        return ListingPage(listing, reply.era)
 
     async def _read_call(
         self, question: StoreQuestion, on_late: Callable[[], None]
@@ -327,8 +301,8 @@
             StoreCall(
                 question.kind,
                 question.stream,
-                _outcome(result),
-                _error(result),
+                call_outcome(result),
+                call_error(result),
                 time.monotonic() - began_at,
                 None if first_at is None else first_at - began_at,
                 max(exchange.received for exchange in exchanges),
@@ -342,44 +316,10 @@
     return f"{path}?{urllib.parse.urlencode(query)}".encode()
 
 
-def _outcome(result: StoreReply | Exception) -> str:
-    if isinstance(result, EraDoubtError):
-        return "era_doubt"
-    if isinstance(result, NotSentError):
-        return "not_sent"
-    if isinstance(result, Exception):
-        return "no_reply"
-    return str(result.status) if result.is_whole else "cut"
-
-
-def _error(result: StoreReply | Exception) -> str:
-    if isinstance(result, Exception):
-        return str(result)
-    return "" if result.is_whole else "the answer was cut"
-
-
 def _is_of_era(position: int, era: int) -> bool:
     """Return whether a position is valid; that of the beginning is in all eras."""
     return not position or era_of(position) == era
 
 
-def _end_of_stream(reply: StoreReply) -> int | None:
-    """Return where a stream ends by the answer to an append that came too late."""
-    try:
-        end = decode_json(reply.body, _ConditionFailed).end
-    except MalformedDocumentError:
-        return None
-    return store_position(reply.era, end)
-
-
 def _ignore_doubt(_reason: str) -> None:
     return None
-
-
-def _decode_item(item: _ListedItem, era: int) -> KeyedRecord:
-    try:
-        value = base64.b64decode(item.value, validate=True)
-    except ValueError:
-        # Keeps the key in the listing, with a value that every codec rejects.
-        value = b"\x00"
-    return KeyedRecord(item.key, value, store_position(era, item.offset))
