--- a/src/knapweeddrum/platform/store_client.py
+++ b/src/knapweeddrum/platform/store_client.py
@@ -2,19 +2,14 @@
 
 from __future__ import annotations
 
-import base64
-import dataclasses
 import time
 import urllib.parse
 from collections.abc import Callable, Sequence
 
 import anyio
-import msgspec
 
-from knapweeddrum.http.client_connection import ClientConnection
 from knapweeddrum.http.connection_pool import ConnectionPool
 from knapweeddrum.http.exceptions import ExchangeError, NoReplyError, NotSentError
-from knapweeddrum.http.header_list import Header
 from knapweeddrum.platform.exceptions import (
     AppendUnknownError,
     ConditionFailedError,
@@ -24,20 +19,40 @@
     RecordsExpiredError,
     StoreReturnedError,
 )
+from knapweeddrum.platform.hedged_read import HedgedRead, ReadPatience
 from knapweeddrum.platform.keyed_record import KeyedRecord
 from knapweeddrum.platform.record_codec import decode_page, encode_records
+from knapweeddrum.platform.store_answers import (
+    Appended,
+    Expired,
+    Listing,
+    ListingPage,
+    decode_item,
+    end_of_stream,
+)
+from knapweeddrum.platform.store_call import StoreCall, call_error, call_outcome
 from knapweeddrum.platform.store_era import StoreEra
+from knapweeddrum.platform.store_exchange import ConnectionLease, StoreExchange
 from knapweeddrum.platform.store_listing import StoreListing
 from knapweeddrum.platform.store_page import StorePage
+from knapweeddrum.platform.store_question import StoreQuestion, StoreReply
 from knapweeddrum.value.documents import MalformedDocumentError, decode_json
-from knapweeddrum.value.store_position import Offset, era_of, offset_of, store_position
-
-CONNECT_TIMEOUT_SECONDS = 0.5
-CALL_TIMEOUT_SECONDS = 0.9
-"""Time limit of a call, added to the time that it may wait for records."""
-MAX_CONNECTIONS = 8
-MAX_PAGE_BYTES = 4 * 1024 * 1024
+from knapweeddrum.value.store_position import era_of, offset_of, store_position
+
+LATE_SECONDS = 0.9
+"""Time after which an answer is late, added to that for which the store may wait.
+
+A write is given up then, a read is asked once more on a new connection.
+"""
+MAX_SILENCE_SECONDS = 4.0
+"""Time without a byte after which a read is given up."""
+READ_PATIENCE = ReadPatience(LATE_SECONDS, MAX_SILENCE_SECONDS)
+MAX_CONNECTIONS = 24
+"""Those of five streams that are asked for three times at once, and of writes."""
 REQUESTED_PAGE_KB = 1024
+FURTHER_PAGE_TRIES = 3
+"""Reads of a further page of a listing before all of it is given up."""
+FURTHER_PAGE_PAUSE_SECONDS = 0.25
 
 PARTITION = 0
 """The fleet's streams have a single partition."""
@@ -49,62 +64,29 @@
 """Statuses of an append that mean that the store wrote nothing."""
 
 
-class _ListedItem(msgspec.Struct, frozen=True):
-    key: str
-    value: str
-    offset: Offset
-
-
-class _Listing(msgspec.Struct, frozen=True):
-    items: tuple[_ListedItem, ...]
-    end: Offset
-    more: bool = msgspec.field(name="hasMore", default=False)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _ListingPage:
-    listing: _Listing
-    era: int
-
-
-class _Appended(msgspec.Struct, frozen=True):
-    offset: Offset
-    end: Offset
-
-
-class _ConditionFailed(msgspec.Struct, frozen=True):
-    end: Offset
-
-
-class _Expired(msgspec.Struct, frozen=True):
-    first: Offset
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Reply:
-    status: int
-    body: bytes
-    era: int
-
-
 class StoreClient:
     """Appends to and reads from keyed streams; it never retries a call.
 
     Offsets are given and returned as positions, which tell the era of the store too.
-    ``on_call`` is called after each call with its kind (``append``, ``read`` or
-    ``newest``) and outcome: the reply's status, ``not_sent``, ``no_reply`` or
-    ``era_doubt``.
+    ``on_receive`` is told the number of bytes of each receive.
     """
 
     def __init__(
-        self, address: str, pool: ConnectionPool, on_call: Callable[[str, str], None]
+        self,
+        address: str,
+        pool: ConnectionPool,
+        on_receive: Callable[[int], None] = lambda _: None,
     ) -> None:
         self.address = address
         self.era = StoreEra()
         self.on_era_doubt: Callable[[str], None] = _ignore_doubt
         """Called with the reason when an answer is not believed."""
+        self.on_call: Callable[[StoreCall], None] = lambda _: None
+        """Called with each call that has ended."""
+        self.on_late: Callable[[], None] = lambda: None
+        """Called for each read without a whole answer after LATE_SECONDS."""
         self._pool = pool
-        self._on_call = on_call
+        self._on_receive = on_receive
 
     async def append(
         self,
@@ -126,8 +108,10 @@
             query["at"] = offset_of(expected_end)
         target = _target("/-/log-append", query)
         try:
-            reply = await self._call(
-                "append", b"POST", target, encode_records(records), 0.0
+            reply = await self._write_call(
+                StoreQuestion(
+                    "append", stream, b"POST", target, encode_records(records)
+                )
             )
         except NotSentError as exc:
             raise LogUnavailableError(str(exc)) from exc
@@ -136,61 +120,75 @@
         if reply.status in NOT_EXECUTED_STATUSES:
             raise LogUnavailableError(f"append refused with status {reply.status}")
         if reply.status == CONDITION_FAILED:
-            raise ConditionFailedError(stream, _end_of_stream(reply))
+            raise ConditionFailedError(stream, end_of_stream(reply))
         if reply.status != OK:
             raise AppendUnknownError(f"append answered with status {reply.status}")
         if expected_end is not None and not _is_of_era(expected_end, reply.era):
             raise AppendUnknownError(f"append carried out in era {reply.era}")
         try:
-            end = decode_json(reply.body, _Appended).end
+            end = decode_json(reply.body, Appended).end
         except MalformedDocumentError as exc:
             raise AppendUnknownError(f"malformed reply to an append: {exc}") from exc
         return store_position(reply.era, end)
 
-    async def read(self, stream: str, start: int, wait: float = 0.0) -> StorePage:
-        """Return records from position ``start`` on.
-
-        A read at the end of the stream waits up to ``wait`` seconds for a record.
-        Raises RecordsExpiredError, StoreReturnedError and LogUnavailableError.
+    async def read(
+        self,
+        stream: str,
+        start: int,
+        wait: float = 0.0,
+        on_late: Callable[[], None] = lambda: None,
+        page_kb: int = REQUESTED_PAGE_KB,
+    ) -> StorePage:
+        """Return records from position ``start`` on, some ``page_kb`` KiB of them.
+
+        A read at the end of the stream waits up to ``wait`` seconds for a record. Those
+        that came in of a page that was cut are returned. ``on_late`` is called if that
+        takes longer than LATE_SECONDS beside. Raises RecordsExpiredError,
+        StoreReturnedError and LogUnavailableError.
         """
         self._check_era(start)
         query = {
             "topic": stream,
             "part": PARTITION,
             "from": offset_of(start),
-            "maxKb": REQUESTED_PAGE_KB,
+            "maxKb": page_kb,
             "waitMs": int(wait * 1000),
         }
-        reply = await self._read_call("read", "/-/log-read", query, wait)
+        target = _target("/-/log-read", query)
+        reply = await self._read_call(
+            StoreQuestion("read", stream, b"GET", target, wait=wait), on_late
+        )
         if not _is_of_era(start, reply.era):
             raise StoreReturnedError(reply.era)
         try:
             if reply.status == GONE:
-                first = decode_json(reply.body, _Expired).first
+                first = decode_json(reply.body, Expired).first
                 raise RecordsExpiredError(first)
             if reply.status != OK:
                 raise LogUnavailableError(f"read answered with status {reply.status}")
             position = store_position(reply.era, offset_of(start))
-            return decode_page(reply.body, position)
+            return decode_page(reply.body, position, is_whole=reply.is_whole)
         except (MalformedDocumentError, MalformedRecordError) as exc:
             raise LogUnavailableError(f"malformed page: {exc}") from exc
 
-    async def list_newest(self, stream: str) -> StoreListing:
+    async def list_newest(
+        self, stream: str, on_late: Callable[[], None] = lambda: None
+    ) -> StoreListing:
         """Return the newest record of each key, read page by page.
 
         ``next_offset`` is the end of the stream as of the first page, as records that
-        were appended after that may be missing from the listing.
-        Raises LogUnavailableError.
+        were appended after that may be missing from the listing. ``on_late`` is called
+        for each page that takes longer than LATE_SECONDS. Raises LogUnavailableError.
         """
-        first = await self._read_listing(stream, "")
+        first = await self._read_listing(stream, "", on_late)
         pages = [first]
         while pages[-1].listing.more and pages[-1].listing.items:
             after = pages[-1].listing.items[-1].key
-            pages.append(await self._read_listing(stream, after))
+            pages.append(await self._read_further(stream, after, on_late))
             if pages[-1].era != first.era:
                 raise LogUnavailableError("the store returned during a listing")
         items = [item for page in pages for item in page.listing.items]
-        records = [_decode_item(item, first.era) for item in items]
+        records = [decode_item(item, first.era) for item in items]
         end = store_position(first.era, first.listing.end)
         return StoreListing(tuple(records), end)
 
@@ -199,64 +197,119 @@
         if not _is_of_era(position, self.era.current):
             raise StoreReturnedError(self.era.current)
 
-    async def _read_listing(self, stream: str, after: str) -> _ListingPage:
+    async def _read_further(
+        self, stream: str, after: str, on_late: Callable[[], None]
+    ) -> ListingPage:
+        """Read a page that follows others, which would have to be read again."""
+        for _ in range(FURTHER_PAGE_TRIES - 1):
+            try:
+                return await self._read_listing(stream, after, on_late)
+            except LogUnavailableError:
+                await anyio.sleep(FURTHER_PAGE_PAUSE_SECONDS)
+        return await self._read_listing(stream, after, on_late)
+
+    async def _read_listing(
+        self, stream: str, after: str, on_late: Callable[[], None]
+    ) -> ListingPage:
         query: dict[str, object] = {"topic": stream, "part": PARTITION}
         if after:
             query["after"] = after
-        reply = await self._read_call("newest", "/-/log-newest", query, 0.0)
+        target = _target("/-/log-newest", query)
+        reply = await self._read_call(
+            StoreQuestion("newest", stream, b"GET", target), on_late
+        )
         if reply.status != OK:
             raise LogUnavailableError(f"listing answered with status {reply.status}")
         try:
-            listing = decode_json(reply.body, _Listing)
+            listing = decode_json(reply.body, Listing)
         except MalformedDocumentError as exc:
             raise LogUnavailableError(f"malformed listing: {exc}") from exc
-        return _ListingPage(listing, reply.era)
+        return ListingPage(listing, reply.era)
 
     async def _read_call(
-        self, kind: str, path: str, query: dict[str, object], wait: float
-    ) -> _Reply:
+        self, question: StoreQuestion, on_late: Callable[[], None]
+    ) -> StoreReply:
+        """Read; a second time on a new connection if nothing comes in."""
+        began_at = time.monotonic()
+        due_at = began_at + question.wait
+
+        def record_late() -> None:
+            self.on_late()
+            on_late()
+
+        read = HedgedRead(
+            lambda on_progress: self._exchange(
+                question, MAX_SILENCE_SECONDS, on_progress
+            ),
+            self._lease,
+            due_at,
+            READ_PATIENCE,
+            record_late,
+        )
         try:
-            return await self._call(kind, b"GET", _target(path, query), b"", wait)
+            reply = await read.run()
         except (ExchangeError, EraDoubtError) as exc:
+            self._report(question, began_at, read.exchanges, exc)
             raise LogUnavailableError(str(exc)) from exc
+        first = read.began_at if not question.wait else None
+        self._report(question, began_at, read.exchanges, reply, first)
+        if read.has_silent_connection:
+            await self._pool.close_silent(self.address, due_at)
+        return reply
 
-    async def _call(
-        self, kind: str, method: bytes, target: bytes, body: bytes, wait: float
-    ) -> _Reply:
-        """Make one call; raises NotSentError, NoReplyError and EraDoubtError."""
-        outcome = "no_reply"
-        due_at = time.monotonic() + wait
-        lease = self._pool.lease(
-            self.address, self.address, MAX_CONNECTIONS, CONNECT_TIMEOUT_SECONDS
-        )
+    async def _write_call(self, question: StoreQuestion) -> StoreReply:
+        """Write once; raises NotSentError, NoReplyError and EraDoubtError."""
+        began_at = time.monotonic()
+        exchange = self._exchange(question, LATE_SECONDS)
         try:
-            with anyio.fail_after(CALL_TIMEOUT_SECONDS + wait):
-                async with lease as conn:
-                    reply = await self._exchange(conn, method, target, body)
-                    outcome = str(reply.status)
-                    return reply
-        except EraDoubtError as exc:
-            outcome = "era_doubt"
-            self.on_era_doubt(str(exc))
-            raise
-        except NotSentError:
-            outcome = "not_sent"
+            reply = await exchange.run(self._lease())
+        except (ExchangeError, EraDoubtError) as exc:
+            self._report(question, began_at, [exchange], exc)
             raise
-        except TimeoutError as exc:
-            await self._pool.close_silent(self.address, due_at)
-            raise NoReplyError(f"{self.address}: no reply in time") from exc
-        finally:
-            self._on_call(kind, outcome)
+        self._report(question, began_at, [exchange], reply)
+        return reply
 
-    async def _exchange(
-        self, conn: ClientConnection, method: bytes, target: bytes, body: bytes
-    ) -> _Reply:
-        headers: list[Header] = [(b"Host", self.address.encode())]
-        if method == b"POST":
-            headers.append((b"Content-Length", str(len(body)).encode()))
-        async with conn.exchange(method, target, headers, body) as head:
-            reply = await conn.read_body(MAX_PAGE_BYTES)
-            return _Reply(head.status, reply, self.era.accept(head.headers))
+    def _exchange(
+        self,
+        question: StoreQuestion,
+        silence: float,
+        on_progress: Callable[[], None] = lambda: None,
+    ) -> StoreExchange:
+        return StoreExchange(question, self.address, self.era, silence, on_progress)
+
+    def _lease(self, is_new: bool = False) -> ConnectionLease:
+        return self._pool.lease(
+            self.address,
+            self.address,
+            MAX_CONNECTIONS,
+            MAX_SILENCE_SECONDS,
+            self._on_receive,
+            is_new=is_new,
+        )
+
+    def _report(
+        self,
+        question: StoreQuestion,
+        began_at: float,
+        exchanges: Sequence[StoreExchange],
+        result: StoreReply | Exception,
+        first_at: float | None = None,
+    ) -> None:
+        if isinstance(result, EraDoubtError):
+            self.on_era_doubt(str(result))
+        self.on_call(
+            StoreCall(
+                question.kind,
+                question.stream,
+                call_outcome(result),
+                call_error(result),
+                time.monotonic() - began_at,
+                None if first_at is None else first_at - began_at,
+                max(exchange.received for exchange in exchanges),
+                exchanges[0].on_new_connection,
+                len(exchanges) > 1,
+            )
+        )
 
 
 def _target(path: str, query: dict[str, object]) -> bytes:
@@ -268,23 +321,5 @@
     return not position or era_of(position) == era
 
 
-def _end_of_stream(reply: _Reply) -> int | None:
-    """Return where a stream ends by the answer to an append that came too late."""
-    try:
-        end = decode_json(reply.body, _ConditionFailed).end
-    except MalformedDocumentError:
-        return None
-    return store_position(reply.era, end)
-
-
 def _ignore_doubt(_reason: str) -> None:
     return None
-
-
-def _decode_item(item: _ListedItem, era: int) -> KeyedRecord:
-    try:
-        value = base64.b64decode(item.value, validate=True)
-    except ValueError:
-        # Keeps the key in the listing, with a value that every codec rejects.
-        value = b"\x00"
-    return KeyedRecord(item.key, value, store_position(era, item.offset))
--- a/src/knapweeddrum/process/entry/caller_session.py
+++ b/src/knapweeddrum/process/entry/caller_session.py
@@ -35,6 +35,7 @@
 from knapweeddrum.process.router.problem import STATUS_BY_REASON, Problem
 from knapweeddrum.telemetry.entry_events import REQUEST_REFUSED
 from knapweeddrum.telemetry.events import TASK_FAILED
+from knapweeddrum.value.link_source import LinkSource
 from knapweeddrum.value.refusal import Refusal
 from knapweeddrum.value.refusal_reason import RefusalReason
 from knapweeddrum.value.run_state import RunState
@@ -67,7 +68,7 @@
             stream,
             self._limits.max_header_bytes,
             self._is_closing,
-            ctx.link_load.receive,
+            ctx.receiver(LinkSource.CALLERS),
             room,
         )
         self._admission = RequestAdmission(ctx)
@@ -152,7 +153,11 @@
 
     def _is_closing(self) -> bool:
         """Return whether answers tell callers to leave this connection."""
-        return time.monotonic() >= self._ctx.drain_refuses_from
+        now = time.monotonic()
+        if now >= self._ctx.drain_refuses_from:
+            return True
+        # A caller who keeps a connection isn't held back by a closed listener.
+        return self._ctx.link_load.is_late(now)
 
     async def _serve(self, received: ReceivedRequest) -> bool:
         """Answer a request; return whether the connection can be reused."""
--- a/src/knapweeddrum/process/entry/configuration_reader.py
+++ b/src/knapweeddrum/process/entry/configuration_reader.py
@@ -23,6 +23,10 @@
 class ConfigurationReader(RecordReader):
     """Applies the newest version of the configuration; older ones are ignored."""
 
+    needs_newest_only = True
+    page_kb = 64
+    """Little more than one long version, as those before the last are of no use."""
+
     def __init__(self, ctx: EntryContext) -> None:
         self._ctx = ctx
         self._emptied = EmptiedRecords(ctx)
--- a/src/knapweeddrum/process/entry/path_connector.py
+++ b/src/knapweeddrum/process/entry/path_connector.py
@@ -9,7 +9,7 @@
 from knapweeddrum.core.catalog.endpoint_entry import EndpointEntry
 from knapweeddrum.core.placing.endpoint_states import instance_name
 from knapweeddrum.http.client_connection import ClientConnection
-from knapweeddrum.http.exceptions import NotSentError
+from knapweeddrum.http.exceptions import NotSentError, PeerRefusedError
 from knapweeddrum.process.entry.endpoint_connector import (
     PROBE_TIMEOUT_SECONDS,
     DirectConnector,
@@ -19,6 +19,7 @@
 from knapweeddrum.process.entry.entry_context import EntryContext
 from knapweeddrum.telemetry.counters import connect_counter
 from knapweeddrum.telemetry.entry_events import ENDPOINT_REACHED, ENDPOINT_UNREACHED
+from knapweeddrum.value.link_source import LinkSource
 from knapweeddrum.value.probe_result import ProbeResult
 
 
@@ -31,7 +32,7 @@
     def __init__(self, ctx: EntryContext, tunnels: EndpointConnector) -> None:
         self._ctx = ctx
         self._tunnels = tunnels
-        self._direct = DirectConnector(ctx.link_load.receive)
+        self._direct = DirectConnector(ctx.receiver(LinkSource.ENDPOINTS))
         self.changed = anyio.Event()
         """Set and replaced when an endpoint or a path came in or out of reach."""
 
@@ -66,11 +67,14 @@
         self, entry: EndpointEntry, timeout: float
     ) -> ClientConnection:
         """Connect from this host."""
+        began_at = time.monotonic()
         try:
             conn = await self._direct.connect(entry, timeout)
         except NotSentError as exc:
+            self._record_trip(began_at, is_answered=isinstance(exc, PeerRefusedError))
             self._record(entry, failed_result(exc), str(exc))
             raise
+        self._record_trip(began_at, is_answered=True)
         self._record(entry, ProbeResult.CONNECTED)
         return conn
 
@@ -99,6 +103,12 @@
         if self._ctx.reach.record_elsewhere(name, time.monotonic()):
             self._notify()
 
+    def _record_trip(self, began_at: float, *, is_answered: bool) -> None:
+        now = time.monotonic()
+        self._ctx.link_load.record_trip(
+            LinkSource.ENDPOINTS, now - began_at, now, is_answered=is_answered
+        )
+
     def _record(
         self, entry: EndpointEntry, result: ProbeResult, error: str = ""
     ) -> None:
--- a/src/knapweeddrum/process/entry/tunnel_client.py
+++ b/src/knapweeddrum/process/entry/tunnel_client.py
@@ -28,6 +28,7 @@
 from knapweeddrum.telemetry.entry_events import TUNNEL_REFUSED
 from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 from knapweeddrum.value.host_record import HostRecord
+from knapweeddrum.value.link_source import LinkSource
 from knapweeddrum.value.probe_result import ProbeResult
 
 TUNNEL_PATH = b"/endpoint-tunnel"
@@ -142,13 +143,17 @@
     ) -> ClientConnection | ProbeResult | None:
         """Return a connection, how connecting failed there, or None if refused."""
         address = host.peer_address
+        asked_at = time.monotonic()
         try:
             conn = await ClientConnection.connect(
-                address, HOST_CONNECT_TIMEOUT_SECONDS, self._ctx.link_load.receive
+                address,
+                HOST_CONNECT_TIMEOUT_SECONDS,
+                self._ctx.receiver(LinkSource.HOSTS),
             )
         except NotSentError as exc:
             self.avoid_silent(host, entry, repr(exc))
             return None
+        self._record_trip(asked_at)
         is_kept = False
         try:
             reply = await self._reply(conn, address, entry, is_probe=is_probe)
@@ -166,6 +171,13 @@
             return reply.result
         return self._tunnel(conn, host)
 
+    def _record_trip(self, asked_at: float) -> None:
+        """Record that another host was reached, though no endpoint is."""
+        now = time.monotonic()
+        self._ctx.link_load.record_trip(
+            LinkSource.HOSTS, now - asked_at, now, is_answered=True
+        )
+
     async def _reply(
         self,
         conn: ClientConnection,
@@ -194,7 +206,7 @@
         stream, received = conn.detach()
         send_keep_alives(stream)
         tunnel = ClientConnection(
-            TunnelStream(stream, received), self._ctx.link_load.receive
+            TunnelStream(stream, received), self._ctx.receiver(LinkSource.HOSTS)
         )
         tunnel.via = host.name
         return tunnel
