--- a/tests/standins/network_link.py
+++ b/tests/standins/network_link.py
@@ -172,11 +172,12 @@
 
     async def _carry(self, source: anyio.abc.SocketStream) -> bytes:
         """Return what the link brings next, at its rate and in turn."""
-        if self.bytes_per_second is None:
+        rate = self.bytes_per_second
+        if rate is None:
             return await self._receive(source)
         data = await source.receive(PACKET_BYTES)
         begins_at = max(time.monotonic(), self._busy_until)
-        self._busy_until = begins_at + len(data) / self.bytes_per_second
+        self._busy_until = begins_at + len(data) / rate
         await anyio.sleep(self._busy_until - time.monotonic())
         return data
 
