Say that a write that could not connect in time wrote nothing

A write whose connection did not come about in 0.9 s ended as one without an answer, so that claims and spending records counted as perhaps written and their tokens were withheld. It has 0.5 s to connect again, and one that did not connect is not sent. The test failed before.

--- a/src/knapweeddrum/platform/store_client.py
+++ b/src/knapweeddrum/platform/store_client.py
@@ -39,6 +39,8 @@
 from knapweeddrum.value.documents import MalformedDocumentError, decode_json
 from knapweeddrum.value.store_position import era_of, offset_of, store_position
 
+CONNECT_TIMEOUT_SECONDS = 0.5
+"""Time for a write to connect: after it nothing was written."""
 LATE_SECONDS = 0.9
 """Time after which an answer is late, added to that for which the store may wait.
 
@@ -262,7 +264,7 @@
         began_at = time.monotonic()
         exchange = self._exchange(question, LATE_SECONDS)
         try:
-            reply = await exchange.run(self._lease())
+            reply = await exchange.run(self._lease(timeout=CONNECT_TIMEOUT_SECONDS))
         except (ExchangeError, EraDoubtError) as exc:
             self._report(question, began_at, [exchange], exc)
             raise
@@ -277,12 +279,14 @@
     ) -> StoreExchange:
         return StoreExchange(question, self.address, self.era, silence, on_progress)
 
-    def _lease(self, is_new: bool = False) -> ConnectionLease:
+    def _lease(
+        self, is_new: bool = False, timeout: float = MAX_SILENCE_SECONDS
+    ) -> ConnectionLease:
         return self._pool.lease(
             self.address,
             self.address,
             MAX_CONNECTIONS,
-            MAX_SILENCE_SECONDS,
+            timeout,
             self._on_receive,
             is_new=is_new,
         )
--- a/src/knapweeddrum/platform/store_exchange.py
+++ b/src/knapweeddrum/platform/store_exchange.py
@@ -9,7 +9,7 @@
 import anyio
 
 from knapweeddrum.http.client_connection import ClientConnection
-from knapweeddrum.http.exceptions import EndlessReplyError, NoReplyError
+from knapweeddrum.http.exceptions import EndlessReplyError, NoReplyError, NotSentError
 from knapweeddrum.http.header_list import Header
 from knapweeddrum.platform.store_era import StoreEra
 from knapweeddrum.platform.store_question import StoreQuestion, StoreReply
@@ -78,6 +78,8 @@
             if not self._has_records():
                 raise
             return self._reply(is_whole=False)
+        if not self.is_connected:
+            raise NotSentError(f"{self._address}: no connection in time")
         if self._has_records():
             return self._reply(is_whole=False)
         raise NoReplyError(f"{self._address}: no reply in time")
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -22,6 +22,7 @@
 from knapweeddrum.platform.store_call import StoreCall
 from knapweeddrum.platform.store_client import StoreClient
 from tests.async_test import async_test
+from tests.standins.network_link import Cut, NetworkLink
 from tests.standins.platform_store import PlatformStore
 from tests.standins.tcp_serving import serving
 
@@ -240,3 +241,17 @@
     assert call.received == 900
     assert call.on_new_connection
     assert call.error
+
+
+@async_test
+async def test_append_that_could_not_connect_in_time_wrote_nothing():
+    """One whose outcome is unknown withholds the tokens that it may have claimed."""
+    store = PlatformStore()
+    async with store.serve() as address:
+        link = NetworkLink(address)
+        async with link.serve():
+            link.cut(Cut.SILENT)
+            pool = ConnectionPool(lambda _: None)
+            with CASE.assertRaises(LogUnavailableError):
+                await StoreClient(link.address, pool).append("keyed.x", RECORDS)
+            await pool.close()
