--- a/src/knapweeddrum/platform/store_client.py
+++ b/src/knapweeddrum/platform/store_client.py
@@ -267,6 +267,9 @@
             reply = await exchange.run(self._lease(timeout=CONNECT_TIMEOUT_SECONDS))
         except (ExchangeError, EraDoubtError) as exc:
             self._report(question, began_at, [exchange], exc)
+            if isinstance(exc, NoReplyError):
+                # On another one as silent a write would be in doubt as well.
+                await self._pool.close_silent(self.address, began_at)
             raise
         self._report(question, began_at, [exchange], reply)
         return reply
