Try other connections to the store soon while none comes about

While the last connection has not come about another is tried each 0.6 s; the first is left, as on a full link it may come about late.

--- a/src/knapweeddrum/platform/hedged_read.py
+++ b/src/knapweeddrum/platform/hedged_read.py
@@ -15,6 +15,13 @@
 from knapweeddrum.platform.store_question import StoreReply
 
 MAX_EXCHANGES = 3
+"""Exchanges at a time."""
+RECONNECT_SECONDS = 0.6
+"""Time after which another connection is tried while none has come about.
+
+The kernel tries one again after a second and after three, so that a path that is back
+would be found late.
+"""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,12 +59,12 @@
         self._new_lease = new_lease
         self._patience = patience
         self._on_late = on_late
-        self._due_at = due_at
         self._late_at = due_at + patience.late
         self._heard_at = due_at
         self.began_at: float | None = None
         """Time at which the answer began to come in, None before that."""
-        self._asks_again_at = due_at + patience.late
+        self._asks_again_at = time.monotonic() + RECONNECT_SECONDS
+        self._asked_at = time.monotonic()
         self._is_late = False
         self._winner: StoreExchange | None = None
         self._running = 0
@@ -93,7 +100,12 @@
         return min(looks)
 
     def _may_ask_again(self) -> bool:
-        return self._winner is None and len(self.exchanges) < MAX_EXCHANGES
+        if self._winner is not None:
+            return False
+        return len(self.exchanges) < MAX_EXCHANGES or not self._is_last_connected()
+
+    def _is_last_connected(self) -> bool:
+        return self.exchanges[-1].is_connected
 
     def _look(self, tasks: anyio.abc.TaskGroup, now: float) -> None:
         if self._ended.is_set():
@@ -108,18 +120,25 @@
             self._ask_again(tasks, now)
 
     def _ask_again(self, tasks: anyio.abc.TaskGroup, now: float) -> None:
-        pause = 2.0 * self._patience.late
-        if self._is_first_known_to_work() and now < self._due_at + pause:
-            self._asks_again_at = self._due_at + pause
-            return
-        self._asks_again_at = now + pause
+        if self._is_last_connected():
+            patient_until = self._patient_until()
+            if now < patient_until:
+                self._asks_again_at = patient_until
+                return
+        elif len(self.exchanges) == MAX_EXCHANGES:
+            self.exchanges.pop().give_up()
+        self._asked_at = now
+        self._asks_again_at = now + RECONNECT_SECONDS
         self._start(tasks)
 
-    def _is_first_known_to_work(self) -> bool:
-        """Return whether the first connection was new, and its answer hasn't begun."""
+    def _patient_until(self) -> float:
+        """Return when the question is asked again though the last one was sent."""
         first = self.exchanges[0]
-        is_new = first.on_new_connection and first.is_connected
-        return is_new and not first.has_begun
+        if len(self.exchanges) > 1:
+            return self._asked_at + 2.0 * self._patience.late
+        is_known_to_work = first.on_new_connection and not first.has_begun
+        pauses = 2.0 if is_known_to_work else 1.0
+        return self._heard_at + pauses * self._patience.late
 
     def _start(self, tasks: anyio.abc.TaskGroup) -> None:
         exchange = self._new_exchange(lambda: self._record_progress(exchange))
